--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Snapshot.java
@@ -0,0 +1,22 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.Objects;
+
+/**
+ * The state of the state machine after an entry, in place of the log up to it.
+ * <p>
+ * Immutable and thread safe as long as nobody writes to the state.
+ *
+ * @param index the last entry it covers
+ * @param term the term of that entry
+ * @param membership the membership after that entry
+ * @param state the encoded state
+ */
+public record Snapshot(long index, long term, Membership membership, byte[] state) {
+
+	public Snapshot {
+		Objects.requireNonNull(membership, "membership");
+		Objects.requireNonNull(state, "state");
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestParser.java
@@ -0,0 +1,376 @@
+package org.acaciacourse.core.manifest;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.ini.IniText;
+import org.acaciacourse.core.ini.Problem;
+import org.acaciacourse.core.ini.Units;
+import org.acaciacourse.core.model.Customer;
+import org.acaciacourse.core.model.Endpoint;
+import org.acaciacourse.core.model.EndpointSet;
+import org.acaciacourse.core.model.LatencyTarget;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.model.Policy;
+import org.acaciacourse.core.model.PolicyInForce;
+import org.acaciacourse.core.model.PolicyKind;
+import org.acaciacourse.core.model.RequestClass;
+import org.acaciacourse.core.model.Service;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * Turns a manifest document into a checked manifest. Every problem is reported with
+ * section, key and line; a manifest with any problem is not used at all.
+ * <p>
+ * Not thread safe: made for one document and used once.
+ */
+public final class ManifestParser {
+
+	private static final String MANIFEST = "manifest";
+
+	private static final String NAME_FORM = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+
+	private final ManifestDocument document;
+
+	private final BiFunction<String, String, Integer> lines;
+
+	private final List<Problem> problems = new ArrayList<>();
+
+	private ManifestParser(ManifestDocument document, BiFunction<String, String, Integer> lines) {
+		this.document = document;
+		this.lines = lines;
+	}
+
+	/**
+	 * Read the text of a manifest file.
+	 * @param text the text
+	 * @return the document, or what is wrong with the form or the content
+	 */
+	public static Either<List<Problem>, ManifestDocument> document(String text) {
+		IniText ini = new IniText(text);
+		if (!ini.problems().isEmpty()) {
+			return Either.left(ini.problems());
+		}
+		ManifestDocument document = new ManifestDocument(ini.sections());
+		return new ManifestParser(document, ini::line).parse().map((manifest) -> document);
+	}
+
+	/**
+	 * Check a document and make a manifest of it.
+	 * @param document the document
+	 * @return the manifest, or everything that is wrong with it
+	 */
+	public static Either<List<Problem>, Manifest> manifest(ManifestDocument document) {
+		return new ManifestParser(document, (section, key) -> 0).parse();
+	}
+
+	private Either<List<Problem>, Manifest> parse() {
+		checkSectionNames();
+		Map<String, Policy> policies = each("policy", this::policy);
+		Map<String, EndpointSet> sets = each("endpoint-set", this::endpointSet);
+		Map<String, RequestClass> classes = each("class", this::requestClass);
+		Map<String, Endpoint> endpoints = each("endpoint", this::endpoint);
+		Map<String, Customer> customers = each("customer", this::customer);
+		Map<String, Service> services = each("service", this::service);
+		Set<String> drainedVms = each("vm", this::vm).entrySet()
+			.stream()
+			.filter(Map.Entry::getValue)
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		SectionReader head = reader(MANIFEST);
+		long number = head.wholeNumber("number", 1, Long.MAX_VALUE);
+		String policy = head.reference("policy", "policy");
+		Optional<String> split = head.optional("split");
+		split.ifPresent((name) -> head.checkReference("split", "policy", name));
+		int percent = (int) head.wholeNumber("split-percent", 0, 100, 0);
+		head.finish();
+		checkUniqueKeys(customers);
+		if (!this.problems.isEmpty()) {
+			return Either.left(List.copyOf(this.problems));
+		}
+		PolicyInForce inForce = new PolicyInForce(policy, split, percent);
+		return Either.right(new Manifest(number, this.document.digest(), inForce, policies, classes, sets, endpoints,
+				customers, services, drainedVms));
+	}
+
+	private void checkSectionNames() {
+		Set<String> kinds = Set.of("policy", "endpoint-set", "class", "endpoint", "customer", "service", "vm");
+		for (String section : this.document.sections().keySet()) {
+			String kind = section.split(" ", 2)[0];
+			boolean named = section.matches("[a-z-]+ " + NAME_FORM) && kinds.contains(kind);
+			if (!named && !section.equals(MANIFEST)) {
+				problem(section, "", "unknown section, or a name that is not " + NAME_FORM);
+			}
+		}
+		if (!this.document.sections().containsKey(MANIFEST)) {
+			problem(MANIFEST, "", "missing section");
+		}
+	}
+
+	private void checkUniqueKeys(Map<String, Customer> customers) {
+		Map<String, String> owners = new TreeMap<>();
+		customers.values().forEach((customer) -> customer.keyDigests().forEach((digest) -> {
+			String other = owners.putIfAbsent(digest, customer.name());
+			if (other != null) {
+				problem("customer " + customer.name(), "key-sha256", "is a key of customer " + other + " too");
+			}
+		}));
+	}
+
+	private Policy policy(String name, SectionReader reader) {
+		PolicyKind kind = reader.word("kind", PolicyKind::ofLabel, PolicyKind.TIERED);
+		return new Policy(name, kind, reader.remainingNumbers());
+	}
+
+	private EndpointSet endpointSet(String name, SectionReader reader) {
+		EndpointSet.Kind kind = reader.word("kind", EndpointSet.Kind::ofLabel, EndpointSet.Kind.MODEL);
+		Set<String> models = Set.copyOf(reader.list("models", kind == EndpointSet.Kind.MODEL));
+		return new EndpointSet(name, kind, models, reader.flag("resume", false), reader.flag("deterministic", false),
+				reader.flag("checks-fencing", false));
+	}
+
+	private RequestClass requestClass(String name, SectionReader reader) {
+		Tier tier = reader.word("tier", Tier::ofLabel, Tier.MIDDLE);
+		LatencyTarget target = target(reader);
+		Duration deadline = reader.duration("deadline", target.limit());
+		boolean preemptible = reader.flag("preemptible", false);
+		if (deadline.compareTo(target.limit()) < 0) {
+			reader.problem("deadline", "is shorter than the target");
+			deadline = target.limit();
+		}
+		if (preemptible && tier == Tier.HIGH) {
+			reader.problem("preemptible", "the high tier is never preempted");
+			preemptible = false;
+		}
+		List<String> sets = reader.list("endpoint-sets", true);
+		sets.forEach((set) -> reader.checkReference("endpoint-sets", "endpoint-set", set));
+		return new RequestClass(name, tier, target, deadline, preemptible, sets);
+	}
+
+	private LatencyTarget target(SectionReader reader) {
+		LatencyTarget fallback = new LatencyTarget(LatencyTarget.Kind.WHOLE_ANSWER, Duration.ofSeconds(1));
+		String[] words = reader.required("target").split("\\s+", 2);
+		Optional<LatencyTarget.Kind> kind = LatencyTarget.Kind.ofLabel(words[0]);
+		Optional<Duration> limit = (words.length == 2) ? Units.duration(words[1]) : Optional.empty();
+		if (kind.isEmpty() || limit.isEmpty() || limit.get().isZero()) {
+			reader.problem("target", "expected first-token or whole-answer and a duration");
+			return fallback;
+		}
+		return new LatencyTarget(kind.get(), limit.get());
+	}
+
+	private Endpoint endpoint(String name, SectionReader reader) {
+		String set = reader.reference("set", "endpoint-set");
+		URI address = reader.address("address");
+		int slots = (int) reader.wholeNumber("slots", 1, 100_000, 8);
+		return new Endpoint(name, set, address, reader.required("data-centre"), slots, reader.flag("drain", false));
+	}
+
+	private Customer customer(String name, SectionReader reader) {
+		List<String> digests = reader.list("key-sha256", true);
+		if (!digests.stream().allMatch((digest) -> digest.matches("[0-9a-f]{64}"))) {
+			reader.problem("key-sha256", "expected 64 lower-case hexadecimal digits for each key");
+		}
+		List<String> classes = reader.list("classes", true);
+		classes.forEach((c) -> reader.checkReference("classes", "class", c));
+		int inFlight = (int) reader.wholeNumber("max-in-flight", 1, 1_000_000, 1_000);
+		double rate = reader.number("requests-per-second", 1_000);
+		int weight = (int) reader.wholeNumber("weight", 1, 1_000, 1);
+		if (!(rate > 0)) {
+			reader.problem("requests-per-second", "must be above 0");
+			rate = 1;
+		}
+		return new Customer(name, Set.copyOf(digests), classes, inFlight, rate, weight);
+	}
+
+	private Service service(String name, SectionReader reader) {
+		String set = reader.reference("endpoint-set", "endpoint-set");
+		String requestClass = reader.reference("class", "class");
+		List<Service.Call> calls = new ArrayList<>();
+		for (String call : reader.list("not-repeated", false)) {
+			String[] words = call.split("\\s+", 2);
+			if (words.length != 2 || !words[0].matches("[A-Z]+") || !words[1].startsWith("/")) {
+				reader.problem("not-repeated", "expected METHOD /path, ...");
+				continue;
+			}
+			calls.add(new Service.Call(words[0], words[1]));
+		}
+		return new Service(name, set, requestClass, calls);
+	}
+
+	private Boolean vm(String name, SectionReader reader) {
+		return reader.flag("drain", false);
+	}
+
+	private <T> Map<String, T> each(String kind, BiFunction<String, SectionReader, T> make) {
+		Map<String, T> made = new TreeMap<>();
+		String prefix = kind + " ";
+		for (String section : this.document.sections().keySet()) {
+			if (section.startsWith(prefix)) {
+				SectionReader reader = reader(section);
+				String name = section.substring(prefix.length());
+				made.put(name, make.apply(name, reader));
+				reader.finish();
+			}
+		}
+		return made;
+	}
+
+	private SectionReader reader(String section) {
+		return new SectionReader(section, this.document.sections().getOrDefault(section, new TreeMap<>()));
+	}
+
+	private void problem(String section, String key, String text) {
+		this.problems.add(new Problem(this.lines.apply(section, key), section, key, text));
+	}
+
+	/** Reads one section and notes what is wrong with it. */
+	private final class SectionReader {
+
+		private final String section;
+
+		private final SortedMap<String, String> rest;
+
+		private SectionReader(String section, SortedMap<String, String> keys) {
+			this.section = section;
+			this.rest = new TreeMap<>(keys);
+		}
+
+		private void problem(String key, String text) {
+			ManifestParser.this.problem(this.section, key, text);
+		}
+
+		private Optional<String> optional(String key) {
+			return Optional.ofNullable(this.rest.remove(key)).filter((value) -> !value.isEmpty());
+		}
+
+		private String required(String key) {
+			Optional<String> value = optional(key);
+			if (value.isEmpty()) {
+				problem(key, "missing");
+			}
+			return value.orElse("");
+		}
+
+		private String reference(String key, String kind) {
+			String name = required(key);
+			if (!name.isEmpty()) {
+				checkReference(key, kind, name);
+			}
+			return name;
+		}
+
+		private void checkReference(String key, String kind, String name) {
+			if (!ManifestParser.this.document.sections().containsKey(kind + " " + name)) {
+				problem(key, "there is no [" + kind + " " + name + "]");
+			}
+		}
+
+		private List<String> list(String key, boolean required) {
+			String value = (required) ? required(key) : optional(key).orElse("");
+			return Arrays.stream(value.split(",")).map(String::strip).filter((word) -> !word.isEmpty()).toList();
+		}
+
+		private boolean flag(String key, boolean defaultValue) {
+			String value = optional(key).orElse(Boolean.toString(defaultValue));
+			if (!value.equals("true") && !value.equals("false")) {
+				problem(key, "expected true or false");
+			}
+			return value.equals("true");
+		}
+
+		private <T> T word(String key, Function<String, Optional<T>> find, T fallback) {
+			String value = required(key);
+			Optional<T> found = find.apply(value);
+			if (found.isEmpty() && !value.isEmpty()) {
+				problem(key, "unknown word " + value);
+			}
+			return found.orElse(fallback);
+		}
+
+		private Duration duration(String key, Duration fallback) {
+			String value = required(key);
+			Optional<Duration> duration = Units.duration(value);
+			if (duration.isEmpty() && !value.isEmpty()) {
+				problem(key, "expected a number with ms, s, min or h");
+			}
+			return duration.orElse(fallback);
+		}
+
+		private long wholeNumber(String key, long least, long most) {
+			String value = required(key);
+			return (value.isEmpty()) ? least : inRange(key, value, least, most);
+		}
+
+		private long wholeNumber(String key, long least, long most, long defaultValue) {
+			return optional(key).map((value) -> inRange(key, value, least, most)).orElse(defaultValue);
+		}
+
+		private long inRange(String key, String value, long least, long most) {
+			try {
+				long number = Long.parseLong(value);
+				if (number >= least && number <= most) {
+					return number;
+				}
+			}
+			catch (NumberFormatException ex) {
+				// Reported below like a number out of range.
+			}
+			problem(key, "expected a whole number from " + least + " to " + most);
+			return least;
+		}
+
+		private double number(String key, double defaultValue) {
+			return optional(key).map((value) -> number(key, value, defaultValue)).orElse(defaultValue);
+		}
+
+		private double number(String key, String value, double fallback) {
+			try {
+				double number = Double.parseDouble(value);
+				if (Double.isFinite(number)) {
+					return number;
+				}
+			}
+			catch (NumberFormatException ex) {
+				// Reported below like a number that is not finite.
+			}
+			problem(key, "expected a number");
+			return fallback;
+		}
+
+		private URI address(String key) {
+			String value = required(key);
+			boolean valid = value.matches("http://[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
+			if (!valid && !value.isEmpty()) {
+				problem(key, "expected http://IP:PORT");
+			}
+			return URI.create((valid) ? value : "http://127.0.0.1:1");
+		}
+
+		private Map<String, Double> remainingNumbers() {
+			Map<String, Double> numbers = new TreeMap<>();
+			for (String key : List.copyOf(this.rest.keySet())) {
+				numbers.put(key, number(key, 0));
+			}
+			return numbers;
+		}
+
+		private void finish() {
+			this.rest.keySet().forEach((key) -> problem(key, "unknown key"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/manifest/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Manifests as text: canonical documents, deltas, parsing and checking.
+ */
+package org.acaciacourse.core.manifest;
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/model/LatencyTarget.java
@@ -0,0 +1,61 @@
+package org.acaciacourse.core.model;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The latency target of a class, counted from the arrival of the request.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param kind what the target bounds
+ * @param limit the bound, positive
+ */
+public record LatencyTarget(Kind kind, Duration limit) {
+
+	public LatencyTarget {
+		Objects.requireNonNull(kind, "kind");
+		if (limit.isNegative() || limit.isZero()) {
+			throw new IllegalArgumentException("limit must be positive");
+		}
+	}
+
+	/**
+	 * What a target bounds.
+	 */
+	public enum Kind {
+
+		/** The time to the first token. */
+		FIRST_TOKEN("first-token"),
+
+		/** The time to the end of the answer. */
+		WHOLE_ANSWER("whole-answer");
+
+		private final String label;
+
+		Kind(String label) {
+			this.label = label;
+		}
+
+		/**
+		 * Find a kind by its word in a manifest.
+		 * @param label the word
+		 * @return the kind, if there is one
+		 */
+		public static Optional<Kind> ofLabel(String label) {
+			return Arrays.stream(values()).filter((kind) -> kind.label.equals(label)).findFirst();
+		}
+
+		/**
+		 * Return the word used in manifests.
+		 * @return the label
+		 */
+		public String label() {
+			return this.label;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/model/Manifest.java
@@ -0,0 +1,48 @@
+package org.acaciacourse.core.model;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A whole checked manifest. All names that it refers to exist.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param number the number, which only grows
+ * @param digest the SHA-256 of the canonical document, in hexadecimal digits
+ * @param policyInForce the policy in force
+ * @param policies the policies by name
+ * @param classes the classes by name
+ * @param endpointSets the endpoint sets by name
+ * @param endpoints the endpoints by name
+ * @param customers the customers by name
+ * @param services the plain services by name
+ * @param drainedVms names of the system's VMs that are marked as leaving
+ */
+public record Manifest(long number, String digest, PolicyInForce policyInForce, Map<String, Policy> policies,
+		Map<String, RequestClass> classes, Map<String, EndpointSet> endpointSets, Map<String, Endpoint> endpoints,
+		Map<String, Customer> customers, Map<String, Service> services, Set<String> drainedVms) {
+
+	public Manifest {
+		Objects.requireNonNull(digest, "digest");
+		policies = Map.copyOf(policies);
+		classes = Map.copyOf(classes);
+		endpointSets = Map.copyOf(endpointSets);
+		endpoints = Map.copyOf(endpoints);
+		customers = Map.copyOf(customers);
+		services = Map.copyOf(services);
+		drainedVms = Set.copyOf(drainedVms);
+	}
+
+	/**
+	 * Find a customer by the digest of its key.
+	 * @param keyDigest the SHA-256 of the key, in lower-case hexadecimal digits
+	 * @return the customer, if the key is known
+	 */
+	public Optional<Customer> customerOfKey(String keyDigest) {
+		return this.customers.values().stream().filter((c) -> c.keyDigests().contains(keyDigest)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/model/PolicyInForce.java
@@ -0,0 +1,36 @@
+package org.acaciacourse.core.model;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The policy in force, with an optional second one that gets a share of the requests by
+ * hash.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param policy the name of the policy
+ * @param split the name of the second policy, if requests are split
+ * @param splitPercent the percentage of requests that the second one gets, 0 to 100
+ */
+public record PolicyInForce(String policy, Optional<String> split, int splitPercent) {
+
+	public PolicyInForce {
+		Objects.requireNonNull(policy, "policy");
+		Objects.requireNonNull(split, "split");
+		if (splitPercent < 0 || splitPercent > 100) {
+			throw new IllegalArgumentException("splitPercent must be 0 to 100");
+		}
+	}
+
+	/**
+	 * Choose the policy of a request; the same hash always gets the same policy.
+	 * @param requestHash a hash of the request
+	 * @return the name of the policy
+	 */
+	public String choose(long requestHash) {
+		boolean second = Math.floorMod(requestHash, 100) < this.splitPercent;
+		return (second) ? this.split.orElse(this.policy) : this.policy;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/model/PolicyKind.java
@@ -0,0 +1,45 @@
+package org.acaciacourse.core.model;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * The kinds of policy that a manifest can name.
+ * <p>
+ * Immutable and thread safe.
+ */
+public enum PolicyKind {
+
+	/** Baseline: one queue in order of arrival, endpoints in turn. */
+	FIFO("fifo"),
+
+	/** Baseline: order of arrival, the endpoint with the fewest own requests. */
+	LEAST_IN_FLIGHT("least-in-flight"),
+
+	/** Tiers, fair shares, targets and corrected load. */
+	TIERED("tiered");
+
+	private final String label;
+
+	PolicyKind(String label) {
+		this.label = label;
+	}
+
+	/**
+	 * Find a kind by its word in a manifest.
+	 * @param label the word
+	 * @return the kind, if there is one
+	 */
+	public static Optional<PolicyKind> ofLabel(String label) {
+		return Arrays.stream(values()).filter((kind) -> kind.label.equals(label)).findFirst();
+	}
+
+	/**
+	 * Return the word used in manifests and metrics.
+	 * @return the label
+	 */
+	public String label() {
+		return this.label;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/model/RequestClass.java
@@ -0,0 +1,35 @@
+package org.acaciacourse.core.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A class of requests with its tier, target and permitted endpoints.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param name the unique name
+ * @param tier the service tier
+ * @param target the latency target
+ * @param deadline the longest time from arrival to the end of the answer
+ * @param preemptible whether a running request may be set aside for a higher tier
+ * @param endpointSets the names of the endpoint sets it may use, preferred first
+ */
+public record RequestClass(String name, Tier tier, LatencyTarget target, Duration deadline, boolean preemptible,
+		List<String> endpointSets) {
+
+	public RequestClass {
+		Objects.requireNonNull(name, "name");
+		Objects.requireNonNull(tier, "tier");
+		Objects.requireNonNull(target, "target");
+		if (deadline.compareTo(target.limit()) < 0) {
+			throw new IllegalArgumentException("deadline must not be shorter than the target");
+		}
+		if (preemptible && tier == Tier.HIGH) {
+			throw new IllegalArgumentException("the high tier is never preempted");
+		}
+		endpointSets = List.copyOf(endpointSets);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/settings/SettingKey.java
@@ -0,0 +1,158 @@
+package org.acaciacourse.core.settings;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * The table of all settings: section, key, type with its range, default and meaning.
+ * {@code docs/OPERATORS.md} lists the same; a test holds the two together.
+ * <p>
+ * Immutable and thread safe.
+ */
+public enum SettingKey {
+
+	/** Name of the VM. */
+	VM_NAME("vm", "name", SettingType.TEXT, null, "unique name of the VM"),
+
+	/** Data centre of the VM. */
+	VM_DATA_CENTRE("vm", "data-centre", SettingType.TEXT, null, "data centre it stands in"),
+
+	/** Shared key of the inner connections. */
+	INNER_KEY("inner", "key", SettingType.SECRET, null, "shared key of the inner connections, 16 characters or more"),
+
+	/** Address of the callers' HTTP server. */
+	ENTRY_LISTEN("entry", "listen", SettingType.ADDRESS, "127.0.0.1:8080", "address for callers"),
+
+	/** Address of health and metrics of an entry. */
+	ENTRY_ADMIN("entry", "admin", SettingType.ADDRESS, "127.0.0.1:8081", "address for health and metrics"),
+
+	/** Addresses of the control VMs. */
+	ENTRY_CONTROLS("entry", "controls", SettingType.ADDRESS_LIST, "127.0.0.1:8090", "addresses of the control VMs"),
+
+	/** How many entry VMs share the limits of customers. */
+	ENTRY_PEERS("entry", "peers", SettingType.COUNT, "1",
+			"entry VMs that share a customer's limits until control tells"),
+
+	/** Largest body of a request. */
+	ENTRY_MAX_BODY("entry", "max-body", SettingType.BYTES, "8 MiB", "largest body of a request"),
+
+	/** Most connections of callers. */
+	ENTRY_MAX_CONNECTIONS("entry", "max-connections", SettingType.COUNT, "4096", "most connections of callers"),
+
+	/** Time to receive a request. */
+	ENTRY_READ_TIMEOUT("entry", "read-timeout", SettingType.DURATION, "20 s",
+			"time in which a request has to be received"),
+
+	/** Delay between not ready and closing the listener. */
+	ENTRY_STOP_DELAY("entry", "stop-delay", SettingType.DURATION, "2 s",
+			"time between not ready and no new connections"),
+
+	/** Limit on the drain. */
+	ENTRY_DRAIN_LIMIT("entry", "drain-limit", SettingType.DURATION, "10 min",
+			"longest time for requests in flight on a stop"),
+
+	/** PEM certificate chain for callers. */
+	ENTRY_TLS_CERTIFICATE("entry", "tls-certificate", SettingType.PATH, "",
+			"PEM certificate chain, empty for plain text"),
+
+	/** PEM key for callers. */
+	ENTRY_TLS_KEY("entry", "tls-key", SettingType.PATH, "", "PEM private key of the certificate"),
+
+	/** Address of the inner server of a control VM. */
+	CONTROL_LISTEN("control", "listen", SettingType.ADDRESS, "127.0.0.1:8090", "address of the inner server"),
+
+	/** Address of health and metrics of a control VM. */
+	CONTROL_ADMIN("control", "admin", SettingType.ADDRESS, "127.0.0.1:8091", "address for health and metrics"),
+
+	/** Data folder. */
+	CONTROL_DATA("control", "data", SettingType.PATH, null, "data folder"),
+
+	/** The first members. */
+	CONTROL_INITIAL("control", "initial", SettingType.ADDRESS_LIST, null,
+			"addresses of the control VMs that found the log, the same on each"),
+
+	/** Key of the operators. */
+	CONTROL_OPERATOR_KEY("control", "operator-key", SettingType.SECRET, null, "key of the operators"),
+
+	/** Platform list. */
+	CONTROL_PLATFORM_LIST("control", "platform-list", SettingType.TEXT, "",
+			"file or http address of the platform's list of VMs and endpoints, empty for none"),
+
+	/** Where traces go. */
+	TRACES_EXPORTER("traces", "exporter", SettingType.TEXT, "none", "otlp, log or none"),
+
+	/** Address of the OTLP receiver. */
+	TRACES_ENDPOINT("traces", "endpoint", SettingType.TEXT, "http://127.0.0.1:4318/v1/traces",
+			"address of the OTLP receiver");
+
+	private final String section;
+
+	private final String key;
+
+	private final SettingType type;
+
+	private final String defaultText;
+
+	private final String meaning;
+
+	SettingKey(String section, String key, SettingType type, String defaultText, String meaning) {
+		this.section = section;
+		this.key = key;
+		this.type = type;
+		this.defaultText = defaultText;
+		this.meaning = meaning;
+	}
+
+	/**
+	 * Find a setting.
+	 * @param section the section
+	 * @param key the key
+	 * @return the setting, if there is one
+	 */
+	public static Optional<SettingKey> of(String section, String key) {
+		return Arrays.stream(values())
+			.filter((setting) -> setting.section.equals(section) && setting.key.equals(key))
+			.findFirst();
+	}
+
+	/**
+	 * Return the section.
+	 * @return the section
+	 */
+	public String section() {
+		return this.section;
+	}
+
+	/**
+	 * Return the key in its section.
+	 * @return the key
+	 */
+	public String key() {
+		return this.key;
+	}
+
+	/**
+	 * Return the type.
+	 * @return the type, which checks and reads a value
+	 */
+	public SettingType type() {
+		return this.type;
+	}
+
+	/**
+	 * Return the default as it would stand in a file.
+	 * @return the default, empty if the setting is required where its section is used
+	 */
+	public Optional<String> defaultText() {
+		return Optional.ofNullable(this.defaultText);
+	}
+
+	/**
+	 * Return what the setting is for.
+	 * @return the meaning
+	 */
+	public String meaning() {
+		return this.meaning;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/settings/SettingType.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.core.settings;
+
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * The types of settings, each with its check.
+ * <p>
+ * Immutable and thread safe.
+ */
+public enum SettingType {
+
+	/** Any text. */
+	TEXT("text", ".*"),
+
+	/** A text that is never printed. */
+	SECRET("secret", ".{6,}"),
+
+	/** A path of a file or folder. */
+	PATH("path", ".*"),
+
+	/** An IP number and a port. */
+	ADDRESS("IP:PORT", SettingType.ADDRESS_PATTERN),
+
+	/** IP numbers and ports with commas. */
+	ADDRESS_LIST("IP:PORT, ...", SettingType.ADDRESS_PATTERN + "(\\s*,\\s*" + SettingType.ADDRESS_PATTERN + ")*"),
+
+	/** A whole number from 1. */
+	COUNT("number from 1", "[1-9][0-9]{0,8}"),
+
+	/** A number with a unit of time. */
+	DURATION("number with ms, s, min or h", "[0-9]{1,9}\\s*(ms|s|min|h)"),
+
+	/** A number with a unit of size. */
+	BYTES("number with B, KiB or MiB", "[1-9][0-9]{0,8}\\s*(B|KiB|MiB)");
+
+	private static final String ADDRESS_PATTERN = "([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}";
+
+	private final String form;
+
+	private final Pattern pattern;
+
+	SettingType(String form, String pattern) {
+		this.form = form;
+		this.pattern = Pattern.compile(pattern);
+	}
+
+	/**
+	 * Check a value.
+	 * @param text the value
+	 * @return what is wrong with it, if anything
+	 */
+	public Optional<String> problemOf(String text) {
+		if (this.pattern.matcher(text).matches()) {
+			return Optional.empty();
+		}
+		return Optional.of("expected " + this.form);
+	}
+
+	/**
+	 * Return how a value is written.
+	 * @return the form
+	 */
+	public String form() {
+		return this.form;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The table of settings and their checks.
+ */
+package org.acaciacourse.core.settings;
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The replicated state machine: configuration, leases, claims and crash reports.
+ */
+package org.acaciacourse.core.state;
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/Main.java
@@ -0,0 +1,80 @@
+package org.acaciacourse.daemon.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.ServiceLoader;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.acaciacourse.core.code.ResultCode;
+
+/**
+ * Entry point of the launcher: dispatches to the subcommands on the class path.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class Main {
+
+	private static final String PROGRAM = "acaciacourse";
+
+	private Main() {
+	}
+
+	/**
+	 * Run a subcommand and exit with the status of its result.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		System.exit(run(args).exitStatus());
+	}
+
+	/**
+	 * Run a subcommand.
+	 * @param args the command line
+	 * @return the result
+	 */
+	public static ResultCode run(String... args) {
+		Map<String, Command> commands = new LinkedHashMap<>();
+		ServiceLoader.load(Command.class).forEach((command) -> commands.put(command.name(), command));
+		GlobalOptions options = new GlobalOptions();
+		JCommander commander = JCommander.newBuilder().programName(PROGRAM).addObject(options).build();
+		commands.forEach(commander::addCommand);
+		try {
+			commander.parse(args);
+		}
+		catch (ParameterException ex) {
+			System.err.println(ResultCode.INVALID_ARGUMENTS.number() + " " + ex.getMessage());
+			return ResultCode.INVALID_ARGUMENTS;
+		}
+		String name = commander.getParsedCommand();
+		if (options.help) {
+			commander.usage();
+			return ResultCode.OK;
+		}
+		if (name == null) {
+			commander.usage();
+			return ResultCode.INVALID_ARGUMENTS;
+		}
+		return run(commands.get(name));
+	}
+
+	private static ResultCode run(Command command) {
+		try {
+			return command.run();
+		}
+		catch (Exception ex) {
+			System.err.println(ResultCode.INTERNAL.number() + " " + ex);
+			return ResultCode.INTERNAL;
+		}
+	}
+
+	/** Options before the subcommand. */
+	private static final class GlobalOptions {
+
+		@Parameter(names = { "--help", "-h" }, help = true, description = "Show this help")
+		private boolean help;
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line: launcher and subcommands.
+ */
+package org.acaciacourse.daemon.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The link of an entry VM to the control VMs.
+ */
+package org.acaciacourse.daemon.link;
--- /dev/null
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -0,0 +1,297 @@
+/*
+ * The inner protocol: between control replicas, between entries and control, and between
+ * operators and control. Times are milliseconds unless a name says otherwise. Fields are
+ * only added, never renumbered.
+ */
+namespace java org.acaciacourse.protocol.generated
+
+/* ---- replicated log: on the wire and on disk ---- */
+
+struct MemberRecord {
+  1: i64 id,
+  2: string vm,
+  3: string address,
+  4: bool voter,
+}
+
+struct LogRecord {
+  1: i64 index,
+  2: i64 term,
+  3: i32 kind,
+  4: binary payload,
+}
+
+struct HardStateRecord {
+  1: i64 term,
+  2: optional i64 votedFor,
+}
+
+struct SnapshotRecord {
+  1: i64 index,
+  2: i64 term,
+  3: list<MemberRecord> members,
+  4: binary state,
+}
+
+struct VoteRequestBody {
+  1: i64 lastIndex,
+  2: i64 lastTerm,
+  3: bool preVote,
+  4: bool leadershipTransfer,
+}
+
+struct VoteReplyBody {
+  1: bool preVote,
+  2: bool granted,
+}
+
+struct AppendRequestBody {
+  1: i64 previousIndex,
+  2: i64 previousTerm,
+  3: list<LogRecord> entries,
+  4: i64 commitIndex,
+  5: i64 round,
+}
+
+struct AppendReplyBody {
+  1: bool success,
+  2: i64 matchIndex,
+  3: i64 round,
+}
+
+struct SnapshotRequestBody {
+  1: SnapshotRecord snapshot,
+  2: i64 round,
+}
+
+struct TimeoutNowBody {
+}
+
+union ReplicaBody {
+  1: VoteRequestBody voteRequest,
+  2: VoteReplyBody voteReply,
+  3: AppendRequestBody appendRequest,
+  4: AppendReplyBody appendReply,
+  5: SnapshotRequestBody snapshotRequest,
+  6: TimeoutNowBody timeoutNow,
+}
+
+struct ReplicaEnvelope {
+  1: i64 sender,
+  2: i64 term,
+  3: ReplicaBody body,
+}
+
+/* ---- commands of the replicated state machine ---- */
+
+struct DeltaRecord {
+  1: map<string, map<string, string>> changed,
+  2: set<string> removed,
+}
+
+struct PutManifestCommand {
+  1: i64 number,
+  2: string digest,
+  3: string baseDigest,
+  4: DeltaRecord delta,
+  5: string operatorName,
+}
+
+struct AcquireLeaseCommand {
+  1: string lease,
+  2: string holder,
+  3: i64 durationMillis,
+}
+
+struct ReleaseLeaseCommand {
+  1: string lease,
+  2: string holder,
+  3: i64 fencingNumber,
+}
+
+struct ClaimCommand {
+  1: string customer,
+  2: string idempotencyKey,
+  3: string contentHash,
+  4: string owner,
+}
+
+struct CompleteClaimCommand {
+  1: string customer,
+  2: string idempotencyKey,
+  3: string owner,
+  4: i32 outcome,
+  5: binary answer,
+}
+
+struct EndOwnerCommand {
+  1: string owner,
+}
+
+struct ReportCrashCommand {
+  1: i64 contentHash,
+  2: i32 crashes,
+}
+
+union CommandBody {
+  1: PutManifestCommand putManifest,
+  2: AcquireLeaseCommand acquireLease,
+  3: ReleaseLeaseCommand releaseLease,
+  4: ClaimCommand claim,
+  5: CompleteClaimCommand completeClaim,
+  6: EndOwnerCommand endOwner,
+  7: ReportCrashCommand reportCrash,
+}
+
+struct CommandRecord {
+  1: i64 proposedAt,
+  2: CommandBody body,
+}
+
+/* ---- answers ---- */
+
+struct TraceContext {
+  1: string traceparent,
+}
+
+/* Result is the number of a code in docs/RESULT-CODES.md. */
+struct Result {
+  1: i32 code,
+  2: string detail,
+  /* Where the leader is, if the callee is not it and knows. */
+  3: optional string leaderAddress,
+  4: optional i64 retryAfterMillis,
+}
+
+struct ApplyRequest {
+  1: string operatorKey,
+  2: string operatorName,
+  3: map<string, map<string, string>> sections,
+  4: TraceContext trace,
+}
+
+struct ApplyReply {
+  1: Result result,
+  /* What is in force after the call. */
+  2: i64 number,
+  3: string digest,
+}
+
+/* Long poll of an entry: also its heartbeat and the confirmation of its number. */
+struct PollRequest {
+  1: string vm,
+  2: string owner,
+  3: string dataCentre,
+  4: i64 number,
+  5: string digest,
+  6: i64 crashRevision,
+  7: i64 waitMillis,
+  /* Results per policy epoch and class, for compare. */
+  8: list<ClassReport> reports,
+  /* Ask for a linearizable read before answering. */
+  9: bool latest,
+  10: bool leaving,
+}
+
+struct PollReply {
+  1: Result result,
+  2: i64 number,
+  3: string digest,
+  /* Exactly one of the two if the number is newer than the entry's. */
+  4: optional DeltaRecord delta,
+  5: optional map<string, map<string, string>> snapshot,
+  6: string baseDigest,
+  7: i64 crashRevision,
+  8: list<ReportCrashCommand> crashes,
+  9: list<EndpointNotice> notices,
+  10: i32 entryCount,
+}
+
+/* What the platform's list says of an endpoint: 0 live, 1 leaving, 2 gone. */
+struct EndpointNotice {
+  1: string endpoint,
+  2: i32 status,
+}
+
+struct ClassReport {
+  1: string policy,
+  2: i64 epochNumber,
+  3: string requestClass,
+  4: i64 arrived,
+  5: i64 answered,
+  6: i64 met,
+  7: i64 refused,
+  8: i64 failed,
+  9: i64 tokensDelivered,
+  10: i64 tokensWasted,
+  11: i64 retries,
+  12: i64 hedges,
+}
+
+struct ClaimReply {
+  1: Result result,
+  2: i32 outcome,
+  3: optional binary answer,
+  /* Whether this call made the claim, so that its owner may send the request. */
+  4: bool granted,
+}
+
+struct LeaseReply {
+  1: Result result,
+  2: i64 fencingNumber,
+  3: i64 remainingMillis,
+}
+
+struct EntryStatus {
+  1: string vm,
+  2: string dataCentre,
+  3: i64 number,
+  4: string digest,
+  5: i64 lastSeenMillis,
+  6: bool leaving,
+  7: list<ClassReport> reports,
+}
+
+struct AuditRecord {
+  1: i64 at,
+  2: string operatorName,
+  3: i64 number,
+  4: string digest,
+  5: i32 changedSections,
+}
+
+struct StatusReply {
+  1: Result result,
+  2: string vm,
+  3: string role,
+  4: i64 term,
+  5: i64 commitIndex,
+  6: i64 number,
+  7: string digest,
+  8: list<MemberRecord> members,
+  9: list<EntryStatus> entries,
+  10: list<AuditRecord> audit,
+  11: string leaseHolder,
+  12: i64 fencingNumber,
+  13: i64 claims,
+}
+
+/* Between control replicas. */
+service ReplicaService {
+  /* Returns once the messages are taken in, so that a silent connection shows as a timeout. */
+  void deliver(1: string sharedKey, 2: list<ReplicaEnvelope> messages),
+  /* An empty replica asks to join as a learner; the answer's detail is empty on success. */
+  Result join(1: string sharedKey, 2: MemberRecord member),
+}
+
+/* For entries and operators. */
+service ControlService {
+  ApplyReply apply(1: ApplyRequest request),
+  PollReply poll(1: string sharedKey, 2: PollRequest request),
+  ClaimReply claim(1: string sharedKey, 2: ClaimCommand command, 3: TraceContext trace),
+  ClaimReply completeClaim(1: string sharedKey, 2: CompleteClaimCommand command, 3: TraceContext trace),
+  Result reportCrash(1: string sharedKey, 2: ReportCrashCommand command),
+  LeaseReply acquireLease(1: string sharedKey, 2: AcquireLeaseCommand command),
+  LeaseReply releaseLease(1: string sharedKey, 2: ReleaseLeaseCommand command),
+  StatusReply status(1: string operatorKey),
+}
