--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/delivery/AnswerSequenceTests.java
@@ -0,0 +1,66 @@
+package org.acaciacourse.core.delivery;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.acaciacourse.core.delivery.AnswerSequence.Verdict;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link AnswerSequence}.
+ */
+class AnswerSequenceTests {
+
+	// The stream breaks several times; each next attempt starts somewhere at or before
+	// the first missing token. The caller must see 0, 1, 2, ... without a gap or repeat.
+	@Property(tries = 2_000, seed = "4712")
+	void passesEachTokenOnOnceAndInOrder(
+			@ForAll @Size(max = 6) List<@IntRange(min = 0, max = 30) Integer> attemptLengths) {
+		AnswerSequence sequence = new AnswerSequence();
+		List<Long> seen = new ArrayList<>();
+		for (int attempt = 0; attempt < attemptLengths.size(); attempt++) {
+			sequence.follow(attempt);
+			long start = sequence.passedOn() / 2;
+			for (long index = start; index < start + attemptLengths.get(attempt); index++) {
+				if (sequence.token(attempt, index) == Verdict.PASS) {
+					seen.add(index);
+				}
+			}
+		}
+		assertThat(seen).isEqualTo(LongStream.range(0, sequence.passedOn()).boxed().toList());
+	}
+
+	@Nested
+	class Foreign {
+
+		// A hedge lost, or an attempt was given up, and its tokens still come in late.
+		// Passing them on would put another attempt's text into this answer.
+		@Test
+		void tokensOfAnAttemptThatWasGivenUpAreDiscarded() {
+			AnswerSequence sequence = new AnswerSequence();
+			sequence.follow(1);
+			sequence.token(1, 0);
+			sequence.follow(2);
+			assertThat(sequence.token(1, 1)).isEqualTo(Verdict.FOREIGN);
+			assertThat(sequence.end(1)).isFalse();
+			assertThat(sequence.token(2, 1)).isEqualTo(Verdict.PASS);
+		}
+
+		@Test
+		void aGapIsNotPassedOn() {
+			AnswerSequence sequence = new AnswerSequence();
+			sequence.follow(1);
+			assertThat(sequence.token(1, 1)).isEqualTo(Verdict.GAP);
+		}
+
+	}
+
+}
