--- a/core/src/main/java/org/acaciacourse/core/ini/IniText.java
+++ b/core/src/main/java/org/acaciacourse/core/ini/IniText.java
@@ -103,7 +103,10 @@
 			return name;
 		}
 		int equals = line.indexOf('=');
-		if (equals <= 0 || section.isEmpty()) {
+		int colon = line.indexOf(':');
+		// ini4j takes a colon for an equals sign too: a key would be cut there unnoticed.
+		boolean colonInKey = colon >= 0 && colon < equals;
+		if (equals <= 0 || colonInKey || section.isEmpty()) {
 			this.problems.add(new Problem(number, section, "", "expected [section] or key = value"));
 			return section;
 		}
