Add the replicated state machine

Purpose: manifests, leases, claims and crash reports as one pure state machine, so that every replica computes the same answer from the same log.

Claims: a resent or delayed completion of an earlier request with the same key must not free the claim of a later one, or a third request would run beside it. The owner may therefore carry a number after '#', used for one request only; ending a run ends all its owners. Ruled out: trusting the order of connections.

Fencing numbers come from one counter over all leases, so that they grow over release and expiry without keeping records of ended leases.

MANIFEST_BASE_CHANGED (510) is new: it tells the leader that its delta starts from a manifest that another one has replaced.

--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -132,6 +132,9 @@
 	/** File could not be read. */
 	FILE_UNREADABLE(506, 400, 66, false, "the file cannot be read"),
 
+	/** The delta starts from a manifest that is not in force any more. */
+	MANIFEST_BASE_CHANGED(510, 409, 75, true, "another manifest came first, compute the delta again"),
+
 	/** No leader known or quorum lost. */
 	NO_QUORUM(600, 503, 75, true, "no quorum at present"),
 
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/state/ControlState.java
@@ -0,0 +1,230 @@
+package org.acaciacourse.core.state;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.manifest.ManifestDelta;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.state.CommandResult.Done;
+import org.acaciacourse.core.state.ControlStateSnapshot.AuditEntry;
+import org.acaciacourse.core.state.ControlStateSnapshot.ClaimRecord;
+import org.acaciacourse.core.state.ControlStateSnapshot.CrashRecord;
+import org.acaciacourse.core.state.ControlStateSnapshot.Lease;
+import org.acaciacourse.core.state.ControlStateSnapshot.ManifestInForce;
+
+/**
+ * The replicated state machine, after Schneider, "Implementing Fault-Tolerant Services
+ * Using the State Machine Approach" (1990). Invariants: its content depends on nothing
+ * but the commands applied, in their order; its time is the highest
+ * {@link Command#proposedAt()} seen and never goes back; entries are applied once each,
+ * in the order of their indexes.
+ * <p>
+ * Not thread safe: the replica's thread applies commands and answers queries; what
+ * queries return is immutable and may be handed on.
+ */
+public final class ControlState {
+
+	private final ManifestStore manifests;
+
+	private final LeaseTable leases;
+
+	private final ClaimTable claims;
+
+	private final CrashTable crashes;
+
+	private long appliedIndex;
+
+	private long time;
+
+	/**
+	 * Make the state before the first entry.
+	 */
+	public ControlState() {
+		this(new ControlStateSnapshot(0, 0,
+				new ManifestInForce(0, ManifestDocument.empty().digest(), ManifestDocument.empty()), List.of(),
+				List.of(), 0, List.of(), List.of(), 0, List.of()));
+	}
+
+	private ControlState(ControlStateSnapshot snapshot) {
+		this.appliedIndex = snapshot.appliedIndex();
+		this.time = snapshot.time();
+		this.manifests = new ManifestStore(snapshot.manifest(), snapshot.history(), snapshot.audit());
+		this.leases = new LeaseTable(snapshot.fencingNumber(), snapshot.leases());
+		this.claims = new ClaimTable(snapshot.claims());
+		this.crashes = new CrashTable(snapshot.crashRevision(), snapshot.crashes());
+	}
+
+	/**
+	 * Make the state that a snapshot holds.
+	 * @param snapshot the snapshot
+	 * @return the state
+	 */
+	public static ControlState restore(ControlStateSnapshot snapshot) {
+		return new ControlState(snapshot);
+	}
+
+	/**
+	 * Return the whole state.
+	 * @return the snapshot
+	 */
+	public ControlStateSnapshot snapshot() {
+		return new ControlStateSnapshot(this.appliedIndex, this.time, this.manifests.inForce(),
+				this.manifests.history(), this.manifests.audit(), this.leases.fencingNumber(), this.leases.leases(),
+				this.claims.claims(), this.crashes.revision(), this.crashes.since(0));
+	}
+
+	/**
+	 * Apply a committed command.
+	 * @param index the index of its entry, above that of the command before
+	 * @param command the command
+	 * @return what the caller of the command gets
+	 */
+	public CommandResult apply(long index, Command command) {
+		if (index <= this.appliedIndex) {
+			throw new IllegalArgumentException("entry " + index + " is applied already");
+		}
+		this.appliedIndex = index;
+		this.time = Math.max(this.time, command.proposedAt());
+		this.claims.expire(this.time);
+		if (command instanceof Command.PutManifest put) {
+			return this.manifests.put(put, this.time);
+		}
+		if (command instanceof Command.AcquireLease acquire) {
+			return this.leases.acquire(acquire, this.time);
+		}
+		if (command instanceof Command.ReleaseLease release) {
+			return this.leases.release(release, this.time);
+		}
+		if (command instanceof Command.Claim claim) {
+			return this.claims.claim(claim, this.time);
+		}
+		if (command instanceof Command.CompleteClaim complete) {
+			return this.claims.complete(complete, this.time);
+		}
+		if (command instanceof Command.EndOwner end) {
+			this.claims.endOwner(end.owner(), this.time);
+		}
+		else if (command instanceof Command.ReportCrash report) {
+			this.crashes.report(report);
+		}
+		return new Done(ResultCode.OK);
+	}
+
+	/**
+	 * Return the last entry applied.
+	 * @return its index, 0 before the first one
+	 */
+	public long appliedIndex() {
+		return this.appliedIndex;
+	}
+
+	/**
+	 * Return the state's time.
+	 * @return milliseconds since the epoch, 0 before the first command
+	 */
+	public long time() {
+		return this.time;
+	}
+
+	/**
+	 * Return the sections in force.
+	 * @return the document
+	 */
+	public ManifestDocument document() {
+		return this.manifests.inForce().document();
+	}
+
+	/**
+	 * Return the number in force.
+	 * @return the number, 0 before the first manifest
+	 */
+	public long number() {
+		return this.manifests.inForce().number();
+	}
+
+	/**
+	 * Return the digest in force.
+	 * @return the digest, before the first manifest that of the empty document
+	 */
+	public String digest() {
+		return this.manifests.inForce().digest();
+	}
+
+	/**
+	 * Work out what leads a follower to the manifest in force.
+	 * @param number the follower's number
+	 * @param digest the follower's digest
+	 * @return the delta, or nothing if the follower needs the whole document
+	 */
+	public Optional<ManifestDelta> deltaFrom(long number, String digest) {
+		return this.manifests.deltaFrom(number, digest);
+	}
+
+	/**
+	 * Return who holds a lease by the state's time.
+	 * @param name the name of the lease
+	 * @return the lease, if it is held
+	 */
+	public Optional<Lease> lease(String name) {
+		return this.leases.held(name, this.time);
+	}
+
+	/**
+	 * Return whether any lease is held by the state's time.
+	 * @return whether a jump of the time could end a lease
+	 */
+	public boolean isAnyLeaseHeld() {
+		return this.leases.leases().stream().anyMatch((lease) -> lease.expiresAt() > this.time);
+	}
+
+	/**
+	 * Return a claim.
+	 * @param key what it is filed under
+	 * @return the claim, if it is known
+	 */
+	public Optional<ClaimRecord> claim(ClaimKey key) {
+		return this.claims.get(key);
+	}
+
+	/**
+	 * Return the crash reports that changed after a revision.
+	 * @param revision the revision
+	 * @return the reports by revision
+	 */
+	public List<CrashRecord> crashesSince(long revision) {
+		return this.crashes.since(revision);
+	}
+
+	/**
+	 * Return the latest records of the audit log.
+	 * @return the records, oldest first
+	 */
+	public List<AuditEntry> audit() {
+		return this.manifests.audit();
+	}
+
+	/**
+	 * Count what is kept.
+	 * @return the statistics
+	 */
+	public Statistics statistics() {
+		return new Statistics(this.claims.size(), this.claims.keptBytes(), this.leases.leases().size(),
+				this.leases.fencingNumber(), this.crashes.revision(), this.manifests.history().size());
+	}
+
+	/**
+	 * How much is kept.
+	 *
+	 * @param claims the number of claims
+	 * @param keptAnswerBytes the bytes of the answers kept
+	 * @param leases the number of leases
+	 * @param fencingNumber the highest fencing number given out
+	 * @param crashRevision the revision of the latest crash report
+	 * @param changes the number of manifest changes that deltas can be made from
+	 */
+	public record Statistics(int claims, long keptAnswerBytes, int leases, long fencingNumber, long crashRevision,
+			int changes) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/state/CrashTable.java
@@ -0,0 +1,61 @@
+package org.acaciacourse.core.state;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.state.ControlStateSnapshot.CrashRecord;
+
+/**
+ * How many endpoints each content is proven to have crashed. Invariants: the count of a
+ * content never falls while it is kept; the revision grows with each change; at the bound
+ * the report changed longest ago goes.
+ * <p>
+ * Not thread safe: belongs to one {@link ControlState}.
+ */
+final class CrashTable {
+
+	static final int MAX_CRASHES = 10_000;
+
+	private final Map<Long, CrashRecord> byContent = new HashMap<>();
+
+	private final NavigableMap<Long, CrashRecord> byRevision = new TreeMap<>();
+
+	private long revision;
+
+	CrashTable(long revision, List<CrashRecord> crashes) {
+		this.revision = revision;
+		crashes.forEach(this::put);
+	}
+
+	void report(Command.ReportCrash command) {
+		CrashRecord old = this.byContent.get(command.contentHash());
+		if (old != null && old.crashes() >= command.crashes()) {
+			return;
+		}
+		if (old != null) {
+			this.byRevision.remove(old.revision());
+		}
+		this.revision++;
+		put(new CrashRecord(command.contentHash(), command.crashes(), this.revision));
+		if (this.byRevision.size() > MAX_CRASHES) {
+			this.byContent.remove(this.byRevision.pollFirstEntry().getValue().contentHash());
+		}
+	}
+
+	List<CrashRecord> since(long since) {
+		return List.copyOf(this.byRevision.tailMap(since, false).values());
+	}
+
+	long revision() {
+		return this.revision;
+	}
+
+	private void put(CrashRecord crash) {
+		this.byContent.put(crash.contentHash(), crash);
+		this.byRevision.put(crash.revision(), crash);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/state/ManifestStore.java
@@ -0,0 +1,122 @@
+package org.acaciacourse.core.state;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.manifest.ManifestDelta;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.acaciacourse.core.state.ControlStateSnapshot.AuditEntry;
+import org.acaciacourse.core.state.ControlStateSnapshot.ManifestChange;
+import org.acaciacourse.core.state.ControlStateSnapshot.ManifestInForce;
+
+/**
+ * The manifest in force, the latest changes and the audit log. Invariants: the number in
+ * force only grows; the changes kept are a chain that ends at the manifest in force.
+ * <p>
+ * Not thread safe: belongs to one {@link ControlState}.
+ */
+final class ManifestStore {
+
+	static final int MAX_CHANGES = 512;
+
+	/** Bounds the memory of the history when each manifest differs in many sections. */
+	static final int MAX_CHANGED_SECTIONS = 20_000;
+
+	static final int MAX_AUDIT_ENTRIES = 1_000;
+
+	private final Deque<ManifestChange> history;
+
+	private final Deque<AuditEntry> audit;
+
+	private ManifestInForce inForce;
+
+	private int sectionsInHistory;
+
+	ManifestStore(ManifestInForce inForce, List<ManifestChange> history, List<AuditEntry> audit) {
+		this.inForce = inForce;
+		this.history = new ArrayDeque<>(history);
+		this.audit = new ArrayDeque<>(audit);
+		this.sectionsInHistory = history.stream().mapToInt((change) -> size(change.delta())).sum();
+	}
+
+	ManifestResult put(Command.PutManifest command, long time) {
+		if (command.number() < this.inForce.number()) {
+			return result(ResultCode.MANIFEST_OUTDATED);
+		}
+		if (command.number() == this.inForce.number()) {
+			// A resend after a lost answer gets the answer of the first time.
+			boolean same = command.digest().equals(this.inForce.digest());
+			return result((same) ? ResultCode.OK : ResultCode.MANIFEST_CONFLICT);
+		}
+		if (!command.baseDigest().equals(this.inForce.digest())) {
+			return result(ResultCode.MANIFEST_BASE_CHANGED);
+		}
+		ManifestDocument next = this.inForce.document().with(command.delta());
+		if (!next.digest().equals(command.digest())) {
+			return result(ResultCode.INVALID_MANIFEST);
+		}
+		record(command, time);
+		this.inForce = new ManifestInForce(command.number(), command.digest(), next);
+		return result(ResultCode.OK);
+	}
+
+	ManifestInForce inForce() {
+		return this.inForce;
+	}
+
+	List<ManifestChange> history() {
+		return List.copyOf(this.history);
+	}
+
+	List<AuditEntry> audit() {
+		return List.copyOf(this.audit);
+	}
+
+	Optional<ManifestDelta> deltaFrom(long number, String digest) {
+		SortedMap<String, SortedMap<String, String>> changed = new TreeMap<>();
+		Set<String> removed = new HashSet<>();
+		boolean found = number == this.inForce.number() && digest.equals(this.inForce.digest());
+		for (ManifestChange change : this.history) {
+			found = found || (change.baseNumber() == number && change.baseDigest().equals(digest));
+			if (found && change.number() > number) {
+				ManifestDelta delta = change.delta();
+				changed.keySet().removeAll(delta.removed());
+				removed.addAll(delta.removed());
+				changed.putAll(delta.changed());
+				removed.removeAll(delta.changed().keySet());
+			}
+		}
+		return (found) ? Optional.of(new ManifestDelta(changed, removed)) : Optional.empty();
+	}
+
+	private void record(Command.PutManifest command, long time) {
+		int sections = size(command.delta());
+		this.history.addLast(new ManifestChange(command.number(), command.digest(), this.inForce.number(),
+				this.inForce.digest(), command.delta()));
+		this.sectionsInHistory += sections;
+		while (this.history.size() > MAX_CHANGES || this.sectionsInHistory > MAX_CHANGED_SECTIONS) {
+			this.sectionsInHistory -= size(this.history.removeFirst().delta());
+		}
+		this.audit.addLast(new AuditEntry(time, command.operator(), command.number(), command.digest(), sections));
+		if (this.audit.size() > MAX_AUDIT_ENTRIES) {
+			this.audit.removeFirst();
+		}
+	}
+
+	private ManifestResult result(ResultCode code) {
+		return new ManifestResult(code, this.inForce.number(), this.inForce.digest());
+	}
+
+	private static int size(ManifestDelta delta) {
+		return delta.changed().size() + delta.removed().size();
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/state/ControlStateTests.java
@@ -0,0 +1,210 @@
+package org.acaciacourse.core.state;
+
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.state.CommandResult.ClaimResult;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link ControlState}.
+ */
+class ControlStateTests {
+
+	private ControlState state = new ControlState();
+
+	private long index;
+
+	private CommandResult apply(Command command) {
+		return this.state.apply(++this.index, command);
+	}
+
+	private static ManifestDocument document(String value) {
+		SortedMap<String, SortedMap<String, String>> sections = new TreeMap<>();
+		sections.put("a", new TreeMap<>(java.util.Map.of("k", value)));
+		return new ManifestDocument(sections);
+	}
+
+	private ManifestResult put(long number, ManifestDocument next, ManifestDocument base) {
+		return (ManifestResult) apply(
+				new Command.PutManifest(1, number, next.digest(), base.digest(), base.deltaTo(next), "pipeline"));
+	}
+
+	@Nested
+	class Manifests {
+
+		@Test
+		void resendGetsTheFirstAnswerAndEqualNumbersConflict() {
+			// Two operators race with equal numbers, and the first resends because its
+			// answer was lost. The second must learn what is in force, the first must
+			// not be told that it lost against itself.
+			ManifestDocument first = document("1");
+			assertThat(put(5, first, ManifestDocument.empty()).code()).isEqualTo(ResultCode.OK);
+			assertThat(put(5, first, ManifestDocument.empty()))
+				.isEqualTo(new ManifestResult(ResultCode.OK, 5, first.digest()));
+			assertThat(put(5, document("2"), ManifestDocument.empty()))
+				.isEqualTo(new ManifestResult(ResultCode.MANIFEST_CONFLICT, 5, first.digest()));
+			assertThat(put(4, document("2"), first).code()).isEqualTo(ResultCode.MANIFEST_OUTDATED);
+			assertThat(ControlStateTests.this.state.audit()).hasSize(1);
+		}
+
+		@Test
+		void deltaFromAnOldBaseIsNotApplied() {
+			put(1, document("1"), ManifestDocument.empty());
+			ManifestResult result = put(2, document("2"), ManifestDocument.empty());
+			assertThat(result.baseChanged()).isTrue();
+			assertThat(ControlStateTests.this.state.number()).isEqualTo(1);
+		}
+
+		@Test
+		void followerIsServedOneDeltaOverSeveralChanges() {
+			put(1, document("1"), ManifestDocument.empty());
+			put(2, document("2"), document("1"));
+			put(3, document("3"), document("2"));
+			ControlState state = ControlStateTests.this.state;
+			assertThat(document("1").with(state.deltaFrom(1, document("1").digest()).get())).isEqualTo(document("3"));
+			assertThat(state.deltaFrom(3, document("3").digest()).get().changed()).isEmpty();
+			assertThat(state.deltaFrom(2, document("x").digest())).isEqualTo(Optional.empty());
+		}
+
+	}
+
+	@Nested
+	class Leases {
+
+		private LeaseResult acquire(long at, String holder) {
+			return (LeaseResult) apply(new Command.AcquireLease(at, "writer", holder, 100));
+		}
+
+		@Test
+		void fencingNumberGrowsOverExpiryAndRelease() {
+			assertThat(acquire(0, "a").fencingNumber()).isEqualTo(1);
+			assertThat(acquire(99, "b").code()).isEqualTo(ResultCode.LEASE_HELD);
+			assertThat(acquire(99, "a").fencingNumber()).isEqualTo(1);
+			assertThat(acquire(199, "b").fencingNumber()).isEqualTo(2);
+			apply(new Command.ReleaseLease(200, "writer", "b", 2));
+			assertThat(acquire(200, "b").fencingNumber()).isEqualTo(3);
+		}
+
+		@Test
+		void timeOfAProposerWithASlowClockDoesNotGoBack() {
+			acquire(1_000, "a");
+			LeaseResult renewed = acquire(500, "a");
+			assertThat(renewed.remainingMillis()).isEqualTo(100);
+			assertThat(ControlStateTests.this.state.time()).isEqualTo(1_000);
+		}
+
+	}
+
+	@Nested
+	class Claims {
+
+		private static final ClaimKey KEY = new ClaimKey("c", "k");
+
+		private ClaimResult claim(long at, ClaimKey key, String owner) {
+			return (ClaimResult) apply(new Command.Claim(at, key, "hash", owner));
+		}
+
+		private ClaimResult complete(ClaimKey key, String owner, ClaimOutcome outcome, byte[] answer) {
+			return (ClaimResult) apply(new Command.CompleteClaim(0, key, owner, outcome, answer));
+		}
+
+		@Test
+		void resendGetsTheKeptAnswer() {
+			assertThat(claim(0, KEY, "vm1#1").granted()).isTrue();
+			assertThat(claim(0, KEY, "vm2#1").code()).isEqualTo(ResultCode.CLAIM_IN_PROGRESS);
+			complete(KEY, "vm1#1", ClaimOutcome.ANSWERED, new byte[] { 7 });
+			ClaimResult again = claim(0, KEY, "vm2#2");
+			assertThat(again.code()).isEqualTo(ResultCode.OK);
+			assertThat(again.granted()).isFalse();
+			assertThat(again.answer().get()).isEqualTo(new byte[] { 7 });
+		}
+
+		@Test
+		void endOfTheOwnerLeavesItsClaimsUnknown() {
+			claim(0, KEY, "vm1#1");
+			apply(new Command.EndOwner(0, "vm1"));
+			assertThat(claim(0, KEY, "vm2#1").code()).isEqualTo(ResultCode.CLAIM_OUTCOME_UNKNOWN);
+		}
+
+		@Test
+		void lateCompletionDoesNotFreeTheNextClaim() {
+			// The entry VM proves a request not run, its caller sends it again, and the
+			// first completion arrives once more from a slow connection. If it counted
+			// for the second request, a third one would run beside it.
+			claim(0, KEY, "vm1#1");
+			complete(KEY, "vm1#1", ClaimOutcome.NOT_RUN, new byte[0]);
+			assertThat(claim(0, KEY, "vm1#2").granted()).isTrue();
+			assertThat(complete(KEY, "vm1#1", ClaimOutcome.NOT_RUN, new byte[0]).code()).isEqualTo(ResultCode.FENCED);
+			assertThat(claim(0, KEY, "vm2#1").granted()).isFalse();
+			assertThat(claim(0, KEY, "vm1#2").granted()).isTrue();
+		}
+
+		@Test
+		void answersGoBeforeFactsAndFactsStayUntilTheyExpire() {
+			byte[] large = new byte[ClaimTable.MAX_ANSWER_BYTES];
+			long most = ClaimTable.MAX_KEPT_BYTES / large.length;
+			for (int i = 0; i <= most; i++) {
+				ClaimKey key = new ClaimKey("c", "k" + i);
+				claim(0, key, "vm1#" + i);
+				complete(key, "vm1#" + i, ClaimOutcome.ANSWERED, large);
+			}
+			ClaimKey oldest = new ClaimKey("c", "k0");
+			assertThat(claim(ClaimTable.EXPIRY_MILLIS - 1, oldest, "vm2#1").code())
+				.isEqualTo(ResultCode.CLAIM_ANSWER_NOT_KEPT);
+			assertThat(ControlStateTests.this.state.statistics().keptAnswerBytes()).isAtMost(ClaimTable.MAX_KEPT_BYTES);
+			assertThat(claim(ClaimTable.EXPIRY_MILLIS, oldest, "vm2#2").granted()).isTrue();
+		}
+
+		@Test
+		void fullTableRefusesNewClaims() {
+			for (int i = 0; i < ClaimTable.MAX_CLAIMS; i++) {
+				claim(0, new ClaimKey("c", "k" + i), "vm1#" + i);
+			}
+			assertThat(claim(0, KEY, "vm1#x").code()).isEqualTo(ResultCode.CLAIMS_FULL);
+			complete(new ClaimKey("c", "k3"), "vm1#3", ClaimOutcome.NOT_RUN, new byte[0]);
+			assertThat(claim(0, KEY, "vm1#x").granted()).isTrue();
+		}
+
+	}
+
+	@Nested
+	class Crashes {
+
+		@Test
+		void highestCountStaysAndRevisionGrows() {
+			apply(new Command.ReportCrash(0, 9, 2));
+			apply(new Command.ReportCrash(0, 9, 1));
+			apply(new Command.ReportCrash(0, 8, 1));
+			ControlState state = ControlStateTests.this.state;
+			assertThat(state.crashesSince(0)).hasSize(2);
+			assertThat(state.crashesSince(0).get(0).crashes()).isEqualTo(2);
+			assertThat(state.crashesSince(1)).hasSize(1);
+		}
+
+	}
+
+	@Nested
+	class Snapshots {
+
+		@Test
+		void restoredStateIsTheSame() {
+			put(1, document("1"), ManifestDocument.empty());
+			apply(new Command.AcquireLease(5, "writer", "a", 100));
+			apply(new Command.Claim(6, new ClaimKey("c", "k"), "hash", "vm1#1"));
+			apply(new Command.ReportCrash(7, 9, 2));
+			ControlStateSnapshot snapshot = ControlStateTests.this.state.snapshot();
+			assertThat(ControlState.restore(snapshot).snapshot()).isEqualTo(snapshot);
+		}
+
+	}
+
+}
