--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/membership/EndpointSubsetTests.java
@@ -0,0 +1,80 @@
+package org.acaciacourse.core.membership;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import com.google.common.collect.Range;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link EndpointSubset}.
+ */
+class EndpointSubsetTests {
+
+	private static final int SHARERS = 9;
+
+	private static List<String> names(String prefix, int count) {
+		return IntStream.range(0, count).mapToObj((i) -> prefix + i).toList();
+	}
+
+	@Nested
+	class Few {
+
+		@Test
+		void entriesWorkWithAllEndpoints() {
+			Set<String> chosen = EndpointSubset.choose("entry-0", names("entry-", SHARERS), names("e", 13), SHARERS);
+			assertThat(chosen).hasSize(13);
+		}
+
+	}
+
+	@Nested
+	class DesignSize {
+
+		private final List<String> entries = names("entry-", 380);
+
+		private final List<String> endpoints = names("runner-", 12_000);
+
+		@Test
+		void eachEndpointHasExactlyItsNumberOfEntries() {
+			Map<String, Integer> counts = new HashMap<>();
+			for (String entry : this.entries) {
+				EndpointSubset.choose(entry, this.entries, this.endpoints, SHARERS)
+					.forEach((endpoint) -> counts.merge(endpoint, 1, Integer::sum));
+			}
+			assertThat(counts).hasSize(this.endpoints.size());
+			assertThat(Set.copyOf(counts.values())).containsExactly(SHARERS);
+		}
+
+		@Test
+		void eachEntryHasNearlyTheSameNumberOfEndpoints() {
+			int mean = this.endpoints.size() * SHARERS / this.entries.size();
+			for (String entry : this.entries) {
+				int size = EndpointSubset.choose(entry, this.entries, this.endpoints, SHARERS).size();
+				assertThat(size).isIn(Range.closed(mean * 7 / 10, mean * 13 / 10));
+			}
+		}
+
+		// An entry VM fails. Were the subsets of the others reshuffled, each would open
+		// connections to endpoints it knows nothing of, all at the same moment.
+		@Test
+		void aLostEntryMovesOnlyWhatItShared() {
+			Set<String> before = EndpointSubset.choose("entry-1", this.entries, this.endpoints, SHARERS);
+			List<String> left = this.entries.subList(1, this.entries.size());
+			Set<String> after = EndpointSubset.choose("entry-1", left, this.endpoints, SHARERS);
+			Set<String> lost = new HashSet<>(before);
+			lost.removeAll(after);
+			assertThat(lost).isEmpty();
+			assertThat(after.size() - before.size()).isAtMost(10);
+		}
+
+	}
+
+}
