--- /dev/null
+++ b/engine/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -0,0 +1,1 @@
+org.acaciacourse.engine.EngineCommand
