Make a small change to a large manifest cheap

Cause: an entry VM re-read and re-digested the whole manifest for each delta. The profile by step: digest 19 ms, parse 98 ms (a pattern was compiled for each section), copies the rest. Ruled out: leaving out the check of references; a class that goes away while an unchanged customer names it would get in, and a test shows it. Change: digest per section, sections shared between documents, patterns compiled once, unchanged sections taken from the manifest before.

--- /dev/null
+++ b/bench/src/main/java/org/acaciacourse/bench/capacity/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the slopes that the capacity page is worked out from.
+ */
+package org.acaciacourse.bench.capacity;
--- a/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
@@ -6,7 +6,7 @@
 import java.util.Collections;
 import java.util.HexFormat;
 import java.util.Map;
-import java.util.Objects;
+import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -14,33 +14,92 @@
  * The sections of a manifest as text, in canonical order. This is what is replicated,
  * digested and sent as deltas; {@link ManifestParser} turns it into a checked manifest.
  * <p>
+ * Documents that follow from one another share the sections that did not change, with
+ * their digests: a change costs by the size of the change and not of the document.
+ * <p>
  * Immutable and thread safe.
- *
- * @param sections the keys and values of each section by section name
  */
-public record ManifestDocument(SortedMap<String, SortedMap<String, String>> sections) {
+public final class ManifestDocument {
+
+	private static final ManifestDocument EMPTY = new ManifestDocument(Map.of());
+
+	private final SortedMap<String, Section> sections;
+
+	private final String digest;
+
+	/**
+	 * Make a document.
+	 * @param sections the keys and values of each section by section name
+	 */
+	public ManifestDocument(Map<String, ? extends Map<String, String>> sections) {
+		this(copy(sections));
+	}
+
+	private ManifestDocument(TreeMap<String, Section> sections) {
+		this.sections = sections;
+		this.digest = digest(sections);
+	}
+
+	private static TreeMap<String, Section> copy(Map<String, ? extends Map<String, String>> sections) {
+		TreeMap<String, Section> copy = new TreeMap<>();
+		sections.forEach((name, keys) -> copy.put(name, new Section(name, keys)));
+		return copy;
+	}
+
+	/**
+	 * Return a document without sections, which precedes every manifest.
+	 * @return the empty document
+	 */
+	public static ManifestDocument empty() {
+		return EMPTY;
+	}
 
-	public ManifestDocument {
-		SortedMap<String, SortedMap<String, String>> copy = new TreeMap<>();
-		sections.forEach((name, keys) -> copy.put(name, Collections.unmodifiableSortedMap(new TreeMap<>(keys))));
-		sections = Collections.unmodifiableSortedMap(copy);
+	/**
+	 * Return the keys and values of each section.
+	 * @return the sections by name
+	 */
+	public SortedMap<String, SortedMap<String, String>> sections() {
+		TreeMap<String, SortedMap<String, String>> all = new TreeMap<>();
+		this.sections.forEach((name, section) -> all.put(name, section.keys));
+		return Collections.unmodifiableSortedMap(all);
 	}
 
 	/**
-	 * Return SHA-256 over the canonical form: equal sections give equal digests, whatever
-	 * the order and spacing of the file was.
+	 * Return the keys and values of a section.
+	 * @param name the name of the section
+	 * @return the keys and values, if there is such a section
+	 */
+	public Optional<SortedMap<String, String>> section(String name) {
+		return Optional.ofNullable(this.sections.get(name)).map((section) -> section.keys);
+	}
+
+	/**
+	 * Return whether there is a section.
+	 * @param name the name of the section
+	 * @return whether it is there
+	 */
+	public boolean contains(String name) {
+		return this.sections.containsKey(name);
+	}
+
+	/**
+	 * Return whether a section stands in both documents with the same content.
+	 * @param name the name of the section
+	 * @param other the other document
+	 * @return whether nothing of the section differs
+	 */
+	public boolean sharesSection(String name, ManifestDocument other) {
+		Section section = this.sections.get(name);
+		return section != null && section.equals(other.sections.get(name));
+	}
+
+	/**
+	 * Return SHA-256 over the SHA-256 of each section's canonical form: equal sections
+	 * give equal digests, whatever the order and spacing of the file was.
 	 * @return the digest in lower-case hexadecimal digits
 	 */
 	public String digest() {
-		MessageDigest sha = sha256();
-		this.sections.forEach((name, keys) -> {
-			update(sha, '[', name);
-			keys.forEach((key, value) -> {
-				update(sha, 'k', key);
-				update(sha, 'v', value);
-			});
-		});
-		return HexFormat.of().formatHex(sha.digest());
+		return this.digest;
 	}
 
 	/**
@@ -50,12 +109,12 @@
 	 */
 	public ManifestDelta deltaTo(ManifestDocument next) {
 		SortedMap<String, SortedMap<String, String>> changed = new TreeMap<>();
-		next.sections.forEach((name, keys) -> {
-			if (!Objects.equals(this.sections.get(name), keys)) {
-				changed.put(name, keys);
+		next.sections.forEach((name, section) -> {
+			if (!section.equals(this.sections.get(name))) {
+				changed.put(name, section.keys);
 			}
 		});
-		TreeMap<String, SortedMap<String, String>> removed = new TreeMap<>(this.sections);
+		TreeMap<String, Section> removed = new TreeMap<>(this.sections);
 		removed.keySet().removeAll(next.sections.keySet());
 		return new ManifestDelta(changed, removed.keySet());
 	}
@@ -66,27 +125,31 @@
 	 * @return the document after the change
 	 */
 	public ManifestDocument with(ManifestDelta delta) {
-		SortedMap<String, SortedMap<String, String>> next = new TreeMap<>(this.sections);
-		next.keySet().removeAll(delta.removed());
-		next.putAll(delta.changed());
+		TreeMap<String, Section> next = new TreeMap<>(this.sections);
+		delta.removed().forEach(next::remove);
+		delta.changed().forEach((name, keys) -> next.put(name, new Section(name, keys)));
 		return new ManifestDocument(next);
 	}
 
-	/**
-	 * Return a document without sections, which precedes every manifest.
-	 * @return the empty document
-	 */
-	public static ManifestDocument empty() {
-		return new ManifestDocument(new TreeMap<>(Map.of()));
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof ManifestDocument document && this.sections.equals(document.sections);
 	}
 
-	private static void update(MessageDigest sha, char mark, String text) {
-		byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-		sha.update((byte) mark);
-		for (int shift = 24; shift >= 0; shift -= 8) {
-			sha.update((byte) (bytes.length >>> shift));
-		}
-		sha.update(bytes);
+	@Override
+	public int hashCode() {
+		return this.digest.hashCode();
+	}
+
+	@Override
+	public String toString() {
+		return "ManifestDocument[" + this.sections.size() + " sections, " + this.digest + "]";
+	}
+
+	private static String digest(SortedMap<String, Section> sections) {
+		MessageDigest sha = sha256();
+		sections.values().forEach((section) -> sha.update(section.digest));
+		return HexFormat.of().formatHex(sha.digest());
 	}
 
 	private static MessageDigest sha256() {
@@ -98,4 +161,49 @@
 		}
 	}
 
+	/** A section with its digest; equal digests stand for equal content. */
+	private static final class Section {
+
+		private final SortedMap<String, String> keys;
+
+		private final byte[] digest;
+
+		private Section(String name, Map<String, String> keys) {
+			this.keys = Collections.unmodifiableSortedMap(new TreeMap<>(keys));
+			this.digest = digest(name, this.keys);
+		}
+
+		private static byte[] digest(String name, SortedMap<String, String> keys) {
+			MessageDigest sha = sha256();
+			update(sha, name);
+			keys.forEach((key, value) -> {
+				update(sha, key);
+				update(sha, value);
+			});
+			return sha.digest();
+		}
+
+		// The length goes before each text, so that no two sections look alike.
+		private static void update(MessageDigest sha, String text) {
+			byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+			for (int shift = 24; shift >= 0; shift -= 8) {
+				sha.update((byte) (bytes.length >>> shift));
+			}
+			sha.update(bytes);
+		}
+
+		@Override
+		public boolean equals(Object other) {
+			return this == other
+					|| (other instanceof Section section && MessageDigest.isEqual(this.digest, section.digest));
+		}
+
+		@Override
+		public int hashCode() {
+			return this.digest[0] << 24 | (this.digest[1] & 255) << 16 | (this.digest[2] & 255) << 8
+					| (this.digest[3] & 255);
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/manifest/ManifestParser.java
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestParser.java
@@ -3,7 +3,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 import io.vavr.control.Either;
@@ -42,14 +43,30 @@
 
 	private static final String NAME_FORM = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
 
+	private static final Pattern SECTION = Pattern
+		.compile("(policy|endpoint-set|class|endpoint|customer|service|vm) " + NAME_FORM);
+
+	private static final Pattern ADDRESS = Pattern.compile("http://[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
+
+	private static final Pattern KEY_DIGEST = Pattern.compile("[0-9a-f]{64}");
+
+	private static final Pattern COMMA = Pattern.compile(",");
+
 	private final ManifestDocument document;
 
+	private final SortedMap<String, SortedMap<String, String>> sections;
+
 	private final BiFunction<String, String, Integer> lines;
 
 	private final List<Problem> problems = new ArrayList<>();
 
-	private ManifestParser(ManifestDocument document, BiFunction<String, String, Integer> lines) {
+	private final Optional<Previous> previous;
+
+	private ManifestParser(ManifestDocument document, BiFunction<String, String, Integer> lines,
+			Optional<Previous> previous) {
 		this.document = document;
+		this.previous = previous.filter((old) -> old.keepsReferencesOf(document));
+		this.sections = document.sections();
 		this.lines = lines;
 	}
 
@@ -64,7 +81,7 @@
 			return Either.left(ini.problems());
 		}
 		ManifestDocument document = new ManifestDocument(ini.sections());
-		return new ManifestParser(document, ini::line).parse().map((manifest) -> document);
+		return new ManifestParser(document, ini::line, Optional.empty()).parse().map((manifest) -> document);
 	}
 
 	/**
@@ -73,18 +90,33 @@
 	 * @return the manifest, or everything that is wrong with it
 	 */
 	public static Either<List<Problem>, Manifest> manifest(ManifestDocument document) {
-		return new ManifestParser(document, (section, key) -> 0).parse();
+		return new ManifestParser(document, (section, key) -> 0, Optional.empty()).parse();
+	}
+
+	/**
+	 * Check a document that follows from another. What stands in sections that did not
+	 * change is taken from the manifest before, so that a small change to a large
+	 * manifest stays cheap.
+	 * @param document the document
+	 * @param before the manifest before
+	 * @param documentBefore the document that it was made of
+	 * @return the manifest, or everything that is wrong with it
+	 */
+	public static Either<List<Problem>, Manifest> manifest(ManifestDocument document, Manifest before,
+			ManifestDocument documentBefore) {
+		Previous previous = new Previous(before, documentBefore);
+		return new ManifestParser(document, (section, key) -> 0, Optional.of(previous)).parse();
 	}
 
 	private Either<List<Problem>, Manifest> parse() {
 		checkSectionNames();
-		Map<String, Policy> policies = each("policy", this::policy);
-		Map<String, EndpointSet> sets = each("endpoint-set", this::endpointSet);
-		Map<String, RequestClass> classes = each("class", this::requestClass);
-		Map<String, Endpoint> endpoints = each("endpoint", this::endpoint);
-		Map<String, Customer> customers = each("customer", this::customer);
-		Map<String, Service> services = each("service", this::service);
-		Set<String> drainedVms = each("vm", this::vm).entrySet()
+		Map<String, Policy> policies = each("policy", this::policy, Manifest::policies);
+		Map<String, EndpointSet> sets = each("endpoint-set", this::endpointSet, Manifest::endpointSets);
+		Map<String, RequestClass> classes = each("class", this::requestClass, Manifest::classes);
+		Map<String, Endpoint> endpoints = each("endpoint", this::endpoint, Manifest::endpoints);
+		Map<String, Customer> customers = each("customer", this::customer, Manifest::customers);
+		Map<String, Service> services = each("service", this::service, Manifest::services);
+		Set<String> drainedVms = each("vm", this::vm, (manifest) -> Map.of()).entrySet()
 			.stream()
 			.filter(Map.Entry::getValue)
 			.map(Map.Entry::getKey)
@@ -106,15 +138,12 @@
 	}
 
 	private void checkSectionNames() {
-		Set<String> kinds = Set.of("policy", "endpoint-set", "class", "endpoint", "customer", "service", "vm");
-		for (String section : this.document.sections().keySet()) {
-			String kind = section.split(" ", 2)[0];
-			boolean named = section.matches("[a-z-]+ " + NAME_FORM) && kinds.contains(kind);
-			if (!named && !section.equals(MANIFEST)) {
+		for (String section : this.sections.keySet()) {
+			if (!SECTION.matcher(section).matches() && !section.equals(MANIFEST)) {
 				problem(section, "", "unknown section, or a name that is not " + NAME_FORM);
 			}
 		}
-		if (!this.document.sections().containsKey(MANIFEST)) {
+		if (!this.document.contains(MANIFEST)) {
 			problem(MANIFEST, "", "missing section");
 		}
 	}
@@ -180,7 +209,7 @@
 
 	private Customer customer(String name, SectionReader reader) {
 		List<String> digests = reader.list("key-sha256", true);
-		if (!digests.stream().allMatch((digest) -> digest.matches("[0-9a-f]{64}"))) {
+		if (!digests.stream().allMatch((digest) -> KEY_DIGEST.matcher(digest).matches())) {
 			reader.problem("key-sha256", "expected 64 lower-case hexadecimal digits for each key");
 		}
 		List<String> classes = reader.list("classes", true);
@@ -214,28 +243,56 @@
 		return reader.flag("drain", false);
 	}
 
-	private <T> Map<String, T> each(String kind, BiFunction<String, SectionReader, T> make) {
-		Map<String, T> made = new TreeMap<>();
+	private <T> Map<String, T> each(String kind, BiFunction<String, SectionReader, T> make,
+			Function<Manifest, Map<String, T>> madeBefore) {
+		Map<String, T> made = new HashMap<>();
 		String prefix = kind + " ";
-		for (String section : this.document.sections().keySet()) {
-			if (section.startsWith(prefix)) {
-				SectionReader reader = reader(section);
-				String name = section.substring(prefix.length());
-				made.put(name, make.apply(name, reader));
-				reader.finish();
-			}
+		// An exclamation mark follows a blank: the range holds the sections of this kind.
+		for (String section : this.sections.subMap(prefix, kind + "!").keySet()) {
+			String name = section.substring(prefix.length());
+			Optional<T> old = this.previous.filter((p) -> p.document().sharesSection(section, this.document))
+				.flatMap((p) -> Optional.ofNullable(madeBefore.apply(p.manifest()).get(name)));
+			made.put(name, old.orElseGet(() -> make(name, reader(section), make)));
 		}
 		return made;
 	}
 
+	private <T> T make(String name, SectionReader reader, BiFunction<String, SectionReader, T> make) {
+		T made = make.apply(name, reader);
+		reader.finish();
+		return made;
+	}
+
 	private SectionReader reader(String section) {
-		return new SectionReader(section, this.document.sections().getOrDefault(section, new TreeMap<>()));
+		return new SectionReader(section, this.sections.getOrDefault(section, new TreeMap<>()));
 	}
 
 	private void problem(String section, String key, String text) {
 		this.problems.add(new Problem(this.lines.apply(section, key), section, key, text));
 	}
 
+	/**
+	 * A checked manifest and its document.
+	 *
+	 * @param manifest the manifest
+	 * @param document the document that it was made of
+	 */
+	private record Previous(Manifest manifest, ManifestDocument document) {
+
+		// A section that did not change can still become wrong when one that it refers to
+		// goes away. Then all are checked anew; nothing refers to the other kinds.
+		private boolean keepsReferencesOf(ManifestDocument next) {
+			return allStand(this.manifest.policies().keySet(), "policy ", next)
+					&& allStand(this.manifest.endpointSets().keySet(), "endpoint-set ", next)
+					&& allStand(this.manifest.classes().keySet(), "class ", next);
+		}
+
+		private static boolean allStand(Set<String> names, String prefix, ManifestDocument next) {
+			return names.stream().allMatch((name) -> next.contains(prefix + name));
+		}
+
+	}
+
 	/** Reads one section and notes what is wrong with it. */
 	private final class SectionReader {
 
@@ -273,14 +330,14 @@
 		}
 
 		private void checkReference(String key, String kind, String name) {
-			if (!ManifestParser.this.document.sections().containsKey(kind + " " + name)) {
+			if (!ManifestParser.this.document.contains(kind + " " + name)) {
 				problem(key, "there is no [" + kind + " " + name + "]");
 			}
 		}
 
 		private List<String> list(String key, boolean required) {
 			String value = (required) ? required(key) : optional(key).orElse("");
-			return Arrays.stream(value.split(",")).map(String::strip).filter((word) -> !word.isEmpty()).toList();
+			return COMMA.splitAsStream(value).map(String::strip).filter((word) -> !word.isEmpty()).toList();
 		}
 
 		private boolean flag(String key, boolean defaultValue) {
@@ -352,7 +409,7 @@
 
 		private URI address(String key) {
 			String value = required(key);
-			boolean valid = value.matches("http://[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}");
+			boolean valid = ADDRESS.matcher(value).matches();
 			if (!valid && !value.isEmpty()) {
 				problem(key, "expected http://IP:PORT");
 			}
--- a/core/src/test/java/org/acaciacourse/core/manifest/ManifestParserTests.java
+++ b/core/src/test/java/org/acaciacourse/core/manifest/ManifestParserTests.java
@@ -1,6 +1,9 @@
 package org.acaciacourse.core.manifest;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 
 import org.acaciacourse.core.ini.Problem;
 import org.acaciacourse.core.model.Manifest;
@@ -55,6 +58,35 @@
 
 	}
 
+	@Nested
+	class Incremental {
+
+		private final ManifestDocument before = ManifestParser.document(VALID).get();
+
+		private final Manifest manifest = ManifestParser.manifest(this.before).get();
+
+		private ManifestDocument with(String section, Map<String, String> keys) {
+			return this.before.with(new ManifestDelta(new TreeMap<>(Map.of(section, new TreeMap<>(keys))), Set.of()));
+		}
+
+		@Test
+		void equalsTheManifestThatIsReadWhole() {
+			ManifestDocument next = with("endpoint llm-2",
+					Map.of("set", "llm", "address", "http://127.0.0.1:9002", "data-centre", "zone-b"));
+			assertThat(ManifestParser.manifest(next, this.manifest, this.before))
+				.isEqualTo(ManifestParser.manifest(next));
+		}
+
+		// A class is removed while a customer that did not change still names it. Reusing
+		// the customer unchecked would let requests of a class that is not there in.
+		@Test
+		void reportsAReferenceThatLostItsTarget() {
+			ManifestDocument next = this.before.with(new ManifestDelta(new TreeMap<>(), Set.of("class broker")));
+			assertThat(ManifestParser.manifest(next, this.manifest, this.before).getLeft()).hasSize(1);
+		}
+
+	}
+
 	@Nested
 	class Invalid {
 
