Add the replica of the log and the manager of its membership

Membership: an old voter without a disk is removed before its successor is promoted. Promotion first was ruled out: the quorum grows and depends on the newcomer, and which of two voters of a VM is the old one cannot be told from the committed membership.

--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Election.java
@@ -0,0 +1,78 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * The timer of elections and the tally of the one that runs. Invariant: the timer is
+ * drawn anew each time, so that candidates which collided once rarely do so again.
+ * <p>
+ * Not thread safe: belongs to one {@link Replica}.
+ */
+final class Election {
+
+	private final long timeoutNanos;
+
+	private final Random random;
+
+	private final Set<ReplicaId> granted = new HashSet<>();
+
+	private long deadline;
+
+	private long leaderSeen;
+
+	private boolean leaderEverSeen;
+
+	Election(long timeoutNanos, long seed, long now) {
+		this.timeoutNanos = timeoutNanos;
+		this.random = new Random(seed);
+		restartTimer(now);
+	}
+
+	void restartTimer(long now) {
+		this.deadline = now + this.timeoutNanos + (long) (this.random.nextDouble() * this.timeoutNanos);
+	}
+
+	boolean isDue(long now) {
+		return now >= this.deadline;
+	}
+
+	void leaderSeen(long now) {
+		this.leaderSeen = now;
+		this.leaderEverSeen = true;
+		restartTimer(now);
+	}
+
+	/**
+	 * Return whether a leader was heard of within the shortest election timeout. While it
+	 * was, candidates are refused: a replica that was removed, or that cannot hear the
+	 * leader, would otherwise depose a leader that works.
+	 * @param now the time
+	 * @return whether it was
+	 */
+	boolean isLeaderRecent(long now) {
+		return this.leaderEverSeen && now - this.leaderSeen < this.timeoutNanos;
+	}
+
+	void begin(ReplicaId self, long now) {
+		this.granted.clear();
+		this.granted.add(self);
+		restartTimer(now);
+	}
+
+	void grantedBy(ReplicaId voter) {
+		this.granted.add(voter);
+	}
+
+	/**
+	 * Return whether the election is won. Only voters of the candidate's own membership
+	 * count.
+	 * @param membership the membership in force at the candidate
+	 * @return whether a quorum granted it
+	 */
+	boolean isWon(Membership membership) {
+		return membership.isQuorum(this.granted);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Leadership.java
@@ -0,0 +1,202 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.consensus.ReplicaMessage.AppendReply;
+import org.acaciacourse.core.consensus.ReplicaMessage.TimeoutNow;
+
+/**
+ * What a replica holds while it leads one term: replication, proposals and reads that
+ * wait, and a transfer of leadership. Invariants: entries of earlier terms are committed
+ * only together with one of this term (Ongaro and Ousterhout, 2014, section 5.4.2); at
+ * most one membership change is not committed, and none is made before an entry of this
+ * term is committed, so that any two quorums in use overlap.
+ * <p>
+ * Not thread safe: belongs to one {@link Replica}.
+ */
+final class Leadership {
+
+	static final int MAX_PROPOSALS = 10_000;
+
+	private final ReplicaId self;
+
+	private final long term;
+
+	private final LogView log;
+
+	private final ReplicaTiming timing;
+
+	private final ReplicaActions actions;
+
+	private final Replication replication;
+
+	private final PendingReads reads = new PendingReads();
+
+	private final NavigableMap<Long, Long> proposals = new TreeMap<>();
+
+	private final long noopIndex;
+
+	private long commitIndex;
+
+	private Optional<ReplicaId> successor = Optional.empty();
+
+	private long transferDeadline;
+
+	private boolean timeoutSent;
+
+	Leadership(ReplicaId self, long term, LogView log, ReplicaTiming timing, ReplicaActions actions, long commitIndex,
+			long now) {
+		this.self = self;
+		this.term = term;
+		this.log = log;
+		this.timing = timing;
+		this.actions = actions;
+		this.commitIndex = commitIndex;
+		this.replication = new Replication(self, term, log, timing, actions, now);
+		this.noopIndex = append(LogEntry.Kind.NOOP, new byte[0]);
+		this.replication.tick(commitIndex, now);
+	}
+
+	long propose(long proposalId, byte[] command, long now) {
+		if (this.successor.isPresent() || this.proposals.size() >= MAX_PROPOSALS) {
+			return -1;
+		}
+		long index = append(LogEntry.Kind.COMMAND, command);
+		this.proposals.put(index, proposalId);
+		this.replication.sendEntries(this.commitIndex, now);
+		return index;
+	}
+
+	long changeMembership(long proposalId, Membership next, long now) {
+		boolean settled = this.commitIndex >= this.noopIndex && this.log.membershipIndex() <= this.commitIndex;
+		if (!settled || this.successor.isPresent() || !this.log.membership().isOneStepBefore(next)) {
+			return -1;
+		}
+		long index = append(LogEntry.Kind.MEMBERSHIP, MembershipCodec.encode(next));
+		this.proposals.put(index, proposalId);
+		this.replication.followMembership(now);
+		this.replication.sendEntries(this.commitIndex, now);
+		return index;
+	}
+
+	void read(long readId, long now) {
+		if (!this.reads.offer(readId)) {
+			this.actions.failed(readId);
+			return;
+		}
+		serveReads(now);
+	}
+
+	void receive(AppendReply reply, long now) {
+		this.replication.receive(reply, now);
+	}
+
+	/**
+	 * Work out the commit index after a reply or a sync.
+	 * @return the highest index that is committed
+	 */
+	long committable() {
+		long index = this.replication.quorumIndex();
+		return (index > this.commitIndex && this.log.term(index) == this.term) ? index : this.commitIndex;
+	}
+
+	void committed(long index) {
+		this.commitIndex = index;
+		this.proposals.headMap(index, true).clear();
+	}
+
+	/**
+	 * Serve reads and send what there is room for, after the commit index is known.
+	 * @param now the time
+	 */
+	void advance(long now) {
+		serveReads(now);
+		this.replication.sendEntries(this.commitIndex, now);
+		this.successor.ifPresent(this::hurrySuccessor);
+	}
+
+	void tick(long now) {
+		if (this.successor.isPresent() && now >= this.transferDeadline) {
+			// The successor did not take over; leading on is better than nobody leading.
+			this.successor = Optional.empty();
+		}
+		this.replication.tick(this.commitIndex, now);
+	}
+
+	boolean hasQuorumContact(long now) {
+		return this.replication.hasQuorumContact(now);
+	}
+
+	void transfer(long now) {
+		this.successor = this.replication.bestSuccessor(now);
+		this.transferDeadline = now + this.timing.electionTimeoutNanos();
+		this.timeoutSent = false;
+		this.successor.ifPresent(this::hurrySuccessor);
+	}
+
+	/**
+	 * Return whether this leader's own removal is committed, so that it must step down.
+	 * @return whether it is
+	 */
+	boolean isRemoved() {
+		boolean voter = this.log.membership().voters().contains(this.self);
+		return !voter && this.log.membershipIndex() <= this.commitIndex;
+	}
+
+	/**
+	 * Tell the others of the last commit and let the best of them stand at once.
+	 * @param now the time
+	 */
+	void handOver(long now) {
+		this.replication.heartbeat(this.commitIndex, now);
+		this.replication.bestSuccessor(now).ifPresent(this::sendTimeoutNow);
+	}
+
+	void end() {
+		this.reads.failAll(this.actions);
+		this.proposals.values().forEach(this.actions::failed);
+		this.proposals.clear();
+	}
+
+	long matchIndex(ReplicaId id) {
+		return (id.equals(this.self)) ? this.log.durableIndex() : this.replication.matchIndex(id);
+	}
+
+	boolean isInContact(ReplicaId id, long now) {
+		return id.equals(this.self) || this.replication.isInContact(id, now);
+	}
+
+	private long append(LogEntry.Kind kind, byte[] payload) {
+		LogEntry entry = new LogEntry(this.log.lastIndex() + 1, this.term, kind, payload);
+		this.log.append(List.of(entry));
+		this.actions.append(List.of(entry));
+		return entry.index();
+	}
+
+	private void serveReads(long now) {
+		this.reads.confirmed(this.replication.confirmedRound(), this.actions);
+		// Until an entry of this term is committed, the commit index may lag behind what
+		// an earlier leader has acknowledged.
+		if (this.commitIndex >= this.noopIndex && this.reads.needsRound()) {
+			this.reads.beginRound(this.replication.heartbeat(this.commitIndex, now), this.commitIndex);
+			this.reads.confirmed(this.replication.confirmedRound(), this.actions);
+		}
+	}
+
+	private void hurrySuccessor(ReplicaId id) {
+		if (!this.timeoutSent && this.replication.matchIndex(id) == this.log.lastIndex()) {
+			this.timeoutSent = true;
+			sendTimeoutNow(id);
+		}
+	}
+
+	private void sendTimeoutNow(ReplicaId id) {
+		this.log.membership()
+			.member(id)
+			.ifPresent((member) -> this.actions.send(member, new TimeoutNow(this.self, this.term)));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/LogView.java
@@ -0,0 +1,166 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * A replica's log in memory: the latest snapshot, the entries after it, and the
+ * memberships that they hold. Invariants: indexes have no gaps; the membership in force
+ * is the last one in the log, committed or not, and goes when its entry is truncated; the
+ * durable index never exceeds the last index.
+ * <p>
+ * Not thread safe: belongs to one {@link Replica}.
+ */
+final class LogView {
+
+	private final List<LogEntry> entries = new ArrayList<>();
+
+	private final NavigableMap<Long, Membership> memberships = new TreeMap<>();
+
+	private Optional<Snapshot> snapshot;
+
+	private long durableIndex;
+
+	LogView(RecoveredLog recovered) {
+		this.snapshot = recovered.snapshot();
+		this.snapshot.ifPresent((base) -> this.memberships.put(base.index(), base.membership()));
+		append(recovered.entries());
+		this.durableIndex = lastIndex();
+	}
+
+	long baseIndex() {
+		return this.snapshot.map(Snapshot::index).orElse(0L);
+	}
+
+	long lastIndex() {
+		return baseIndex() + this.entries.size();
+	}
+
+	long lastTerm() {
+		return term(lastIndex());
+	}
+
+	long durableIndex() {
+		return this.durableIndex;
+	}
+
+	Optional<Snapshot> snapshot() {
+		return this.snapshot;
+	}
+
+	/**
+	 * Return the term of an entry.
+	 * @param index its index, from the snapshot's on
+	 * @return the term, 0 before the first entry, -1 if the log does not hold it
+	 */
+	long term(long index) {
+		long base = baseIndex();
+		if (index < base || index > lastIndex()) {
+			return -1;
+		}
+		if (index == base) {
+			return this.snapshot.map(Snapshot::term).orElse(0L);
+		}
+		return get(index).term();
+	}
+
+	LogEntry get(long index) {
+		return this.entries.get((int) (index - baseIndex() - 1));
+	}
+
+	/**
+	 * Return entries for a message.
+	 * @param from the index of the first one
+	 * @param maxBytes the bound on their payload; the first one may exceed it
+	 * @return the entries, none if there is none from that index on
+	 */
+	List<LogEntry> slice(long from, int maxBytes) {
+		List<LogEntry> slice = new ArrayList<>();
+		long bytes = 0;
+		for (long index = from; index <= lastIndex(); index++) {
+			LogEntry entry = get(index);
+			bytes += entry.payload().length;
+			if (!slice.isEmpty() && bytes > maxBytes) {
+				break;
+			}
+			slice.add(entry);
+		}
+		return slice;
+	}
+
+	void append(List<LogEntry> added) {
+		for (LogEntry entry : added) {
+			if (entry.index() != lastIndex() + 1) {
+				throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
+			}
+			this.entries.add(entry);
+			if (entry.kind() == LogEntry.Kind.MEMBERSHIP) {
+				this.memberships.put(entry.index(), MembershipCodec.decode(entry.payload()));
+			}
+		}
+	}
+
+	void truncateFrom(long index) {
+		this.entries.subList((int) (index - baseIndex() - 1), this.entries.size()).clear();
+		this.memberships.tailMap(index, true).clear();
+		this.durableIndex = Math.min(this.durableIndex, lastIndex());
+	}
+
+	/**
+	 * Note that entries are durable. A late note for entries that were truncated since
+	 * has another term, or none, and is ignored.
+	 * @param index the last durable entry
+	 * @param term its term
+	 */
+	void durable(long index, long term) {
+		if (index > this.durableIndex && term(index) == term) {
+			this.durableIndex = index;
+		}
+	}
+
+	void compact(Snapshot next) {
+		if (next.index() <= baseIndex()) {
+			return;
+		}
+		this.entries.subList(0, (int) (next.index() - baseIndex())).clear();
+		rebase(next);
+		this.durableIndex = Math.max(this.durableIndex, next.index());
+	}
+
+	void install(Snapshot next) {
+		this.entries.clear();
+		this.memberships.clear();
+		rebase(next);
+		this.durableIndex = next.index();
+	}
+
+	Membership membership() {
+		Map.Entry<Long, Membership> last = this.memberships.lastEntry();
+		return (last != null) ? last.getValue() : new Membership(List.of());
+	}
+
+	long membershipIndex() {
+		return (this.memberships.isEmpty()) ? 0 : this.memberships.lastKey();
+	}
+
+	/**
+	 * Return the membership after an entry, for a snapshot there.
+	 * @param index the index of the entry
+	 * @return the last membership up to it
+	 */
+	Membership membershipAt(long index) {
+		Map.Entry<Long, Membership> last = this.memberships.floorEntry(index);
+		return (last != null) ? last.getValue() : new Membership(List.of());
+	}
+
+	private void rebase(Snapshot next) {
+		this.snapshot = Optional.of(next);
+		this.memberships.headMap(next.index(), true).clear();
+		this.memberships.put(next.index(), next.membership());
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/consensus/Membership.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Membership.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.consensus;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -47,4 +48,43 @@
 		return count > voters.size() / 2;
 	}
 
+	/**
+	 * Return whether another membership is one safe step from this one: a learner more, a
+	 * member less, a learner promoted, a voter demoted or one address changed. Quorums
+	 * before and after such a step overlap.
+	 * @param next the other membership
+	 * @return whether it is one step away and has a voter
+	 */
+	public boolean isOneStepBefore(Membership next) {
+		List<Member> added = next.members.stream().filter((member) -> !this.members.contains(member)).toList();
+		List<Member> gone = this.members.stream().filter((member) -> !next.members.contains(member)).toList();
+		if (next.voters().isEmpty() || added.size() > 1 || gone.size() > 1) {
+			return false;
+		}
+		if (added.isEmpty()) {
+			return gone.size() == 1;
+		}
+		return (gone.isEmpty()) ? !added.get(0).voter() : added.get(0).id().equals(gone.get(0).id());
+	}
+
+	/**
+	 * Return this membership with a member added, or replaced if its identity is listed.
+	 * @param member the member
+	 * @return the next membership
+	 */
+	public Membership with(Member member) {
+		List<Member> next = new ArrayList<>(without(member.id()).members);
+		next.add(member);
+		return new Membership(next);
+	}
+
+	/**
+	 * Return this membership without a member.
+	 * @param id its identity
+	 * @return the next membership
+	 */
+	public Membership without(ReplicaId id) {
+		return new Membership(this.members.stream().filter((member) -> !member.id().equals(id)).toList());
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -0,0 +1,132 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+
+/**
+ * Decides the next membership change while this replica leads: a replica with an empty
+ * disk joins as a learner, and once it has caught up it takes the place of the voter that
+ * its VM had before. Identity lies with the disk, so that a replica which lost its disk,
+ * and with it its votes and acknowledged entries, is never taken for the old one.
+ * <p>
+ * The steps: add the learner; wait until it holds a point that was committed after it
+ * joined; remove the VM's old voter; promote the learner. The old voter goes before the
+ * promotion: it is lost already, while a promotion first would make the quorum larger and
+ * depend on the newcomer. Each step follows from the committed membership alone, so that
+ * a new leader goes on where the last one stopped; only the point to catch up to is
+ * chosen anew, and later.
+ * <p>
+ * Invariants: one change at a time; nothing is decided before the membership in force is
+ * committed; a learner is promoted only after it held a point committed after it joined.
+ * <p>
+ * Not thread safe: called on the replica's thread. It keeps what one leadership needs and
+ * is cleared by {@link #leadershipLost()}.
+ */
+public final class MembershipManager {
+
+	/** Five voters survive two failures; more only slow down commits. */
+	static final int MAX_VOTERS = 5;
+
+	static final int MAX_MEMBERS = 2 * MAX_VOTERS;
+
+	private final Map<String, Member> joining = new LinkedHashMap<>();
+
+	private final Map<ReplicaId, Long> catchUpIndexes = new HashMap<>();
+
+	/**
+	 * Note that an empty replica asks to join. It repeats this until it finds itself in
+	 * the membership.
+	 * @param member the replica
+	 * @return whether the request is noted; it is refused when too many wait
+	 */
+	public boolean join(Member member) {
+		if (this.joining.size() >= MAX_MEMBERS && !this.joining.containsKey(member.vm())) {
+			return false;
+		}
+		this.joining.put(member.vm(), new Member(member.id(), member.vm(), member.address(), false));
+		return true;
+	}
+
+	/**
+	 * Forget what only a leader may keep.
+	 */
+	public void leadershipLost() {
+		this.joining.clear();
+		this.catchUpIndexes.clear();
+	}
+
+	/**
+	 * Decide the next change. The caller proposes it by
+	 * {@link ReplicatedLog#changeMembership} and asks again later in any case.
+	 * @param current the membership in force
+	 * @param committed whether it is committed
+	 * @param commitIndex the leader's commit index
+	 * @param matchIndex how far each member's log is known to match
+	 * @param inContact whether a member answered lately; a voter that does has its disk,
+	 * whoever else uses the name of its VM
+	 * @return the next membership, or nothing if nothing is to be changed now
+	 */
+	public Optional<Membership> next(Membership current, boolean committed, long commitIndex,
+			ToLongFunction<ReplicaId> matchIndex, Predicate<ReplicaId> inContact) {
+		if (!committed) {
+			return Optional.empty();
+		}
+		this.joining.values().removeIf((member) -> current.member(member.id()).isPresent());
+		this.catchUpIndexes.keySet().removeIf((id) -> current.member(id).isEmpty());
+		Optional<Membership> replaced = replaceOrPromote(current, commitIndex, matchIndex, inContact);
+		return replaced.or(() -> admit(current));
+	}
+
+	private Optional<Membership> replaceOrPromote(Membership current, long commitIndex,
+			ToLongFunction<ReplicaId> matchIndex, Predicate<ReplicaId> inContact) {
+		for (Member member : current.members()) {
+			if (!member.voter() && isCaughtUp(member, commitIndex, matchIndex)) {
+				Optional<Member> old = oldVoter(current, member);
+				if (old.isPresent() && !inContact.test(old.get().id())) {
+					return Optional.of(current.without(old.get().id()));
+				}
+				if (old.isEmpty() && current.voters().size() < MAX_VOTERS) {
+					return Optional.of(current.with(new Member(member.id(), member.vm(), member.address(), true)));
+				}
+			}
+		}
+		return Optional.empty();
+	}
+
+	private boolean isCaughtUp(Member learner, long commitIndex, ToLongFunction<ReplicaId> matchIndex) {
+		// The membership that lists the learner is committed, so this point is after it.
+		long target = this.catchUpIndexes.computeIfAbsent(learner.id(), (id) -> commitIndex);
+		return matchIndex.applyAsLong(learner.id()) >= target;
+	}
+
+	private Optional<Membership> admit(Membership current) {
+		if (this.joining.isEmpty()) {
+			return Optional.empty();
+		}
+		Member member = this.joining.values().iterator().next();
+		// A learner of the same VM that lost its disk again will never catch up.
+		Optional<Member> stale = current.members()
+			.stream()
+			.filter((other) -> !other.voter() && other.vm().equals(member.vm()))
+			.findFirst();
+		if (stale.isPresent()) {
+			return Optional.of(current.without(stale.get().id()));
+		}
+		if (current.members().size() >= MAX_MEMBERS) {
+			return Optional.empty();
+		}
+		return Optional.of(current.with(member));
+	}
+
+	private static Optional<Member> oldVoter(Membership current, Member learner) {
+		return current.members()
+			.stream()
+			.filter((other) -> other.voter() && other.vm().equals(learner.vm()))
+			.findFirst();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/PendingReads.java
@@ -0,0 +1,62 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Linearizable reads by read index (Ongaro, "Consensus: Bridging Theory and Practice",
+ * 2014, section 6.4). A read is served at the commit index at which a heartbeat round
+ * begins, once a quorum has answered that round: no other leader can have committed
+ * anything before the read began. It depends on no clock. Invariant: one round runs for
+ * all the reads that came before it; later ones wait for the next.
+ * <p>
+ * Not thread safe: belongs to one {@link Leadership}.
+ */
+final class PendingReads {
+
+	static final int MAX_READS = 10_000;
+
+	private final Deque<Long> waiting = new ArrayDeque<>();
+
+	private final List<Long> inRound = new ArrayList<>();
+
+	private long round;
+
+	private long index;
+
+	boolean offer(long readId) {
+		if (this.waiting.size() >= MAX_READS) {
+			return false;
+		}
+		this.waiting.addLast(readId);
+		return true;
+	}
+
+	boolean needsRound() {
+		return this.inRound.isEmpty() && !this.waiting.isEmpty();
+	}
+
+	void beginRound(long nextRound, long commitIndex) {
+		this.round = nextRound;
+		this.index = commitIndex;
+		this.inRound.addAll(this.waiting);
+		this.waiting.clear();
+	}
+
+	void confirmed(long confirmedRound, ReplicaActions actions) {
+		if (confirmedRound >= this.round) {
+			this.inRound.forEach((readId) -> actions.readReady(readId, this.index));
+			this.inRound.clear();
+		}
+	}
+
+	void failAll(ReplicaActions actions) {
+		this.inRound.forEach(actions::failed);
+		this.waiting.forEach(actions::failed);
+		this.inRound.clear();
+		this.waiting.clear();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -0,0 +1,437 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.acaciacourse.core.consensus.ReplicaMessage.AppendReply;
+import org.acaciacourse.core.consensus.ReplicaMessage.AppendRequest;
+import org.acaciacourse.core.consensus.ReplicaMessage.SnapshotRequest;
+import org.acaciacourse.core.consensus.ReplicaMessage.TimeoutNow;
+import org.acaciacourse.core.consensus.ReplicaMessage.VoteReply;
+import org.acaciacourse.core.consensus.ReplicaMessage.VoteRequest;
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+
+/**
+ * A replica of the log by Raft (Ongaro and Ousterhout, "In Search of an Understandable
+ * Consensus Algorithm", 2014) with pre-vote, check-quorum, leadership transfer, learners
+ * and single-member changes (Ongaro, "Consensus: Bridging Theory and Practice", 2014).
+ * Invariants: the term never falls; a replica votes once a term; it never truncates an
+ * entry that it knows to be committed; entries are applied once each and in order.
+ * <p>
+ * A replica answers a request for a vote whatever its own membership says, and a
+ * candidate counts only the voters of its own membership. A voter that has not learned of
+ * its promotion yet must not block an election, and a vote of a non-voter counts nowhere.
+ * A removed replica cannot disturb: it stands only with a pre-vote, which those that hear
+ * a leader refuse. A replica whose membership does not list it as a voter never stands.
+ * <p>
+ * Not thread safe: one thread calls it.
+ */
+public final class Replica implements ReplicatedLog {
+
+	private final ReplicaId self;
+
+	private final String vm;
+
+	private final ReplicaTiming timing;
+
+	private final ReplicaActions actions;
+
+	private final LogView log;
+
+	private final Election election;
+
+	private HardState hardState;
+
+	private Role role = Role.FOLLOWER;
+
+	private Optional<ReplicaId> leader = Optional.empty();
+
+	private Optional<Leadership> leadership = Optional.empty();
+
+	private long commitIndex;
+
+	private ReplicaStatus reported;
+
+	/**
+	 * Start a replica.
+	 * @param self its identity
+	 * @param vm the name of the VM it runs on
+	 * @param recovered what its data folder holds
+	 * @param timing times and bounds
+	 * @param seed the seed of its election timer
+	 * @param actions carries out what it wants done
+	 * @param now the time
+	 */
+	public Replica(ReplicaId self, String vm, RecoveredLog recovered, ReplicaTiming timing, long seed,
+			ReplicaActions actions, long now) {
+		this.self = Objects.requireNonNull(self, "self");
+		this.vm = Objects.requireNonNull(vm, "vm");
+		this.timing = timing;
+		this.actions = actions;
+		this.log = new LogView(recovered);
+		this.hardState = recovered.hardState();
+		this.commitIndex = this.log.baseIndex();
+		this.election = new Election(timing.electionTimeoutNanos(), seed, now);
+		this.reported = status();
+	}
+
+	@Override
+	public void receive(ReplicaMessage message, long now) {
+		if (message instanceof VoteRequest request) {
+			receiveVoteRequest(request, now);
+		}
+		else {
+			receiveInTerm(message, now);
+		}
+		reportChange();
+	}
+
+	@Override
+	public void tick(long now) {
+		this.leadership.ifPresent((leading) -> tickLeader(leading, now));
+		if (this.role != Role.LEADER && isVoter() && this.election.isDue(now)) {
+			startPreVote(now);
+		}
+		reportChange();
+	}
+
+	@Override
+	public void durable(long index, long term, long now) {
+		this.log.durable(index, term);
+		this.leadership.ifPresent((leading) -> advanceLeader(leading, now));
+		reportChange();
+	}
+
+	@Override
+	public long propose(long proposalId, byte[] command, long now) {
+		return this.leadership.map((leading) -> leading.propose(proposalId, command, now)).orElse(-1L);
+	}
+
+	@Override
+	public long changeMembership(long proposalId, Membership next, long now) {
+		return this.leadership.map((leading) -> leading.changeMembership(proposalId, next, now)).orElse(-1L);
+	}
+
+	@Override
+	public void read(long readId, long now) {
+		this.leadership.ifPresentOrElse((leading) -> leading.read(readId, now), () -> this.actions.failed(readId));
+	}
+
+	@Override
+	public void transferLeadership(long now) {
+		this.leadership.ifPresent((leading) -> leading.transfer(now));
+	}
+
+	@Override
+	public void compacted(Snapshot snapshot) {
+		if (snapshot.index() > this.commitIndex) {
+			throw new IllegalArgumentException("a snapshot covers committed entries only");
+		}
+		this.log.compact(snapshot);
+	}
+
+	@Override
+	public ReplicaStatus status() {
+		Role shown = (this.role == Role.FOLLOWER && !isVoter()) ? Role.LEARNER : this.role;
+		return new ReplicaStatus(shown, term(), this.leader.flatMap(membership()::member), this.commitIndex);
+	}
+
+	@Override
+	public Membership membership() {
+		return this.log.membership();
+	}
+
+	/**
+	 * Return the membership after a committed entry, which a snapshot there carries.
+	 * @param index the index of the entry, not before the latest snapshot
+	 * @return the membership
+	 */
+	public Membership membershipAt(long index) {
+		return this.log.membershipAt(index);
+	}
+
+	/**
+	 * Return whether the membership in force is committed, so that it may change again.
+	 * @return whether no change is under way
+	 */
+	public boolean isMembershipCommitted() {
+		return this.log.membershipIndex() <= this.commitIndex;
+	}
+
+	/**
+	 * Return whether a member answered this leader within an election timeout.
+	 * @param id the member
+	 * @param now the time
+	 * @return whether it did; of itself a leader always knows
+	 */
+	public boolean isInContact(ReplicaId id, long now) {
+		return this.leadership.map((leading) -> leading.isInContact(id, now)).orElse(false);
+	}
+
+	@Override
+	public long matchIndex(ReplicaId id) {
+		return this.leadership.map((leading) -> leading.matchIndex(id)).orElse(0L);
+	}
+
+	@Override
+	public String toString() {
+		return "replica " + this.self.value() + " on " + this.vm + " " + status();
+	}
+
+	private void receiveInTerm(ReplicaMessage message, long now) {
+		boolean prospective = message instanceof VoteReply reply && reply.preVote() && reply.granted();
+		if (message.term() > term() && !prospective) {
+			becomeFollower(message.term(), Optional.empty(), now);
+		}
+		if (message instanceof AppendRequest request) {
+			receiveAppend(request, now);
+		}
+		else if (message instanceof SnapshotRequest request) {
+			receiveSnapshot(request, now);
+		}
+		else if (message instanceof VoteReply reply) {
+			receiveVoteReply(reply, now);
+		}
+		else if (message instanceof AppendReply reply && reply.term() == term()) {
+			this.leadership.ifPresent((leading) -> {
+				leading.receive(reply, now);
+				advanceLeader(leading, now);
+			});
+		}
+		else if (message instanceof TimeoutNow request && request.term() == term() && isVoter()
+				&& this.role != Role.LEADER) {
+			startElection(true, now);
+		}
+	}
+
+	private void receiveVoteRequest(VoteRequest request, long now) {
+		boolean leaderWorks = this.role == Role.LEADER || this.election.isLeaderRecent(now);
+		boolean refused = leaderWorks && !request.leadershipTransfer();
+		if (request.preVote()) {
+			boolean granted = !refused && request.term() > term() && isUpToDate(request);
+			long term = (granted) ? request.term() : term();
+			send(request.from(), new VoteReply(this.self, term, true, granted));
+			return;
+		}
+		if (refused && request.term() > term()) {
+			return;
+		}
+		if (request.term() > term()) {
+			becomeFollower(request.term(), Optional.empty(), now);
+		}
+		boolean free = this.hardState.votedFor().map(request.from()::equals).orElse(true);
+		boolean granted = request.term() == term() && free && isUpToDate(request);
+		if (granted && this.hardState.votedFor().isEmpty()) {
+			persist(new HardState(term(), Optional.of(request.from())));
+			this.election.restartTimer(now);
+		}
+		send(request.from(), new VoteReply(this.self, term(), false, granted));
+	}
+
+	private boolean isUpToDate(VoteRequest request) {
+		if (request.lastTerm() != this.log.lastTerm()) {
+			return request.lastTerm() > this.log.lastTerm();
+		}
+		return request.lastIndex() >= this.log.lastIndex();
+	}
+
+	private void receiveVoteReply(VoteReply reply, long now) {
+		Role asking = (reply.preVote()) ? Role.PRE_CANDIDATE : Role.CANDIDATE;
+		long asked = (reply.preVote()) ? term() + 1 : term();
+		if (!reply.granted() || this.role != asking || reply.term() != asked) {
+			return;
+		}
+		this.election.grantedBy(reply.from());
+		continueElection(now);
+	}
+
+	private void receiveAppend(AppendRequest request, long now) {
+		if (request.term() < term()) {
+			send(request.from(), new AppendReply(this.self, term(), false, 0, request.round()));
+			return;
+		}
+		follow(request.from(), now);
+		long base = this.log.baseIndex();
+		long last = request.previousIndex() + request.entries().size();
+		if (request.previousIndex() >= base && this.log.term(request.previousIndex()) != request.previousTerm()) {
+			long hint = hint(request.previousIndex());
+			send(request.from(), new AppendReply(this.self, term(), false, hint, request.round()));
+			return;
+		}
+		// What lies before the snapshot is committed and so matches every leader's log.
+		List<LogEntry> entries = request.entries().stream().filter((entry) -> entry.index() > base).toList();
+		long matched = Math.max(base, last);
+		appendMissing(entries);
+		send(request.from(), new AppendReply(this.self, term(), true, matched, request.round()));
+		commit(Math.min(request.commitIndex(), matched));
+	}
+
+	// Where the logs may still match: the leader skips a whole term of entries that
+	// cannot.
+	private long hint(long previousIndex) {
+		if (previousIndex > this.log.lastIndex()) {
+			return this.log.lastIndex();
+		}
+		long conflicting = this.log.term(previousIndex);
+		long index = previousIndex;
+		while (index > this.commitIndex && this.log.term(index) == conflicting) {
+			index--;
+		}
+		return index;
+	}
+
+	private void appendMissing(List<LogEntry> entries) {
+		for (int i = 0; i < entries.size(); i++) {
+			LogEntry entry = entries.get(i);
+			if (this.log.term(entry.index()) == entry.term()) {
+				continue;
+			}
+			if (entry.index() <= this.commitIndex) {
+				throw new IllegalStateException("a leader wants to replace the committed entry " + entry.index());
+			}
+			if (entry.index() <= this.log.lastIndex()) {
+				this.log.truncateFrom(entry.index());
+			}
+			List<LogEntry> missing = entries.subList(i, entries.size());
+			this.log.append(missing);
+			this.actions.append(List.copyOf(missing));
+			return;
+		}
+	}
+
+	private void receiveSnapshot(SnapshotRequest request, long now) {
+		if (request.term() < term()) {
+			send(request.from(), new AppendReply(this.self, term(), false, 0, request.round()));
+			return;
+		}
+		follow(request.from(), now);
+		Snapshot snapshot = request.snapshot();
+		// Entries after the snapshot may be acknowledged and count for a quorum: a late
+		// snapshot must not drop them, or a committed entry could be lost.
+		boolean held = snapshot.index() <= this.commitIndex || this.log.term(snapshot.index()) == snapshot.term();
+		if (!held) {
+			this.log.install(snapshot);
+			this.actions.install(snapshot);
+			this.commitIndex = snapshot.index();
+		}
+		send(request.from(), new AppendReply(this.self, term(), true, snapshot.index(), request.round()));
+		commit(snapshot.index());
+	}
+
+	private void follow(ReplicaId from, long now) {
+		if (this.role == Role.LEADER) {
+			throw new IllegalStateException("term " + term() + " has two leaders");
+		}
+		becomeFollower(term(), Optional.of(from), now);
+		this.election.leaderSeen(now);
+	}
+
+	private void startPreVote(long now) {
+		this.role = Role.PRE_CANDIDATE;
+		this.leader = Optional.empty();
+		this.election.begin(this.self, now);
+		requestVotes(true, false);
+		continueElection(now);
+	}
+
+	private void startElection(boolean leadershipTransfer, long now) {
+		this.role = Role.CANDIDATE;
+		this.leader = Optional.empty();
+		persist(new HardState(term() + 1, Optional.of(this.self)));
+		this.election.begin(this.self, now);
+		requestVotes(false, leadershipTransfer);
+		continueElection(now);
+	}
+
+	private void requestVotes(boolean preVote, boolean leadershipTransfer) {
+		long asked = (preVote) ? term() + 1 : term();
+		VoteRequest request = new VoteRequest(this.self, asked, this.log.lastIndex(), this.log.lastTerm(), preVote,
+				leadershipTransfer);
+		membership().members()
+			.stream()
+			.filter((member) -> member.voter() && !member.id().equals(this.self))
+			.forEach((member) -> this.actions.send(member, request));
+	}
+
+	private void continueElection(long now) {
+		if (!this.election.isWon(membership())) {
+			return;
+		}
+		if (this.role == Role.PRE_CANDIDATE) {
+			startElection(false, now);
+		}
+		else if (this.role == Role.CANDIDATE) {
+			this.role = Role.LEADER;
+			this.leader = Optional.of(this.self);
+			this.leadership = Optional
+				.of(new Leadership(this.self, term(), this.log, this.timing, this.actions, this.commitIndex, now));
+		}
+	}
+
+	private void tickLeader(Leadership leading, long now) {
+		if (!leading.hasQuorumContact(now)) {
+			becomeFollower(term(), Optional.empty(), now);
+			return;
+		}
+		leading.tick(now);
+	}
+
+	private void advanceLeader(Leadership leading, long now) {
+		commit(leading.committable());
+		leading.advance(now);
+		if (leading.isRemoved()) {
+			leading.handOver(now);
+			becomeFollower(term(), Optional.empty(), now);
+		}
+	}
+
+	private void commit(long index) {
+		while (this.commitIndex < index) {
+			this.commitIndex++;
+			this.actions.apply(this.log.get(this.commitIndex));
+		}
+		this.leadership.ifPresent((leading) -> leading.committed(this.commitIndex));
+	}
+
+	private void becomeFollower(long term, Optional<ReplicaId> newLeader, long now) {
+		if (term > term()) {
+			persist(new HardState(term, Optional.empty()));
+		}
+		if (this.role != Role.FOLLOWER) {
+			this.election.restartTimer(now);
+		}
+		this.leadership.ifPresent(Leadership::end);
+		this.leadership = Optional.empty();
+		this.role = Role.FOLLOWER;
+		this.leader = newLeader;
+	}
+
+	private void persist(HardState next) {
+		this.hardState = next;
+		this.actions.persist(next);
+	}
+
+	private void send(ReplicaId to, ReplicaMessage message) {
+		this.actions.send(membership().member(to).orElse(new Member(to, "", "", false)), message);
+	}
+
+	private void reportChange() {
+		ReplicaStatus status = status();
+		boolean same = status.role() == this.reported.role() && status.term() == this.reported.term()
+				&& status.leader().equals(this.reported.leader());
+		this.reported = status;
+		if (!same) {
+			this.actions.statusChanged(status);
+		}
+	}
+
+	private boolean isVoter() {
+		return membership().voters().contains(this.self);
+	}
+
+	private long term() {
+		return this.hardState.term();
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/consensus/ReplicaActions.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/ReplicaActions.java
@@ -25,14 +25,17 @@
 	void append(List<LogEntry> entries);
 
 	/**
-	 * Persist a snapshot that was received and drop the whole log before it.
+	 * Persist a snapshot that was received, drop the whole log and put the state machine
+	 * into the state that the snapshot holds.
 	 * @param snapshot the snapshot
 	 */
 	void install(Snapshot snapshot);
 
 	/**
 	 * Send a message to another replica; it may be lost.
-	 * @param to the receiver
+	 * @param to the receiver; its address is empty if it answers a sender that this
+	 * replica's membership does not list (yet), and is then the address that the sender's
+	 * last message came with
 	 * @param message the message
 	 */
 	void send(Member to, ReplicaMessage message);
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replication.java
@@ -0,0 +1,217 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.consensus.ReplicaMessage.AppendReply;
+import org.acaciacourse.core.consensus.ReplicaMessage.AppendRequest;
+import org.acaciacourse.core.consensus.ReplicaMessage.SnapshotRequest;
+
+/**
+ * The leader's side of replication in one term: what to send to whom, what is committed,
+ * and whether a quorum still answers. Invariant: an entry counts for a replica only once
+ * it is durable there, for the leader itself too.
+ * <p>
+ * Not thread safe: belongs to one {@link Replica}.
+ */
+final class Replication {
+
+	private final ReplicaId self;
+
+	private final long term;
+
+	private final LogView log;
+
+	private final ReplicaTiming timing;
+
+	private final ReplicaActions actions;
+
+	private final Map<ReplicaId, Progress> followers = new TreeMap<>();
+
+	private long round;
+
+	private long nextHeartbeat;
+
+	Replication(ReplicaId self, long term, LogView log, ReplicaTiming timing, ReplicaActions actions, long now) {
+		this.self = self;
+		this.term = term;
+		this.log = log;
+		this.timing = timing;
+		this.actions = actions;
+		this.nextHeartbeat = now;
+		followMembership(now);
+	}
+
+	/**
+	 * Follow a change of the membership in force.
+	 * @param now the time
+	 */
+	void followMembership(long now) {
+		Membership membership = this.log.membership();
+		this.followers.keySet().removeIf((id) -> membership.member(id).isEmpty());
+		membership.members()
+			.stream()
+			.map(Member::id)
+			.filter((id) -> !id.equals(this.self))
+			.forEach((id) -> this.followers.computeIfAbsent(id, (key) -> new Progress(this.log.lastIndex() + 1, now)));
+	}
+
+	/**
+	 * Send entries that there is room for.
+	 * @param commitIndex the commit index
+	 * @param now the time
+	 */
+	void sendEntries(long commitIndex, long now) {
+		this.followers.forEach((id, progress) -> sendEntries(id, progress, commitIndex, now));
+	}
+
+	/**
+	 * Begin a new round and send a heartbeat to every member.
+	 * @param commitIndex the commit index
+	 * @param now the time
+	 * @return the round
+	 */
+	long heartbeat(long commitIndex, long now) {
+		this.round++;
+		this.nextHeartbeat = now + this.timing.heartbeatNanos();
+		this.followers.forEach((id, progress) -> heartbeat(id, progress, commitIndex));
+		return this.round;
+	}
+
+	void tick(long commitIndex, long now) {
+		this.followers.values().forEach((progress) -> progress.checkLost(this.timing.electionTimeoutNanos() / 2, now));
+		if (now >= this.nextHeartbeat) {
+			heartbeat(commitIndex, now);
+		}
+		sendEntries(commitIndex, now);
+	}
+
+	/**
+	 * Take a reply of this term.
+	 * @param reply the reply
+	 * @param now the time
+	 */
+	void receive(AppendReply reply, long now) {
+		Progress progress = this.followers.get(reply.from());
+		if (progress == null) {
+			return;
+		}
+		progress.contact(reply.round(), now);
+		if (reply.success()) {
+			progress.matched(Math.min(reply.matchIndex(), this.log.lastIndex()));
+		}
+		else {
+			progress.rejected(reply.matchIndex());
+		}
+	}
+
+	/**
+	 * Work out how far a quorum of the voters holds the log on disk.
+	 * @return the highest such index
+	 */
+	long quorumIndex() {
+		Set<ReplicaId> voters = this.log.membership().voters();
+		List<Long> indexes = voters.stream().map(this::durableIndex).sorted().toList();
+		return (indexes.isEmpty()) ? 0 : indexes.get((indexes.size() - 1) / 2);
+	}
+
+	/**
+	 * Return the latest round that a quorum has confirmed.
+	 * @return the round
+	 */
+	long confirmedRound() {
+		List<Long> rounds = this.log.membership().voters().stream().map(this::ackedRound).sorted().toList();
+		return (rounds.isEmpty()) ? 0 : rounds.get((rounds.size() - 1) / 2);
+	}
+
+	/**
+	 * Return whether a quorum answered within an election timeout. A leader that is cut
+	 * off must not go on as if it led: callers would wait for it while another one is
+	 * elected.
+	 * @param now the time
+	 * @return whether it did
+	 */
+	boolean hasQuorumContact(long now) {
+		Set<ReplicaId> active = new HashSet<>(Set.of(this.self));
+		this.followers.keySet().stream().filter((id) -> isInContact(id, now)).forEach(active::add);
+		return this.log.membership().isQuorum(active);
+	}
+
+	/**
+	 * Choose who could take over leadership.
+	 * @param now the time
+	 * @return the voter that answers and has caught up furthest
+	 */
+	Optional<ReplicaId> bestSuccessor(long now) {
+		Set<ReplicaId> voters = this.log.membership().voters();
+		return this.followers.entrySet()
+			.stream()
+			.filter((entry) -> voters.contains(entry.getKey()))
+			.filter((entry) -> isInContact(entry.getKey(), now))
+			.max((a, b) -> Long.compare(a.getValue().matchIndex(), b.getValue().matchIndex()))
+			.map(Map.Entry::getKey);
+	}
+
+	boolean isInContact(ReplicaId id, long now) {
+		Progress progress = this.followers.get(id);
+		return progress != null && now - progress.lastContact() < this.timing.electionTimeoutNanos();
+	}
+
+	long matchIndex(ReplicaId id) {
+		return Optional.ofNullable(this.followers.get(id)).map(Progress::matchIndex).orElse(0L);
+	}
+
+	private long durableIndex(ReplicaId id) {
+		return (id.equals(this.self)) ? this.log.durableIndex() : matchIndex(id);
+	}
+
+	private long ackedRound(ReplicaId id) {
+		if (id.equals(this.self)) {
+			return this.round;
+		}
+		return Optional.ofNullable(this.followers.get(id)).map(Progress::ackedRound).orElse(0L);
+	}
+
+	private void sendEntries(ReplicaId id, Progress progress, long commitIndex, long now) {
+		while (progress.nextIndex() <= this.log.lastIndex()
+				&& progress.mayTakeEntries(this.timing.maxInFlightBytes())) {
+			if (progress.nextIndex() <= this.log.baseIndex()) {
+				sendSnapshot(id, progress, now);
+				return;
+			}
+			List<LogEntry> entries = this.log.slice(progress.nextIndex(), this.timing.maxBatchBytes());
+			append(id, progress.nextIndex() - 1, entries, commitIndex);
+			long bytes = entries.stream().mapToLong((entry) -> entry.payload().length).sum();
+			progress.sentEntries(entries.get(entries.size() - 1).index(), bytes, now);
+		}
+	}
+
+	private void sendSnapshot(ReplicaId id, Progress progress, long now) {
+		Snapshot snapshot = this.log.snapshot().orElseThrow();
+		this.actions.send(address(id), new SnapshotRequest(this.self, this.term, snapshot, this.round));
+		progress.sentSnapshot(snapshot.index(), now);
+	}
+
+	private void heartbeat(ReplicaId id, Progress progress, long commitIndex) {
+		// While probing, a heartbeat asks whether the logs match. Later it names a place
+		// where they are known to, so that it never fails for a message still in flight;
+		// the place before the first entry matches in every log.
+		long previous = (progress.mode() == Progress.Mode.PROBE) ? progress.nextIndex() - 1 : progress.matchIndex();
+		append(id, (previous >= this.log.baseIndex()) ? previous : 0, List.of(), commitIndex);
+	}
+
+	private void append(ReplicaId id, long previous, List<LogEntry> entries, long commitIndex) {
+		long previousTerm = (previous == 0) ? 0 : this.log.term(previous);
+		this.actions.send(address(id),
+				new AppendRequest(this.self, this.term, previous, previousTerm, entries, commitIndex, this.round));
+	}
+
+	private Member address(ReplicaId id) {
+		return this.log.membership().member(id).orElseThrow();
+	}
+
+}
