Add the codec and the data folder of a control replica

The codec turns the core's types into Thrift structs for the wire and the disk, with bounds on what is read.

Ruled out: one record an entry, since a crash in a batch could then leave a good record after a bad one and look like damage. What remains: a bit that flips in the very last synced record cannot be told from a torn tail.

--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/CommandCodec.java
@@ -0,0 +1,161 @@
+package org.acaciacourse.daemon.codec;
+
+import io.vavr.control.Try;
+import org.acaciacourse.core.state.ClaimKey;
+import org.acaciacourse.core.state.ClaimOutcome;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.Command.AcquireLease;
+import org.acaciacourse.core.state.Command.Claim;
+import org.acaciacourse.core.state.Command.CompleteClaim;
+import org.acaciacourse.core.state.Command.EndOwner;
+import org.acaciacourse.core.state.Command.PutManifest;
+import org.acaciacourse.core.state.Command.ReleaseLease;
+import org.acaciacourse.core.state.Command.ReportCrash;
+import org.acaciacourse.protocol.generated.AcquireLeaseCommand;
+import org.acaciacourse.protocol.generated.ClaimCommand;
+import org.acaciacourse.protocol.generated.CommandBody;
+import org.acaciacourse.protocol.generated.CommandRecord;
+import org.acaciacourse.protocol.generated.CompleteClaimCommand;
+import org.acaciacourse.protocol.generated.EndOwnerCommand;
+import org.acaciacourse.protocol.generated.PutManifestCommand;
+import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
+import org.acaciacourse.protocol.generated.ReportCrashCommand;
+
+/**
+ * Commands of the replicated state machine as the payload of log entries and back.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class CommandCodec {
+
+	private CommandCodec() {
+	}
+
+	/**
+	 * Encode a command.
+	 * @param command the command
+	 * @return the payload
+	 */
+	public static byte[] encode(Command command) {
+		return ThriftBytes.encode(new CommandRecord(command.proposedAt(), body(command)));
+	}
+
+	private static CommandBody body(Command command) {
+		if (command instanceof PutManifest c) {
+			return CommandBody.putManifest(new PutManifestCommand(c.number(), c.digest(), c.baseDigest(),
+					ManifestCodec.encode(c.delta()), c.operator()));
+		}
+		if (command instanceof AcquireLease c) {
+			return CommandBody.acquireLease(new AcquireLeaseCommand(c.lease(), c.holder(), c.durationMillis()));
+		}
+		if (command instanceof ReleaseLease c) {
+			return CommandBody.releaseLease(new ReleaseLeaseCommand(c.lease(), c.holder(), c.fencingNumber()));
+		}
+		if (command instanceof Claim c) {
+			return CommandBody
+				.claim(new ClaimCommand(c.key().customer(), c.key().idempotencyKey(), c.contentHash(), c.owner()));
+		}
+		if (command instanceof CompleteClaim c) {
+			CompleteClaimCommand struct = new CompleteClaimCommand();
+			struct.setCustomer(c.key().customer()).setIdempotencyKey(c.key().idempotencyKey()).setOwner(c.owner());
+			return CommandBody.completeClaim(struct.setOutcome(c.outcome().ordinal()).setAnswer(c.answer()));
+		}
+		if (command instanceof EndOwner c) {
+			return CommandBody.endOwner(new EndOwnerCommand(c.owner()));
+		}
+		ReportCrash c = (ReportCrash) command;
+		return CommandBody.reportCrash(new ReportCrashCommand(c.contentHash(), c.crashes()));
+	}
+
+	/**
+	 * Decode a command.
+	 * @param payload the payload of a log entry
+	 * @return the command, or a failure if the payload is none
+	 */
+	public static Try<Command> decode(byte[] payload) {
+		return ThriftBytes.decode(payload, new CommandRecord())
+			.mapTry((struct) -> command(struct.getProposedAt(), struct.getBody()));
+	}
+
+	private static Command command(long at, CommandBody body) {
+		return switch (body.getSetField()) {
+			case PUT_MANIFEST -> {
+				PutManifestCommand c = body.getPutManifest();
+				yield new PutManifest(at, c.getNumber(), c.getDigest(), c.getBaseDigest(),
+						ManifestCodec.decode(c.getDelta()), c.getOperatorName());
+			}
+			case ACQUIRE_LEASE -> acquireLease(at, body.getAcquireLease());
+			case RELEASE_LEASE -> releaseLease(at, body.getReleaseLease());
+			case CLAIM -> claim(at, body.getClaim());
+			case COMPLETE_CLAIM -> completeClaim(at, body.getCompleteClaim());
+			case END_OWNER -> new EndOwner(at, body.getEndOwner().getOwner());
+			case REPORT_CRASH -> reportCrash(at, body.getReportCrash());
+		};
+	}
+
+	/**
+	 * Decode a call to acquire a lease.
+	 * @param at the proposer's wall-clock time
+	 * @param call the struct
+	 * @return the command
+	 */
+	public static AcquireLease acquireLease(long at, AcquireLeaseCommand call) {
+		return new AcquireLease(at, call.getLease(), call.getHolder(), call.getDurationMillis());
+	}
+
+	/**
+	 * Decode a call to release a lease.
+	 * @param at the proposer's wall-clock time
+	 * @param call the struct
+	 * @return the command
+	 */
+	public static ReleaseLease releaseLease(long at, ReleaseLeaseCommand call) {
+		return new ReleaseLease(at, call.getLease(), call.getHolder(), call.getFencingNumber());
+	}
+
+	/**
+	 * Decode a call to claim.
+	 * @param at the proposer's wall-clock time
+	 * @param call the struct
+	 * @return the command
+	 */
+	public static Claim claim(long at, ClaimCommand call) {
+		ClaimKey key = new ClaimKey(call.getCustomer(), call.getIdempotencyKey());
+		return new Claim(at, key, call.getContentHash(), call.getOwner());
+	}
+
+	/**
+	 * Decode a call to complete a claim.
+	 * @param at the proposer's wall-clock time
+	 * @param call the struct
+	 * @return the command
+	 */
+	public static CompleteClaim completeClaim(long at, CompleteClaimCommand call) {
+		ClaimKey key = new ClaimKey(call.getCustomer(), call.getIdempotencyKey());
+		return new CompleteClaim(at, key, call.getOwner(), outcome(call.getOutcome()), call.getAnswer());
+	}
+
+	/**
+	 * Decode a report of a crash.
+	 * @param at the proposer's wall-clock time
+	 * @param call the struct
+	 * @return the command
+	 */
+	public static ReportCrash reportCrash(long at, ReportCrashCommand call) {
+		return new ReportCrash(at, call.getContentHash(), call.getCrashes());
+	}
+
+	/**
+	 * Decode an outcome.
+	 * @param ordinal its ordinal
+	 * @return the outcome
+	 */
+	public static ClaimOutcome outcome(int ordinal) {
+		ClaimOutcome[] outcomes = ClaimOutcome.values();
+		if (ordinal < 0 || ordinal >= outcomes.length) {
+			throw new IllegalArgumentException("unknown outcome " + ordinal);
+		}
+		return outcomes[ordinal];
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/StateCodec.java
@@ -0,0 +1,126 @@
+package org.acaciacourse.daemon.codec;
+
+import java.util.Optional;
+
+import io.vavr.control.Try;
+import org.acaciacourse.core.state.ClaimKey;
+import org.acaciacourse.core.state.ControlStateSnapshot;
+import org.acaciacourse.core.state.ControlStateSnapshot.AuditEntry;
+import org.acaciacourse.core.state.ControlStateSnapshot.ClaimRecord;
+import org.acaciacourse.core.state.ControlStateSnapshot.Lease;
+import org.acaciacourse.core.state.ControlStateSnapshot.ManifestChange;
+import org.acaciacourse.core.state.ControlStateSnapshot.ManifestInForce;
+import org.acaciacourse.protocol.generated.AuditRecord;
+import org.acaciacourse.protocol.generated.ClaimEntryRecord;
+import org.acaciacourse.protocol.generated.CrashRecord;
+import org.acaciacourse.protocol.generated.LeaseRecord;
+import org.acaciacourse.protocol.generated.ManifestChangeRecord;
+import org.acaciacourse.protocol.generated.StateRecord;
+
+/**
+ * The state of the state machine as the content of a snapshot and back.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class StateCodec {
+
+	private StateCodec() {
+	}
+
+	/**
+	 * Encode a state.
+	 * @param state the state
+	 * @return the bytes
+	 */
+	public static byte[] encode(ControlStateSnapshot state) {
+		StateRecord struct = new StateRecord();
+		struct.setAppliedIndex(state.appliedIndex()).setTime(state.time());
+		struct.setNumber(state.manifest().number()).setDigest(state.manifest().digest());
+		struct.setSections(ManifestCodec.encode(state.manifest().document()));
+		struct.setHistory(state.history().stream().map(StateCodec::encode).toList());
+		struct.setAudit(state.audit().stream().map(StateCodec::encode).toList());
+		struct.setFencingNumber(state.fencingNumber());
+		struct.setLeases(state.leases().stream().map(StateCodec::encode).toList());
+		struct.setClaims(state.claims().stream().map(StateCodec::encode).toList());
+		struct.setCrashRevision(state.crashRevision());
+		struct.setCrashes(state.crashes().stream().map(StateCodec::encode).toList());
+		return ThriftBytes.encode(struct);
+	}
+
+	/**
+	 * Decode a state.
+	 * @param bytes the bytes
+	 * @return the state, or a failure if the bytes are none
+	 */
+	public static Try<ControlStateSnapshot> decode(byte[] bytes) {
+		return ThriftBytes.decode(bytes, new StateRecord()).mapTry(StateCodec::state);
+	}
+
+	private static ControlStateSnapshot state(StateRecord struct) {
+		ManifestInForce manifest = new ManifestInForce(struct.getNumber(), struct.getDigest(),
+				ManifestCodec.decode(struct.getSections()));
+		return new ControlStateSnapshot(struct.getAppliedIndex(), struct.getTime(), manifest,
+				struct.getHistory().stream().map(StateCodec::decode).toList(),
+				struct.getAudit().stream().map(StateCodec::decode).toList(), struct.getFencingNumber(),
+				struct.getLeases().stream().map(StateCodec::decode).toList(),
+				struct.getClaims().stream().map(StateCodec::decode).toList(), struct.getCrashRevision(),
+				struct.getCrashes().stream().map(StateCodec::decode).toList());
+	}
+
+	private static ManifestChangeRecord encode(ManifestChange change) {
+		return new ManifestChangeRecord(change.number(), change.digest(), change.baseNumber(), change.baseDigest(),
+				ManifestCodec.encode(change.delta()));
+	}
+
+	private static ManifestChange decode(ManifestChangeRecord change) {
+		return new ManifestChange(change.getNumber(), change.getDigest(), change.getBaseNumber(),
+				change.getBaseDigest(), ManifestCodec.decode(change.getDelta()));
+	}
+
+	/**
+	 * Encode a record of the audit log.
+	 * @param entry the record
+	 * @return the struct
+	 */
+	public static AuditRecord encode(AuditEntry entry) {
+		return new AuditRecord(entry.at(), entry.operator(), entry.number(), entry.digest(), entry.changedSections());
+	}
+
+	private static AuditEntry decode(AuditRecord entry) {
+		return new AuditEntry(entry.getAt(), entry.getOperatorName(), entry.getNumber(), entry.getDigest(),
+				entry.getChangedSections());
+	}
+
+	private static LeaseRecord encode(Lease lease) {
+		return new LeaseRecord(lease.name(), lease.holder(), lease.fencingNumber(), lease.expiresAt());
+	}
+
+	private static Lease decode(LeaseRecord lease) {
+		return new Lease(lease.getName(), lease.getHolder(), lease.getFencingNumber(), lease.getExpiresAt());
+	}
+
+	private static ClaimEntryRecord encode(ClaimRecord claim) {
+		ClaimEntryRecord struct = new ClaimEntryRecord();
+		struct.setCustomer(claim.key().customer()).setIdempotencyKey(claim.key().idempotencyKey());
+		struct.setContentHash(claim.contentHash()).setOwner(claim.owner());
+		struct.setOutcome(claim.outcome().ordinal()).setChangedAt(claim.changedAt());
+		claim.answer().ifPresent(struct::setAnswer);
+		return struct;
+	}
+
+	private static ClaimRecord decode(ClaimEntryRecord claim) {
+		ClaimKey key = new ClaimKey(claim.getCustomer(), claim.getIdempotencyKey());
+		Optional<byte[]> answer = (claim.isSetAnswer()) ? Optional.of(claim.getAnswer()) : Optional.empty();
+		return new ClaimRecord(key, claim.getContentHash(), claim.getOwner(), CommandCodec.outcome(claim.getOutcome()),
+				claim.getChangedAt(), answer);
+	}
+
+	private static CrashRecord encode(ControlStateSnapshot.CrashRecord crash) {
+		return new CrashRecord(crash.contentHash(), crash.crashes(), crash.revision());
+	}
+
+	private static ControlStateSnapshot.CrashRecord decode(CrashRecord crash) {
+		return new ControlStateSnapshot.CrashRecord(crash.getContentHash(), crash.getCrashes(), crash.getRevision());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/ThriftBytes.java
@@ -0,0 +1,84 @@
+package org.acaciacourse.daemon.codec;
+
+import io.vavr.control.Try;
+import org.apache.thrift.TBase;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TProtocolFactory;
+import org.apache.thrift.transport.TMemoryInputTransport;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+
+/**
+ * Thrift structs to bytes and back, with bounds on what is read: a length field that was
+ * damaged or forged would otherwise make the reader reserve gigabytes and end the
+ * process.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class ThriftBytes {
+
+	/** Largest message and largest struct on disk. */
+	public static final int MAX_BYTES = 64 << 20;
+
+	private static final int MAX_ELEMENTS = 1 << 20;
+
+	private static final int MAX_DEPTH = 16;
+
+	private ThriftBytes() {
+	}
+
+	/**
+	 * Return the protocol of the wire and the disk.
+	 * @return a factory of the compact protocol with bounds
+	 */
+	public static TProtocolFactory protocol() {
+		return new TCompactProtocol.Factory(MAX_BYTES, MAX_ELEMENTS);
+	}
+
+	/**
+	 * Return the bounds of a transport.
+	 * @return a new configuration
+	 */
+	public static TConfiguration bounds() {
+		return new TConfiguration(MAX_BYTES, MAX_BYTES, MAX_DEPTH);
+	}
+
+	/**
+	 * Encode a struct.
+	 * @param struct the struct, with all that is required set
+	 * @return the bytes
+	 */
+	public static byte[] encode(TBase<?, ?> struct) {
+		try {
+			return new TSerializer(protocol()).serialize(struct);
+		}
+		catch (TException ex) {
+			throw new IllegalArgumentException("struct cannot be encoded", ex);
+		}
+	}
+
+	/**
+	 * Decode a struct.
+	 * @param <T> the type of the struct
+	 * @param bytes the bytes
+	 * @param empty an empty struct, which gets the fields
+	 * @return the struct, or a failure if the bytes are none
+	 */
+	public static <T extends TBase<?, ?>> Try<T> decode(byte[] bytes, T empty) {
+		return Try.of(() -> {
+			empty.read(protocol().getProtocol(input(bytes)));
+			return empty;
+		});
+	}
+
+	private static TTransport input(byte[] bytes) throws TTransportException {
+		if (bytes.length > MAX_BYTES) {
+			throw new TTransportException("more than " + MAX_BYTES + " bytes");
+		}
+		return new TMemoryInputTransport(bounds(), bytes);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/store/LogReplay.java
@@ -0,0 +1,153 @@
+package org.acaciacourse.daemon.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.HardState;
+import org.acaciacourse.core.consensus.LogEntry;
+import org.acaciacourse.core.consensus.Snapshot;
+import org.acaciacourse.daemon.codec.ReplicaCodec;
+import org.acaciacourse.protocol.generated.BatchRecord;
+import org.acaciacourse.protocol.generated.LogRecord;
+import org.acaciacourse.protocol.generated.SegmentHeader;
+import org.acaciacourse.protocol.generated.StoreRecord;
+
+/**
+ * Rebuilds hard state and log from the records of the segments in their order. Whatever
+ * does not follow from what came before is damage, never skipped: a missing segment would
+ * otherwise show as a log that silently lacks committed entries.
+ * <p>
+ * Not thread safe: made for one start and used once.
+ */
+final class LogReplay {
+
+	private static final long UNKNOWN_TERM = -1;
+
+	private final long replica;
+
+	private final List<LogEntry> entries = new ArrayList<>();
+
+	private HardState hardState = new HardState(0, Optional.empty());
+
+	private long previousIndex;
+
+	private long previousTerm;
+
+	private long deletedIndex;
+
+	private long sequence = -1;
+
+	LogReplay(long replica) {
+		this.replica = replica;
+	}
+
+	/**
+	 * Take a record.
+	 * @param file the name of the segment
+	 * @param record the next record
+	 */
+	void take(String file, StoreRecord record) {
+		if (record.isSetHeader()) {
+			header(file, record.getHeader());
+		}
+		else if (record.isSetBatch() && this.sequence >= 0) {
+			batch(file, record.getBatch());
+		}
+		else {
+			throw damaged(file, "unexpected record");
+		}
+	}
+
+	private void header(String file, SegmentHeader header) {
+		boolean first = this.sequence < 0;
+		if (header.getReplica() != this.replica) {
+			throw damaged(file, "belongs to another replica");
+		}
+		if (!first && header.getSequence() != this.sequence + 1) {
+			throw damaged(file, "a segment before it is missing");
+		}
+		this.sequence = header.getSequence();
+		this.hardState = ReplicaCodec.decode(header.getHardState());
+		boolean continues = !first && header.getPreviousIndex() == lastIndex()
+				&& header.getPreviousTerm() == lastTerm();
+		if (!continues) {
+			this.entries.clear();
+			this.previousIndex = header.getPreviousIndex();
+			this.previousTerm = header.getPreviousTerm();
+			this.deletedIndex = header.getPreviousIndex();
+		}
+	}
+
+	private void batch(String file, BatchRecord batch) {
+		if (batch.isSetHardState()) {
+			this.hardState = ReplicaCodec.decode(batch.getHardState());
+		}
+		for (LogRecord struct : batch.getEntries()) {
+			LogEntry entry = ReplicaCodec.decode(struct);
+			if (entry.index() > lastIndex() + 1) {
+				throw damaged(file, "entry " + entry.index() + " does not follow " + lastIndex());
+			}
+			if (entry.index() <= this.previousIndex) {
+				startBefore(entry);
+			}
+			this.entries.subList((int) (entry.index() - this.previousIndex - 1), this.entries.size()).clear();
+			this.entries.add(entry);
+		}
+	}
+
+	// An entry may void some of a segment that is deleted by now, which is only done if a
+	// snapshot covers all of that segment; finish checks that one does.
+	private void startBefore(LogEntry entry) {
+		this.entries.clear();
+		this.previousIndex = entry.index() - 1;
+		this.previousTerm = UNKNOWN_TERM;
+	}
+
+	private long lastIndex() {
+		return this.previousIndex + this.entries.size();
+	}
+
+	private long lastTerm() {
+		return this.entries.isEmpty() ? this.previousTerm : this.entries.get(this.entries.size() - 1).term();
+	}
+
+	/**
+	 * Join log and snapshot. Entries after the snapshot count only if the log holds the
+	 * snapshot's last entry: a crash between the installation of a snapshot and the start
+	 * of the next segment leaves an older log that need not agree with the snapshot.
+	 * @param snapshot the latest snapshot, if there is one
+	 * @return what the folder held
+	 */
+	Recovered finish(Optional<Snapshot> snapshot) {
+		long index = snapshot.map(Snapshot::index).orElse(0L);
+		long term = snapshot.map(Snapshot::term).orElse(0L);
+		if (this.deletedIndex > index) {
+			throw damaged("snapshot", "the one up to entry " + this.deletedIndex + " is missing");
+		}
+		if (index > lastIndex() || termAt(index) != term) {
+			return new Recovered(this.hardState, snapshot, List.of());
+		}
+		List<LogEntry> rest = this.entries.subList((int) (index - this.previousIndex), this.entries.size());
+		return new Recovered(this.hardState, snapshot, rest);
+	}
+
+	private long termAt(long index) {
+		int at = (int) (index - this.previousIndex);
+		return (at == 0) ? this.previousTerm : this.entries.get(at - 1).term();
+	}
+
+	/**
+	 * Return the sequence number of the last segment.
+	 * @return the number, -1 if there is no segment
+	 */
+	long sequence() {
+		return this.sequence;
+	}
+
+	private static StoreException damaged(String file, String what) {
+		return new StoreException(ResultCode.LOG_DAMAGED, file + ": " + what, null);
+	}
+
+}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -80,6 +80,33 @@
   1: i64 sender,
   2: i64 term,
   3: ReplicaBody body,
+  /* The identity it is meant for: an address may have been taken over by another replica. */
+  4: i64 receiver,
+}
+
+/* ---- the data folder ---- */
+
+/* First record of a segment: what replay needs if the segments before it are gone. */
+struct SegmentHeader {
+  1: i64 replica,
+  2: i64 sequence,
+  /* The last entry before this segment; entries after it that came before are void. */
+  3: i64 previousIndex,
+  4: i64 previousTerm,
+  5: HardStateRecord hardState,
+}
+
+/* One synced batch. An entry voids what the log holds from its index on. */
+struct BatchRecord {
+  1: optional HardStateRecord hardState,
+  2: list<LogRecord> entries,
+}
+
+union StoreRecord {
+  1: SegmentHeader header,
+  2: BatchRecord batch,
+  3: SnapshotRecord snapshot,
+  4: i64 identity,
 }
 
 /* ---- commands of the replicated state machine ---- */
@@ -148,6 +175,62 @@
   2: CommandBody body,
 }
 
+/* ---- state of the state machine, as a snapshot holds it ---- */
+
+struct ManifestChangeRecord {
+  1: i64 number,
+  2: string digest,
+  3: i64 baseNumber,
+  4: string baseDigest,
+  5: DeltaRecord delta,
+}
+
+struct LeaseRecord {
+  1: string name,
+  2: string holder,
+  3: i64 fencingNumber,
+  4: i64 expiresAt,
+}
+
+struct ClaimEntryRecord {
+  1: string customer,
+  2: string idempotencyKey,
+  3: string contentHash,
+  4: string owner,
+  5: i32 outcome,
+  6: i64 changedAt,
+  7: optional binary answer,
+}
+
+struct CrashRecord {
+  1: i64 contentHash,
+  2: i32 crashes,
+  3: i64 revision,
+}
+
+struct AuditRecord {
+  1: i64 at,
+  2: string operatorName,
+  3: i64 number,
+  4: string digest,
+  5: i32 changedSections,
+}
+
+struct StateRecord {
+  1: i64 appliedIndex,
+  2: i64 time,
+  3: i64 number,
+  4: string digest,
+  5: map<string, map<string, string>> sections,
+  6: list<ManifestChangeRecord> history,
+  7: list<AuditRecord> audit,
+  8: i64 fencingNumber,
+  9: list<LeaseRecord> leases,
+  10: list<ClaimEntryRecord> claims,
+  11: i64 crashRevision,
+  12: list<CrashRecord> crashes,
+}
+
 /* ---- answers ---- */
 
 struct TraceContext {
@@ -252,14 +335,6 @@
   7: list<ClassReport> reports,
 }
 
-struct AuditRecord {
-  1: i64 at,
-  2: string operatorName,
-  3: i64 number,
-  4: string digest,
-  5: i32 changedSections,
-}
-
 struct StatusReply {
   1: Result result,
   2: string vm,
@@ -276,12 +351,23 @@
   13: i64 claims,
 }
 
+/* What a replica tells of itself to one with an empty folder. */
+struct PeerDescription {
+  1: MemberRecord member,
+  /* Whether it holds a log; an empty one takes part in founding. */
+  2: bool founded,
+  /* The founding members, if it was founded with them. */
+  3: list<MemberRecord> founders,
+  4: optional string leaderAddress,
+}
+
 /* Between control replicas. */
 service ReplicaService {
   /* Returns once the messages are taken in, so that a silent connection shows as a timeout. */
   void deliver(1: string sharedKey, 2: list<ReplicaEnvelope> messages),
   /* An empty replica asks to join as a learner; the answer's detail is empty on success. */
   Result join(1: string sharedKey, 2: MemberRecord member),
+  PeerDescription describe(1: string sharedKey),
 }
 
 /* For entries and operators. */
