--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
@@ -0,0 +1,121 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.suspect.SuspectTable;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * Decides on arrival whether a request may wait at all.
+ * <p>
+ * Invariants: nothing is refused for lack of room while something of a lower tier waits
+ * for the same endpoints: that one is shed first. A refusal for the target counts only
+ * what goes before the request, with all preemptible work out of the way, so that lower
+ * tiers are never its reason.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class Admission {
+
+	private static final long NO_ENDPOINT_WAIT_NANOS = 2_000_000_000L;
+
+	private static final long FULL_WAIT_NANOS = 5_000_000_000L;
+
+	private final DispatchState state;
+
+	Admission(DispatchState state) {
+		this.state = state;
+	}
+
+	/**
+	 * Return the refusal of a request that cannot be admitted.
+	 * @param flight the request, not yet in a line
+	 * @param line the line it would wait in
+	 * @param now the time
+	 * @return the reason and the time to come back, empty if it is admitted
+	 */
+	Optional<Refusal> check(Flight flight, WaitingLine line, long now) {
+		if (this.state.suspects.crashes(flight.info.contentHash(), now) >= SuspectTable.CONVICTION) {
+			return Refusal.of(ResultCode.CRASHING_CONTENT, 0);
+		}
+		if (flight.deadlineAt <= now) {
+			return Refusal.of(ResultCode.DEADLINE_EXCEEDED, 0);
+		}
+		if (!flight.set.hasEndpointInService()) {
+			return Refusal.of(ResultCode.NO_ENDPOINT, NO_ENDPOINT_WAIT_NANOS);
+		}
+		if (line.behaviour.heedsTargets()) {
+			long wait = expectedWait(flight, line, now);
+			if (now + wait + flight.set.leastTime(flight) > flight.targetAt) {
+				return Refusal.of(ResultCode.TARGET_UNREACHABLE, wait);
+			}
+		}
+		if (flight.set.waiting() >= line.tuning.maxQueued() && !shedLower(flight, line)) {
+			return Refusal.of(ResultCode.QUEUE_FULL, FULL_WAIT_NANOS);
+		}
+		return Optional.empty();
+	}
+
+	// Estimate the wait for an endpoint by Little's law: what waits before the request,
+	// times the mean time that one takes, over the requests that run side by side.
+	long expectedWait(Flight flight, WaitingLine line, long now) {
+		int ahead = line.sizeUpTo(line.behaviour.lane(flight.requestClass.tier()));
+		if (ahead == 0) {
+			return 0;
+		}
+		double duration = flight.set.meanDuration(flight.info.requestClass());
+		int sideBySide = Math.max(1, Math.max(flight.set.running, ownPart(flight.set)));
+		return (long) (ahead * duration / sideBySide);
+	}
+
+	private int ownPart(ServingSet set) {
+		int slots = 0;
+		for (EndpointView endpoint : set.endpoints) {
+			slots += endpoint.isHealthy() ? endpoint.usableSlots() : 0;
+		}
+		return slots / this.state.entryCount;
+	}
+
+	private boolean shedLower(Flight flight, WaitingLine line) {
+		if (!line.behaviour.heedsTargets()) {
+			return false;
+		}
+		Tier tier = flight.requestClass.tier();
+		Flight[] victim = new Flight[1];
+		flight.set.lines.values().forEach((other) -> other.forEach((candidate) -> {
+			if (tier.outranks(candidate.requestClass.tier()) && goesBefore(candidate, victim[0])) {
+				victim[0] = candidate;
+			}
+		}));
+		if (victim[0] == null) {
+			return false;
+		}
+		this.state.finish(victim[0], ResultCode.SHED, FULL_WAIT_NANOS);
+		return true;
+	}
+
+	// The lowest tier is shed first, and of it the one that has waited least.
+	private static boolean goesBefore(Flight candidate, Flight other) {
+		if (other == null || other.requestClass.tier().outranks(candidate.requestClass.tier())) {
+			return true;
+		}
+		return candidate.requestClass.tier() == other.requestClass.tier() && candidate.attempts == 0
+				&& (other.attempts > 0 || candidate.arrivedAt >= other.arrivedAt);
+	}
+
+	/**
+	 * Why a request is not admitted.
+	 *
+	 * @param code the reason
+	 * @param waitNanos the expected wait, from which the time to come back is made
+	 */
+	record Refusal(ResultCode code, long waitNanos) {
+
+		static Optional<Refusal> of(ResultCode code, long waitNanos) {
+			return Optional.of(new Refusal(code, waitNanos));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Chooser.java
@@ -0,0 +1,88 @@
+package org.acaciacourse.core.dispatch;
+
+/**
+ * Chooses an endpoint. Among those with room it compares a few at random and takes the
+ * cheapest (power of two choices, Mitzenmacher 2001): VMs that all took the one that
+ * looks best by the same late report would move as a herd. All endpoints are looked at
+ * for room, so that none is idle while a request waits.
+ * <p>
+ * Not thread safe: owned by one dispatcher; the scratch array saves an allocation for
+ * each decision.
+ */
+final class Chooser {
+
+	private final DispatchState state;
+
+	private EndpointView[] scratch = new EndpointView[64];
+
+	Chooser(DispatchState state) {
+		this.state = state;
+	}
+
+	/**
+	 * Find an endpoint for a request.
+	 * @param flight the request
+	 * @param beyondSlots how many requests beyond its slots an endpoint may hold
+	 * @param now the time
+	 * @return the endpoint, or null if none has room
+	 */
+	EndpointView choose(Flight flight, int beyondSlots, long now) {
+		int count = 0;
+		for (EndpointView endpoint : flight.set.endpoints) {
+			if (permits(endpoint, flight, now) && hasRoom(endpoint, flight, beyondSlots, now)) {
+				count = note(endpoint, count);
+			}
+		}
+		return cheapest(flight, count, now);
+	}
+
+	// Return whether an endpoint may serve a request, load aside.
+	boolean permits(EndpointView endpoint, Flight flight, long now) {
+		return endpoint.acceptsWork(now) && !endpoint.quarantined && !flight.tried.contains(endpoint);
+	}
+
+	private boolean hasRoom(EndpointView endpoint, Flight flight, int beyondSlots, long now) {
+		WaitingLine line = flight.line;
+		int slots = line.behaviour.slots(endpoint);
+		if (line.tuning.credits() > 0) {
+			int part = (int) Math.ceil(line.tuning.credits() * slots / this.state.entryCount);
+			return endpoint.runs.size() < part + beyondSlots;
+		}
+		int load = line.behaviour.load(endpoint, line.tuning, this.state.entryCount, now);
+		return load < slots + beyondSlots;
+	}
+
+	private int note(EndpointView endpoint, int count) {
+		if (count == this.scratch.length) {
+			this.scratch = java.util.Arrays.copyOf(this.scratch, 2 * count);
+		}
+		this.scratch[count] = endpoint;
+		return count + 1;
+	}
+
+	private EndpointView cheapest(Flight flight, int count, long now) {
+		WaitingLine line = flight.line;
+		int compared = Math.min(count, line.behaviour.choices(line.tuning));
+		EndpointView best = null;
+		double lowest = Double.MAX_VALUE;
+		for (int i = 0; i < compared; i++) {
+			if (compared < count) {
+				swap(i, i + this.state.random.nextInt(count - i));
+			}
+			EndpointView endpoint = this.scratch[i];
+			double cost = line.behaviour.cost(endpoint, flight, line.tuning, this.state.entryCount, now);
+			if (cost < lowest) {
+				lowest = cost;
+				best = endpoint;
+			}
+		}
+		return best;
+	}
+
+	private void swap(int i, int j) {
+		EndpointView kept = this.scratch[i];
+		this.scratch[i] = this.scratch[j];
+		this.scratch[j] = kept;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
@@ -0,0 +1,122 @@
+package org.acaciacourse.core.dispatch;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.admission.CustomerLimit;
+import org.acaciacourse.core.dispatch.retry.RetryBudget;
+import org.acaciacourse.core.dispatch.suspect.SuspectTable;
+import org.acaciacourse.core.model.Manifest;
+
+/**
+ * What the parts of a dispatcher share: requests, runs, endpoints and the manifest in
+ * force.
+ * <p>
+ * Invariants: a flight is known by its request number exactly until its final answer;
+ * each known flight is in {@link #due}.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class DispatchState {
+
+	private static final double RETRY_RESERVE = 64;
+
+	private static final double RETRY_RATIO = 0.1;
+
+	private static final long LONGEST_RETRY_AFTER_NANOS = 120_000_000_000L;
+
+	private static final long SHORTEST_RETRY_AFTER_NANOS = 200_000_000L;
+
+	final DispatchActions actions;
+
+	final SplittableRandom random;
+
+	final RunTable runs = new RunTable();
+
+	final Map<Long, Flight> flights = new HashMap<>();
+
+	final TreeSet<Flight> due = new TreeSet<>(
+			Comparator.comparingLong((Flight flight) -> flight.dueAt).thenComparingLong((flight) -> flight.info.id()));
+
+	final Map<String, ServingSet> sets = new TreeMap<>();
+
+	final Map<String, EndpointView> endpoints = new TreeMap<>();
+
+	final Map<String, CustomerLimit> limits = new HashMap<>();
+
+	final SuspectTable suspects = new SuspectTable();
+
+	Manifest manifest;
+
+	int entryCount = 1;
+
+	boolean draining;
+
+	private final Map<String, RetryBudget> retries = new HashMap<>();
+
+	DispatchState(DispatchActions actions, long seed) {
+		this.actions = actions;
+		this.random = new SplittableRandom(seed);
+	}
+
+	RetryBudget retries(String requestClass) {
+		return this.retries.computeIfAbsent(requestClass, (name) -> new RetryBudget(RETRY_RESERVE, RETRY_RATIO));
+	}
+
+	// Return a factor around 1 that keeps VMs and retries from moving in step.
+	double jitter() {
+		return 0.5 + this.random.nextDouble();
+	}
+
+	void reschedule(Flight flight, long dueAt) {
+		this.due.remove(flight);
+		flight.dueAt = dueAt;
+		this.due.add(flight);
+	}
+
+	// Forget a flight that has its final answer.
+	void close(Flight flight) {
+		flight.state = Flight.State.DONE;
+		this.flights.remove(flight.info.id());
+		this.due.remove(flight);
+		flight.limit.release();
+	}
+
+	// Give a flight its final answer, wherever it is.
+	void finish(Flight flight, ResultCode code, long waitNanos) {
+		if (flight.isDone()) {
+			return;
+		}
+		if (flight.state == Flight.State.WAITING) {
+			flight.line.remove(flight);
+		}
+		abandonRun(flight);
+		close(flight);
+		this.actions.finish(flight.info.id(), code, retryAfter(code, waitNanos));
+	}
+
+	// Cancel the run of a flight that needs no answer of it any more.
+	void abandonRun(Flight flight) {
+		if (flight.run != null && !flight.run.cancelled) {
+			flight.run.cancelled = true;
+			this.actions.cancel(flight.run.id);
+		}
+	}
+
+	Optional<Duration> retryAfter(ResultCode code, long waitNanos) {
+		if (!code.isRetryable()) {
+			return Optional.empty();
+		}
+		long nanos = (long) (waitNanos * jitter());
+		nanos = Math.max(SHORTEST_RETRY_AFTER_NANOS, Math.min(LONGEST_RETRY_AFTER_NANOS, nanos));
+		return Optional.of(Duration.ofNanos(nanos));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Flight.java
@@ -0,0 +1,103 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciacourse.core.dispatch.admission.CustomerLimit;
+import org.acaciacourse.core.model.LatencyTarget;
+import org.acaciacourse.core.model.RequestClass;
+
+/**
+ * A request between its arrival and its final answer.
+ * <p>
+ * Invariants: at most one run is current; {@link #state} is {@link State#DONE} from the
+ * final answer on and never changes again, which keeps the answer single.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class Flight {
+
+	final RequestInfo info;
+
+	final RequestClass requestClass;
+
+	final ServingSet set;
+
+	final CustomerLimit limit;
+
+	final int weight;
+
+	final long arrivedAt;
+
+	final long targetAt;
+
+	final long deadlineAt;
+
+	final List<EndpointView> tried = new ArrayList<>(0);
+
+	State state = State.WAITING;
+
+	WaitingLine line;
+
+	Run run;
+
+	int attempts;
+
+	int delivered;
+
+	/** When this flight has to be looked at again: it is late or out of time. */
+	long dueAt;
+
+	/** A retry waits until then. */
+	long notBefore;
+
+	/** Whether it is to run apart from others because it may crash the endpoint. */
+	boolean apart;
+
+	/** When it began to wait for an endpoint of its own. */
+	long apartSince;
+
+	Flight(RequestInfo info, RequestClass requestClass, ServingSet set, CustomerLimit limit, int weight, long now) {
+		this.info = info;
+		this.requestClass = requestClass;
+		this.set = set;
+		this.limit = limit;
+		this.weight = weight;
+		this.arrivedAt = now;
+		this.targetAt = now + requestClass.target().limit().toNanos();
+		this.deadlineAt = Math.min(info.deadlineNanos(), now + requestClass.deadline().toNanos());
+	}
+
+	boolean isFirstTokenTarget() {
+		return this.requestClass.target().kind() == LatencyTarget.Kind.FIRST_TOKEN;
+	}
+
+	boolean isDone() {
+		return this.state == State.DONE;
+	}
+
+	// Whether the request may still be refused because its target is out of reach.
+	boolean isUntouched() {
+		return this.attempts == 0;
+	}
+
+	// Whether only some endpoints will do, so that it must not block the others.
+	boolean isPicky() {
+		return this.apart || !this.tried.isEmpty() || this.notBefore > 0;
+	}
+
+	/** Where a request is on its way. */
+	enum State {
+
+		/** In a waiting line. */
+		WAITING,
+
+		/** At an endpoint. */
+		RUNNING,
+
+		/** Answered. */
+		DONE
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyBehaviour.java
@@ -0,0 +1,126 @@
+package org.acaciacourse.core.dispatch;
+
+import org.acaciacourse.core.model.PolicyKind;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * What the kinds of policy do differently: which lane and flow a request waits in, what
+ * an endpoint is judged by, and whether tiers and targets count.
+ * <p>
+ * Immutable and thread safe.
+ */
+enum PolicyBehaviour {
+
+	/** One queue in order of arrival, endpoints in turn. */
+	FIFO {
+
+		@Override
+		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+			return endpoint.lastUse();
+		}
+
+	},
+
+	/** One queue in order of arrival, the endpoint with the fewest own requests. */
+	LEAST_IN_FLIGHT {
+
+		@Override
+		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+			return endpoint.runs.size();
+		}
+
+	},
+
+	/** Tiers, fair shares, targets and corrected load. */
+	TIERED {
+
+		@Override
+		int lane(Tier tier) {
+			return tier.ordinal();
+		}
+
+		@Override
+		String flow(Flight flight) {
+			return flight.info.requestClass() + '/' + flight.info.customer();
+		}
+
+		@Override
+		int enginePriority(Flight flight, boolean guaranteed) {
+			return (guaranteed) ? Tier.HIGH.enginePriority() : flight.requestClass.tier().enginePriority();
+		}
+
+		@Override
+		int load(EndpointView endpoint, Tuning tuning, int entryCount, long now) {
+			return endpoint.occupancy(tuning, entryCount, now);
+		}
+
+		@Override
+		int slots(EndpointView endpoint) {
+			return endpoint.usableSlots();
+		}
+
+		@Override
+		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+			double load = load(endpoint, tuning, entryCount, now) + 1.0;
+			double bonus = endpoint.holdsPrefix(flight.info.prefixHash()) ? tuning.prefixBonus() : 0;
+			return (load - bonus) * endpoint.slowness / endpoint.endpoint.slots();
+		}
+
+		@Override
+		int choices(Tuning tuning) {
+			return tuning.choices();
+		}
+
+		@Override
+		boolean heedsTargets() {
+			return true;
+		}
+
+	};
+
+	static PolicyBehaviour of(PolicyKind kind) {
+		return switch (kind) {
+			case FIFO -> FIFO;
+			case LEAST_IN_FLIGHT -> LEAST_IN_FLIGHT;
+			case TIERED -> TIERED;
+		};
+	}
+
+	// Return the lane of a tier, 0 is served first.
+	int lane(Tier tier) {
+		return 0;
+	}
+
+	// Return the flow within the lane; flows share the lane fairly.
+	String flow(Flight flight) {
+		return "";
+	}
+
+	int enginePriority(Flight flight, boolean guaranteed) {
+		return Tier.MIDDLE.enginePriority();
+	}
+
+	// Return the load that is held against the slots.
+	int load(EndpointView endpoint, Tuning tuning, int entryCount, long now) {
+		return endpoint.runs.size();
+	}
+
+	int slots(EndpointView endpoint) {
+		return endpoint.endpoint.slots();
+	}
+
+	// Return how bad an endpoint with room is for a request; the lowest one is taken.
+	abstract double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now);
+
+	// Return how many endpoints with room are compared.
+	int choices(Tuning tuning) {
+		return Integer.MAX_VALUE;
+	}
+
+	// Return whether targets, tiers and shares count: refusal of what comes too late,
+	// preemption and the guaranteed share.
+	boolean heedsTargets() {
+		return false;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -0,0 +1,361 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.admission.CustomerLimit;
+import org.acaciacourse.core.dispatch.suspect.SuspectTable;
+import org.acaciacourse.core.model.Customer;
+import org.acaciacourse.core.model.Endpoint;
+import org.acaciacourse.core.model.EndpointSet;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.model.Policy;
+import org.acaciacourse.core.model.RequestClass;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * The decisions of one entry VM under the policies of the manifest. The steps are in
+ * classes of their own: {@link Admission}, {@link WaitingLine}, {@link Chooser},
+ * {@link Pump} and {@link Recovery}.
+ * <p>
+ * Invariants: each request gets exactly one final answer; a change of policy applies to
+ * all that waits at once and touches nothing that runs.
+ * <p>
+ * Not thread safe: one thread calls it.
+ */
+public final class PolicyDispatcher implements Dispatcher {
+
+	private static final long WAKE_NANOS = 25_000_000L;
+
+	private static final long COMPARE_NANOS = 250_000_000L;
+
+	private static final long SUSPECT_HOLD_NANOS = 15_000_000_000L;
+
+	private static final long QUARANTINE_NANOS = 10_000_000_000L;
+
+	private static final long RATE_WAIT_NANOS = 1_000_000_000L;
+
+	private final DispatchState state;
+
+	private final Admission admission;
+
+	private final Pump pump;
+
+	private final Recovery recovery;
+
+	private long wakeAt = Long.MAX_VALUE;
+
+	private long comparedAt = Long.MIN_VALUE;
+
+	/**
+	 * Create a dispatcher that knows no manifest yet and refuses all.
+	 * @param actions what carries its decisions out
+	 * @param seed the seed of its random choices
+	 */
+	public PolicyDispatcher(DispatchActions actions, long seed) {
+		this.state = new DispatchState(actions, seed);
+		this.admission = new Admission(this.state);
+		this.pump = new Pump(this.state);
+		this.recovery = new Recovery(this.state);
+	}
+
+	/**
+	 * Take note of how many entry VMs share the traffic and the limits.
+	 * @param count the number of VMs, this one included
+	 * @param now the time
+	 */
+	public void entryCount(int count, long now) {
+		this.state.entryCount = Math.max(1, count);
+		if (this.state.manifest != null) {
+			this.state.manifest.customers().values().forEach(this::configureLimit);
+		}
+	}
+
+	@Override
+	public void configure(Manifest manifest, long now) {
+		this.state.manifest = manifest;
+		manifest.customers().values().forEach(this::configureLimit);
+		manifest.endpointSets().values().forEach(this::configureSet);
+		this.state.sets.values().forEach((set) -> set.endpoints.clear());
+		manifest.endpoints().keySet().stream().sorted().map(manifest.endpoints()::get).forEach(this::configureEndpoint);
+		this.state.endpoints.keySet().retainAll(manifest.endpoints().keySet());
+		this.state.sets.values().forEach((set) -> configureLines(set, manifest));
+		pumpAll(now);
+	}
+
+	private void configureLimit(Customer customer) {
+		this.state.limits.computeIfAbsent(customer.name(), (name) -> new CustomerLimit())
+			.configure(customer, this.state.entryCount);
+	}
+
+	private void configureSet(EndpointSet declared) {
+		this.state.sets.computeIfAbsent(declared.name(), (name) -> new ServingSet(declared)).declared = declared;
+	}
+
+	private void configureEndpoint(Endpoint endpoint) {
+		EndpointView view = this.state.endpoints.computeIfAbsent(endpoint.name(), (name) -> new EndpointView(endpoint));
+		view.endpoint = endpoint;
+		this.state.sets.get(endpoint.set()).endpoints.add(view);
+	}
+
+	// Make the lines anew and move all that waits, in order of arrival.
+	private void configureLines(ServingSet set, Manifest manifest) {
+		List<Flight> waiting = new ArrayList<>();
+		set.lines.values().forEach((line) -> line.forEach(waiting::add));
+		set.lines.clear();
+		set.lines.put(manifest.policyInForce().policy(), line(manifest, manifest.policyInForce().policy()));
+		manifest.policyInForce().split().ifPresent((name) -> set.lines.put(name, line(manifest, name)));
+		waiting.sort((a, b) -> Long.compare(a.info.id(), b.info.id()));
+		waiting.forEach((flight) -> lineOf(flight).add(flight));
+		this.state.flights.values()
+			.stream()
+			.filter((flight) -> flight.set == set && flight.run != null)
+			.forEach((flight) -> flight.line = lineOf(flight));
+	}
+
+	private static WaitingLine line(Manifest manifest, String name) {
+		Policy policy = manifest.policies().get(name);
+		return new WaitingLine(name, PolicyBehaviour.of(policy.kind()), Tuning.of(policy));
+	}
+
+	private WaitingLine lineOf(Flight flight) {
+		String policy = this.state.manifest.policyInForce().choose(flight.info.contentHash() ^ flight.info.id());
+		return flight.set.lines.get(policy);
+	}
+
+	@Override
+	public void endpointStatus(String endpoint, EndpointStatus status, long now) {
+		EndpointView view = this.state.endpoints.get(endpoint);
+		if (view != null) {
+			view.status(status);
+			pumpAll(now);
+		}
+	}
+
+	@Override
+	public void loadReport(String endpoint, LoadReport report, long now) {
+		EndpointView view = this.state.endpoints.get(endpoint);
+		if (view != null) {
+			view.report(report, now);
+			pump(this.state.sets.get(view.endpoint.set()), now);
+		}
+	}
+
+	@Override
+	public void prefixEvent(String endpoint, long prefixHash, boolean held, long now) {
+		EndpointView view = this.state.endpoints.get(endpoint);
+		if (view != null) {
+			view.prefix(prefixHash, held);
+		}
+	}
+
+	@Override
+	public void arrive(RequestInfo request, long now) {
+		Optional<ResultCode> refusal = checkKnown(request);
+		if (refusal.isPresent()) {
+			refuse(request, refusal.get(), RATE_WAIT_NANOS);
+			return;
+		}
+		CustomerLimit limit = this.state.limits.get(request.customer());
+		if (!limit.tryAcquire(now)) {
+			refuse(request, ResultCode.CUSTOMER_LIMIT, Math.max(RATE_WAIT_NANOS, limit.nanosToNext()));
+			return;
+		}
+		Manifest manifest = this.state.manifest;
+		RequestClass requestClass = manifest.classes().get(request.requestClass());
+		int weight = manifest.customers().get(request.customer()).weight();
+		Flight flight = new Flight(request, requestClass, this.state.sets.get(request.endpointSet()), limit, weight,
+				now);
+		WaitingLine line = lineOf(flight);
+		Optional<Admission.Refusal> refused = this.admission.check(flight, line, now);
+		if (refused.isPresent()) {
+			limit.release();
+			refuse(request, refused.get().code(), refused.get().waitNanos());
+			return;
+		}
+		admit(flight, line, now);
+	}
+
+	private Optional<ResultCode> checkKnown(RequestInfo request) {
+		Manifest manifest = this.state.manifest;
+		if (manifest == null) {
+			return Optional.of(ResultCode.NOT_READY);
+		}
+		if (this.state.draining) {
+			return Optional.of(ResultCode.STOPPING);
+		}
+		if (!manifest.customers().containsKey(request.customer())) {
+			return Optional.of(ResultCode.UNKNOWN_CUSTOMER);
+		}
+		if (!manifest.classes().containsKey(request.requestClass())) {
+			return Optional.of(ResultCode.UNKNOWN_CLASS);
+		}
+		if (!manifest.endpointSets().containsKey(request.endpointSet())) {
+			return Optional.of(ResultCode.NO_ENDPOINT);
+		}
+		return Optional.empty();
+	}
+
+	private void refuse(RequestInfo request, ResultCode code, long waitNanos) {
+		this.state.actions.finish(request.id(), code, this.state.retryAfter(code, waitNanos));
+	}
+
+	private void admit(Flight flight, WaitingLine line, long now) {
+		long content = flight.info.contentHash();
+		if (this.state.suspects.crashes(content, now) > 0) {
+			flight.apart = true;
+			flight.notBefore = this.state.suspects.trialFrom(content, SUSPECT_HOLD_NANOS, now);
+			flight.apartSince = flight.notBefore;
+		}
+		this.state.flights.put(flight.info.id(), flight);
+		this.state.retries(flight.info.requestClass()).earn();
+		line.add(flight);
+		boolean late = line.behaviour.heedsTargets() && !flight.apart;
+		long lateAt = (late) ? flight.targetAt - flight.set.leastTime(flight) : flight.deadlineAt;
+		this.state.reschedule(flight, Math.min(lateAt + 1, flight.deadlineAt));
+		pump(flight.set, now);
+	}
+
+	@Override
+	public void callerGone(long requestId, long now) {
+		Flight flight = this.state.flights.get(requestId);
+		if (flight != null) {
+			this.state.finish(flight, ResultCode.CALLER_GONE, 0);
+			pump(flight.set, now);
+		}
+	}
+
+	@Override
+	public void tokens(long attemptId, int count, long now) {
+		Run run = this.state.runs.find(attemptId);
+		if (run == null || count <= 0) {
+			return;
+		}
+		Flight flight = run.flight;
+		if (run.tokens == 0) {
+			run.endpoint.firstToken.learn(now - run.sentAt);
+			flight.set.learnFirstToken(now - run.sentAt);
+		}
+		else {
+			run.endpoint.tokenGap.learn((now - run.lastTokenAt) / (double) count);
+		}
+		run.lastTokenAt = now;
+		run.tokens += count;
+		if (flight.run == run) {
+			flight.delivered += count;
+		}
+		flight.set.bookTokens(flight.requestClass.tier() == Tier.LOW, count, flight.line.tuning.lowestShare());
+	}
+
+	@Override
+	public void ended(long attemptId, AttemptOutcome outcome, long now) {
+		Run run = this.state.runs.find(attemptId);
+		if (run == null) {
+			return;
+		}
+		ServingSet set = run.flight.set;
+		this.state.runs.remove(run);
+		run.endpoint.finished(run, now);
+		set.running--;
+		set.guaranteed -= (run.guaranteed) ? 1 : 0;
+		set.trial = (set.trial == run) ? null : set.trial;
+		this.recovery.ended(run, outcome, now);
+		pump(set, now);
+	}
+
+	@Override
+	public void suspect(long contentHash, int crashes, long now) {
+		this.state.suspects.note(contentHash, crashes, false, now);
+		if (crashes == 1) {
+			this.state.sets.values().forEach((set) -> set.quarantineUntil = now + QUARANTINE_NANOS);
+		}
+		for (Flight flight : List.copyOf(this.state.flights.values())) {
+			if (flight.info.contentHash() == contentHash && flight.state == Flight.State.WAITING) {
+				reconsider(flight, crashes, now);
+			}
+		}
+		pumpAll(now);
+	}
+
+	// Apply news of a suspicion to a request that waits.
+	private void reconsider(Flight flight, int crashes, long now) {
+		if (crashes >= SuspectTable.CONVICTION) {
+			this.state.finish(flight, ResultCode.CRASHING_CONTENT, 0);
+			return;
+		}
+		flight.line.remove(flight);
+		flight.apart = crashes > 0;
+		flight.notBefore = (flight.apart)
+				? this.state.suspects.trialFrom(flight.info.contentHash(), SUSPECT_HOLD_NANOS, now) : 0;
+		flight.apartSince = flight.notBefore;
+		flight.line.add(flight);
+	}
+
+	@Override
+	public void drain(long now) {
+		this.state.draining = true;
+	}
+
+	/**
+	 * Return how many requests have no final answer yet.
+	 * @return the number of requests that wait or run
+	 */
+	public int openRequests() {
+		return this.state.flights.size();
+	}
+
+	@Override
+	public void tick(long now) {
+		if (now >= this.wakeAt) {
+			this.wakeAt = Long.MAX_VALUE;
+		}
+		while (!this.state.due.isEmpty() && this.state.due.first().dueAt <= now) {
+			expire(this.state.due.first(), now);
+		}
+		if (now - this.comparedAt >= COMPARE_NANOS || this.comparedAt == Long.MIN_VALUE) {
+			this.comparedAt = now;
+			this.state.sets.values().forEach(this::compareSpeeds);
+		}
+		pumpAll(now);
+	}
+
+	private void compareSpeeds(ServingSet set) {
+		set.lines.values().stream().findFirst().ifPresent((line) -> set.compareSpeeds(line.tuning.stragglerFactor()));
+	}
+
+	private void expire(Flight flight, long now) {
+		if (now >= flight.deadlineAt) {
+			this.state.finish(flight, ResultCode.DEADLINE_EXCEEDED, 0);
+		}
+		else if (flight.state == Flight.State.WAITING && this.pump.isLate(flight, now)) {
+			this.state.finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+		}
+		else {
+			this.state.reschedule(flight, flight.deadlineAt);
+		}
+	}
+
+	private void pumpAll(long now) {
+		this.state.sets.values().forEach((set) -> this.pump.run(set, now));
+		scheduleWake(now);
+	}
+
+	private void pump(ServingSet set, long now) {
+		this.pump.run(set, now);
+		scheduleWake(now);
+	}
+
+	private void scheduleWake(long now) {
+		if (this.state.flights.isEmpty()) {
+			return;
+		}
+		long next = Math.max(now + 1, Math.min(this.state.due.first().dueAt, now + WAKE_NANOS));
+		if (next < this.wakeAt) {
+			this.wakeAt = next;
+			this.state.actions.wakeAt(next);
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -0,0 +1,225 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.DispatchActions.Attempt;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * Moves waiting requests to endpoints: lane by lane, highest tier first, as long as there
+ * is room.
+ * <p>
+ * Invariants: after a step no endpoint with room is left while a request that may use it
+ * waits; a run is preempted only for a higher tier, and never one on the guaranteed share
+ * of the low tier or one that may not be repeated.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class Pump {
+
+	/** How many requests with special needs are looked at in one step of a lane. */
+	private static final int PICKY_SCANNED = 32;
+
+	private static final long TRIAL_DRAIN_NANOS = 3_000_000_000L;
+
+	private final DispatchState state;
+
+	private final Chooser chooser;
+
+	Pump(DispatchState state) {
+		this.state = state;
+		this.chooser = new Chooser(state);
+	}
+
+	// Dispatch all that can be dispatched at an endpoint set.
+	void run(ServingSet set, long now) {
+		if (set.waiting() == 0) {
+			return;
+		}
+		set.updateQuarantine(now);
+		List<WaitingLine> lines = new ArrayList<>(set.lines.values());
+		int first = set.turn++;
+		for (int i = 0; i < lines.size(); i++) {
+			WaitingLine line = lines.get(Math.floorMod(first + i, lines.size()));
+			serveLowShare(set, line, now);
+			for (int lane = 0; lane < WaitingLine.LANES; lane++) {
+				servePicky(line, lane, now);
+				serveLane(line, lane, now);
+			}
+		}
+	}
+
+	private void serveLowShare(ServingSet set, WaitingLine line, long now) {
+		if (!line.behaviour.heedsTargets()) {
+			return;
+		}
+		Optional<Flight> low = line.next(Tier.LOW.ordinal(), now);
+		while (low.isPresent() && set.owesLowTier(line.tuning.lowestShare())) {
+			EndpointView endpoint = this.chooser.choose(low.get(), line.tuning.overcommit(), now);
+			if (endpoint == null) {
+				return;
+			}
+			dispatch(low.get(), endpoint, true, now);
+			low = line.next(Tier.LOW.ordinal(), now);
+		}
+	}
+
+	private void servePicky(WaitingLine line, int lane, long now) {
+		List<Flight> waiting = line.picky(lane);
+		if (waiting.isEmpty()) {
+			return;
+		}
+		for (Flight flight : List.copyOf(waiting.subList(0, Math.min(PICKY_SCANNED, waiting.size())))) {
+			if (flight.notBefore <= now) {
+				EndpointView endpoint = (flight.apart) ? trialEndpoint(flight, now) : place(flight, now);
+				if (endpoint != null) {
+					dispatch(flight, endpoint, false, now);
+				}
+			}
+		}
+	}
+
+	private void serveLane(WaitingLine line, int lane, long now) {
+		Optional<Flight> next = line.next(lane, now);
+		while (next.isPresent()) {
+			Flight flight = next.get();
+			if (isLate(flight, now)) {
+				this.state.finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+			}
+			else {
+				EndpointView endpoint = place(flight, now);
+				if (endpoint == null) {
+					return;
+				}
+				dispatch(flight, endpoint, false, now);
+			}
+			next = line.next(lane, now);
+		}
+	}
+
+	// Return whether a request that never ran cannot meet its target any more.
+	boolean isLate(Flight flight, long now) {
+		return flight.line.behaviour.heedsTargets() && flight.isUntouched()
+				&& now + flight.set.leastTime(flight) > flight.targetAt;
+	}
+
+	private EndpointView place(Flight flight, long now) {
+		EndpointView endpoint = this.chooser.choose(flight, 0, now);
+		if (endpoint != null || !flight.line.behaviour.heedsTargets()) {
+			return endpoint;
+		}
+		if (mayPreempt(flight, now)) {
+			endpoint = preempt(flight, now);
+		}
+		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH) {
+			endpoint = this.chooser.choose(flight, flight.line.tuning.overcommit(), now);
+		}
+		return endpoint;
+	}
+
+	private boolean mayPreempt(Flight flight, long now) {
+		Tier tier = flight.requestClass.tier();
+		if (tier == Tier.HIGH) {
+			return true;
+		}
+		double waited = now - flight.arrivedAt;
+		return tier == Tier.MIDDLE
+				&& waited >= flight.line.tuning.preemptAfter() * (flight.targetAt - flight.arrivedAt);
+	}
+
+	// Set a lower run of this VM aside and return its endpoint. The lowest tier goes
+	// first, and of it the run with the fewest tokens, which has the least to lose.
+	private EndpointView preempt(Flight flight, long now) {
+		Run victim = null;
+		for (EndpointView endpoint : flight.set.endpoints) {
+			if (this.chooser.permits(endpoint, flight, now) && endpoint.slowness <= 1) {
+				for (Run run : endpoint.runs) {
+					victim = (isVictim(run, flight) && isCheaper(run, victim)) ? run : victim;
+				}
+			}
+		}
+		if (victim == null) {
+			return null;
+		}
+		this.state.abandonRun(victim.flight);
+		return victim.endpoint;
+	}
+
+	private boolean isVictim(Run run, Flight flight) {
+		Flight other = run.flight;
+		boolean lower = flight.requestClass.tier().outranks(other.requestClass.tier());
+		return lower && other.requestClass.preemptible() && !other.info.notRepeated() && !run.guaranteed && !run.apart
+				&& !run.cancelled && !other.isDone() && (other.set.canContinue() || other.delivered == 0);
+	}
+
+	private static boolean isCheaper(Run run, Run best) {
+		if (best == null) {
+			return true;
+		}
+		Tier tier = run.flight.requestClass.tier();
+		Tier bestTier = best.flight.requestClass.tier();
+		return bestTier.outranks(tier) || (tier == bestTier && run.flight.delivered < best.flight.delivered);
+	}
+
+	// Return an endpoint for a suspect: one of those set aside, when nothing else runs
+	// there, one suspect at a time. After a while it runs even beside requests of other
+	// VMs, which are then retried if it does crash the endpoint.
+	private EndpointView trialEndpoint(Flight flight, long now) {
+		ServingSet set = flight.set;
+		if (set.trial != null || flight.notBefore > now) {
+			return null;
+		}
+		boolean waitedEnough = now - flight.apartSince > TRIAL_DRAIN_NANOS;
+		EndpointView best = null;
+		for (EndpointView endpoint : set.endpoints) {
+			if (!endpoint.acceptsWork(now) || flight.tried.contains(endpoint) || !isAside(set, endpoint)) {
+				continue;
+			}
+			int load = endpoint.occupancy(flight.line.tuning, this.state.entryCount, now);
+			boolean empty = endpoint.runs.isEmpty() && load <= 0;
+			if (empty || (waitedEnough && endpoint.runs.isEmpty())) {
+				best = endpoint;
+			}
+			else {
+				clear(endpoint);
+			}
+		}
+		return best;
+	}
+
+	private static boolean isAside(ServingSet set, EndpointView endpoint) {
+		return endpoint.quarantined || set.endpoints.size() == 1;
+	}
+
+	private void clear(EndpointView endpoint) {
+		for (Run run : endpoint.runs) {
+			Flight other = run.flight;
+			if (other.requestClass.preemptible() && !other.info.notRepeated() && other.set.canContinue()) {
+				this.state.abandonRun(other);
+			}
+		}
+	}
+
+	private void dispatch(Flight flight, EndpointView endpoint, boolean guaranteed, long now) {
+		ServingSet set = flight.set;
+		WaitingLine line = flight.line;
+		line.serve(flight, set.expectedTokens(flight));
+		Run run = new Run(this.state.runs.nextId(), flight, endpoint, now, guaranteed);
+		this.state.runs.add(run);
+		flight.run = run;
+		flight.state = Flight.State.RUNNING;
+		flight.attempts++;
+		flight.notBefore = 0;
+		endpoint.started(run);
+		set.running++;
+		set.guaranteed += (guaranteed) ? 1 : 0;
+		set.trial = (run.apart) ? run : set.trial;
+		this.state.reschedule(flight, flight.deadlineAt);
+		this.state.actions.dispatch(new Attempt(run.id, flight.info.id(), endpoint.name,
+				line.behaviour.enginePriority(flight, guaranteed), flight.delivered, line.policy));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Run.java
@@ -0,0 +1,44 @@
+package org.acaciacourse.core.dispatch;
+
+/**
+ * One attempt at an endpoint, from dispatch until its end is reported.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class Run {
+
+	final long id;
+
+	final Flight flight;
+
+	final EndpointView endpoint;
+
+	final long sentAt;
+
+	/** Runs on the guaranteed share of the low tier and is not preempted. */
+	final boolean guaranteed;
+
+	/** Runs apart from other requests. */
+	final boolean apart;
+
+	long lastTokenAt;
+
+	int tokens;
+
+	/** This VM asked for the cancellation. */
+	boolean cancelled;
+
+	/** A report showed that other requests ran beside it. */
+	boolean hadCompany;
+
+	Run(long id, Flight flight, EndpointView endpoint, long sentAt, boolean guaranteed) {
+		this.id = id;
+		this.flight = flight;
+		this.endpoint = endpoint;
+		this.sentAt = sentAt;
+		this.guaranteed = guaranteed;
+		this.apart = flight.apart;
+		this.lastTokenAt = sentAt;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -0,0 +1,189 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.acaciacourse.core.dispatch.learn.Spread;
+import org.acaciacourse.core.model.EndpointSet;
+
+/**
+ * One endpoint set with its endpoints, the requests that wait for it and what was learnt
+ * from the traffic.
+ * <p>
+ * Invariants: learnt state is bounded by classes and {@link #SPREADS_KEPT}; the ledger of
+ * the low tier is clamped, so that an idle hour does not buy a burst.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class ServingSet {
+
+	private static final int SPREADS_KEPT = 8_192;
+
+	private static final double TYPICAL_TOKENS = 200;
+
+	private static final double LEDGER_LIMIT = 2_000;
+
+	private static final double MEDIAN = 0.5;
+
+	private static final double SLOWNESS_MEMORY = 0.02;
+
+	final String name;
+
+	final List<EndpointView> endpoints = new ArrayList<>();
+
+	final Map<String, WaitingLine> lines = new LinkedHashMap<>();
+
+	EndpointSet declared;
+
+	/** Endpoints are set aside for suspects until then. */
+	long quarantineUntil = Long.MIN_VALUE;
+
+	/** The run of the suspect that is tried at present. */
+	Run trial;
+
+	int running;
+
+	int guaranteed;
+
+	int turn;
+
+	private final Map<String, Spread> tokens = new HashMap<>();
+
+	private final Map<String, Spread> durations = new HashMap<>();
+
+	private final Spread firstTokens = new Spread();
+
+	private double ledger;
+
+	private double medianGap;
+
+	ServingSet(EndpointSet declared) {
+		this.name = declared.name();
+		this.declared = declared;
+	}
+
+	int waiting() {
+		int count = 0;
+		for (WaitingLine line : this.lines.values()) {
+			count += line.size();
+		}
+		return count;
+	}
+
+	boolean hasEndpointInService() {
+		return this.endpoints.stream().anyMatch(EndpointView::isInService);
+	}
+
+	boolean canContinue() {
+		return this.declared.resumable() || this.declared.deterministic();
+	}
+
+	// What was learnt
+
+	void learnAnswer(Flight flight, long now) {
+		String requestClass = flight.info.requestClass();
+		spread(this.tokens, requestClass).learn(flight.delivered);
+		if (this.tokens.size() < SPREADS_KEPT) {
+			spread(this.tokens, customerKey(flight)).learn(flight.delivered);
+		}
+	}
+
+	void learnRun(Run run, long now) {
+		spread(this.durations, run.flight.info.requestClass()).learn((now - run.sentAt) / 1e6);
+	}
+
+	void learnFirstToken(long nanos) {
+		this.firstTokens.learn(nanos / 1e6);
+	}
+
+	double expectedTokens(Flight flight) {
+		Spread own = this.tokens.get(customerKey(flight));
+		if (own != null && own.isKnown()) {
+			return own.mean(TYPICAL_TOKENS);
+		}
+		Spread all = this.tokens.get(flight.info.requestClass());
+		return (all != null) ? all.mean(TYPICAL_TOKENS) : TYPICAL_TOKENS;
+	}
+
+	// Return the mean time at an endpoint of a class in nanoseconds, 0 if unknown.
+	double meanDuration(String requestClass) {
+		Spread spread = this.durations.get(requestClass);
+		return (spread != null) ? spread.mean(0) * 1e6 : 0;
+	}
+
+	// Return the least time from dispatch to the target in nanoseconds that is still
+	// plausible: with less left, the target is out of reach.
+	long leastTime(Flight flight) {
+		if (flight.isFirstTokenTarget()) {
+			return (long) (this.firstTokens.quantile(MEDIAN, 0) * 1e6);
+		}
+		Spread spread = this.durations.get(flight.info.requestClass());
+		return (spread != null) ? (long) (spread.quantile(0.1, 0) * 1e6) : 0;
+	}
+
+	private static String customerKey(Flight flight) {
+		return flight.info.requestClass() + '/' + flight.info.customer();
+	}
+
+	private static Spread spread(Map<String, Spread> spreads, String key) {
+		return spreads.computeIfAbsent(key, (k) -> new Spread());
+	}
+
+	// The guaranteed share of the low tier
+
+	// Book tokens: all of them earn the low tier its share, its own use it up.
+	void bookTokens(boolean low, int count, double share) {
+		this.ledger += share * count - ((low) ? count : 0);
+		this.ledger = Math.max(-LEDGER_LIMIT, Math.min(LEDGER_LIMIT, this.ledger));
+	}
+
+	// Return whether the low tier is behind its share and may start a run that is not
+	// preempted. One at a time, or the share of the runs, whichever is more: that bounds
+	// what the upper tiers lose at any moment.
+	boolean owesLowTier(double share) {
+		return this.ledger > 0 && this.guaranteed < Math.max(1, (int) (share * this.running));
+	}
+
+	// Stragglers
+
+	// Compare each endpoint with the median of its peers. An endpoint that got nothing to
+	// do drifts back to the median, so that it is tried again.
+	void compareSpeeds(double stragglerFactor) {
+		double[] gaps = this.endpoints.stream()
+			.filter((endpoint) -> endpoint.tokenGap.isKnown())
+			.mapToDouble((endpoint) -> endpoint.tokenGap.get(0))
+			.sorted()
+			.toArray();
+		if (gaps.length < 3) {
+			this.endpoints.forEach((endpoint) -> endpoint.slowness = 1);
+			return;
+		}
+		this.medianGap = gaps[(gaps.length - 1) / 2];
+		for (EndpointView endpoint : this.endpoints) {
+			if (endpoint.runs.isEmpty() && endpoint.tokenGap.isKnown()) {
+				endpoint.tokenGap.relax(this.medianGap, SLOWNESS_MEMORY);
+			}
+			double ratio = endpoint.tokenGap.get(this.medianGap) / this.medianGap;
+			endpoint.slowness = (ratio > stragglerFactor) ? ratio : 1;
+		}
+	}
+
+	// Suspects
+
+	// Set endpoints aside for suspects: a quarter, the last by name, so that all VMs take
+	// the same ones without a word between them.
+	void updateQuarantine(long now) {
+		boolean active = now < this.quarantineUntil || this.trial != null;
+		EndpointView[] able = this.endpoints.stream().filter(EndpointView::isHealthy).toArray(EndpointView[]::new);
+		this.endpoints.forEach((endpoint) -> endpoint.quarantined = false);
+		if (active && able.length > 1) {
+			int aside = Math.max(1, able.length / 4);
+			Arrays.stream(able, able.length - aside, able.length).forEach((endpoint) -> endpoint.quarantined = true);
+		}
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
@@ -0,0 +1,119 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.acaciacourse.core.dispatch.queue.FairQueue;
+import org.acaciacourse.core.model.Tier;
+
+/**
+ * The waiting requests of one policy at one endpoint set: a lane for each tier, and
+ * beside each lane a short list of those that only some endpoints may serve, so that they
+ * do not block the lane.
+ * <p>
+ * Invariant: a waiting flight is in exactly one lane or list.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class WaitingLine {
+
+	static final int LANES = Tier.values().length;
+
+	final String policy;
+
+	final PolicyBehaviour behaviour;
+
+	final Tuning tuning;
+
+	private final List<FairQueue<Flight>> lanes = new ArrayList<>();
+
+	private final List<List<Flight>> picky = new ArrayList<>();
+
+	private int size;
+
+	WaitingLine(String policy, PolicyBehaviour behaviour, Tuning tuning) {
+		this.policy = policy;
+		this.behaviour = behaviour;
+		this.tuning = tuning;
+		for (int i = 0; i < LANES; i++) {
+			this.lanes.add(new FairQueue<>());
+			this.picky.add(new ArrayList<>());
+		}
+	}
+
+	void add(Flight flight) {
+		flight.line = this;
+		flight.state = Flight.State.WAITING;
+		int lane = lane(flight);
+		if (flight.isPicky()) {
+			this.picky.get(lane).add(flight);
+		}
+		else if (flight.attempts > 0) {
+			this.lanes.get(lane).addFirst(this.behaviour.flow(flight), flight);
+		}
+		else {
+			this.lanes.get(lane).add(this.behaviour.flow(flight), flight);
+		}
+		this.size++;
+	}
+
+	void remove(Flight flight) {
+		int lane = lane(flight);
+		boolean removed = this.picky.get(lane).remove(flight)
+				|| this.lanes.get(lane).remove(this.behaviour.flow(flight), flight);
+		this.size -= (removed) ? 1 : 0;
+	}
+
+	// Take a flight out because it goes to an endpoint.
+	void serve(Flight flight, double expectedTokens) {
+		int lane = lane(flight);
+		if (!this.picky.get(lane).remove(flight)) {
+			this.lanes.get(lane).serve(this.behaviour.flow(flight), flight, expectedTokens / flight.weight);
+		}
+		this.size--;
+	}
+
+	// Return the flight that is served next in a lane. Once the oldest of the flow has
+	// used up half of its time, the newest goes first (adaptive LIFO, Maurer 2015): under
+	// overload a queue in order of arrival serves each request just too late, while this
+	// order keeps the time of those that can still make it.
+	Optional<Flight> next(int lane, long now) {
+		FairQueue<Flight> queue = this.lanes.get(lane);
+		Optional<Flight> oldest = queue.oldest();
+		if (!this.behaviour.heedsTargets() || oldest.isEmpty() || oldest.get().attempts > 0) {
+			return oldest;
+		}
+		Flight flight = oldest.get();
+		boolean overloaded = 2 * (now - flight.arrivedAt) > flight.targetAt - flight.arrivedAt;
+		return (overloaded) ? queue.newest() : oldest;
+	}
+
+	List<Flight> picky(int lane) {
+		return this.picky.get(lane);
+	}
+
+	int size() {
+		return this.size;
+	}
+
+	// Return how many wait in a lane and the lanes before it.
+	int sizeUpTo(int lane) {
+		int count = 0;
+		for (int i = 0; i <= lane; i++) {
+			count += this.lanes.get(i).size() + this.picky.get(i).size();
+		}
+		return count;
+	}
+
+	void forEach(Consumer<Flight> action) {
+		this.lanes.forEach((lane) -> lane.forEach(action));
+		this.picky.forEach((list) -> list.forEach(action));
+	}
+
+	private int lane(Flight flight) {
+		return this.behaviour.lane(flight.requestClass.tier());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/admission/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits of customers.
+ */
+package org.acaciacourse.core.dispatch.admission;
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/queue/FairQueue.java
@@ -0,0 +1,168 @@
+package org.acaciacourse.core.dispatch.queue;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Waiting items of several flows, served by start-time fair queueing (Goyal, Vin and
+ * Cheng 1996): each flow that has items gets service in proportion to its weight,
+ * whatever it sends, and a flow that was idle starts level with the others. It needs no
+ * knowledge of the true cost on arrival beyond an estimate, and one step takes
+ * logarithmic time in the number of flows.
+ * <p>
+ * Invariants: a flow is in the order if and only if it has items; start tags never fall
+ * behind the virtual time. Idle flows that carry no debt are forgotten, so memory is
+ * bounded by the items and by the flows served lately.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ *
+ * @param <T> the type of the items
+ */
+public final class FairQueue<T> {
+
+	private static final int IDLE_FLOWS_KEPT = 4_096;
+
+	private final Map<String, Flow<T>> flows = new HashMap<>();
+
+	private final TreeSet<Flow<T>> order = new TreeSet<>(
+			Comparator.comparingDouble((Flow<T> flow) -> flow.start).thenComparing((flow) -> flow.name));
+
+	private double virtualTime;
+
+	private int size;
+
+	/**
+	 * Append an item to its flow.
+	 * @param flowName the flow
+	 * @param item the item
+	 */
+	public void add(String flowName, T item) {
+		Flow<T> flow = activate(flowName);
+		flow.items.addLast(item);
+		this.size++;
+	}
+
+	/**
+	 * Put an item back before the others of its flow.
+	 * @param flowName the flow
+	 * @param item the item
+	 */
+	public void addFirst(String flowName, T item) {
+		Flow<T> flow = activate(flowName);
+		flow.items.addFirst(item);
+		this.size++;
+	}
+
+	/**
+	 * Return the oldest item of the flow that is served next.
+	 * @return the item, empty if nothing waits
+	 */
+	public Optional<T> oldest() {
+		return (this.order.isEmpty()) ? Optional.empty() : Optional.of(this.order.first().items.getFirst());
+	}
+
+	/**
+	 * Return the newest item of the flow that is served next.
+	 * @return the item, empty if nothing waits
+	 */
+	public Optional<T> newest() {
+		return (this.order.isEmpty()) ? Optional.empty() : Optional.of(this.order.first().items.getLast());
+	}
+
+	/**
+	 * Take an item out to serve it and charge its flow.
+	 * @param flowName the flow
+	 * @param item the item, oldest or newest of its flow
+	 * @param charge the estimated cost divided by the weight of the flow
+	 */
+	public void serve(String flowName, T item, double charge) {
+		Flow<T> flow = this.flows.get(flowName);
+		this.virtualTime = Math.max(this.virtualTime, flow.start);
+		this.order.remove(flow);
+		takeOut(flow, item);
+		flow.start += charge;
+		settle(flow);
+	}
+
+	/**
+	 * Remove an item that is not to be served.
+	 * @param flowName the flow
+	 * @param item the item
+	 * @return whether it was there
+	 */
+	public boolean remove(String flowName, T item) {
+		Flow<T> flow = this.flows.get(flowName);
+		if (flow == null || !flow.items.contains(item)) {
+			return false;
+		}
+		this.order.remove(flow);
+		takeOut(flow, item);
+		settle(flow);
+		return true;
+	}
+
+	/**
+	 * Return how many items wait.
+	 * @return the number of items
+	 */
+	public int size() {
+		return this.size;
+	}
+
+	/**
+	 * Visit all waiting items.
+	 * @param action what to do with each
+	 */
+	public void forEach(Consumer<T> action) {
+		this.order.forEach((flow) -> flow.items.forEach(action));
+	}
+
+	private void takeOut(Flow<T> flow, T item) {
+		if (flow.items.peekLast() == item) {
+			flow.items.removeLast();
+		}
+		else {
+			flow.items.remove(item);
+		}
+		this.size--;
+	}
+
+	private void settle(Flow<T> flow) {
+		if (!flow.items.isEmpty()) {
+			this.order.add(flow);
+		}
+		else if (flow.start <= this.virtualTime || this.flows.size() > IDLE_FLOWS_KEPT) {
+			this.flows.remove(flow.name);
+		}
+	}
+
+	private Flow<T> activate(String name) {
+		Flow<T> flow = this.flows.computeIfAbsent(name, Flow::new);
+		if (flow.items.isEmpty()) {
+			flow.start = Math.max(flow.start, this.virtualTime);
+			this.order.add(flow);
+		}
+		return flow;
+	}
+
+	/** The items of one flow and the tag of the next of them. */
+	private static final class Flow<T> {
+
+		private final String name;
+
+		private final ArrayDeque<T> items = new ArrayDeque<>();
+
+		private double start;
+
+		private Flow(String name) {
+			this.name = name;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
@@ -0,0 +1,90 @@
+package org.acaciacourse.core.dispatch.suspect;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Content that was running on endpoints that crashed, by the hash of customer and
+ * content. One crash makes everything that ran there suspect, for nobody can tell which
+ * of it was the cause. A suspect runs apart; a crash there is proof, and from the second
+ * crash on the content is refused. A whole answer clears it.
+ * <p>
+ * Invariants: an entry has one or two crashes; at most {@link #LIMIT} entries, the oldest
+ * goes first; a conviction lapses after {@link #MEMORY_NANOS}, so that a wrong one heals.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+public final class SuspectTable {
+
+	/** How many crashes convict. */
+	public static final int CONVICTION = 2;
+
+	/** The most entries. */
+	public static final int LIMIT = 4_096;
+
+	/** How long an entry is kept. */
+	public static final long MEMORY_NANOS = 3_600_000_000_000L;
+
+	private final Map<Long, Entry> entries = new LinkedHashMap<>();
+
+	/**
+	 * Note how many crashes a content had part in.
+	 * @param contentHash the hash of customer and content
+	 * @param crashes how many crashes, 0 clears it
+	 * @param own whether this VM ran it, so that it is this VM's task to try it again
+	 * @param now the time
+	 */
+	public void note(long contentHash, int crashes, boolean own, long now) {
+		Entry old = this.entries.remove(contentHash);
+		if (crashes <= 0) {
+			return;
+		}
+		int most = (old != null) ? Math.max(old.crashes, crashes) : crashes;
+		boolean ours = own || (old != null && old.own);
+		this.entries.put(contentHash, new Entry(Math.min(most, CONVICTION), ours, now));
+		if (this.entries.size() > LIMIT) {
+			Iterator<Long> oldest = this.entries.keySet().iterator();
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
+	/**
+	 * Return how many crashes a content had part in.
+	 * @param contentHash the hash of customer and content
+	 * @param now the time
+	 * @return 0 to {@link #CONVICTION}
+	 */
+	public int crashes(long contentHash, long now) {
+		Entry entry = find(contentHash, now);
+		return (entry != null) ? entry.crashes : 0;
+	}
+
+	/**
+	 * Return when this VM may try a suspect: at once if it ran here, otherwise only after
+	 * the VM that ran it had time to come to a verdict. Two VMs that try it at the same
+	 * time would lose two more endpoints.
+	 * @param contentHash the hash of customer and content
+	 * @param holdNanos how long to wait for the verdict of another VM
+	 * @param now the time
+	 * @return the time
+	 */
+	public long trialFrom(long contentHash, long holdNanos, long now) {
+		Entry entry = find(contentHash, now);
+		return (entry == null || entry.own) ? now : entry.since + holdNanos;
+	}
+
+	private Entry find(long contentHash, long now) {
+		Entry entry = this.entries.get(contentHash);
+		if (entry != null && now - entry.since > MEMORY_NANOS) {
+			this.entries.remove(contentHash);
+			return null;
+		}
+		return entry;
+	}
+
+	private record Entry(int crashes, boolean own, long since) {
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
@@ -0,0 +1,192 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.DispatchActions.Attempt;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link PolicyDispatcher}.
+ */
+class PolicyDispatcherTests {
+
+	@Nested
+	class Order {
+
+		@Test
+		void tieredServesTheHigherTierFirst() {
+			Driver driver = new Driver("tiered", 1, 1);
+			long first = driver.arrive("broker");
+			long night = driver.arrive("night");
+			driver.arrive("broker");
+			long broker = driver.arrive("broker");
+			driver.end(driver.attemptOf(first), AttemptOutcome.COMPLETE);
+			driver.end(driver.last(), AttemptOutcome.COMPLETE);
+			assertThat(driver.attemptsOf(broker)).isEqualTo(1);
+			assertThat(driver.attemptsOf(night)).isEqualTo(0);
+		}
+
+		@Test
+		void fifoServesInOrderOfArrival() {
+			Driver driver = new Driver("fifo", 1, 1);
+			long first = driver.arrive("broker");
+			long night = driver.arrive("night");
+			driver.arrive("broker");
+			driver.end(driver.attemptOf(first), AttemptOutcome.COMPLETE);
+			assertThat(driver.last().requestId()).isEqualTo(night);
+		}
+
+		@Test
+		void aSwapOfPolicyReordersWhatWaits() {
+			Driver driver = new Driver("fifo", 1, 1);
+			long first = driver.arrive("broker");
+			driver.arrive("night");
+			long broker = driver.arrive("broker");
+			driver.dispatcher.configure(Driver.manifest("tiered", 1, 1, Map.of("overcommit", 0.0)), driver.now);
+			driver.end(driver.attemptOf(first), AttemptOutcome.COMPLETE);
+			assertThat(driver.last().requestId()).isEqualTo(broker);
+			assertThat(driver.last().policy()).isEqualTo("tiered");
+		}
+
+	}
+
+	@Nested
+	class Preemption {
+
+		// A broker's question arrives while overnight work holds every slot.
+		// The overnight run is cancelled, the question is sent at once, and the
+		// overnight answer goes on where it stopped, so that no token is lost.
+		@Test
+		void lowerWorkGivesWayAndGoesOnLater() {
+			Driver driver = new Driver("tiered", 1, 1);
+			long night = driver.arrive("night");
+			Attempt preempted = driver.attemptOf(night);
+			driver.dispatcher.tokens(preempted.id(), 40, driver.now);
+			long broker = driver.arrive("broker");
+			assertThat(driver.cancelled).containsExactly(preempted.id());
+			assertThat(driver.attemptsOf(broker)).isEqualTo(1);
+			driver.end(preempted, AttemptOutcome.CANCELLED);
+			driver.end(driver.attemptOf(broker), AttemptOutcome.COMPLETE);
+			assertThat(driver.attemptOf(night).resumeAt()).isEqualTo(40);
+		}
+
+	}
+
+	@Nested
+	class Retry {
+
+		@Test
+		void goesToAnotherEndpointAfterALoss() {
+			Driver driver = new Driver("tiered", 3, 4);
+			long id = driver.arrive("broker");
+			String first = driver.attemptOf(id).endpoint();
+			driver.end(driver.attemptOf(id), AttemptOutcome.LOST);
+			driver.pass(Driver.SECOND / 2);
+			assertThat(driver.attemptsOf(id)).isEqualTo(2);
+			assertThat(driver.attemptOf(id).endpoint()).isNotEqualTo(first);
+		}
+
+		// A claim note was on its way when the connection broke, so that the endpoint
+		// may have run it. A second attempt could post it twice; the caller is told.
+		@Test
+		void neverRepeatsWhatMayHaveRun() {
+			Driver driver = new Driver("tiered", 3, 4);
+			long id = driver.arrive("broker", 5, true);
+			driver.end(driver.attemptOf(id), AttemptOutcome.LOST);
+			driver.pass(Driver.SECOND);
+			assertThat(driver.attemptsOf(id)).isEqualTo(1);
+			assertThat(driver.finished).containsEntry(id, ResultCode.ENDPOINT_LOST);
+		}
+
+		@Test
+		void repeatsWhatWasNotSent() {
+			Driver driver = new Driver("tiered", 3, 4);
+			long id = driver.arrive("broker", 5, true);
+			driver.end(driver.attemptOf(id), AttemptOutcome.NOT_SENT);
+			driver.pass(Driver.SECOND / 2);
+			assertThat(driver.attemptsOf(id)).isEqualTo(2);
+		}
+
+	}
+
+	@Nested
+	class Refusal {
+
+		@Test
+		void comesAtOnceWithATimeToComeBack() {
+			Driver driver = new Driver("tiered", 1, 1);
+			for (int i = 0; i < 20; i++) {
+				long id = driver.arrive("night");
+				driver.pass(4 * Driver.SECOND);
+				driver.end(driver.attemptOf(id), AttemptOutcome.COMPLETE);
+				long broker = driver.arrive("broker");
+				driver.dispatcher.tokens(driver.attemptOf(broker).id(), 1, driver.now);
+				driver.pass(4 * Driver.SECOND);
+				driver.end(driver.attemptOf(broker), AttemptOutcome.COMPLETE);
+			}
+			long last = 0;
+			for (int i = 0; i < 5; i++) {
+				last = driver.arrive("broker");
+			}
+			assertThat(driver.finished).containsEntry(last, ResultCode.TARGET_UNREACHABLE);
+			assertThat(driver.comeBack.get(last)).isPresent();
+		}
+
+		@Test
+		void namesTheReason() {
+			Driver driver = new Driver("tiered", 1, 1);
+			driver.dispatcher.endpointStatus("llm-0", EndpointStatus.LEAVING, driver.now);
+			assertThat(driver.finished).containsEntry(driver.arrive("broker"), ResultCode.NO_ENDPOINT);
+			driver.dispatcher.drain(driver.now);
+			assertThat(driver.finished).containsEntry(driver.arrive("broker"), ResultCode.STOPPING);
+		}
+
+	}
+
+	@Nested
+	class Crash {
+
+		// One content crashes the endpoint that runs it, with an innocent request
+		// beside it. Both are retried, each apart from the other. The content crashes
+		// the second endpoint, is refused there and when it is sent again; the
+		// innocent one gets its answer.
+		@Test
+		void refusesTheContentAfterTheSecondCrashAndAnswersTheOther() {
+			Driver driver = new Driver("tiered", 8, 4);
+			long poison = driver.arrive("broker", 666, false);
+			driver.dispatcher.configure(Driver.manifest("tiered", 8, 4, Map.of()), driver.now);
+			long innocent = driver.arrive("broker", 1, false);
+			Set<String> crashed = new HashSet<>();
+			crashed.add(driver.attemptOf(poison).endpoint());
+			driver.end(driver.attemptOf(poison), AttemptOutcome.CRASHED);
+			driver.end(driver.attemptOf(innocent), AttemptOutcome.CRASHED);
+			for (int i = 0; i < 100 && !driver.finished.containsKey(poison); i++) {
+				driver.pass(Driver.SECOND / 4);
+				settle(driver, poison, innocent, crashed);
+			}
+			assertThat(driver.finished).containsEntry(poison, ResultCode.CRASHING_CONTENT);
+			assertThat(driver.finished).containsEntry(driver.arrive("broker", 666, false), ResultCode.CRASHING_CONTENT);
+			assertThat(crashed).hasSize(2);
+			assertThat(driver.suspects).containsEntry(666L, 2);
+			assertThat(driver.suspects).containsEntry(1L, 0);
+		}
+
+		private void settle(Driver driver, long poison, long innocent, Set<String> crashed) {
+			if (driver.attemptsOf(poison) == 2 && !driver.finished.containsKey(poison)) {
+				crashed.add(driver.attemptOf(poison).endpoint());
+				driver.end(driver.attemptOf(poison), AttemptOutcome.CRASHED);
+			}
+			if (driver.attemptsOf(innocent) == 2) {
+				driver.end(driver.attemptOf(innocent), AttemptOutcome.COMPLETE);
+			}
+		}
+
+	}
+
+}
