--- /dev/null
+++ b/bench/src/main/java/org/acaciacourse/bench/check/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checks of delivery: what callers were told against what endpoints ran.
+ */
+package org.acaciacourse.bench.check;
