--- /dev/null
+++ b/bench/src/test/java/org/acaciacourse/bench/process/FreePorts.java
@@ -0,0 +1,38 @@
+package org.acaciacourse.bench.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Picks free loopback ports below the range that the kernel gives to outgoing
+ * connections, so that none is taken between the choice and its use.
+ * <p>
+ * Thread safe.
+ */
+final class FreePorts {
+
+	private static final int FIRST = 12_000;
+
+	private static final int COUNT = 18_000;
+
+	private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
+
+	private FreePorts() {
+	}
+
+	static int next() {
+		for (int i = 0; i < COUNT; i++) {
+			int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				return socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				// Taken; the next one is tried.
+			}
+		}
+		throw new AssertionError("no free port");
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/acaciacourse/bench/process/JavaProcess.java
@@ -0,0 +1,116 @@
+package org.acaciacourse.bench.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.acaciacourse.daemon.cli.Main;
+
+/**
+ * One process of the product, with small memory, its output in a file.
+ * <p>
+ * Not thread safe.
+ */
+final class JavaProcess implements AutoCloseable {
+
+	private final Process process;
+
+	private final Path output;
+
+	private JavaProcess(Process process, Path output) {
+		this.process = process;
+		this.output = output;
+	}
+
+	/**
+	 * Start a subcommand of the product.
+	 * @param folder gets the file with the output
+	 * @param name the name of that file
+	 * @param args the command line
+	 * @return the process
+	 */
+	static JavaProcess start(Path folder, String name, String... args) {
+		List<String> command = new ArrayList<>(
+				List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx96m", "-XX:+UseSerialGC",
+						"-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
+		command.addAll(List.of(args));
+		Path output = folder.resolve(name + ".out");
+		try {
+			Process process = new ProcessBuilder(command).redirectErrorStream(true)
+				.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
+				.start();
+			return new JavaProcess(process, output);
+		}
+		catch (IOException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+	long id() {
+		return this.process.pid();
+	}
+
+	boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	String output() {
+		try {
+			return Files.readString(this.output);
+		}
+		catch (IOException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+	/** Send SIGTERM. */
+	void terminate() {
+		this.process.destroy();
+	}
+
+	/** Send SIGKILL. */
+	void kill() {
+		this.process.destroyForcibly();
+		awaitExit();
+	}
+
+	/** Send SIGSTOP: the process stays, its connections stay, nothing moves. */
+	void freeze() {
+		signal("-STOP");
+	}
+
+	/** Send SIGCONT. */
+	void thaw() {
+		signal("-CONT");
+	}
+
+	int awaitExit() {
+		try {
+			if (!this.process.waitFor(Waiting.BOUND.toSeconds(), TimeUnit.SECONDS)) {
+				throw new AssertionError("process " + id() + " did not end: " + output());
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new AssertionError(ex);
+		}
+		return this.process.exitValue();
+	}
+
+	@Override
+	public void close() {
+		kill();
+	}
+
+	private void signal(String signal) {
+		try {
+			new ProcessBuilder("kill", signal, Long.toString(id())).start().waitFor();
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new AssertionError(ex);
+		}
+	}
+
+}
