--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ApplyService.java
@@ -0,0 +1,66 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.ini.Problem;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.manifest.ManifestParser;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.acaciacourse.daemon.codec.ManifestCodec;
+import org.acaciacourse.protocol.generated.ApplyReply;
+import org.acaciacourse.protocol.generated.ApplyRequest;
+import org.acaciacourse.protocol.generated.Result;
+
+/**
+ * Takes whole manifests from operators. The delta is worked out on the replica's thread
+ * from the state at the time of the proposal; a manifest that was committed in between
+ * voids it, and it is worked out anew.
+ * <p>
+ * Thread safe.
+ */
+final class ApplyService {
+
+	private static final int ATTEMPTS = 10;
+
+	private final ReplicaLoop loop;
+
+	ApplyService(ReplicaLoop loop) {
+		this.loop = loop;
+	}
+
+	ApplyReply apply(ApplyRequest request) {
+		ManifestDocument document = ManifestCodec.decode(request.getSections());
+		Either<List<Problem>, Manifest> checked = ManifestParser.manifest(document);
+		if (checked.isLeft()) {
+			String detail = checked.getLeft().stream().map(Problem::toString).collect(Collectors.joining("; "));
+			return new ApplyReply(Replies.result(ResultCode.INVALID_MANIFEST).setDetail(detail), 0, "");
+		}
+		long number = checked.get().number();
+		return commit(number, document, request.getOperatorName());
+	}
+
+	private ApplyReply commit(long number, ManifestDocument document, String operator) {
+		String digest = document.digest();
+		LoopEvent.CommandMaker maker = (state, now) -> new Command.PutManifest(now, number, digest, state.digest(),
+				state.document().deltaTo(document), operator);
+		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+			Either<ControlException, CommandResult> outcome = Replies.await(this.loop.propose(maker));
+			if (outcome.isLeft()) {
+				return new ApplyReply(Replies.result(outcome.getLeft()), 0, "");
+			}
+			ManifestResult result = (ManifestResult) outcome.get();
+			if (!result.baseChanged()) {
+				Result struct = Replies.result(result.code());
+				return new ApplyReply(struct, result.number(), result.digest());
+			}
+		}
+		return new ApplyReply(Replies.result(ResultCode.NO_QUORUM), 0, "");
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -0,0 +1,275 @@
+package org.acaciacourse.daemon.control;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.HardState;
+import org.acaciacourse.core.consensus.LogEntry;
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.Membership;
+import org.acaciacourse.core.consensus.MembershipCodec;
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.daemon.inner.InnerServer;
+import org.acaciacourse.daemon.store.ReplicaStore;
+import org.acaciacourse.daemon.store.StoreException;
+import org.acaciacourse.protocol.generated.PeerDescription;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.transport.TTransportException;
+
+/**
+ * A control VM: one replica of the log with its store, servers and duties. It begins to
+ * serve once the founding is decided. Invariant: whatever was opened is closed by
+ * {@link #stop}, also after a start that failed.
+ * <p>
+ * Thread safe: start and stop are called once each, by any thread.
+ */
+public final class ControlDaemon {
+
+	private static final Logger LOGGER = LogManager.getLogger(ControlDaemon.class);
+
+	private static final long FOUNDING_TERM = 1;
+
+	private static final long ASK_MILLIS = 300;
+
+	private static final long HAND_OVER_MILLIS = 3000;
+
+	private final ControlOptions options;
+
+	private final CompletableFuture<ResultCode> ended = new CompletableFuture<>();
+
+	private final Deque<AutoCloseable> opened = new ArrayDeque<>();
+
+	private final EntryRegistry registry = new EntryRegistry();
+
+	private final PrometheusRegistry metrics = new PrometheusRegistry();
+
+	private volatile Optional<ReplicaLoop> loop = Optional.empty();
+
+	private volatile boolean latestKnown;
+
+	private volatile boolean stopping;
+
+	private ReplicaStore store;
+
+	private Member self;
+
+	private ReplicaHandler replicaHandler;
+
+	private ControlHandler controlHandler;
+
+	private Optional<Ticker> founding = Optional.empty();
+
+	/**
+	 * Make a daemon.
+	 * @param options what it is started with
+	 */
+	public ControlDaemon(ControlOptions options) {
+		this.options = options;
+	}
+
+	/**
+	 * Open the data folder and the servers, and begin.
+	 * @return {@link ResultCode#OK}, or why it could not start
+	 */
+	public synchronized ResultCode start() {
+		try {
+			open();
+			return ResultCode.OK;
+		}
+		catch (StoreException ex) {
+			LOGGER.fatal("the data folder cannot be used", ex);
+			closeAll();
+			return ex.code();
+		}
+		catch (IOException | TTransportException ex) {
+			LOGGER.fatal("an address cannot be bound", ex);
+			closeAll();
+			return ResultCode.ADDRESS_IN_USE;
+		}
+	}
+
+	private void open() throws IOException, TTransportException {
+		this.store = ReplicaStore.open(this.options.data());
+		this.opened.push(this.store);
+		this.self = new Member(this.store.identity(), this.options.vm(), this.options.address(), false);
+		this.replicaHandler = new ReplicaHandler(this.options.innerKey(), this.self);
+		this.controlHandler = new ControlHandler(this.options.innerKey(), this.options.operatorKey());
+		ServerSocket listener = new ServerSocket();
+		this.opened.push(listener);
+		listener.setReuseAddress(true);
+		listener.bind(InnerConnection.parse(this.options.address()));
+		InnerServer server = new InnerServer(listener, this.replicaHandler, this.controlHandler);
+		this.opened.push(server);
+		AdminServer admin = new AdminServer(InnerConnection.parse(this.options.admin()), this.metrics, this::isReady);
+		this.opened.push(admin);
+		server.start();
+		admin.start();
+		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
+				this.options.address());
+		if (this.store.recovered().isFresh()) {
+			this.founding = Optional.of(new Ticker("founding", ASK_MILLIS, this::found));
+			this.opened.push(this.founding.get());
+		}
+		else {
+			begin();
+		}
+	}
+
+	private synchronized void found() {
+		if (this.loop.isPresent() || this.stopping) {
+			return;
+		}
+		List<PeerDescription> answers = new ArrayList<>();
+		for (String address : this.options.initial()) {
+			if (!address.equals(this.options.address())) {
+				PeerCalls.call(address, (c) -> c.replica().describe(this.options.innerKey().text()))
+					.ifPresent(answers::add);
+			}
+		}
+		Founding.Decision decision = Founding.decide(this.self, this.options.initial(), answers);
+		if (decision.step() != Founding.Step.ASK_AGAIN) {
+			LOGGER.info("empty data folder: {}", decision.step());
+			this.founding.ifPresent(Ticker::close);
+			begin(decision.membership());
+		}
+	}
+
+	private void begin(Optional<Membership> founders) {
+		try {
+			founders.ifPresent(this::writeFounding);
+			begin();
+		}
+		catch (StoreException ex) {
+			LOGGER.fatal("the data folder failed", ex);
+			this.ended.complete(ex.code());
+		}
+	}
+
+	// The membership is an entry, so that founders which begin with an empty log get it
+	// like any other; it is the same on all that found.
+	private void writeFounding(Membership founders) {
+		LogEntry first = new LogEntry(1, FOUNDING_TERM, LogEntry.Kind.MEMBERSHIP, MembershipCodec.encode(founders));
+		this.store.found(new HardState(FOUNDING_TERM, Optional.of(this.self.id())), first);
+	}
+
+	private void begin() {
+		PeerOutbox outbox = new PeerOutbox(this.options.address(), this.options.innerKey());
+		ReplicaDriver driver = new ReplicaDriver(this.store, this.options.vm(), this.options.timing(),
+				this.options.snapshotEntries(), outbox, System.nanoTime());
+		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver, this.ended::complete);
+		LinearizableRead read = new LinearizableRead(next, this.self, this.options.innerKey());
+		RegistryExchange exchange = new RegistryExchange(next, this.self, this.options.initial(),
+				this.options.innerKey(), this.registry);
+		PlatformList platform = new PlatformList(this.options.platformList());
+		ControlMetrics.register(this.metrics, () -> next.board().latest(), this.registry);
+		next.start();
+		this.replicaHandler.begin(next, outbox);
+		this.controlHandler.begin(new ControlHandler.Services(next, new ApplyService(next),
+				new PollService(next, read, this.registry, platform), new StatusService(next, this.self, exchange),
+				this.registry));
+		exchange.start();
+		platform.start(next.board()::touch);
+		this.loop = Optional.of(next);
+		this.opened.push(outbox);
+		this.opened.push(platform);
+		this.opened.push(exchange);
+		this.opened.push(new Ticker("latest", ASK_MILLIS, () -> learnLatest(read)));
+	}
+
+	private void learnLatest(LinearizableRead read) {
+		try {
+			this.latestKnown = this.latestKnown || read.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Return whether this replica takes part and has known the latest state once.
+	 * @return whether it is ready
+	 */
+	public boolean isReady() {
+		boolean led = this.loop.filter((l) -> l.board().latest().status().leader().isPresent()).isPresent();
+		return led && this.latestKnown && !this.stopping && !this.ended.isDone();
+	}
+
+	/**
+	 * Return whether this replica leads.
+	 * @return whether it is the leader
+	 */
+	public boolean isLeader() {
+		return this.loop.filter((l) -> l.board().latest().status().role() == Role.LEADER).isPresent();
+	}
+
+	/**
+	 * Return the end of the daemon by a fault.
+	 * @return completes with the code when the replica had to stop
+	 */
+	public CompletableFuture<ResultCode> ended() {
+		return this.ended;
+	}
+
+	/**
+	 * Hand the leadership over, then stop.
+	 */
+	public synchronized void stop() {
+		this.stopping = true;
+		try {
+			if (this.loop.isPresent()) {
+				handOver(this.loop.get());
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		abort();
+	}
+
+	/**
+	 * Stop without handing the leadership over.
+	 */
+	synchronized void abort() {
+		this.stopping = true;
+		try {
+			if (this.loop.isPresent()) {
+				this.loop.get().stop();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		closeAll();
+	}
+
+	private void handOver(ReplicaLoop running) throws InterruptedException {
+		Published latest = running.board().latest();
+		if (latest.status().role() == Role.LEADER && latest.membership().voters().size() > 1) {
+			running.transferLeadership();
+			boolean handed = running.board().await((p) -> p.status().role() != Role.LEADER, HAND_OVER_MILLIS);
+			LOGGER.info("leadership handed over: {}", handed);
+		}
+	}
+
+	private void closeAll() {
+		while (!this.opened.isEmpty()) {
+			try {
+				this.opened.pop().close();
+			}
+			catch (Exception ex) {
+				LOGGER.warn("cannot close", ex);
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -0,0 +1,170 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.CommandResult.ClaimResult;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.daemon.codec.CommandCodec;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.protocol.generated.AcquireLeaseCommand;
+import org.acaciacourse.protocol.generated.ApplyReply;
+import org.acaciacourse.protocol.generated.ApplyRequest;
+import org.acaciacourse.protocol.generated.ClaimCommand;
+import org.acaciacourse.protocol.generated.ClaimReply;
+import org.acaciacourse.protocol.generated.CompleteClaimCommand;
+import org.acaciacourse.protocol.generated.ControlService;
+import org.acaciacourse.protocol.generated.EntryStatus;
+import org.acaciacourse.protocol.generated.LeaseReply;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.acaciacourse.protocol.generated.PollRequest;
+import org.acaciacourse.protocol.generated.ReadIndexReply;
+import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
+import org.acaciacourse.protocol.generated.ReportCrashCommand;
+import org.acaciacourse.protocol.generated.Result;
+import org.acaciacourse.protocol.generated.StatusReply;
+import org.acaciacourse.protocol.generated.TraceContext;
+import org.apache.thrift.TException;
+
+/**
+ * Serves entries and operators: checks the key, then hands on. A call with a wrong key
+ * gets {@link ResultCode#OPERATOR_UNKNOWN}, or its connection ends if its answer has no
+ * place for a code.
+ * <p>
+ * Thread safe.
+ */
+final class ControlHandler implements ControlService.Iface {
+
+	private final SharedKey innerKey;
+
+	private final SharedKey operatorKey;
+
+	private volatile Optional<Services> services = Optional.empty();
+
+	ControlHandler(SharedKey innerKey, SharedKey operatorKey) {
+		this.innerKey = innerKey;
+		this.operatorKey = operatorKey;
+	}
+
+	/**
+	 * The founding is decided: serve.
+	 * @param next what calls are handed to
+	 */
+	void begin(Services next) {
+		this.services = Optional.of(next);
+	}
+
+	@Override
+	public ApplyReply apply(ApplyRequest request) {
+		if (!this.operatorKey.matches(request.getOperatorKey())) {
+			return new ApplyReply(Replies.result(ResultCode.OPERATOR_UNKNOWN), 0, "");
+		}
+		if (this.services.isEmpty()) {
+			return new ApplyReply(Replies.result(ResultCode.NO_QUORUM), 0, "");
+		}
+		return this.services.get().apply().apply(request);
+	}
+
+	@Override
+	public PollReply poll(String sharedKey, PollRequest request) throws TException {
+		return checked(sharedKey).poll().poll(request);
+	}
+
+	@Override
+	public ClaimReply claim(String sharedKey, ClaimCommand command, TraceContext trace) throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		return claimReply(loop, (state, now) -> CommandCodec.claim(now, command));
+	}
+
+	@Override
+	public ClaimReply completeClaim(String sharedKey, CompleteClaimCommand command, TraceContext trace)
+			throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		CommandCodec.outcome(command.getOutcome());
+		return claimReply(loop, (state, now) -> CommandCodec.completeClaim(now, command));
+	}
+
+	private static ClaimReply claimReply(ReplicaLoop loop, LoopEvent.CommandMaker maker) {
+		return Replies.await(loop.propose(maker))
+			.fold((failure) -> new ClaimReply(Replies.result(failure), 0, false), ControlHandler::claimReply);
+	}
+
+	private static ClaimReply claimReply(CommandResult result) {
+		ClaimResult claim = (ClaimResult) result;
+		ClaimReply reply = new ClaimReply(Replies.result(claim.code()), claim.outcome().ordinal(), claim.granted());
+		claim.answer().ifPresent(reply::setAnswer);
+		return reply;
+	}
+
+	@Override
+	public Result reportCrash(String sharedKey, ReportCrashCommand command) throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		return Replies.await(loop.propose((state, now) -> CommandCodec.reportCrash(now, command)))
+			.fold(Replies::result, (done) -> Replies.result(done.code()));
+	}
+
+	@Override
+	public LeaseReply acquireLease(String sharedKey, AcquireLeaseCommand command) throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		return leaseReply(loop, (state, now) -> CommandCodec.acquireLease(now, command));
+	}
+
+	@Override
+	public LeaseReply releaseLease(String sharedKey, ReleaseLeaseCommand command) throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		return leaseReply(loop, (state, now) -> CommandCodec.releaseLease(now, command));
+	}
+
+	private static LeaseReply leaseReply(ReplicaLoop loop, LoopEvent.CommandMaker maker) {
+		return Replies.await(loop.propose(maker))
+			.fold((failure) -> new LeaseReply(Replies.result(failure), 0, 0), (result) -> {
+				LeaseResult lease = (LeaseResult) result;
+				return new LeaseReply(Replies.result(lease.code()), lease.fencingNumber(), lease.remainingMillis());
+			});
+	}
+
+	@Override
+	public StatusReply status(String key) {
+		if (!this.operatorKey.matches(key)) {
+			return new StatusReply().setResult(Replies.result(ResultCode.OPERATOR_UNKNOWN));
+		}
+		return this.services.map((s) -> s.status().status())
+			.orElseGet(() -> new StatusReply().setResult(Replies.result(ResultCode.NO_QUORUM)));
+	}
+
+	@Override
+	public ReadIndexReply readIndex(String sharedKey) throws TException {
+		ReplicaLoop loop = checked(sharedKey).loop();
+		return Replies.await(loop.read())
+			.fold((failure) -> new ReadIndexReply(Replies.result(failure), 0),
+					(index) -> new ReadIndexReply(Replies.result(ResultCode.OK), index));
+	}
+
+	@Override
+	public List<EntryStatus> entries(String sharedKey, boolean withReports) throws TException {
+		return checked(sharedKey).registry().own(withReports, System.currentTimeMillis());
+	}
+
+	private Services checked(String sharedKey) throws TException {
+		if (!this.innerKey.matches(sharedKey)) {
+			throw new TException("wrong key");
+		}
+		return this.services.orElseThrow(() -> new TException("not founded"));
+	}
+
+	/**
+	 * What calls are handed to.
+	 *
+	 * @param loop the replica's loop
+	 * @param apply takes manifests
+	 * @param poll answers polls
+	 * @param status tells the status
+	 * @param registry the entries that poll
+	 */
+	record Services(ReplicaLoop loop, ApplyService apply, PollService poll, StatusService status,
+			EntryRegistry registry) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlMetrics.java
@@ -0,0 +1,47 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+
+/**
+ * Metrics of a control VM, read from what the replica published.
+ * <p>
+ * Thread safe: it has no state.
+ */
+final class ControlMetrics {
+
+	private ControlMetrics() {
+	}
+
+	static void register(PrometheusRegistry registry, Supplier<Published> published, EntryRegistry entries) {
+		gauge(registry, "acaciacourse_configuration_number", "Number of the manifest in force", published,
+				Published::number);
+		gauge(registry, "acaciacourse_replica_term", "Term of the replica", published, (p) -> p.status().term());
+		gauge(registry, "acaciacourse_replica_commit_index", "Last committed entry", published,
+				(p) -> p.status().commitIndex());
+		gauge(registry, "acaciacourse_replica_applied_index", "Last applied entry", published, Published::appliedIndex);
+		gauge(registry, "acaciacourse_replica_leader", "1 if the replica leads", published,
+				(p) -> (p.status().role() == Role.LEADER) ? 1 : 0);
+		gauge(registry, "acaciacourse_replica_voters", "Voters of the membership in force", published,
+				(p) -> p.membership().voters().size());
+		GaugeWithCallback.builder()
+			.name("acaciacourse_entries_live")
+			.help("Live entry VMs")
+			.callback((callback) -> callback.call(entries.live(System.currentTimeMillis()).size()))
+			.register(registry);
+	}
+
+	private static void gauge(PrometheusRegistry registry, String name, String help, Supplier<Published> published,
+			ToDoubleFunction<Published> value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.applyAsDouble(published.get())))
+			.register(registry);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
@@ -0,0 +1,135 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.acaciacourse.protocol.generated.ClassReport;
+import org.acaciacourse.protocol.generated.EntryStatus;
+import org.acaciacourse.protocol.generated.PollRequest;
+
+/**
+ * The entry VMs that poll this control VM, and what the other control VMs told of theirs.
+ * An entry that moved is listed once, as it was seen last. Invariant: at most
+ * {@value #MAX_ENTRIES} entries are kept.
+ * <p>
+ * Thread safe.
+ */
+final class EntryRegistry {
+
+	/** An entry is silent after so long without a poll. */
+	static final long SILENT_MILLIS = 10_000;
+
+	static final int MAX_ENTRIES = 4096;
+
+	private final Map<String, EntryStatus> own = new HashMap<>();
+
+	private final Map<String, Map<String, EntryStatus>> others = new HashMap<>();
+
+	/**
+	 * An entry polled.
+	 * @param poll its poll
+	 * @param now the wall-clock time in milliseconds
+	 */
+	synchronized void polled(PollRequest poll, long now) {
+		this.own.values().removeIf((entry) -> now - entry.getLastSeenMillis() > SILENT_MILLIS);
+		if (this.own.size() >= MAX_ENTRIES && !this.own.containsKey(poll.getOwner())) {
+			return;
+		}
+		EntryStatus status = new EntryStatus(poll.getVm(), poll.getDataCentre(), poll.getNumber(), poll.getDigest(),
+				now, poll.isLeaving(), poll.getReports(), poll.getOwner());
+		this.own.put(poll.getOwner(), status);
+	}
+
+	/**
+	 * An entry is still there, at the end of its long poll.
+	 * @param owner its run
+	 * @param now the wall-clock time in milliseconds
+	 */
+	synchronized void alive(String owner, long now) {
+		EntryStatus status = this.own.get(owner);
+		if (status != null) {
+			this.own.put(owner, status.deepCopy().setLastSeenMillis(now));
+		}
+	}
+
+	/**
+	 * Another control VM told of its entries.
+	 * @param address the address of that VM
+	 * @param entries its entries, with their age in place of the time they were seen
+	 * @param now the wall-clock time in milliseconds
+	 */
+	synchronized void told(String address, List<EntryStatus> entries, long now) {
+		Map<String, EntryStatus> table = new HashMap<>();
+		entries.stream()
+			.limit(MAX_ENTRIES)
+			.forEach((entry) -> table.put(entry.getOwner(),
+					entry.deepCopy().setLastSeenMillis(now - entry.getLastSeenMillis())));
+		this.others.put(address, table);
+	}
+
+	/**
+	 * Return the own entries for another control VM. Clocks of VMs differ, so ages are
+	 * told, not times.
+	 * @param withReports whether to add the results per class
+	 * @param now the wall-clock time in milliseconds
+	 * @return the entries, with their age in place of the time they were seen
+	 */
+	synchronized List<EntryStatus> own(boolean withReports, long now) {
+		return this.own.values()
+			.stream()
+			.map((entry) -> aged(entry, withReports, now))
+			.filter((entry) -> entry.getLastSeenMillis() <= SILENT_MILLIS)
+			.toList();
+	}
+
+	private static EntryStatus aged(EntryStatus entry, boolean withReports, long now) {
+		List<ClassReport> reports = (withReports) ? entry.getReports() : List.of();
+		return new EntryStatus(entry.getVm(), entry.getDataCentre(), entry.getNumber(), entry.getDigest(),
+				now - entry.getLastSeenMillis(), entry.isLeaving(), reports, entry.getOwner());
+	}
+
+	/**
+	 * Return all live entries that are known here.
+	 * @param now the wall-clock time in milliseconds
+	 * @return the entries, each as it was seen last
+	 */
+	synchronized List<EntryStatus> live(long now) {
+		Map<String, EntryStatus> latest = new HashMap<>(this.own);
+		this.others.values()
+			.forEach((table) -> table.forEach((owner, entry) -> latest.merge(owner, entry, EntryRegistry::later)));
+		return latest.values().stream().filter((entry) -> now - entry.getLastSeenMillis() <= SILENT_MILLIS).toList();
+	}
+
+	private static EntryStatus later(EntryStatus a, EntryStatus b) {
+		return (a.getLastSeenMillis() >= b.getLastSeenMillis()) ? a : b;
+	}
+
+	/**
+	 * Return the runs of entry VMs that are alive.
+	 * @param now the wall-clock time in milliseconds
+	 * @return the owners
+	 */
+	Set<String> owners(long now) {
+		Set<String> owners = new HashSet<>();
+		live(now).forEach((entry) -> owners.add(entry.getOwner()));
+		return owners;
+	}
+
+	/**
+	 * Count the live entry VMs that are not leaving.
+	 * @param now the wall-clock time in milliseconds
+	 * @return the number, at least 1
+	 */
+	int count(long now) {
+		long count = live(now).stream()
+			.filter((entry) -> !entry.isLeaving())
+			.map(EntryStatus::getVm)
+			.distinct()
+			.count();
+		return (int) Math.max(count, 1);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/Founding.java
@@ -0,0 +1,84 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.Membership;
+import org.acaciacourse.daemon.codec.ReplicaCodec;
+import org.acaciacourse.protocol.generated.PeerDescription;
+
+/**
+ * Decides what a replica with an empty folder does. It may be one of the first start, or
+ * one that lost its disk and finds its old list of founders in its settings; a second
+ * founding would make a second system beside the first and bring the configuration back
+ * to nothing.
+ * <p>
+ * So it founds only if every other founder has answered, and none of them holds a log.
+ * The identities in the first membership are those they answered with; these lie on their
+ * disks, so all that found at that time found with the same ones. While it asks, it takes
+ * no part in elections. It is not enough if a majority of the founders lose their disks
+ * before the others have taken part; those had the only copies.
+ * <p>
+ * Thread safe: it has no state.
+ */
+final class Founding {
+
+	private Founding() {
+	}
+
+	/**
+	 * Decide.
+	 * @param self this replica
+	 * @param founders the addresses of the founders
+	 * @param answers what the other founders answered; silent ones are missing
+	 * @return what to do
+	 */
+	static Decision decide(Member self, List<String> founders, List<PeerDescription> answers) {
+		if (answers.stream().anyMatch(PeerDescription::isFounded)) {
+			return new Decision(Step.JOIN, Optional.empty());
+		}
+		List<Member> members = new ArrayList<>();
+		if (founders.contains(self.address())) {
+			members.add(new Member(self.id(), self.vm(), self.address(), true));
+		}
+		for (PeerDescription answer : answers) {
+			Member peer = ReplicaCodec.decode(answer.getMember());
+			members.add(new Member(peer.id(), peer.vm(), peer.address(), true));
+		}
+		List<String> answered = members.stream().map(Member::address).sorted().toList();
+		boolean all = answered.equals(founders.stream().sorted().toList());
+		long names = members.stream().map(Member::vm).distinct().count();
+		if (!all || !founders.contains(self.address()) || names != founders.size()) {
+			return new Decision(Step.ASK_AGAIN, Optional.empty());
+		}
+		return new Decision(Step.FOUND, Optional.of(new Membership(members)));
+	}
+
+	/**
+	 * The steps of a replica with an empty folder.
+	 */
+	enum Step {
+
+		/** Some founders are silent: ask again. */
+		ASK_AGAIN,
+
+		/** Found the log. */
+		FOUND,
+
+		/** A log exists: wait for its leader, and ask to be let in. */
+		JOIN
+
+	}
+
+	/**
+	 * What to do.
+	 *
+	 * @param step the step
+	 * @param membership the first membership, for {@link Step#FOUND}
+	 */
+	record Decision(Step step, Optional<Membership> membership) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/LinearizableRead.java
@@ -0,0 +1,56 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.protocol.generated.ReadIndexReply;
+
+/**
+ * Makes this replica's state good for a linearizable read: asks the leader for the read
+ * index and waits until it is applied here. A follower serves such reads too.
+ * <p>
+ * Thread safe.
+ */
+final class LinearizableRead {
+
+	private static final long WAIT_MILLIS = 3000;
+
+	private final ReplicaLoop loop;
+
+	private final Member self;
+
+	private final SharedKey key;
+
+	LinearizableRead(ReplicaLoop loop, Member self, SharedKey key) {
+		this.loop = loop;
+		this.self = self;
+		this.key = key;
+	}
+
+	/**
+	 * Wait until what was committed before this call is applied here.
+	 * @return whether it is
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	boolean await() throws InterruptedException {
+		Optional<Long> index = index();
+		return index.isPresent()
+				&& this.loop.board().await((published) -> published.appliedIndex() >= index.get(), WAIT_MILLIS);
+	}
+
+	private Optional<Long> index() {
+		Optional<Member> leader = this.loop.board().latest().status().leader();
+		if (leader.isEmpty()) {
+			return Optional.empty();
+		}
+		if (leader.get().id().equals(this.self.id())) {
+			return Replies.await(this.loop.read()).toJavaOptional();
+		}
+		return PeerCalls.call(leader.get().address(), (c) -> c.control().readIndex(this.key.text()))
+			.filter((reply) -> reply.getResult().getCode() == ResultCode.OK.number())
+			.map(ReadIndexReply::getIndex);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PeerSender.java
@@ -0,0 +1,111 @@
+package org.acaciacourse.daemon.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.protocol.generated.ReplicaEnvelope;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TException;
+import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+
+/**
+ * Sends messages to one address: a thread with a bounded ring. The other end answers each
+ * call, so a connection that went silent shows as a timeout and is replaced; what was
+ * under way is lost, which the log permits. A full ring drops new messages for the same
+ * reason.
+ * <p>
+ * Thread safe.
+ */
+final class PeerSender implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(PeerSender.class);
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int RING = 1024;
+
+	private static final int MAX_MESSAGES = 64;
+
+	private static final long RETRY_MILLIS = 200;
+
+	private final MpscBlockingConsumerArrayQueue<ReplicaEnvelope> ring = new MpscBlockingConsumerArrayQueue<>(RING);
+
+	private final String address;
+
+	private final String ownAddress;
+
+	private final SharedKey key;
+
+	private volatile boolean closed;
+
+	private InnerConnection connection;
+
+	private long retryAt = System.nanoTime();
+
+	PeerSender(String address, String ownAddress, SharedKey key) {
+		this.address = address;
+		this.ownAddress = ownAddress;
+		this.key = key;
+		Thread thread = new Thread(this::run, "peer-" + address);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	void send(ReplicaEnvelope message) {
+		this.ring.offer(message);
+	}
+
+	private void run() {
+		List<ReplicaEnvelope> batch = new ArrayList<>();
+		try {
+			while (!this.closed) {
+				ReplicaEnvelope first = this.ring.poll(1, TimeUnit.SECONDS);
+				if (first != null) {
+					batch.add(first);
+					this.ring.drain(batch::add, MAX_MESSAGES - 1);
+					deliver(batch);
+					batch.clear();
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		disconnect();
+	}
+
+	private void deliver(List<ReplicaEnvelope> batch) {
+		if (this.connection == null && System.nanoTime() < this.retryAt) {
+			return;
+		}
+		try {
+			if (this.connection == null) {
+				this.connection = InnerConnection.open(this.address, TIMEOUT);
+			}
+			this.connection.replica().deliver(this.key.text(), batch, this.ownAddress);
+		}
+		catch (TException | RuntimeException ex) {
+			LOGGER.debug("no connection to replica at {}", this.address, ex);
+			disconnect();
+			this.retryAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
+		}
+	}
+
+	private void disconnect() {
+		if (this.connection != null) {
+			this.connection.close();
+			this.connection = null;
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -0,0 +1,116 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.manifest.ManifestDelta;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.codec.ManifestCodec;
+import org.acaciacourse.protocol.generated.EndpointNotice;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.acaciacourse.protocol.generated.PollRequest;
+import org.acaciacourse.protocol.generated.ReportCrashCommand;
+import org.acaciacourse.protocol.generated.Result;
+
+/**
+ * Answers the long polls of entries, on any replica. An answer carries the delta from
+ * what the entry has, or the whole if the delta is not known here. All that the
+ * platform's list says against endpoints goes with every answer, so that a lost answer
+ * loses nothing.
+ * <p>
+ * Thread safe.
+ */
+final class PollService {
+
+	private static final long MAX_WAIT_MILLIS = 8000;
+
+	private final ReplicaLoop loop;
+
+	private final LinearizableRead read;
+
+	private final EntryRegistry registry;
+
+	private final PlatformList platform;
+
+	/** The board's revision that each entry was answered with last. */
+	private final Map<String, Long> answered = new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > EntryRegistry.MAX_ENTRIES;
+		}
+
+	};
+
+	PollService(ReplicaLoop loop, LinearizableRead read, EntryRegistry registry, PlatformList platform) {
+		this.loop = loop;
+		this.read = read;
+		this.registry = registry;
+		this.platform = platform;
+	}
+
+	PollReply poll(PollRequest request) {
+		this.registry.polled(request, System.currentTimeMillis());
+		try {
+			if (request.isLatest() && !this.read.await()) {
+				return refusal(Replies.result(ResultCode.NO_QUORUM));
+			}
+			if (!request.isLatest()) {
+				awaitNews(request);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return refusal(Replies.result(ResultCode.STOPPING));
+		}
+		this.registry.alive(request.getOwner(), System.currentTimeMillis());
+		long revision = this.loop.board().revision();
+		Either<ControlException, PollReply> reply = Replies.await(this.loop.query((state) -> reply(state, request)));
+		synchronized (this.answered) {
+			this.answered.put(request.getOwner(), revision);
+		}
+		return reply.getOrElseGet((failure) -> refusal(Replies.result(failure)));
+	}
+
+	private void awaitNews(PollRequest request) throws InterruptedException {
+		long told;
+		synchronized (this.answered) {
+			told = this.answered.getOrDefault(request.getOwner(), -1L);
+		}
+		long wait = Math.min(request.getWaitMillis(), MAX_WAIT_MILLIS);
+		PublishedBoard board = this.loop.board();
+		board.await((published) -> published.number() > request.getNumber()
+				|| published.crashRevision() > request.getCrashRevision() || board.revision() != told, wait);
+	}
+
+	private PollReply reply(ControlState state, PollRequest request) {
+		PollReply reply = refusal(Replies.result(ResultCode.OK)).setNumber(state.number()).setDigest(state.digest());
+		if (state.number() > request.getNumber()) {
+			Optional<ManifestDelta> delta = state.deltaFrom(request.getNumber(), request.getDigest());
+			delta.ifPresentOrElse((d) -> reply.setDelta(ManifestCodec.encode(d)).setBaseDigest(request.getDigest()),
+					() -> reply.setSnapshot(ManifestCodec.encode(state.document())));
+		}
+		reply.setCrashRevision(state.statistics().crashRevision());
+		reply.setCrashes(state.crashesSince(request.getCrashRevision())
+			.stream()
+			.map((crash) -> new ReportCrashCommand(crash.contentHash(), crash.crashes()))
+			.toList());
+		List<EndpointNotice> notices = this.platform.notices();
+		return reply.setNotices(notices).setEntryCount(this.registry.count(System.currentTimeMillis()));
+	}
+
+	private static PollReply refusal(Result result) {
+		return new PollReply().setResult(result)
+			.setBaseDigest("")
+			.setDigest("")
+			.setCrashes(List.of())
+			.setNotices(List.of());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PublishedBoard.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.function.Predicate;
+
+/**
+ * Holds what the replica's thread published last and wakes the threads that wait for it
+ * to change.
+ * <p>
+ * Thread safe.
+ */
+final class PublishedBoard {
+
+	private Published latest;
+
+	private long revision;
+
+	private boolean closed;
+
+	PublishedBoard(Published first) {
+		this.latest = first;
+	}
+
+	synchronized Published latest() {
+		return this.latest;
+	}
+
+	synchronized void publish(Published next) {
+		this.latest = next;
+		notifyAll();
+	}
+
+	/**
+	 * Wake all that wait, for a change that lies beside the replicated state.
+	 */
+	synchronized void touch() {
+		this.revision++;
+		notifyAll();
+	}
+
+	synchronized long revision() {
+		return this.revision;
+	}
+
+	synchronized void close() {
+		this.closed = true;
+		notifyAll();
+	}
+
+	/**
+	 * Wait until something is so.
+	 * @param condition what is waited for
+	 * @param millis the longest time
+	 * @return whether it is so
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	synchronized boolean await(Predicate<Published> condition, long millis) throws InterruptedException {
+		long deadline = System.nanoTime() + millis * 1_000_000;
+		while (!condition.test(this.latest) && !this.closed) {
+			long rest = (deadline - System.nanoTime()) / 1_000_000;
+			if (rest <= 0) {
+				return false;
+			}
+			wait(rest);
+		}
+		return condition.test(this.latest);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
@@ -0,0 +1,147 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.core.state.ClaimOutcome;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.codec.ReplicaCodec;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.protocol.generated.EntryStatus;
+import org.acaciacourse.protocol.generated.Result;
+
+/**
+ * The duties between control VMs that come every two seconds: fetch which entries poll
+ * the others, end the runs of entries that are silent everywhere, and, on a replica that
+ * is not listed, ask to join.
+ * <p>
+ * A run that is ended may be alive behind a cut; that is harmless. Its claims become
+ * unknown, never not run, so nobody sends such a request again, and the run may still
+ * complete them with its answer.
+ * <p>
+ * Thread safe.
+ */
+final class RegistryExchange implements AutoCloseable {
+
+	private static final long PERIOD_MILLIS = 2000;
+
+	private static final String RUN_END = "#";
+
+	private final ReplicaLoop loop;
+
+	private final Member self;
+
+	private final List<String> founders;
+
+	private final SharedKey key;
+
+	private final EntryRegistry registry;
+
+	private Optional<Ticker> ticker = Optional.empty();
+
+	private int lastCount;
+
+	private long leadingSince;
+
+	RegistryExchange(ReplicaLoop loop, Member self, List<String> founders, SharedKey key, EntryRegistry registry) {
+		this.loop = loop;
+		this.self = self;
+		this.founders = founders;
+		this.key = key;
+		this.registry = registry;
+	}
+
+	void start() {
+		this.ticker = Optional.of(new Ticker("registry-" + this.self.vm(), PERIOD_MILLIS, this::run));
+	}
+
+	private void run() {
+		joinIfNotListed();
+		fetch(false);
+		int count = this.registry.count(System.currentTimeMillis());
+		if (count != this.lastCount) {
+			this.lastCount = count;
+			this.loop.board().touch();
+		}
+		endSilentRuns(System.currentTimeMillis());
+	}
+
+	private void joinIfNotListed() {
+		Published published = this.loop.board().latest();
+		if (published.membership().member(this.self.id()).isPresent()) {
+			return;
+		}
+		for (String address : this.founders) {
+			if (!address.equals(this.self.address())) {
+				join(address);
+			}
+		}
+	}
+
+	private void join(String address) {
+		Optional<Result> answer = askToJoin(address);
+		answer.filter((result) -> result.isSetLeaderAddress() && !result.getLeaderAddress().equals(address))
+			.ifPresent((result) -> askToJoin(result.getLeaderAddress()));
+	}
+
+	private Optional<Result> askToJoin(String address) {
+		return PeerCalls.call(address, (c) -> c.replica().join(this.key.text(), ReplicaCodec.encode(this.self)));
+	}
+
+	private void fetch(boolean withReports) {
+		for (Member member : this.loop.board().latest().membership().members()) {
+			if (!member.id().equals(this.self.id())) {
+				PeerCalls.call(member.address(), (c) -> c.control().entries(this.key.text(), withReports))
+					.ifPresent((entries) -> this.registry.told(member.address(), entries, System.currentTimeMillis()));
+			}
+		}
+	}
+
+	/**
+	 * Fetch the entries of the others with their results and return all.
+	 * @return the live entries
+	 */
+	List<EntryStatus> liveWithReports() {
+		fetch(true);
+		return this.registry.live(System.currentTimeMillis());
+	}
+
+	private void endSilentRuns(long now) {
+		if (this.loop.board().latest().status().role() != Role.LEADER) {
+			this.leadingSince = 0;
+			return;
+		}
+		if (this.leadingSince == 0) {
+			this.leadingSince = now;
+		}
+		if (now - this.leadingSince < 2 * EntryRegistry.SILENT_MILLIS) {
+			// A new leader has not heard yet of all that are alive.
+			return;
+		}
+		Set<String> alive = this.registry.owners(now);
+		Replies.await(this.loop.query((state) -> silentRuns(state, alive, now)))
+			.forEach((runs) -> runs.forEach((run) -> this.loop.propose((state, at) -> new Command.EndOwner(at, run))));
+	}
+
+	private static Set<String> silentRuns(ControlState state, Set<String> alive, long now) {
+		return state.snapshot()
+			.claims()
+			.stream()
+			.filter((claim) -> claim.outcome() == ClaimOutcome.IN_PROGRESS)
+			.filter((claim) -> now - claim.changedAt() > EntryRegistry.SILENT_MILLIS)
+			.map((claim) -> claim.owner().split(RUN_END, 2)[0])
+			.filter((run) -> !alive.contains(run))
+			.collect(Collectors.toSet());
+	}
+
+	@Override
+	public void close() {
+		this.ticker.ifPresent(Ticker::close);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
@@ -0,0 +1,334 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.HardState;
+import org.acaciacourse.core.consensus.LogEntry;
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.MembershipManager;
+import org.acaciacourse.core.consensus.RecoveredLog;
+import org.acaciacourse.core.consensus.Replica;
+import org.acaciacourse.core.consensus.ReplicaActions;
+import org.acaciacourse.core.consensus.ReplicaMessage;
+import org.acaciacourse.core.consensus.ReplicaStatus;
+import org.acaciacourse.core.consensus.ReplicaTiming;
+import org.acaciacourse.core.consensus.Snapshot;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.codec.CommandCodec;
+import org.acaciacourse.daemon.codec.StateCodec;
+import org.acaciacourse.daemon.store.Recovered;
+import org.acaciacourse.daemon.store.ReplicaStore;
+import org.acaciacourse.daemon.store.StoreException;
+
+/**
+ * Joins the replica, its store and the state machine. Events are gathered, what they ask
+ * to persist is synced once, then the messages leave (group commit, DeWitt et al.,
+ * "Implementation Techniques for Main Memory Database Systems", 1984): the rate of
+ * commits is not bound by the rate of syncs.
+ * <p>
+ * Invariants: no message leaves before what was persisted before it is durable; each
+ * committed entry is applied once, in order; each proposal and read ends once.
+ * <p>
+ * Not thread safe: the replica's thread calls it.
+ */
+final class ReplicaDriver implements ReplicaActions {
+
+	private static final long MANAGE_NANOS = 100_000_000;
+
+	private static final long SNAPSHOT_BYTES = 16 << 20;
+
+	private final ReplicaStore store;
+
+	private final Replica replica;
+
+	private final MembershipManager manager = new MembershipManager();
+
+	private final Outbox outbox;
+
+	private final PublishedBoard board;
+
+	private final long snapshotEntries;
+
+	private final Map<Long, Proposal> proposals = new HashMap<>();
+
+	private final Map<Long, Long> proposedIndexes = new HashMap<>();
+
+	private final Map<Long, CompletableFuture<Long>> reads = new HashMap<>();
+
+	private ControlState state;
+
+	private long nextId = 1;
+
+	private long appliedIndex;
+
+	private long appliedTerm;
+
+	private long snapshotIndex;
+
+	private long bytesSinceSnapshot;
+
+	private Optional<LogEntry> lastAppended = Optional.empty();
+
+	private long managedAt;
+
+	ReplicaDriver(ReplicaStore store, String vm, ReplicaTiming timing, long snapshotEntries, Outbox outbox, long now) {
+		Recovered recovered = store.recovered();
+		this.store = store;
+		this.outbox = outbox;
+		this.snapshotEntries = snapshotEntries;
+		this.state = new ControlState();
+		recovered.snapshot().ifPresent(this::restore);
+		RecoveredLog log = new RecoveredLog(recovered.hardState(), recovered.snapshot(), recovered.entries());
+		this.replica = new Replica(store.identity(), vm, log, timing, store.identity().value(), this, now);
+		store.forgetRecovered();
+		this.managedAt = now;
+		this.board = new PublishedBoard(published());
+	}
+
+	PublishedBoard board() {
+		return this.board;
+	}
+
+	/**
+	 * Take an event.
+	 * @param event the event
+	 * @param now the time
+	 */
+	void take(LoopEvent event, long now) {
+		if (event instanceof LoopEvent.Received received) {
+			this.replica.receive(received.message(), now);
+		}
+		else if (event instanceof LoopEvent.Propose propose) {
+			propose(propose, now);
+		}
+		else if (event instanceof LoopEvent.Read read) {
+			read(read.index(), now);
+		}
+		else if (event instanceof LoopEvent.Query<?> query) {
+			query.run(this.state);
+		}
+		else if (event instanceof LoopEvent.Join join) {
+			join(join);
+		}
+		else if (event instanceof LoopEvent.Transfer) {
+			this.replica.transferLeadership(now);
+		}
+	}
+
+	private void propose(LoopEvent.Propose event, long now) {
+		if (!this.replica.isLeader()) {
+			event.result().completeExceptionally(notLeader());
+			return;
+		}
+		Command command = event.maker().make(this.state, System.currentTimeMillis());
+		long id = this.nextId++;
+		long index = this.replica.propose(id, CommandCodec.encode(command), now);
+		if (index < 0) {
+			event.result().completeExceptionally(notLeader());
+			return;
+		}
+		this.proposedIndexes.put(id, index);
+		this.proposals.put(index, new Proposal(id, event.result()));
+	}
+
+	private void read(CompletableFuture<Long> index, long now) {
+		if (!this.replica.isLeader()) {
+			index.completeExceptionally(notLeader());
+			return;
+		}
+		long id = this.nextId++;
+		this.reads.put(id, index);
+		this.replica.read(id, now);
+	}
+
+	private void join(LoopEvent.Join event) {
+		if (!this.replica.isLeader()) {
+			event.noted().completeExceptionally(notLeader());
+			return;
+		}
+		boolean listed = this.replica.membership().member(event.member().id()).isPresent();
+		event.noted().complete(listed || this.manager.join(event.member()));
+	}
+
+	private ControlException notLeader() {
+		Optional<String> address = this.replica.status()
+			.leader()
+			.filter((leader) -> !leader.id().equals(this.store.identity()))
+			.map(Member::address);
+		return new ControlException(ResultCode.NO_QUORUM, address);
+	}
+
+	/**
+	 * Let time pass, sync what was asked to be persisted, then let the messages leave.
+	 * @param now the time
+	 */
+	void step(long now) {
+		this.replica.tick(now);
+		manageMembership(now);
+		while (this.store.isDirty()) {
+			Optional<LogEntry> last = this.lastAppended;
+			this.lastAppended = Optional.empty();
+			this.store.sync();
+			last.ifPresent((entry) -> this.replica.durable(entry.index(), entry.term(), now));
+		}
+		this.outbox.flush();
+		if (isSnapshotDue()) {
+			snapshot();
+		}
+		Published next = published();
+		if (!next.equals(this.board.latest())) {
+			this.board.publish(next);
+		}
+	}
+
+	private void manageMembership(long now) {
+		if (!this.replica.isLeader() || now - this.managedAt < MANAGE_NANOS) {
+			return;
+		}
+		this.managedAt = now;
+		this.manager
+			.next(this.replica.membership(), this.replica.isMembershipCommitted(), this.replica.status().commitIndex(),
+					this.replica::matchIndex, (id) -> this.replica.isInContact(id, now))
+			.ifPresent((next) -> this.replica.changeMembership(this.nextId++, next, now));
+	}
+
+	private boolean isSnapshotDue() {
+		long entries = this.appliedIndex - this.snapshotIndex;
+		return entries >= this.snapshotEntries || (entries > 0 && this.bytesSinceSnapshot >= SNAPSHOT_BYTES);
+	}
+
+	private void snapshot() {
+		Snapshot snapshot = new Snapshot(this.appliedIndex, this.appliedTerm,
+				this.replica.membershipAt(this.appliedIndex), StateCodec.encode(this.state.snapshot()));
+		this.store.save(snapshot);
+		this.replica.compacted(snapshot);
+		this.snapshotIndex = this.appliedIndex;
+		this.bytesSinceSnapshot = 0;
+	}
+
+	private Published published() {
+		return new Published(this.replica.status(), this.replica.membership(), this.appliedIndex, this.state.number(),
+				this.state.digest(), this.state.statistics().crashRevision());
+	}
+
+	/**
+	 * End all that waits, when the loop ends.
+	 */
+	void abandon() {
+		ControlException unknown = new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty());
+		this.proposals.values().forEach((proposal) -> proposal.result().completeExceptionally(unknown));
+		this.reads.values().forEach((read) -> read.completeExceptionally(unknown));
+		this.board.close();
+	}
+
+	@Override
+	public void persist(HardState hardState) {
+		this.store.put(hardState);
+	}
+
+	@Override
+	public void append(List<LogEntry> entries) {
+		this.store.put(entries);
+		this.lastAppended = Optional.of(entries.get(entries.size() - 1));
+	}
+
+	@Override
+	public void install(Snapshot snapshot) {
+		this.store.install(snapshot);
+		this.lastAppended = Optional.empty();
+		restore(snapshot);
+	}
+
+	private void restore(Snapshot snapshot) {
+		this.state = StateCodec.decode(snapshot.state())
+			.map(ControlState::restore)
+			.getOrElseThrow((ex) -> new StoreException(ResultCode.LOG_DAMAGED, "snapshot cannot be decoded", ex));
+		this.appliedIndex = snapshot.index();
+		this.appliedTerm = snapshot.term();
+		this.snapshotIndex = snapshot.index();
+		this.bytesSinceSnapshot = 0;
+	}
+
+	@Override
+	public void send(Member to, ReplicaMessage message) {
+		this.outbox.add(to, message);
+	}
+
+	@Override
+	public void apply(LogEntry entry) {
+		this.appliedIndex = entry.index();
+		this.appliedTerm = entry.term();
+		this.bytesSinceSnapshot += entry.payload().length;
+		if (entry.kind() != LogEntry.Kind.COMMAND) {
+			return;
+		}
+		Command command = CommandCodec.decode(entry.payload())
+			.getOrElseThrow((ex) -> new StoreException(ResultCode.LOG_DAMAGED, "entry " + entry.index(), ex));
+		CommandResult result = this.state.apply(entry.index(), command);
+		Proposal proposal = this.proposals.remove(entry.index());
+		if (proposal != null) {
+			this.proposedIndexes.remove(proposal.id());
+			proposal.result().complete(result);
+		}
+	}
+
+	@Override
+	public void readReady(long readId, long index) {
+		CompletableFuture<Long> read = this.reads.remove(readId);
+		if (read != null) {
+			read.complete(index);
+		}
+	}
+
+	@Override
+	public void failed(long id) {
+		CompletableFuture<Long> read = this.reads.remove(id);
+		if (read != null) {
+			read.completeExceptionally(notLeader());
+		}
+		Long index = this.proposedIndexes.remove(id);
+		if (index != null) {
+			this.proposals.remove(index)
+				.result()
+				.completeExceptionally(new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
+		}
+	}
+
+	@Override
+	public void statusChanged(ReplicaStatus status) {
+		if (status.role() != ReplicaStatus.Role.LEADER) {
+			this.manager.leadershipLost();
+		}
+	}
+
+	/**
+	 * Gathers messages until they may leave.
+	 */
+	interface Outbox {
+
+		/**
+		 * Add a message.
+		 * @param to the receiver
+		 * @param message the message
+		 */
+		void add(Member to, ReplicaMessage message);
+
+		/**
+		 * Let all messages leave.
+		 */
+		void flush();
+
+	}
+
+	/** A proposal that waits for its entry. */
+	private record Proposal(long id, CompletableFuture<CommandResult> result) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
@@ -0,0 +1,157 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.ReplicaMessage;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.store.StoreException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jctools.queues.MpscBlockingConsumerArrayQueue;
+
+/**
+ * The replica's thread with its bounded ring. The thread alone touches the replica, the
+ * state machine and the store. The first fault ends it: going on after a failed sync or a
+ * broken invariant could answer for what is lost.
+ * <p>
+ * Thread safe.
+ */
+final class ReplicaLoop {
+
+	private static final Logger LOGGER = LogManager.getLogger(ReplicaLoop.class);
+
+	private static final int RING = 16_384;
+
+	private static final int GATHER = 512;
+
+	private static final long TICK_MILLIS = 10;
+
+	private final MpscBlockingConsumerArrayQueue<LoopEvent> ring = new MpscBlockingConsumerArrayQueue<>(RING);
+
+	private final ReplicaDriver driver;
+
+	private final Consumer<ResultCode> onFault;
+
+	private final Thread thread;
+
+	private volatile boolean stopping;
+
+	ReplicaLoop(String name, ReplicaDriver driver, Consumer<ResultCode> onFault) {
+		this.driver = driver;
+		this.onFault = onFault;
+		this.thread = new Thread(this::run, name);
+		this.thread.setDaemon(true);
+	}
+
+	void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Stop and wait for the end of the thread.
+	 * @throws InterruptedException if the waiting thread is interrupted
+	 */
+	void stop() throws InterruptedException {
+		this.stopping = true;
+		this.thread.join();
+	}
+
+	PublishedBoard board() {
+		return this.driver.board();
+	}
+
+	void receive(ReplicaMessage message) {
+		// A full ring drops the message: the sender repeats what matters.
+		this.ring.offer(new LoopEvent.Received(message));
+	}
+
+	CompletableFuture<CommandResult> propose(LoopEvent.CommandMaker maker) {
+		CompletableFuture<CommandResult> result = new CompletableFuture<>();
+		return offer(new LoopEvent.Propose(maker, result), result);
+	}
+
+	CompletableFuture<Long> read() {
+		CompletableFuture<Long> index = new CompletableFuture<>();
+		return offer(new LoopEvent.Read(index), index);
+	}
+
+	<T> CompletableFuture<T> query(Function<ControlState, T> query) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		return offer(new LoopEvent.Query<>(query, result), result);
+	}
+
+	CompletableFuture<Boolean> join(Member member) {
+		CompletableFuture<Boolean> noted = new CompletableFuture<>();
+		return offer(new LoopEvent.Join(member, noted), noted);
+	}
+
+	void transferLeadership() {
+		this.ring.offer(new LoopEvent.Transfer());
+	}
+
+	private <T> CompletableFuture<T> offer(LoopEvent event, CompletableFuture<T> result) {
+		if (this.stopping || !this.ring.offer(event)) {
+			result.completeExceptionally(new ControlException(ResultCode.NO_QUORUM, Optional.empty()));
+		}
+		return result;
+	}
+
+	private void run() {
+		ResultCode end = ResultCode.OK;
+		try {
+			while (!this.stopping) {
+				gather();
+				this.driver.step(System.nanoTime());
+			}
+		}
+		catch (StoreException ex) {
+			LOGGER.fatal("the data folder failed, the replica stops", ex);
+			end = ex.code();
+		}
+		catch (InterruptedException | RuntimeException ex) {
+			LOGGER.fatal("unexpected fault, the replica stops", ex);
+			end = ResultCode.INTERNAL;
+		}
+		this.stopping = true;
+		this.driver.abandon();
+		this.ring.drain(ReplicaLoop::refuse);
+		if (end != ResultCode.OK) {
+			this.onFault.accept(end);
+		}
+	}
+
+	private static void refuse(LoopEvent event) {
+		ControlException stopped = new ControlException(ResultCode.NO_QUORUM, Optional.empty());
+		if (event instanceof LoopEvent.Propose propose) {
+			propose.result().completeExceptionally(stopped);
+		}
+		else if (event instanceof LoopEvent.Read read) {
+			read.index().completeExceptionally(stopped);
+		}
+		else if (event instanceof LoopEvent.Query<?> query) {
+			query.result().completeExceptionally(stopped);
+		}
+		else if (event instanceof LoopEvent.Join join) {
+			join.noted().completeExceptionally(stopped);
+		}
+	}
+
+	private void gather() throws InterruptedException {
+		LoopEvent event = this.ring.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
+		for (int count = 0; event != null && count < GATHER; count++) {
+			this.driver.take(event, System.nanoTime());
+			event = this.ring.poll();
+		}
+		if (event != null) {
+			this.driver.take(event, System.nanoTime());
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/StatusService.java
@@ -0,0 +1,57 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.List;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.core.state.ControlStateSnapshot.Lease;
+import org.acaciacourse.daemon.codec.ReplicaCodec;
+import org.acaciacourse.daemon.codec.StateCodec;
+import org.acaciacourse.protocol.generated.EntryStatus;
+import org.acaciacourse.protocol.generated.StatusReply;
+
+/**
+ * Tells operators the state of this replica and of all live entries.
+ * <p>
+ * Thread safe.
+ */
+final class StatusService {
+
+	/** Name of the lease of the writer of engine orders. */
+	static final String ORDERS_LEASE = "engine-orders";
+
+	private final ReplicaLoop loop;
+
+	private final Member self;
+
+	private final RegistryExchange exchange;
+
+	StatusService(ReplicaLoop loop, Member self, RegistryExchange exchange) {
+		this.loop = loop;
+		this.self = self;
+		this.exchange = exchange;
+	}
+
+	StatusReply status() {
+		List<EntryStatus> entries = this.exchange.liveWithReports();
+		return Replies.await(this.loop.query(this::ofState))
+			.fold((failure) -> new StatusReply().setResult(Replies.result(failure)), (reply) -> {
+				Published published = this.loop.board().latest();
+				reply.setResult(Replies.result(ResultCode.OK)).setVm(this.self.vm());
+				published.status().leader().ifPresent((leader) -> reply.getResult().setLeaderAddress(leader.address()));
+				reply.setRole(published.status().role().name()).setTerm(published.status().term());
+				reply.setCommitIndex(published.status().commitIndex());
+				return reply.setMembers(ReplicaCodec.encode(published.membership())).setEntries(entries);
+			});
+	}
+
+	private StatusReply ofState(ControlState state) {
+		StatusReply reply = new StatusReply();
+		reply.setNumber(state.number()).setDigest(state.digest()).setClaims(state.statistics().claims());
+		reply.setAudit(state.audit().stream().map(StateCodec::encode).toList());
+		reply.setLeaseHolder(state.lease(ORDERS_LEASE).map(Lease::holder).orElse(""));
+		return reply.setFencingNumber(state.statistics().fencingNumber());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/Ticker.java
@@ -0,0 +1,59 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A thread for one duty that comes again and again. A fault of one round is logged and
+ * the next round runs.
+ * <p>
+ * Thread safe.
+ */
+final class Ticker implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(Ticker.class);
+
+	private final CountDownLatch closed = new CountDownLatch(1);
+
+	private final long millis;
+
+	private final Runnable duty;
+
+	Ticker(String name, long millis, Runnable duty) {
+		this.millis = millis;
+		this.duty = duty;
+		Thread thread = new Thread(this::run, name);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private void run() {
+		try {
+			do {
+				runOnce();
+			}
+			while (!this.closed.await(this.millis, TimeUnit.MILLISECONDS));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void runOnce() {
+		try {
+			this.duty.run();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.warn("a periodic duty failed", ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed.countDown();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/inner/InnerServer.java
@@ -0,0 +1,113 @@
+package org.acaciacourse.daemon.inner;
+
+import java.net.ServerSocket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.acaciacourse.daemon.codec.ThriftBytes;
+import org.acaciacourse.protocol.generated.ControlService;
+import org.acaciacourse.protocol.generated.ReplicaService;
+import org.apache.thrift.TMultiplexedProcessor;
+import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.transport.TServerSocket;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+
+/**
+ * The server of the inner protocol on a control VM: a thread for each connection, at most
+ * {@value #MAX_CONNECTIONS}, which is what 380 entries that poll need three times over. A
+ * connection that stays silent is closed after {@value #IDLE_MILLIS} ms, so that dead
+ * peers do not hold threads.
+ * <p>
+ * Thread safe.
+ */
+public final class InnerServer implements AutoCloseable {
+
+	private static final int MAX_CONNECTIONS = 1200;
+
+	private static final int IDLE_MILLIS = 60_000;
+
+	private static final long STACK_BYTES = 256 * 1024;
+
+	private final TrackingServerSocket socket;
+
+	private final TThreadPoolServer server;
+
+	private final Thread acceptor;
+
+	/**
+	 * Make a server.
+	 * @param listener the bound socket
+	 * @param replica serves the replicas
+	 * @param control serves entries and operators
+	 * @throws TTransportException if the socket can't be used
+	 */
+	public InnerServer(ServerSocket listener, ReplicaService.Iface replica, ControlService.Iface control)
+			throws TTransportException {
+		this.socket = new TrackingServerSocket(listener);
+		TMultiplexedProcessor processor = new TMultiplexedProcessor();
+		processor.registerProcessor(InnerConnection.REPLICA, new ReplicaService.Processor<>(replica));
+		processor.registerProcessor(InnerConnection.CONTROL, new ControlService.Processor<>(control));
+		String name = "inner-" + listener.getLocalPort();
+		TThreadPoolServer.Args args = new TThreadPoolServer.Args(this.socket).processor(processor)
+			.protocolFactory(ThriftBytes.protocol())
+			.transportFactory(new TFramedTransport.Factory(ThriftBytes.MAX_BYTES))
+			.executorService(executor(name))
+			.stopTimeoutVal(1);
+		this.server = new TThreadPoolServer(args);
+		this.acceptor = new Thread(this.server::serve, name + "-accept");
+		this.acceptor.setDaemon(true);
+	}
+
+	private static ThreadPoolExecutor executor(String name) {
+		AtomicInteger number = new AtomicInteger();
+		return new ThreadPoolExecutor(4, MAX_CONNECTIONS, 10, TimeUnit.SECONDS, new SynchronousQueue<>(), (task) -> {
+			Thread thread = new Thread(null, task, name + "-" + number.incrementAndGet(), STACK_BYTES);
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Begin to serve.
+	 */
+	public void start() {
+		this.acceptor.start();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+		this.socket.closeAll();
+	}
+
+	/** Remembers its connections: a stopped server's threads would go on serving them. */
+	private static final class TrackingServerSocket extends TServerSocket {
+
+		private final Set<TSocket> open = ConcurrentHashMap.newKeySet();
+
+		private TrackingServerSocket(ServerSocket listener) throws TTransportException {
+			super(new ServerSocketTransportArgs().serverSocket(listener).clientTimeout(IDLE_MILLIS));
+		}
+
+		@Override
+		public TSocket accept() throws TTransportException {
+			TSocket accepted = super.accept();
+			this.open.removeIf((socket) -> !socket.isOpen());
+			this.open.add(accepted);
+			return accepted;
+		}
+
+		private void closeAll() {
+			close();
+			this.open.forEach(TSocket::close);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -0,0 +1,143 @@
+package org.acaciacourse.daemon.link;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.dispatch.EndpointStatus;
+import org.acaciacourse.core.ini.Problem;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.manifest.ManifestParser;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.daemon.codec.ManifestCodec;
+import org.acaciacourse.protocol.generated.EndpointNotice;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * What an entry VM knows of the configuration, from the answers to its polls.
+ * <p>
+ * Invariants: the number only grows; a document is taken only if its digest is the one
+ * that goes with its number, so that a delta that met another base is found out and the
+ * whole document is asked for.
+ * <p>
+ * Not thread safe: the thread that polls calls it.
+ */
+final class ConfigurationFollower {
+
+	private static final Logger LOGGER = LogManager.getLogger(ConfigurationFollower.class);
+
+	private final ControlLink.Listener listener;
+
+	private final Map<String, EndpointStatus> statuses = new HashMap<>();
+
+	private ManifestDocument document = ManifestDocument.empty();
+
+	private long number;
+
+	private String digest = ManifestDocument.empty().digest();
+
+	private boolean wholeNeeded;
+
+	private long crashRevision;
+
+	private int entryCount;
+
+	ConfigurationFollower(ControlLink.Listener listener) {
+		this.listener = listener;
+	}
+
+	long number() {
+		return this.number;
+	}
+
+	/**
+	 * Return the digest to poll with.
+	 * @return the digest in force, empty if the whole document is needed
+	 */
+	String digest() {
+		return (this.wholeNeeded) ? "" : this.digest;
+	}
+
+	long crashRevision() {
+		return this.crashRevision;
+	}
+
+	/**
+	 * Take an answer.
+	 * @param reply a good answer to a poll
+	 * @return whether what is in force here is at least as new as the answer
+	 */
+	boolean take(PollReply reply) {
+		if (reply.getNumber() > this.number) {
+			takeDocument(reply);
+		}
+		takeCrashes(reply);
+		takeNotices(reply.getNotices());
+		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
+			this.entryCount = reply.getEntryCount();
+			this.listener.entryCount(this.entryCount);
+		}
+		return this.number >= reply.getNumber();
+	}
+
+	private void takeDocument(PollReply reply) {
+		Optional<ManifestDocument> next = documentOf(reply).filter((d) -> d.digest().equals(reply.getDigest()));
+		if (next.isEmpty()) {
+			LOGGER.warn("the change to manifest {} does not fit, the whole is asked for", reply.getNumber());
+			this.wholeNeeded = true;
+			return;
+		}
+		Either<List<Problem>, Manifest> manifest = ManifestParser.manifest(next.get());
+		if (manifest.isLeft()) {
+			LOGGER.error("manifest {} cannot be used by this version, the one before stays in force: {}",
+					reply.getNumber(), manifest.getLeft());
+			return;
+		}
+		this.document = next.get();
+		this.number = reply.getNumber();
+		this.digest = reply.getDigest();
+		this.wholeNeeded = false;
+		this.listener.manifest(manifest.get());
+	}
+
+	private Optional<ManifestDocument> documentOf(PollReply reply) {
+		if (reply.isSetSnapshot()) {
+			return Optional.of(ManifestCodec.decode(reply.getSnapshot()));
+		}
+		if (reply.isSetDelta() && reply.getBaseDigest().equals(this.digest)) {
+			return Optional.of(this.document.with(ManifestCodec.decode(reply.getDelta())));
+		}
+		return Optional.empty();
+	}
+
+	private void takeCrashes(PollReply reply) {
+		reply.getCrashes().forEach((crash) -> this.listener.crash(crash.getContentHash(), crash.getCrashes()));
+		this.crashRevision = Math.max(this.crashRevision, reply.getCrashRevision());
+	}
+
+	private void takeNotices(List<EndpointNotice> notices) {
+		Map<String, EndpointStatus> next = new HashMap<>();
+		for (EndpointNotice notice : notices) {
+			if (notice.getStatus() >= 0 && notice.getStatus() < EndpointStatus.values().length) {
+				next.put(notice.getEndpoint(), EndpointStatus.values()[notice.getStatus()]);
+			}
+		}
+		Set<String> names = new HashSet<>(this.statuses.keySet());
+		names.addAll(next.keySet());
+		for (String name : names) {
+			EndpointStatus now = next.getOrDefault(name, EndpointStatus.LIVE);
+			if (now != this.statuses.getOrDefault(name, EndpointStatus.LIVE)) {
+				this.listener.endpointStatus(name, now);
+			}
+		}
+		this.statuses.clear();
+		this.statuses.putAll(next);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -0,0 +1,161 @@
+package org.acaciacourse.daemon.link;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.protocol.generated.ClassReport;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.acaciacourse.protocol.generated.PollRequest;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.thrift.TException;
+
+/**
+ * The thread that polls a control VM, any of them, for the configuration. Until a
+ * linearizable read has told what is the latest it asks for one; after that it waits for
+ * changes. A connection that is silent for longer than a poll may take is replaced by one
+ * to the next VM.
+ * <p>
+ * Thread safe.
+ */
+final class ConfigurationPoller implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(ConfigurationPoller.class);
+
+	private static final long WAIT_MILLIS = 2000;
+
+	private static final Duration TIMEOUT = Duration.ofMillis(WAIT_MILLIS + 1500);
+
+	private static final long PAUSE_MILLIS = 200;
+
+	private final LinkOptions options;
+
+	private final String run;
+
+	private final ConfigurationFollower follower;
+
+	private final ControlLink.Listener listener;
+
+	private final Supplier<List<ClassReport>> reports;
+
+	private final CountDownLatch closed = new CountDownLatch(1);
+
+	private final Thread thread;
+
+	private Optional<InnerConnection> connection = Optional.empty();
+
+	private int next;
+
+	private boolean latestKnown;
+
+	private volatile boolean leaving;
+
+	ConfigurationPoller(LinkOptions options, String run, ControlLink.Listener listener,
+			Supplier<List<ClassReport>> reports) {
+		this.options = options;
+		this.run = run;
+		this.listener = listener;
+		this.reports = reports;
+		this.follower = new ConfigurationFollower(listener);
+		this.next = Math.floorMod(options.vm().hashCode(), options.controls().size());
+		this.thread = new Thread(this::run, "control-poll-" + options.vm());
+		this.thread.setDaemon(true);
+	}
+
+	void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Tell control at once that this VM is leaving, beside the poll that waits.
+	 */
+	void leaving() {
+		this.leaving = true;
+		Thread teller = new Thread(this::tellLeaving, "control-leaving");
+		teller.setDaemon(true);
+		teller.start();
+	}
+
+	private void tellLeaving() {
+		for (String address : this.options.controls()) {
+			try (InnerConnection direct = InnerConnection.open(address, TIMEOUT)) {
+				PollRequest request = new PollRequest(this.options.vm(), this.run, this.options.dataCentre(), 0, "", 0,
+						0, List.of(), false, true);
+				direct.control().poll(this.options.key().text(), request);
+				return;
+			}
+			catch (TException | RuntimeException ex) {
+				LOGGER.debug("control VM {} cannot be told of the stop", address, ex);
+			}
+		}
+	}
+
+	private void run() {
+		try {
+			while (this.closed.getCount() > 0) {
+				if (!pollOnce()) {
+					disconnect();
+					this.next = (this.next + 1) % this.options.controls().size();
+					this.closed.await(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		disconnect();
+	}
+
+	private boolean pollOnce() throws InterruptedException {
+		try {
+			if (this.connection.isEmpty()) {
+				this.connection = Optional.of(InnerConnection.open(this.options.controls().get(this.next), TIMEOUT));
+			}
+			boolean latest = !this.latestKnown;
+			PollReply reply = this.connection.get().control().poll(this.options.key().text(), request(latest));
+			if (reply.getResult().getCode() != ResultCode.OK.number()) {
+				return false;
+			}
+			boolean current = this.follower.take(reply);
+			noteLatest(latest && current && reply.getNumber() > 0);
+			if (!this.latestKnown) {
+				this.closed.await(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			return true;
+		}
+		catch (TException | RuntimeException ex) {
+			LOGGER.debug("poll failed", ex);
+			return false;
+		}
+	}
+
+	private PollRequest request(boolean latest) {
+		return new PollRequest(this.options.vm(), this.run, this.options.dataCentre(), this.follower.number(),
+				this.follower.digest(), this.follower.crashRevision(), WAIT_MILLIS, this.reports.get(), latest,
+				this.leaving);
+	}
+
+	private void noteLatest(boolean known) {
+		if (known && !this.latestKnown) {
+			this.latestKnown = true;
+			this.listener.upToDate();
+		}
+	}
+
+	private void disconnect() {
+		this.connection.ifPresent(InnerConnection::close);
+		this.connection = Optional.empty();
+	}
+
+	@Override
+	public void close() {
+		this.closed.countDown();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/LeaderCalls.java
@@ -0,0 +1,78 @@
+package org.acaciacourse.daemon.link;
+
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.stream.IntStream;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A few threads that call the leader, behind one bounded ring. Each thread has its own
+ * connection, so that calls under way at the same time are committed together.
+ * <p>
+ * Thread safe.
+ */
+final class LeaderCalls implements AutoCloseable {
+
+	private static final Logger LOGGER = LogManager.getLogger(LeaderCalls.class);
+
+	private static final int RING = 4096;
+
+	private final BlockingQueue<Task> ring = new ArrayBlockingQueue<>(RING);
+
+	private final List<Thread> threads;
+
+	LeaderCalls(String name, List<String> addresses, int count) {
+		this.threads = IntStream.range(0, count).mapToObj((i) -> {
+			Thread thread = new Thread(() -> run(addresses), name + "-" + i);
+			thread.setDaemon(true);
+			thread.start();
+			return thread;
+		}).toList();
+	}
+
+	/**
+	 * Hand a task to a thread.
+	 * @param task the task
+	 * @return whether there was room for it
+	 */
+	boolean submit(Task task) {
+		return this.ring.offer(task);
+	}
+
+	private void run(List<String> addresses) {
+		try (LeaderCaller caller = new LeaderCaller(addresses)) {
+			while (!Thread.currentThread().isInterrupted()) {
+				runOne(this.ring.take(), caller);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static void runOne(Task task, LeaderCaller caller) throws InterruptedException {
+		try {
+			task.run(caller);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("a call to control failed unexpectedly", ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.threads.forEach(Thread::interrupt);
+	}
+
+	/** A task that calls the leader. */
+	@FunctionalInterface
+	interface Task {
+
+		void run(LeaderCaller caller) throws InterruptedException;
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/LinkOptions.java
@@ -0,0 +1,43 @@
+package org.acaciacourse.daemon.link;
+
+import java.util.List;
+
+import org.acaciacourse.core.settings.SettingKey;
+import org.acaciacourse.core.settings.Settings;
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.daemon.inner.SharedKey;
+
+/**
+ * What a link to control is made with.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param vm the name of the VM
+ * @param dataCentre its data centre
+ * @param controls the addresses of the control VMs, at least one
+ * @param key the key of the inner connections
+ */
+public record LinkOptions(String vm, String dataCentre, List<String> controls, SharedKey key) {
+
+	public LinkOptions {
+		controls = List.copyOf(controls);
+		if (controls.isEmpty()) {
+			throw new IllegalArgumentException("controls must not be empty");
+		}
+	}
+
+	/**
+	 * Read the options from settings.
+	 * @param settings checked settings with the sections vm, inner and entry
+	 * @return the options
+	 */
+	public static LinkOptions of(Settings settings) {
+		List<String> controls = settings.addresses(SettingKey.ENTRY_CONTROLS)
+			.stream()
+			.map(InnerConnection::format)
+			.toList();
+		return new LinkOptions(settings.text(SettingKey.VM_NAME), settings.text(SettingKey.VM_DATA_CENTRE), controls,
+				new SharedKey(settings.text(SettingKey.INNER_KEY)));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -0,0 +1,179 @@
+package org.acaciacourse.daemon.link;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.state.ClaimKey;
+import org.acaciacourse.core.state.ClaimOutcome;
+import org.acaciacourse.daemon.codec.CommandCodec;
+import org.acaciacourse.protocol.generated.ClaimCommand;
+import org.acaciacourse.protocol.generated.ClaimReply;
+import org.acaciacourse.protocol.generated.ClassReport;
+import org.acaciacourse.protocol.generated.CompleteClaimCommand;
+import org.acaciacourse.protocol.generated.ReportCrashCommand;
+import org.acaciacourse.protocol.generated.TraceContext;
+
+/**
+ * The link over Thrift. One thread follows the configuration; claims and completions have
+ * threads of their own behind bounded rings, so that completions that wait for a quorum
+ * do not hold up the refusal of claims.
+ * <p>
+ * Each claim has an owner of its own: the run of this process and a number. A resend of
+ * the same claim is told by that from the claim of a later request.
+ * <p>
+ * Thread safe.
+ */
+public final class ThriftControlLink implements ControlLink {
+
+	private static final Duration CLAIM_LIMIT = Duration.ofSeconds(4);
+
+	private static final Duration COMPLETE_ROUND = Duration.ofSeconds(4);
+
+	private static final int CLAIM_THREADS = 4;
+
+	private static final int COMPLETE_THREADS = 2;
+
+	private final LinkOptions options;
+
+	private final String run;
+
+	private final AtomicLong claimNumber = new AtomicLong();
+
+	private final Map<ClaimKey, String> owners = new ConcurrentHashMap<>();
+
+	private final LeaderCalls claims;
+
+	private final LeaderCalls completions;
+
+	private Optional<ConfigurationPoller> poller = Optional.empty();
+
+	/**
+	 * Make a link.
+	 * @param options what it is made with
+	 */
+	public ThriftControlLink(LinkOptions options) {
+		this.options = options;
+		byte[] random = new byte[8];
+		new SecureRandom().nextBytes(random);
+		this.run = options.vm() + "/" + HexFormat.of().formatHex(random);
+		this.claims = new LeaderCalls("control-claim", options.controls(), CLAIM_THREADS);
+		this.completions = new LeaderCalls("control-complete", options.controls(), COMPLETE_THREADS);
+	}
+
+	@Override
+	public synchronized void start(Listener listener, Supplier<List<ClassReport>> reports) {
+		this.poller = Optional.of(new ConfigurationPoller(this.options, this.run, listener, reports));
+		this.poller.get().start();
+	}
+
+	@Override
+	public synchronized void leaving() {
+		this.poller.ifPresent(ConfigurationPoller::leaving);
+	}
+
+	@Override
+	public CompletionStage<ClaimResult> claim(ClaimKey key, String contentHash, String traceparent) {
+		String owner = this.run + "#" + this.claimNumber.incrementAndGet();
+		ClaimCommand command = new ClaimCommand(key.customer(), key.idempotencyKey(), contentHash, owner);
+		TraceContext trace = new TraceContext(traceparent);
+		CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+		result.completeOnTimeout(unavailable(), CLAIM_LIMIT.toMillis() + 500, TimeUnit.MILLISECONDS);
+		boolean taken = this.claims.submit((caller) -> {
+			if (result.isDone()) {
+				return;
+			}
+			Optional<ClaimReply> reply = caller.call((c) -> c.claim(this.options.key().text(), command, trace),
+					ClaimReply::getResult, CLAIM_LIMIT);
+			finish(key, owner, reply.map(ThriftControlLink::claimResult).orElse(unavailable()), result);
+		});
+		if (!taken) {
+			result.complete(unavailable());
+		}
+		return result;
+	}
+
+	private void finish(ClaimKey key, String owner, ClaimResult claim, CompletableFuture<ClaimResult> result) {
+		if (claim.granted()) {
+			this.owners.put(key, owner);
+		}
+		boolean told = result.complete(claim);
+		boolean unknown = claim.code() == ResultCode.CLAIM_UNAVAILABLE;
+		if (unknown || (claim.granted() && !told)) {
+			// The claim may be committed, but its request will not be sent: without this
+			// the
+			// key would stay in progress and refuse the caller's own repeat.
+			complete(key, owner, ClaimOutcome.NOT_RUN, new byte[0]);
+		}
+	}
+
+	private static ClaimResult claimResult(ClaimReply reply) {
+		ResultCode code = ResultCode.ofNumber(reply.getResult().getCode()).orElse(ResultCode.INTERNAL);
+		if (code == ResultCode.NO_QUORUM || code == ResultCode.OUTCOME_UNKNOWN) {
+			return unavailable();
+		}
+		Optional<byte[]> answer = (reply.isSetAnswer()) ? Optional.of(reply.getAnswer()) : Optional.empty();
+		return new ClaimResult(reply.isGranted(), code, CommandCodec.outcome(reply.getOutcome()), answer);
+	}
+
+	private static ClaimResult unavailable() {
+		return new ClaimResult(false, ResultCode.CLAIM_UNAVAILABLE, ClaimOutcome.NOT_RUN, Optional.empty());
+	}
+
+	@Override
+	public CompletionStage<ResultCode> complete(ClaimKey key, ClaimOutcome outcome, byte[] answer) {
+		String owner = this.owners.remove(key);
+		if (owner == null) {
+			return CompletableFuture.completedFuture(ResultCode.FENCED);
+		}
+		return complete(key, owner, outcome, answer);
+	}
+
+	private CompletionStage<ResultCode> complete(ClaimKey key, String owner, ClaimOutcome outcome, byte[] answer) {
+		CompleteClaimCommand command = new CompleteClaimCommand();
+		command.setCustomer(key.customer()).setIdempotencyKey(key.idempotencyKey()).setOwner(owner);
+		command.setOutcome(outcome.ordinal()).setAnswer(answer);
+		CompletableFuture<ResultCode> result = new CompletableFuture<>();
+		TraceContext trace = new TraceContext("");
+		boolean taken = this.completions.submit((caller) -> {
+			ResultCode code = ResultCode.NO_QUORUM;
+			while (code == ResultCode.NO_QUORUM || code == ResultCode.OUTCOME_UNKNOWN) {
+				code = caller
+					.call((c) -> c.completeClaim(this.options.key().text(), command, trace), ClaimReply::getResult,
+							COMPLETE_ROUND)
+					.flatMap((reply) -> ResultCode.ofNumber(reply.getResult().getCode()))
+					.orElse(ResultCode.NO_QUORUM);
+			}
+			result.complete(code);
+		});
+		if (!taken) {
+			result.complete(ResultCode.CLAIM_UNAVAILABLE);
+		}
+		return result;
+	}
+
+	@Override
+	public void reportCrash(long contentHash, int crashes) {
+		ReportCrashCommand command = new ReportCrashCommand(contentHash, crashes);
+		this.completions.submit((caller) -> caller.call((c) -> c.reportCrash(this.options.key().text(), command),
+				(result) -> result, COMPLETE_ROUND));
+	}
+
+	@Override
+	public synchronized void close() {
+		this.poller.ifPresent(ConfigurationPoller::close);
+		this.claims.close();
+		this.completions.close();
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/store/ReplicaStore.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/store/ReplicaStore.java
@@ -284,6 +284,28 @@
 		});
 	}
 
+	/**
+	 * Make the first entry of a new log durable in a fresh folder.
+	 * @param state the hard state with it
+	 * @param first the entry
+	 */
+	public void found(HardState state, LogEntry first) {
+		if (!this.recovered.isFresh()) {
+			throw new IllegalStateException("the folder holds a log already");
+		}
+		put(state);
+		put(List.of(first));
+		sync();
+		this.recovered = new Recovered(state, Optional.empty(), List.of(first));
+	}
+
+	/**
+	 * Let go of what the folder held when it was opened, once the replica has it.
+	 */
+	public void forgetRecovered() {
+		this.recovered = new Recovered(this.hardState, Optional.empty(), List.of());
+	}
+
 	private void writeSnapshot(Snapshot snapshot) throws IOException {
 		String name = String.format(Locale.ROOT, SNAPSHOT + "%016x", snapshot.index());
 		replace(name, StoreRecord.snapshot(ReplicaCodec.encode(snapshot)));
--- /dev/null
+++ b/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -0,0 +1,1 @@
+org.acaciacourse.daemon.control.ControlCommand
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -0,0 +1,198 @@
+package org.acaciacourse.daemon.control;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.ReplicaTiming;
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.link.LeaderCaller;
+import org.acaciacourse.daemon.link.LinkOptions;
+import org.acaciacourse.protocol.generated.ApplyReply;
+import org.acaciacourse.protocol.generated.ApplyRequest;
+import org.acaciacourse.protocol.generated.StatusReply;
+import org.acaciacourse.protocol.generated.TraceContext;
+import org.apache.thrift.TException;
+
+/**
+ * Control daemons in this JVM over loopback.
+ */
+public final class ControlCluster implements AutoCloseable {
+
+	private static final SharedKey INNER = new SharedKey("inner-key-of-the-tests");
+
+	private static final SharedKey OPERATOR = new SharedKey("operator");
+
+	private static final long POLL_NANOS = Duration.ofMillis(5).toNanos();
+
+	private static final long WAIT_NANOS = Duration.ofSeconds(60).toNanos();
+
+	private final Path folder;
+
+	private final List<String> addresses;
+
+	private final ControlDaemon[] daemons;
+
+	private long snapshotEntries = ControlOptions.SNAPSHOT_ENTRIES;
+
+	private Optional<String> platformList = Optional.empty();
+
+	public ControlCluster(Path folder, int size) throws IOException {
+		this.folder = folder;
+		this.addresses = freeAddresses(size);
+		this.daemons = new ControlDaemon[size];
+	}
+
+	private static List<String> freeAddresses(int count) throws IOException {
+		List<ServerSocket> sockets = new ArrayList<>();
+		List<String> found = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+			sockets.add(socket);
+			found.add("127.0.0.1:" + socket.getLocalPort());
+		}
+		for (ServerSocket socket : sockets) {
+			socket.close();
+		}
+		return found;
+	}
+
+	ControlCluster snapshotEntries(long entries) {
+		this.snapshotEntries = entries;
+		return this;
+	}
+
+	ControlCluster platformList(Path file) {
+		this.platformList = Optional.of(file.toString());
+		return this;
+	}
+
+	ControlDaemon start(int i) {
+		ReplicaTiming timing = new ReplicaTiming(Duration.ofMillis(50).toNanos(), Duration.ofMillis(500).toNanos(),
+				256 * 1024, 4 * 1024 * 1024);
+		ControlOptions options = new ControlOptions("control-" + i, this.addresses.get(i), "127.0.0.1:0",
+				this.addresses, data(i), INNER, OPERATOR, this.platformList, timing, this.snapshotEntries);
+		this.daemons[i] = new ControlDaemon(options);
+		ResultCode code = this.daemons[i].start();
+		if (code != ResultCode.OK) {
+			throw new IllegalStateException("start ended with " + code);
+		}
+		return this.daemons[i];
+	}
+
+	public ControlCluster startAll() {
+		for (int i = 0; i < this.daemons.length; i++) {
+			start(i);
+		}
+		awaitReady();
+		return this;
+	}
+
+	Path data(int i) {
+		return this.folder.resolve("control-" + i);
+	}
+
+	void awaitReady() {
+		for (int i = 0; i < this.daemons.length; i++) {
+			ControlDaemon daemon = this.daemons[i];
+			if (daemon != null) {
+				await("replica ready", daemon::isReady);
+			}
+		}
+	}
+
+	void stop(int i) {
+		this.daemons[i].stop();
+		this.daemons[i] = null;
+	}
+
+	/** Stop without the hand-over, as far as that goes within one process. */
+	void kill(int i) {
+		this.daemons[i].abort();
+		this.daemons[i] = null;
+	}
+
+	int leader() {
+		await("a leader", () -> indexOfLeader() >= 0);
+		return indexOfLeader();
+	}
+
+	private int indexOfLeader() {
+		for (int i = 0; i < this.daemons.length; i++) {
+			if (this.daemons[i] != null && this.daemons[i].isLeader()) {
+				return i;
+			}
+		}
+		return -1;
+	}
+
+	public LinkOptions link(String vm) {
+		return new LinkOptions(vm, "accra-a", this.addresses, INNER);
+	}
+
+	public ApplyReply apply(Map<String, Map<String, String>> sections) throws InterruptedException {
+		ApplyRequest request = new ApplyRequest(OPERATOR.text(), "pipeline", sections, new TraceContext(""));
+		try (LeaderCaller caller = new LeaderCaller(this.addresses)) {
+			return caller.call((c) -> c.apply(request), ApplyReply::getResult, Duration.ofSeconds(30)).orElseThrow();
+		}
+	}
+
+	StatusReply status(int i) throws TException {
+		try (InnerConnection connection = InnerConnection.open(this.addresses.get(i), Duration.ofSeconds(10))) {
+			return connection.control().status(OPERATOR.text());
+		}
+	}
+
+	long number(int i) {
+		try {
+			return status(i).getNumber();
+		}
+		catch (TException ex) {
+			return -1;
+		}
+	}
+
+	static void await(String what, BooleanSupplier condition) {
+		long deadline = System.nanoTime() + WAIT_NANOS;
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > deadline) {
+				throw new AssertionError("waited in vain for " + what);
+			}
+			LockSupport.parkNanos(POLL_NANOS);
+		}
+	}
+
+	/** A small whole manifest. */
+	public static Map<String, Map<String, String>> manifest(long number, String className) {
+		Map<String, Map<String, String>> sections = new TreeMap<>();
+		sections.put("manifest", Map.of("number", Long.toString(number), "policy", "tiered"));
+		sections.put("policy tiered", Map.of("kind", "tiered"));
+		sections.put("endpoint-set draftmind", Map.of("kind", "model", "models", "draftmind-7b"));
+		sections.put("endpoint draftmind-1",
+				Map.of("set", "draftmind", "address", "http://127.0.0.1:9001", "data-centre", "accra-a"));
+		sections.put("class " + className,
+				Map.of("tier", "high", "target", "first-token 2 s", "deadline", "60 s", "endpoint-sets", "draftmind"));
+		return sections;
+	}
+
+	@Override
+	public void close() {
+		for (ControlDaemon daemon : this.daemons) {
+			if (daemon != null) {
+				daemon.abort();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
@@ -0,0 +1,203 @@
+package org.acaciacourse.daemon.control;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+import io.vavr.control.Try;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.protocol.generated.ApplyReply;
+import org.acaciacourse.protocol.generated.MemberRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ControlClusterTests {
+
+	@TempDir
+	private Path folder;
+
+	private static void assertOk(ApplyReply reply) {
+		assertThat(reply.getResult().getCode()).isEqualTo(ResultCode.OK.number());
+	}
+
+	private static void delete(Path folder) throws Exception {
+		try (Stream<Path> files = Files.walk(folder)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.delete(file);
+			}
+		}
+	}
+
+	@Nested
+	class OneReplica {
+
+		@Test
+		void commitsAndComesBackToTheLatestManifest() throws Exception {
+			try (ControlCluster cluster = new ControlCluster(ControlClusterTests.this.folder, 1)) {
+				cluster.startAll();
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+				assertOk(cluster.apply(ControlCluster.manifest(2, "standard")));
+				cluster.kill(0);
+				cluster.start(0);
+				cluster.awaitReady();
+				assertThat(cluster.status(0).getNumber()).isEqualTo(2);
+				assertThat(cluster.status(0).getAudit()).hasSize(2);
+			}
+		}
+
+	}
+
+	@Nested
+	class ThreeReplicas {
+
+		private ControlCluster cluster() throws Exception {
+			return new ControlCluster(ControlClusterTests.this.folder, 3);
+		}
+
+		@Test
+		void answerTheSameForAResendAndRefuseTheRest() throws Exception {
+			// An operator's answer is lost and the pipeline sends the manifest again; it
+			// gets the answer of the first time. Another manifest with the same number
+			// and
+			// one with a lower number are refused with what is in force.
+			try (ControlCluster cluster = cluster().startAll()) {
+				ApplyReply first = cluster.apply(ControlCluster.manifest(7, "urgent"));
+				assertOk(first);
+				assertThat(cluster.apply(ControlCluster.manifest(7, "urgent"))).isEqualTo(first);
+				ApplyReply other = cluster.apply(ControlCluster.manifest(7, "standard"));
+				assertThat(other.getResult().getCode()).isEqualTo(ResultCode.MANIFEST_CONFLICT.number());
+				assertThat(other.getDigest()).isEqualTo(first.getDigest());
+				ApplyReply lower = cluster.apply(ControlCluster.manifest(6, "standard"));
+				assertThat(lower.getResult().getCode()).isEqualTo(ResultCode.MANIFEST_OUTDATED.number());
+				assertThat(lower.getNumber()).isEqualTo(7);
+			}
+		}
+
+		@Test
+		void oneOfFourOperatorsWithEqualNumbersWins() throws Exception {
+			// Four operators hand in four manifests with the same number at once. Exactly
+			// one is accepted; the others are told which one, and every replica has it.
+			try (ControlCluster cluster = cluster().startAll()) {
+				List<CompletableFuture<ApplyReply>> replies = new ArrayList<>();
+				for (int i = 0; i < 4; i++) {
+					String name = "class-" + i;
+					replies.add(CompletableFuture
+						.supplyAsync(() -> Try.of(() -> cluster.apply(ControlCluster.manifest(9, name))).get()));
+				}
+				List<ApplyReply> all = replies.stream().map(CompletableFuture::join).toList();
+				assertThat(all.stream().filter((r) -> r.getResult().getCode() == 0).count()).isEqualTo(1);
+				assertThat(all.stream().map(ApplyReply::getDigest).distinct().count()).isEqualTo(1);
+				for (int i = 0; i < 3; i++) {
+					int replica = i;
+					ControlCluster.await("number 9", () -> cluster.number(replica) == 9);
+					assertThat(cluster.status(i).getDigest()).isEqualTo(all.get(0).getDigest());
+				}
+			}
+		}
+
+		@Test
+		void goOnWhenTheLeaderDiesAndTakeItBack() throws Exception {
+			// The leader dies after it has answered. The next one has the manifest, takes
+			// further ones, and the dead one comes back to the latest.
+			try (ControlCluster cluster = cluster().startAll()) {
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+				int dead = cluster.leader();
+				cluster.kill(dead);
+				assertOk(cluster.apply(ControlCluster.manifest(2, "standard")));
+				assertThat(cluster.leader()).isNotEqualTo(dead);
+				cluster.start(dead);
+				ControlCluster.await("number 2 on the old leader", () -> cluster.number(dead) == 2);
+			}
+		}
+
+		@Test
+		void handTheLeadershipOverOnAStop() throws Exception {
+			try (ControlCluster cluster = cluster().startAll()) {
+				int old = cluster.leader();
+				long term = cluster.status(old).getTerm();
+				cluster.stop(old);
+				int next = cluster.leader();
+				assertThat(next).isNotEqualTo(old);
+				assertThat(cluster.status(next).getTerm()).isEqualTo(term + 1);
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+			}
+		}
+
+		@Test
+		void lostFolderRejoinsAsAnotherReplicaAndASecondFailureLosesNothing() throws Exception {
+			// A VM loses its disk and comes back empty under the same settings, which
+			// list
+			// it as a founder. It must not found again nor vote as the old one: it joins
+			// as
+			// a learner, is promoted, and the old identity goes. Then a second VM dies
+			// for
+			// good, and everything committed is still there.
+			try (ControlCluster cluster = cluster().startAll()) {
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+				int lost = (cluster.leader() + 1) % 3;
+				int second = (cluster.leader() + 2) % 3;
+				List<MemberRecord> before = cluster.status(cluster.leader()).getMembers();
+				cluster.kill(lost);
+				delete(cluster.data(lost));
+				assertOk(cluster.apply(ControlCluster.manifest(2, "standard")));
+				cluster.start(lost);
+				ControlCluster.await("the repair", () -> isRepaired(cluster, before));
+				cluster.kill(second);
+				assertOk(cluster.apply(ControlCluster.manifest(3, "overnight")));
+				cluster.kill(cluster.leader());
+				cluster.start(second);
+				ControlCluster.await("number 3 without the leader that took it", () -> cluster.number(lost) == 3);
+				ControlCluster.await("number 3 on the second", () -> cluster.number(second) == 3);
+			}
+		}
+
+		private boolean isRepaired(ControlCluster cluster, List<MemberRecord> before) {
+			List<MemberRecord> now = Try.of(() -> cluster.status(cluster.leader()).getMembers()).getOrElse(before);
+			return now.size() == 3 && now.stream().allMatch(MemberRecord::isVoter) && !now.equals(before);
+		}
+
+		@Test
+		void emptyReplicaDoesNotFoundWhileAnotherFounderIsSilent() throws Exception {
+			// One VM lost its disk, and of the others one is dead and one not up yet. An
+			// empty replica that founded now would bring the configuration back to
+			// nothing.
+			try (ControlCluster cluster = cluster().startAll()) {
+				assertOk(cluster.apply(ControlCluster.manifest(4, "urgent")));
+				int lost = cluster.leader();
+				for (int i = 0; i < 3; i++) {
+					cluster.kill(i);
+				}
+				delete(cluster.data(lost));
+				ControlDaemon empty = cluster.start(lost);
+				assertThat(empty.isReady()).isFalse();
+				int other = (lost + 1) % 3;
+				cluster.start(other);
+				cluster.start((lost + 2) % 3);
+				ControlCluster.await("number 4 on the empty one", () -> cluster.number(lost) == 4);
+			}
+		}
+
+		@Test
+		void laggingReplicaCatchesUpFromASnapshot() throws Exception {
+			try (ControlCluster cluster = cluster().snapshotEntries(20)) {
+				cluster.startAll();
+				int away = (cluster.leader() + 1) % 3;
+				cluster.kill(away);
+				for (int i = 1; i <= 60; i++) {
+					assertOk(cluster.apply(ControlCluster.manifest(i, "class-" + i)));
+				}
+				cluster.start(away);
+				ControlCluster.await("number 60", () -> cluster.number(away) == 60);
+			}
+		}
+
+	}
+
+}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -333,6 +333,12 @@
   5: i64 lastSeenMillis,
   6: bool leaving,
   7: list<ClassReport> reports,
+  8: string owner,
+}
+
+struct ReadIndexReply {
+  1: Result result,
+  2: i64 index,
 }
 
 struct StatusReply {
@@ -356,15 +362,13 @@
   1: MemberRecord member,
   /* Whether it holds a log; an empty one takes part in founding. */
   2: bool founded,
-  /* The founding members, if it was founded with them. */
-  3: list<MemberRecord> founders,
-  4: optional string leaderAddress,
+  3: optional string leaderAddress,
 }
 
 /* Between control replicas. */
 service ReplicaService {
   /* Returns once the messages are taken in, so that a silent connection shows as a timeout. */
-  void deliver(1: string sharedKey, 2: list<ReplicaEnvelope> messages),
+  void deliver(1: string sharedKey, 2: list<ReplicaEnvelope> messages, 3: string senderAddress),
   /* An empty replica asks to join as a learner; the answer's detail is empty on success. */
   Result join(1: string sharedKey, 2: MemberRecord member),
   PeerDescription describe(1: string sharedKey),
@@ -380,4 +384,8 @@
   LeaseReply acquireLease(1: string sharedKey, 2: AcquireLeaseCommand command),
   LeaseReply releaseLease(1: string sharedKey, 2: ReleaseLeaseCommand command),
   StatusReply status(1: string operatorKey),
+  /* Asks the leader up to which entry a linearizable read has to wait. */
+  ReadIndexReply readIndex(1: string sharedKey),
+  /* The entries that poll here, for the other control VMs. */
+  list<EntryStatus> entries(1: string sharedKey, 2: bool withReports),
 }
