--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
@@ -0,0 +1,233 @@
+package org.acaciacourse.daemon.endpoint;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.jctools.queues.SpscUnboundedArrayQueue;
+
+/**
+ * One HTTP exchange with an endpoint. What arrives is handed to the listener on the
+ * listener's own executor, in order; several chunks share one hand-over.
+ * <p>
+ * A call that was closed before its first byte was handed to the connection is never
+ * sent: the two race for one state, so that "not sent" is certain. Chunks that wait for
+ * the listener are bounded: over {@link #MAX_PENDING} bytes the connection is not read.
+ * <p>
+ * Thread safe: the HTTP client calls it on its event loops, the listener's side calls
+ * {@link #close}.
+ */
+public final class EndpointCall implements AsyncHandler<Void> {
+
+	static final int MAX_PENDING = 256 * 1024;
+
+	private static final int CHUNK_OVERHEAD = 64;
+
+	private final Executor executor;
+
+	private final Listener listener;
+
+	private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.PREPARED);
+
+	private final SpscUnboundedArrayQueue<byte[]> chunks = new SpscUnboundedArrayQueue<>(32);
+
+	private final AtomicInteger pending = new AtomicInteger();
+
+	private final AtomicBoolean scheduled = new AtomicBoolean();
+
+	private volatile Channel channel;
+
+	private volatile boolean paused;
+
+	private int status;
+
+	private boolean delimited;
+
+	public EndpointCall(Executor executor, Listener listener) {
+		this.executor = executor;
+		this.listener = listener;
+	}
+
+	/**
+	 * Return whether a byte of the request may have been sent.
+	 * @return false only if none was and none will be
+	 */
+	public boolean maySent() {
+		return this.stage.get() == Stage.SENT;
+	}
+
+	/**
+	 * Give the call up: nothing more reaches the listener, and the connection is closed,
+	 * as the rest of an answer may still come over it.
+	 * @return whether a byte of the request may have been sent
+	 */
+	public boolean close() {
+		boolean sent = !this.stage.compareAndSet(Stage.PREPARED, Stage.CLOSED) && this.stage.get() == Stage.SENT;
+		Channel open = this.channel;
+		if (open != null) {
+			open.close();
+		}
+		return sent;
+	}
+
+	@Override
+	public void onTcpConnectSuccess(java.net.InetSocketAddress address, Channel connection) {
+		this.channel = connection;
+	}
+
+	@Override
+	public void onConnectionPooled(Channel connection) {
+		this.channel = connection;
+	}
+
+	@Override
+	public void onRequestSend(NettyRequest request) {
+		if (!this.stage.compareAndSet(Stage.PREPARED, Stage.SENT)) {
+			throw new IllegalStateException("closed before it was sent");
+		}
+	}
+
+	@Override
+	public State onStatusReceived(HttpResponseStatus response) {
+		this.status = response.getStatusCode();
+		return State.CONTINUE;
+	}
+
+	@Override
+	public State onHeadersReceived(HttpHeaders headers) {
+		this.delimited = headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+				|| headers.contains(HttpHeaderNames.TRANSFER_ENCODING) || this.status == 204;
+		Head head = new Head(this.status, headers);
+		this.executor.execute(() -> this.listener.head(this, head));
+		return State.CONTINUE;
+	}
+
+	@Override
+	public State onBodyPartReceived(HttpResponseBodyPart part) {
+		byte[] bytes = part.getBodyPartBytes();
+		if (bytes.length == 0) {
+			return State.CONTINUE;
+		}
+		int waiting = this.pending.addAndGet(bytes.length + CHUNK_OVERHEAD);
+		this.chunks.offer(bytes);
+		if (waiting > MAX_PENDING && !this.paused) {
+			this.paused = true;
+			ReadGate.pause(this.channel, true);
+		}
+		wake();
+		return State.CONTINUE;
+	}
+
+	private void wake() {
+		if (this.scheduled.compareAndSet(false, true)) {
+			this.executor.execute(() -> {
+				this.scheduled.set(false);
+				this.listener.readable(this);
+			});
+		}
+	}
+
+	/**
+	 * Take the next chunk of the answer; the listener's side only.
+	 * @return the chunk, empty if none waits
+	 */
+	public Optional<byte[]> poll() {
+		byte[] bytes = this.chunks.poll();
+		if (bytes == null) {
+			return Optional.empty();
+		}
+		int waiting = this.pending.addAndGet(-bytes.length - CHUNK_OVERHEAD);
+		if (this.paused && waiting < MAX_PENDING / 2) {
+			this.paused = false;
+			ReadGate.pause(this.channel, false);
+		}
+		return Optional.of(bytes);
+	}
+
+	@Override
+	public void onThrowable(Throwable cause) {
+		this.executor.execute(() -> this.listener.ended(this, false));
+	}
+
+	@Override
+	public Void onCompleted() {
+		boolean whole = this.delimited;
+		this.executor.execute(() -> this.listener.ended(this, whole));
+		return null;
+	}
+
+	private enum Stage {
+
+		PREPARED, SENT, CLOSED
+
+	}
+
+	/**
+	 * Status and headers of an answer.
+	 *
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 */
+	public record Head(int status, HttpHeaders headers) {
+
+		/**
+		 * Return a header.
+		 * @param name the name
+		 * @return the value, empty if it is missing
+		 */
+		public String header(String name) {
+			return this.headers.get(name, "");
+		}
+
+	}
+
+	/**
+	 * What to send.
+	 *
+	 * @param method the HTTP method
+	 * @param url the whole address
+	 * @param headers the headers
+	 * @param body the body, empty for none
+	 * @param fresh whether to open a connection for this call only
+	 */
+	public record Request(String method, String url, Map<String, String> headers, byte[] body, boolean fresh) {
+	}
+
+	/**
+	 * Gets what arrives, on the executor of the call.
+	 */
+	public interface Listener {
+
+		/**
+		 * The head of the answer arrived.
+		 * @param call the call
+		 * @param head status and headers
+		 */
+		void head(EndpointCall call, Head head);
+
+		/**
+		 * Chunks can be polled.
+		 * @param call the call
+		 */
+		void readable(EndpointCall call);
+
+		/**
+		 * The exchange ended; chunks may still wait to be polled.
+		 * @param call the call
+		 * @param whole whether the answer was received to its proven end
+		 */
+		void ended(EndpointCall call, boolean whole);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -0,0 +1,138 @@
+package org.acaciacourse.daemon.endpoint;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.BoundRequestBuilder;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.Response;
+
+/**
+ * HTTP to the endpoints over two sets of connections: kept ones for requests that may be
+ * repeated, and fresh ones for a request that may not, for resuming and for asking.
+ * <p>
+ * The client's own retries and redirects are off: each attempt is the dispatcher's
+ * decision, and a hidden second send would run a request twice. Idle connections are
+ * dropped after a few seconds, before something between the two ends forgets them.
+ * <p>
+ * Thread safe.
+ */
+public final class EndpointClient implements AutoCloseable {
+
+	private static final Logger logger = LogManager.getLogger(EndpointClient.class);
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration POOLED_IDLE = Duration.ofSeconds(5);
+
+	private static final Duration CONNECTION_TTL = Duration.ofMinutes(5);
+
+	private static final Duration ASK_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final int MAX_HEADER = 32 * 1024;
+
+	private final EventLoopGroup loops;
+
+	private final AsyncHttpClient kept;
+
+	private final AsyncHttpClient fresh;
+
+	// The client knows only this kind of group, which Netty 4.2 keeps for its sake.
+	@SuppressWarnings("deprecation")
+	public EndpointClient(int threads) {
+		this.loops = new NioEventLoopGroup(threads, new DefaultThreadFactory("endpoints"));
+		this.kept = Dsl.asyncHttpClient(config(true));
+		this.fresh = Dsl.asyncHttpClient(config(false));
+	}
+
+	private DefaultAsyncHttpClientConfig config(boolean keepAlive) {
+		return new DefaultAsyncHttpClientConfig.Builder().setEventLoopGroup(this.loops)
+			.setKeepAlive(keepAlive)
+			.setMaxRequestRetry(0)
+			.setFollowRedirect(false)
+			.setEnableAutomaticDecompression(false)
+			.setCookieStore(null)
+			.setConnectTimeout(CONNECT_TIMEOUT)
+			.setRequestTimeout(Duration.ofMillis(-1))
+			.setReadTimeout(Duration.ofMillis(-1))
+			.setPooledConnectionIdleTimeout(POOLED_IDLE)
+			.setConnectionTtl(CONNECTION_TTL)
+			.setConnectionPoolCleanerPeriod(Duration.ofSeconds(1))
+			.setHttpClientCodecMaxHeaderSize(MAX_HEADER)
+			.setTcpNoDelay(true)
+			.setUserAgent("acaciacourse")
+			.setHttpAdditionalChannelInitializer(EndpointClient::addGate)
+			.setShutdownQuietPeriod(Duration.ZERO)
+			.build();
+	}
+
+	private static void addGate(Channel channel) {
+		channel.pipeline().addFirst(ReadGate.NAME, new ReadGate());
+	}
+
+	/**
+	 * Send a request; the call gets what comes back.
+	 * @param request what to send
+	 * @param call the call
+	 */
+	public void send(EndpointCall.Request request, EndpointCall call) {
+		AsyncHttpClient client = (request.fresh()) ? this.fresh : this.kept;
+		BoundRequestBuilder builder = client.prepare(request.method(), request.url());
+		request.headers().forEach(builder::setHeader);
+		if (request.body().length > 0) {
+			builder.setBody(request.body());
+		}
+		builder.execute(call);
+	}
+
+	/**
+	 * Ask an endpoint for something small over a fresh connection.
+	 * @param method the HTTP method
+	 * @param url the whole address
+	 * @return the answer; fails if there is none in two seconds
+	 */
+	public CompletionStage<Response> ask(String method, String url) {
+		return ask(this.fresh, method, url);
+	}
+
+	/**
+	 * Ask an endpoint for something small over a kept connection.
+	 * @param url the whole address
+	 * @return the answer; fails if there is none in two seconds
+	 */
+	public CompletionStage<Response> poll(String url) {
+		return ask(this.kept, "GET", url);
+	}
+
+	private static CompletionStage<Response> ask(AsyncHttpClient client, String method, String url) {
+		try {
+			return client.prepare(method, url).setRequestTimeout(ASK_TIMEOUT).execute().toCompletableFuture();
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.kept.close();
+			this.fresh.close();
+		}
+		catch (IOException ex) {
+			logger.warn("client not closed: {}", ex.toString());
+		}
+		this.loops.shutdownGracefully(0, 2, java.util.concurrent.TimeUnit.SECONDS).awaitUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EventSplitter.java
@@ -0,0 +1,147 @@
+package org.acaciacourse.daemon.endpoint;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Splits a stream of server-sent events into events, each of whole lines, and reads the
+ * fields {@code id} and {@code data}.
+ * <p>
+ * Not thread safe: belongs to one answer. An event over {@link #MAX_EVENT} bytes is
+ * refused, so that an endpoint without line ends can't fill the memory.
+ */
+public final class EventSplitter {
+
+	static final int MAX_EVENT = 1024 * 1024;
+
+	private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
+
+	private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
+
+	private byte[] buffer = new byte[1024];
+
+	private int length;
+
+	private int scanned;
+
+	private int eventStart;
+
+	private int lineStart;
+
+	private long index = -1;
+
+	private int dataStart = -1;
+
+	private int dataEnd;
+
+	/**
+	 * Split a chunk.
+	 * @param chunk the bytes as they came
+	 * @param sink gets each whole event
+	 * @return false if an event is too long or an event number is not one
+	 */
+	public boolean feed(byte[] chunk, Sink sink) {
+		append(chunk);
+		while (this.scanned < this.length) {
+			if (this.buffer[this.scanned++] == '\n' && !line(sink)) {
+				return false;
+			}
+		}
+		compact();
+		return this.length <= MAX_EVENT;
+	}
+
+	private void append(byte[] chunk) {
+		if (this.length + chunk.length > this.buffer.length) {
+			this.buffer = Arrays.copyOf(this.buffer, Math.max(this.buffer.length * 2, this.length + chunk.length));
+		}
+		System.arraycopy(chunk, 0, this.buffer, this.length, chunk.length);
+		this.length += chunk.length;
+	}
+
+	private boolean line(Sink sink) {
+		int start = this.lineStart;
+		int end = this.scanned - 1;
+		if (end > start && this.buffer[end - 1] == '\r') {
+			end--;
+		}
+		this.lineStart = this.scanned;
+		if (end == start) {
+			return event(sink);
+		}
+		if (startsWith(start, end, DATA)) {
+			this.dataStart = skipSpace(start + DATA.length, end);
+			this.dataEnd = end;
+		}
+		else if (startsWith(start, end, ID)) {
+			return number(skipSpace(start + ID.length, end), end);
+		}
+		return true;
+	}
+
+	private boolean number(int start, int end) {
+		long value = 0;
+		for (int i = start; i < end; i++) {
+			int digit = this.buffer[i] - '0';
+			if (digit < 0 || digit > 9 || value > Integer.MAX_VALUE) {
+				return false;
+			}
+			value = value * 10 + digit;
+		}
+		this.index = value;
+		return end > start;
+	}
+
+	private boolean event(Sink sink) {
+		boolean accepted = true;
+		if (this.dataStart >= 0) {
+			accepted = sink.event(this.index, this.buffer, this.dataStart, this.dataEnd);
+		}
+		this.index = -1;
+		this.dataStart = -1;
+		this.eventStart = this.scanned;
+		return accepted;
+	}
+
+	private boolean startsWith(int start, int end, byte[] bytes) {
+		return end - start >= bytes.length
+				&& Arrays.equals(this.buffer, start, start + bytes.length, bytes, 0, bytes.length);
+	}
+
+	private int skipSpace(int start, int end) {
+		return (start < end && this.buffer[start] == ' ') ? start + 1 : start;
+	}
+
+	private void compact() {
+		if (this.eventStart == 0) {
+			return;
+		}
+		int shift = this.eventStart;
+		System.arraycopy(this.buffer, shift, this.buffer, 0, this.length - shift);
+		this.length -= shift;
+		this.scanned -= shift;
+		this.lineStart -= shift;
+		this.dataStart = (this.dataStart < 0) ? -1 : this.dataStart - shift;
+		this.dataEnd -= shift;
+		this.eventStart = 0;
+	}
+
+	/**
+	 * Gets whole events.
+	 */
+	@FunctionalInterface
+	public interface Sink {
+
+		/**
+		 * Take an event.
+		 * @param index the number in the field {@code id}, -1 if it has none
+		 * @param buffer holds the data; valid during the call only
+		 * @param start where the data start
+		 * @param end where they end
+		 * @return false to stop: the answer can't be used
+		 */
+		boolean event(long index, byte[] buffer, int start, int end);
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/ReadGate.java
@@ -0,0 +1,60 @@
+package org.acaciacourse.daemon.endpoint;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+
+/**
+ * Stops reading from an endpoint while its caller is slow. The HTTP client asks for the
+ * next read by itself after each one, so that the request is held back here; without this
+ * a slow caller of a fast engine would fill the memory of the VM.
+ * <p>
+ * Not thread safe: belongs to the event loop of its connection.
+ */
+final class ReadGate extends ChannelDuplexHandler {
+
+	static final String NAME = "read-gate";
+
+	private ChannelHandlerContext context;
+
+	private boolean paused;
+
+	private boolean held;
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		this.context = ctx;
+	}
+
+	@Override
+	public void read(ChannelHandlerContext ctx) {
+		if (this.paused) {
+			this.held = true;
+			return;
+		}
+		ctx.read();
+	}
+
+	private void set(boolean pause) {
+		this.paused = pause;
+		this.context.channel().config().setAutoRead(!pause);
+		if (!pause && this.held) {
+			this.held = false;
+			this.context.read();
+		}
+	}
+
+	/**
+	 * Pause or go on reading from a connection.
+	 * @param channel the connection
+	 * @param pause whether to pause
+	 */
+	static void pause(Channel channel, boolean pause) {
+		channel.eventLoop().execute(() -> {
+			if (channel.pipeline().get(NAME) instanceof ReadGate gate) {
+				gate.set(pause);
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP to the endpoints: calls, cancels, questions about a request and load reports.
+ */
+package org.acaciacourse.daemon.endpoint;
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/AnswerId.java
@@ -0,0 +1,80 @@
+package org.acaciacourse.daemon.entry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.OptionalInt;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+
+/**
+ * Finds the id in a JSON answer or chunk and compares it with that of the attempt. An
+ * answer under another id belongs to another request, however it came to be on this
+ * connection.
+ * <p>
+ * Immutable and thread safe.
+ */
+final class AnswerId {
+
+	private static final JsonFactory JSON = new JsonFactory();
+
+	private static final byte[] USUAL_START = "{\"id\":\"".getBytes(StandardCharsets.US_ASCII);
+
+	private final byte[] id;
+
+	AnswerId(String id) {
+		this.id = id.getBytes(StandardCharsets.US_ASCII);
+	}
+
+	int length() {
+		return this.id.length;
+	}
+
+	/**
+	 * Find the id.
+	 * @param buffer holds a JSON object
+	 * @param start where it starts
+	 * @param end where it ends
+	 * @return where the id starts; empty if it is missing or another one
+	 */
+	OptionalInt find(byte[] buffer, int start, int end) {
+		int usual = start + USUAL_START.length;
+		if (matches(buffer, start, end, USUAL_START)) {
+			return isIdAt(buffer, usual, end) ? OptionalInt.of(usual) : OptionalInt.empty();
+		}
+		return search(buffer, start, end);
+	}
+
+	private OptionalInt search(byte[] buffer, int start, int end) {
+		try (JsonParser parser = JSON.createParser(buffer, start, end - start)) {
+			if (parser.nextToken() != JsonToken.START_OBJECT) {
+				return OptionalInt.empty();
+			}
+			while (parser.nextToken() == JsonToken.FIELD_NAME) {
+				boolean found = parser.currentName().equals("id");
+				parser.nextToken();
+				if (found) {
+					int at = start + (int) parser.currentTokenLocation().getByteOffset() + 1;
+					return isIdAt(buffer, at, end) ? OptionalInt.of(at) : OptionalInt.empty();
+				}
+				parser.skipChildren();
+			}
+		}
+		catch (IOException ex) {
+			// Not JSON, so that it has no id: the same result as a missing one.
+		}
+		return OptionalInt.empty();
+	}
+
+	private boolean isIdAt(byte[] buffer, int at, int end) {
+		return matches(buffer, at, end, this.id) && at + this.id.length < end && buffer[at + this.id.length] == '"';
+	}
+
+	private static boolean matches(byte[] buffer, int at, int end, byte[] expected) {
+		return end - at >= expected.length
+				&& Arrays.equals(buffer, at, at + expected.length, expected, 0, expected.length);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Configuration.java
@@ -0,0 +1,73 @@
+package org.acaciacourse.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.model.Customer;
+import org.acaciacourse.core.model.Manifest;
+
+/**
+ * A manifest made ready for look-ups: customers by the digest of their key, and the
+ * limits of customers divided among the entry VMs.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param manifest the manifest with this VM's share of each limit
+ * @param epoch the number of the manifest that took the present policy into force, as far
+ * as this VM saw it
+ * @param customersByDigest the customers by the SHA-256 of each key
+ */
+record Configuration(Manifest manifest, long epoch, Map<String, Customer> customersByDigest) {
+
+	static Configuration of(Manifest manifest, int entryCount, Optional<Configuration> previous) {
+		Manifest shared = share(manifest, entryCount);
+		Map<String, Customer> index = new HashMap<>();
+		shared.customers().values().forEach((c) -> c.keyDigests().forEach((digest) -> index.put(digest, c)));
+		long epoch = previous.filter((p) -> p.manifest.policyInForce().equals(manifest.policyInForce()))
+			.map(Configuration::epoch)
+			.orElse(manifest.number());
+		return new Configuration(shared, epoch, Map.copyOf(index));
+	}
+
+	private static Manifest share(Manifest m, int entryCount) {
+		Map<String, Customer> customers = m.customers()
+			.values()
+			.stream()
+			.map((customer) -> share(customer, entryCount))
+			.collect(Collectors.toMap(Customer::name, (customer) -> customer));
+		return new Manifest(m.number(), m.digest(), m.policyInForce(), m.policies(), m.classes(), m.endpointSets(),
+				m.endpoints(), customers, m.services(), m.drainedVms());
+	}
+
+	private static Customer share(Customer c, int entryCount) {
+		int inFlight = (c.maxInFlight() + entryCount - 1) / entryCount;
+		return new Customer(c.name(), c.keyDigests(), c.classes(), inFlight, c.requestsPerSecond() / entryCount,
+				c.weight());
+	}
+
+	/**
+	 * Find the customer of a key.
+	 * @param key the key as the caller sent it
+	 * @return the customer, if the key is known
+	 */
+	Optional<Customer> customerOfKey(String key) {
+		byte[] digest = sha256().digest(key.getBytes(StandardCharsets.UTF_8));
+		return Optional.ofNullable(this.customersByDigest.get(HexFormat.of().formatHex(digest)));
+	}
+
+	static MessageDigest sha256() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("every Java platform has SHA-256", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryContext.java
@@ -0,0 +1,23 @@
+package org.acaciacourse.daemon.entry;
+
+import org.acaciacourse.daemon.endpoint.EndpointClient;
+import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.telemetry.EntryMetrics;
+import org.acaciacourse.daemon.telemetry.Traces;
+
+/**
+ * What all requests of an entry VM share.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param loop the decision thread
+ * @param client HTTP to the endpoints
+ * @param link the link to the control VMs
+ * @param metrics the metrics
+ * @param traces the traces
+ * @param silence how long an endpoint may make no progress
+ * @param open the requests that are not ended
+ */
+record EntryContext(DecisionLoop loop, EndpointClient client, ControlLink link, EntryMetrics metrics, Traces traces,
+		SilenceBounds silence, OpenRequests open) {
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -0,0 +1,280 @@
+package org.acaciacourse.daemon.entry;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.DispatchActions;
+import org.acaciacourse.core.dispatch.Dispatcher;
+import org.acaciacourse.core.dispatch.EndpointStatus;
+import org.acaciacourse.core.dispatch.LoadReport;
+import org.acaciacourse.core.model.Endpoint;
+import org.acaciacourse.core.model.EndpointSet;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.settings.SettingKey;
+import org.acaciacourse.core.settings.Settings;
+import org.acaciacourse.daemon.endpoint.EndpointClient;
+import org.acaciacourse.daemon.endpoint.EndpointPoller;
+import org.acaciacourse.daemon.http.HttpFront;
+import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.telemetry.AdminServer;
+import org.acaciacourse.daemon.telemetry.EntryMetrics;
+import org.acaciacourse.daemon.telemetry.Traces;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The daemon of an entry VM: callers' HTTP in, endpoints' HTTP out, carrying out the
+ * decisions of the dispatcher. Its threads are the event loops of callers and endpoints,
+ * the decision thread, the polling thread and the link's own.
+ * <p>
+ * Thread safe. Started once and stopped once.
+ */
+public final class EntryDaemon {
+
+	private static final Logger logger = LogManager.getLogger(EntryDaemon.class);
+
+	private static final long POLL_MILLIS = 20;
+
+	private final Settings settings;
+
+	private final ControlLink link;
+
+	private final EndpointClient client;
+
+	private final EndpointPoller poller;
+
+	private final DecisionLoop loop;
+
+	private final EntryMetrics metrics;
+
+	private final Traces traces;
+
+	private final OpenRequests open = new OpenRequests();
+
+	private final RequestGate gate;
+
+	private final HttpFront front;
+
+	private final CountDownLatch ready = new CountDownLatch(1);
+
+	private AdminServer admin;
+
+	private Optional<Configuration> configuration = Optional.empty();
+
+	private Optional<Manifest> manifest = Optional.empty();
+
+	private int entryCount;
+
+	private volatile boolean stopping;
+
+	public EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher) {
+		this(settings, link, dispatcher, Traces.of(settings));
+	}
+
+	EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher, Traces traces) {
+		int threads = Math.max(1, Math.min(4, Runtime.getRuntime().availableProcessors() / 2));
+		this.settings = settings;
+		this.link = link;
+		this.traces = traces;
+		this.entryCount = settings.count(SettingKey.ENTRY_PEERS);
+		this.client = new EndpointClient(threads);
+		this.loop = new DecisionLoop(dispatcher, link);
+		this.metrics = new EntryMetrics(this::connections);
+		this.poller = new EndpointPoller(this.client, new Reports());
+		this.gate = new RequestGate(new EntryContext(this.loop, this.client, link, this.metrics, this.traces,
+				new SilenceBounds(), this.open));
+		this.front = new HttpFront(settings, threads, this.gate);
+	}
+
+	private int connections() {
+		return this.front.connections();
+	}
+
+	/**
+	 * Begin to serve. Callers are answered {@link ResultCode#NOT_READY} until the
+	 * configuration is known to be the latest one.
+	 * @throws IOException if an address or a file can't be used
+	 */
+	public void start() throws IOException {
+		this.loop.start();
+		this.poller.start();
+		this.admin = new AdminServer(this.settings.address(SettingKey.ENTRY_ADMIN), this.metrics.registry(),
+				this::isReady);
+		this.front.start();
+		this.link.start(new Followed(), this.metrics.results()::reports);
+		logger.info("entry listens on port {}", port());
+	}
+
+	/**
+	 * Return the port for callers.
+	 * @return the port
+	 */
+	public int port() {
+		return this.front.port();
+	}
+
+	/**
+	 * Return the port for health and metrics.
+	 * @return the port
+	 */
+	public int adminPort() {
+		return this.admin.port();
+	}
+
+	/**
+	 * Return whether callers should be sent here.
+	 * @return whether the configuration is the latest and the VM is not stopping
+	 */
+	public boolean isReady() {
+		return this.ready.getCount() == 0 && !this.stopping;
+	}
+
+	/**
+	 * Wait until the VM is ready.
+	 * @param limit the longest time to wait
+	 * @return whether it is ready
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean awaitReady(Duration limit) throws InterruptedException {
+		return this.ready.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Stop gracefully: everything that was accepted is answered.
+	 * @return {@link ResultCode#OK}, or {@link ResultCode#DRAIN_LIMIT} if work was cut
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public ResultCode stop() throws InterruptedException {
+		return stop(() -> false);
+	}
+
+	/**
+	 * Stop gracefully, unless told to hurry.
+	 * @param hurry whether to cut what is left at once
+	 * @return {@link ResultCode#OK}, or {@link ResultCode#DRAIN_LIMIT} if work was cut
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public ResultCode stop(BooleanSupplier hurry) throws InterruptedException {
+		this.stopping = true;
+		this.link.leaving();
+		this.front.closeAfterAnswers();
+		waitFor(hurry, this.settings.duration(SettingKey.ENTRY_STOP_DELAY), () -> false);
+		this.front.stopAccepting();
+		boolean drained = waitFor(hurry, this.settings.duration(SettingKey.ENTRY_DRAIN_LIMIT),
+				() -> this.open.count() == 0 && this.front.isIdle());
+		if (!drained) {
+			cutRest();
+		}
+		close();
+		return (drained) ? ResultCode.OK : ResultCode.DRAIN_LIMIT;
+	}
+
+	private static boolean waitFor(BooleanSupplier hurry, Duration limit, BooleanSupplier condition)
+			throws InterruptedException {
+		long end = System.nanoTime() + limit.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (hurry.getAsBoolean() || System.nanoTime() - end >= 0) {
+				return false;
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		return true;
+	}
+
+	private void cutRest() throws InterruptedException {
+		List<Exchange> rest = List.copyOf(this.open.requests());
+		rest.forEach((exchange) -> {
+			logger.warn("{} cut request {}", ResultCode.DRAIN_LIMIT.number(), exchange.requestId());
+			exchange.executor().execute(exchange::cut);
+		});
+		waitFor(() -> false, Duration.ofSeconds(1), () -> this.open.count() == 0 && this.front.isIdle());
+	}
+
+	private void close() {
+		this.front.close();
+		this.poller.close();
+		this.loop.stop();
+		this.client.close();
+		this.link.close();
+		this.admin.close();
+		this.traces.close();
+	}
+
+	private synchronized void apply(Manifest next, int count) {
+		this.manifest = Optional.of(next);
+		this.entryCount = count;
+		Configuration made = Configuration.of(next, count, this.configuration);
+		this.configuration = Optional.of(made);
+		this.loop.configure(made);
+		this.gate.configure(made);
+		this.poller.endpoints(engines(next));
+		this.metrics.configuration(next.number());
+	}
+
+	private static Map<String, String> engines(Manifest manifest) {
+		return manifest.endpoints()
+			.values()
+			.stream()
+			.filter((endpoint) -> manifest.endpointSets().get(endpoint.set()).kind() == EndpointSet.Kind.MODEL)
+			.collect(Collectors.toMap(Endpoint::name, (endpoint) -> "http://" + endpoint.address().getAuthority()));
+	}
+
+	/** Takes over what control tells; called on the link's thread. */
+	private final class Followed implements ControlLink.Listener {
+
+		@Override
+		public void manifest(Manifest next) {
+			apply(next, EntryDaemon.this.entryCount);
+		}
+
+		@Override
+		public void upToDate() {
+			EntryDaemon.this.gate.upToDate();
+			EntryDaemon.this.ready.countDown();
+		}
+
+		@Override
+		public void endpointStatus(String endpoint, EndpointStatus status) {
+			EntryDaemon.this.loop.submit((d, now) -> d.endpointStatus(endpoint, status, now));
+		}
+
+		@Override
+		public void crash(long contentHash, int crashes) {
+			EntryDaemon.this.loop.submit((d, now) -> d.suspect(contentHash, crashes, now));
+		}
+
+		@Override
+		public void entryCount(int count) {
+			if (count != EntryDaemon.this.entryCount) {
+				EntryDaemon.this.entryCount = count;
+				EntryDaemon.this.manifest.ifPresent((present) -> apply(present, count));
+			}
+		}
+
+	}
+
+	/** Hands reports of the engines to the dispatcher. */
+	private final class Reports implements EndpointPoller.Listener {
+
+		@Override
+		public void load(String endpoint, LoadReport report) {
+			EntryDaemon.this.loop.submit((d, now) -> d.loadReport(endpoint, report, now));
+		}
+
+		@Override
+		public void prefix(String endpoint, long prefixHash, boolean held) {
+			EntryDaemon.this.loop.submit((d, now) -> d.prefixEvent(endpoint, prefixHash, held, now));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/KeptAnswer.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.daemon.entry;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+
+/**
+ * The whole answer of a request that runs at most once, as it is kept with its claim.
+ * <p>
+ * Immutable and thread safe, as long as nobody writes to the body.
+ *
+ * @param status the HTTP status
+ * @param contentType the content type
+ * @param body the body; of a stream, all its events
+ */
+record KeptAnswer(int status, String contentType, byte[] body) {
+
+	/** Largest body that is kept. */
+	static final int MAX_BODY = 256 * 1024;
+
+	private static final int FORMAT = 1;
+
+	/**
+	 * Encode for the claim.
+	 * @return the bytes, empty if the body is too large to be kept
+	 */
+	byte[] encode() {
+		if (this.body.length > MAX_BODY) {
+			return new byte[0];
+		}
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream(this.body.length + 64);
+		try (DataOutputStream out = new DataOutputStream(bytes)) {
+			out.writeByte(FORMAT);
+			out.writeShort(this.status);
+			out.writeUTF(this.contentType);
+			out.write(this.body);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return bytes.toByteArray();
+	}
+
+	/**
+	 * Decode what was kept.
+	 * @param bytes the bytes
+	 * @return the answer, empty if there is none or its format is unknown
+	 */
+	static Optional<KeptAnswer> decode(byte[] bytes) {
+		if (bytes.length == 0 || bytes[0] != FORMAT) {
+			return Optional.empty();
+		}
+		try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+			in.readByte();
+			int status = in.readUnsignedShort();
+			String contentType = in.readUTF();
+			return Optional.of(new KeptAnswer(status, contentType, in.readAllBytes()));
+		}
+		catch (IOException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/RequestGate.java
@@ -0,0 +1,134 @@
+package org.acaciacourse.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.opentelemetry.api.trace.Span;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.model.Customer;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.model.RequestClass;
+import org.acaciacourse.daemon.http.CallerRequest;
+import org.acaciacourse.daemon.http.CallerResponse;
+import org.acaciacourse.daemon.http.Refusal;
+import org.acaciacourse.daemon.http.RequestHandler;
+import org.acaciacourse.daemon.telemetry.EntryMetrics;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Takes requests from the callers' server: checks each against the configuration and
+ * begins its exchange, or refuses it at once.
+ * <p>
+ * Thread safe.
+ */
+final class RequestGate implements RequestHandler {
+
+	private static final Logger logger = LogManager.getLogger("org.acaciacourse.requests");
+
+	private final EntryContext context;
+
+	private final String idPrefix = Long.toHexString(ThreadLocalRandom.current().nextLong() | Long.MIN_VALUE);
+
+	private final AtomicLong ids = new AtomicLong();
+
+	private volatile Configuration configuration;
+
+	private volatile boolean upToDate;
+
+	RequestGate(EntryContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Take a configuration into force for the requests that come from now on.
+	 * @param next the configuration
+	 */
+	void configure(Configuration next) {
+		this.configuration = next;
+	}
+
+	/** The configuration is known to be the latest one: serve. */
+	void upToDate() {
+		this.upToDate = true;
+	}
+
+	@Override
+	public void refused(ResultCode code) {
+		this.context.metrics().refused(code, "");
+	}
+
+	@Override
+	public void handle(CallerRequest request, CallerResponse response) {
+		long id = this.ids.incrementAndGet();
+		String requestId = this.idPrefix + "-" + Long.toHexString(id);
+		Configuration current = this.configuration;
+		if (current == null || !this.upToDate) {
+			refuse(ResultCode.NOT_READY, requestId, response);
+			return;
+		}
+		RequestPlanner.customer(request, current)
+			.peekLeft((code) -> refuse(code, requestId, response))
+			.peek((customer) -> handle(request, response, customer, new Identity(id, requestId), current));
+	}
+
+	private void handle(CallerRequest request, CallerResponse response, Customer customer, Identity identity,
+			Configuration current) {
+		if (request.path().equals(RequestPlanner.MODELS_PATH) && request.method().equals("GET")) {
+			response.answer(200, Map.of("content-type", "application/json", "x-request-id", identity.requestId),
+					models(customer, current.manifest()));
+			return;
+		}
+		RequestPlanner.plan(request, customer, current)
+			.peekLeft((code) -> refuse(code, identity.requestId, response))
+			.peek((plan) -> begin(request, response, plan, identity, current));
+	}
+
+	private void begin(CallerRequest request, CallerResponse response, RequestPlan plan, Identity identity,
+			Configuration current) {
+		String requestClass = plan.requestClass().name();
+		String policy = current.manifest().policyInForce().choose(plan.content().hash());
+		EntryMetrics.RequestMeter meter = this.context.metrics().meter(requestClass, policy, current.epoch());
+		Span span = this.context.traces().incoming("caller", request.header("traceparent").orElse(""));
+		RequestRecord record = new RequestRecord(identity.requestId, plan, meter, this.context.traces(), span);
+		Exchange exchange = new Exchange(identity.id, plan, this.context, response, record);
+		if (this.context.open().add(exchange)) {
+			exchange.start();
+		}
+		else {
+			record.failed(ResultCode.QUEUE_FULL);
+			response.refuse(Refusal.notRun(ResultCode.QUEUE_FULL), identity.requestId);
+		}
+	}
+
+	private void refuse(ResultCode code, String requestId, CallerResponse response) {
+		refused(code);
+		logger.info(new StringMapMessage().with("request", requestId).with("code", code.number()));
+		response.refuse(Refusal.notRun(code), requestId);
+	}
+
+	private static byte[] models(Customer customer, Manifest manifest) {
+		TreeSet<String> names = new TreeSet<>();
+		customer.classes()
+			.stream()
+			.map(manifest.classes()::get)
+			.map(RequestClass::endpointSets)
+			.forEach((sets) -> sets.forEach((set) -> names.addAll(manifest.endpointSets().get(set).models())));
+		ObjectNode answer = JsonNodeFactory.instance.objectNode().put("object", "list");
+		ArrayNode data = answer.putArray("data");
+		names
+			.forEach((name) -> data.addObject().put("id", name).put("object", "model").put("owned_by", "acaciacourse"));
+		return answer.toString().getBytes(StandardCharsets.UTF_8);
+	}
+
+	private record Identity(long id, String requestId) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/CallerRequest.java
@@ -0,0 +1,37 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A request as a caller sent it, received to its end.
+ * <p>
+ * Not thread safe: belongs to the event loop of its connection; the body is not copied.
+ *
+ * @param method the HTTP method
+ * @param path the path without the query
+ * @param query the query without the question mark, may be empty
+ * @param headers the headers
+ * @param body the whole body
+ */
+public record CallerRequest(String method, String path, String query, HttpHeaders headers, byte[] body) {
+
+	public CallerRequest {
+		Objects.requireNonNull(method, "method");
+		Objects.requireNonNull(path, "path");
+		Objects.requireNonNull(headers, "headers");
+		Objects.requireNonNull(body, "body");
+	}
+
+	/**
+	 * Return a header if it is there and not empty.
+	 * @param name the name
+	 * @return the first value
+	 */
+	public Optional<String> header(String name) {
+		return Optional.ofNullable(this.headers.get(name)).map(String::strip).filter((value) -> !value.isEmpty());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
@@ -0,0 +1,202 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.EventExecutor;
+
+/**
+ * Takes the answer to one request: either a plain one, or a stream of events. Exactly one
+ * end is written; what comes after it is dropped.
+ * <p>
+ * Not thread safe: belongs to the event loop of its connection.
+ */
+public final class CallerResponse {
+
+	private final Channel channel;
+
+	private final HttpVersion version;
+
+	private final boolean keepAlive;
+
+	private final Runnable done;
+
+	private Runnable gone = () -> {
+	};
+
+	private Runnable writable = () -> {
+	};
+
+	private boolean started;
+
+	private boolean ended;
+
+	CallerResponse(Channel channel, HttpVersion version, boolean keepAlive, Runnable done) {
+		this.channel = channel;
+		this.version = version;
+		this.keepAlive = keepAlive;
+		this.done = done;
+	}
+
+	/**
+	 * Return the event loop that owns the response.
+	 * @return the executor
+	 */
+	public EventExecutor executor() {
+		return this.channel.eventLoop();
+	}
+
+	/**
+	 * Set what to do if the caller goes away before the end.
+	 * @param action the action
+	 */
+	public void onGone(Runnable action) {
+		this.gone = action;
+	}
+
+	/**
+	 * Set what to do when the caller takes data again.
+	 * @param action the action
+	 */
+	public void onWritable(Runnable action) {
+		this.writable = action;
+	}
+
+	/**
+	 * Return whether the caller takes more data at present.
+	 * @return whether to write on
+	 */
+	public boolean isWritable() {
+		return this.channel.isWritable();
+	}
+
+	/**
+	 * Return whether the head of a stream was written.
+	 * @return whether only events may follow
+	 */
+	public boolean isStarted() {
+		return this.started;
+	}
+
+	/**
+	 * Write a whole answer.
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 * @param body the body
+	 */
+	public void answer(int status, Map<String, String> headers, byte[] body) {
+		if (this.ended || this.started) {
+			return;
+		}
+		this.started = true;
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(this.version, HttpResponseStatus.valueOf(status),
+				Unpooled.wrappedBuffer(body));
+		headers.forEach((name, value) -> response.headers().set(name, value));
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		setConnection(response);
+		finish(this.channel.writeAndFlush(response));
+	}
+
+	/**
+	 * Refuse the request.
+	 * @param refusal the reason
+	 * @param requestId the id of the request
+	 */
+	public void refuse(Refusal refusal, String requestId) {
+		Map<String, String> headers = new HashMap<>();
+		headers.put("content-type", "application/json");
+		if (!requestId.isEmpty()) {
+			headers.put("x-request-id", requestId);
+		}
+		refusal.retryAfterSeconds().ifPresent((seconds) -> headers.put("retry-after", seconds));
+		answer(refusal.code().httpStatus(), headers, refusal.bytes());
+	}
+
+	/**
+	 * Write the head of a stream of events.
+	 * @param headers the headers
+	 */
+	public void startStream(Map<String, String> headers) {
+		if (this.started || this.ended) {
+			return;
+		}
+		this.started = true;
+		DefaultHttpResponse response = new DefaultHttpResponse(this.version, HttpResponseStatus.OK);
+		headers.forEach((name, value) -> response.headers().set(name, value));
+		if (this.version.equals(HttpVersion.HTTP_1_1)) {
+			HttpUtil.setTransferEncodingChunked(response, true);
+		}
+		setConnection(response);
+		this.channel.write(response);
+	}
+
+	/**
+	 * Write a part of a stream without flushing it.
+	 * @param data the data, taken over
+	 */
+	public void write(ByteBuf data) {
+		if (this.ended) {
+			data.release();
+			return;
+		}
+		this.channel.write(new DefaultHttpContent(data));
+	}
+
+	/** Flush what was written. */
+	public void flush() {
+		this.channel.flush();
+	}
+
+	/** End a stream. */
+	public void endStream() {
+		if (!this.ended) {
+			finish(this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+		}
+	}
+
+	/** Close the connection or the HTTP/2 stream at once. */
+	public void abort() {
+		this.channel.close();
+	}
+
+	void channelGone() {
+		if (!this.ended) {
+			this.ended = true;
+			this.gone.run();
+		}
+	}
+
+	void channelWritable() {
+		if (!this.ended) {
+			this.writable.run();
+		}
+	}
+
+	private void setConnection(HttpMessage response) {
+		HttpUtil.setKeepAlive(response, isReusable());
+	}
+
+	private boolean isReusable() {
+		boolean delimited = this.version.equals(HttpVersion.HTTP_1_1) || this.ended;
+		return this.keepAlive && delimited && !ConnectionGate.isClosing(this.channel);
+	}
+
+	private void finish(ChannelFuture last) {
+		this.ended = true;
+		last.addListener((future) -> this.done.run());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionGate.java
@@ -0,0 +1,85 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.AttributeKey;
+import org.acaciacourse.core.code.ResultCode;
+
+/**
+ * Counts connections, refuses those over the bound, and remembers the others for the
+ * shutdown.
+ * <p>
+ * Thread safe.
+ */
+@ChannelHandler.Sharable
+final class ConnectionGate extends ChannelInboundHandlerAdapter {
+
+	private static final AttributeKey<Boolean> CLOSING = AttributeKey.valueOf(ConnectionGate.class, "closing");
+
+	private final int maxConnections;
+
+	private final RequestHandler handler;
+
+	private final AtomicInteger count = new AtomicInteger();
+
+	private final Set<Channel> channels = ConcurrentHashMap.newKeySet();
+
+	ConnectionGate(int maxConnections, RequestHandler handler) {
+		this.maxConnections = maxConnections;
+		this.handler = handler;
+	}
+
+	/**
+	 * Return whether a connection takes no further request.
+	 * @param channel the connection, or an HTTP/2 stream of it
+	 * @return whether it is to be closed after the answer
+	 */
+	static boolean isClosing(Channel channel) {
+		Channel connection = (channel.parent() instanceof io.netty.channel.socket.SocketChannel) ? channel.parent()
+				: channel;
+		return Boolean.TRUE.equals(connection.attr(CLOSING).get());
+	}
+
+	static void markClosing(Channel connection) {
+		connection.attr(CLOSING).set(true);
+	}
+
+	Set<Channel> channels() {
+		return this.channels;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext ctx) {
+		if (this.count.incrementAndGet() > this.maxConnections) {
+			refuse(ctx);
+			return;
+		}
+		this.channels.add(ctx.channel());
+		ctx.fireChannelActive();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		this.count.decrementAndGet();
+		this.channels.remove(ctx.channel());
+		ctx.fireChannelInactive();
+	}
+
+	private void refuse(ChannelHandlerContext ctx) {
+		this.handler.refused(ResultCode.TOO_MANY_CONNECTIONS);
+		String body = Refusal.notRun(ResultCode.TOO_MANY_CONNECTIONS).json();
+		String text = "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nretry-after: 1\r\n"
+				+ "connection: close\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
+		ctx.writeAndFlush(Unpooled.copiedBuffer(text, io.netty.util.CharsetUtil.US_ASCII))
+			.addListener(ChannelFutureListener.CLOSE);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -0,0 +1,104 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.Optional;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.ApplicationProtocolNegotiationHandler;
+
+/**
+ * Sets up the handlers of a caller's connection: HTTP/1.1, HTTP/2 with prior knowledge,
+ * or either over TLS as negotiated by ALPN.
+ * <p>
+ * Thread safe.
+ */
+final class ConnectionInitializer extends ChannelInitializer<Channel> {
+
+	/** Name of the reader of an HTTP/1.1 connection. */
+	static final String READER = "reader";
+
+	/** Name of the codec of an HTTP/2 connection. */
+	static final String HTTP2 = "http2";
+
+	private final HttpLimits limits;
+
+	private final RequestHandler handler;
+
+	private final ConnectionGate gate;
+
+	private final Optional<TlsFiles> tls;
+
+	ConnectionInitializer(HttpLimits limits, RequestHandler handler, ConnectionGate gate, Optional<TlsFiles> tls) {
+		this.limits = limits;
+		this.handler = handler;
+		this.gate = gate;
+		this.tls = tls;
+	}
+
+	@Override
+	protected void initChannel(Channel channel) {
+		ChannelPipeline pipeline = channel.pipeline();
+		pipeline.addLast(this.gate);
+		if (this.tls.isPresent()) {
+			pipeline.addLast(this.tls.get().context().newHandler(channel.alloc()));
+			pipeline.addLast(new Negotiation());
+		}
+		else {
+			pipeline.addLast(new ProtocolDetector(this::http1, this::http2));
+		}
+	}
+
+	private void http1(ChannelPipeline pipeline) {
+		pipeline.addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(HttpLimits.MAX_LINE)
+			.setMaxHeaderSize(HttpLimits.MAX_HEADER_BYTES)));
+		pipeline.addLast(READER, new RequestReader(this.limits, this.handler, false));
+	}
+
+	private void http2(ChannelPipeline pipeline) {
+		Http2Settings settings = Http2Settings.defaultSettings()
+			.maxConcurrentStreams(HttpLimits.MAX_STREAMS)
+			.maxHeaderListSize(HttpLimits.MAX_HEADER_BYTES);
+		pipeline.addLast(HTTP2, Http2FrameCodecBuilder.forServer().initialSettings(settings).build());
+		pipeline.addLast(new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+
+			@Override
+			protected void initChannel(Channel stream) {
+				stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true));
+				stream.pipeline()
+					.addLast(new RequestReader(ConnectionInitializer.this.limits, ConnectionInitializer.this.handler,
+							true));
+			}
+
+		}));
+		pipeline.addLast(new Http2Keepalive());
+	}
+
+	/** Sets up what ALPN chose. */
+	private final class Negotiation extends ApplicationProtocolNegotiationHandler {
+
+		private Negotiation() {
+			super(ApplicationProtocolNames.HTTP_1_1);
+		}
+
+		@Override
+		protected void configurePipeline(ChannelHandlerContext ctx, String protocol) {
+			if (ApplicationProtocolNames.HTTP_2.equals(protocol)) {
+				http2(ctx.pipeline());
+			}
+			else {
+				http1(ctx.pipeline());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ProtocolDetector.java
@@ -0,0 +1,45 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.util.CharsetUtil;
+
+/**
+ * Tells HTTP/2 with prior knowledge from HTTP/1.1 by the first bytes of a connection.
+ * <p>
+ * Not thread safe: belongs to one connection.
+ */
+final class ProtocolDetector extends ByteToMessageDecoder {
+
+	private static final ByteBuf PREFACE = Unpooled
+		.unreleasableBuffer(Unpooled.copiedBuffer("PRI * HTTP/2.0\r\n", CharsetUtil.US_ASCII));
+
+	private final Consumer<ChannelPipeline> http1;
+
+	private final Consumer<ChannelPipeline> http2;
+
+	ProtocolDetector(Consumer<ChannelPipeline> http1, Consumer<ChannelPipeline> http2) {
+		this.http1 = http1;
+		this.http2 = http2;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+		int known = Math.min(in.readableBytes(), PREFACE.readableBytes());
+		boolean prefix = ByteBufUtil.equals(in, in.readerIndex(), PREFACE, PREFACE.readerIndex(), known);
+		if (prefix && known < PREFACE.readableBytes()) {
+			return;
+		}
+		Consumer<ChannelPipeline> chosen = (prefix) ? this.http2 : this.http1;
+		chosen.accept(ctx.pipeline());
+		ctx.pipeline().remove(this);
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/Refusal.java
@@ -0,0 +1,66 @@
+package org.acaciacourse.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.code.RunState;
+
+/**
+ * A refusal as callers see it: a JSON object with the code and whether the request ran.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param code the reason
+ * @param run whether an endpoint ran the request
+ * @param retryAfter when a repeat makes sense
+ */
+public record Refusal(ResultCode code, RunState run, Optional<Duration> retryAfter) {
+
+	private static final Duration DEFAULT_RETRY = Duration.ofSeconds(1);
+
+	/**
+	 * Make a refusal before any endpoint was asked.
+	 * @param code the reason
+	 * @return the refusal
+	 */
+	public static Refusal notRun(ResultCode code) {
+		return of(code, RunState.NOT_RUN, Optional.empty());
+	}
+
+	/**
+	 * Make a refusal; a code that permits a repeat gets a time to come back.
+	 * @param code the reason
+	 * @param run whether an endpoint ran the request
+	 * @param retryAfter when a repeat makes sense, if that is known
+	 * @return the refusal
+	 */
+	public static Refusal of(ResultCode code, RunState run, Optional<Duration> retryAfter) {
+		Optional<Duration> time = (code.isRetryable()) ? Optional.of(retryAfter.orElse(DEFAULT_RETRY))
+				: Optional.empty();
+		return new Refusal(code, run, time);
+	}
+
+	/**
+	 * Return the JSON object.
+	 * @return the text
+	 */
+	public String json() {
+		StringBuilder text = new StringBuilder(160);
+		text.append("{\"error\":{\"code\":").append(this.code.number());
+		text.append(",\"message\":\"").append(this.code.text());
+		text.append("\",\"run\":\"").append(this.run.label()).append('"');
+		this.retryAfter.ifPresent((time) -> text.append(",\"retry_after_ms\":").append(time.toMillis()));
+		return text.append("}}").toString();
+	}
+
+	byte[] bytes() {
+		return json().getBytes(StandardCharsets.UTF_8);
+	}
+
+	Optional<String> retryAfterSeconds() {
+		return this.retryAfter.map((time) -> Long.toString(Math.max(1, (time.toMillis() + 999) / 1000)));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -0,0 +1,258 @@
+package org.acaciacourse.daemon.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.acaciacourse.core.code.ResultCode;
+
+/**
+ * Receives requests of one HTTP/1.1 connection, or the one request of an HTTP/2 stream.
+ * Requests of a connection are handled one after the other; a pipelined one waits unread,
+ * so that a caller can't fill the memory with requests it has no answers to.
+ * <p>
+ * Not thread safe: belongs to the event loop of its connection.
+ */
+final class RequestReader extends ChannelInboundHandlerAdapter {
+
+	private static final long LINGER_MILLIS = 1000;
+
+	private final HttpLimits limits;
+
+	private final RequestHandler handler;
+
+	private final boolean stream;
+
+	private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+
+	private HttpRequest head;
+
+	private CompositeByteBuf body;
+
+	private CallerResponse response;
+
+	private ScheduledFuture<?> timeout;
+
+	private boolean discarding;
+
+	RequestReader(HttpLimits limits, RequestHandler handler, boolean stream) {
+		this.limits = limits;
+		this.handler = handler;
+		this.stream = stream;
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		long millis = this.limits.readTimeout().toMillis();
+		this.timeout = ctx.executor()
+			.schedule(() -> refuse(ctx, ResultCode.REQUEST_TOO_SLOW), millis, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (!(message instanceof HttpObject part) || this.discarding) {
+			ReferenceCountUtil.release(message);
+		}
+		else if (this.response != null) {
+			this.pipelined.add(part);
+			ctx.channel().config().setAutoRead(false);
+		}
+		else {
+			read(ctx, part);
+		}
+	}
+
+	private void read(ChannelHandlerContext ctx, HttpObject part) {
+		try {
+			if (part.decoderResult().isFailure()) {
+				refuse(ctx, codeOf(part.decoderResult().cause()));
+				return;
+			}
+			if (part instanceof HttpRequest request) {
+				begin(ctx, request);
+			}
+			if (part instanceof HttpContent content && this.head != null) {
+				append(ctx, content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(part);
+		}
+	}
+
+	private static ResultCode codeOf(Throwable cause) {
+		boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+		return (tooLong) ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST;
+	}
+
+	private void begin(ChannelHandlerContext ctx, HttpRequest request) {
+		restartTimeout(ctx, this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
+		if (request.headers().size() > HttpLimits.MAX_HEADERS) {
+			refuse(ctx, ResultCode.HEADERS_TOO_LARGE);
+		}
+		else if (HttpUtil.getContentLength(request, 0L) > this.limits.maxBody()) {
+			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
+		}
+		else {
+			this.head = request;
+			this.body = ctx.alloc().compositeBuffer(1024);
+			if (HttpUtil.is100ContinueExpected(request)) {
+				ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+			}
+		}
+	}
+
+	private void append(ChannelHandlerContext ctx, HttpContent content) {
+		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.maxBody()) {
+			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
+			return;
+		}
+		this.body.addComponent(true, content.content().retain());
+		if (content instanceof LastHttpContent) {
+			complete(ctx);
+		}
+	}
+
+	private void complete(ChannelHandlerContext ctx) {
+		stopTimeout();
+		HttpRequest request = this.head;
+		byte[] bytes = bytes(this.body);
+		clear();
+		this.response = new CallerResponse(ctx.channel(), request.protocolVersion(), HttpUtil.isKeepAlive(request),
+				() -> answered(ctx, HttpUtil.isKeepAlive(request)));
+		String uri = request.uri();
+		int mark = uri.indexOf('?');
+		String path = (mark < 0) ? uri : uri.substring(0, mark);
+		String query = (mark < 0) ? "" : uri.substring(mark + 1);
+		this.handler.handle(new CallerRequest(request.method().name(), path, query, request.headers(), bytes),
+				this.response);
+	}
+
+	private static byte[] bytes(ByteBuf body) {
+		return ByteBufUtil.getBytes(body);
+	}
+
+	private void answered(ChannelHandlerContext ctx, boolean keepAlive) {
+		this.response = null;
+		boolean http10 = !this.stream && !keepAlive;
+		if (this.discarding) {
+			linger(ctx);
+		}
+		else if (this.stream) {
+			return;
+		}
+		else if (http10 || ConnectionGate.isClosing(ctx.channel())) {
+			ctx.close();
+		}
+		else {
+			restartTimeout(ctx, HttpLimits.IDLE_TIMEOUT.toMillis(), ResultCode.OK);
+			readPipelined(ctx);
+		}
+	}
+
+	private void readPipelined(ChannelHandlerContext ctx) {
+		while (this.response == null && !this.pipelined.isEmpty()) {
+			read(ctx, this.pipelined.remove());
+		}
+		if (this.pipelined.isEmpty()) {
+			ctx.channel().config().setAutoRead(true);
+		}
+	}
+
+	private void refuse(ChannelHandlerContext ctx, ResultCode code) {
+		if (this.discarding || this.response != null) {
+			return;
+		}
+		this.discarding = true;
+		stopTimeout();
+		HttpVersion version = HttpVersion.HTTP_1_1;
+		clear();
+		if (code == ResultCode.OK) {
+			ctx.close();
+			return;
+		}
+		this.handler.refused(code);
+		this.response = new CallerResponse(ctx.channel(), version, this.stream, () -> answered(ctx, this.stream));
+		this.response.refuse(Refusal.notRun(code), "");
+	}
+
+	// The rest of a refused request is read and thrown away for a moment: closing with
+	// unread bytes would reset the connection, and the caller would never see the
+	// refusal.
+	private void linger(ChannelHandlerContext ctx) {
+		if (ctx.channel() instanceof SocketChannel socket) {
+			socket.shutdownOutput();
+		}
+		ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		if (this.response != null && ctx.channel().isWritable()) {
+			this.response.channelWritable();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		stopTimeout();
+		clear();
+		this.pipelined.forEach(ReferenceCountUtil::release);
+		this.pipelined.clear();
+		if (this.response != null) {
+			this.response.channelGone();
+		}
+		ctx.fireChannelInactive();
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		ctx.close();
+	}
+
+	/**
+	 * Return whether a request is being received or answered.
+	 * @return whether the connection is in use
+	 */
+	boolean isBusy() {
+		return this.response != null || this.head != null;
+	}
+
+	private void restartTimeout(ChannelHandlerContext ctx, long millis, ResultCode code) {
+		stopTimeout();
+		this.timeout = ctx.executor().schedule(() -> refuse(ctx, code), millis, TimeUnit.MILLISECONDS);
+	}
+
+	private void stopTimeout() {
+		if (this.timeout != null) {
+			this.timeout.cancel(false);
+		}
+	}
+
+	private void clear() {
+		this.head = null;
+		if (this.body != null) {
+			this.body.release();
+			this.body = null;
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/TlsFiles.java
@@ -0,0 +1,78 @@
+package org.acaciacourse.daemon.http;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.List;
+
+import io.netty.handler.codec.http2.Http2SecurityUtil;
+import io.netty.handler.ssl.ApplicationProtocolConfig;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslProvider;
+import io.netty.handler.ssl.SupportedCipherSuiteFilter;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The TLS context made of two PEM files, made anew when one of them changes. Files that
+ * can't be used leave the context as it was: a half written certificate must not stop
+ * callers.
+ * <p>
+ * Thread safe: {@link #reload} is called by one thread, {@link #context} by any.
+ */
+final class TlsFiles {
+
+	private static final Logger logger = LogManager.getLogger(TlsFiles.class);
+
+	private final Path certificate;
+
+	private final Path key;
+
+	private volatile SslContext context;
+
+	private List<FileTime> times;
+
+	TlsFiles(Path certificate, Path key) throws IOException {
+		this.certificate = certificate;
+		this.key = key;
+		this.times = times();
+		this.context = load();
+	}
+
+	SslContext context() {
+		return this.context;
+	}
+
+	void reload() {
+		try {
+			List<FileTime> now = times();
+			if (!now.equals(this.times)) {
+				this.context = load();
+				this.times = now;
+				logger.info("certificate reloaded");
+			}
+		}
+		catch (IOException | RuntimeException ex) {
+			logger.warn("certificate cannot be reloaded: {}", ex.toString());
+		}
+	}
+
+	private List<FileTime> times() throws IOException {
+		return List.of(Files.getLastModifiedTime(this.certificate), Files.getLastModifiedTime(this.key));
+	}
+
+	private SslContext load() throws IOException {
+		return SslContextBuilder.forServer(this.certificate.toFile(), this.key.toFile())
+			.sslProvider(SslProvider.JDK)
+			.ciphers(Http2SecurityUtil.CIPHERS, SupportedCipherSuiteFilter.INSTANCE)
+			.applicationProtocolConfig(new ApplicationProtocolConfig(ApplicationProtocolConfig.Protocol.ALPN,
+					ApplicationProtocolConfig.SelectorFailureBehavior.NO_ADVERTISE,
+					ApplicationProtocolConfig.SelectedListenerFailureBehavior.ACCEPT, ApplicationProtocolNames.HTTP_2,
+					ApplicationProtocolNames.HTTP_1_1))
+			.build();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/AdminServer.java
@@ -0,0 +1,73 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.prometheus.metrics.exporter.httpserver.MetricsHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Health and metrics of a daemon on an address of their own, so that they answer while
+ * callers' connections are at their bound.
+ * <p>
+ * Thread safe.
+ */
+public final class AdminServer implements AutoCloseable {
+
+	private static final int THREADS = 2;
+
+	private final HttpServer server;
+
+	private final ExecutorService executor = Executors.newFixedThreadPool(THREADS, (task) -> {
+		Thread thread = new Thread(task, "admin");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final BooleanSupplier ready;
+
+	public AdminServer(InetSocketAddress address, PrometheusRegistry registry, BooleanSupplier ready)
+			throws IOException {
+		this.ready = ready;
+		this.server = HttpServer.create(address, 0);
+		this.server.setExecutor(this.executor);
+		this.server.createContext("/metrics", new MetricsHandler(registry));
+		this.server.createContext("/health/live", (exchange) -> answer(exchange, 200, "live"));
+		this.server.createContext("/health/ready", this::ready);
+		this.server.start();
+	}
+
+	/**
+	 * Return the bound port.
+	 * @return the port
+	 */
+	public int port() {
+		return this.server.getAddress().getPort();
+	}
+
+	private void ready(HttpExchange exchange) throws IOException {
+		boolean now = this.ready.getAsBoolean();
+		answer(exchange, (now) ? 200 : 503, (now) ? "ready" : "not-ready");
+	}
+
+	private static void answer(HttpExchange exchange, int status, String state) throws IOException {
+		byte[] body = ("{\"status\":\"" + state + "\"}").getBytes(StandardCharsets.UTF_8);
+		exchange.getResponseHeaders().set("Content-Type", "application/json");
+		exchange.sendResponseHeaders(status, body.length);
+		exchange.getResponseBody().write(body);
+		exchange.close();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+		this.executor.shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/ClassResults.java
@@ -0,0 +1,128 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.acaciacourse.protocol.generated.ClassReport;
+
+/**
+ * Results per policy epoch and class, as control collects them for a comparison of
+ * policies. An epoch begins with the manifest that takes a policy into force. Old epochs
+ * are dropped, so that any number of changes costs bounded memory.
+ * <p>
+ * Thread safe.
+ */
+public final class ClassResults {
+
+	private static final int MAX_EPOCHS = 16;
+
+	private final Map<Key, Tally> tallies = new ConcurrentHashMap<>();
+
+	/**
+	 * Return the tally of a class under a policy.
+	 * @param policy the name of the policy
+	 * @param epoch the number of the manifest that took it into force
+	 * @param requestClass the name of the class
+	 * @return the tally to add to
+	 */
+	public Tally tally(String policy, long epoch, String requestClass) {
+		Key key = new Key(policy, epoch, requestClass);
+		Tally known = this.tallies.get(key);
+		return (known != null) ? known : add(key);
+	}
+
+	private Tally add(Key key) {
+		Tally tally = this.tallies.computeIfAbsent(key, (k) -> new Tally());
+		List<Long> epochs = this.tallies.keySet()
+			.stream()
+			.map(Key::epoch)
+			.distinct()
+			.sorted(Comparator.reverseOrder())
+			.toList();
+		if (epochs.size() > MAX_EPOCHS) {
+			long oldest = epochs.get(MAX_EPOCHS - 1);
+			this.tallies.keySet().removeIf((k) -> k.epoch < oldest);
+		}
+		return tally;
+	}
+
+	/**
+	 * Return all results.
+	 * @return a report for each policy epoch and class
+	 */
+	public List<ClassReport> reports() {
+		return this.tallies.entrySet().stream().map((entry) -> entry.getValue().report(entry.getKey())).toList();
+	}
+
+	/**
+	 * Counters of one class under one policy.
+	 * <p>
+	 * Thread safe.
+	 */
+	public static final class Tally {
+
+		private final LongAdder arrived = new LongAdder();
+
+		private final LongAdder answered = new LongAdder();
+
+		private final LongAdder met = new LongAdder();
+
+		private final LongAdder refused = new LongAdder();
+
+		private final LongAdder failed = new LongAdder();
+
+		private final LongAdder delivered = new LongAdder();
+
+		private final LongAdder wasted = new LongAdder();
+
+		private final LongAdder retries = new LongAdder();
+
+		private final LongAdder hedges = new LongAdder();
+
+		private ClassReport report(Key key) {
+			return new ClassReport(key.policy, key.epoch, key.requestClass, this.arrived.sum(), this.answered.sum(),
+					this.met.sum(), this.refused.sum(), this.failed.sum(), this.delivered.sum(), this.wasted.sum(),
+					this.retries.sum(), this.hedges.sum());
+		}
+
+		void arrived() {
+			this.arrived.increment();
+		}
+
+		void answered(boolean targetMet, long tokens) {
+			this.answered.increment();
+			this.delivered.add(tokens);
+			if (targetMet) {
+				this.met.increment();
+			}
+		}
+
+		void refused() {
+			this.refused.increment();
+		}
+
+		void failed() {
+			this.failed.increment();
+		}
+
+		void wasted(long tokens) {
+			this.wasted.add(tokens);
+		}
+
+		void retry() {
+			this.retries.increment();
+		}
+
+		void hedge() {
+			this.hedges.increment();
+		}
+
+	}
+
+	private record Key(String policy, long epoch, String requestClass) {
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/EntryMetrics.java
@@ -0,0 +1,265 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.time.Duration;
+import java.util.function.IntSupplier;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.code.ResultCode;
+
+/**
+ * The metrics of an entry VM. Nothing here is called for each token; an answer adds its
+ * tokens at its end.
+ * <p>
+ * Thread safe.
+ */
+public final class EntryMetrics {
+
+	private static final double[] SECONDS = { 0.05, 0.1, 0.2, 0.41, 1, 2, 3, 5, 10, 30, 60, 300, 1800, 28800 };
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final ClassResults results = new ClassResults();
+
+	private final Counter arrived = perPolicy("requests", "requests that arrived");
+
+	private final Counter answered = perPolicy("answers", "whole answers");
+
+	private final Counter met = perPolicy("target_met", "whole answers that met their target");
+
+	private final Counter delivered = perPolicy("tokens_delivered", "tokens of whole answers");
+
+	private final Counter goodput = perPolicy("tokens_goodput", "tokens of whole answers that met their target");
+
+	private final Counter wasted = perPolicy("tokens_wasted", "tokens received and thrown away");
+
+	private final Counter retries = perPolicy("retries", "attempts after one that ended");
+
+	private final Counter hedges = perPolicy("hedges", "attempts beside one that ran");
+
+	private final Counter refusals = Counter.builder()
+		.name("acaciacourse_refusals")
+		.help("requests that got no whole answer, by code")
+		.labelNames("code", "class")
+		.register(this.registry);
+
+	private final Counter discarded = Counter.builder()
+		.name("acaciacourse_answers_discarded")
+		.help("answers that belonged to another attempt")
+		.register(this.registry);
+
+	private final Gauge queued = perClass("queued", "requests that wait for an endpoint");
+
+	private final Gauge inFlight = perClass("in_flight", "requests that an endpoint runs");
+
+	private final Gauge configuration = Gauge.builder()
+		.name("acaciacourse_configuration_number")
+		.help("number of the manifest in force")
+		.register(this.registry);
+
+	private final Histogram firstToken = seconds("first_token_seconds", "time to the first token");
+
+	private final Histogram wholeAnswer = seconds("answer_seconds", "time to the end of the answer");
+
+	public EntryMetrics(IntSupplier connections) {
+		GaugeWithCallback.builder()
+			.name("acaciacourse_caller_connections")
+			.help("open connections of callers")
+			.callback((callback) -> callback.call(connections.getAsInt()))
+			.register(this.registry);
+	}
+
+	private Counter perPolicy(String name, String help) {
+		return Counter.builder()
+			.name("acaciacourse_" + name)
+			.help(help)
+			.labelNames("class", "policy")
+			.register(this.registry);
+	}
+
+	private Gauge perClass(String name, String help) {
+		return Gauge.builder().name("acaciacourse_" + name).help(help).labelNames("class").register(this.registry);
+	}
+
+	private Histogram seconds(String name, String help) {
+		return Histogram.builder()
+			.name("acaciacourse_" + name)
+			.help(help)
+			.labelNames("class")
+			.classicOnly()
+			.classicUpperBounds(SECONDS)
+			.register(this.registry);
+	}
+
+	/**
+	 * Return the registry for the metrics page.
+	 * @return the registry
+	 */
+	public PrometheusRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Return the results per policy and class.
+	 * @return the results
+	 */
+	public ClassResults results() {
+		return this.results;
+	}
+
+	/**
+	 * A newer configuration is in force.
+	 * @param number its number
+	 */
+	public void configuration(long number) {
+		this.configuration.set(number);
+	}
+
+	/** An answer under another attempt's id was discarded. */
+	public void answerDiscarded() {
+		this.discarded.inc();
+	}
+
+	/**
+	 * A request got no whole answer.
+	 * @param code the reason
+	 * @param requestClass the name of its class, empty if it was not known yet
+	 */
+	public void refused(ResultCode code, String requestClass) {
+		this.refusals.labelValues(Integer.toString(code.number()), requestClass).inc();
+	}
+
+	/**
+	 * Begin to count a request.
+	 * @param requestClass the name of its class
+	 * @param policy the policy in force
+	 * @param epoch the number of the manifest that took the policy into force
+	 * @return counts what becomes of the request
+	 */
+	public RequestMeter meter(String requestClass, String policy, long epoch) {
+		RequestMeter meter = new RequestMeter(requestClass, policy, epoch);
+		this.arrived.labelValues(requestClass, policy).inc();
+		this.queued.labelValues(requestClass).inc();
+		meter.tally.arrived();
+		return meter;
+	}
+
+	/**
+	 * Counts what becomes of one request.
+	 * <p>
+	 * Not thread safe: belongs to the thread that owns the request.
+	 */
+	public final class RequestMeter {
+
+		private final String requestClass;
+
+		private final String policy;
+
+		private final ClassResults.Tally tally;
+
+		private int running;
+
+		private int attempts;
+
+		private boolean ended;
+
+		private RequestMeter(String requestClass, String policy, long epoch) {
+			this.requestClass = requestClass;
+			this.policy = policy;
+			this.tally = EntryMetrics.this.results.tally(policy, epoch, requestClass);
+		}
+
+		/** An attempt begins. */
+		public void attemptBegins() {
+			if (this.running > 0) {
+				EntryMetrics.this.hedges.labelValues(this.requestClass, this.policy).inc();
+				this.tally.hedge();
+			}
+			else if (this.attempts > 0) {
+				EntryMetrics.this.retries.labelValues(this.requestClass, this.policy).inc();
+				this.tally.retry();
+			}
+			if (this.running == 0) {
+				move(EntryMetrics.this.queued, EntryMetrics.this.inFlight);
+			}
+			this.running++;
+			this.attempts++;
+		}
+
+		/** An attempt ended. */
+		public void attemptEnds() {
+			this.running--;
+			if (this.running == 0 && !this.ended) {
+				move(EntryMetrics.this.inFlight, EntryMetrics.this.queued);
+			}
+		}
+
+		private void move(Gauge from, Gauge to) {
+			from.labelValues(this.requestClass).dec();
+			to.labelValues(this.requestClass).inc();
+		}
+
+		/**
+		 * The first token was passed on.
+		 * @param time the time since arrival
+		 */
+		public void firstToken(Duration time) {
+			EntryMetrics.this.firstToken.labelValues(this.requestClass).observe(time.toNanos() / 1e9);
+		}
+
+		/**
+		 * The whole answer was passed on.
+		 * @param time the time since arrival
+		 * @param targetMet whether the target of the class was met
+		 * @param tokens the tokens of the answer
+		 */
+		public void answered(Duration time, boolean targetMet, long tokens) {
+			end();
+			EntryMetrics.this.answered.labelValues(this.requestClass, this.policy).inc();
+			EntryMetrics.this.delivered.labelValues(this.requestClass, this.policy).inc(tokens);
+			EntryMetrics.this.wholeAnswer.labelValues(this.requestClass).observe(time.toNanos() / 1e9);
+			if (targetMet) {
+				EntryMetrics.this.met.labelValues(this.requestClass, this.policy).inc();
+				EntryMetrics.this.goodput.labelValues(this.requestClass, this.policy).inc(tokens);
+			}
+			this.tally.answered(targetMet, tokens);
+		}
+
+		/**
+		 * The request got no whole answer.
+		 * @param code the reason
+		 */
+		public void failed(ResultCode code) {
+			end();
+			EntryMetrics.this.refused(code, this.requestClass);
+			if (this.attempts == 0) {
+				this.tally.refused();
+			}
+			else {
+				this.tally.failed();
+			}
+		}
+
+		/**
+		 * Tokens were received and thrown away.
+		 * @param tokens how many
+		 */
+		public void wasted(long tokens) {
+			if (tokens > 0) {
+				EntryMetrics.this.wasted.labelValues(this.requestClass, this.policy).inc(tokens);
+				this.tally.wasted(tokens);
+			}
+		}
+
+		private void end() {
+			this.ended = true;
+			Gauge present = (this.running > 0) ? EntryMetrics.this.inFlight : EntryMetrics.this.queued;
+			present.labelValues(this.requestClass).dec();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Health, metrics and traces of a daemon.
+ */
+package org.acaciacourse.daemon.telemetry;
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/LeastLoadedDispatcher.java
@@ -0,0 +1,179 @@
+package org.acaciacourse.daemon.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.AttemptOutcome;
+import org.acaciacourse.core.dispatch.DispatchActions;
+import org.acaciacourse.core.dispatch.Dispatcher;
+import org.acaciacourse.core.dispatch.EndpointStatus;
+import org.acaciacourse.core.dispatch.LoadReport;
+import org.acaciacourse.core.dispatch.RequestInfo;
+import org.acaciacourse.core.model.Endpoint;
+import org.acaciacourse.core.model.Manifest;
+
+/**
+ * A small dispatcher for tests of the daemon: the endpoint with the fewest attempts, two
+ * retries, the deadline, and nothing else.
+ * <p>
+ * Not thread safe: one thread calls it.
+ */
+final class LeastLoadedDispatcher implements Dispatcher {
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private final DispatchActions actions;
+
+	private final Map<Long, Open> requests = new HashMap<>();
+
+	private final Map<Long, Long> requestOfAttempt = new HashMap<>();
+
+	private final Map<Long, String> endpointOfAttempt = new HashMap<>();
+
+	private final Set<String> leaving = new HashSet<>();
+
+	private Manifest manifest;
+
+	private long attempts;
+
+	LeastLoadedDispatcher(DispatchActions actions) {
+		this.actions = actions;
+	}
+
+	@Override
+	public void configure(Manifest next, long now) {
+		this.manifest = next;
+	}
+
+	@Override
+	public void endpointStatus(String endpoint, EndpointStatus status, long now) {
+		if (!status.acceptsWork()) {
+			this.leaving.add(endpoint);
+		}
+	}
+
+	@Override
+	public void loadReport(String endpoint, LoadReport report, long now) {
+	}
+
+	@Override
+	public void prefixEvent(String endpoint, long prefixHash, boolean held, long now) {
+	}
+
+	@Override
+	public void arrive(RequestInfo request, long now) {
+		this.requests.put(request.id(), new Open(request));
+		this.actions.wakeAt(request.deadlineNanos());
+		dispatch(this.requests.get(request.id()));
+	}
+
+	private void dispatch(Open open) {
+		Optional<Endpoint> chosen = this.manifest.endpoints()
+			.values()
+			.stream()
+			.filter((endpoint) -> endpoint.set().equals(open.info.endpointSet()))
+			.filter((endpoint) -> !this.leaving.contains(endpoint.name()))
+			.min((a, b) -> Long.compare(load(a), load(b)));
+		if (chosen.isEmpty()) {
+			finish(open, ResultCode.NO_ENDPOINT);
+			return;
+		}
+		long id = ++this.attempts;
+		open.tries++;
+		this.requestOfAttempt.put(id, open.info.id());
+		this.endpointOfAttempt.put(id, chosen.get().name());
+		this.actions
+			.dispatch(new DispatchActions.Attempt(id, open.info.id(), chosen.get().name(), 0, open.tokens, "tiered"));
+	}
+
+	private long load(Endpoint endpoint) {
+		return this.endpointOfAttempt.values().stream().filter(endpoint.name()::equals).count();
+	}
+
+	private void finish(Open open, ResultCode code) {
+		this.requests.remove(open.info.id());
+		this.actions.finish(open.info.id(), code, Optional.empty());
+	}
+
+	@Override
+	public void callerGone(long requestId, long now) {
+		this.requests.remove(requestId);
+		this.requestOfAttempt.forEach((attempt, request) -> {
+			if (request == requestId) {
+				this.actions.cancel(attempt);
+			}
+		});
+	}
+
+	@Override
+	public void tokens(long attemptId, int count, long now) {
+		Open open = this.requests.get(this.requestOfAttempt.get(attemptId));
+		if (open != null) {
+			open.tokens += count;
+		}
+	}
+
+	@Override
+	public void ended(long attemptId, AttemptOutcome outcome, long now) {
+		Long requestId = this.requestOfAttempt.remove(attemptId);
+		this.endpointOfAttempt.remove(attemptId);
+		Open open = this.requests.get(requestId);
+		if (open == null) {
+			return;
+		}
+		if (outcome == AttemptOutcome.COMPLETE) {
+			this.requests.remove(requestId);
+		}
+		else if (mayRetry(open, outcome)) {
+			dispatch(open);
+		}
+		else {
+			finish(open,
+					(outcome != AttemptOutcome.REJECTED) ? ResultCode.RETRIES_EXHAUSTED : ResultCode.ENDPOINT_ERROR);
+		}
+	}
+
+	private static boolean mayRetry(Open open, AttemptOutcome outcome) {
+		boolean unsent = outcome == AttemptOutcome.NOT_SENT || outcome == AttemptOutcome.REFUSED;
+		return outcome.isRetryable() && open.tries < MAX_ATTEMPTS && (unsent || !open.info.notRepeated());
+	}
+
+	@Override
+	public void suspect(long contentHash, int crashes, long now) {
+	}
+
+	@Override
+	public void drain(long now) {
+	}
+
+	@Override
+	public void tick(long now) {
+		for (Open open : Map.copyOf(this.requests).values()) {
+			if (now >= open.info.deadlineNanos()) {
+				finish(open, ResultCode.DEADLINE_EXCEEDED);
+			}
+			else {
+				this.actions.wakeAt(open.info.deadlineNanos());
+			}
+		}
+	}
+
+	private static final class Open {
+
+		private final RequestInfo info;
+
+		private int tries;
+
+		private int tokens;
+
+		private Open(RequestInfo info) {
+			this.info = info;
+		}
+
+	}
+
+}
