--- /dev/null
+++ b/bench/src/main/java/org/acaciacourse/bench/cli/BenchCommand.java
@@ -0,0 +1,18 @@
+package org.acaciacourse.bench.cli;
+
+import java.io.PrintStream;
+
+/**
+ * A subcommand. An implementation carries JCommander's annotations for its name and its
+ * options, and is listed in {@link Main}.
+ */
+public interface BenchCommand {
+
+	/**
+	 * Run the command.
+	 * @param out where results go
+	 * @return the exit status
+	 */
+	int run(PrintStream out);
+
+}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/learn/Spread.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/learn/Spread.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.dispatch.learn;
 
+import java.util.Arrays;
+
 /**
  * The spread of a positive quantity, learnt with exponential forgetting: counts in
  * buckets whose bounds grow by a fixed factor. A quantile costs one pass over the buckets
@@ -20,7 +22,7 @@
 
 	private static final double FACTOR = 1.35;
 
-	private static final double LOG_FACTOR = Math.log(FACTOR);
+	private static final double[] BOUNDS = bounds();
 
 	private static final double MEMORY = 400;
 
@@ -77,10 +79,10 @@
 		for (int i = 0; i < BUCKETS; i++) {
 			left -= this.counts[i];
 			if (left <= 0) {
-				return Math.pow(FACTOR, i);
+				return BOUNDS[i];
 			}
 		}
-		return Math.pow(FACTOR, BUCKETS - 1);
+		return BOUNDS[BUCKETS - 1];
 	}
 
 	private void forgetHalf() {
@@ -92,10 +94,17 @@
 	}
 
 	private static int bucket(double value) {
-		if (value <= 1) {
-			return 0;
+		int found = Arrays.binarySearch(BOUNDS, value);
+		return Math.max(0, (found >= 0) ? found : -found - 2);
+	}
+
+	private static double[] bounds() {
+		double[] bounds = new double[BUCKETS];
+		bounds[0] = 1;
+		for (int i = 1; i < BUCKETS; i++) {
+			bounds[i] = bounds[i - 1] * FACTOR;
 		}
-		return Math.min(BUCKETS - 1, (int) (Math.log(value) / LOG_FACTOR));
+		return bounds;
 	}
 
 }
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Statistics of results: intervals of shares.
+ */
+package org.acaciacourse.core.measure;
