--- a/bench/src/main/java/org/acaciacourse/bench/capacity/ManifestSlopes.java
+++ b/bench/src/main/java/org/acaciacourse/bench/capacity/ManifestSlopes.java
@@ -4,6 +4,8 @@
 import java.util.Arrays;
 import java.util.function.Supplier;
 
+import com.beust.jcommander.Parameters;
+import org.acaciacourse.bench.cli.BenchCommand;
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.manifest.ManifestDocument;
 import org.acaciacourse.core.manifest.ManifestParser;
@@ -16,26 +18,18 @@
  * <p>
  * Not thread safe: made for one run.
  */
-public final class ManifestSlopes {
+@Parameters(commandNames = "manifest", commandDescription = "Measure what a change of configuration costs")
+public final class ManifestSlopes implements BenchCommand {
 
 	private static final int ROUNDS = 15;
 
 	private static final int MODELS = 34;
 
-	private final PrintStream out;
+	private PrintStream out;
 
-	/**
-	 * Make a measurement.
-	 * @param out where the table goes
-	 */
-	public ManifestSlopes(PrintStream out) {
-		this.out = out;
-	}
-
-	/**
-	 * Measure and print.
-	 */
-	public void run() {
+	@Override
+	public int run(PrintStream results) {
+		this.out = results;
 		this.out.println("endpoints customers  digest_ms parse_ms delta_ms apply_delta_ms document_KB manifest_KB");
 		for (int endpoints : new int[] { 13, 1_500, 3_000, 6_000, 12_000 }) {
 			measure(endpoints, 1_700);
@@ -43,6 +37,7 @@
 		for (int customers : new int[] { 10, 425, 850, 1_275, 1_700 }) {
 			measure(1_000, customers);
 		}
+		return 0;
 	}
 
 	private void measure(int endpoints, int customers) {
@@ -91,12 +86,4 @@
 		return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
 	}
 
-	/**
-	 * Run the measurement.
-	 * @param args none
-	 */
-	public static void main(String[] args) {
-		new ManifestSlopes(System.out).run();
-	}
-
 }
