Let an engine crash on a marked request from its start

An engine that its platform restarts has to crash again on the poison request; a fault switched by a call is lost with the process. Also splits what is asked of a run from where it stands.

--- a/bench/src/test/java/org/acaciacourse/bench/process/Answers.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/Answers.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -17,11 +20,28 @@
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
+	private static final Pattern LENGTH = Pattern.compile("\\[tokens=([0-9]+)]");
+
 	private static final String DATA = "data: ";
 
 	private Answers() {
 	}
 
+	/**
+	 * Return the right answer of the stand-in: the message, then filler up to the length
+	 * in its marker.
+	 * @param content the message
+	 * @return the answer
+	 */
+	static String expected(String content) {
+		Matcher marker = LENGTH.matcher(content);
+		StringBuilder answer = new StringBuilder(content);
+		int words = content.split(" ").length;
+		int length = (marker.find()) ? Integer.parseInt(marker.group(1)) : words;
+		IntStream.range(words, length).forEach((i) -> answer.append(" t").append(i));
+		return answer.toString();
+	}
+
 	static Told told(int status, String text, String content, String key, boolean streamed) {
 		try {
 			if (status != 200) {
--- a/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
@@ -15,7 +15,10 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.acaciacourse.bench.check.DeliveryChecker;
+import org.acaciacourse.bench.check.DeliveryReport;
 import org.acaciacourse.bench.check.Ran;
+import org.acaciacourse.bench.check.Told;
 
 /**
  * Controls, entries, engines and a plain service as separate processes on loopback.
@@ -274,6 +277,26 @@
 		}
 	}
 
+	/**
+	 * Compare what callers were told with what all endpoints ran.
+	 * @param told what callers were told
+	 * @return what was found
+	 */
+	DeliveryReport check(List<Told> told) {
+		DeliveryChecker checker = new DeliveryChecker(Answers::expected);
+		checker.told(told);
+		checker.ran(ran());
+		return checker.check();
+	}
+
+	/**
+	 * Wait until endpoints have begun to run as many different requests as given.
+	 * @param count the number of requests
+	 */
+	void awaitRuns(int count) {
+		Waiting.until(count + " runs", () -> ran().stream().map(Ran::content).distinct().count() >= count);
+	}
+
 	/**
 	 * Read what all endpoints ran.
 	 * @return the runs
@@ -294,12 +317,66 @@
 
 	String get(int port, String path) throws IOException, InterruptedException {
 		HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
-			.timeout(Duration.ofSeconds(5))
+			.timeout(Duration.ofSeconds(1))
 			.build();
 		HttpResponse<String> response = this.client.send(request, HttpResponse.BodyHandlers.ofString());
 		return response.statusCode() + " " + response.body();
 	}
 
+	int enginePort(int index) {
+		return this.enginePorts[index];
+	}
+
+	void restartDeadEngines() {
+		IntStream.range(0, this.engines.length).filter((i) -> !this.engines[i].isAlive()).forEach(this::startEngine);
+	}
+
+	/**
+	 * Wait until a control leads.
+	 * @return its index
+	 */
+	int awaitLeader() {
+		int[] leader = { -1 };
+		Waiting.until("a leader", () -> {
+			leader[0] = IntStream.range(0, this.controls.length).filter(this::leads).findFirst().orElse(-1);
+			return leader[0] >= 0;
+		});
+		return leader[0];
+	}
+
+	/**
+	 * Wait until an entry has a configuration in force.
+	 * @param entry its index
+	 * @param number the number of the manifest
+	 */
+	void awaitConfiguration(int entry, long number) {
+		Waiting.until("entry " + entry + " has " + number,
+				() -> get(this.entryAdmins[entry], "/metrics").contains("acaciacourse_configuration_number " + number));
+	}
+
+	private boolean leads(int control) {
+		try {
+			return this.controls[control].isAlive()
+					&& get(this.controlAdmins[control], "/metrics").contains("acaciacourse_replica_leader 1");
+		}
+		catch (IOException | InterruptedException ex) {
+			return false;
+		}
+	}
+
+	int entryCount() {
+		return this.entries.length;
+	}
+
+	boolean isEntryReady(int index) {
+		try {
+			return isReady(this.entryAdmins[index]);
+		}
+		catch (IOException | InterruptedException ex) {
+			return false;
+		}
+	}
+
 	private boolean isReady(int adminPort) throws IOException, InterruptedException {
 		return get(adminPort, "/health/ready").startsWith("200");
 	}
--- a/engine/src/main/java/org/acaciacourse/engine/Batch.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Batch.java
@@ -56,7 +56,7 @@
 
 	private final RunLog runLog;
 
-	private volatile Faults faults = Faults.NONE;
+	private volatile Faults faults;
 
 	private volatile Load load = new Load(0, 0, 0, System.nanoTime());
 
@@ -64,7 +64,8 @@
 
 	private boolean stopped;
 
-	Batch(EngineOptions.Pace pace, PrefixCache cache, RunLog runLog) {
+	Batch(EngineOptions.Pace pace, Faults faults, PrefixCache cache, RunLog runLog) {
+		this.faults = faults;
 		this.pace = pace;
 		this.cache = cache;
 		this.runLog = runLog;
@@ -190,7 +191,7 @@
 			refused.run();
 			return;
 		}
-		remember(run.id(), run);
+		remember(run.prompt().id(), run);
 		run.attach(sink, 0);
 		this.queued.add(run);
 	}
@@ -201,7 +202,7 @@
 			refused.run();
 			return;
 		}
-		this.runLog.add(resumeOf, run.get().key(), run.get().content(), true);
+		this.runLog.add(resumeOf, run.get().prompt().key(), run.get().prompt().content(), true);
 		remember(id, run.get());
 		run.get().attach(sink, from);
 		if (run.get().state() == Run.State.CANCELLED) {
@@ -224,7 +225,7 @@
 
 	private void admit(long now) {
 		dropAbandoned(this.queued, now);
-		this.queued.sort(Comparator.comparingInt(Run::priority));
+		this.queued.sort(Comparator.comparingInt((run) -> run.prompt().priority()));
 		while (this.running.size() < this.pace.slots() && !this.queued.isEmpty()) {
 			begin(this.queued.remove(0), now);
 		}
@@ -233,12 +234,12 @@
 
 	private void begin(Run run, long now) {
 		if (run.produced() == 0) {
-			this.runLog.add(run.id(), run.key(), run.content(), false);
+			this.runLog.add(run.prompt().id(), run.prompt().key(), run.prompt().content(), false);
 		}
-		if (this.faults.crashes(run.content())) {
+		if (this.faults.crashes(run.prompt().content())) {
 			Runtime.getRuntime().halt(CRASH_STATUS);
 		}
-		boolean cached = this.cache.use(run.prefix(), run.content().length(), now);
+		boolean cached = this.cache.use(run.prompt().prefix(), run.prompt().content().length(), now);
 		double prefill = this.pace.prefillMillis() * ((cached) ? CACHED_PREFILL : 1) * this.faults.slow();
 		run.begin(now + (long) (prefill * NANOS_PER_MILLI));
 		this.running.add(run);
--- a/engine/src/main/java/org/acaciacourse/engine/Engine.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Engine.java
@@ -54,7 +54,7 @@
 		EngineOptions.Pace pace = options.pace();
 		PrefixCache cache = new PrefixCache(pace.cacheBytes(), TimeUnit.MILLISECONDS.toNanos(pace.eventLagMillis()));
 		RunLog runLog = new RunLog(options.runLog());
-		this.batch = new Batch(pace, cache, runLog);
+		this.batch = new Batch(pace, Faults.crashOnly(options.crashMarker()), cache, runLog);
 		this.handler = new EngineHandler(options, this.batch, cache, runLog, this.connections);
 		this.listener = listen();
 		this.batchThread = new Thread(this.batch, "engine-batch-" + port());
--- a/engine/src/main/java/org/acaciacourse/engine/EngineCommand.java
+++ b/engine/src/main/java/org/acaciacourse/engine/EngineCommand.java
@@ -61,6 +61,9 @@
 	@Parameter(names = "--service-ms", description = "Time of a call of the plain service")
 	private int serviceMillis = 5;
 
+	@Parameter(names = "--crash-marker", description = "Text whose run halts the process")
+	private String crashMarker = "";
+
 	@Parameter(names = "--run-log", description = "File that gets a JSON line for each run")
 	private Path runLog;
 
@@ -76,8 +79,9 @@
 	public ResultCode run() throws InterruptedException {
 		EngineOptions.Pace pace = new EngineOptions.Pace(this.tokenMillis, this.prefillMillis, this.slots,
 				this.maxQueue, this.cacheBytes, this.loadLagMillis, this.eventLagMillis, this.detachedMillis);
-		Engine engine = Engine.start(new EngineOptions(this.host, this.port, Set.copyOf(this.models), pace,
-				this.checksFencing, this.service, this.serviceMillis, Optional.ofNullable(this.runLog)));
+		Engine engine = Engine
+			.start(new EngineOptions(this.host, this.port, Set.copyOf(this.models), pace, this.checksFencing,
+					this.service, this.serviceMillis, this.crashMarker, Optional.ofNullable(this.runLog)));
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(engine), "engine-stop"));
 		System.out.println("ready " + engine.address());
 		new CountDownLatch(1).await();
--- a/engine/src/main/java/org/acaciacourse/engine/EngineHandler.java
+++ b/engine/src/main/java/org/acaciacourse/engine/EngineHandler.java
@@ -44,7 +44,7 @@
 
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final AtomicReference<Run> previous = new AtomicReference<>();
+	private final AtomicReference<Prompt> previous = new AtomicReference<>();
 
 	private final AtomicInteger serviceCalls = new AtomicInteger();
 
@@ -170,23 +170,23 @@
 		String content = messages.get(messages.size() - 1).path("content").asText();
 		OptionalInt length = (json.has("max_tokens")) ? OptionalInt.of(json.get("max_tokens").asInt())
 				: OptionalInt.empty();
-		Run run = new Run(call.id, call.header("Idempotency-Key"), content, call.header("X-Prefix"),
+		Prompt prompt = new Prompt(call.id, call.header("Idempotency-Key"), content, call.header("X-Prefix"),
 				call.number("X-Priority", 0), AnswerText.tokens(content, length));
-		start(call, run, json.path("stream").asBoolean(false));
+		start(call, prompt, json.path("stream").asBoolean(false));
 	}
 
-	private void start(Call call, Run run, boolean streamed) {
+	private void start(Call call, Prompt prompt, boolean streamed) {
 		Faults faults = this.batch.faults();
-		Run before = this.previous.getAndSet(run);
+		Prompt before = this.previous.getAndSet(prompt);
 		if (faults.swap() && before != null) {
 			ChannelSink swapped = new ChannelSink(call.channel, before.id(), streamed, faults);
-			this.batch.submit(run.withTokens(before.tokens()), swapped, call::notRun);
+			this.batch.submit(new Run(prompt.withTokens(before.tokens())), swapped, call::notRun);
 			return;
 		}
 		ChannelSink sink = new ChannelSink(call.channel, call.id, streamed, faults);
 		String resumeOf = call.header("X-Resume-Of");
 		if (resumeOf.isEmpty()) {
-			this.batch.submit(run, sink, call::notRun);
+			this.batch.submit(new Run(prompt), sink, call::notRun);
 			return;
 		}
 		this.batch.resume(call.id, resumeOf, call.number("X-Resume-From", 0), sink,
--- a/engine/src/main/java/org/acaciacourse/engine/EngineOptions.java
+++ b/engine/src/main/java/org/acaciacourse/engine/EngineOptions.java
@@ -16,10 +16,11 @@
  * @param checksFencing whether orders with an old fencing number are refused
  * @param service whether it answers as a plain service
  * @param serviceMillis how long a call of the plain service takes
+ * @param crashMarker the text whose run halts the process, empty for none
  * @param runLog the file that gets a line for each run
  */
 public record EngineOptions(String host, int port, Set<String> models, Pace pace, boolean checksFencing,
-		boolean service, int serviceMillis, Optional<Path> runLog) {
+		boolean service, int serviceMillis, String crashMarker, Optional<Path> runLog) {
 
 	public EngineOptions {
 		models = Set.copyOf(models);
@@ -32,7 +33,7 @@
 	 * @return the options
 	 */
 	public static EngineOptions loopback(Set<String> models, Pace pace) {
-		return new EngineOptions("127.0.0.1", 0, models, pace, true, false, 0, Optional.empty());
+		return new EngineOptions("127.0.0.1", 0, models, pace, true, false, 0, "", Optional.empty());
 	}
 
 	/**
--- a/engine/src/main/java/org/acaciacourse/engine/Faults.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Faults.java
@@ -16,7 +16,9 @@
  */
 record Faults(double slow, int lateMillis, boolean freezeLoad, String crashMarker, boolean truncate, boolean swap) {
 
-	static final Faults NONE = new Faults(1, 0, false, "", false, false);
+	static Faults crashOnly(String crashMarker) {
+		return new Faults(1, 0, false, crashMarker, false, false);
+	}
 
 	static Faults of(JsonNode json) {
 		return new Faults(json.path("slow").asDouble(1), json.path("late_ms").asInt(0),
--- a/engine/src/main/java/org/acaciacourse/engine/Run.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Run.java
@@ -1,27 +1,16 @@
 package org.acaciacourse.engine;
 
-import java.util.List;
 import java.util.Locale;
 
 /**
- * One request inside the engine. Its id and text never change; the rest is changed by the
+ * One request inside the engine. What is asked never changes; the rest is changed by the
  * thread of the batch only.
  * <p>
  * Thread safe for reading {@link #state()} and {@link #produced()}; not for the rest.
  */
 final class Run {
 
-	private final String id;
-
-	private final String key;
-
-	private final String content;
-
-	private final String prefix;
-
-	private final int priority;
-
-	private final List<String> tokens;
+	private final Prompt prompt;
 
 	private volatile State state = State.QUEUED;
 
@@ -35,41 +24,12 @@
 
 	private long detachedAt;
 
-	Run(String id, String key, String content, String prefix, int priority, List<String> tokens) {
-		this.id = id;
-		this.key = key;
-		this.content = content;
-		this.prefix = prefix;
-		this.priority = priority;
-		this.tokens = tokens;
-	}
-
-	Run withTokens(List<String> otherTokens) {
-		return new Run(this.id, this.key, this.content, this.prefix, this.priority, otherTokens);
-	}
-
-	String id() {
-		return this.id;
-	}
-
-	String key() {
-		return this.key;
-	}
-
-	String content() {
-		return this.content;
-	}
-
-	String prefix() {
-		return this.prefix;
-	}
-
-	int priority() {
-		return this.priority;
+	Run(Prompt prompt) {
+		this.prompt = prompt;
 	}
 
-	List<String> tokens() {
-		return this.tokens;
+	Prompt prompt() {
+		return this.prompt;
 	}
 
 	State state() {
@@ -109,7 +69,7 @@
 	 */
 	void step() {
 		this.produced++;
-		if (this.produced == this.tokens.size()) {
+		if (this.produced == this.prompt.tokens().size()) {
 			this.state = State.FINISHED;
 		}
 		passOn();
@@ -141,10 +101,10 @@
 	private void passOn() {
 		while (this.sink != null && this.passedOn < this.produced) {
 			int index = this.passedOn++;
-			this.sink.token(index, this.tokens);
+			this.sink.token(index, this.prompt.tokens());
 		}
-		if (this.sink != null && this.passedOn == this.tokens.size()) {
-			this.sink.end(this.tokens);
+		if (this.sink != null && this.passedOn == this.prompt.tokens().size()) {
+			this.sink.end(this.prompt.tokens());
 		}
 	}
 
--- a/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
+++ b/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
@@ -34,7 +34,7 @@
 	void start() {
 		EngineOptions.Pace pace = EngineOptions.Pace.of(1, 1, 4);
 		this.engine = Engine
-			.start(new EngineOptions("127.0.0.1", 0, Set.of("m"), pace, true, true, 0, Optional.empty()));
+			.start(new EngineOptions("127.0.0.1", 0, Set.of("m"), pace, true, true, 0, "", Optional.empty()));
 	}
 
 	@AfterEach
