Hold entry to the truth about running, own and whole answers

The dispatcher is told how many entry VMs there are, as the limits of customers and its share of the endpoints both depend on it. Dividing the limits in the daemon was ruled out: the dispatcher would not know its share of the slots.

--- a/core/src/main/java/org/acaciacourse/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Dispatcher.java
@@ -22,6 +22,15 @@
 	 */
 	void configure(Manifest manifest, long now);
 
+	/**
+	 * Take note of how many entry VMs share the traffic and the limits of customers. Does
+	 * nothing for a dispatcher that keeps no limits.
+	 * @param count the number of VMs, this one included
+	 * @param now the time
+	 */
+	default void entryCount(int count, long now) {
+	}
+
 	/**
 	 * Take note of what membership says of an endpoint.
 	 * @param endpoint the name of the endpoint
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -61,11 +61,7 @@
 		this.recovery = new Recovery(this.state);
 	}
 
-	/**
-	 * Take note of how many entry VMs share the traffic and the limits.
-	 * @param count the number of VMs, this one included
-	 * @param now the time
-	 */
+	@Override
 	public void entryCount(int count, long now) {
 		this.state.entryCount = Math.max(1, count);
 		if (this.state.manifest != null) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/cli/StopSignal.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/StopSignal.java
@@ -2,54 +2,42 @@
 
 import java.util.concurrent.CountDownLatch;
 
+import org.acaciacourse.core.code.ResultCode;
 import sun.misc.Signal;
 
 /**
- * Turns SIGTERM and SIGINT into a graceful shutdown. The virtual machine's own handling
- * would exit with 143 and could not tell a second signal from the first.
+ * Waits for SIGTERM or SIGINT, so that a daemon can stop gracefully and exit with the
+ * status of its result; a shutdown hook would end with the status of the signal. A second
+ * signal ends the process at once.
  * <p>
  * Thread safe.
  */
 public final class StopSignal {
 
-	private final CountDownLatch first = new CountDownLatch(1);
-
-	private final CountDownLatch second = new CountDownLatch(2);
-
-	private StopSignal() {
-	}
+	private final CountDownLatch asked = new CountDownLatch(1);
 
 	/**
-	 * Take over the signals of this process.
-	 * @return what waits for them
+	 * Begin to catch the signals.
 	 */
-	public static StopSignal install() {
-		StopSignal stop = new StopSignal();
-		for (String name : new String[] { "TERM", "INT" }) {
-			Signal.handle(new Signal(name), (signal) -> stop.signalled());
-		}
-		return stop;
+	public StopSignal() {
+		Signal.handle(new Signal("TERM"), (signal) -> stop());
+		Signal.handle(new Signal("INT"), (signal) -> stop());
 	}
 
-	private void signalled() {
-		this.first.countDown();
-		this.second.countDown();
+	private void stop() {
+		if (this.asked.getCount() == 0) {
+			System.err.println(ResultCode.DRAIN_LIMIT.number() + " stopped by a second signal");
+			Runtime.getRuntime().halt(ResultCode.DRAIN_LIMIT.exitStatus());
+		}
+		this.asked.countDown();
 	}
 
 	/**
 	 * Wait for the first signal.
-	 * @throws InterruptedException if the thread is interrupted
+	 * @throws InterruptedException if the waiting thread is interrupted
 	 */
 	public void await() throws InterruptedException {
-		this.first.await();
-	}
-
-	/**
-	 * Return whether a second signal came, which ends a drain.
-	 * @return whether to stop at once
-	 */
-	public boolean isRepeated() {
-		return this.second.getCount() == 0;
+		this.asked.await();
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Configuration.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Configuration.java
@@ -7,48 +7,30 @@
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 import org.acaciacourse.core.model.Customer;
 import org.acaciacourse.core.model.Manifest;
 
 /**
- * A manifest made ready for look-ups: customers by the digest of their key, and the
- * limits of customers divided among the entry VMs.
+ * A manifest made ready for look-ups: customers by the digest of their key, and the epoch
+ * of the policy.
  * <p>
  * Immutable and thread safe.
  *
- * @param manifest the manifest with this VM's share of each limit
+ * @param manifest the manifest
  * @param epoch the number of the manifest that took the present policy into force, as far
  * as this VM saw it
  * @param customersByDigest the customers by the SHA-256 of each key
  */
 record Configuration(Manifest manifest, long epoch, Map<String, Customer> customersByDigest) {
 
-	static Configuration of(Manifest manifest, int entryCount, Optional<Configuration> previous) {
-		Manifest shared = share(manifest, entryCount);
+	static Configuration of(Manifest manifest, Optional<Configuration> previous) {
 		Map<String, Customer> index = new HashMap<>();
-		shared.customers().values().forEach((c) -> c.keyDigests().forEach((digest) -> index.put(digest, c)));
+		manifest.customers().values().forEach((c) -> c.keyDigests().forEach((digest) -> index.put(digest, c)));
 		long epoch = previous.filter((p) -> p.manifest.policyInForce().equals(manifest.policyInForce()))
 			.map(Configuration::epoch)
 			.orElse(manifest.number());
-		return new Configuration(shared, epoch, Map.copyOf(index));
-	}
-
-	private static Manifest share(Manifest m, int entryCount) {
-		Map<String, Customer> customers = m.customers()
-			.values()
-			.stream()
-			.map((customer) -> share(customer, entryCount))
-			.collect(Collectors.toMap(Customer::name, (customer) -> customer));
-		return new Manifest(m.number(), m.digest(), m.policyInForce(), m.policies(), m.classes(), m.endpointSets(),
-				m.endpoints(), customers, m.services(), m.drainedVms());
-	}
-
-	private static Customer share(Customer c, int entryCount) {
-		int inFlight = (c.maxInFlight() + entryCount - 1) / entryCount;
-		return new Customer(c.name(), c.keyDigests(), c.classes(), inFlight, c.requestsPerSecond() / entryCount,
-				c.weight());
+		return new Configuration(manifest, epoch, Map.copyOf(index));
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -70,10 +70,6 @@
 
 	private Optional<Configuration> configuration = Optional.empty();
 
-	private Optional<Manifest> manifest = Optional.empty();
-
-	private int entryCount;
-
 	private volatile boolean stopping;
 
 	public EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher) {
@@ -85,7 +81,6 @@
 		this.settings = settings;
 		this.link = link;
 		this.traces = traces;
-		this.entryCount = settings.count(SettingKey.ENTRY_PEERS);
 		this.client = new EndpointClient(threads);
 		this.loop = new DecisionLoop(dispatcher, link);
 		this.metrics = new EntryMetrics(this::connections);
@@ -106,6 +101,7 @@
 	 */
 	public void start() throws IOException {
 		this.loop.start();
+		shareAmong(this.settings.count(SettingKey.ENTRY_PEERS));
 		this.poller.start();
 		this.admin = new AdminServer(this.settings.address(SettingKey.ENTRY_ADMIN), this.metrics.registry(),
 				this::isReady);
@@ -209,10 +205,12 @@
 		this.traces.close();
 	}
 
-	private synchronized void apply(Manifest next, int count) {
-		this.manifest = Optional.of(next);
-		this.entryCount = count;
-		Configuration made = Configuration.of(next, count, this.configuration);
+	private void shareAmong(int entryCount) {
+		this.loop.submit((d, now) -> d.entryCount(entryCount, now));
+	}
+
+	private void apply(Manifest next) {
+		Configuration made = Configuration.of(next, this.configuration);
 		this.configuration = Optional.of(made);
 		this.loop.configure(made);
 		this.gate.configure(made);
@@ -233,7 +231,7 @@
 
 		@Override
 		public void manifest(Manifest next) {
-			apply(next, EntryDaemon.this.entryCount);
+			apply(next);
 		}
 
 		@Override
@@ -254,10 +252,7 @@
 
 		@Override
 		public void entryCount(int count) {
-			if (count != EntryDaemon.this.entryCount) {
-				EntryDaemon.this.entryCount = count;
-				EntryDaemon.this.manifest.ifPresent((present) -> apply(present, count));
-			}
+			shareAmong(count);
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -157,6 +157,7 @@
 		boolean sent = this.leg.close();
 		if (sent) {
 			this.exchange.ledger().mayReach(this.leg.number());
+			this.exchange.broken(this.leg);
 		}
 		return sent;
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/RequestGate.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/RequestGate.java
@@ -19,9 +19,9 @@
 import org.acaciacourse.daemon.http.Refusal;
 import org.acaciacourse.daemon.http.RequestHandler;
 import org.acaciacourse.daemon.telemetry.EntryMetrics;
+import org.apache.logging.log4j.CloseableThreadContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
  * Takes requests from the callers' server: checks each against the configuration and
@@ -94,7 +94,7 @@
 	private void begin(CallerRequest request, CallerResponse response, RequestPlan plan, Identity identity,
 			Configuration current) {
 		String requestClass = plan.requestClass().name();
-		String policy = current.manifest().policyInForce().choose(plan.content().hash());
+		String policy = current.manifest().policyInForce().choose(plan.content().hash() ^ identity.id);
 		EntryMetrics.RequestMeter meter = this.context.metrics().meter(requestClass, policy, current.epoch());
 		Span span = this.context.traces().incoming("caller", request.header("traceparent").orElse(""));
 		RequestRecord record = new RequestRecord(identity.requestId, plan, meter, this.context.traces(), span);
@@ -110,7 +110,10 @@
 
 	private void refuse(ResultCode code, String requestId, CallerResponse response) {
 		refused(code);
-		logger.info(new StringMapMessage().with("request", requestId).with("code", code.number()));
+		try (CloseableThreadContext.Instance fields = CloseableThreadContext.put("request", requestId)
+			.put("code", Integer.toString(code.number()))) {
+			logger.info("refused on arrival");
+		}
 		response.refuse(Refusal.notRun(code), requestId);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/RequestRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/RequestRecord.java
@@ -7,9 +7,9 @@
 import org.acaciacourse.core.model.LatencyTarget;
 import org.acaciacourse.daemon.telemetry.EntryMetrics;
 import org.acaciacourse.daemon.telemetry.Traces;
+import org.apache.logging.log4j.CloseableThreadContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
  * What is written down of one request: metrics, spans and one line in the log. Prompts
@@ -102,13 +102,14 @@
 		this.queue.end();
 		this.span.setAttribute("code", code.number());
 		this.span.end();
-		logger.info(new StringMapMessage().with("request", this.requestId)
-			.with("customer", this.plan.customer().name())
-			.with("class", this.plan.requestClass().name())
-			.with("trace", Traces.traceparent(this.span))
-			.with("code", code.number())
-			.with("tokens", this.received)
-			.with("millis", (System.nanoTime() - this.arrival) / 1_000_000));
+		try (CloseableThreadContext.Instance fields = CloseableThreadContext.put("request", this.requestId)
+			.put("customer", this.plan.customer().name())
+			.put("class", this.plan.requestClass().name())
+			.put("trace", this.span.getSpanContext().getTraceId())
+			.put("code", Integer.toString(code.number()))) {
+			logger.info("ended after {} ms with {} tokens", (System.nanoTime() - this.arrival) / 1_000_000,
+					this.received);
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
@@ -10,6 +10,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -136,8 +137,8 @@
 	}
 
 	private static boolean isFlushed(Channel connection) {
-		return !connection.isActive() || connection.unsafe().outboundBuffer() == null
-				|| connection.unsafe().outboundBuffer().totalPendingWriteBytes() == 0;
+		ChannelOutboundBuffer buffer = connection.unsafe().outboundBuffer();
+		return buffer == null || buffer.totalPendingWriteBytes() == 0;
 	}
 
 	/** Close all connections and end the threads. */
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/ClaimTests.java
@@ -0,0 +1,190 @@
+package org.acaciacourse.daemon.entry;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.state.ClaimKey;
+import org.acaciacourse.core.state.ClaimOutcome;
+import org.acaciacourse.daemon.link.ControlLink;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ClaimTests {
+
+	private static final ClaimKey KEY = new ClaimKey("sample", "key-1");
+
+	private static HttpRequest.Builder verdict(EntryFixture entry, String body) {
+		return entry.post("/services/desk/verdicts", body, "Idempotency-Key", "key-1");
+	}
+
+	private static ControlLink.ClaimResult result(ResultCode code, ClaimOutcome outcome) {
+		return new ControlLink.ClaimResult(false, code, outcome, Optional.empty());
+	}
+
+	@Nested
+	class Granted {
+
+		// The caller sends a verdict, gets the answer, loses it and sends it again: the
+		// second time it gets the kept answer, and the service ran once.
+		@Test
+		void resendGetsTheKeptAnswer() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(201, "posted " + n));
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				HttpResponse<String> first = entry.send(verdict(entry, "guilty"));
+				HttpResponse<String> second = entry.send(verdict(entry, "guilty"));
+				assertThat(first.body()).isEqualTo("posted 1");
+				assertThat(second.body()).isEqualTo("posted 1");
+				assertThat(second.statusCode()).isEqualTo(201);
+				assertThat(service.calls).hasSize(1);
+			}
+		}
+
+		// A marked stream is kept whole, too.
+		@Test
+		void resendOfAStreamGetsAllItsEvents() throws Exception {
+			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> call.stream(0, 3));
+					EntryFixture entry = EntryFixture.with(engine).start()) {
+				HttpRequest.Builder request = entry.chat(true, "Idempotency-Key", "key-1", "X-Not-Repeated", "true");
+				String first = entry.send(request).body();
+				assertThat(entry.send(request).body()).isEqualTo(first);
+				assertThat(engine.calls).hasSize(1);
+			}
+		}
+
+		// The service takes the verdict and the connection breaks before the answer. It
+		// may
+		// have run: there is no second send, and the claim stays unknown for every
+		// resend.
+		@Test
+		void lostAnswerIsNeverRunAgain() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.close());
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				assertThat(entry.send(verdict(entry, "x")).body()).contains("\"run\":\"unknown\"");
+				assertThat(entry.link.completed.poll(20, TimeUnit.SECONDS)).isEqualTo(ClaimOutcome.UNKNOWN);
+				assertThat(entry.send(verdict(entry, "x")).body()).contains("\"code\":402");
+				assertThat(service.calls).hasSize(1);
+			}
+		}
+
+		// The service proves that it did not run the verdict: the claim is given back,
+		// and
+		// a resend may run.
+		@Test
+		void provenRefusalGivesTheClaimBack() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> {
+				if (n <= 3) {
+					call.refuse(call.id());
+					return;
+				}
+				call.plain(201, "posted");
+			}); EntryFixture entry = EntryFixture.with(service).start()) {
+				assertThat(entry.send(verdict(entry, "x")).body()).contains("\"run\":\"not-run\"");
+				assertThat(entry.link.completed.poll(20, TimeUnit.SECONDS)).isEqualTo(ClaimOutcome.NOT_RUN);
+				assertThat(entry.send(verdict(entry, "x")).body()).isEqualTo("posted");
+			}
+		}
+
+		// The first call leaves a kept connection behind. A marked call does not use it:
+		// it
+		// may be dead, and then nobody could tell whether the call ran.
+		@Test
+		void markedCallUsesAFreshConnection() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(200, "ok"));
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				entry.send(entry.post("/services/desk/x", ""));
+				entry.send(verdict(entry, "x"));
+				assertThat(service.calls.get(1).connection).isNotEqualTo(service.calls.get(0).connection);
+			}
+		}
+
+	}
+
+	@Nested
+	class Refused {
+
+		private void assertRefused(ResultCode code, ClaimOutcome outcome, String run) throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(200, "ok"));
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				entry.send(verdict(entry, "x"));
+				entry.link.completed.poll(20, TimeUnit.SECONDS);
+				entry.link.set(KEY, null, result(code, outcome));
+				HttpResponse<String> answer = entry.send(verdict(entry, "x"));
+				assertThat(answer.statusCode()).isEqualTo(code.httpStatus());
+				assertThat(answer.body()).contains("\"code\":" + code.number());
+				assertThat(answer.body()).contains("\"run\":\"" + run + "\"");
+				assertThat(service.calls).hasSize(1);
+			}
+		}
+
+		@Test
+		void runningRequestIsInProgress() throws Exception {
+			assertRefused(ResultCode.CLAIM_IN_PROGRESS, ClaimOutcome.IN_PROGRESS, "unknown");
+		}
+
+		@Test
+		void requestOfADeadEntryIsUnknown() throws Exception {
+			assertRefused(ResultCode.CLAIM_OUTCOME_UNKNOWN, ClaimOutcome.UNKNOWN, "unknown");
+		}
+
+		@Test
+		void fullStoreIsNotRun() throws Exception {
+			assertRefused(ResultCode.CLAIMS_FULL, ClaimOutcome.UNKNOWN, "not-run");
+		}
+
+		@Test
+		void answerThatIsNotKeptIsRun() throws Exception {
+			assertRefused(ResultCode.CLAIM_ANSWER_NOT_KEPT, ClaimOutcome.ANSWERED, "run");
+		}
+
+		@Test
+		void otherContentUnderTheSameKeyIsRefused() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(200, "ok"));
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				entry.send(verdict(entry, "x"));
+				assertThat(entry.send(verdict(entry, "y")).body()).contains("\"code\":403");
+				assertThat(service.calls).hasSize(1);
+			}
+		}
+
+		// Control has no quorum: the claim can't be committed, the caller is told at once
+		// that nothing ran, and no byte reaches the service.
+		@Test
+		void withoutQuorumNothingRuns() throws Exception {
+			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(200, "ok"));
+					EntryFixture entry = EntryFixture.with(service).start()) {
+				entry.link.loseQuorum();
+				HttpResponse<String> answer = entry.send(verdict(entry, "x"));
+				assertThat(answer.statusCode()).isEqualTo(503);
+				assertThat(answer.body()).contains("\"code\":400");
+				assertThat(answer.body()).contains("\"run\":\"not-run\"");
+				assertThat(answer.headers().firstValue("retry-after")).isPresent();
+				assertThat(service.calls).isEmpty();
+			}
+		}
+
+		@Test
+		void markedCallWithoutAKeyIsRefused() throws Exception {
+			try (EntryFixture entry = EntryFixture.with().start()) {
+				assertThat(entry.send(entry.post("/services/desk/verdicts", "x")).body()).contains("\"code\":107");
+			}
+		}
+
+		// Another spelling of a marked path would reach the same call of the service
+		// without its mark.
+		@Test
+		void otherSpellingsOfAPathAreRefused() throws Exception {
+			try (EntryFixture entry = EntryFixture.with().start()) {
+				for (String path : new String[] { "/%76erdicts", "//verdicts", "/x/../verdicts", "/./verdicts" }) {
+					assertThat(entry.send(entry.post("/services/desk" + path, "x")).body()).contains("\"code\":100");
+				}
+			}
+		}
+
+	}
+
+}
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/FakeLink.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/FakeLink.java
@@ -47,7 +47,9 @@
 	}
 
 	void set(ClaimKey key, String hash, ClaimResult result) {
-		this.hashes.put(key, hash);
+		if (hash != null) {
+			this.hashes.put(key, hash);
+		}
 		this.claims.put(key, result);
 	}
 
