--- a/bench/src/main/java/org/acaciacourse/bench/load/LoadCommand.java
+++ b/bench/src/main/java/org/acaciacourse/bench/load/LoadCommand.java
@@ -1,13 +1,14 @@
 package org.acaciacourse.bench.load;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import org.acaciacourse.bench.cli.BenchCommand;
 
 /**
  * The subcommand that measures targets under load. The first target is the router; the
@@ -15,8 +16,8 @@
  * <p>
  * Not thread safe.
  */
-@Parameters(commandDescription = "Measure the router, and endpoints directly, in one run")
-public final class LoadCommand {
+@Parameters(commandNames = "load", commandDescription = "Measure the router, and endpoints directly, in one run")
+public final class LoadCommand implements BenchCommand {
 
 	private static final int MICROS_PER_SECOND = 1_000_000;
 
@@ -53,47 +54,30 @@
 	@Parameter(names = "--pid", description = "Process whose processor time is measured")
 	private List<Long> processIds = new ArrayList<>();
 
-	@Parameter(names = { "--help", "-h" }, help = true, description = "Show this help")
-	private boolean help;
-
-	/**
-	 * Run the load and print the report.
-	 * @param args the command line after the subcommand
-	 * @throws Exception if the load cannot be run
-	 */
-	public static void run(String... args) throws Exception {
-		LoadCommand command = new LoadCommand();
-		JCommander commander = JCommander.newBuilder().programName("load").addObject(command).build();
-		commander.parse(args);
-		if (command.help) {
-			commander.usage();
-			return;
-		}
-		command.run();
-	}
-
-	private void run() throws Exception {
+	@Override
+	public int run(PrintStream out) throws Exception {
 		LoadPlan plan = new LoadPlan(this.targets, this.rate, this.streamedPercent, this.tokens, this.connections,
 				this.model, this.requestClass, this.key);
 		try (LoadGenerator generator = new LoadGenerator(plan)) {
 			if (this.warmupSeconds > 0) {
 				generator.run(this.warmupSeconds, emptyResults());
 			}
-			measure(generator);
+			measure(generator, out);
 		}
+		return 0;
 	}
 
-	private void measure(LoadGenerator generator) throws Exception {
+	private void measure(LoadGenerator generator, PrintStream out) throws Exception {
 		List<TargetResults> results = emptyResults();
 		List<ProcessUsage> before = usage();
 		long start = System.nanoTime();
 		generator.run(this.seconds, results);
 		double lasted = (System.nanoTime() - start) / (double) TimeUnit.SECONDS.toNanos(1);
 		List<ProcessUsage> after = usage();
-		results.forEach((result) -> System.out.print(result.report(lasted)));
-		results.stream().skip(1).forEach((direct) -> printAdded(results.get(0), direct));
+		results.forEach((result) -> out.print(result.report(lasted)));
+		results.stream().skip(1).forEach((direct) -> printAdded(results.get(0), direct, out));
 		for (int i = 0; i < after.size(); i++) {
-			printUsage(before.get(i), after.get(i), results.get(0).tokenCount(), lasted);
+			printUsage(before.get(i), after.get(i), results.get(0).tokenCount(), lasted, out);
 		}
 	}
 
@@ -113,17 +97,18 @@
 		return usage;
 	}
 
-	private static void printAdded(TargetResults router, TargetResults direct) {
-		System.out.printf("added    first token ms p50 %.3f p99 %.3f, between tokens ms mean %.4f p99 %.3f%n",
+	private static void printAdded(TargetResults router, TargetResults direct, PrintStream out) {
+		out.printf("added    first token ms p50 %.3f p99 %.3f, between tokens ms mean %.4f p99 %.3f%n",
 				router.firstTokenMillis(50) - direct.firstTokenMillis(50),
 				router.firstTokenMillis(99) - direct.firstTokenMillis(99),
 				router.meanGapMillis() - direct.meanGapMillis(), router.gapMillis(99) - direct.gapMillis(99));
 	}
 
-	private static void printUsage(ProcessUsage before, ProcessUsage after, long tokens, double seconds) {
+	private static void printUsage(ProcessUsage before, ProcessUsage after, long tokens, double seconds,
+			PrintStream out) {
 		double cpu = after.cpuSeconds() - before.cpuSeconds();
-		System.out.printf("process %d cpu s %.2f cores %.3f us per token %.2f resident MB %.1f%n", after.processId(),
-				cpu, cpu / seconds, cpu * MICROS_PER_SECOND / Math.max(1, tokens), after.residentKilobytes() / 1024.0);
+		out.printf("process %d cpu s %.2f cores %.3f us per token %.2f resident MB %.1f%n", after.processId(), cpu,
+				cpu / seconds, cpu * MICROS_PER_SECOND / Math.max(1, tokens), after.residentKilobytes() / 1024.0);
 	}
 
 }
