--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
@@ -123,6 +123,7 @@
 		if (waiting > MAX_PENDING && !this.paused) {
 			this.paused = true;
 			ReadGate.pause(this.channel, true);
+			this.listener.paused();
 		}
 		wake();
 		return State.CONTINUE;
@@ -208,6 +209,12 @@
 	 */
 	public interface Listener {
 
+		/**
+		 * Reading was paused, as too much waits to be polled. Called on the HTTP client's
+		 * thread.
+		 */
+		void paused();
+
 		/**
 		 * The head of the answer arrived.
 		 * @param call the call
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
@@ -114,6 +114,11 @@
 		return this.call.close();
 	}
 
+	@Override
+	public void paused() {
+		this.owner.paused();
+	}
+
 	@Override
 	public void head(EndpointCall from, EndpointCall.Head received) {
 		if (this.closed) {
@@ -316,6 +321,9 @@
 	 */
 	interface Owner {
 
+		/** Reading was paused for a slow caller. Called on the HTTP client's thread. */
+		void paused();
+
 		/**
 		 * Return whether the caller takes data.
 		 * @return whether to read on
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -170,6 +170,11 @@
 		}
 	}
 
+	@Override
+	public void paused() {
+		this.context.metrics().readPaused();
+	}
+
 	@Override
 	public boolean isWritable() {
 		return this.exchange.isWritable();
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
@@ -28,7 +28,7 @@
  */
 public final class HttpFront {
 
-	private static final long TLS_CHECK_SECONDS = 5;
+	private static final long TLS_CHECK_SECONDS = 2;
 
 	private final Settings settings;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/TlsFiles.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/TlsFiles.java
@@ -19,7 +19,9 @@
 /**
  * The TLS context made of two PEM files, made anew when one of them changes. Files that
  * can't be used leave the context as it was: a half written certificate must not stop
- * callers.
+ * callers. They are read once they stay the same from one check to the next: between the
+ * writes of the two files a new key stands beside an old certificate, and every handshake
+ * would fail.
  * <p>
  * Thread safe: {@link #reload} is called by one thread, {@link #context} by any.
  */
@@ -35,10 +37,13 @@
 
 	private List<FileTime> times;
 
+	private List<FileTime> seen;
+
 	TlsFiles(Path certificate, Path key) throws IOException {
 		this.certificate = certificate;
 		this.key = key;
 		this.times = times();
+		this.seen = this.times;
 		this.context = load();
 	}
 
@@ -49,11 +54,12 @@
 	void reload() {
 		try {
 			List<FileTime> now = times();
-			if (!now.equals(this.times)) {
+			if (!now.equals(this.times) && now.equals(this.seen)) {
 				this.context = load();
 				this.times = now;
 				logger.info("certificate reloaded");
 			}
+			this.seen = now;
 		}
 		catch (IOException | RuntimeException ex) {
 			logger.warn("certificate cannot be reloaded: {}", ex.toString());
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/EntryMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/EntryMetrics.java
@@ -51,6 +51,11 @@
 		.help("answers that belonged to another attempt")
 		.register(this.registry);
 
+	private final Counter pauses = Counter.builder()
+		.name("acaciacourse_reads_paused")
+		.help("times that an endpoint was not read on, as its caller was slow")
+		.register(this.registry);
+
 	private final Gauge queued = perClass("queued", "requests that wait for an endpoint");
 
 	private final Gauge inFlight = perClass("in_flight", "requests that an endpoint runs");
@@ -118,6 +123,11 @@
 		this.configuration.set(number);
 	}
 
+	/** An endpoint is not read on, as its caller is slow. */
+	public void readPaused() {
+		this.pauses.inc();
+	}
+
 	/** An answer under another attempt's id was discarded. */
 	public void answerDiscarded() {
 		this.discarded.inc();
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/ShutdownTests.java
@@ -0,0 +1,126 @@
+package org.acaciacourse.daemon.entry;
+
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ShutdownTests {
+
+	private static final String CHAT = "{\"model\":\"m1\",\"stream\":true,\"messages\":[{\"role\":\"user\"}]}";
+
+	private static CompletableFuture<ResultCode> stop(EntryFixture entry, java.util.function.BooleanSupplier hurry) {
+		return CompletableFuture.supplyAsync(() -> {
+			try {
+				return entry.daemon.stop(hurry);
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			if (!latch.await(20, TimeUnit.SECONDS)) {
+				throw new IllegalStateException("not reached in time");
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static FakeEndpoint halting(CountDownLatch begun, CountDownLatch goOn) throws Exception {
+		return new FakeEndpoint((call, n) -> {
+			call.streamHead();
+			call.token(0, false);
+			begun.countDown();
+			await(goOn);
+			call.token(1, true);
+			call.done();
+		});
+	}
+
+	@Nested
+	class Graceful {
+
+		// The stop comes in the middle of two streams, one over HTTP/1.1 and one over
+		// HTTP/2. The VM is not ready at once, HTTP/2 gets GOAWAY, both streams are
+		// answered whole, and only then the daemon ends.
+		@Test
+		void streamsAreAnsweredWhole() throws Exception {
+			CountDownLatch begun = new CountDownLatch(2);
+			CountDownLatch goOn = new CountDownLatch(1);
+			try (FakeEndpoint engine = halting(begun, goOn);
+					EntryFixture entry = EntryFixture.with(engine).start();
+					Http2Client http2 = new Http2Client(entry.daemon.port())) {
+				assertThat(entry.health("ready")).isEqualTo(200);
+				var first = entry.client.sendAsync(entry.chat(true).build(), HttpResponse.BodyHandlers.ofString());
+				var second = http2.post("/v1/chat/completions", CHAT);
+				await(begun);
+				CompletableFuture<ResultCode> end = stop(entry, () -> false);
+				http2.goAway.get(20, TimeUnit.SECONDS);
+				assertThat(entry.health("ready")).isEqualTo(503);
+				assertThat(entry.health("live")).isEqualTo(200);
+				assertThat(end.isDone()).isFalse();
+				goOn.countDown();
+				assertThat(first.get(20, TimeUnit.SECONDS).body()).endsWith("data: [DONE]\n\n");
+				assertThat(second.get(20, TimeUnit.SECONDS)).endsWith("data: [DONE]\n\n");
+				assertThat(end.get(20, TimeUnit.SECONDS)).isEqualTo(ResultCode.OK);
+			}
+		}
+
+		// A kept connection would bring the caller back to a VM that is leaving.
+		@Test
+		void answersWhileStoppingCloseTheirConnection() throws Exception {
+			CountDownLatch begun = new CountDownLatch(1);
+			CountDownLatch goOn = new CountDownLatch(1);
+			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> {
+				begun.countDown();
+				await(goOn);
+				call.completion(call.id(), "whole");
+			}); EntryFixture entry = EntryFixture.with(engine).start()) {
+				var answer = entry.client.sendAsync(entry.chat(false).build(), HttpResponse.BodyHandlers.ofString());
+				await(begun);
+				CompletableFuture<ResultCode> end = stop(entry, () -> false);
+				while (entry.health("ready") == 200) {
+					assertThat(end.isDone()).isFalse();
+				}
+				goOn.countDown();
+				assertThat(answer.get(20, TimeUnit.SECONDS).headers().firstValue("connection")).hasValue("close");
+				assertThat(end.get(20, TimeUnit.SECONDS)).isEqualTo(ResultCode.OK);
+			}
+		}
+
+	}
+
+	@Nested
+	class Hurried {
+
+		// A second signal ends the drain: the caller sees an error inside its stream, no
+		// end mark, and the daemon says that it cut work.
+		@Test
+		void restIsCutWithACode() throws Exception {
+			CountDownLatch begun = new CountDownLatch(1);
+			CountDownLatch never = new CountDownLatch(1);
+			try (FakeEndpoint engine = halting(begun, never); EntryFixture entry = EntryFixture.with(engine).start()) {
+				var answer = entry.client.sendAsync(entry.chat(true).build(), HttpResponse.BodyHandlers.ofString());
+				await(begun);
+				CompletableFuture<ResultCode> end = stop(entry, () -> true);
+				assertThat(answer.get(20, TimeUnit.SECONDS).body()).contains("\"code\":609");
+				assertThat(answer.get().body()).doesNotContain("[DONE]");
+				assertThat(end.get(20, TimeUnit.SECONDS)).isEqualTo(ResultCode.DRAIN_LIMIT);
+				never.countDown();
+			}
+		}
+
+	}
+
+}
