--- a/bench/src/main/java/org/acaciacourse/bench/experiment/World.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/World.java
@@ -228,7 +228,7 @@
 	public void crashed(FakeEngine engine) {
 		this.timeline.after(MEMBERSHIP_LAG_NANOS,
 				() -> each((entry) -> entry.dispatcher.endpointStatus(engine.name, EndpointStatus.GONE, now())));
-		this.timeline.after(RESTART_NANOS, engine::restart);
+		this.timeline.after(RESTART_NANOS, () -> engine.restart(MEMBERSHIP_LAG_NANOS));
 		this.timeline.after(RESTART_NANOS + MEMBERSHIP_LAG_NANOS,
 				() -> each((entry) -> entry.dispatcher.endpointStatus(engine.name, EndpointStatus.LIVE, now())));
 	}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
@@ -12,7 +12,8 @@
  * Invariants: nothing is refused for lack of room while something of a lower tier waits
  * for the same endpoints: that one is shed first. A refusal for the target counts only
  * what goes before the request, with all preemptible work out of the way, so that lower
- * tiers are never its reason.
+ * tiers are never its reason. A flow may use as much of the queue as is left free
+ * (dynamic thresholds, Choudhury and Hahne 1998), so that one customer cannot fill it.
  * <p>
  * Not thread safe: owned by one dispatcher.
  */
@@ -51,7 +52,9 @@
 				return Refusal.of(ResultCode.TARGET_UNREACHABLE, wait);
 			}
 		}
-		if (flight.set.waiting() >= line.tuning.maxQueued() && !shedLower(flight, line)) {
+		int free = line.tuning.maxQueued() - flight.set.waiting();
+		boolean full = free <= 0 && !shedLower(flight, line);
+		if (full || line.sizeOfFlow(flight) > Math.max(0, free)) {
 			return Refusal.of(ResultCode.QUEUE_FULL, FULL_WAIT_NANOS);
 		}
 		return Optional.empty();
@@ -60,7 +63,7 @@
 	// Estimate the wait for an endpoint by Little's law: what waits before the request,
 	// times the mean time that one takes, over the requests that run side by side.
 	long expectedWait(Flight flight, WaitingLine line, long now) {
-		int ahead = line.sizeUpTo(line.behaviour.lane(flight.requestClass.tier()));
+		int ahead = line.aheadOf(flight);
 		if (ahead == 0) {
 			return 0;
 		}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/BeyondWindow.java
@@ -0,0 +1,57 @@
+package org.acaciacourse.core.dispatch;
+
+/**
+ * How many high requests may be at engines beyond the slots at the same time, for the
+ * engine to set lower work of other VMs aside. No report tells of which tier the work at
+ * an engine is, so that the window is found by trial: it grows while such requests start
+ * soon and halves when one does not, because the engine is full of high work (additive
+ * increase, multiplicative decrease, Chiu and Jain 1989). Below one, a single request
+ * tries it again after a pause.
+ * <p>
+ * Invariant: the window is between {@link #LEAST} and {@link #MOST}.
+ * <p>
+ * Not thread safe: owned by one dispatcher.
+ */
+final class BeyondWindow {
+
+	private static final double LEAST = 0.25;
+
+	private static final double MOST = 32;
+
+	private static final double START = 8;
+
+	private static final double SOON = 0.3;
+
+	private static final long PAUSE_NANOS = 500_000_000L;
+
+	private double window = START;
+
+	private int outstanding;
+
+	private long pausedUntil = Long.MIN_VALUE;
+
+	boolean permits(long now) {
+		if (this.window >= 1) {
+			return this.outstanding < (int) this.window;
+		}
+		return this.outstanding == 0 && now >= this.pausedUntil;
+	}
+
+	void sent() {
+		this.outstanding++;
+	}
+
+	// Note that a request beyond the slots began to answer, or ended without.
+	void started(long waitedNanos, long targetNanos, long now) {
+		this.outstanding--;
+		if (waitedNanos <= SOON * targetNanos) {
+			this.window = Math.min(MOST, this.window + 1 / Math.max(1, this.window));
+			return;
+		}
+		if (now >= this.pausedUntil) {
+			this.window = Math.max(LEAST, this.window / 2);
+			this.pausedUntil = now + PAUSE_NANOS;
+		}
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Chooser.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Chooser.java
@@ -1,5 +1,8 @@
 package org.acaciacourse.core.dispatch;
 
+import java.util.Arrays;
+import java.util.function.Predicate;
+
 /**
  * Chooses an endpoint. Among those with room it compares a few at random and takes the
  * cheapest (power of two choices, Mitzenmacher 2001): VMs that all took the one that
@@ -43,18 +46,32 @@
 
 	private boolean hasRoom(EndpointView endpoint, Flight flight, int beyondSlots, long now) {
 		WaitingLine line = flight.line;
-		int slots = line.behaviour.slots(endpoint);
 		if (line.tuning.credits() > 0) {
-			int part = (int) Math.ceil(line.tuning.credits() * slots / this.state.entryCount);
+			int part = (int) Math.ceil(line.tuning.credits() * endpoint.endpoint.slots() / this.state.entryCount);
 			return endpoint.runs.size() < part + beyondSlots;
 		}
+		if (line.behaviour.hasRoom(endpoint, line.tuning, this.state.entryCount, now)) {
+			return true;
+		}
 		int load = line.behaviour.load(endpoint, line.tuning, this.state.entryCount, now);
-		return load < slots + beyondSlots;
+		return beyondSlots > 0 && load < endpoint.usableSlots() + beyondSlots;
+	}
+
+	// Return the victim's endpoint that is cheapest for a request, of those that hold
+	// one.
+	EndpointView chooseAmong(Flight flight, Predicate<EndpointView> holdsVictim, long now) {
+		int count = 0;
+		for (EndpointView endpoint : flight.set.endpoints) {
+			if (permits(endpoint, flight, now) && endpoint.slowness <= 1 && holdsVictim.test(endpoint)) {
+				count = note(endpoint, count);
+			}
+		}
+		return cheapest(flight, count, now);
 	}
 
 	private int note(EndpointView endpoint, int count) {
 		if (count == this.scratch.length) {
-			this.scratch = java.util.Arrays.copyOf(this.scratch, 2 * count);
+			this.scratch = Arrays.copyOf(this.scratch, 2 * count);
 		}
 		this.scratch[count] = endpoint;
 		return count + 1;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
@@ -32,6 +32,8 @@
 
 	private static final long LONGEST_RETRY_AFTER_NANOS = 120_000_000_000L;
 
+	private static final long LONGEST_HOLD_NANOS = 5_000_000_000L;
+
 	private static final long SHORTEST_RETRY_AFTER_NANOS = 200_000_000L;
 
 	final DispatchActions actions;
@@ -102,6 +104,18 @@
 		this.actions.finish(flight.info.id(), code, retryAfter(code, waitNanos));
 	}
 
+	// Refuse a request whose target is out of reach.
+	void refuseLate(Flight flight, long now) {
+		holdPlace(flight, flight.line, now);
+		finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+	}
+
+	// Keep the place of a refused request from lower ones.
+	void holdPlace(Flight flight, WaitingLine line, long now) {
+		int lane = line.behaviour.lane(flight.requestClass.tier());
+		flight.set.hold(lane, Math.min(flight.targetAt, now + LONGEST_HOLD_NANOS));
+	}
+
 	// Cancel the run of a flight that needs no answer of it any more.
 	void abandonRun(Flight flight) {
 		if (flight.run != null && !flight.run.cancelled) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
@@ -44,9 +44,6 @@
 	/** Observed nanoseconds between tokens. */
 	final Average tokenGap = new Average(0.05);
 
-	/** Observed nanoseconds from dispatch to the first token. */
-	final Average firstToken = new Average(0.1);
-
 	final RetryBudget retries = new RetryBudget(RETRY_RESERVE, RETRY_RATIO);
 
 	Endpoint endpoint;
@@ -75,6 +72,10 @@
 
 	private int estimate;
 
+	private int tickets;
+
+	private int pendingPrompt;
+
 	private long pausedUntil = Long.MIN_VALUE;
 
 	private int failures;
@@ -98,12 +99,11 @@
 		this.pausedUntil = Long.MIN_VALUE;
 		this.prefixes.clear();
 		this.tokenGap.reset();
-		this.firstToken.reset();
 	}
 
 	// Take a report. One that repeats its sequence is frozen and tells nothing, which
 	// lets the last good one grow stale.
-	void report(LoadReport report, long now) {
+	void report(LoadReport report, int entryCount, double draw, long now) {
 		if (report.sequence() == this.lastSequence) {
 			return;
 		}
@@ -111,15 +111,9 @@
 		long measuredAt = now - report.ageNanos();
 		this.reportedAt = measuredAt;
 		this.estimate = report.running() + report.queued() + sentAfter(measuredAt) - endedAfter(measuredAt);
-		if (report.running() + report.queued() > 1) {
-			noteCompany(measuredAt);
-		}
-	}
-
-	private void noteCompany(long measuredAt) {
-		for (Run run : this.runs) {
-			run.hadCompany |= run.sentAt < measuredAt;
-		}
+		this.tickets = endedAfter(measuredAt) - sentAfter(measuredAt);
+		int room = usableSlots() - report.running() - report.queued();
+		this.tickets += (room > 0) ? (int) (room / (double) entryCount + draw) : 0;
 	}
 
 	private int sentAfter(long time) {
@@ -141,6 +135,8 @@
 	void started(Run run) {
 		this.runs.add(run);
 		this.estimate++;
+		this.tickets--;
+		this.pendingPrompt += run.flight.info.promptTokens();
 		this.lastUse = run.id;
 		this.retries.earn();
 	}
@@ -153,6 +149,8 @@
 	void finished(Run run, long now) {
 		this.runs.remove(run);
 		this.estimate--;
+		this.tickets++;
+		this.pendingPrompt -= (run.tokens == 0) ? run.flight.info.promptTokens() : 0;
 		this.endedSentAt[this.endedNext] = run.sentAt;
 		this.endedAt[this.endedNext] = now;
 		this.endedNext = (this.endedNext + 1) % ENDED_KEPT;
@@ -169,6 +167,30 @@
 		return Math.max(own, this.estimate);
 	}
 
+	// Return whether one more request has room. What many VMs see free at the same time
+	// is
+	// shared by lot once it is scarce: each draws its expected part at each report, and
+	// may
+	// use again what its own requests gave back. Without the lot all VMs with something
+	// waiting send it to the one free slot, and the losers wait inside the engine, past
+	// their target and where no order of ours reaches them.
+	boolean hasRoom(Tuning tuning, int entryCount, long now) {
+		int room = usableSlots() - occupancy(tuning, entryCount, now);
+		if (room <= 0) {
+			return false;
+		}
+		boolean plenty = room > this.endpoint.slots() * tuning.scarce();
+		return plenty || this.tickets > 0 || !hasFreshReport(tuning.staleNanos(), now);
+	}
+
+	void firstToken(Run run) {
+		this.pendingPrompt -= run.flight.info.promptTokens();
+	}
+
+	int pendingPrompt() {
+		return this.pendingPrompt;
+	}
+
 	boolean hasFreshReport(long staleNanos, long now) {
 		return this.reportedAt != Long.MIN_VALUE && now - this.reportedAt <= staleNanos;
 	}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Flight.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Flight.java
@@ -27,6 +27,8 @@
 
 	final int weight;
 
+	final String flow;
+
 	final long arrivedAt;
 
 	final long targetAt;
@@ -54,8 +56,11 @@
 	/** Whether it is to run apart from others because it may crash the endpoint. */
 	boolean apart;
 
-	/** When it began to wait for an endpoint of its own. */
-	long apartSince;
+	/** How many attempts failed; one that was set aside did not. */
+	int failures;
+
+	/** How many endpoints crashed while they ran it. */
+	int crashes;
 
 	Flight(RequestInfo info, RequestClass requestClass, ServingSet set, CustomerLimit limit, int weight, long now) {
 		this.info = info;
@@ -64,6 +69,7 @@
 		this.limit = limit;
 		this.weight = weight;
 		this.arrivedAt = now;
+		this.flow = info.requestClass() + '/' + info.customer();
 		this.targetAt = now + requestClass.target().limit().toNanos();
 		this.deadlineAt = Math.min(info.deadlineNanos(), now + requestClass.deadline().toNanos());
 	}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyBehaviour.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyBehaviour.java
@@ -41,7 +41,7 @@
 
 		@Override
 		String flow(Flight flight) {
-			return flight.info.requestClass() + '/' + flight.info.customer();
+			return flight.flow;
 		}
 
 		@Override
@@ -55,13 +55,14 @@
 		}
 
 		@Override
-		int slots(EndpointView endpoint) {
-			return endpoint.usableSlots();
+		boolean hasRoom(EndpointView endpoint, Tuning tuning, int entryCount, long now) {
+			return endpoint.hasRoom(tuning, entryCount, now);
 		}
 
 		@Override
 		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
 			double load = load(endpoint, tuning, entryCount, now) + 1.0;
+			load += endpoint.pendingPrompt() / PROMPT_TOKENS_PER_SLOT;
 			double bonus = endpoint.holdsPrefix(flight.info.prefixHash()) ? tuning.prefixBonus() : 0;
 			return (load - bonus) * endpoint.slowness / endpoint.endpoint.slots();
 		}
@@ -78,6 +79,8 @@
 
 	};
 
+	private static final double PROMPT_TOKENS_PER_SLOT = 1_000;
+
 	static PolicyBehaviour of(PolicyKind kind) {
 		return switch (kind) {
 			case FIFO -> FIFO;
@@ -100,13 +103,13 @@
 		return Tier.MIDDLE.enginePriority();
 	}
 
-	// Return the load that is held against the slots.
+	// Return the load that an endpoint is judged by.
 	int load(EndpointView endpoint, Tuning tuning, int entryCount, long now) {
 		return endpoint.runs.size();
 	}
 
-	int slots(EndpointView endpoint) {
-		return endpoint.endpoint.slots();
+	boolean hasRoom(EndpointView endpoint, Tuning tuning, int entryCount, long now) {
+		return endpoint.runs.size() < endpoint.endpoint.slots();
 	}
 
 	// Return how bad an endpoint with room is for a request; the lowest one is taken.
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -33,8 +33,6 @@
 
 	private static final long SUSPECT_HOLD_NANOS = 15_000_000_000L;
 
-	private static final long QUARANTINE_NANOS = 10_000_000_000L;
-
 	private static final long RATE_WAIT_NANOS = 1_000_000_000L;
 
 	private final DispatchState state;
@@ -138,7 +136,7 @@
 	public void loadReport(String endpoint, LoadReport report, long now) {
 		EndpointView view = this.state.endpoints.get(endpoint);
 		if (view != null) {
-			view.report(report, now);
+			view.report(report, this.state.entryCount, this.state.random.nextDouble(), now);
 			pump(this.state.sets.get(view.endpoint.set()), now);
 		}
 	}
@@ -172,12 +170,20 @@
 		Optional<Admission.Refusal> refused = this.admission.check(flight, line, now);
 		if (refused.isPresent()) {
 			limit.release();
+			noteRefusal(flight, line, refused.get().code(), now);
 			refuse(request, refused.get().code(), refused.get().waitNanos());
 			return;
 		}
 		admit(flight, line, now);
 	}
 
+	private void noteRefusal(Flight flight, WaitingLine line, ResultCode code, long now) {
+		boolean forCapacity = code == ResultCode.TARGET_UNREACHABLE || code == ResultCode.QUEUE_FULL;
+		if (forCapacity && line.behaviour.heedsTargets()) {
+			this.state.holdPlace(flight, line, now);
+		}
+	}
+
 	private Optional<ResultCode> checkKnown(RequestInfo request) {
 		Manifest manifest = this.state.manifest;
 		if (manifest == null) {
@@ -207,7 +213,6 @@
 		if (this.state.suspects.crashes(content, now) > 0) {
 			flight.apart = true;
 			flight.notBefore = this.state.suspects.trialFrom(content, SUSPECT_HOLD_NANOS, now);
-			flight.apartSince = flight.notBefore;
 		}
 		this.state.flights.put(flight.info.id(), flight);
 		this.state.retries(flight.info.requestClass()).earn();
@@ -235,8 +240,9 @@
 		}
 		Flight flight = run.flight;
 		if (run.tokens == 0) {
-			run.endpoint.firstToken.learn(now - run.sentAt);
-			flight.set.learnFirstToken(now - run.sentAt);
+			run.endpoint.firstToken(run);
+			noteBeyond(run, now);
+			flight.set.learnFirstToken(flight, now - run.sentAt);
 		}
 		else {
 			run.endpoint.tokenGap.learn((now - run.lastTokenAt) / (double) count);
@@ -246,9 +252,17 @@
 		if (flight.run == run) {
 			flight.delivered += count;
 		}
+		this.recovery.survived(run, now);
 		flight.set.bookTokens(flight.requestClass.tier() == Tier.LOW, count, flight.line.tuning.lowestShare());
 	}
 
+	private static void noteBeyond(Run run, long now) {
+		if (run.beyond) {
+			Flight flight = run.flight;
+			flight.set.beyond.started(now - run.sentAt, flight.targetAt - flight.arrivedAt, now);
+		}
+	}
+
 	@Override
 	public void ended(long attemptId, AttemptOutcome outcome, long now) {
 		Run run = this.state.runs.find(attemptId);
@@ -257,10 +271,12 @@
 		}
 		ServingSet set = run.flight.set;
 		this.state.runs.remove(run);
+		if (run.tokens == 0) {
+			noteBeyond(run, now);
+		}
 		run.endpoint.finished(run, now);
 		set.running--;
 		set.guaranteed -= (run.guaranteed) ? 1 : 0;
-		set.trial = (set.trial == run) ? null : set.trial;
 		this.recovery.ended(run, outcome, now);
 		pump(set, now);
 	}
@@ -268,8 +284,8 @@
 	@Override
 	public void suspect(long contentHash, int crashes, long now) {
 		this.state.suspects.note(contentHash, crashes, false, now);
-		if (crashes == 1) {
-			this.state.sets.values().forEach((set) -> set.quarantineUntil = now + QUARANTINE_NANOS);
+		if (crashes > 0) {
+			this.recovery.cancelTwins(contentHash, now);
 		}
 		for (Flight flight : List.copyOf(this.state.flights.values())) {
 			if (flight.info.contentHash() == contentHash && flight.state == Flight.State.WAITING) {
@@ -289,7 +305,6 @@
 		flight.apart = crashes > 0;
 		flight.notBefore = (flight.apart)
 				? this.state.suspects.trialFrom(flight.info.contentHash(), SUSPECT_HOLD_NANOS, now) : 0;
-		flight.apartSince = flight.notBefore;
 		flight.line.add(flight);
 	}
 
@@ -330,7 +345,7 @@
 			this.state.finish(flight, ResultCode.DEADLINE_EXCEEDED, 0);
 		}
 		else if (flight.state == Flight.State.WAITING && this.pump.isLate(flight, now)) {
-			this.state.finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+			this.state.refuseLate(flight, now);
 		}
 		else {
 			this.state.reschedule(flight, flight.deadlineAt);
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.DispatchActions.Attempt;
 import org.acaciacourse.core.model.Tier;
 
@@ -23,7 +22,7 @@
 	/** How many requests with special needs are looked at in one step of a lane. */
 	private static final int PICKY_SCANNED = 32;
 
-	private static final long TRIAL_DRAIN_NANOS = 3_000_000_000L;
+	private static final long TRIAL_DRAIN_NANOS = 2_000_000_000L;
 
 	private final DispatchState state;
 
@@ -36,16 +35,18 @@
 
 	// Dispatch all that can be dispatched at an endpoint set.
 	void run(ServingSet set, long now) {
+		if (set.updateQuarantine(this.state.suspects.hasActive(now), now)) {
+			set.aside().forEach(this::clear);
+		}
 		if (set.waiting() == 0) {
 			return;
 		}
-		set.updateQuarantine(now);
 		List<WaitingLine> lines = new ArrayList<>(set.lines.values());
 		int first = set.turn++;
 		for (int i = 0; i < lines.size(); i++) {
 			WaitingLine line = lines.get(Math.floorMod(first + i, lines.size()));
 			serveLowShare(set, line, now);
-			for (int lane = 0; lane < WaitingLine.LANES; lane++) {
+			for (int lane = 0; lane < WaitingLine.LANES && !set.isHeld(lane, now); lane++) {
 				servePicky(line, lane, now);
 				serveLane(line, lane, now);
 			}
@@ -87,7 +88,7 @@
 		while (next.isPresent()) {
 			Flight flight = next.get();
 			if (isLate(flight, now)) {
-				this.state.finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+				this.state.refuseLate(flight, now);
 			}
 			else {
 				EndpointView endpoint = place(flight, now);
@@ -114,7 +115,7 @@
 		if (mayPreempt(flight, now)) {
 			endpoint = preempt(flight, now);
 		}
-		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH) {
+		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH && flight.set.beyond.permits(now)) {
 			endpoint = this.chooser.choose(flight, flight.line.tuning.overcommit(), now);
 		}
 		return endpoint;
@@ -133,19 +134,19 @@
 	// Set a lower run of this VM aside and return its endpoint. The lowest tier goes
 	// first, and of it the run with the fewest tokens, which has the least to lose.
 	private EndpointView preempt(Flight flight, long now) {
-		Run victim = null;
-		for (EndpointView endpoint : flight.set.endpoints) {
-			if (this.chooser.permits(endpoint, flight, now) && endpoint.slowness <= 1) {
-				for (Run run : endpoint.runs) {
-					victim = (isVictim(run, flight) && isCheaper(run, victim)) ? run : victim;
-				}
-			}
+		EndpointView endpoint = this.chooser.chooseAmong(flight, (held) -> victimAt(held, flight) != null, now);
+		if (endpoint != null) {
+			this.state.abandonRun(victimAt(endpoint, flight).flight);
 		}
-		if (victim == null) {
-			return null;
+		return endpoint;
+	}
+
+	private Run victimAt(EndpointView endpoint, Flight flight) {
+		Run victim = null;
+		for (Run run : endpoint.runs) {
+			victim = (isVictim(run, flight) && isCheaper(run, victim)) ? run : victim;
 		}
-		this.state.abandonRun(victim.flight);
-		return victim.endpoint;
+		return victim;
 	}
 
 	private boolean isVictim(Run run, Flight flight) {
@@ -169,35 +170,25 @@
 	// VMs, which are then retried if it does crash the endpoint.
 	private EndpointView trialEndpoint(Flight flight, long now) {
 		ServingSet set = flight.set;
-		if (set.trial != null || flight.notBefore > now) {
+		List<EndpointView> aside = set.aside();
+		long content = flight.info.contentHash();
+		if (aside.isEmpty() || this.state.suspects.rank(content, aside.size(), now) > 0) {
 			return null;
 		}
-		boolean waitedEnough = now - flight.apartSince > TRIAL_DRAIN_NANOS;
-		EndpointView best = null;
-		for (EndpointView endpoint : set.endpoints) {
-			if (!endpoint.acceptsWork(now) || flight.tried.contains(endpoint) || !isAside(set, endpoint)) {
-				continue;
-			}
-			int load = endpoint.occupancy(flight.line.tuning, this.state.entryCount, now);
-			boolean empty = endpoint.runs.isEmpty() && load <= 0;
-			if (empty || (waitedEnough && endpoint.runs.isEmpty())) {
-				best = endpoint;
-			}
-			else {
-				clear(endpoint);
-			}
+		EndpointView endpoint = aside.get(Math.floorMod(content, aside.size()));
+		if (!endpoint.acceptsWork(now) || !endpoint.runs.isEmpty()) {
+			return null;
 		}
-		return best;
-	}
-
-	private static boolean isAside(ServingSet set, EndpointView endpoint) {
-		return endpoint.quarantined || set.endpoints.size() == 1;
+		int load = endpoint.occupancy(flight.line.tuning, this.state.entryCount, now);
+		boolean waitedEnough = now - set.asideSince() > TRIAL_DRAIN_NANOS;
+		return (load <= 0 || waitedEnough) ? endpoint : null;
 	}
 
 	private void clear(EndpointView endpoint) {
 		for (Run run : endpoint.runs) {
 			Flight other = run.flight;
-			if (other.requestClass.preemptible() && !other.info.notRepeated() && other.set.canContinue()) {
+			if (!run.apart && !run.cancelled && other.requestClass.preemptible() && !other.info.notRepeated()
+					&& other.set.canContinue()) {
 				this.state.abandonRun(other);
 			}
 		}
@@ -207,7 +198,12 @@
 		ServingSet set = flight.set;
 		WaitingLine line = flight.line;
 		line.serve(flight, set.expectedTokens(flight));
-		Run run = new Run(this.state.runs.nextId(), flight, endpoint, now, guaranteed);
+		boolean beyond = line.behaviour.heedsTargets() && flight.requestClass.tier() == Tier.HIGH
+				&& endpoint.occupancy(line.tuning, this.state.entryCount, now) >= endpoint.usableSlots();
+		Run run = new Run(this.state.runs.nextId(), flight, endpoint, now, guaranteed, beyond);
+		if (beyond) {
+			set.beyond.sent();
+		}
 		this.state.runs.add(run);
 		flight.run = run;
 		flight.state = Flight.State.RUNNING;
@@ -216,7 +212,6 @@
 		endpoint.started(run);
 		set.running++;
 		set.guaranteed += (guaranteed) ? 1 : 0;
-		set.trial = (run.apart) ? run : set.trial;
 		this.state.reschedule(flight, flight.deadlineAt);
 		this.state.actions.dispatch(new Attempt(run.id, flight.info.id(), endpoint.name,
 				line.behaviour.enginePriority(flight, guaranteed), flight.delivered, line.policy));
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.dispatch;
 
+import java.util.List;
+
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.suspect.SuspectTable;
 
@@ -20,7 +22,7 @@
 
 	private static final int MAX_BACKOFF_SHIFT = 6;
 
-	private static final long QUARANTINE_NANOS = 10_000_000_000L;
+	private static final int PROBATION_TOKENS = 8;
 
 	private final DispatchState state;
 
@@ -31,6 +33,7 @@
 	// Follow up the end of a run that is already off its endpoint.
 	void ended(Run run, AttemptOutcome outcome, long now) {
 		Flight flight = run.flight;
+		flight.run = null;
 		noteEndpoint(run, outcome, now);
 		if (outcome == AttemptOutcome.CRASHED) {
 			noteCrash(run, now);
@@ -38,7 +41,6 @@
 		if (flight.isDone()) {
 			return;
 		}
-		flight.run = null;
 		switch (outcome) {
 			case COMPLETE -> complete(run, now);
 			case REJECTED -> this.state.finish(flight, ResultCode.ENDPOINT_ERROR, 0);
@@ -67,8 +69,42 @@
 		long content = flight.info.contentHash();
 		int crashes = this.state.suspects.crashes(content, now);
 		if (flight.apart && crashes > 0 && crashes < SuspectTable.CONVICTION) {
-			this.state.suspects.note(content, 0, true, now);
-			this.state.actions.publishSuspect(content, 0);
+			acquit(flight, now);
+		}
+	}
+
+	// Clear a suspect that got past the point where the endpoint had crashed. The next
+	// one
+	// need not wait for the end of a long answer. A second crash while this request runs
+	// convicts it all the same.
+	void survived(Run run, long now) {
+		if (run.apart && run.tokens >= PROBATION_TOKENS && run.flight.apart) {
+			acquit(run.flight, now);
+			moveAway(run.flight);
+		}
+	}
+
+	// Make room for the next trial: the acquitted one goes on at another endpoint.
+	private void moveAway(Flight flight) {
+		if (mayRunAgain(flight) && flight.set.endpoints.size() > 1) {
+			this.state.abandonRun(flight);
+		}
+	}
+
+	private void acquit(Flight flight, long now) {
+		flight.apart = false;
+		this.state.suspects.note(flight.info.contentHash(), 0, true, now);
+		this.state.actions.publishSuspect(flight.info.contentHash(), 0);
+	}
+
+	// Take the same content off other endpoints before it crashes them too.
+	void cancelTwins(long content, long now) {
+		for (Flight flight : List.copyOf(this.state.flights.values())) {
+			boolean twin = flight.info.contentHash() == content && flight.run != null && !flight.run.apart;
+			if (twin && mayRunAgain(flight)) {
+				flight.apart = true;
+				this.state.abandonRun(flight);
+			}
 		}
 	}
 
@@ -76,14 +112,15 @@
 	// and makes it suspect; a run apart convicts.
 	private void noteCrash(Run run, long now) {
 		long content = run.flight.info.contentHash();
-		boolean proof = run.apart && !run.hadCompany;
+		run.flight.crashes++;
+		boolean proof = run.apart || run.flight.crashes >= SuspectTable.CONVICTION;
 		int crashes = (proof) ? SuspectTable.CONVICTION : 1;
 		if (this.state.suspects.crashes(content, now) >= crashes) {
 			return;
 		}
 		this.state.suspects.note(content, crashes, true, now);
 		this.state.actions.publishSuspect(content, crashes);
-		run.flight.set.quarantineUntil = now + QUARANTINE_NANOS;
+		cancelTwins(content, now);
 	}
 
 	private void retry(Run run, AttemptOutcome outcome, long now) {
@@ -95,7 +132,7 @@
 		else if (!notRun && !mayRunAgain(flight)) {
 			this.state.finish(flight, finalCode(flight, outcome), 0);
 		}
-		else if (flight.attempts >= flight.line.tuning.maxAttempts() || !spendBudget(run)) {
+		else if (++flight.failures >= flight.line.tuning.maxAttempts() || !spendBudget(run)) {
 			this.state.finish(flight, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
 		}
 		else {
@@ -131,14 +168,13 @@
 			flight.tried.clear();
 			flight.tried.add(run.endpoint);
 		}
-		int shift = Math.min(MAX_BACKOFF_SHIFT, flight.attempts - 1);
+		int shift = Math.min(MAX_BACKOFF_SHIFT, flight.failures - 1);
 		flight.notBefore = now + (long) ((BACKOFF_NANOS << shift) * this.state.jitter());
 		if (flight.notBefore >= flight.deadlineAt) {
 			this.state.finish(flight, ResultCode.DEADLINE_EXCEEDED, 0);
 			return;
 		}
 		flight.apart = this.state.suspects.crashes(flight.info.contentHash(), now) > 0;
-		flight.apartSince = now;
 		flight.line.add(flight);
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Run.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Run.java
@@ -18,6 +18,9 @@
 	/** Runs on the guaranteed share of the low tier and is not preempted. */
 	final boolean guaranteed;
 
+	/** Was sent beyond the slots of the endpoint. */
+	final boolean beyond;
+
 	/** Runs apart from other requests. */
 	final boolean apart;
 
@@ -28,15 +31,13 @@
 	/** This VM asked for the cancellation. */
 	boolean cancelled;
 
-	/** A report showed that other requests ran beside it. */
-	boolean hadCompany;
-
-	Run(long id, Flight flight, EndpointView endpoint, long sentAt, boolean guaranteed) {
+	Run(long id, Flight flight, EndpointView endpoint, long sentAt, boolean guaranteed, boolean beyond) {
 		this.id = id;
 		this.flight = flight;
 		this.endpoint = endpoint;
 		this.sentAt = sentAt;
 		this.guaranteed = guaranteed;
+		this.beyond = beyond;
 		this.apart = flight.apart;
 		this.lastTokenAt = sentAt;
 	}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -1,7 +1,6 @@
 package org.acaciacourse.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,7 +26,11 @@
 
 	private static final double LEDGER_LIMIT = 2_000;
 
-	private static final double MEDIAN = 0.5;
+	private static final double FIRST_TOKEN_QUANTILE = 0.8;
+
+	private static final double DURATION_QUANTILE = 0.5;
+
+	private static final int ASIDE_PART = 6;
 
 	private static final double SLOWNESS_MEMORY = 0.02;
 
@@ -39,11 +42,8 @@
 
 	EndpointSet declared;
 
-	/** Endpoints are set aside for suspects until then. */
-	long quarantineUntil = Long.MIN_VALUE;
-
-	/** The run of the suspect that is tried at present. */
-	Run trial;
+	/** What may be sent beyond the slots. */
+	final BeyondWindow beyond = new BeyondWindow();
 
 	int running;
 
@@ -55,7 +55,13 @@
 
 	private final Map<String, Spread> durations = new HashMap<>();
 
-	private final Spread firstTokens = new Spread();
+	private final Map<String, Spread> firstTokens = new HashMap<>();
+
+	private final List<EndpointView> aside = new ArrayList<>();
+
+	private final long[] heldUntil = new long[WaitingLine.LANES];
+
+	private long asideSince;
 
 	private double ledger;
 
@@ -96,8 +102,8 @@
 		spread(this.durations, run.flight.info.requestClass()).learn((now - run.sentAt) / 1e6);
 	}
 
-	void learnFirstToken(long nanos) {
-		this.firstTokens.learn(nanos / 1e6);
+	void learnFirstToken(Flight flight, long nanos) {
+		spread(this.firstTokens, flight.info.requestClass()).learn(nanos / 1e6);
 	}
 
 	double expectedTokens(Flight flight) {
@@ -119,14 +125,15 @@
 	// plausible: with less left, the target is out of reach.
 	long leastTime(Flight flight) {
 		if (flight.isFirstTokenTarget()) {
-			return (long) (this.firstTokens.quantile(MEDIAN, 0) * 1e6);
+			Spread first = this.firstTokens.get(flight.info.requestClass());
+			return (first != null) ? (long) (first.quantile(FIRST_TOKEN_QUANTILE, 0) * 1e6) : 0;
 		}
 		Spread spread = this.durations.get(flight.info.requestClass());
-		return (spread != null) ? (long) (spread.quantile(0.1, 0) * 1e6) : 0;
+		return (spread != null) ? (long) (spread.quantile(DURATION_QUANTILE, 0) * 1e6) : 0;
 	}
 
 	private static String customerKey(Flight flight) {
-		return flight.info.requestClass() + '/' + flight.info.customer();
+		return flight.flow;
 	}
 
 	private static Spread spread(Map<String, Spread> spreads, String key) {
@@ -174,16 +181,65 @@
 
 	// Suspects
 
-	// Set endpoints aside for suspects: a quarter, the last by name, so that all VMs take
-	// the same ones without a word between them.
-	void updateQuarantine(long now) {
-		boolean active = now < this.quarantineUntil || this.trial != null;
-		EndpointView[] able = this.endpoints.stream().filter(EndpointView::isHealthy).toArray(EndpointView[]::new);
-		this.endpoints.forEach((endpoint) -> endpoint.quarantined = false);
-		if (active && able.length > 1) {
-			int aside = Math.max(1, able.length / 4);
-			Arrays.stream(able, able.length - aside, able.length).forEach((endpoint) -> endpoint.quarantined = true);
+	// Set endpoints aside for suspects, or give them back: a sixth, the last by name, so
+	// that all VMs take the same ones without a word between them. Return whether there
+	// are any.
+	boolean updateQuarantine(boolean suspected, long now) {
+		boolean active = suspected || hasApartWaiting();
+		if (!active && this.aside.isEmpty()) {
+			return false;
+		}
+		this.asideSince = (this.aside.isEmpty()) ? now : this.asideSince;
+		this.aside.forEach((endpoint) -> endpoint.quarantined = false);
+		this.aside.clear();
+		if (active) {
+			this.endpoints.stream().filter(EndpointView::isHealthy).forEach(this.aside::add);
+			int most = Math.max(1, this.aside.size() / ASIDE_PART);
+			this.aside.subList(0, Math.max(0, this.aside.size() - most)).clear();
+			boolean others = this.endpoints.size() > 1;
+			this.aside.forEach((endpoint) -> endpoint.quarantined = others);
+		}
+		return active;
+	}
+
+	private boolean hasApartWaiting() {
+		for (WaitingLine line : this.lines.values()) {
+			for (int lane = 0; lane < WaitingLine.LANES; lane++) {
+				for (Flight flight : line.picky(lane)) {
+					if (flight.apart) {
+						return true;
+					}
+				}
+			}
 		}
+		return false;
+	}
+
+	long asideSince() {
+		return this.asideSince;
+	}
+
+	// What was refused
+
+	// Hold lower lanes back after a refusal: until then the place of the refused request
+	// must not go to a lower one, should the estimate have been too dark.
+	void hold(int lane, long until) {
+		this.heldUntil[lane] = Math.max(this.heldUntil[lane], until);
+	}
+
+	// Return whether something above a lane was refused so lately that the lane must
+	// wait.
+	boolean isHeld(int lane, long now) {
+		for (int upper = 0; upper < lane; upper++) {
+			if (now < this.heldUntil[upper]) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	List<EndpointView> aside() {
+		return this.aside;
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Tuning.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Tuning.java
@@ -19,9 +19,10 @@
  * @param maxQueued the most requests that wait for one endpoint set
  * @param maxAttempts the most attempts for one request
  * @param credits the share of the slots that each VM takes as its own part
+ * @param scarce the share of the slots from which free ones are given out by lot
  */
 record Tuning(double lowestShare, int choices, int overcommit, long staleNanos, double preemptAfter,
-		double stragglerFactor, double prefixBonus, int maxQueued, int maxAttempts, double credits) {
+		double stragglerFactor, double prefixBonus, int maxQueued, int maxAttempts, double credits, double scarce) {
 
 	private static final double NANOS_PER_MILLI = 1e6;
 
@@ -31,7 +32,8 @@
 				(long) (PolicyParameter.STALE_AFTER.of(policy) * NANOS_PER_MILLI),
 				PolicyParameter.PREEMPT_AFTER.of(policy), PolicyParameter.STRAGGLER_FACTOR.of(policy),
 				PolicyParameter.PREFIX_BONUS.of(policy), (int) PolicyParameter.MAX_QUEUED.of(policy),
-				(int) PolicyParameter.MAX_ATTEMPTS.of(policy), PolicyParameter.CREDITS.of(policy));
+				(int) PolicyParameter.MAX_ATTEMPTS.of(policy), PolicyParameter.CREDITS.of(policy),
+				PolicyParameter.SCARCE.of(policy));
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
@@ -98,6 +98,20 @@
 		return this.size;
 	}
 
+	int sizeOfFlow(Flight flight) {
+		return this.lanes.get(lane(flight)).sizeOf(this.behaviour.flow(flight));
+	}
+
+	// Return how many are served before a new request: all of the lanes before it, and of
+	// its own lane as many of each flow as of its own, for flows take turns.
+	int aheadOf(Flight flight) {
+		int lane = lane(flight);
+		FairQueue<Flight> own = this.lanes.get(lane);
+		int before = sizeUpTo(lane) - own.size();
+		int turns = (own.sizeOf(this.behaviour.flow(flight)) + 1) * own.flows();
+		return before + Math.min(own.size(), turns);
+	}
+
 	// Return how many wait in a lane and the lanes before it.
 	int sizeUpTo(int lane) {
 		int count = 0;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/queue/FairQueue.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/queue/FairQueue.java
@@ -114,6 +114,24 @@
 		return this.size;
 	}
 
+	/**
+	 * Return how many items of a flow wait.
+	 * @param flowName the flow
+	 * @return the number of items
+	 */
+	public int sizeOf(String flowName) {
+		Flow<T> flow = this.flows.get(flowName);
+		return (flow != null) ? flow.items.size() : 0;
+	}
+
+	/**
+	 * Return how many flows have waiting items.
+	 * @return the number of flows
+	 */
+	public int flows() {
+		return this.order.size();
+	}
+
 	/**
 	 * Visit all waiting items.
 	 * @param action what to do with each
--- a/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
@@ -26,8 +26,12 @@
 	/** How long an entry is kept. */
 	public static final long MEMORY_NANOS = 3_600_000_000_000L;
 
+	private static final long ACTIVE_NANOS = 20_000_000_000L;
+
 	private final Map<Long, Entry> entries = new LinkedHashMap<>();
 
+	private long lastSuspicion = Long.MIN_VALUE / 2;
+
 	/**
 	 * Note how many crashes a content had part in.
 	 * @param contentHash the hash of customer and content
@@ -40,6 +44,7 @@
 		if (crashes <= 0) {
 			return;
 		}
+		this.lastSuspicion = now;
 		int most = (old != null) ? Math.max(old.crashes, crashes) : crashes;
 		boolean ours = own || (old != null && old.own);
 		this.entries.put(contentHash, new Entry(Math.min(most, CONVICTION), ours, now));
@@ -61,6 +66,40 @@
 		return (entry != null) ? entry.crashes : 0;
 	}
 
+	/**
+	 * Return how many suspects are on trial or wait for it before a content. All VMs hear
+	 * of the same suspects and order them by their hash, so that they try them in turn
+	 * without a word between them: two at once on one endpoint would make each look
+	 * guilty of the other's crash.
+	 * @param contentHash the hash of customer and content
+	 * @param places how many endpoints try suspects side by side
+	 * @param now the time
+	 * @return the number of suspects before it at its place
+	 */
+	public int rank(long contentHash, int places, long now) {
+		int rank = 0;
+		int place = Math.floorMod(contentHash, places);
+		for (Map.Entry<Long, Entry> entry : this.entries.entrySet()) {
+			boolean before = entry.getKey() < contentHash && Math.floorMod(entry.getKey(), places) == place;
+			rank += (before && isActive(entry.getValue(), now)) ? 1 : 0;
+		}
+		return rank;
+	}
+
+	/**
+	 * Return whether any content is on trial or waits for it.
+	 * @param now the time
+	 * @return whether there is an active suspect
+	 */
+	public boolean hasActive(long now) {
+		return now - this.lastSuspicion <= ACTIVE_NANOS
+				&& this.entries.values().stream().anyMatch((entry) -> isActive(entry, now));
+	}
+
+	private static boolean isActive(Entry entry, long now) {
+		return entry.crashes < CONVICTION && now - entry.since <= ACTIVE_NANOS;
+	}
+
 	/**
 	 * Return when this VM may try a suspect: at once if it ran here, otherwise only after
 	 * the VM that ran it had time to come to a verdict. Two VMs that try it at the same
