Let the refusal test send as many questions as now fit beyond the slots

The dispatcher may send two requests beyond the slots, so that five questions no longer fill the queue up to the target; nine do. The check itself, a refusal at once with a time to come back, is the same.

--- a/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
@@ -131,7 +131,7 @@
 				driver.end(driver.attemptOf(broker), AttemptOutcome.COMPLETE);
 			}
 			long last = 0;
-			for (int i = 0; i < 5; i++) {
+			for (int i = 0; i < 9; i++) {
 				last = driver.arrive("broker");
 			}
 			assertThat(driver.finished).containsEntry(last, ResultCode.TARGET_UNREACHABLE);
