Send beyond the slots only early, and pause longer after a late one

A request that waited a quarter of its target is not sent beyond any more, and the window goes down to a sixteenth with pauses to match.

--- a/core/src/main/java/org/acaciacourse/core/dispatch/BeyondWindow.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/BeyondWindow.java
@@ -14,11 +14,11 @@
  */
 final class BeyondWindow {
 
-	private static final double LEAST = 0.25;
+	private static final double LEAST = 0.0625;
 
 	private static final double MOST = 32;
 
-	private static final double START = 8;
+	private static final double START = 4;
 
 	private static final double SOON = 0.3;
 
@@ -50,7 +50,7 @@
 		}
 		if (now >= this.pausedUntil) {
 			this.window = Math.max(LEAST, this.window / 2);
-			this.pausedUntil = now + PAUSE_NANOS;
+			this.pausedUntil = now + (long) (PAUSE_NANOS / Math.min(1, this.window));
 		}
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -22,6 +22,8 @@
 	/** How many requests with special needs are looked at in one step of a lane. */
 	private static final int PICKY_SCANNED = 32;
 
+	private static final double BEYOND_WAITED = 0.25;
+
 	private static final long TRIAL_DRAIN_NANOS = 2_000_000_000L;
 
 	private final DispatchState state;
@@ -115,12 +117,20 @@
 		if (mayPreempt(flight, now)) {
 			endpoint = preempt(flight, now);
 		}
-		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH && flight.set.beyond.permits(now)) {
+		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH && maySendBeyond(flight, now)) {
 			endpoint = this.chooser.choose(flight, flight.line.tuning.overcommit(), now);
 		}
 		return endpoint;
 	}
 
+	// A request that has waited long has no time left to wait inside an engine, if that
+	// is
+	// full of high work.
+	private static boolean maySendBeyond(Flight flight, long now) {
+		double waited = now - flight.arrivedAt;
+		return waited <= BEYOND_WAITED * (flight.targetAt - flight.arrivedAt) && flight.set.beyond.permits(now);
+	}
+
 	private boolean mayPreempt(Flight flight, long now) {
 		Tier tier = flight.requestClass.tier();
 		if (tier == Tier.HIGH) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -26,7 +26,7 @@
 
 	private static final double LEDGER_LIMIT = 2_000;
 
-	private static final double FIRST_TOKEN_QUANTILE = 0.8;
+	private static final double FIRST_TOKEN_QUANTILE = 0.9;
 
 	private static final double DURATION_QUANTILE = 0.5;
 
