--- a/bench/src/main/java/org/acaciacourse/bench/experiment/Entry.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/Entry.java
@@ -39,7 +39,7 @@
 	}
 
 	void start(int count) {
-		this.dispatcher.configure(this.contender.manifest(this.world.site), 0);
+		this.dispatcher.configure(this.contender.manifest(this.world.site, this.index), 0);
 		entryCount(count);
 	}
 
--- a/bench/src/main/java/org/acaciacourse/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/Experiment.java
@@ -22,11 +22,11 @@
 
 	/**
 	 * Return the policies that are compared and the oracle.
-	 * @return the contenders, the oracle last
+	 * @return the contenders, the oracle last; the one before it shares by owners
 	 */
 	static List<Contender> contenders() {
 		return List.of(Contender.of(PolicyKind.FIFO), Contender.of(PolicyKind.LEAST_IN_FLIGHT),
-				Contender.of(PolicyKind.TIERED), Contender.ORACLE);
+				Contender.of(PolicyKind.TIERED), Contender.OWNERS, Contender.ORACLE);
 	}
 
 	/**
@@ -41,7 +41,8 @@
 	 */
 	public static Outcome run(Site site, Scenario scenario, PolicyKind kind, Map<String, Double> parameters, int seeds,
 			boolean heldOut) {
-		return run(site, scenario, new Contender(kind.label(), kind, parameters, false), seeds, heldOut);
+		return run(site, scenario, new Contender(kind.label(), kind, parameters, Contender.Sharing.INDEPENDENT), seeds,
+				heldOut);
 	}
 
 	/**
--- a/bench/src/main/java/org/acaciacourse/bench/experiment/ExperimentCommand.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/ExperimentCommand.java
@@ -82,9 +82,10 @@
 		this.parameters.forEach((name, value) -> values.put(name, Double.valueOf(value)));
 		return Experiment.contenders()
 			.stream()
-			.filter((contender) -> this.only.isEmpty() || this.only.contains(contender.name()))
+			.filter((contender) -> (this.only.isEmpty()) ? contender.sharing() != Contender.Sharing.OWNERS
+					: this.only.contains(contender.name()))
 			.map((contender) -> (contender.kind() == PolicyKind.TIERED && !contender.isCentral())
-					? new Contender(contender.name(), contender.kind(), values, false) : contender)
+					? new Contender(contender.name(), contender.kind(), values, contender.sharing()) : contender)
 			.toList();
 	}
 
--- a/bench/src/main/java/org/acaciacourse/bench/experiment/Site.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/Site.java
@@ -96,11 +96,15 @@
 		return "customer-" + index;
 	}
 
-	Manifest manifest(PolicyKind kind, Map<String, Double> parameters) {
+	int owners() {
+		return Math.min(this.entries, this.engines);
+	}
+
+	Manifest manifest(PolicyKind kind, Map<String, Double> parameters, int part, int parts) {
 		Map<String, RequestClass> byName = new HashMap<>();
 		this.classes.values().forEach((c) -> byName.put(c.name(), c));
 		Map<String, Endpoint> endpoints = new HashMap<>();
-		for (int i = 0; i < this.engines; i++) {
+		for (int i = part; i < this.engines; i += parts) {
 			String name = engineName(i);
 			URI address = URI.create("http://127.0.0.1:" + (9000 + i));
 			endpoints.put(name, new Endpoint(name, ENDPOINT_SET, address, "dc-" + (i % DATA_CENTRES), SLOTS, false));
--- a/bench/src/main/java/org/acaciacourse/bench/experiment/World.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/World.java
@@ -11,6 +11,7 @@
 import org.acaciacourse.core.dispatch.AttemptOutcome;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.dispatch.LoadReport;
+import org.acaciacourse.core.dispatch.PolicyDispatcher;
 import org.acaciacourse.core.model.Tier;
 
 /**
@@ -70,11 +71,16 @@
 		for (int i = 0; i < site.engines; i++) {
 			this.engines.add(new FakeEngine(Site.engineName(i), Site.SLOTS, this.timeline, this));
 		}
-		int dispatchers = (contender.isCentral()) ? 1 : site.entries;
+		int dispatchers = switch (contender.sharing()) {
+			case INDEPENDENT -> site.entries;
+			case OWNERS -> site.owners();
+			case ORACLE -> 1;
+		};
 		for (int i = 0; i < dispatchers; i++) {
 			this.entries.add(new Entry(i, this, contender, seed));
 		}
-		this.entries.forEach((entry) -> entry.start(dispatchers));
+		this.entries
+			.forEach((entry) -> entry.start((contender.sharing() == Contender.Sharing.OWNERS) ? 1 : dispatchers));
 	}
 
 	// Run the whole experiment.
@@ -107,6 +113,10 @@
 	}
 
 	private void arrive(Job job) {
+		if (this.contender.sharing() == Contender.Sharing.OWNERS) {
+			this.timeline.after(this.site.delayNanos, () -> forward(job));
+			return;
+		}
 		do {
 			job.entry = this.random.nextInt(this.site.entries);
 		}
@@ -114,6 +124,19 @@
 		entryOf(job).arrive(job);
 	}
 
+	private void forward(Job job) {
+		int one = this.random.nextInt(this.entries.size());
+		int two = this.random.nextInt(this.entries.size());
+		job.entry = (openAt(one) <= openAt(two)) ? one : two;
+		this.entries.get(job.entry).arrive(job);
+	}
+
+	private double openAt(int owner) {
+		int engines = (this.engines.size() - owner + this.entries.size() - 1) / this.entries.size();
+		PolicyDispatcher dispatcher = (PolicyDispatcher) this.entries.get(owner).dispatcher;
+		return dispatcher.openRequests() / (double) engines;
+	}
+
 	Entry entryOf(Job job) {
 		return this.entries.get((this.contender.isCentral()) ? 0 : job.entry);
 	}
