--- a/daemon/src/main/java/org/acaciacourse/daemon/cli/StopSignal.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/StopSignal.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.cli;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.acaciacourse.core.code.ResultCode;
 import sun.misc.Signal;
@@ -8,14 +9,19 @@
 /**
  * Waits for SIGTERM or SIGINT, so that a daemon can stop gracefully and exit with the
  * status of its result; a shutdown hook would end with the status of the signal. A second
- * signal ends the process at once.
+ * signal asks the daemon to cut what is left, a third ends the process at once, should
+ * the daemon hang.
  * <p>
  * Thread safe.
  */
 public final class StopSignal {
 
+	private static final int HALT_AT = 3;
+
 	private final CountDownLatch asked = new CountDownLatch(1);
 
+	private final AtomicInteger count = new AtomicInteger();
+
 	/**
 	 * Begin to catch the signals.
 	 */
@@ -25,8 +31,8 @@
 	}
 
 	private void stop() {
-		if (this.asked.getCount() == 0) {
-			System.err.println(ResultCode.DRAIN_LIMIT.number() + " stopped by a second signal");
+		if (this.count.incrementAndGet() >= HALT_AT) {
+			System.err.println(ResultCode.DRAIN_LIMIT.number() + " stopped by a third signal");
 			Runtime.getRuntime().halt(ResultCode.DRAIN_LIMIT.exitStatus());
 		}
 		this.asked.countDown();
@@ -40,4 +46,12 @@
 		this.asked.await();
 	}
 
+	/**
+	 * Return whether a second signal came.
+	 * @return whether to cut what is left
+	 */
+	public boolean isRepeated() {
+		return this.count.get() > 1;
+	}
+
 }
--- a/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
+++ b/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -1,1 +1,2 @@
 org.acaciacourse.daemon.control.ControlCommand
+org.acaciacourse.daemon.entry.EntryCommand
