Add the operators' commands

apply hands a whole manifest in and tells which share of the live entries has confirmed it; status shows replicas, entries and the audit log; compare puts policies side by side for each class, with a Wilson score interval of the attainment; check reports every problem and applies nothing; version.

--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/ControlClient.java
@@ -0,0 +1,78 @@
+package org.acaciacourse.daemon.operator;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.daemon.codec.ManifestCodec;
+import org.acaciacourse.daemon.link.LeaderCaller;
+import org.acaciacourse.protocol.generated.ApplyReply;
+import org.acaciacourse.protocol.generated.ApplyRequest;
+import org.acaciacourse.protocol.generated.Result;
+import org.acaciacourse.protocol.generated.StatusReply;
+import org.acaciacourse.protocol.generated.TraceContext;
+
+/**
+ * An operator's calls to control. Both may be repeated: a manifest with the same number
+ * and digest gets the same answer again.
+ * <p>
+ * Not thread safe.
+ */
+final class ControlClient implements AutoCloseable {
+
+	private static final Duration LIMIT = Duration.ofSeconds(15);
+
+	private final LeaderCaller caller;
+
+	private final String key;
+
+	ControlClient(List<String> controls, String key) {
+		this.caller = new LeaderCaller(controls);
+		this.key = key;
+	}
+
+	static Either<ResultCode, ControlClient> of(OperatorOptions options) {
+		return options.controls().flatMap((controls) -> options.key().map((key) -> new ControlClient(controls, key)));
+	}
+
+	/**
+	 * Hand a whole manifest in.
+	 * @param document the manifest
+	 * @param operator who hands it in
+	 * @return the answer; the code says whether it is in force
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	ApplyReply apply(ManifestDocument document, String operator) throws InterruptedException {
+		ApplyRequest request = new ApplyRequest(this.key, operator, ManifestCodec.encode(document),
+				new TraceContext(""));
+		return this.caller.call((c) -> c.apply(request), ApplyReply::getResult, LIMIT)
+			.orElseGet(() -> new ApplyReply(unreachable(), 0, ""));
+	}
+
+	/**
+	 * Ask for the status.
+	 * @return the status; the code says whether there is one
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	StatusReply status() throws InterruptedException {
+		Optional<StatusReply> reply = this.caller.call((c) -> c.status(this.key), StatusReply::getResult, LIMIT);
+		return reply.orElseGet(() -> new StatusReply().setResult(unreachable()));
+	}
+
+	private static Result unreachable() {
+		return new Result(ResultCode.CONTROL_UNREACHABLE.number(), ResultCode.CONTROL_UNREACHABLE.text());
+	}
+
+	static ResultCode codeOf(Result result) {
+		return ResultCode.ofNumber(result.getCode()).orElse(ResultCode.INTERNAL);
+	}
+
+	@Override
+	public void close() {
+		this.caller.close();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' commands.
+ */
+package org.acaciacourse.daemon.operator;
--- a/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
+++ b/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -1,1 +1,6 @@
 org.acaciacourse.daemon.control.ControlCommand
+org.acaciacourse.daemon.operator.ApplyCommand
+org.acaciacourse.daemon.operator.StatusCommand
+org.acaciacourse.daemon.operator.CompareCommand
+org.acaciacourse.daemon.operator.CheckCommand
+org.acaciacourse.daemon.operator.VersionCommand
