Read the file arguments of operators' commands, and give each command its help

Cause: JCommander sets a main parameter of type Path only through a converter that is named; apply and check ended with code 505 whatever the file held. Found by running the path by hand.

--- a/daemon/src/main/java/org/acaciacourse/daemon/cli/Main.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/Main.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.cli;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.ServiceLoader;
@@ -40,6 +41,10 @@
 		GlobalOptions options = new GlobalOptions();
 		JCommander commander = JCommander.newBuilder().programName(PROGRAM).addObject(options).build();
 		commands.forEach(commander::addCommand);
+		if (args.length > 1 && commands.containsKey(args[0]) && asksForHelp(args)) {
+			commander.getUsageFormatter().usage(args[0]);
+			return ResultCode.OK;
+		}
 		try {
 			commander.parse(args);
 		}
@@ -59,6 +64,11 @@
 		return run(commands.get(name));
 	}
 
+	// A command may have required options, which must not get in the way of its help.
+	private static boolean asksForHelp(String... args) {
+		return Arrays.stream(args).anyMatch((arg) -> arg.equals("--help") || arg.equals("-h"));
+	}
+
 	private static ResultCode run(Command command) {
 		try {
 			return command.run();
--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
@@ -10,6 +10,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import com.beust.jcommander.converters.PathConverter;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.acaciacourse.core.code.ResultCode;
@@ -31,7 +32,7 @@
 
 	private static final long ASK_MILLIS = 100;
 
-	@Parameter(description = "FILE", required = true)
+	@Parameter(description = "FILE", required = true, converter = PathConverter.class)
 	private Path file;
 
 	@ParametersDelegate
--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
@@ -8,6 +8,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.converters.PathConverter;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.acaciacourse.core.code.ResultCode;
@@ -27,7 +28,7 @@
 
 	private static final String MANIFEST = "manifest";
 
-	@Parameter(description = "FILE", required = true)
+	@Parameter(description = "FILE", required = true, converter = PathConverter.class)
 	private Path file;
 
 	@Parameter(names = "--json", description = "Print one JSON object")
