Explore the log under faults from seeds and hold leases safely

Purpose: 2,000 seeds run the replicas on a fake network and fake disks under loss, delay, duplication, reordering, cuts (also one-way), crashes before and after each sync, lost disks, freezes, transfers and racing operators. Mutants must be caught: a skipped sync, a forgotten vote, a lease not rechecked after a freeze, rejoin under the old identity, and leases that end by wall clocks.

The exploration now injects late transfers of leadership and more crashes around votes.

--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -159,6 +159,19 @@
 		return this.log.membershipIndex() <= this.commitIndex;
 	}
 
+	/**
+	 * Return whether this replica should ask to join. The change that added it may have
+	 * been rolled back with a leader that failed, even after it received it: then no
+	 * leader knows of it, and without asking again it would wait for good. A request of a
+	 * replica that is listed does no harm.
+	 * @param now the time
+	 * @return whether it is no voter and no leader sends it the log as a member
+	 */
+	public boolean needsToJoin(long now) {
+		boolean served = membership().member(this.self).isPresent() && this.election.isLeaderRecent(now);
+		return !isVoter() && !served;
+	}
+
 	/**
 	 * Return whether a member answered this leader within an election timeout.
 	 * @param id the member
--- a/core/src/main/java/org/acaciacourse/core/state/Command.java
+++ b/core/src/main/java/org/acaciacourse/core/state/Command.java
@@ -6,15 +6,15 @@
 
 /**
  * The commands of the replicated state machine {@link ControlState}. Each carries the
- * wall-clock time at which the leader proposed it, so that every replica expires the same
- * things at the same entry; the state's time never goes back.
+ * time at which the leader proposed it, so that every replica expires the same things at
+ * the same entry; the state's time never goes back.
  * <p>
  * Immutable and thread safe.
  */
 public sealed interface Command {
 
 	/**
-	 * Return the proposer's wall-clock time.
+	 * Return the proposer's time, which {@link ProposalClock} yields.
 	 * @return milliseconds since the epoch
 	 */
 	long proposedAt();
@@ -69,7 +69,8 @@
 	 * @param proposedAt the proposer's wall-clock time in milliseconds since the epoch
 	 * @param key who claims what
 	 * @param contentHash a hash of method, path and body
-	 * @param owner the run of the entry VM that will send it
+	 * @param owner the run of the entry VM that will send it, best with # and a number
+	 * that the run uses for this request only
 	 */
 	record Claim(long proposedAt, ClaimKey key, String contentHash, String owner) implements Command {
 	}
@@ -79,7 +80,7 @@
 	 *
 	 * @param proposedAt the proposer's wall-clock time in milliseconds since the epoch
 	 * @param key the key of the claim
-	 * @param owner the run of the entry VM that holds the claim
+	 * @param owner the owner that made the claim
 	 * @param outcome how it ended
 	 * @param answer the whole answer if it is to be kept, else empty
 	 */
@@ -92,7 +93,7 @@
 	 * on.
 	 *
 	 * @param proposedAt the proposer's wall-clock time in milliseconds since the epoch
-	 * @param owner the run of the entry VM
+	 * @param owner the run of the entry VM, without a number
 	 */
 	record EndOwner(long proposedAt, String owner) implements Command {
 	}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/consensus/ExplorationTests.java
@@ -0,0 +1,289 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+import io.vavr.control.Try;
+import org.acaciacourse.core.state.ProposalClock;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Seeded exploration of {@link Replica} under faults, and mutants that it must catch.
+ */
+class ExplorationTests {
+
+	private static final int SEEDS = 2_000;
+
+	/** Runs one seed; whatever goes wrong is thrown. */
+	private static SimulatedCluster explore(long seed, Faults faults) {
+		SimulatedCluster cluster = new SimulatedCluster(seed, (seed % 5 == 0) ? 5 : 3, faults);
+		cluster.runFor(600);
+		boolean storm = seed % 2 == 1;
+		cluster.rates(0.02 * (seed % 4), 0.01 * (seed % 3), (seed % 4 == 3) ? 0.5 : 0.05);
+		for (int i = 0; i < 60; i++) {
+			inject(cluster);
+			if (storm) {
+				crashAroundElections(cluster);
+			}
+			cluster.operate(cluster.randomNode());
+			cluster.read();
+			cluster.runFor(5 + cluster.random.nextInt(30));
+		}
+		finish(cluster);
+		return cluster;
+	}
+
+	private static void inject(SimulatedCluster cluster) {
+		SimulatedNode node = cluster.randomNode();
+		switch (cluster.random.nextInt(24)) {
+			case 0 -> cluster.freeze(node, 50 + cluster.random.nextInt(600));
+			case 1 -> cluster.isolate(node.vm);
+			case 2 -> cluster.cut(node.vm, cluster.randomNode().vm);
+			case 3, 4, 5 -> cluster.heal();
+			case 6, 7 -> node.compact();
+			case 8 -> node.replica.transferLeadership(node.monotonic());
+			case 9 -> loseDisk(cluster, node);
+			case 10, 11 -> cluster.raceElection();
+			default -> {
+			}
+		}
+	}
+
+	/** Leaders fail one after the other, and voters restart between two requests. */
+	private static void crashAroundElections(SimulatedCluster cluster) {
+		SimulatedNode leader = cluster.leader();
+		if (leader != null && cluster.random.nextInt(3) == 0) {
+			cluster.crashFor(leader, cluster.random.nextInt(150));
+		}
+		if (leader == null) {
+			cluster.crashFor(cluster.randomNode(), cluster.random.nextInt(4));
+		}
+	}
+
+	/** A second disk may go only after the first is repaired: the brief's own bound. */
+	private static void loseDisk(SimulatedCluster cluster, SimulatedNode node) {
+		if (cluster.isRepaired()) {
+			cluster.loseDisk(node);
+		}
+	}
+
+	private static void finish(SimulatedCluster cluster) {
+		cluster.calm();
+		cluster.runFor(2_000);
+		SimulatedNode leader = cluster.leader();
+		History.checkProgress(leader != null, "no leader after all faults ended: " + cluster.describe());
+		long before = cluster.history.acknowledgedIndex();
+		for (int i = 0; i < 20 && cluster.history.acknowledgedIndex() == before; i++) {
+			cluster.operate(leader);
+			cluster.runFor(50);
+		}
+		cluster.runFor(200);
+		History.checkProgress(cluster.history.acknowledgedIndex() > before,
+				"no commit after all faults ended: " + cluster.describe());
+		for (SimulatedNode node : cluster.nodes.values()) {
+			History.checkProgress(node.appliedIndex >= before, node.vm + " did not catch up: " + cluster.describe());
+		}
+	}
+
+	@Test
+	void noSeedViolatesAnInvariant() {
+		Map<String, Long> counts = new TreeMap<>();
+		for (long seed = 0; seed < SEEDS; seed++) {
+			try {
+				SimulatedCluster cluster = explore(seed, new Faults());
+				cluster.injected.forEach((fault, count) -> counts.merge(fault, count, Long::sum));
+				counts.merge("steps", cluster.steps, Long::sum);
+				counts.merge("commits", cluster.history.lastCommitted(), Long::sum);
+				counts.merge("elections", cluster.history.elections, Long::sum);
+			}
+			catch (RuntimeException ex) {
+				throw new AssertionError("seed " + seed, ex);
+			}
+		}
+		System.out.println(SEEDS + " seeds: " + counts);
+		assertThat(counts.get("commits")).isGreaterThan(SEEDS * 10L);
+	}
+
+	/**
+	 * The first VM's disk is lost and repaired, and the second VM fails just after.
+	 */
+	@Nested
+	class LostDisk {
+
+		private SimulatedCluster cluster;
+
+		private long number;
+
+		// The first and the second VM commit a manifest that the third misses, and the
+		// first VM's disk is lost.
+		private SimulatedNode loseDiskAfterCommit(Faults faults) {
+			this.cluster = new SimulatedCluster(1, 3, faults);
+			this.cluster.runFor(1_000);
+			SimulatedNode second = this.cluster.leader();
+			List<SimulatedNode> others = this.cluster.nodes.values().stream().filter((n) -> n != second).toList();
+			this.cluster.isolate(others.get(1).vm);
+			while (this.cluster.history.acknowledgedNumber() == 0) {
+				this.cluster.operate(second);
+				this.cluster.runFor(20);
+			}
+			this.number = this.cluster.history.acknowledgedNumber();
+			this.cluster.loseDisk(others.get(0));
+			this.cluster.heal();
+			return second;
+		}
+
+		@Test
+		void secondFailureJustAfterTheRepairLosesNothing() {
+			// The repair brings in a new replica that holds all that was committed before
+			// it counts. So the second VM may lose its disk as well: the third and the
+			// new one are a quorum and hold the manifest.
+			SimulatedNode second = loseDiskAfterCommit(new Faults());
+			for (int i = 0; i < 100 && !this.cluster.isRepaired(); i++) {
+				this.cluster.runFor(20);
+			}
+			assertThat(this.cluster.isRepaired()).isTrue();
+			this.cluster.loseDisk(second);
+			this.cluster.runFor(1_000);
+			assertThat(this.cluster.leader().state.number()).isEqualTo(this.number);
+		}
+
+		@Test
+		void newIdentityDoesNotVoteBeforeTheRepair() {
+			// The second VM stops before the repair is done. The third one alone misses
+			// the manifest, and the empty replica must not help it to lead.
+			SimulatedNode second = loseDiskAfterCommit(new Faults());
+			this.cluster.crash(second);
+			this.cluster.runFor(1_000);
+			assertThat(this.cluster.leader()).isNull();
+			this.cluster.restart(second);
+			this.cluster.runFor(1_000);
+			assertThat(this.cluster.leader().state.number()).isEqualTo(this.number);
+		}
+
+		@Test
+		void rejoinUnderTheOldIdentityLosesACommit() {
+			// The same failures, but the empty replica comes back as the old one. It
+			// votes for the third, and both commit other entries in place of the
+			// manifest.
+			SimulatedNode second = loseDiskAfterCommit(new NaiveRejoin());
+			this.cluster.crash(second);
+			Throwable violation = Try.run(() -> this.cluster.runFor(1_000)).getCause();
+			assertThat(violation).hasMessageThat().contains("changed");
+		}
+
+	}
+
+	/**
+	 * Each mutant gets one step wrong that the brief's faults depend on. If a mutant
+	 * passes, the exploration would not notice the same mistake in the product.
+	 */
+	@Nested
+	class Mutants {
+
+		private String violationOf(Faults mutant) {
+			for (long seed = 0; seed < SEEDS; seed++) {
+				try {
+					explore(seed, mutant);
+				}
+				catch (History.Stall ex) {
+					// Not what the mutant is to be caught for.
+				}
+				catch (RuntimeException ex) {
+					return ex.getMessage();
+				}
+			}
+			return "none";
+		}
+
+		@Test
+		void skippedSyncIsCaught() {
+			// The disk reports a sync that it did not make, and the VM crashes.
+			// Acknowledged entries are gone, and a leader is elected without them.
+			assertThat(violationOf(new Faults() {
+				@Override
+				SimulatedDisk newDisk() {
+					return new SimulatedDisk() {
+						private int calls;
+
+						@Override
+						void sync() {
+							this.calls++;
+							if (this.calls % 3 == 0) {
+								super.sync();
+							}
+						}
+					};
+				}
+			})).containsMatch("two leaders|committed entry");
+		}
+
+		@Test
+		void forgottenVoteIsCaught() {
+			// A replica votes, restarts without its vote and votes again in the same
+			// term, so that two leaders are elected.
+			assertThat(violationOf(new Faults() {
+				@Override
+				SimulatedDisk newDisk() {
+					return new SimulatedDisk() {
+						@Override
+						RecoveredLog recover() {
+							RecoveredLog content = super.recover();
+							HardState forgotten = new HardState(content.hardState().term(), Optional.empty());
+							return new RecoveredLog(forgotten, content.snapshot(), content.entries());
+						}
+					};
+				}
+			})).containsMatch("two leaders");
+		}
+
+		@Test
+		void leaseNotRecheckedAfterAFreezeIsCaught() {
+			// The holder checks its lease, is frozen past its end and sends on waking,
+			// while another VM holds the lease.
+			assertThat(violationOf(new Faults() {
+				@Override
+				OptionalLong checkLease(SimulatedNode node) {
+					boolean waking = node.monotonic() - node.thawedAt() < SimulatedCluster.MILLISECOND;
+					return (waking) ? node.checkedBeforeFreeze : super.checkLease(node);
+				}
+			})).isEqualTo("two holders of a lease act");
+		}
+
+		@Test
+		void rejoinUnderTheOldIdentityIsCaught() {
+			// A replica whose disk is lost comes back empty as if it were the old one. It
+			// has forgotten its votes and the entries that it acknowledged.
+			assertThat(violationOf(new NaiveRejoin())).containsMatch("two leaders|committed entry");
+		}
+
+		@Test
+		void leaseByWallClocksIsCaught() {
+			// A leader whose wall clock is ahead takes over and ends the lease at once,
+			// while its holder still relies on it.
+			assertThat(violationOf(new Faults() {
+				@Override
+				long proposedAt(SimulatedNode node, Optional<ProposalClock> clock) {
+					return node.wallMillis();
+				}
+			})).isEqualTo("two holders of a lease act");
+		}
+
+	}
+
+	/** Gives an empty replica the identity of the one that lost its disk. */
+	private static final class NaiveRejoin extends Faults {
+
+		@Override
+		ReplicaId identityAfterDiskLoss(ReplicaId old, ReplicaId fresh) {
+			return old;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/consensus/History.java
@@ -0,0 +1,118 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.acaciacourse.core.state.ControlState;
+
+/**
+ * What all nodes of a {@link SimulatedCluster} did, seen from outside, and the invariants
+ * over it. A violation is thrown as {@link Violation}.
+ */
+class History {
+
+	private final Map<Long, ReplicaId> leaders = new HashMap<>();
+
+	private final Map<Long, LogEntry> committed = new HashMap<>();
+
+	private final Map<Long, String> results = new HashMap<>();
+
+	private final Map<Long, String> fencing = new HashMap<>();
+
+	private long highestFencing;
+
+	private long highestFencingIndex;
+
+	private long lastCommitted;
+
+	private long acknowledgedIndex;
+
+	private long acknowledgedNumber;
+
+	long elections;
+
+	void elected(SimulatedNode node, long term) {
+		ReplicaId other = this.leaders.putIfAbsent(term, node.id);
+		check(other == null || other.equals(node.id), "two leaders in term " + term);
+		this.elections++;
+	}
+
+	void applied(SimulatedNode node, LogEntry entry) {
+		check(entry.index() == node.appliedIndex + 1, "applied out of order");
+		LogEntry other = this.committed.putIfAbsent(entry.index(), entry);
+		boolean same = other == null
+				|| (other.term() == entry.term() && Arrays.equals(other.payload(), entry.payload()));
+		check(same, "committed entry " + entry.index() + " changed");
+		this.lastCommitted = Math.max(this.lastCommitted, entry.index());
+	}
+
+	void result(long index, CommandResult result, ControlState state) {
+		if (result instanceof LeaseResult lease && lease.code() == ResultCode.OK && !lease.holder().isEmpty()) {
+			String holder = this.fencing.putIfAbsent(lease.fencingNumber(), lease.holder());
+			check(holder == null || holder.equals(lease.holder()), "fencing number given out twice");
+			if (index > this.highestFencingIndex) {
+				check(lease.fencingNumber() >= this.highestFencing, "fencing number fell");
+				this.highestFencing = lease.fencingNumber();
+				this.highestFencingIndex = index;
+			}
+		}
+		String content = result.code() + " " + state.number() + " " + state.digest() + " " + state.time();
+		String other = this.results.putIfAbsent(index, content);
+		check(other == null || other.equals(content), "replicas disagree on the result of entry " + index);
+	}
+
+	void acknowledged(CommandResult result, long index) {
+		this.acknowledgedIndex = Math.max(this.acknowledgedIndex, index);
+		if (result instanceof ManifestResult manifest && manifest.code() == ResultCode.OK) {
+			this.acknowledgedNumber = Math.max(this.acknowledgedNumber, manifest.number());
+		}
+	}
+
+	long acknowledgedNumber() {
+		return this.acknowledgedNumber;
+	}
+
+	long acknowledgedIndex() {
+		return this.acknowledgedIndex;
+	}
+
+	long lastCommitted() {
+		return this.lastCommitted;
+	}
+
+	static void check(boolean holds, String violation) {
+		if (!holds) {
+			throw new Violation(violation);
+		}
+	}
+
+	static void checkProgress(boolean holds, String stall) {
+		if (!holds) {
+			throw new Stall(stall);
+		}
+	}
+
+	/** Nothing wrong was done, but nothing gets done any more. */
+	static final class Stall extends RuntimeException {
+
+		Stall(String message) {
+			super(message);
+		}
+
+	}
+
+	/** An invariant does not hold. */
+	static final class Violation extends RuntimeException {
+
+		Violation(String message) {
+			super(message);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -0,0 +1,76 @@
+package org.acaciacourse.core.consensus;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToLongFunction;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link MembershipManager}.
+ */
+class MembershipManagerTests {
+
+	private static final Member A = member(1, "a", true);
+
+	private static final Member B = member(2, "b", true);
+
+	private static final Member C = member(3, "c", true);
+
+	private static final Member NEW_B = member(4, "b", false);
+
+	private final MembershipManager manager = new MembershipManager();
+
+	private static Member member(long id, String vm, boolean voter) {
+		return new Member(new ReplicaId(id), vm, vm, voter);
+	}
+
+	private Optional<Membership> next(Membership current, long commitIndex, ToLongFunction<ReplicaId> matchIndex) {
+		return this.manager.next(current, true, commitIndex, matchIndex,
+				(id) -> id.equals(A.id()) || id.equals(C.id()));
+	}
+
+	@Test
+	void newLeaderFinishesWhatTheLastOneBegan() {
+		// The leader fails after each step. The next one knows nothing but the committed
+		// membership and must neither stop half way nor promote a learner too early.
+		Membership current = new Membership(List.of(A, B, C));
+		this.manager.join(NEW_B);
+		current = next(current, 10, (id) -> 0).orElseThrow();
+		assertThat(current.members()).containsExactly(A, B, C, NEW_B);
+		this.manager.leadershipLost();
+		assertThat(next(current, 20, (id) -> 19)).isEqualTo(Optional.empty());
+		this.manager.leadershipLost();
+		current = next(current, 30, (id) -> 30).orElseThrow();
+		assertThat(current.members()).containsExactly(A, C, NEW_B);
+		this.manager.leadershipLost();
+		current = next(current, 40, (id) -> 40).orElseThrow();
+		assertThat(current.voters()).containsExactly(A.id(), C.id(), NEW_B.id());
+		assertThat(next(current, 50, (id) -> 50)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void pointToCatchUpToDoesNotMoveAway() {
+		Membership current = new Membership(List.of(A, C, NEW_B));
+		assertThat(next(current, 10, (id) -> 5)).isEqualTo(Optional.empty());
+		assertThat(next(current, 99, (id) -> 10)).isNotEqualTo(Optional.empty());
+	}
+
+	@Test
+	void voterThatAnswersIsNotReplaced() {
+		// A second process starts with the name of a VM that works. It must not push the
+		// replica out that holds the log.
+		Membership current = new Membership(List.of(A, B, C, member(5, "a", false)));
+		assertThat(next(current, 10, (id) -> 10)).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void learnerThatLostItsDiskAgainMakesRoomForTheNext() {
+		Membership current = new Membership(List.of(A, B, C, NEW_B));
+		this.manager.join(member(6, "b", false));
+		assertThat(next(current, 10, (id) -> 0)).isEqualTo(Optional.of(new Membership(List.of(A, B, C))));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/lease/LeaseHolderTests.java
@@ -0,0 +1,59 @@
+package org.acaciacourse.core.lease;
+
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link LeaseHolder}.
+ */
+class LeaseHolderTests {
+
+	// Usable for 1000 - 20 - 80 = 900 after the request.
+	private static final LeaseTiming TIMING = new LeaseTiming(1_000, 300, 20, 80);
+
+	private final LeaseHolder holder = new LeaseHolder(TIMING);
+
+	@Test
+	void leaseCountsFromTheRequestAndEndsEarly() {
+		long request = this.holder.request(100).getAsLong();
+		this.holder.granted(request, 7);
+		assertThat(this.holder.fencingNumber(999)).isEqualTo(OptionalLong.of(7));
+		assertThat(this.holder.fencingNumber(1_000)).isEqualTo(OptionalLong.empty());
+	}
+
+	@Test
+	void answerAfterAFreezeDoesNotReviveTheLease() {
+		// The process asks, is frozen past the lease, and finds the answer when it
+		// wakes. By then another process may hold the lease.
+		long request = this.holder.request(0).getAsLong();
+		this.holder.granted(request, 7);
+		long renewal = this.holder.request(300).getAsLong();
+		this.holder.granted(renewal, 7);
+		assertThat(this.holder.fencingNumber(5_000)).isEqualTo(OptionalLong.empty());
+	}
+
+	@Test
+	void answerToARequestThatWasGivenUpIsIgnored() {
+		long first = this.holder.request(0).getAsLong();
+		assertThat(this.holder.request(299)).isEqualTo(OptionalLong.empty());
+		long second = this.holder.request(300).getAsLong();
+		this.holder.granted(first, 7);
+		assertThat(this.holder.fencingNumber(301)).isEqualTo(OptionalLong.empty());
+		this.holder.granted(second, 8);
+		assertThat(this.holder.fencingNumber(301)).isEqualTo(OptionalLong.of(8));
+	}
+
+	@Test
+	void releaseStopsAtOnceAlsoWithARenewalUnderWay() {
+		long request = this.holder.request(0).getAsLong();
+		this.holder.granted(request, 7);
+		long renewal = this.holder.request(300).getAsLong();
+		assertThat(this.holder.release(301).get()).isEqualTo(7);
+		this.holder.granted(renewal, 7);
+		assertThat(this.holder.fencingNumber(302)).isEqualTo(OptionalLong.empty());
+	}
+
+}
