Let leaders propose by the state's clock and lost learners ask again

Cause: the control daemon stamped commands with the leader's wall clock. The driver now uses ProposalClock, from the first entry of its term on.

Cause: a learner whose admission was rolled back listed itself and never asked to join again. A learner now forgets a leader that is silent for an election timeout, and then asks.

--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -90,8 +90,11 @@
 	@Override
 	public void tick(long now) {
 		this.leadership.ifPresent((leading) -> tickLeader(leading, now));
-		if (this.role != Role.LEADER && isVoter() && this.election.isDue(now)) {
-			startPreVote(now);
+		if (this.role != Role.LEADER && this.election.isDue(now)) {
+			this.leader = Optional.empty();
+			if (isVoter()) {
+				startPreVote(now);
+			}
 		}
 		reportChange();
 	}
@@ -164,11 +167,10 @@
 	 * been rolled back with a leader that failed, even after it received it: then no
 	 * leader knows of it, and without asking again it would wait for good. A request of a
 	 * replica that is listed does no harm.
-	 * @param now the time
 	 * @return whether it is no voter and no leader sends it the log as a member
 	 */
-	public boolean needsToJoin(long now) {
-		boolean served = membership().member(this.self).isPresent() && this.election.isLeaderRecent(now);
+	public boolean needsToJoin() {
+		boolean served = membership().member(this.self).isPresent() && this.leader.isPresent();
 		return !isVoter() && !served;
 	}
 
@@ -342,7 +344,6 @@
 
 	private void startPreVote(long now) {
 		this.role = Role.PRE_CANDIDATE;
-		this.leader = Optional.empty();
 		this.election.begin(this.self, now);
 		requestVotes(true, false);
 		continueElection(now);
--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
@@ -108,7 +108,7 @@
 						(member) -> this.replica.isInContact(member, monotonic()))
 				.ifPresent((next) -> this.replica.changeMembership(-this.cluster.nextNumber(), next, monotonic()));
 		}
-		else if (this.replica.needsToJoin(monotonic())) {
+		else if (this.replica.needsToJoin()) {
 			Member joiner = new Member(this.id, this.vm, this.vm, false);
 			this.cluster.call(this.vm, this.cluster.randomNode(), (node) -> {
 				if (node.replica.isLeader()) {
@@ -222,12 +222,14 @@
 
 	@Override
 	public void statusChanged(ReplicaStatus status) {
-		this.manager.leadershipLost();
-		this.clock = Optional.empty();
 		if (status.role() == ReplicaStatus.Role.LEADER) {
 			this.clockTerm = status.term();
 			this.cluster.history.elected(this, status.term());
 		}
+		else {
+			this.manager.leadershipLost();
+			this.clock = Optional.empty();
+		}
 	}
 
 	private long rate() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
@@ -73,7 +73,11 @@
 
 	private void joinIfNotListed() {
 		Published published = this.loop.board().latest();
-		if (published.membership().member(this.self.id()).isPresent()) {
+		boolean listed = published.membership().member(this.self.id()).isPresent();
+		// A learner whose admission was rolled back with its leader still lists itself,
+		// but no leader sends it anything.
+		boolean served = published.status().role() != Role.LEARNER || published.status().leader().isPresent();
+		if (listed && served) {
 			return;
 		}
 		for (String address : this.founders) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
@@ -21,6 +21,7 @@
 import org.acaciacourse.core.state.Command;
 import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.core.state.ProposalClock;
 import org.acaciacourse.daemon.codec.CommandCodec;
 import org.acaciacourse.daemon.codec.StateCodec;
 import org.acaciacourse.daemon.store.Recovered;
@@ -78,6 +79,11 @@
 
 	private long managedAt;
 
+	/** Runs while this replica leads and has applied an entry of its term. */
+	private Optional<ProposalClock> clock = Optional.empty();
+
+	private long leadingTerm;
+
 	ReplicaDriver(ReplicaStore store, String vm, ReplicaTiming timing, long snapshotEntries, Outbox outbox, long now) {
 		Recovered recovered = store.recovered();
 		this.store = store;
@@ -123,11 +129,12 @@
 	}
 
 	private void propose(LoopEvent.Propose event, long now) {
-		if (!this.replica.isLeader()) {
+		if (!this.replica.isLeader() || this.clock.isEmpty()) {
 			event.result().completeExceptionally(notLeader());
 			return;
 		}
-		Command command = event.maker().make(this.state, System.currentTimeMillis());
+		long proposedAt = this.clock.get().proposedAt(System.currentTimeMillis(), now);
+		Command command = event.maker().make(this.state, proposedAt);
 		long id = this.nextId++;
 		long index = this.replica.propose(id, CommandCodec.encode(command), now);
 		if (index < 0) {
@@ -266,6 +273,9 @@
 		this.appliedIndex = entry.index();
 		this.appliedTerm = entry.term();
 		this.bytesSinceSnapshot += entry.payload().length;
+		if (entry.kind() == LogEntry.Kind.NOOP) {
+			startClock(entry);
+		}
 		if (entry.kind() != LogEntry.Kind.COMMAND) {
 			return;
 		}
@@ -279,6 +289,12 @@
 		}
 	}
 
+	private void startClock(LogEntry entry) {
+		if (this.leadingTerm == entry.term()) {
+			this.clock = Optional.of(new ProposalClock(this.state, System.currentTimeMillis(), System.nanoTime()));
+		}
+	}
+
 	@Override
 	public void readReady(long readId, long index) {
 		CompletableFuture<Long> read = this.reads.remove(readId);
@@ -303,7 +319,11 @@
 
 	@Override
 	public void statusChanged(ReplicaStatus status) {
-		if (status.role() != ReplicaStatus.Role.LEADER) {
+		if (status.role() == ReplicaStatus.Role.LEADER) {
+			this.leadingTerm = status.term();
+		}
+		else {
+			this.clock = Optional.empty();
 			this.manager.leadershipLost();
 		}
 	}
