--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
@@ -32,7 +32,7 @@
 	private static final long ASK_MILLIS = 100;
 
 	@Parameter(description = "FILE", required = true)
-	private Path file;
+	private String file;
 
 	@ParametersDelegate
 	private OperatorOptions options = new OperatorOptions();
@@ -56,7 +56,7 @@
 		Output output = new Output(this.json, System.out);
 		String text;
 		try {
-			text = Files.readString(this.file);
+			text = Files.readString(Path.of(this.file));
 		}
 		catch (IOException ex) {
 			return output.fail(ResultCode.FILE_UNREADABLE, "cannot read " + this.file);
--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
@@ -28,7 +28,7 @@
 	private static final String MANIFEST = "manifest";
 
 	@Parameter(description = "FILE", required = true)
-	private Path file;
+	private String file;
 
 	@Parameter(names = "--json", description = "Print one JSON object")
 	private boolean json;
@@ -43,7 +43,7 @@
 		Output output = new Output(this.json, System.out);
 		String text;
 		try {
-			text = Files.readString(this.file);
+			text = Files.readString(Path.of(this.file));
 		}
 		catch (IOException ex) {
 			return output.fail(ResultCode.FILE_UNREADABLE, "cannot read " + this.file);
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -163,7 +163,7 @@
 		}
 	}
 
-	static void await(String what, BooleanSupplier condition) {
+	public static void await(String what, BooleanSupplier condition) {
 		long deadline = System.nanoTime() + WAIT_NANOS;
 		while (!condition.getAsBoolean()) {
 			if (System.nanoTime() > deadline) {
