--- a/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
+++ b/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -1,4 +1,5 @@
 org.acaciacourse.daemon.control.ControlCommand
+org.acaciacourse.daemon.entry.EntryCommand
 org.acaciacourse.daemon.operator.ApplyCommand
 org.acaciacourse.daemon.operator.StatusCommand
 org.acaciacourse.daemon.operator.CompareCommand
