--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/ApplyCommand.java
@@ -10,7 +10,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
-import com.beust.jcommander.converters.PathConverter;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.acaciacourse.core.code.ResultCode;
@@ -32,8 +31,8 @@
 
 	private static final long ASK_MILLIS = 100;
 
-	@Parameter(description = "FILE", required = true, converter = PathConverter.class)
-	private Path file;
+	@Parameter(description = "FILE", required = true)
+	private String file;
 
 	@ParametersDelegate
 	private OperatorOptions options = new OperatorOptions();
@@ -57,7 +56,7 @@
 		Output output = new Output(this.json, System.out);
 		String text;
 		try {
-			text = Files.readString(this.file);
+			text = Files.readString(Path.of(this.file));
 		}
 		catch (IOException ex) {
 			return output.fail(ResultCode.FILE_UNREADABLE, "cannot read " + this.file);
--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/CheckCommand.java
@@ -8,7 +8,6 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import com.beust.jcommander.converters.PathConverter;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.acaciacourse.core.code.ResultCode;
@@ -28,8 +27,8 @@
 
 	private static final String MANIFEST = "manifest";
 
-	@Parameter(description = "FILE", required = true, converter = PathConverter.class)
-	private Path file;
+	@Parameter(description = "FILE", required = true)
+	private String file;
 
 	@Parameter(names = "--json", description = "Print one JSON object")
 	private boolean json;
@@ -44,7 +43,7 @@
 		Output output = new Output(this.json, System.out);
 		String text;
 		try {
-			text = Files.readString(this.file);
+			text = Files.readString(Path.of(this.file));
 		}
 		catch (IOException ex) {
 			return output.fail(ResultCode.FILE_UNREADABLE, "cannot read " + this.file);
