Add the embedded default

A newcomer starts three controls, two entries, three engines and a plain service with one command, 'local'. Each part is the class that a VM runs; a reduced stand-in for control was ruled out, since what is tried there should be what runs elsewhere.

--- a/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
@@ -112,7 +112,7 @@
 
 	void awaitControls() {
 		IntStream.range(0, this.controls.length)
-			.forEach((i) -> Waiting.until("control " + i + " ready", () -> isReady(this.controlAdmins[i])));
+			.forEach((i) -> awaitReady("control " + i, this.controls[i], this.controlAdmins[i]));
 	}
 
 	void awaitEntries() {
@@ -120,7 +120,16 @@
 	}
 
 	void awaitEntry(int index) {
-		Waiting.until("entry " + index + " ready", () -> isReady(this.entryAdmins[index]));
+		awaitReady("entry " + index, this.entries[index], this.entryAdmins[index]);
+	}
+
+	private void awaitReady(String name, JavaProcess process, int adminPort) {
+		Waiting.until(name + " ready", () -> {
+			if (!process.isAlive()) {
+				throw new AssertionError(name + " ended: " + process.output());
+			}
+			return isReady(adminPort);
+		});
 	}
 
 	void startEngine(int index) {
--- a/bench/src/test/java/org/acaciacourse/bench/process/JavaProcess.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/JavaProcess.java
@@ -42,6 +42,7 @@
 			Process process = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
 				.start();
+			Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
 			return new JavaProcess(process, output);
 		}
 		catch (IOException ex) {
--- a/engine/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
+++ b/engine/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -1,1 +1,2 @@
 org.acaciacourse.engine.EngineCommand
+org.acaciacourse.engine.LocalCommand
