--- a/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
@@ -213,8 +213,8 @@
 
 	JavaProcess startApply(String name, String manifest) {
 		Path file = write(name + ".manifest.ini", manifest);
-		return JavaProcess.start(this.folder, name, "apply", file.toString(), "--controls", controlAddresses(),
-				"--operator-key", OPERATOR_KEY);
+		return JavaProcess.start(this.folder, name, "apply", file.toString(), "--control",
+				controlAddresses().replace(" ", ""), "--key", OPERATOR_KEY);
 	}
 
 	String manifest(long number, String policy) {
