Carry out the orders to engines from the control VM that holds the lease

A loop round OrderWriter and LeaseHolder: the leader's VM asks for the lease by its own replica, reads engines, sends one order at a time, and gives the lease back on a planned stop. The lease is asked once more when the connection is open, right before the first byte: opening may take longer than the margin. Ruled out: every control VM asking for the lease, which would fill the log with refusals. Not run here: engines that ignore numbers as processes.

--- a/core/src/main/java/org/acaciacourse/core/settings/SettingKey.java
+++ b/core/src/main/java/org/acaciacourse/core/settings/SettingKey.java
@@ -78,6 +78,10 @@
 	CONTROL_PLATFORM_LIST("control", "platform-list", SettingType.TEXT, "",
 			"file or http address of the platform's list of VMs and endpoints, empty for none"),
 
+	/** Orders to engines. */
+	CONTROL_ORDERS("control", "orders", SettingType.FLAG, "true",
+			"whether engines are ordered to load the models of their endpoint set"),
+
 	/** Where traces go. */
 	TRACES_EXPORTER("traces", "exporter", SettingType.TEXT, "none", "otlp, log or none"),
 
--- a/core/src/main/java/org/acaciacourse/core/settings/SettingType.java
+++ b/core/src/main/java/org/acaciacourse/core/settings/SettingType.java
@@ -28,6 +28,9 @@
 	/** A whole number from 1. */
 	COUNT("number from 1", "[1-9][0-9]{0,8}"),
 
+	/** Whether something is done. */
+	FLAG("true or false", "true|false"),
+
 	/** A number with a unit of time. */
 	DURATION("number with ms, s, min or h", "[0-9]{1,9}\\s*(ms|s|min|h)"),
 
--- a/core/src/main/java/org/acaciacourse/core/settings/Settings.java
+++ b/core/src/main/java/org/acaciacourse/core/settings/Settings.java
@@ -154,6 +154,15 @@
 		return Integer.parseInt(text(key));
 	}
 
+	/**
+	 * Return whether something is done.
+	 * @param key the setting, a flag
+	 * @return whether it is set to true
+	 */
+	public boolean flag(SettingKey key) {
+		return Boolean.parseBoolean(text(key));
+	}
+
 	/**
 	 * Return a duration.
 	 * @param key the setting, a duration
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -17,8 +17,10 @@
 import org.acaciacourse.core.consensus.Membership;
 import org.acaciacourse.core.consensus.MembershipCodec;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.core.order.OrderTiming;
 import org.acaciacourse.daemon.inner.InnerConnection;
 import org.acaciacourse.daemon.inner.InnerServer;
+import org.acaciacourse.daemon.order.OrderDuty;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
 import org.acaciacourse.protocol.generated.PeerDescription;
@@ -69,6 +71,8 @@
 
 	private Optional<Ticker> founding = Optional.empty();
 
+	private Optional<OrderDuty> orders = Optional.empty();
+
 	/**
 	 * Make a daemon.
 	 * @param options what it is started with
@@ -184,6 +188,15 @@
 		this.opened.push(platform);
 		this.opened.push(exchange);
 		this.opened.push(new Ticker("latest", ASK_MILLIS, () -> learnLatest(read)));
+		if (this.options.orders()) {
+			beginOrders(next);
+		}
+	}
+
+	private void beginOrders(ReplicaLoop running) {
+		this.orders = Optional.of(new OrderDuty(this.options.vm(), new OrderLease(running), new ManifestView(running),
+				OrderTiming.defaults()));
+		this.orders.get().start();
 	}
 
 	private void learnLatest(LinearizableRead read) {
@@ -225,6 +238,9 @@
 	 */
 	public synchronized void stop() {
 		this.stopping = true;
+		// While this VM still leads, so that the lease can be given back.
+		this.orders.ifPresent(OrderDuty::close);
+		this.orders = Optional.empty();
 		try {
 			if (this.loop.isPresent()) {
 				handOver(this.loop.get());
@@ -262,6 +278,7 @@
 	}
 
 	private void closeAll() {
+		this.orders.ifPresent(OrderDuty::close);
 		while (!this.opened.isEmpty()) {
 			try {
 				this.opened.pop().close();
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlOptions.java
@@ -23,11 +23,12 @@
  * @param innerKey the key of the inner connections
  * @param operatorKey the key of the operators
  * @param platformList file or address of the platform's list, if there is one
+ * @param orders whether this VM may write orders to engines
  * @param timing the replica's times and bounds
  * @param snapshotEntries after how many entries a snapshot is made
  */
 public record ControlOptions(String vm, String address, String admin, List<String> initial, Path data,
-		SharedKey innerKey, SharedKey operatorKey, Optional<String> platformList, ReplicaTiming timing,
+		SharedKey innerKey, SharedKey operatorKey, Optional<String> platformList, boolean orders, ReplicaTiming timing,
 		long snapshotEntries) {
 
 	/** After how many entries a snapshot is made unless told otherwise. */
@@ -52,7 +53,8 @@
 				InnerConnection.format(settings.address(SettingKey.CONTROL_ADMIN)), initial,
 				Path.of(settings.text(SettingKey.CONTROL_DATA)), new SharedKey(settings.text(SettingKey.INNER_KEY)),
 				new SharedKey(settings.text(SettingKey.CONTROL_OPERATOR_KEY)),
-				settings.optionalText(SettingKey.CONTROL_PLATFORM_LIST), ReplicaTiming.defaults(), SNAPSHOT_ENTRIES);
+				settings.optionalText(SettingKey.CONTROL_PLATFORM_LIST), settings.flag(SettingKey.CONTROL_ORDERS),
+				ReplicaTiming.defaults(), SNAPSHOT_ENTRIES);
 	}
 
 }
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ManifestView.java
@@ -0,0 +1,53 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.manifest.ManifestParser;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.state.ControlState;
+
+/**
+ * The manifest in force at this VM's replica, read anew when its number changes.
+ * <p>
+ * Not thread safe: one thread asks.
+ */
+final class ManifestView implements Supplier<Optional<Manifest>> {
+
+	private static final long WAIT_SECONDS = 1;
+
+	private final ReplicaLoop loop;
+
+	private Optional<Manifest> manifest = Optional.empty();
+
+	ManifestView(ReplicaLoop loop) {
+		this.loop = loop;
+	}
+
+	@Override
+	public Optional<Manifest> get() {
+		long number = this.loop.board().latest().number();
+		if (number > this.manifest.map(Manifest::number).orElse(0L)) {
+			read().ifPresent((document) -> this.manifest = ManifestParser.manifest(document).toJavaOptional());
+		}
+		return this.manifest;
+	}
+
+	private Optional<ManifestDocument> read() {
+		try {
+			return Optional.of(this.loop.query(ControlState::document).get(WAIT_SECONDS, TimeUnit.SECONDS));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Optional.empty();
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			return Optional.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/OrderLease.java
@@ -0,0 +1,41 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.concurrent.CompletionStage;
+
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.CommandResult;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.daemon.order.LeaseCalls;
+import org.acaciacourse.daemon.order.OrderDuty;
+
+/**
+ * Asks for the lease of the writer of orders by this VM's own replica.
+ * <p>
+ * Thread safe.
+ */
+final class OrderLease implements LeaseCalls {
+
+	private final ReplicaLoop loop;
+
+	OrderLease(ReplicaLoop loop) {
+		this.loop = loop;
+	}
+
+	@Override
+	public boolean isCandidate() {
+		return this.loop.board().latest().status().role() == Role.LEADER;
+	}
+
+	@Override
+	public CompletionStage<LeaseResult> acquire(String holder, long durationMillis) {
+		return this.loop.propose((state, now) -> new Command.AcquireLease(now, OrderDuty.LEASE, holder, durationMillis))
+			.thenApply((result) -> (LeaseResult) result);
+	}
+
+	@Override
+	public CompletionStage<CommandResult> release(String holder, long fencingNumber) {
+		return this.loop.propose((state, now) -> new Command.ReleaseLease(now, OrderDuty.LEASE, holder, fencingNumber));
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -11,11 +12,13 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.BoundRequestBuilder;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Response;
+import org.asynchttpclient.netty.request.NettyRequest;
 
 /**
  * HTTP to the endpoints over two sets of connections: kept ones for requests that may be
@@ -114,6 +117,31 @@
 		return ask(this.kept, "GET", url);
 	}
 
+	/**
+	 * Send something small over a fresh connection, unless it may not be sent any more
+	 * once the connection is open.
+	 * @param url the whole address
+	 * @param body the JSON
+	 * @param timeout after which the connection is closed
+	 * @param maySend is asked right before the first byte is sent
+	 * @return the answer; fails if there is none in time or nothing was sent
+	 */
+	public CompletionStage<Response> post(String url, byte[] body, Duration timeout, BooleanSupplier maySend) {
+		return this.fresh.preparePost(url)
+			.setHeader("content-type", "application/json")
+			.setBody(body)
+			.setRequestTimeout(timeout)
+			.execute(new AsyncCompletionHandlerBase() {
+				@Override
+				public void onRequestSend(NettyRequest request) {
+					if (!maySend.getAsBoolean()) {
+						throw new IllegalStateException("may not be sent any more");
+					}
+				}
+			})
+			.toCompletableFuture();
+	}
+
 	private static CompletionStage<Response> ask(AsyncHttpClient client, String method, String url) {
 		try {
 			return client.prepare(method, url).setRequestTimeout(ASK_TIMEOUT).execute().toCompletableFuture();
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
@@ -0,0 +1,90 @@
+package org.acaciacourse.daemon.order;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.acaciacourse.core.order.EngineOrder;
+import org.acaciacourse.core.order.EngineState;
+import org.acaciacourse.daemon.endpoint.EndpointClient;
+import org.asynchttpclient.Response;
+
+/**
+ * Speaks the orders' part of the engines' protocol.
+ * <p>
+ * Thread safe.
+ */
+final class EngineOrderClient implements AutoCloseable {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private static final String PATH = "/orders";
+
+	private static final int REFUSED = 409;
+
+	private static final int DONE = 200;
+
+	private final EndpointClient client = new EndpointClient(1);
+
+	/**
+	 * Read an engine's state.
+	 * @param base the base address
+	 * @return the state; fails if it can't be read
+	 */
+	CompletionStage<EngineState> read(String base) {
+		return this.client.ask("GET", base + PATH).thenApply(EngineOrderClient::state);
+	}
+
+	private static EngineState state(Response response) {
+		if (response.getStatusCode() != DONE) {
+			throw new IllegalStateException("status " + response.getStatusCode());
+		}
+		try {
+			JsonNode json = JSON.readTree(response.getResponseBodyAsBytes());
+			Set<String> loaded = new HashSet<>();
+			json.path("loaded").forEach((model) -> loaded.add(model.asText()));
+			return new EngineState(json.path("fencing").asLong(), loaded, json.path("role").asText());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("the state is no JSON", ex);
+		}
+	}
+
+	/**
+	 * Send an order.
+	 * @param base the base address
+	 * @param order the order
+	 * @param timeout after which the connection is closed, so that the engine can't get
+	 * the rest of it any more
+	 * @param mayLeave is asked right before the first byte is sent
+	 * @return whether it was carried out, as opposed to refused for its number; fails if
+	 * that is not known
+	 */
+	CompletionStage<Boolean> send(String base, EngineOrder order, Duration timeout, BooleanSupplier mayLeave) {
+		ObjectNode body = JSON.createObjectNode();
+		body.put("fencing", order.fencingNumber()).put("order", order.kind().label()).put("subject", order.subject());
+		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+		return this.client.post(base + PATH, bytes, timeout, mayLeave).thenApply(EngineOrderClient::isDone);
+	}
+
+	private static boolean isDone(Response response) {
+		int status = response.getStatusCode();
+		if (status != DONE && status != REFUSED) {
+			throw new IllegalStateException("status " + status);
+		}
+		return status == DONE;
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/LeaseGate.java
@@ -0,0 +1,49 @@
+package org.acaciacourse.daemon.order;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.acaciacourse.core.lease.LeaseHolder;
+import org.acaciacourse.core.lease.LeaseTiming;
+
+/**
+ * The holder's side of a lease on this VM's monotonic clock. The event loop that is about
+ * to send an order asks it too: a connection may take a second to open, longer than the
+ * margin of the lease.
+ * <p>
+ * Thread safe.
+ */
+final class LeaseGate {
+
+	private final LeaseHolder holder;
+
+	LeaseGate(LeaseTiming timing) {
+		this.holder = new LeaseHolder(timing);
+	}
+
+	synchronized OptionalLong request() {
+		return this.holder.request(System.nanoTime());
+	}
+
+	synchronized void granted(long request, long fencingNumber) {
+		this.holder.granted(request, fencingNumber);
+	}
+
+	synchronized void refused(long request, boolean lost) {
+		this.holder.refused(request, lost);
+	}
+
+	synchronized OptionalLong fencingNumber() {
+		return this.holder.fencingNumber(System.nanoTime());
+	}
+
+	synchronized boolean holds(long fencingNumber) {
+		OptionalLong held = fencingNumber();
+		return held.isPresent() && held.getAsLong() == fencingNumber;
+	}
+
+	synchronized Optional<Long> release() {
+		return this.holder.release(System.nanoTime());
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/OrderDuty.java
@@ -0,0 +1,241 @@
+package org.acaciacourse.daemon.order;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.lease.LeaseTiming;
+import org.acaciacourse.core.model.Endpoint;
+import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.order.DesiredEngine;
+import org.acaciacourse.core.order.EngineOrder;
+import org.acaciacourse.core.order.EngineState;
+import org.acaciacourse.core.order.OrderActions;
+import org.acaciacourse.core.order.OrderTiming;
+import org.acaciacourse.core.order.OrderWriter;
+import org.acaciacourse.core.order.WeightBudget;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The duty of a control VM to bring the engines to what the manifest wants, while it
+ * holds the lease of the writer. A loop round {@link OrderWriter}: its thread owns the
+ * writer, and answers of engines and of the replicated state come back on it.
+ * <p>
+ * Thread safe: start and close are called once each, by any thread.
+ */
+public final class OrderDuty implements AutoCloseable {
+
+	/** The name of the lease. */
+	public static final String LEASE = "engine-orders";
+
+	private static final Logger logger = LogManager.getLogger(OrderDuty.class);
+
+	private static final long TICK_MILLIS = 100;
+
+	private static final long RELEASE_SECONDS = 2;
+
+	private static final int LOADS_AT_ONCE = 4;
+
+	private static final double LOADS_PER_SECOND = 0.5;
+
+	private final String holder;
+
+	private final LeaseCalls calls;
+
+	private final Supplier<Optional<Manifest>> manifests;
+
+	private final OrderTiming timing;
+
+	private final LeaseTiming leaseTiming = LeaseTiming.defaults();
+
+	private final LeaseGate lease = new LeaseGate(this.leaseTiming);
+
+	private final EngineOrderClient client = new EngineOrderClient();
+
+	private final OrderWriter writer;
+
+	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread made = new Thread(task, "orders");
+		made.setDaemon(true);
+		return made;
+	});
+
+	private Optional<Manifest> manifest = Optional.empty();
+
+	private long tenure;
+
+	/**
+	 * Make the duty.
+	 * @param vm the name of the VM
+	 * @param calls asks for the lease
+	 * @param manifests yields the manifest in force
+	 * @param timing times of the writer
+	 */
+	public OrderDuty(String vm, LeaseCalls calls, Supplier<Optional<Manifest>> manifests, OrderTiming timing) {
+		this.holder = vm + "/" + UUID.randomUUID();
+		this.calls = calls;
+		this.manifests = manifests;
+		this.timing = timing;
+		this.writer = new OrderWriter(timing, new WeightBudget(LOADS_AT_ONCE, LOADS_PER_SECOND, System.nanoTime()),
+				new Sender());
+	}
+
+	/** Begin. */
+	public void start() {
+		this.thread.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// A failure that left the method would end the duty without a sign.
+	private void tickSafely() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			logger.error("the writer of orders failed", ex);
+		}
+	}
+
+	private void tick() {
+		Optional<Manifest> next = this.manifests.get();
+		if (!next.equals(this.manifest)) {
+			this.manifest = next;
+			next.ifPresent((m) -> this.writer.desire(DesiredEngine.of(m), System.nanoTime()));
+		}
+		this.lease.request().ifPresent(this::askForLease);
+		OptionalLong number = this.lease.fencingNumber();
+		number.ifPresent(this::note);
+		this.writer.tick(number, System.nanoTime());
+	}
+
+	private void note(long number) {
+		if (number != this.tenure) {
+			logger.info("holds the lease for orders with fencing number {}", number);
+			this.tenure = number;
+		}
+	}
+
+	private void askForLease(long request) {
+		if (!this.calls.isCandidate()) {
+			this.lease.refused(request, false);
+			return;
+		}
+		long millis = TimeUnit.NANOSECONDS.toMillis(this.leaseTiming.durationNanos());
+		this.calls.acquire(this.holder, millis).whenCompleteAsync((result, failure) -> {
+			if (failure != null) {
+				this.lease.refused(request, false);
+			}
+			else {
+				answered(request, result);
+			}
+		}, this.thread);
+	}
+
+	private void answered(long request, LeaseResult result) {
+		if (result.code() == ResultCode.OK) {
+			this.lease.granted(request, result.fencingNumber());
+		}
+		else {
+			this.lease.refused(request, result.code() == ResultCode.LEASE_HELD);
+		}
+	}
+
+	private Optional<String> base(String endpoint) {
+		return this.manifest.map(Manifest::endpoints)
+			.map((endpoints) -> endpoints.get(endpoint))
+			.map(Endpoint::address)
+			.map((address) -> "http://" + address.getAuthority());
+	}
+
+	/** Stop, and give the lease back, so that a successor need not wait for its end. */
+	@Override
+	public void close() {
+		this.thread.shutdownNow();
+		this.lease.release().ifPresent((number) -> {
+			try {
+				this.calls.release(this.holder, number).toCompletableFuture().get(RELEASE_SECONDS, TimeUnit.SECONDS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			catch (ExecutionException | TimeoutException ex) {
+				logger.info("the lease for orders was not given back: {}", ex.toString());
+			}
+		});
+		this.client.close();
+	}
+
+	/** Sends what the writer wants sent; its answers are handed back on the thread. */
+	private final class Sender implements OrderActions {
+
+		@Override
+		public void readState(String endpoint) {
+			long number = OrderDuty.this.tenure;
+			Optional<String> base = base(endpoint);
+			if (base.isEmpty()) {
+				fail(endpoint, number);
+				return;
+			}
+			OrderDuty.this.client.read(base.get()).whenCompleteAsync((state, failure) -> {
+				if (failure != null) {
+					OrderDuty.this.writer.failed(endpoint, number, System.nanoTime());
+				}
+				else {
+					stateRead(endpoint, number, state);
+				}
+			}, OrderDuty.this.thread);
+		}
+
+		private void stateRead(String endpoint, long number, EngineState state) {
+			OrderDuty.this.writer.stateRead(endpoint, number, state);
+		}
+
+		@Override
+		public void send(EngineOrder order) {
+			Optional<String> base = base(order.endpoint());
+			if (base.isEmpty()) {
+				fail(order.endpoint(), order.fencingNumber());
+				return;
+			}
+			Duration timeout = Duration.ofNanos(OrderDuty.this.timing.orderTimeoutNanos());
+			OrderDuty.this.client
+				.send(base.get(), order, timeout, () -> OrderDuty.this.lease.holds(order.fencingNumber()))
+				.whenCompleteAsync((done, failure) -> sent(order, done, failure), OrderDuty.this.thread);
+		}
+
+		private void sent(EngineOrder order, Boolean done, Throwable failure) {
+			logger.info("order {} {} to {} with {}: {}", order.kind().label(), order.subject(), order.endpoint(),
+					order.fencingNumber(), (failure != null) ? failure.toString() : (done) ? "done" : "refused");
+			if (failure != null) {
+				OrderDuty.this.writer.failed(order.endpoint(), order.fencingNumber(), System.nanoTime());
+			}
+			else if (done) {
+				OrderDuty.this.writer.done(order);
+			}
+			else {
+				OrderDuty.this.writer.fenced(order, System.nanoTime());
+			}
+		}
+
+		private void fail(String endpoint, long number) {
+			OrderDuty.this.thread.execute(() -> OrderDuty.this.writer.failed(endpoint, number, System.nanoTime()));
+		}
+
+		@Override
+		public void outdated(String endpoint, long fencingNumber) {
+			logger.warn("{} {} has seen a newer writer of orders, number {}", ResultCode.FENCED.number(), endpoint,
+					fencingNumber);
+		}
+
+	}
+
+}
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -82,7 +82,7 @@
 		ReplicaTiming timing = new ReplicaTiming(Duration.ofMillis(50).toNanos(), Duration.ofMillis(500).toNanos(),
 				256 * 1024, 4 * 1024 * 1024);
 		ControlOptions options = new ControlOptions("control-" + i, this.addresses.get(i), "127.0.0.1:0",
-				this.addresses, data(i), INNER, OPERATOR, this.platformList, timing, this.snapshotEntries);
+				this.addresses, data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries);
 		this.daemons[i] = new ControlDaemon(options);
 		ResultCode code = this.daemons[i].start();
 		if (code != ResultCode.OK) {
