--- a/bench/src/main/java/org/acaciacourse/bench/experiment/Entry.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/Entry.java
@@ -45,7 +45,7 @@
 
 	void entryCount(int count) {
 		if (this.dispatcher instanceof PolicyDispatcher policy) {
-			policy.entryCount(count, this.world.now());
+			policy.entryShare(this.index % count, count, this.world.now());
 		}
 	}
 
--- a/bench/src/main/java/org/acaciacourse/bench/experiment/Oracle.java
+++ b/bench/src/main/java/org/acaciacourse/bench/experiment/Oracle.java
@@ -173,7 +173,11 @@
 		Optional<Job> next = queue.oldest();
 		while (next.isPresent()) {
 			Job job = next.get();
-			if (!this.started.contains(job.info.id()) && now + leastTime(job) > targetAt(job)) {
+			if (now > job.info.deadlineNanos()) {
+				queue.remove(flow(job), job);
+				this.actions.finish(job.info.id(), ResultCode.DEADLINE_EXCEEDED, Optional.empty());
+			}
+			else if (!this.started.contains(job.info.id()) && now + leastTime(job) > targetAt(job)) {
 				queue.remove(flow(job), job);
 				this.actions.finish(job.info.id(), ResultCode.TARGET_UNREACHABLE, Optional.of(Duration.ofSeconds(1)));
 			}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/BeyondWindow.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/BeyondWindow.java
@@ -22,23 +22,29 @@
 
 	private static final double SOON = 0.3;
 
-	private static final long PAUSE_NANOS = 500_000_000L;
+	private static final long PAUSE_NANOS = 150_000_000L;
 
 	private double window = START;
 
 	private int outstanding;
 
+	private long sentAt = Long.MIN_VALUE / 2;
+
 	private long pausedUntil = Long.MIN_VALUE;
 
-	boolean permits(long now) {
-		if (this.window >= 1) {
-			return this.outstanding < (int) this.window;
+	// Return whether one more may be sent, of what this VM expects to find as lower work.
+	boolean permits(double lowerSlots, long now) {
+		double most = Math.min(this.window, lowerSlots);
+		if (most >= 1) {
+			return this.outstanding < (int) most;
 		}
-		return this.outstanding == 0 && now >= this.pausedUntil;
+		boolean paused = now < this.pausedUntil || (now - this.sentAt) * most < PAUSE_NANOS;
+		return this.outstanding == 0 && !paused;
 	}
 
-	void sent() {
+	void sent(long now) {
 		this.outstanding++;
+		this.sentAt = now;
 	}
 
 	// Note that a request beyond the slots began to answer, or ended without.
--- a/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
@@ -59,6 +59,11 @@
 
 	int entryCount = 1;
 
+	/** The place of this VM among the entry VMs, -1 if unknown. */
+	int entryIndex = -1;
+
+	final SlotDealer dealer = new SlotDealer(this);
+
 	boolean draining;
 
 	private final Map<String, RetryBudget> retries = new HashMap<>();
--- a/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
@@ -103,7 +103,7 @@
 
 	// Take a report. One that repeats its sequence is frozen and tells nothing, which
 	// lets the last good one grow stale.
-	void report(LoadReport report, int entryCount, double draw, long now) {
+	void report(LoadReport report, SlotDealer dealer, long now) {
 		if (report.sequence() == this.lastSequence) {
 			return;
 		}
@@ -113,7 +113,7 @@
 		this.estimate = report.running() + report.queued() + sentAfter(measuredAt) - endedAfter(measuredAt);
 		this.tickets = endedAfter(measuredAt) - sentAfter(measuredAt);
 		int room = usableSlots() - report.running() - report.queued();
-		this.tickets += (room > 0) ? (int) (room / (double) entryCount + draw) : 0;
+		this.tickets += dealer.deal(room, this.name, report.sequence());
 	}
 
 	private int sentAfter(long time) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -71,6 +71,19 @@
 		}
 	}
 
+	/**
+	 * Take note of how many entry VMs share the traffic, and which of them this one is.
+	 * With their numbers the VMs deal free slots out among themselves; without, they draw
+	 * lots.
+	 * @param index the place of this VM among them, the same order on all VMs
+	 * @param count the number of VMs, this one included
+	 * @param now the time
+	 */
+	public void entryShare(int index, int count, long now) {
+		this.state.entryIndex = index;
+		entryCount(count, now);
+	}
+
 	@Override
 	public void configure(Manifest manifest, long now) {
 		this.state.manifest = manifest;
@@ -136,7 +149,7 @@
 	public void loadReport(String endpoint, LoadReport report, long now) {
 		EndpointView view = this.state.endpoints.get(endpoint);
 		if (view != null) {
-			view.report(report, this.state.entryCount, this.state.random.nextDouble(), now);
+			view.report(report, this.state.dealer, now);
 			pump(this.state.sets.get(view.endpoint.set()), now);
 		}
 	}
@@ -217,9 +230,7 @@
 		this.state.flights.put(flight.info.id(), flight);
 		this.state.retries(flight.info.requestClass()).earn();
 		line.add(flight);
-		boolean late = line.behaviour.heedsTargets() && !flight.apart;
-		long lateAt = (late) ? flight.targetAt - flight.set.leastTime(flight) : flight.deadlineAt;
-		this.state.reschedule(flight, Math.min(lateAt + 1, flight.deadlineAt));
+		this.state.reschedule(flight, lateAt(flight));
 		pump(flight.set, now);
 	}
 
@@ -331,13 +342,17 @@
 		}
 		if (now - this.comparedAt >= COMPARE_NANOS || this.comparedAt == Long.MIN_VALUE) {
 			this.comparedAt = now;
-			this.state.sets.values().forEach(this::compareSpeeds);
+			this.state.sets.values().forEach((set) -> review(set, now));
 		}
 		pumpAll(now);
 	}
 
-	private void compareSpeeds(ServingSet set) {
-		set.lines.values().stream().findFirst().ifPresent((line) -> set.compareSpeeds(line.tuning.stragglerFactor()));
+	private void review(ServingSet set, long now) {
+		WaitingLine line = set.lines.values().iterator().next();
+		set.compareSpeeds(line.tuning.stragglerFactor());
+		if (line.behaviour.heedsTargets()) {
+			this.pump.moveStalled(set, now);
+		}
 	}
 
 	private void expire(Flight flight, long now) {
@@ -348,8 +363,18 @@
 			this.state.refuseLate(flight, now);
 		}
 		else {
-			this.state.reschedule(flight, flight.deadlineAt);
+			this.state.reschedule(flight, Math.max(now + 1, lateAt(flight)));
+		}
+	}
+
+	// Return when a waiting request cannot meet its target any more. What was learnt may
+	// have moved that time, so that it is worked out anew each time it is reached.
+	private static long lateAt(Flight flight) {
+		boolean waits = flight.state == Flight.State.WAITING && flight.isUntouched() && !flight.apart;
+		if (!waits || !flight.line.behaviour.heedsTargets()) {
+			return flight.deadlineAt;
 		}
+		return Math.min(flight.targetAt - flight.set.leastTime(flight) + 1, flight.deadlineAt);
 	}
 
 	private void pumpAll(long now) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -19,11 +19,13 @@
  */
 final class Pump {
 
-	/** How many requests with special needs are looked at in one step of a lane. */
-	private static final int PICKY_SCANNED = 32;
+	/** How many requests that were begun are looked at in one step of a lane. */
+	private static final int BEGUN_SCANNED = 32;
 
 	private static final double BEYOND_WAITED = 0.25;
 
+	private static final long STALL_NANOS = 10_000_000_000L;
+
 	private static final long TRIAL_DRAIN_NANOS = 2_000_000_000L;
 
 	private final DispatchState state;
@@ -49,7 +51,7 @@
 			WaitingLine line = lines.get(Math.floorMod(first + i, lines.size()));
 			serveLowShare(set, line, now);
 			for (int lane = 0; lane < WaitingLine.LANES && !set.isHeld(lane, now); lane++) {
-				servePicky(line, lane, now);
+				serveBegun(line, lane, now);
 				serveLane(line, lane, now);
 			}
 		}
@@ -59,28 +61,34 @@
 		if (!line.behaviour.heedsTargets()) {
 			return;
 		}
-		Optional<Flight> low = line.next(Tier.LOW.ordinal(), now);
+		Optional<Flight> low = line.nextBegunFirst(Tier.LOW.ordinal(), now);
 		while (low.isPresent() && set.owesLowTier(line.tuning.lowestShare())) {
 			EndpointView endpoint = this.chooser.choose(low.get(), line.tuning.overcommit(), now);
 			if (endpoint == null) {
 				return;
 			}
 			dispatch(low.get(), endpoint, true, now);
-			low = line.next(Tier.LOW.ordinal(), now);
+			low = line.nextBegunFirst(Tier.LOW.ordinal(), now);
 		}
 	}
 
-	private void servePicky(WaitingLine line, int lane, long now) {
-		List<Flight> waiting = line.picky(lane);
+	private void serveBegun(WaitingLine line, int lane, long now) {
+		List<Flight> waiting = line.begun(lane);
 		if (waiting.isEmpty()) {
 			return;
 		}
-		for (Flight flight : List.copyOf(waiting.subList(0, Math.min(PICKY_SCANNED, waiting.size())))) {
-			if (flight.notBefore <= now) {
+		for (Flight flight : List.copyOf(waiting.subList(0, Math.min(BEGUN_SCANNED, waiting.size())))) {
+			if (isLate(flight, now)) {
+				this.state.refuseLate(flight, now);
+			}
+			else if (flight.notBefore <= now) {
 				EndpointView endpoint = (flight.apart) ? trialEndpoint(flight, now) : place(flight, now);
 				if (endpoint != null) {
 					dispatch(flight, endpoint, false, now);
 				}
+				else if (!flight.isPicky()) {
+					return;
+				}
 			}
 		}
 	}
@@ -105,7 +113,7 @@
 
 	// Return whether a request that never ran cannot meet its target any more.
 	boolean isLate(Flight flight, long now) {
-		return flight.line.behaviour.heedsTargets() && flight.isUntouched()
+		return flight.line.behaviour.heedsTargets() && flight.delivered == 0 && !flight.apart
 				&& now + flight.set.leastTime(flight) > flight.targetAt;
 	}
 
@@ -126,9 +134,10 @@
 	// A request that has waited long has no time left to wait inside an engine, if that
 	// is
 	// full of high work.
-	private static boolean maySendBeyond(Flight flight, long now) {
+	private boolean maySendBeyond(Flight flight, long now) {
 		double waited = now - flight.arrivedAt;
-		return waited <= BEYOND_WAITED * (flight.targetAt - flight.arrivedAt) && flight.set.beyond.permits(now);
+		return waited <= BEYOND_WAITED * (flight.targetAt - flight.arrivedAt)
+				&& flight.set.beyond.permits(flight.set.lowerSlots() / this.state.entryCount, now);
 	}
 
 	private boolean mayPreempt(Flight flight, long now) {
@@ -194,6 +203,26 @@
 		return (load <= 0 || waitedEnough) ? endpoint : null;
 	}
 
+	// Take lower runs away from an engine that has set them aside for others' work and
+	// does
+	// not come back to them: elsewhere they may go on (moving requests between engines as
+	// in
+	// Llumnix, Sun et al. 2024). Otherwise they stay behind each new high request there
+	// until their deadline, while other engines serve their peers.
+	void moveStalled(ServingSet set, long now) {
+		if (!set.canContinue()) {
+			return;
+		}
+		for (EndpointView endpoint : set.endpoints) {
+			for (Run run : endpoint.runs) {
+				boolean stalled = now - run.lastTokenAt > STALL_NANOS;
+				if (stalled && run.flight.requestClass.preemptible() && !run.flight.info.notRepeated() && !run.apart) {
+					this.state.abandonRun(run.flight);
+				}
+			}
+		}
+	}
+
 	private void clear(EndpointView endpoint) {
 		for (Run run : endpoint.runs) {
 			Flight other = run.flight;
@@ -207,12 +236,12 @@
 	private void dispatch(Flight flight, EndpointView endpoint, boolean guaranteed, long now) {
 		ServingSet set = flight.set;
 		WaitingLine line = flight.line;
-		line.serve(flight, set.expectedTokens(flight));
+		line.serve(flight, (flight.isUntouched()) ? set.expectedTokens(flight) : 0);
 		boolean beyond = line.behaviour.heedsTargets() && flight.requestClass.tier() == Tier.HIGH
 				&& endpoint.occupancy(line.tuning, this.state.entryCount, now) >= endpoint.usableSlots();
 		Run run = new Run(this.state.runs.nextId(), flight, endpoint, now, guaranteed, beyond);
 		if (beyond) {
-			set.beyond.sent();
+			set.beyond.sent(now);
 		}
 		this.state.runs.add(run);
 		flight.run = run;
@@ -221,6 +250,7 @@
 		flight.notBefore = 0;
 		endpoint.started(run);
 		set.running++;
+		set.noteMix();
 		set.guaranteed += (guaranteed) ? 1 : 0;
 		this.state.reschedule(flight, flight.deadlineAt);
 		this.state.actions.dispatch(new Attempt(run.id, flight.info.id(), endpoint.name,
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 
+import org.acaciacourse.core.dispatch.learn.Average;
 import org.acaciacourse.core.dispatch.learn.Spread;
 import org.acaciacourse.core.model.EndpointSet;
+import org.acaciacourse.core.model.Tier;
 
 /**
  * One endpoint set with its endpoints, the requests that wait for it and what was learnt
@@ -26,10 +28,15 @@
 
 	private static final double LEDGER_LIMIT = 2_000;
 
+	/** How far its own tokens may carry the low tier ahead of its share. */
+	private static final double LEDGER_AHEAD = 600;
+
 	private static final double FIRST_TOKEN_QUANTILE = 0.9;
 
 	private static final double DURATION_QUANTILE = 0.5;
 
+	private static final double MIX_GAIN = 0.03;
+
 	private static final int ASIDE_PART = 6;
 
 	private static final double SLOWNESS_MEMORY = 0.02;
@@ -63,6 +70,8 @@
 
 	private long asideSince;
 
+	private final Average lowerShare = new Average(MIX_GAIN);
+
 	private double ledger;
 
 	private double medianGap;
@@ -145,7 +154,7 @@
 	// Book tokens: all of them earn the low tier its share, its own use it up.
 	void bookTokens(boolean low, int count, double share) {
 		this.ledger += share * count - ((low) ? count : 0);
-		this.ledger = Math.max(-LEDGER_LIMIT, Math.min(LEDGER_LIMIT, this.ledger));
+		this.ledger = Math.max(-LEDGER_AHEAD, Math.min(LEDGER_LIMIT, this.ledger));
 	}
 
 	// Return whether the low tier is behind its share and may start a run that is not
@@ -179,6 +188,33 @@
 		}
 	}
 
+	// The mix of tiers
+
+	// Learn the share of lower work among this VM's runs. Traffic is spread over the VMs
+	// by chance, so that the share of the others is much the same.
+	void noteMix() {
+		int lower = 0;
+		int all = 0;
+		for (EndpointView endpoint : this.endpoints) {
+			all += endpoint.runs.size();
+			for (Run run : endpoint.runs) {
+				lower += (run.flight.requestClass.tier() != Tier.HIGH && !run.guaranteed) ? 1 : 0;
+			}
+		}
+		if (all > 0) {
+			this.lowerShare.learn(lower / (double) all);
+		}
+	}
+
+	// Return how many slots hold lower work of any VM, as far as this VM's own mix tells.
+	double lowerSlots() {
+		int slots = 0;
+		for (EndpointView endpoint : this.endpoints) {
+			slots += (endpoint.isHealthy()) ? endpoint.usableSlots() : 0;
+		}
+		return this.lowerShare.get(1) * slots;
+	}
+
 	// Suspects
 
 	// Set endpoints aside for suspects, or give them back: a sixth, the last by name, so
@@ -205,7 +241,7 @@
 	private boolean hasApartWaiting() {
 		for (WaitingLine line : this.lines.values()) {
 			for (int lane = 0; lane < WaitingLine.LANES; lane++) {
-				for (Flight flight : line.picky(lane)) {
+				for (Flight flight : line.begun(lane)) {
 					if (flight.apart) {
 						return true;
 					}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
@@ -10,8 +10,9 @@
 
 /**
  * The waiting requests of one policy at one endpoint set: a lane for each tier, and
- * beside each lane a short list of those that only some endpoints may serve, so that they
- * do not block the lane.
+ * beside each lane a list of those that were at an endpoint before. These go first, for
+ * their answers are begun, and one that only some endpoints may serve does not block the
+ * others there.
  * <p>
  * Invariant: a waiting flight is in exactly one lane or list.
  * <p>
@@ -29,7 +30,7 @@
 
 	private final List<FairQueue<Flight>> lanes = new ArrayList<>();
 
-	private final List<List<Flight>> picky = new ArrayList<>();
+	private final List<List<Flight>> begun = new ArrayList<>();
 
 	private int size;
 
@@ -39,7 +40,7 @@
 		this.tuning = tuning;
 		for (int i = 0; i < LANES; i++) {
 			this.lanes.add(new FairQueue<>());
-			this.picky.add(new ArrayList<>());
+			this.begun.add(new ArrayList<>());
 		}
 	}
 
@@ -47,11 +48,8 @@
 		flight.line = this;
 		flight.state = Flight.State.WAITING;
 		int lane = lane(flight);
-		if (flight.isPicky()) {
-			this.picky.get(lane).add(flight);
-		}
-		else if (flight.attempts > 0) {
-			this.lanes.get(lane).addFirst(this.behaviour.flow(flight), flight);
+		if (flight.isPicky() || !flight.isUntouched()) {
+			this.begun.get(lane).add(flight);
 		}
 		else {
 			this.lanes.get(lane).add(this.behaviour.flow(flight), flight);
@@ -61,7 +59,7 @@
 
 	void remove(Flight flight) {
 		int lane = lane(flight);
-		boolean removed = this.picky.get(lane).remove(flight)
+		boolean removed = this.begun.get(lane).remove(flight)
 				|| this.lanes.get(lane).remove(this.behaviour.flow(flight), flight);
 		this.size -= (removed) ? 1 : 0;
 	}
@@ -69,7 +67,7 @@
 	// Take a flight out because it goes to an endpoint.
 	void serve(Flight flight, double expectedTokens) {
 		int lane = lane(flight);
-		if (!this.picky.get(lane).remove(flight)) {
+		if (!this.begun.get(lane).remove(flight)) {
 			this.lanes.get(lane).serve(this.behaviour.flow(flight), flight, expectedTokens / flight.weight);
 		}
 		this.size--;
@@ -82,7 +80,7 @@
 	Optional<Flight> next(int lane, long now) {
 		FairQueue<Flight> queue = this.lanes.get(lane);
 		Optional<Flight> oldest = queue.oldest();
-		if (!this.behaviour.heedsTargets() || oldest.isEmpty() || oldest.get().attempts > 0) {
+		if (!this.behaviour.heedsTargets() || oldest.isEmpty()) {
 			return oldest;
 		}
 		Flight flight = oldest.get();
@@ -90,8 +88,16 @@
 		return (overloaded) ? queue.newest() : oldest;
 	}
 
-	List<Flight> picky(int lane) {
-		return this.picky.get(lane);
+	// Return the next of those that were begun and that any endpoint may go on with, or
+	// else
+	// the next of the lane.
+	Optional<Flight> nextBegunFirst(int lane, long now) {
+		Optional<Flight> first = this.begun.get(lane).stream().filter((flight) -> !flight.isPicky()).findFirst();
+		return (first.isPresent()) ? first : next(lane, now);
+	}
+
+	List<Flight> begun(int lane) {
+		return this.begun.get(lane);
 	}
 
 	int size() {
@@ -116,14 +122,14 @@
 	int sizeUpTo(int lane) {
 		int count = 0;
 		for (int i = 0; i <= lane; i++) {
-			count += this.lanes.get(i).size() + this.picky.get(i).size();
+			count += this.lanes.get(i).size() + this.begun.get(i).size();
 		}
 		return count;
 	}
 
 	void forEach(Consumer<Flight> action) {
 		this.lanes.forEach((lane) -> lane.forEach(action));
-		this.picky.forEach((list) -> list.forEach(action));
+		this.begun.forEach((list) -> list.forEach(action));
 	}
 
 	private int lane(Flight flight) {
--- a/core/src/main/java/org/acaciacourse/core/manifest/ManifestParser.java
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestParser.java
@@ -26,6 +26,7 @@
 import org.acaciacourse.core.model.Policy;
 import org.acaciacourse.core.model.PolicyInForce;
 import org.acaciacourse.core.model.PolicyKind;
+import org.acaciacourse.core.model.PolicyParameter;
 import org.acaciacourse.core.model.RequestClass;
 import org.acaciacourse.core.model.Service;
 import org.acaciacourse.core.model.Tier;
@@ -131,7 +132,19 @@
 
 	private Policy policy(String name, SectionReader reader) {
 		PolicyKind kind = reader.word("kind", PolicyKind::ofLabel, PolicyKind.TIERED);
-		return new Policy(name, kind, reader.remainingNumbers());
+		Map<String, Double> numbers = reader.remainingNumbers();
+		numbers.forEach((key, value) -> checkParameter(reader, key, value));
+		return new Policy(name, kind, numbers);
+	}
+
+	private static void checkParameter(SectionReader reader, String key, double value) {
+		Optional<PolicyParameter> parameter = PolicyParameter.ofLabel(key);
+		if (parameter.isEmpty()) {
+			reader.problem(key, "unknown parameter");
+		}
+		else if (!parameter.get().permits(value)) {
+			reader.problem(key, "must be " + parameter.get().range());
+		}
 	}
 
 	private EndpointSet endpointSet(String name, SectionReader reader) {
--- a/core/src/test/java/org/acaciacourse/core/manifest/ManifestParserTests.java
+++ b/core/src/test/java/org/acaciacourse/core/manifest/ManifestParserTests.java
@@ -70,6 +70,12 @@
 			assertThat(problems(text).stream().map(Problem::line)).containsExactly(22, 23);
 		}
 
+		@Test
+		void reportsAPolicyParameterThatIsUnknownOrOutOfRange() {
+			String text = VALID.replace("lowest-share = 0.05", "lowest-share = 2\nlowest-shore = 0.05");
+			assertThat(problems(text).stream().map(Problem::line)).containsExactly(6, 7);
+		}
+
 		@Test
 		void reportsAKeyThatTwoCustomersShare() {
 			String text = VALID + "[customer c2]\nkey-sha256 = " + "a".repeat(64) + "\nclasses = broker\n";
