Let callers and endpoints share the event loops of entry

Now the two sides share the loops, and token counts no longer wake the decision thread but for the first one; it looks for them at least every 10 ms while attempts run.

Ruled out: one task for each token on the same loop without a queue, as tokens that arrive together would then be flushed one by one.

Also: a VM that the manifest marks as leaving is not ready, and the crash of a plain service is told from a lost connection.

--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -7,8 +7,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.asynchttpclient.AsyncHttpClient;
@@ -47,10 +45,8 @@
 
 	private final AsyncHttpClient fresh;
 
-	// The client knows only this kind of group, which Netty 4.2 keeps for its sake.
-	@SuppressWarnings("deprecation")
-	public EndpointClient(int threads) {
-		this.loops = new NioEventLoopGroup(threads, new DefaultThreadFactory("endpoints"));
+	public EndpointClient(EventLoopGroup loops) {
+		this.loops = loops;
 		this.kept = Dsl.asyncHttpClient(config(true));
 		this.fresh = Dsl.asyncHttpClient(config(false));
 	}
@@ -132,7 +128,6 @@
 		catch (IOException ex) {
 			logger.warn("client not closed: {}", ex.toString());
 		}
-		this.loops.shutdownGracefully(0, 2, java.util.concurrent.TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/DecisionLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/DecisionLoop.java
@@ -40,6 +40,8 @@
 
 	private static final int BATCH = 256;
 
+	private static final long LONGEST_PARK = 10_000_000L;
+
 	private final MpscArrayQueue<DecisionEvent> ring = new MpscArrayQueue<>(CAPACITY);
 
 	private final Deque<DecisionEvent> own = new ArrayDeque<>();
@@ -109,13 +111,22 @@
 	 * @param event the event
 	 */
 	void submit(DecisionEvent event) {
+		submitQuietly(event);
+		if (this.parked) {
+			LockSupport.unpark(this.thread);
+		}
+	}
+
+	/**
+	 * Hand an event over that can wait for some milliseconds: waking the thread for each
+	 * token would cost more than the decisions.
+	 * @param event the event
+	 */
+	void submitQuietly(DecisionEvent event) {
 		while (!this.ring.offer(event)) {
 			// Not reached while arrivals keep to their bound; see the class comment.
 			Thread.onSpinWait();
 		}
-		if (this.parked) {
-			LockSupport.unpark(this.thread);
-		}
 	}
 
 	void configure(Configuration configuration) {
@@ -188,7 +199,8 @@
 
 	private void park() {
 		this.parked = true;
-		long wait = this.nextWake - now();
+		long longest = (this.attempts.isEmpty()) ? Long.MAX_VALUE : LONGEST_PARK;
+		long wait = Math.min(longest, this.nextWake - now());
 		if (this.ring.isEmpty() && wait > 0 && !this.stopped) {
 			LockSupport.parkNanos(this, wait);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -11,6 +11,9 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.DispatchActions;
 import org.acaciacourse.core.dispatch.Dispatcher;
@@ -33,8 +36,8 @@
 
 /**
  * The daemon of an entry VM: callers' HTTP in, endpoints' HTTP out, carrying out the
- * decisions of the dispatcher. Its threads are the event loops of callers and endpoints,
- * the decision thread, the polling thread and the link's own.
+ * decisions of the dispatcher. Its threads are the event loops for all HTTP, the decision
+ * thread, the polling thread and the link's own.
  * <p>
  * Thread safe. Started once and stopped once.
  */
@@ -44,6 +47,10 @@
 
 	private static final long POLL_MILLIS = 20;
 
+	private static final int MOST_THREADS = 4;
+
+	private final EventLoopGroup loops = eventLoops();
+
 	private final Settings settings;
 
 	private final ControlLink link;
@@ -72,22 +79,32 @@
 
 	private volatile boolean stopping;
 
+	private volatile boolean drained;
+
 	public EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher) {
 		this(settings, link, dispatcher, Traces.of(settings));
 	}
 
 	EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher, Traces traces) {
-		int threads = Math.max(1, Math.min(4, Runtime.getRuntime().availableProcessors() / 2));
 		this.settings = settings;
 		this.link = link;
 		this.traces = traces;
-		this.client = new EndpointClient(threads);
+		this.client = new EndpointClient(this.loops);
 		this.loop = new DecisionLoop(dispatcher, link);
 		this.metrics = new EntryMetrics(this::connections);
 		this.poller = new EndpointPoller(this.client, new Reports());
 		this.gate = new RequestGate(new EntryContext(this.loop, this.client, link, this.metrics, this.traces,
 				new SilenceBounds(), this.open));
-		this.front = new HttpFront(settings, threads, this.gate);
+		this.front = new HttpFront(settings, this.loops, this.gate);
+	}
+
+	// Callers and endpoints share the event loops: most tokens then pass from one
+	// connection to the other without waking another thread. The HTTP client knows only
+	// this kind of group, which Netty 4.2 keeps for its sake.
+	@SuppressWarnings("deprecation")
+	private static EventLoopGroup eventLoops() {
+		int threads = Math.max(1, Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors() / 4));
+		return new NioEventLoopGroup(threads, new DefaultThreadFactory("io"));
 	}
 
 	private int connections() {
@@ -128,10 +145,11 @@
 
 	/**
 	 * Return whether callers should be sent here.
-	 * @return whether the configuration is the latest and the VM is not stopping
+	 * @return whether the configuration is the latest and the VM neither stops nor is
+	 * marked as leaving
 	 */
 	public boolean isReady() {
-		return this.ready.getCount() == 0 && !this.stopping;
+		return this.ready.getCount() == 0 && !this.stopping && !this.drained;
 	}
 
 	/**
@@ -200,6 +218,7 @@
 		this.poller.close();
 		this.loop.stop();
 		this.client.close();
+		this.loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).awaitUninterruptibly();
 		this.link.close();
 		this.admin.close();
 		this.traces.close();
@@ -212,6 +231,7 @@
 	private void apply(Manifest next) {
 		Configuration made = Configuration.of(next, this.configuration);
 		this.configuration = Optional.of(made);
+		this.drained = next.drainedVms().contains(this.settings.text(SettingKey.VM_NAME));
 		this.loop.configure(made);
 		this.gate.configure(made);
 		this.poller.endpoints(engines(next));
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -59,6 +59,8 @@
 
 	private int passed;
 
+	private boolean toldFirst;
+
 	private boolean done;
 
 	Relay(Exchange exchange, EntryContext context, DispatchActions.Attempt attempt, Endpoint endpoint) {
@@ -213,9 +215,17 @@
 	private void tell() {
 		int count = this.passed;
 		this.passed = 0;
-		if (count > 0 && this.untold.getAndAdd(count) == 0) {
-			long id = this.attempt.id();
-			this.context.loop().submit((d, now) -> d.tokens(id, this.untold.getAndSet(0), now));
+		if (count == 0 || this.untold.getAndAdd(count) != 0) {
+			return;
+		}
+		long id = this.attempt.id();
+		DecisionEvent event = (d, now) -> d.tokens(id, this.untold.getAndSet(0), now);
+		if (this.toldFirst) {
+			this.context.loop().submitQuietly(event);
+		}
+		else {
+			this.toldFirst = true;
+			this.context.loop().submit(event);
 		}
 	}
 
@@ -270,11 +280,11 @@
 	}
 
 	private void broken(ResultCode code) {
-		if (!this.exchange.plan().isModel()) {
-			end(AttemptOutcome.LOST, code);
-			return;
-		}
 		ask((reply) -> {
+			if (!this.exchange.plan().isModel() && reply.kind() != RunQuestion.Kind.DOWN) {
+				end(AttemptOutcome.LOST, code);
+				return;
+			}
 			switch (reply.kind()) {
 				case DOWN -> end(AttemptOutcome.CRASHED, code);
 				case QUEUED, RUNNING, FINISHED, CANCELLED -> repair(AttemptOutcome.LOST, code);
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
@@ -45,13 +45,12 @@
 
 	private Channel listener;
 
-	public HttpFront(Settings settings, int threads, RequestHandler handler) {
+	public HttpFront(Settings settings, EventLoopGroup workers, RequestHandler handler) {
 		this.settings = settings;
 		this.limits = HttpLimits.of(settings);
 		this.handler = handler;
 		this.gate = new ConnectionGate(this.limits.maxConnections(), handler);
-		this.workers = new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory("callers"),
-				NioIoHandler.newFactory());
+		this.workers = workers;
 	}
 
 	/**
@@ -141,11 +140,12 @@
 		return buffer == null || buffer.totalPendingWriteBytes() == 0;
 	}
 
-	/** Close all connections and end the threads. */
+	/**
+	 * Close all connections and accept no more; the event loops are left to their owner.
+	 */
 	public void close() {
 		this.gate.channels().forEach(Channel::close);
 		this.acceptors.shutdownGracefully(0, 2, TimeUnit.SECONDS).awaitUninterruptibly();
-		this.workers.shutdownGracefully(0, 2, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
 }
