Let idle endpoints be tried again after a fault, and tell a crash from a lost connection

Causes, found by tests with real processes: 1. After a fault that made all first tokens late, every request was refused with 202 although the engines were idle: the refusal went by the 90th percentile learnt during the fault, and refused requests teach nothing. Ruled out: more forgetting, which only shortens it. An idle endpoint is now tried whatever was learnt. 2. A set with one endpoint kept a request that the endpoint had refused until its deadline, since a retry went to another endpoint only. It goes there again now if it was not run, and is given up at once if it may have run. 3. A crashed engine that was back within a second answered 'unknown' of its requests, which was taken for a lost connection, so that the content went on to a third engine. The load report's start time tells the two apart.

--- a/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
@@ -48,7 +48,7 @@
 		}
 		if (line.behaviour.heedsTargets()) {
 			long wait = expectedWait(flight, line, now);
-			if (now + wait + flight.set.leastTime(flight) > flight.targetAt) {
+			if (now + wait + flight.set.leastTime(flight, line.tuning, this.state.entryCount, now) > flight.targetAt) {
 				return Refusal.of(ResultCode.TARGET_UNREACHABLE, wait);
 			}
 		}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -114,7 +114,7 @@
 	// Return whether a request that never ran cannot meet its target any more.
 	boolean isLate(Flight flight, long now) {
 		return flight.line.behaviour.heedsTargets() && flight.delivered == 0 && !flight.apart
-				&& now + flight.set.leastTime(flight) > flight.targetAt;
+				&& now + flight.set.leastTime(flight, flight.line.tuning, this.state.entryCount, now) > flight.targetAt;
 	}
 
 	private EndpointView place(Flight flight, long now) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
@@ -132,6 +132,11 @@
 		else if (!notRun && !mayRunAgain(flight)) {
 			this.state.finish(flight, finalCode(flight, outcome), 0);
 		}
+		else if (!notRun && flight.set.endpoints.size() == 1) {
+			// There is no other endpoint: the caller gets its answer now, not at its
+			// deadline.
+			this.state.finish(flight, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
+		}
 		else if (++flight.failures >= flight.line.tuning.maxAttempts() || !spendBudget(run)) {
 			this.state.finish(flight, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
 		}
@@ -166,7 +171,9 @@
 		flight.tried.add(run.endpoint);
 		if (flight.tried.size() >= flight.set.endpoints.size()) {
 			flight.tried.clear();
-			flight.tried.add(run.endpoint);
+			if (flight.set.endpoints.size() > 1) {
+				flight.tried.add(run.endpoint);
+			}
 		}
 		int shift = Math.min(MAX_BACKOFF_SHIFT, flight.failures - 1);
 		flight.notBefore = now + (long) ((BACKOFF_NANOS << shift) * this.state.jitter());
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -39,6 +39,9 @@
 
 	private static final int ASIDE_PART = 6;
 
+	/** An endpoint is idle with at most this part of its slots in use. */
+	private static final int IDLE_PART = 4;
+
 	private static final double SLOWNESS_MEMORY = 0.02;
 
 	final String name;
@@ -141,6 +144,26 @@
 		return (spread != null) ? (long) (spread.quantile(DURATION_QUANTILE, 0) * 1e6) : 0;
 	}
 
+	// Return the least time as a reason to refuse: nothing while an endpoint is idle.
+	// What
+	// was learnt under load or during a fault says little of an idle endpoint, and a
+	// refusal teaches nothing: without this a fault that made all answers late would have
+	// every later request refused, for good. A request that an idle endpoint takes is the
+	// probe that brings the estimate back.
+	long leastTime(Flight flight, Tuning tuning, int entryCount, long now) {
+		return (hasIdleEndpoint(tuning, entryCount, now)) ? 0 : leastTime(flight);
+	}
+
+	private boolean hasIdleEndpoint(Tuning tuning, int entryCount, long now) {
+		for (EndpointView endpoint : this.endpoints) {
+			if (endpoint.acceptsWork(now) && !endpoint.quarantined
+					&& endpoint.occupancy(tuning, entryCount, now) * IDLE_PART <= endpoint.usableSlots()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private static String customerKey(Flight flight) {
 		return flight.flow;
 	}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/RecoveryTests.java
@@ -0,0 +1,69 @@
+package org.acaciacourse.core.dispatch;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.dispatch.DispatchActions.Attempt;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of what a dispatcher does after a fault has passed.
+ */
+class RecoveryTests {
+
+	private static void answer(Driver driver, long request, long firstTokenAfter) {
+		Attempt attempt = driver.attemptOf(request);
+		driver.pass(firstTokenAfter);
+		driver.dispatcher.tokens(attempt.id(), 10, driver.now);
+		driver.end(attempt, AttemptOutcome.COMPLETE);
+	}
+
+	@Nested
+	class AfterSilence {
+
+		// All connections went silent once, and every first token took longer than the
+		// target. Afterwards the engines are idle and fast, but each question was refused
+		// for what had been learnt, so that nothing better could be learnt: the callers
+		// got 202 for good.
+		@Test
+		void idleEndpointIsTriedWhateverWasLearnt() {
+			Driver driver = new Driver("tiered", 3, 8);
+			for (int i = 0; i < 30; i++) {
+				answer(driver, driver.arrive("broker"), 5 * Driver.SECOND);
+			}
+			long request = driver.arrive("broker");
+			assertThat(driver.finished).doesNotContainKey(request);
+			assertThat(driver.attemptsOf(request)).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class OneEndpoint {
+
+		// The only endpoint of a set refused a request once. A retry goes to another
+		// endpoint only, and there is none: the caller waited until its deadline beside
+		// an idle endpoint.
+		@Test
+		void refusedRequestIsTriedThereAgain() {
+			Driver driver = new Driver("tiered", 1, 8);
+			long request = driver.arrive("broker");
+			driver.end(driver.attemptOf(request), AttemptOutcome.REFUSED);
+			driver.pass(Driver.SECOND);
+			assertThat(driver.attemptsOf(request)).isEqualTo(2);
+		}
+
+		// The same, but the connection was lost and the request may have run. The caller
+		// gets its answer at once and not at its deadline.
+		@Test
+		void lostRequestIsGivenUpAtOnce() {
+			Driver driver = new Driver("tiered", 1, 8);
+			long request = driver.arrive("broker");
+			driver.end(driver.attemptOf(request), AttemptOutcome.LOST);
+			assertThat(driver.finished).containsEntry(request, ResultCode.RETRIES_EXHAUSTED);
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
@@ -42,6 +42,8 @@
 
 	private final Listener listener;
 
+	private final EngineStarts starts;
+
 	private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor((task) -> {
 		Thread made = new Thread(task, "poll");
 		made.setDaemon(true);
@@ -54,8 +56,9 @@
 
 	private int next;
 
-	public EndpointPoller(EndpointClient client, Listener listener) {
+	public EndpointPoller(EndpointClient client, EngineStarts starts, Listener listener) {
 		this.client = client;
+		this.starts = starts;
 		this.listener = listener;
 	}
 
@@ -80,6 +83,7 @@
 		});
 		this.targets = kept;
 		this.order = List.copyOf(kept.values());
+		this.starts.retain(bases.values());
 	}
 
 	private void tick() {
@@ -114,6 +118,9 @@
 				readEvents(target, json);
 			}
 			else {
+				if (json.has("started_ms")) {
+					this.starts.note(target.base, json.path("started_ms").asLong());
+				}
 				long age = TimeUnit.MILLISECONDS.toNanos(json.path("age_ms").asLong());
 				this.listener.load(target.name, new LoadReport(json.path("sequence").asLong(),
 						json.path("running").asInt(), json.path("queued").asInt(), age));
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/RunQuestion.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/RunQuestion.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
@@ -45,6 +46,29 @@
 		client.ask("POST", base + "/v1/requests/" + id + "/cancel");
 	}
 
+	/**
+	 * Ask an engine when it was started.
+	 * @param client asks
+	 * @param base the base address of the engine
+	 * @return the time in milliseconds since the epoch, if it says one; never fails
+	 */
+	public static CompletionStage<OptionalLong> started(EndpointClient client, String base) {
+		return client.ask("GET", base + "/load").handle((response, failure) -> started(response));
+	}
+
+	private static OptionalLong started(Response response) {
+		if (response == null || response.getStatusCode() != 200) {
+			return OptionalLong.empty();
+		}
+		try {
+			JsonNode started = JSON.readTree(response.getResponseBodyAsBytes()).path("started_ms");
+			return (started.isNumber()) ? OptionalLong.of(started.asLong()) : OptionalLong.empty();
+		}
+		catch (IOException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
 	private static Reply reply(Response response, Throwable failure) {
 		if (failure != null) {
 			Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryContext.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.entry;
 
 import org.acaciacourse.daemon.endpoint.EndpointClient;
+import org.acaciacourse.daemon.endpoint.EngineStarts;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.telemetry.EntryMetrics;
 import org.acaciacourse.daemon.telemetry.Traces;
@@ -16,8 +17,9 @@
  * @param metrics the metrics
  * @param traces the traces
  * @param silence how long an endpoint may make no progress
+ * @param starts when each engine was started
  * @param open the requests that are not ended
  */
 record EntryContext(DecisionLoop loop, EndpointClient client, ControlLink link, EntryMetrics metrics, Traces traces,
-		SilenceBounds silence, OpenRequests open) {
+		SilenceBounds silence, EngineStarts starts, OpenRequests open) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -26,6 +26,7 @@
 import org.acaciacourse.core.settings.Settings;
 import org.acaciacourse.daemon.endpoint.EndpointClient;
 import org.acaciacourse.daemon.endpoint.EndpointPoller;
+import org.acaciacourse.daemon.endpoint.EngineStarts;
 import org.acaciacourse.daemon.http.HttpFront;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.telemetry.AdminServer;
@@ -86,15 +87,16 @@
 	}
 
 	EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher, Traces traces) {
+		EngineStarts starts = new EngineStarts();
 		this.settings = settings;
 		this.link = link;
 		this.traces = traces;
 		this.client = new EndpointClient(this.loops);
 		this.loop = new DecisionLoop(dispatcher, link);
 		this.metrics = new EntryMetrics(this::connections);
-		this.poller = new EndpointPoller(this.client, new Reports());
+		this.poller = new EndpointPoller(this.client, starts, new Reports());
 		this.gate = new RequestGate(new EntryContext(this.loop, this.client, link, this.metrics, this.traces,
-				new SilenceBounds(), this.open));
+				new SilenceBounds(), starts, this.open));
 		this.front = new HttpFront(settings, this.loops, this.gate);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -59,6 +60,8 @@
 
 	private int passed;
 
+	private OptionalLong startAtBegin = OptionalLong.empty();
+
 	private boolean toldFirst;
 
 	private boolean done;
@@ -131,6 +134,7 @@
 		}
 		headers.putAll(extra);
 		this.exchange.ledger().begin(number);
+		this.startAtBegin = this.context.starts().of(base());
 		this.lastProgress = System.nanoTime();
 		watch();
 		this.context.client()
@@ -288,12 +292,26 @@
 			switch (reply.kind()) {
 				case DOWN -> end(AttemptOutcome.CRASHED, code);
 				case QUEUED, RUNNING, FINISHED, CANCELLED -> repair(AttemptOutcome.LOST, code);
-				case UNKNOWN -> end((this.leg.tokens() > 0) ? AttemptOutcome.CRASHED : AttemptOutcome.LOST, code);
+				case UNKNOWN -> lostOrCrashed(code);
 				default -> end(AttemptOutcome.LOST, code);
 			}
 		});
 	}
 
+	// The engine does not know the request. Either it crashed and is back already, or the
+	// connection broke before the request was read. A crash must be told as one: else the
+	// content that caused it would go on to the next engine, and the next.
+	private void lostOrCrashed(ResultCode code) {
+		if (this.leg.tokens() > 0) {
+			end(AttemptOutcome.CRASHED, code);
+			return;
+		}
+		RunQuestion.started(this.context.client(), base()).whenCompleteAsync((started, failure) -> {
+			boolean restarted = this.startAtBegin.isPresent() && !started.equals(this.startAtBegin);
+			end((restarted) ? AttemptOutcome.CRASHED : AttemptOutcome.LOST, code);
+		}, this.exchange.executor());
+	}
+
 	private void repair(AttemptOutcome otherwise, ResultCode code) {
 		if (this.repairs < MAX_REPAIRS && this.exchange.canResume()) {
 			this.repairs++;
--- a/engine/src/main/java/org/acaciacourse/engine/Batch.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Batch.java
@@ -39,6 +39,8 @@
 
 	private final MpscBlockingConsumerArrayQueue<Runnable> tasks = new MpscBlockingConsumerArrayQueue<>(RING);
 
+	private final long startedMillis = System.currentTimeMillis();
+
 	private final List<Run> queued = new ArrayList<>();
 
 	private final List<Run> running = new ArrayList<>();
@@ -135,7 +137,8 @@
 			.put("sequence", report.sequence)
 			.put("running", report.running)
 			.put("queued", report.queued)
-			.put("age_ms", age);
+			.put("age_ms", age)
+			.put("started_ms", this.startedMillis);
 	}
 
 	/**
