--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -4,10 +4,13 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.asynchttpclient.AsyncCompletionHandlerBase;
@@ -44,16 +47,46 @@
 
 	private final EventLoopGroup loops;
 
+	private final boolean owner;
+
 	private final AsyncHttpClient kept;
 
 	private final AsyncHttpClient fresh;
 
+	/**
+	 * Make a client with event loops of its own.
+	 * @param threads how many
+	 */
+	public EndpointClient(int threads) {
+		this(eventLoops(threads), true);
+	}
+
+	/**
+	 * Make a client on the event loops of another, who ends them.
+	 * @param loops the event loops
+	 */
 	public EndpointClient(EventLoopGroup loops) {
+		this(loops, false);
+	}
+
+	private EndpointClient(EventLoopGroup loops, boolean owner) {
 		this.loops = loops;
+		this.owner = owner;
 		this.kept = Dsl.asyncHttpClient(config(true));
 		this.fresh = Dsl.asyncHttpClient(config(false));
 	}
 
+	/**
+	 * Make event loops that the HTTP client accepts. It knows only this kind of group,
+	 * which Netty 4.2 keeps for its sake.
+	 * @param threads how many
+	 * @return the event loops
+	 */
+	@SuppressWarnings("deprecation")
+	public static EventLoopGroup eventLoops(int threads) {
+		return new NioEventLoopGroup(threads, new DefaultThreadFactory("io"));
+	}
+
 	private DefaultAsyncHttpClientConfig config(boolean keepAlive) {
 		return new DefaultAsyncHttpClientConfig.Builder().setEventLoopGroup(this.loops)
 			.setKeepAlive(keepAlive)
@@ -156,6 +189,9 @@
 		catch (IOException ex) {
 			logger.warn("client not closed: {}", ex.toString());
 		}
+		if (this.owner) {
+			this.loops.shutdownGracefully(0, 2, TimeUnit.SECONDS).awaitUninterruptibly();
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -12,8 +12,6 @@
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.DispatchActions;
 import org.acaciacourse.core.dispatch.Dispatcher;
@@ -99,12 +97,10 @@
 	}
 
 	// Callers and endpoints share the event loops: most tokens then pass from one
-	// connection to the other without waking another thread. The HTTP client knows only
-	// this kind of group, which Netty 4.2 keeps for its sake.
-	@SuppressWarnings("deprecation")
+	// connection to the other without waking another thread.
 	private static EventLoopGroup eventLoops() {
 		int threads = Math.max(1, Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors() / 4));
-		return new NioEventLoopGroup(threads, new DefaultThreadFactory("io"));
+		return EndpointClient.eventLoops(threads);
 	}
 
 	private int connections() {
