Follow a wall clock set forward slowly, and batch bursts of proposals

The catch-up now counts from the last command. - Two processes with the name of one VM replaced each other as learners for ever. A learner that answers is not replaced.

A burst of proposals sent as many messages to each follower; now the first goes at once and the rest with the next reply or tick. A lease is granted for ten minutes at most.

--- a/core/src/main/java/org/acaciacourse/core/consensus/Leadership.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Leadership.java
@@ -66,7 +66,7 @@
 		}
 		long index = append(LogEntry.Kind.COMMAND, command);
 		this.proposals.put(index, proposalId);
-		this.replication.sendEntries(this.commitIndex, now);
+		this.replication.sendToIdle(this.commitIndex, now);
 		return index;
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -78,7 +78,7 @@
 		this.joining.values().removeIf((member) -> current.member(member.id()).isPresent());
 		this.catchUpIndexes.keySet().removeIf((id) -> current.member(id).isEmpty());
 		Optional<Membership> replaced = replaceOrPromote(current, commitIndex, matchIndex, inContact);
-		return replaced.or(() -> admit(current));
+		return replaced.or(() -> admit(current, inContact));
 	}
 
 	private Optional<Membership> replaceOrPromote(Membership current, long commitIndex,
@@ -103,7 +103,7 @@
 		return matchIndex.applyAsLong(learner.id()) >= target;
 	}
 
-	private Optional<Membership> admit(Membership current) {
+	private Optional<Membership> admit(Membership current, Predicate<ReplicaId> inContact) {
 		if (this.joining.isEmpty()) {
 			return Optional.empty();
 		}
@@ -113,6 +113,11 @@
 			.stream()
 			.filter((other) -> !other.voter() && other.vm().equals(member.vm()))
 			.findFirst();
+		if (stale.isPresent() && inContact.test(stale.get().id())) {
+			// Two processes with the name of one VM would replace each other for ever.
+			this.joining.remove(member.vm());
+			return Optional.empty();
+		}
 		if (stale.isPresent()) {
 			return Optional.of(current.without(stale.get().id()));
 		}
--- a/core/src/main/java/org/acaciacourse/core/consensus/Progress.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Progress.java
@@ -73,6 +73,10 @@
 		};
 	}
 
+	boolean isIdle() {
+		return this.mode == Mode.REPLICATE && this.inFlight.isEmpty();
+	}
+
 	void sentEntries(long lastIndex, long bytes, long now) {
 		this.lastSent = now;
 		if (this.mode == Mode.PROBE) {
--- a/core/src/main/java/org/acaciacourse/core/consensus/Replication.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replication.java
@@ -69,6 +69,21 @@
 		this.followers.forEach((id, progress) -> sendEntries(id, progress, commitIndex, now));
 	}
 
+	/**
+	 * Send new entries to followers that have nothing in flight. The others get them with
+	 * the next reply or tick, many in one message: a burst of proposals must not become
+	 * as many messages.
+	 * @param commitIndex the commit index
+	 * @param now the time
+	 */
+	void sendToIdle(long commitIndex, long now) {
+		this.followers.forEach((id, progress) -> {
+			if (progress.isIdle()) {
+				sendEntries(id, progress, commitIndex, now);
+			}
+		});
+	}
+
 	/**
 	 * Begin a new round and send a heartbeat to every member.
 	 * @param commitIndex the commit index
--- a/core/src/main/java/org/acaciacourse/core/state/LeaseTable.java
+++ b/core/src/main/java/org/acaciacourse/core/state/LeaseTable.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.state;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,9 @@
 
 	static final int MAX_LEASES = 1_000;
 
+	/** A holder that fails blocks its successor for no longer. */
+	static final long MAX_DURATION_MILLIS = Duration.ofMinutes(10).toMillis();
+
 	private final Map<String, Lease> leases = new TreeMap<>();
 
 	private long fencingNumber;
@@ -34,7 +38,7 @@
 		if (held.isPresent() && !held.get().holder().equals(command.holder())) {
 			return result(ResultCode.LEASE_HELD, held.get(), time);
 		}
-		long expiresAt = time + Math.max(0, command.durationMillis());
+		long expiresAt = time + Math.max(0, Math.min(MAX_DURATION_MILLIS, command.durationMillis()));
 		if (held.isPresent()) {
 			Lease old = held.get();
 			return put(new Lease(old.name(), old.holder(), old.fencingNumber(), Math.max(old.expiresAt(), expiresAt)),
--- a/core/src/main/java/org/acaciacourse/core/state/ProposalClock.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ProposalClock.java
@@ -1,7 +1,5 @@
 package org.acaciacourse.core.state;
 
-import java.time.Duration;
-
 /**
  * Yields {@link Command#proposedAt()} for a leader. Leases end by the state's time, so it
  * must not run ahead of real time: with plain wall clocks, a new leader whose clock is
@@ -21,11 +19,11 @@
 
 	static final int CATCH_UP_DIVISOR = 100;
 
-	private final long start;
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private final long startNanos;
+	private long value;
 
-	private long last;
+	private long readAt;
 
 	/**
 	 * Start a clock.
@@ -34,22 +32,24 @@
 	 * @param nowNanos this VM's monotonic clock
 	 */
 	public ProposalClock(ControlState state, long wallMillis, long nowNanos) {
-		this.start = (state.isAnyLeaseHeld()) ? state.time() : Math.max(state.time(), wallMillis);
-		this.startNanos = nowNanos;
-		this.last = this.start;
+		long start = (state.isAnyLeaseHeld()) ? state.time() : Math.max(state.time(), wallMillis);
+		this.value = NANOS_PER_MILLI * start;
+		this.readAt = nowNanos;
 	}
 
 	/**
-	 * Return the time for a command.
+	 * Return the time for a command. A wall clock that is set forward is followed only at
+	 * the rate of the catch-up.
 	 * @param wallMillis this VM's wall clock
 	 * @param nowNanos this VM's monotonic clock
 	 * @return milliseconds since the epoch, nearly
 	 */
 	public long proposedAt(long wallMillis, long nowNanos) {
-		long elapsed = Duration.ofNanos(nowNanos - this.startNanos).toMillis();
-		long catchUp = Math.min(elapsed / CATCH_UP_DIVISOR, Math.max(0, wallMillis - this.start - elapsed));
-		this.last = Math.max(this.last, this.start + elapsed + catchUp);
-		return this.last;
+		long elapsed = Math.max(0, nowNanos - this.readAt);
+		long behind = NANOS_PER_MILLI * wallMillis - this.value - elapsed;
+		this.value += elapsed + Math.max(0, Math.min(elapsed / CATCH_UP_DIVISOR, behind));
+		this.readAt = nowNanos;
+		return this.value / NANOS_PER_MILLI;
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -73,4 +73,13 @@
 		assertThat(next(current, 10, (id) -> 0)).isEqualTo(Optional.of(new Membership(List.of(A, B, C))));
 	}
 
+	@Test
+	void twoProcessesWithTheNameOfOneVmDoNotTakeTurns() {
+		// Both ask to join again and again. If each replaced the other, the log would
+		// fill with changes of the membership and none would ever catch up.
+		Membership current = new Membership(List.of(A, C, NEW_B));
+		this.manager.join(member(6, "b", false));
+		assertThat(this.manager.next(current, true, 10, (id) -> 0, (id) -> true)).isEqualTo(Optional.empty());
+	}
+
 }
