Add a load on running control VMs to the bench

commits: small commands in a closed loop, with the longest time without a success, which is what a failover costs; changes: whole manifests with one customer changed, and links that follow.

--- a/bench/src/main/java/org/acaciacourse/bench/cli/Main.java
+++ b/bench/src/main/java/org/acaciacourse/bench/cli/Main.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import org.acaciacourse.bench.capacity.ManifestSlopes;
+import org.acaciacourse.bench.control.ControlBench;
 import org.acaciacourse.bench.experiment.ExperimentCommand;
 import org.acaciacourse.bench.load.LoadCommand;
 import org.acaciacourse.core.code.ResultCode;
@@ -20,7 +21,7 @@
 	}
 
 	private static List<BenchCommand> commands() {
-		return List.of(new ExperimentCommand(), new LoadCommand(), new ManifestSlopes());
+		return List.of(new ExperimentCommand(), new LoadCommand(), new ManifestSlopes(), new ControlBench());
 	}
 
 	/**
--- /dev/null
+++ b/bench/src/main/java/org/acaciacourse/bench/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Load on running control VMs: commits, failover and changes of configuration.
+ */
+package org.acaciacourse.bench.control;
