--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -90,8 +90,11 @@
 	@Override
 	public void tick(long now) {
 		this.leadership.ifPresent((leading) -> tickLeader(leading, now));
-		if (this.role != Role.LEADER && isVoter() && this.election.isDue(now)) {
-			startPreVote(now);
+		if (this.role != Role.LEADER && this.election.isDue(now)) {
+			this.leader = Optional.empty();
+			if (isVoter()) {
+				startPreVote(now);
+			}
 		}
 		reportChange();
 	}
@@ -159,6 +162,18 @@
 		return this.log.membershipIndex() <= this.commitIndex;
 	}
 
+	/**
+	 * Return whether this replica should ask to join. The change that added it may have
+	 * been rolled back with a leader that failed, even after it received it: then no
+	 * leader knows of it, and without asking again it would wait for good. A request of a
+	 * replica that is listed does no harm.
+	 * @return whether it is no voter and no leader sends it the log as a member
+	 */
+	public boolean needsToJoin() {
+		boolean served = membership().member(this.self).isPresent() && this.leader.isPresent();
+		return !isVoter() && !served;
+	}
+
 	/**
 	 * Return whether a member answered this leader within an election timeout.
 	 * @param id the member
@@ -329,7 +344,6 @@
 
 	private void startPreVote(long now) {
 		this.role = Role.PRE_CANDIDATE;
-		this.leader = Optional.empty();
 		this.election.begin(this.self, now);
 		requestVotes(true, false);
 		continueElection(now);
@@ -427,7 +441,7 @@
 	}
 
 	private boolean isVoter() {
-		return membership().voters().contains(this.self);
+		return membership().isVoter(this.self);
 	}
 
 	private long term() {
