--- /dev/null
+++ b/bench/src/main/java/org/acaciacourse/bench/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of single decisions.
+ */
+package org.acaciacourse.bench.decision;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -195,6 +195,9 @@
 			return null;
 		}
 		EndpointView endpoint = aside.get(Math.floorMod(content, aside.size()));
+		if (flight.tried.contains(endpoint)) {
+			return emptyElsewhere(flight, now);
+		}
 		if (!endpoint.acceptsWork(now) || !endpoint.runs.isEmpty()) {
 			return null;
 		}
@@ -223,6 +226,16 @@
 		}
 	}
 
+	// The endpoint that is set aside may be the one that has crashed and is back already.
+	private static EndpointView emptyElsewhere(Flight flight, long now) {
+		for (EndpointView endpoint : flight.set.endpoints) {
+			if (endpoint.acceptsWork(now) && endpoint.runs.isEmpty() && !flight.tried.contains(endpoint)) {
+				return endpoint;
+			}
+		}
+		return null;
+	}
+
 	private void clear(EndpointView endpoint) {
 		for (Run run : endpoint.runs) {
 			Flight other = run.flight;
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/RandomEventsTests.java
@@ -0,0 +1,171 @@
+package org.acaciacourse.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.acaciacourse.core.dispatch.DispatchActions.Attempt;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Sends a dispatcher random events in any order and holds what must be true after each.
+ */
+class RandomEventsTests {
+
+	private static final AttemptOutcome[] OUTCOMES = { AttemptOutcome.COMPLETE, AttemptOutcome.COMPLETE,
+			AttemptOutcome.COMPLETE, AttemptOutcome.NOT_SENT, AttemptOutcome.REFUSED, AttemptOutcome.LOST,
+			AttemptOutcome.SILENT, AttemptOutcome.CRASHED, AttemptOutcome.REJECTED };
+
+	// Engines fail in every way while callers come and go and the policy is swapped.
+	// Each request gets one final answer, one that may not be repeated runs once, and
+	// nothing is sent to the endpoint that has just failed it.
+	@Property(tries = 60, seed = "17")
+	void eachRequestGetsOneAnswerAndRunsWhereItMay(@ForAll long seed) {
+		Trial trial = new Trial(seed);
+		for (int i = 0; i < 600; i++) {
+			trial.step();
+		}
+		trial.settle();
+		assertThat(trial.answered).isEqualTo(trial.arrived);
+		assertThat(trial.driver.dispatcher.openRequests()).isEqualTo(0);
+	}
+
+	/** One run with its own books. */
+	private static final class Trial {
+
+		private final SplittableRandom random;
+
+		private final Driver driver = new Driver("tiered", 5, 3);
+
+		private final Map<Long, Attempt> open = new HashMap<>();
+
+		private final Map<Long, String> failedAt = new HashMap<>();
+
+		private final Set<Long> mayHaveRun = new HashSet<>();
+
+		private final Set<Long> notRepeated = new HashSet<>();
+
+		private final Set<Long> arrived = new HashSet<>();
+
+		private final Set<Long> answered = new HashSet<>();
+
+		private int seen;
+
+		private Trial(long seed) {
+			this.random = new SplittableRandom(seed);
+		}
+
+		private void step() {
+			switch (this.random.nextInt(8)) {
+				case 0, 1, 2 -> arrive();
+				case 3, 4 -> endOne();
+				case 5 -> this.driver.pass(this.random.nextInt(200) * 1_000_000L);
+				case 6 -> tokens();
+				default -> disturb();
+			}
+			observe();
+		}
+
+		private void arrive() {
+			boolean marked = this.random.nextInt(4) == 0;
+			String requestClass = (this.random.nextBoolean()) ? "broker" : "night";
+			long id = this.driver.arrive(requestClass, this.random.nextInt(40), marked);
+			this.arrived.add(id);
+			if (marked) {
+				this.notRepeated.add(id);
+			}
+		}
+
+		private Attempt pick() {
+			List<Attempt> all = new ArrayList<>(this.open.values());
+			return (all.isEmpty()) ? null : all.get(this.random.nextInt(all.size()));
+		}
+
+		private void endOne() {
+			Attempt attempt = pick();
+			if (attempt != null) {
+				end(attempt, OUTCOMES[this.random.nextInt(OUTCOMES.length)]);
+			}
+		}
+
+		private void end(Attempt attempt, AttemptOutcome outcome) {
+			this.open.remove(attempt.id());
+			boolean wanted = !this.driver.finished.containsKey(attempt.requestId());
+			boolean notRun = outcome == AttemptOutcome.NOT_SENT || outcome == AttemptOutcome.REFUSED;
+			if (!notRun) {
+				this.mayHaveRun.add(attempt.requestId());
+			}
+			this.failedAt.put(attempt.requestId(), (outcome == AttemptOutcome.CANCELLED) ? "" : attempt.endpoint());
+			if (outcome == AttemptOutcome.COMPLETE && wanted) {
+				assertThat(this.answered.add(attempt.requestId())).isTrue();
+			}
+			this.driver.end(attempt, outcome);
+			observe();
+		}
+
+		private void tokens() {
+			Attempt attempt = pick();
+			if (attempt != null) {
+				this.driver.dispatcher.tokens(attempt.id(), 1 + this.random.nextInt(9), this.driver.now);
+			}
+		}
+
+		private void disturb() {
+			String endpoint = "llm-" + this.random.nextInt(5);
+			switch (this.random.nextInt(4)) {
+				case 0 -> this.driver.dispatcher.endpointStatus(endpoint,
+						EndpointStatus.values()[this.random.nextInt(3)], this.driver.now);
+				case 1 -> this.driver.dispatcher.loadReport(endpoint,
+						new LoadReport(this.driver.now, this.random.nextInt(4), 0, 1_000_000L), this.driver.now);
+				case 2 -> this.driver.dispatcher.configure(
+						Driver.manifest((this.random.nextBoolean()) ? "tiered" : "fifo", 5, 3, Map.of()),
+						this.driver.now);
+				default -> this.driver.dispatcher.callerGone(this.random.nextInt(200), this.driver.now);
+			}
+		}
+
+		/** Take in what the dispatcher wanted since the last look. */
+		private void observe() {
+			while (this.seen < this.driver.attempts.size()) {
+				Attempt attempt = this.driver.attempts.get(this.seen++);
+				long id = attempt.requestId();
+				assertThat(this.answered).doesNotContain(id);
+				assertThat(this.notRepeated.contains(id) && this.mayHaveRun.contains(id)).isFalse();
+				assertThat(attempt.endpoint()).isNotEqualTo(this.failedAt.get(id));
+				this.open.put(attempt.id(), attempt);
+			}
+			this.answered.addAll(this.driver.finished.keySet());
+			for (long id : List.copyOf(this.driver.cancelled)) {
+				this.driver.cancelled.remove(id);
+				if (this.open.containsKey(id)) {
+					end(this.open.get(id), AttemptOutcome.CANCELLED);
+				}
+			}
+		}
+
+		/** Let all endpoints answer until nothing is open. */
+		private void settle() {
+			for (int i = 0; i < 5; i++) {
+				this.driver.dispatcher.endpointStatus("llm-" + i, EndpointStatus.LIVE, this.driver.now);
+			}
+			for (int i = 0; i < 3_000 && this.driver.dispatcher.openRequests() > 0; i++) {
+				List.copyOf(this.open.values()).forEach((attempt) -> {
+					if (this.open.containsKey(attempt.id())) {
+						end(attempt, AttemptOutcome.COMPLETE);
+					}
+				});
+				this.driver.pass(Driver.SECOND / 10);
+				observe();
+			}
+		}
+
+	}
+
+}
