--- a/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
@@ -6,15 +6,11 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import org.acaciacourse.core.order.EngineOrder;
 import org.acaciacourse.core.order.EngineState;
 import org.acaciacourse.daemon.endpoint.EndpointClient;
@@ -35,9 +31,7 @@
 
 	private static final int DONE = 200;
 
-	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-
-	private final EndpointClient client = new EndpointClient(this.loops);
+	private final EndpointClient client = new EndpointClient(1);
 
 	/**
 	 * Read an engine's state.
@@ -91,7 +85,6 @@
 	@Override
 	public void close() {
 		this.client.close();
-		this.loops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
 	}
 
 }
