--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
@@ -47,8 +47,6 @@
 
 	private volatile Channel channel;
 
-	private volatile boolean paused;
-
 	private int status;
 
 	private boolean delimited;
@@ -120,9 +118,7 @@
 		}
 		int waiting = this.pending.addAndGet(bytes.length + CHUNK_OVERHEAD);
 		this.chunks.offer(bytes);
-		if (waiting > MAX_PENDING && !this.paused) {
-			this.paused = true;
-			ReadGate.pause(this.channel, true);
+		if (waiting > MAX_PENDING && ReadGate.pause(this.channel)) {
 			this.listener.paused();
 		}
 		wake();
@@ -147,10 +143,14 @@
 		if (bytes == null) {
 			return Optional.empty();
 		}
-		int waiting = this.pending.addAndGet(-bytes.length - CHUNK_OVERHEAD);
-		if (this.paused && waiting < MAX_PENDING / 2) {
-			this.paused = false;
-			ReadGate.pause(this.channel, false);
+		int size = bytes.length + CHUNK_OVERHEAD;
+		int waiting = this.pending.addAndGet(-size);
+		// The gate is closed and opened on the event loop of the connection only. It was
+		// closed over the bound, so that this crossing always comes after, and can't be
+		// missed: with a flag shared by both sides, a closing that overtook its opening
+		// left the connection unread for good.
+		if (waiting < MAX_PENDING / 2 && waiting + size >= MAX_PENDING / 2) {
+			ReadGate.goOn(this.channel, () -> this.pending.get() <= MAX_PENDING);
 		}
 		return Optional.of(bytes);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/ReadGate.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/ReadGate.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.daemon.endpoint;
 
+import java.util.function.BooleanSupplier;
+
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -45,14 +47,27 @@
 	}
 
 	/**
-	 * Pause or go on reading from a connection.
+	 * Pause reading from a connection; called on its event loop.
+	 * @param channel the connection
+	 * @return whether it was not paused before
+	 */
+	static boolean pause(Channel channel) {
+		if (!(channel.pipeline().get(NAME) instanceof ReadGate gate) || gate.paused) {
+			return false;
+		}
+		gate.set(true);
+		return true;
+	}
+
+	/**
+	 * Go on reading from a connection.
 	 * @param channel the connection
-	 * @param pause whether to pause
+	 * @param condition asked on its event loop; reading stays paused if it is false
 	 */
-	static void pause(Channel channel, boolean pause) {
+	static void goOn(Channel channel, BooleanSupplier condition) {
 		channel.eventLoop().execute(() -> {
-			if (channel.pipeline().get(NAME) instanceof ReadGate gate) {
-				gate.set(pause);
+			if (condition.getAsBoolean() && channel.pipeline().get(NAME) instanceof ReadGate gate) {
+				gate.set(false);
 			}
 		});
 	}
