--- a/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
@@ -13,8 +13,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import org.acaciacourse.core.order.EngineOrder;
 import org.acaciacourse.core.order.EngineState;
 import org.acaciacourse.daemon.endpoint.EndpointClient;
@@ -35,7 +33,7 @@
 
 	private static final int DONE = 200;
 
-	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+	private final EventLoopGroup loops = EndpointClient.eventLoops(1);
 
 	private final EndpointClient client = new EndpointClient(this.loops);
 
