--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
@@ -223,11 +223,18 @@
 		}
 	}
 
+	// A frozen node finds the request when it wakes, perhaps before it notices the time.
 	void read() {
-		SimulatedNode node = randomNode();
-		if (!node.up || node.frozenUntil > this.now) {
-			return;
-		}
+		SimulatedNode asked = randomNode();
+		at(this.now, asked.vm, () -> {
+			SimulatedNode node = this.nodes.get(asked.vm);
+			if (node.up) {
+				read(node);
+			}
+		});
+	}
+
+	private void read(SimulatedNode node) {
 		long number = this.history.acknowledgedNumber();
 		long index = this.history.acknowledgedIndex();
 		node.read(() -> {
