Measure the bytes of the state; end the loop on errors too

An error such as memory that ran out ended the replica's thread in silence and left a process that looked alive.

--- a/bench/src/main/java/org/acaciacourse/bench/control/ChangeLoad.java
+++ b/bench/src/main/java/org/acaciacourse/bench/control/ChangeLoad.java
@@ -79,7 +79,8 @@
 	}
 
 	private void apply(LeaderCaller caller, long number) throws InterruptedException {
-		ApplyRequest request = new ApplyRequest(this.operatorKey, "bench", manifest(number), new TraceContext(""));
+		ApplyRequest request = new ApplyRequest(this.operatorKey, "bench", manifest(number, this.customers),
+				new TraceContext(""));
 		ApplyReply reply = caller.call((c) -> c.apply(request), ApplyReply::getResult, LIMIT).orElseThrow();
 		if (reply.getResult().getCode() != ResultCode.OK.number()) {
 			throw new IllegalStateException("apply ended with " + reply);
@@ -97,15 +98,21 @@
 		notifyAll();
 	}
 
-	private Map<String, Map<String, String>> manifest(long number) {
+	/**
+	 * Make a manifest that differs in one or two customers from the one before.
+	 * @param number its number
+	 * @param customers how many customers it has
+	 * @return its sections
+	 */
+	static Map<String, Map<String, String>> manifest(long number, int customers) {
 		Map<String, Map<String, String>> sections = new TreeMap<>();
 		sections.put("manifest", Map.of("number", Long.toString(number), "policy", "tiered"));
 		sections.put("policy tiered", Map.of("kind", "tiered"));
 		sections.put("endpoint-set draftmind", Map.of("kind", "model", "models", "draftmind-7b"));
 		sections.put("class urgent",
 				Map.of("tier", "high", "target", "first-token 2 s", "deadline", "60 s", "endpoint-sets", "draftmind"));
-		for (int i = 0; i < this.customers; i++) {
-			long rate = 10 + ((i == number % this.customers) ? number : 0);
+		for (int i = 0; i < customers; i++) {
+			long rate = 10 + ((i == number % customers) ? number : 0);
 			sections.put("customer c" + i, Map.of("key-sha256", String.format(Locale.ROOT, "%064x", i), "classes",
 					"urgent", "requests-per-second", Long.toString(rate)));
 		}
--- a/bench/src/main/java/org/acaciacourse/bench/control/ControlBench.java
+++ b/bench/src/main/java/org/acaciacourse/bench/control/ControlBench.java
@@ -18,14 +18,14 @@
 @Parameters(commandNames = "control", commandDescription = "load running control VMs with commits or changes")
 public final class ControlBench implements BenchCommand {
 
-	@Parameter(names = "--mode", description = "commits or changes")
+	@Parameter(names = "--mode", description = "commits, changes or slopes")
 	private String mode = "commits";
 
-	@Parameter(names = "--control", description = "Addresses of the control VMs", required = true)
+	@Parameter(names = "--control", description = "Addresses of the control VMs")
 	private List<String> controls = new ArrayList<>();
 
-	@Parameter(names = "--inner-key", required = true)
-	private String innerKey;
+	@Parameter(names = "--inner-key")
+	private String innerKey = "";
 
 	@Parameter(names = "--operator-key")
 	private String operatorKey = "";
@@ -55,6 +55,9 @@
 		if (this.mode.equals("commits")) {
 			out.println(new CommitLoad(this.controls, key, this.threads).run(length));
 		}
+		else if (this.mode.equals("slopes")) {
+			out.println(StateSlopes.run());
+		}
 		else {
 			ChangeLoad load = new ChangeLoad(this.controls, key, this.operatorKey, this.customers);
 			out.println(load.run(length, this.entries, this.firstNumber, this.pauseMillis));
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -43,6 +43,8 @@
 
 	private static final long ASK_MILLIS = 300;
 
+	private static final int LOG_EVERY = 100;
+
 	private static final long HAND_OVER_MILLIS = 3000;
 
 	private final ControlOptions options;
@@ -69,6 +71,8 @@
 
 	private ControlHandler controlHandler;
 
+	private int asked;
+
 	private Optional<Ticker> founding = Optional.empty();
 
 	private Optional<OrderDuty> orders = Optional.empty();
@@ -146,6 +150,10 @@
 			this.founding.ifPresent(Ticker::close);
 			begin(decision.membership());
 		}
+		else if (this.asked++ % LOG_EVERY == 0) {
+			LOGGER.info("empty data folder: {} of the other founders answered, all have to, with names of their own",
+					answers.size());
+		}
 	}
 
 	private void begin(Optional<Membership> founders) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
@@ -115,7 +115,10 @@
 			LOGGER.fatal("the data folder failed, the replica stops", ex);
 			end = ex.code();
 		}
-		catch (InterruptedException | RuntimeException ex) {
+		catch (InterruptedException | RuntimeException | Error ex) {
+			// Also an error, such as memory that ran out: a thread that ended silently
+			// would
+			// leave a process that looks alive and takes part in nothing.
 			LOGGER.fatal("unexpected fault, the replica stops", ex);
 			end = ResultCode.INTERNAL;
 		}
