--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -12,8 +12,6 @@
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.DispatchActions;
 import org.acaciacourse.core.dispatch.Dispatcher;
@@ -26,6 +24,7 @@
 import org.acaciacourse.core.settings.Settings;
 import org.acaciacourse.daemon.endpoint.EndpointClient;
 import org.acaciacourse.daemon.endpoint.EndpointPoller;
+import org.acaciacourse.daemon.endpoint.EngineStarts;
 import org.acaciacourse.daemon.http.HttpFront;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.telemetry.AdminServer;
@@ -86,25 +85,24 @@
 	}
 
 	EntryDaemon(Settings settings, ControlLink link, Function<DispatchActions, Dispatcher> dispatcher, Traces traces) {
+		EngineStarts starts = new EngineStarts();
 		this.settings = settings;
 		this.link = link;
 		this.traces = traces;
 		this.client = new EndpointClient(this.loops);
 		this.loop = new DecisionLoop(dispatcher, link);
 		this.metrics = new EntryMetrics(this::connections);
-		this.poller = new EndpointPoller(this.client, new Reports());
+		this.poller = new EndpointPoller(this.client, starts, new Reports());
 		this.gate = new RequestGate(new EntryContext(this.loop, this.client, link, this.metrics, this.traces,
-				new SilenceBounds(), this.open));
+				new SilenceBounds(), starts, this.open));
 		this.front = new HttpFront(settings, this.loops, this.gate);
 	}
 
 	// Callers and endpoints share the event loops: most tokens then pass from one
-	// connection to the other without waking another thread. The HTTP client knows only
-	// this kind of group, which Netty 4.2 keeps for its sake.
-	@SuppressWarnings("deprecation")
+	// connection to the other without waking another thread.
 	private static EventLoopGroup eventLoops() {
 		int threads = Math.max(1, Math.min(MOST_THREADS, Runtime.getRuntime().availableProcessors() / 4));
-		return new NioEventLoopGroup(threads, new DefaultThreadFactory("io"));
+		return EndpointClient.eventLoops(threads);
 	}
 
 	private int connections() {
