--- a/daemon/src/main/java/org/acaciacourse/daemon/operator/ClassComparison.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/operator/ClassComparison.java
@@ -4,6 +4,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import org.acaciacourse.core.measure.WilsonInterval;
 import org.acaciacourse.protocol.generated.ClassReport;
 
 /**
--- a/daemon/src/test/java/org/acaciacourse/daemon/operator/ClassComparisonTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/operator/ClassComparisonTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.acaciacourse.core.measure.WilsonInterval;
 import org.acaciacourse.protocol.generated.ClassReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
