Close connections that never speak, and give services fresh ones

Cause: a connection that sent fewer bytes than tell HTTP/2 from HTTP/1.1 held its place for good; it is now closed after the read timeout. A plain service can't be asked about a request, so that a kept connection that went silent held a call until its deadline; each call of a service gets a connection of its own. Kept ones with a probe before use were ruled out: services have no such call.

A plain answer where a stream was asked for counts as an error of the engine, as it can't follow the tokens that the caller has.

--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
@@ -142,9 +142,14 @@
 		else if (status >= 500 || status == 429) {
 			end(End.ERROR);
 		}
+		else if (status != 200 || !this.plan.call().stream()) {
+			this.mode = Mode.BODY;
+		}
+		else if (received.header("content-type").startsWith("text/event-stream")) {
+			this.mode = Mode.STREAM;
+		}
 		else {
-			boolean events = received.header("content-type").startsWith("text/event-stream");
-			this.mode = (status == 200 && events && this.plan.call().stream()) ? Mode.STREAM : Mode.BODY;
+			end(End.ERROR);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -82,7 +82,7 @@
 	void start() {
 		long from = this.exchange.sequence().passedOn();
 		if (from == 0) {
-			run(false);
+			run();
 		}
 		else if (this.exchange.canResume()) {
 			resume();
@@ -92,17 +92,22 @@
 		}
 	}
 
-	private void run(boolean fresh) {
+	private void run() {
 		if (!this.exchange.mayRun()) {
 			end(AttemptOutcome.REJECTED, ResultCode.RETRIES_EXHAUSTED);
 			return;
 		}
-		open(Map.of(), 0, fresh || this.exchange.plan().claim().isPresent());
+		// A plain service can't be asked about a request, so that a kept connection that
+		// went
+		// silent would hold a call until its deadline; a marked call may not risk one at
+		// all.
+		boolean own = !this.exchange.plan().isModel() || this.exchange.plan().claim().isPresent();
+		open(Map.of(), 0, own);
 	}
 
 	private void rerun() {
 		if (this.exchange.plan().endpointSet().deterministic()) {
-			run(false);
+			run();
 		}
 		else {
 			end(AttemptOutcome.REJECTED, ResultCode.ANSWER_TRUNCATED);
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -53,7 +53,7 @@
 			pipeline.addLast(new Negotiation());
 		}
 		else {
-			pipeline.addLast(new ProtocolDetector(this::http1, this::http2));
+			pipeline.addLast(new ProtocolDetector(this.limits.readTimeout(), this::http1, this::http2));
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ProtocolDetector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ProtocolDetector.java
@@ -1,6 +1,8 @@
 package org.acaciacourse.daemon.http;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -10,6 +12,7 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.util.CharsetUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * Tells HTTP/2 with prior knowledge from HTTP/1.1 by the first bytes of a connection.
@@ -21,15 +24,32 @@
 	private static final ByteBuf PREFACE = Unpooled
 		.unreleasableBuffer(Unpooled.copiedBuffer("PRI * HTTP/2.0\r\n", CharsetUtil.US_ASCII));
 
+	private final Duration timeout;
+
 	private final Consumer<ChannelPipeline> http1;
 
 	private final Consumer<ChannelPipeline> http2;
 
-	ProtocolDetector(Consumer<ChannelPipeline> http1, Consumer<ChannelPipeline> http2) {
+	private ScheduledFuture<?> timer;
+
+	ProtocolDetector(Duration timeout, Consumer<ChannelPipeline> http1, Consumer<ChannelPipeline> http2) {
+		this.timeout = timeout;
 		this.http1 = http1;
 		this.http2 = http2;
 	}
 
+	// A connection that never sends enough to be told apart would hold its place for
+	// good.
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		this.timer = ctx.executor().schedule(() -> ctx.close(), this.timeout.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	protected void handlerRemoved0(ChannelHandlerContext ctx) {
+		this.timer.cancel(false);
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
 		int known = Math.min(in.readableBytes(), PREFACE.readableBytes());
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
@@ -119,6 +119,8 @@
 				assertThat(answer).startsWith("HTTP/1.1 408");
 				assertThat(answer).contains("\"code\":102");
 				assertThat(exchange(entry, "POST / HT")).contains("\"code\":102");
+				assertThat(exchange(entry, "PR")).isEmpty();
+				assertThat(exchange(entry, "")).isEmpty();
 			}
 		}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/HostileEndpointTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/HostileEndpointTests.java
@@ -166,6 +166,25 @@
 			}
 		}
 
+		// The caller asked for a stream and the rerun yields a plain answer, which can't
+		// follow the tokens that the caller has: it counts as an error of the engine.
+		@Test
+		void plainAnswerDoesNotFollowAStream() throws Exception {
+			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> {
+				if (n > 1) {
+					call.completion(call.id(), "plain");
+					return;
+				}
+				call.streamHead();
+				call.token(0, false);
+				call.close();
+			}); EntryFixture entry = EntryFixture.with(engine).deterministic().start()) {
+				HttpResponse<String> answer = entry.send(entry.chat(true));
+				assertThat(answer.body()).contains("data: {\"error\":{\"code\":305");
+				assertThat(answer.body()).doesNotContain("plain");
+			}
+		}
+
 		// Neither resume nor rerun is possible: the caller gets an error object inside
 		// the
 		// stream and no end mark, so that it can't take the half for the whole.
