Wait for any pause of reading in the slow caller's test

The test waited for the counter to stand at exactly 1, and a second pause between two looks at it (the kernel's buffers of the caller take more for a moment) went past that for good. It now waits for the first pause, however many follow; what it asserts is unchanged.

--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
@@ -153,7 +153,7 @@
 				String head = "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer sample\r\n"
 						+ "connection: close\r\ncontent-length: " + CHAT.length() + "\r\n\r\n" + CHAT;
 				socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-				while (!entry.metrics().contains("acaciacourse_reads_paused_total 1.0")) {
+				while (entry.metrics().contains("acaciacourse_reads_paused_total 0.0")) {
 					assertThat(written.get()).isLessThan(tokens - 1);
 				}
 				assertThat(written.get()).isLessThan(tokens - 1);
