Make the test of the leader's own sync fail with its mutant

The test now repeats an old sync first, and fails with the mutant (run on the working copy, then restored).

--- a/core/src/test/java/org/acaciacourse/core/consensus/ReplicaTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/ReplicaTests.java
@@ -80,7 +80,7 @@
 			replica.tick(200);
 			replica.durable(2, 2, 201);
 			long index = replica.propose(1, new byte[1], 202);
-			replica.tick(203);
+			replica.durable(index - 1, 2, 203);
 			assertThat(replica.status().commitIndex()).isEqualTo(index - 1);
 			replica.durable(index, 2, 204);
 			assertThat(replica.status().commitIndex()).isEqualTo(index);
