--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -17,8 +17,10 @@
 import org.acaciacourse.core.consensus.Membership;
 import org.acaciacourse.core.consensus.MembershipCodec;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.core.order.OrderTiming;
 import org.acaciacourse.daemon.inner.InnerConnection;
 import org.acaciacourse.daemon.inner.InnerServer;
+import org.acaciacourse.daemon.order.OrderDuty;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
 import org.acaciacourse.protocol.generated.PeerDescription;
@@ -41,6 +43,8 @@
 
 	private static final long ASK_MILLIS = 300;
 
+	private static final int LOG_EVERY = 100;
+
 	private static final long HAND_OVER_MILLIS = 3000;
 
 	private final ControlOptions options;
@@ -67,8 +71,12 @@
 
 	private ControlHandler controlHandler;
 
+	private int asked;
+
 	private Optional<Ticker> founding = Optional.empty();
 
+	private Optional<OrderDuty> orders = Optional.empty();
+
 	/**
 	 * Make a daemon.
 	 * @param options what it is started with
@@ -142,6 +150,10 @@
 			this.founding.ifPresent(Ticker::close);
 			begin(decision.membership());
 		}
+		else if (this.asked++ % LOG_EVERY == 0) {
+			LOGGER.info("empty data folder: {} of the other founders answered, all have to, with names of their own",
+					answers.size());
+		}
 	}
 
 	private void begin(Optional<Membership> founders) {
@@ -184,6 +196,15 @@
 		this.opened.push(platform);
 		this.opened.push(exchange);
 		this.opened.push(new Ticker("latest", ASK_MILLIS, () -> learnLatest(read)));
+		if (this.options.orders()) {
+			beginOrders(next);
+		}
+	}
+
+	private void beginOrders(ReplicaLoop running) {
+		this.orders = Optional.of(new OrderDuty(this.options.vm(), new OrderLease(running), new ManifestView(running),
+				OrderTiming.defaults()));
+		this.orders.get().start();
 	}
 
 	private void learnLatest(LinearizableRead read) {
@@ -225,6 +246,9 @@
 	 */
 	public synchronized void stop() {
 		this.stopping = true;
+		// While this VM still leads, so that the lease can be given back.
+		this.orders.ifPresent(OrderDuty::close);
+		this.orders = Optional.empty();
 		try {
 			if (this.loop.isPresent()) {
 				handOver(this.loop.get());
@@ -262,6 +286,7 @@
 	}
 
 	private void closeAll() {
+		this.orders.ifPresent(OrderDuty::close);
 		while (!this.opened.isEmpty()) {
 			try {
 				this.opened.pop().close();
