--- a/core/src/main/java/org/acaciacourse/core/consensus/LogView.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/LogView.java
@@ -94,6 +94,25 @@
 		return slice;
 	}
 
+	/**
+	 * Work out where this log may still match a leader's that differs at an index, so
+	 * that the leader skips a whole term of entries that cannot match.
+	 * @param index where they differ
+	 * @param commitIndex the commit index, up to which logs match
+	 * @return the last index that may match
+	 */
+	long lastPossibleMatch(long index, long commitIndex) {
+		if (index > lastIndex()) {
+			return lastIndex();
+		}
+		long conflicting = term(index);
+		long match = index;
+		while (match > commitIndex && term(match) == conflicting) {
+			match--;
+		}
+		return match;
+	}
+
 	void append(List<LogEntry> added) {
 		for (LogEntry entry : added) {
 			if (entry.index() != lastIndex() + 1) {
--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -270,7 +270,7 @@
 		long base = this.log.baseIndex();
 		long last = request.previousIndex() + request.entries().size();
 		if (request.previousIndex() >= base && this.log.term(request.previousIndex()) != request.previousTerm()) {
-			long hint = hint(request.previousIndex());
+			long hint = this.log.lastPossibleMatch(request.previousIndex(), this.commitIndex);
 			send(request.from(), new AppendReply(this.self, term(), false, hint, request.round()));
 			return;
 		}
@@ -282,20 +282,6 @@
 		commit(Math.min(request.commitIndex(), matched));
 	}
 
-	// Where the logs may still match: the leader skips a whole term of entries that
-	// cannot.
-	private long hint(long previousIndex) {
-		if (previousIndex > this.log.lastIndex()) {
-			return this.log.lastIndex();
-		}
-		long conflicting = this.log.term(previousIndex);
-		long index = previousIndex;
-		while (index > this.commitIndex && this.log.term(index) == conflicting) {
-			index--;
-		}
-		return index;
-	}
-
 	private void appendMissing(List<LogEntry> entries) {
 		for (int i = 0; i < entries.size(); i++) {
 			LogEntry entry = entries.get(i);
