Count the delay before an unload for each engine on its own

Fault found in review, with a test: each new manifest restarted the delay for all engines. At a change every few seconds no unwanted model would ever have been unloaded. Only a change of what is wanted of that engine restarts it now, and changes are found by name instead of a search through all engines.

--- a/core/src/main/java/org/acaciacourse/core/order/EngineRecord.java
+++ b/core/src/main/java/org/acaciacourse/core/order/EngineRecord.java
@@ -20,6 +20,29 @@
 
 	private long notBefore;
 
+	private long wantedSince;
+
+	EngineRecord(long now) {
+		this.wantedSince = now;
+	}
+
+	/**
+	 * Note that the manifest wants something else of this engine. Changes that concern
+	 * other engines do not count: with one every few seconds, a delay that each of them
+	 * restarts would never pass.
+	 * @param now the time
+	 */
+	void wantedAnew(long now) {
+		this.wantedSince = now;
+		if (this.settled) {
+			lookAgainAt(now);
+		}
+	}
+
+	long wantedSince() {
+		return this.wantedSince;
+	}
+
 	/**
 	 * Forget what is known of the engine.
 	 * @param time when to look at it
--- a/core/src/main/java/org/acaciacourse/core/order/OrderWriter.java
+++ b/core/src/main/java/org/acaciacourse/core/order/OrderWriter.java
@@ -37,12 +37,12 @@
 
 	private final Map<String, EngineRecord> records = new TreeMap<>();
 
+	private Map<String, DesiredEngine> desired = Map.of();
+
 	private List<DesiredEngine> byUrgency = List.of();
 
 	private long tenure;
 
-	private long changedAt;
-
 	/**
 	 * Make a writer that has nothing to do.
 	 * @param timing its times
@@ -61,17 +61,17 @@
 	 * @param now the time
 	 */
 	public void desire(SortedMap<String, DesiredEngine> engines, long now) {
-		List<DesiredEngine> known = this.byUrgency;
+		Map<String, DesiredEngine> known = this.desired;
+		this.desired = new TreeMap<>(engines);
 		this.byUrgency = engines.values()
 			.stream()
 			.sorted(Comparator.comparing(DesiredEngine::tier).thenComparing(DesiredEngine::endpoint))
 			.toList();
-		this.changedAt = now;
 		this.records.keySet().retainAll(engines.keySet());
 		for (DesiredEngine engine : this.byUrgency) {
 			EngineRecord record = this.records.computeIfAbsent(engine.endpoint(), (name) -> newRecord(engine, now));
-			if (record.isSettled() && !known.contains(engine)) {
-				record.lookAgainAt(now);
+			if (!engine.equals(known.get(engine.endpoint()))) {
+				record.wantedAnew(now);
 			}
 		}
 	}
@@ -159,7 +159,7 @@
 			this.actions.outdated(engine.endpoint(), state.fencingNumber());
 			return;
 		}
-		Optional<EngineOrder> next = nextOrder(engine, state, now);
+		Optional<EngineOrder> next = nextOrder(engine, record, now);
 		if (next.isPresent()) {
 			record.asked();
 			this.actions.send(next.get());
@@ -169,12 +169,13 @@
 		}
 	}
 
-	private Optional<EngineOrder> nextOrder(DesiredEngine engine, EngineState state, long now) {
+	private Optional<EngineOrder> nextOrder(DesiredEngine engine, EngineRecord record, long now) {
+		EngineState state = record.state().orElseThrow();
 		if (engine.checksFencing() && state.fencingNumber() < this.tenure) {
 			return Optional.of(order(engine, EngineOrder.Kind.ROLE, state.role()));
 		}
 		Optional<String> unwanted = unwanted(engine, state);
-		if (unwanted.isPresent() && now - this.changedAt >= this.timing.unloadDelayNanos()) {
+		if (unwanted.isPresent() && now - record.wantedSince() >= this.timing.unloadDelayNanos()) {
 			return Optional.of(order(engine, EngineOrder.Kind.UNLOAD, unwanted.get()));
 		}
 		return missing(engine, state).filter((model) -> this.budget.take(engine.tier(), now))
@@ -186,7 +187,7 @@
 	}
 
 	private EngineRecord newRecord(DesiredEngine engine, long now) {
-		EngineRecord record = new EngineRecord();
+		EngineRecord record = new EngineRecord(now);
 		record.lookAgainAt((engine.checksFencing()) ? now : now + this.timing.orderTimeoutNanos());
 		return record;
 	}
--- a/core/src/test/java/org/acaciacourse/core/order/OrderWriterTests.java
+++ b/core/src/test/java/org/acaciacourse/core/order/OrderWriterTests.java
@@ -178,6 +178,18 @@
 			assertThat(lastOrder()).isEqualTo(new EngineOrder("e", 1, EngineOrder.Kind.UNLOAD, "old"));
 		}
 
+		@Test
+		void changesOfOtherEnginesDoNotKeepAnUnwantedModelLoaded() {
+			// A pipeline changes some customer or endpoint every few seconds. If each
+			// change restarted the delay, the memory of the model would never be freed.
+			desire(0, engine("e", true, Tier.HIGH));
+			tick(1, 5);
+			OrderWriterTests.this.writer.stateRead("e", 1, new EngineState(1, Set.of("m", "old"), "serve"));
+			desire(54, engine("e", true, Tier.HIGH), engine("other", true, Tier.HIGH));
+			tick(1, 55);
+			assertThat(lastOrder()).isEqualTo(new EngineOrder("e", 1, EngineOrder.Kind.UNLOAD, "old"));
+		}
+
 		@Test
 		void settledEngineIsLookedAtAtOnceWhenItsModelsChange() {
 			desire(0, engine("e", true, Tier.HIGH));
