--- a/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
+++ b/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
@@ -106,6 +106,14 @@
 				.contains("{\"id\":\"s1\",\"key\":\"k1\",\"content\":\"yes\",\"count\":1");
 		}
 
+		@Test
+		void loadReportTellsWhenTheEngineStarted() throws Exception {
+			long now = System.currentTimeMillis();
+			JsonNode load = EngineTests.this.mapper.readTree(send("GET", "/load", "").body());
+			assertThat(load.path("started_ms").asLong()).isAtMost(now);
+			assertThat(load.path("started_ms").asLong()).isGreaterThan(0);
+		}
+
 		@Test
 		void oldFencingNumberIsRefused() throws Exception {
 			assertThat(order(5, "m2").statusCode()).isEqualTo(200);
