--- a/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
@@ -188,4 +188,33 @@
 
 	}
 
+	@Nested
+	class Restarted {
+
+		/*
+		 * Each control gets SIGTERM and is started again under a load of streamed and
+		 * marked requests. Leaders hand over before they stop, so callers of marked
+		 * requests see no refusal.
+		 */
+		@Test
+		void rollingRestartIsNotNoticed() {
+			Cluster cluster = ControlFailureTests.this.cluster;
+			List<Told> told;
+			try (SteadyLoad load = new SteadyLoad(cluster, ControlFailureTests.this.caller)) {
+				for (int i = 0; i < CONTROLS; i++) {
+					load.awaitAnswers(10);
+					cluster.control(i).terminate();
+					assertThat(cluster.control(i).awaitExit()).isEqualTo(0);
+					cluster.startControl(i);
+					cluster.awaitControls();
+				}
+				load.awaitAnswers(10);
+				told = load.stop();
+			}
+			assertThat(told.stream().filter((call) -> call.outcome() != Told.Outcome.ANSWERED).toList()).isEmpty();
+			assertThat(cluster.check(told).isSound()).isTrue();
+		}
+
+	}
+
 }
