--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -78,10 +78,7 @@
 			return;
 		}
 		for (Flight flight : List.copyOf(waiting.subList(0, Math.min(BEGUN_SCANNED, waiting.size())))) {
-			if (isLate(flight, now)) {
-				this.state.refuseLate(flight, now);
-			}
-			else if (flight.notBefore <= now) {
+			if (flight.notBefore <= now) {
 				EndpointView endpoint = (flight.apart) ? trialEndpoint(flight, now) : place(flight, now);
 				if (endpoint != null) {
 					dispatch(flight, endpoint, false, now);
@@ -113,7 +110,7 @@
 
 	// Return whether a request that never ran cannot meet its target any more.
 	boolean isLate(Flight flight, long now) {
-		return flight.line.behaviour.heedsTargets() && flight.delivered == 0 && !flight.apart
+		return flight.line.behaviour.heedsTargets() && flight.isUntouched()
 				&& now + flight.set.leastTime(flight, flight.line.tuning, this.state.entryCount, now) > flight.targetAt;
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
@@ -92,6 +92,20 @@
 			assertThat(driver.attemptOf(id).endpoint()).isNotEqualTo(first);
 		}
 
+		// An engine freezes and its silence is noticed only after the target has passed.
+		// The request is late by no fault of its caller: it goes on elsewhere and is not
+		// refused for the target.
+		@Test
+		void goesOnElsewhereThoughTheTargetHasPassed() {
+			Driver driver = new Driver("tiered", 3, 4);
+			long id = driver.arrive("broker");
+			driver.pass(5 * Driver.SECOND);
+			driver.end(driver.attemptOf(id), AttemptOutcome.SILENT);
+			driver.pass(Driver.SECOND / 2);
+			assertThat(driver.attemptsOf(id)).isEqualTo(2);
+			assertThat(driver.finished).isEmpty();
+		}
+
 		// A claim note was on its way when the connection broke, so that the endpoint
 		// may have run it. A second attempt could post it twice; the caller is told.
 		@Test
