--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -30,6 +30,10 @@
 
 	private static final int MAX_STALE = 3;
 
+	private static final long ASK_NANOS = 1_500_000_000L;
+
+	private static final long ASK_AGAIN_MILLIS = 300;
+
 	private final Exchange exchange;
 
 	private final EntryContext context;
@@ -82,7 +86,7 @@
 	void start() {
 		long from = this.exchange.sequence().passedOn();
 		if (from == 0) {
-			run(false);
+			run();
 		}
 		else if (this.exchange.canResume()) {
 			resume();
@@ -92,17 +96,22 @@
 		}
 	}
 
-	private void run(boolean fresh) {
+	private void run() {
 		if (!this.exchange.mayRun()) {
 			end(AttemptOutcome.REJECTED, ResultCode.RETRIES_EXHAUSTED);
 			return;
 		}
-		open(Map.of(), 0, fresh || this.exchange.plan().claim().isPresent());
+		// A plain service can't be asked about a request, so that a kept connection that
+		// went
+		// silent would hold a call until its deadline; a marked call may not risk one at
+		// all.
+		boolean own = !this.exchange.plan().isModel() || this.exchange.plan().claim().isPresent();
+		open(Map.of(), 0, own);
 	}
 
 	private void rerun() {
 		if (this.exchange.plan().endpointSet().deterministic()) {
-			run(false);
+			run();
 		}
 		else {
 			end(AttemptOutcome.REJECTED, ResultCode.ANSWER_TRUNCATED);
@@ -292,21 +301,34 @@
 			switch (reply.kind()) {
 				case DOWN -> end(AttemptOutcome.CRASHED, code);
 				case QUEUED, RUNNING, FINISHED, CANCELLED -> repair(AttemptOutcome.LOST, code);
-				case UNKNOWN -> lostOrCrashed(code);
+				case UNKNOWN -> forgotten(code);
+				case NO_ANSWER -> lostOrCrashed(code, System.nanoTime() + ASK_NANOS);
 				default -> end(AttemptOutcome.LOST, code);
 			}
 		});
 	}
 
-	// The engine does not know the request. Either it crashed and is back already, or the
-	// connection broke before the request was read. A crash must be told as one: else the
-	// content that caused it would go on to the next engine, and the next.
-	private void lostOrCrashed(ResultCode code) {
+	private void forgotten(ResultCode code) {
 		if (this.leg.tokens() > 0) {
 			end(AttemptOutcome.CRASHED, code);
-			return;
 		}
+		else {
+			lostOrCrashed(code, System.nanoTime() + ASK_NANOS);
+		}
+	}
+
+	// The engine does not know the request or does not answer. Either it crashed and is
+	// back already, or the
+	// connection broke before the request was read. A crash must be told as one: else the
+	// content that caused it would go on to the next engine, and the next. An engine that
+	// does not answer yet is asked again, as it may be on its way back.
+	private void lostOrCrashed(ResultCode code, long until) {
 		RunQuestion.started(this.context.client(), base()).whenCompleteAsync((started, failure) -> {
+			if (started.isEmpty() && this.startAtBegin.isPresent() && System.nanoTime() < until) {
+				this.exchange.executor()
+					.schedule(() -> lostOrCrashed(code, until), ASK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+				return;
+			}
 			boolean restarted = this.startAtBegin.isPresent() && !started.equals(this.startAtBegin);
 			end((restarted) ? AttemptOutcome.CRASHED : AttemptOutcome.LOST, code);
 		}, this.exchange.executor());
