--- a/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
@@ -31,30 +31,31 @@
 
 	/**
 	 * Return the refusal of a request that cannot be admitted.
-	 * @param flight the request, not yet in a line
+	 * @param pending the request, not yet in a line
 	 * @param line the line it would wait in
 	 * @param now the time
 	 * @return the reason and the time to come back, empty if it is admitted
 	 */
-	Optional<Refusal> check(Flight flight, WaitingLine line, long now) {
-		if (this.state.suspects.crashes(flight.info.contentHash(), now) >= SuspectTable.CONVICTION) {
+	Optional<Refusal> check(PendingRequest pending, WaitingLine line, long now) {
+		if (this.state.suspects.crashes(pending.info.contentHash(), now) >= SuspectTable.CONVICTION) {
 			return Refusal.of(ResultCode.CRASHING_CONTENT, 0);
 		}
-		if (flight.deadlineAt <= now) {
+		if (pending.deadlineAt <= now) {
 			return Refusal.of(ResultCode.DEADLINE_EXCEEDED, 0);
 		}
-		if (!flight.set.hasEndpointInService()) {
+		if (!pending.set.hasEndpointInService()) {
 			return Refusal.of(ResultCode.NO_ENDPOINT, NO_ENDPOINT_WAIT_NANOS);
 		}
 		if (line.behaviour.heedsTargets()) {
-			long wait = expectedWait(flight, line, now);
-			if (now + wait + flight.set.leastTime(flight, line.tuning, this.state.entryCount, now) > flight.targetAt) {
+			long wait = expectedWait(pending, line, now);
+			if (now + wait
+					+ pending.set.leastTime(pending, line.tuning, this.state.entryCount, now) > pending.targetAt) {
 				return Refusal.of(ResultCode.TARGET_UNREACHABLE, wait);
 			}
 		}
-		int free = line.tuning.maxQueued() - flight.set.waiting();
-		boolean full = free <= 0 && !shedLower(flight, line);
-		if (full || line.sizeOfFlow(flight) > Math.max(0, free)) {
+		int free = line.tuning.maxQueued() - pending.set.waiting();
+		boolean full = free <= 0 && !shedLower(pending, line);
+		if (full || line.sizeOfFlow(pending) > Math.max(0, free)) {
 			return Refusal.of(ResultCode.QUEUE_FULL, FULL_WAIT_NANOS);
 		}
 		return Optional.empty();
@@ -62,13 +63,13 @@
 
 	// Estimate the wait for an endpoint by Little's law: what waits before the request,
 	// times the mean time that one takes, over the requests that run side by side.
-	long expectedWait(Flight flight, WaitingLine line, long now) {
-		int ahead = line.aheadOf(flight);
+	long expectedWait(PendingRequest pending, WaitingLine line, long now) {
+		int ahead = line.aheadOf(pending);
 		if (ahead == 0) {
 			return 0;
 		}
-		double duration = flight.set.meanDuration(flight.info.requestClass());
-		int sideBySide = Math.max(1, Math.max(flight.set.running, ownPart(flight.set)));
+		double duration = pending.set.meanDuration(pending.info.requestClass());
+		int sideBySide = Math.max(1, Math.max(pending.set.running, ownPart(pending.set)));
 		return (long) (ahead * duration / sideBySide);
 	}
 
@@ -80,13 +81,13 @@
 		return slots / this.state.entryCount;
 	}
 
-	private boolean shedLower(Flight flight, WaitingLine line) {
+	private boolean shedLower(PendingRequest pending, WaitingLine line) {
 		if (!line.behaviour.heedsTargets()) {
 			return false;
 		}
-		Tier tier = flight.requestClass.tier();
-		Flight[] victim = new Flight[1];
-		flight.set.lines.values().forEach((other) -> other.forEach((candidate) -> {
+		Tier tier = pending.requestClass.tier();
+		PendingRequest[] victim = new PendingRequest[1];
+		pending.set.lines.values().forEach((other) -> other.forEach((candidate) -> {
 			if (tier.outranks(candidate.requestClass.tier()) && goesBefore(candidate, victim[0])) {
 				victim[0] = candidate;
 			}
@@ -99,7 +100,7 @@
 	}
 
 	// The lowest tier is shed first, and of it the one that has waited least.
-	private static boolean goesBefore(Flight candidate, Flight other) {
+	private static boolean goesBefore(PendingRequest candidate, PendingRequest other) {
 		if (other == null || other.requestClass.tier().outranks(candidate.requestClass.tier())) {
 			return true;
 		}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Chooser.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Chooser.java
@@ -24,28 +24,28 @@
 
 	/**
 	 * Find an endpoint for a request.
-	 * @param flight the request
+	 * @param pending the request
 	 * @param beyondSlots how many requests beyond its slots an endpoint may hold
 	 * @param now the time
 	 * @return the endpoint, or null if none has room
 	 */
-	EndpointView choose(Flight flight, int beyondSlots, long now) {
+	EndpointView choose(PendingRequest pending, int beyondSlots, long now) {
 		int count = 0;
-		for (EndpointView endpoint : flight.set.endpoints) {
-			if (permits(endpoint, flight, now) && hasRoom(endpoint, flight, beyondSlots, now)) {
+		for (EndpointView endpoint : pending.set.endpoints) {
+			if (permits(endpoint, pending, now) && hasRoom(endpoint, pending, beyondSlots, now)) {
 				count = note(endpoint, count);
 			}
 		}
-		return cheapest(flight, count, now);
+		return cheapest(pending, count, now);
 	}
 
 	// Return whether an endpoint may serve a request, load aside.
-	boolean permits(EndpointView endpoint, Flight flight, long now) {
-		return endpoint.acceptsWork(now) && !endpoint.quarantined && !flight.tried.contains(endpoint);
+	boolean permits(EndpointView endpoint, PendingRequest pending, long now) {
+		return endpoint.acceptsWork(now) && !endpoint.quarantined && !pending.tried.contains(endpoint);
 	}
 
-	private boolean hasRoom(EndpointView endpoint, Flight flight, int beyondSlots, long now) {
-		WaitingLine line = flight.line;
+	private boolean hasRoom(EndpointView endpoint, PendingRequest pending, int beyondSlots, long now) {
+		WaitingLine line = pending.line;
 		if (line.tuning.credits() > 0) {
 			int part = (int) Math.ceil(line.tuning.credits() * endpoint.endpoint.slots() / this.state.entryCount);
 			return endpoint.runs.size() < part + beyondSlots;
@@ -59,14 +59,14 @@
 
 	// Return the victim's endpoint that is cheapest for a request, of those that hold
 	// one.
-	EndpointView chooseAmong(Flight flight, Predicate<EndpointView> holdsVictim, long now) {
+	EndpointView chooseAmong(PendingRequest pending, Predicate<EndpointView> holdsVictim, long now) {
 		int count = 0;
-		for (EndpointView endpoint : flight.set.endpoints) {
-			if (permits(endpoint, flight, now) && endpoint.slowness <= 1 && holdsVictim.test(endpoint)) {
+		for (EndpointView endpoint : pending.set.endpoints) {
+			if (permits(endpoint, pending, now) && endpoint.slowness <= 1 && holdsVictim.test(endpoint)) {
 				count = note(endpoint, count);
 			}
 		}
-		return cheapest(flight, count, now);
+		return cheapest(pending, count, now);
 	}
 
 	private int note(EndpointView endpoint, int count) {
@@ -77,8 +77,8 @@
 		return count + 1;
 	}
 
-	private EndpointView cheapest(Flight flight, int count, long now) {
-		WaitingLine line = flight.line;
+	private EndpointView cheapest(PendingRequest pending, int count, long now) {
+		WaitingLine line = pending.line;
 		int compared = Math.min(count, line.behaviour.choices(line.tuning));
 		EndpointView best = null;
 		double lowest = Double.MAX_VALUE;
@@ -87,7 +87,7 @@
 				swap(i, i + this.state.random.nextInt(count - i));
 			}
 			EndpointView endpoint = this.scratch[i];
-			double cost = line.behaviour.cost(endpoint, flight, line.tuning, this.state.entryCount, now);
+			double cost = line.behaviour.cost(endpoint, pending, line.tuning, this.state.entryCount, now);
 			if (cost < lowest) {
 				lowest = cost;
 				best = endpoint;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
@@ -19,8 +19,8 @@
  * What the parts of a dispatcher share: requests, runs, endpoints and the manifest in
  * force.
  * <p>
- * Invariants: a flight is known by its request number exactly until its final answer;
- * each known flight is in {@link #due}.
+ * Invariants: a request is known by its request number exactly until its final answer;
+ * each known request is in {@link #due}.
  * <p>
  * Not thread safe: owned by one dispatcher.
  */
@@ -42,10 +42,11 @@
 
 	final RunTable runs = new RunTable();
 
-	final Map<Long, Flight> flights = new HashMap<>();
+	final Map<Long, PendingRequest> requests = new HashMap<>();
 
-	final TreeSet<Flight> due = new TreeSet<>(
-			Comparator.comparingLong((Flight flight) -> flight.dueAt).thenComparingLong((flight) -> flight.info.id()));
+	final TreeSet<PendingRequest> due = new TreeSet<>(
+			Comparator.comparingLong((PendingRequest pending) -> pending.dueAt)
+				.thenComparingLong((pending) -> pending.info.id()));
 
 	final Map<String, ServingSet> sets = new TreeMap<>();
 
@@ -82,50 +83,50 @@
 		return 0.5 + this.random.nextDouble();
 	}
 
-	void reschedule(Flight flight, long dueAt) {
-		this.due.remove(flight);
-		flight.dueAt = dueAt;
-		this.due.add(flight);
+	void reschedule(PendingRequest pending, long dueAt) {
+		this.due.remove(pending);
+		pending.dueAt = dueAt;
+		this.due.add(pending);
 	}
 
-	// Forget a flight that has its final answer.
-	void close(Flight flight) {
-		flight.state = Flight.State.DONE;
-		this.flights.remove(flight.info.id());
-		this.due.remove(flight);
-		flight.limit.release();
+	// Forget a request that has its final answer.
+	void close(PendingRequest pending) {
+		pending.state = PendingRequest.State.DONE;
+		this.requests.remove(pending.info.id());
+		this.due.remove(pending);
+		pending.limit.release();
 	}
 
-	// Give a flight its final answer, wherever it is.
-	void finish(Flight flight, ResultCode code, long waitNanos) {
-		if (flight.isDone()) {
+	// Give a request its final answer, wherever it is.
+	void finish(PendingRequest pending, ResultCode code, long waitNanos) {
+		if (pending.isDone()) {
 			return;
 		}
-		if (flight.state == Flight.State.WAITING) {
-			flight.line.remove(flight);
+		if (pending.state == PendingRequest.State.WAITING) {
+			pending.line.remove(pending);
 		}
-		abandonRun(flight);
-		close(flight);
-		this.actions.finish(flight.info.id(), code, retryAfter(code, waitNanos));
+		abandonRun(pending);
+		close(pending);
+		this.actions.finish(pending.info.id(), code, retryAfter(code, waitNanos));
 	}
 
 	// Refuse a request whose target is out of reach.
-	void refuseLate(Flight flight, long now) {
-		holdPlace(flight, flight.line, now);
-		finish(flight, ResultCode.TARGET_UNREACHABLE, flight.targetAt - flight.arrivedAt);
+	void refuseLate(PendingRequest pending, long now) {
+		holdPlace(pending, pending.line, now);
+		finish(pending, ResultCode.TARGET_UNREACHABLE, pending.targetAt - pending.arrivedAt);
 	}
 
 	// Keep the place of a refused request from lower ones.
-	void holdPlace(Flight flight, WaitingLine line, long now) {
-		int lane = line.behaviour.lane(flight.requestClass.tier());
-		flight.set.hold(lane, Math.min(flight.targetAt, now + LONGEST_HOLD_NANOS));
+	void holdPlace(PendingRequest pending, WaitingLine line, long now) {
+		int lane = line.behaviour.lane(pending.requestClass.tier());
+		pending.set.hold(lane, Math.min(pending.targetAt, now + LONGEST_HOLD_NANOS));
 	}
 
-	// Cancel the run of a flight that needs no answer of it any more.
-	void abandonRun(Flight flight) {
-		if (flight.run != null && !flight.run.cancelled) {
-			flight.run.cancelled = true;
-			this.actions.cancel(flight.run.id);
+	// Cancel the run of a request that needs no answer of it any more.
+	void abandonRun(PendingRequest pending) {
+		if (pending.run != null && !pending.run.cancelled) {
+			pending.run.cancelled = true;
+			this.actions.cancel(pending.run.id);
 		}
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
@@ -136,7 +136,7 @@
 		this.runs.add(run);
 		this.estimate++;
 		this.tickets--;
-		this.pendingPrompt += run.flight.info.promptTokens();
+		this.pendingPrompt += run.pending.info.promptTokens();
 		this.lastUse = run.id;
 		this.retries.earn();
 	}
@@ -150,7 +150,7 @@
 		this.runs.remove(run);
 		this.estimate--;
 		this.tickets++;
-		this.pendingPrompt -= (run.tokens == 0) ? run.flight.info.promptTokens() : 0;
+		this.pendingPrompt -= (run.tokens == 0) ? run.pending.info.promptTokens() : 0;
 		this.endedSentAt[this.endedNext] = run.sentAt;
 		this.endedAt[this.endedNext] = now;
 		this.endedNext = (this.endedNext + 1) % ENDED_KEPT;
@@ -184,7 +184,7 @@
 	}
 
 	void firstToken(Run run) {
-		this.pendingPrompt -= run.flight.info.promptTokens();
+		this.pendingPrompt -= run.pending.info.promptTokens();
 	}
 
 	int pendingPrompt() {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Flight.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PendingRequest.java
@@ -15,7 +15,7 @@
  * <p>
  * Not thread safe: owned by one dispatcher.
  */
-final class Flight {
+final class PendingRequest {
 
 	final RequestInfo info;
 
@@ -47,7 +47,7 @@
 
 	int delivered;
 
-	/** When this flight has to be looked at again: it is late or out of time. */
+	/** When this request has to be looked at again: it is late or out of time. */
 	long dueAt;
 
 	/** A retry waits until then. */
@@ -62,7 +62,8 @@
 	/** How many endpoints crashed while they ran it. */
 	int crashes;
 
-	Flight(RequestInfo info, RequestClass requestClass, ServingSet set, CustomerLimit limit, int weight, long now) {
+	PendingRequest(RequestInfo info, RequestClass requestClass, ServingSet set, CustomerLimit limit, int weight,
+			long now) {
 		this.info = info;
 		this.requestClass = requestClass;
 		this.set = set;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyBehaviour.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyBehaviour.java
@@ -15,7 +15,7 @@
 	FIFO {
 
 		@Override
-		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+		double cost(EndpointView endpoint, PendingRequest pending, Tuning tuning, int entryCount, long now) {
 			return endpoint.lastUse();
 		}
 
@@ -25,7 +25,7 @@
 	LEAST_IN_FLIGHT {
 
 		@Override
-		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+		double cost(EndpointView endpoint, PendingRequest pending, Tuning tuning, int entryCount, long now) {
 			return endpoint.runs.size();
 		}
 
@@ -40,13 +40,13 @@
 		}
 
 		@Override
-		String flow(Flight flight) {
-			return flight.flow;
+		String flow(PendingRequest pending) {
+			return pending.flow;
 		}
 
 		@Override
-		int enginePriority(Flight flight, boolean guaranteed) {
-			return (guaranteed) ? Tier.HIGH.enginePriority() : flight.requestClass.tier().enginePriority();
+		int enginePriority(PendingRequest pending, boolean guaranteed) {
+			return (guaranteed) ? Tier.HIGH.enginePriority() : pending.requestClass.tier().enginePriority();
 		}
 
 		@Override
@@ -60,10 +60,10 @@
 		}
 
 		@Override
-		double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now) {
+		double cost(EndpointView endpoint, PendingRequest pending, Tuning tuning, int entryCount, long now) {
 			double load = load(endpoint, tuning, entryCount, now) + 1.0;
 			load += endpoint.pendingPrompt() / PROMPT_TOKENS_PER_SLOT;
-			double bonus = endpoint.holdsPrefix(flight.info.prefixHash()) ? tuning.prefixBonus() : 0;
+			double bonus = endpoint.holdsPrefix(pending.info.prefixHash()) ? tuning.prefixBonus() : 0;
 			return (load - bonus) * endpoint.slowness / endpoint.endpoint.slots();
 		}
 
@@ -95,11 +95,11 @@
 	}
 
 	// Return the flow within the lane; flows share the lane fairly.
-	String flow(Flight flight) {
+	String flow(PendingRequest pending) {
 		return "";
 	}
 
-	int enginePriority(Flight flight, boolean guaranteed) {
+	int enginePriority(PendingRequest pending, boolean guaranteed) {
 		return Tier.MIDDLE.enginePriority();
 	}
 
@@ -113,7 +113,7 @@
 	}
 
 	// Return how bad an endpoint with room is for a request; the lowest one is taken.
-	abstract double cost(EndpointView endpoint, Flight flight, Tuning tuning, int entryCount, long now);
+	abstract double cost(EndpointView endpoint, PendingRequest pending, Tuning tuning, int entryCount, long now);
 
 	// Return how many endpoints with room are compared.
 	int choices(Tuning tuning) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -109,17 +109,17 @@
 
 	// Make the lines anew and move all that waits, in order of arrival.
 	private void configureLines(ServingSet set, Manifest manifest) {
-		List<Flight> waiting = new ArrayList<>();
+		List<PendingRequest> waiting = new ArrayList<>();
 		set.lines.values().forEach((line) -> line.forEach(waiting::add));
 		set.lines.clear();
 		set.lines.put(manifest.policyInForce().policy(), line(manifest, manifest.policyInForce().policy()));
 		manifest.policyInForce().split().ifPresent((name) -> set.lines.put(name, line(manifest, name)));
 		waiting.sort((a, b) -> Long.compare(a.info.id(), b.info.id()));
-		waiting.forEach((flight) -> lineOf(flight).add(flight));
-		this.state.flights.values()
+		waiting.forEach((pending) -> lineOf(pending).add(pending));
+		this.state.requests.values()
 			.stream()
-			.filter((flight) -> flight.set == set && flight.run != null)
-			.forEach((flight) -> flight.line = lineOf(flight));
+			.filter((pending) -> pending.set == set && pending.run != null)
+			.forEach((pending) -> pending.line = lineOf(pending));
 	}
 
 	private static WaitingLine line(Manifest manifest, String name) {
@@ -127,9 +127,9 @@
 		return new WaitingLine(name, PolicyBehaviour.of(policy.kind()), Tuning.of(policy));
 	}
 
-	private WaitingLine lineOf(Flight flight) {
-		String policy = this.state.manifest.policyInForce().choose(flight.info.contentHash());
-		return flight.set.lines.get(policy);
+	private WaitingLine lineOf(PendingRequest pending) {
+		String policy = this.state.manifest.policyInForce().choose(pending.info.contentHash());
+		return pending.set.lines.get(policy);
 	}
 
 	@Override
@@ -173,23 +173,23 @@
 		Manifest manifest = this.state.manifest;
 		RequestClass requestClass = manifest.classes().get(request.requestClass());
 		int weight = manifest.customers().get(request.customer()).weight();
-		Flight flight = new Flight(request, requestClass, this.state.sets.get(request.endpointSet()), limit, weight,
-				now);
-		WaitingLine line = lineOf(flight);
-		Optional<Admission.Refusal> refused = this.admission.check(flight, line, now);
+		PendingRequest pending = new PendingRequest(request, requestClass, this.state.sets.get(request.endpointSet()),
+				limit, weight, now);
+		WaitingLine line = lineOf(pending);
+		Optional<Admission.Refusal> refused = this.admission.check(pending, line, now);
 		if (refused.isPresent()) {
 			limit.release();
-			noteRefusal(flight, line, refused.get().code(), now);
+			noteRefusal(pending, line, refused.get().code(), now);
 			refuse(request, refused.get().code(), refused.get().waitNanos());
 			return;
 		}
-		admit(flight, line, now);
+		admit(pending, line, now);
 	}
 
-	private void noteRefusal(Flight flight, WaitingLine line, ResultCode code, long now) {
+	private void noteRefusal(PendingRequest pending, WaitingLine line, ResultCode code, long now) {
 		boolean forCapacity = code == ResultCode.TARGET_UNREACHABLE || code == ResultCode.QUEUE_FULL;
 		if (forCapacity && line.behaviour.heedsTargets()) {
-			this.state.holdPlace(flight, line, now);
+			this.state.holdPlace(pending, line, now);
 		}
 	}
 
@@ -217,25 +217,25 @@
 		this.state.actions.finish(request.id(), code, this.state.retryAfter(code, waitNanos));
 	}
 
-	private void admit(Flight flight, WaitingLine line, long now) {
-		long content = flight.info.contentHash();
+	private void admit(PendingRequest pending, WaitingLine line, long now) {
+		long content = pending.info.contentHash();
 		if (this.state.suspects.crashes(content, now) > 0) {
-			flight.apart = true;
-			flight.notBefore = this.state.suspects.trialFrom(content, SUSPECT_HOLD_NANOS, now);
+			pending.apart = true;
+			pending.notBefore = this.state.suspects.trialFrom(content, SUSPECT_HOLD_NANOS, now);
 		}
-		this.state.flights.put(flight.info.id(), flight);
-		this.state.retries(flight.info.requestClass()).earn();
-		line.add(flight);
-		this.state.reschedule(flight, lateAt(flight));
-		pump(flight.set, now);
+		this.state.requests.put(pending.info.id(), pending);
+		this.state.retries(pending.info.requestClass()).earn();
+		line.add(pending);
+		this.state.reschedule(pending, lateAt(pending));
+		pump(pending.set, now);
 	}
 
 	@Override
 	public void callerGone(long requestId, long now) {
-		Flight flight = this.state.flights.get(requestId);
-		if (flight != null) {
-			this.state.finish(flight, ResultCode.CALLER_GONE, 0);
-			pump(flight.set, now);
+		PendingRequest pending = this.state.requests.get(requestId);
+		if (pending != null) {
+			this.state.finish(pending, ResultCode.CALLER_GONE, 0);
+			pump(pending.set, now);
 		}
 	}
 
@@ -245,28 +245,28 @@
 		if (run == null || count <= 0) {
 			return;
 		}
-		Flight flight = run.flight;
+		PendingRequest pending = run.pending;
 		if (run.tokens == 0) {
 			run.endpoint.firstToken(run);
 			noteBeyond(run, now);
-			flight.set.learnFirstToken(flight, now - run.sentAt);
+			pending.set.learnFirstToken(pending, now - run.sentAt);
 		}
 		else {
 			run.endpoint.tokenGap.learn((now - run.lastTokenAt) / (double) count);
 		}
 		run.lastTokenAt = now;
 		run.tokens += count;
-		if (flight.run == run) {
-			flight.delivered += count;
+		if (pending.run == run) {
+			pending.delivered += count;
 		}
 		this.recovery.survived(run, now);
-		flight.set.bookTokens(flight.requestClass.tier() == Tier.LOW, count, flight.line.tuning.lowestShare());
+		pending.set.bookTokens(pending.requestClass.tier() == Tier.LOW, count, pending.line.tuning.lowestShare());
 	}
 
 	private static void noteBeyond(Run run, long now) {
 		if (run.beyond) {
-			Flight flight = run.flight;
-			flight.set.beyond.started(now - run.sentAt, flight.targetAt - flight.arrivedAt, now);
+			PendingRequest pending = run.pending;
+			pending.set.beyond.started(now - run.sentAt, pending.targetAt - pending.arrivedAt, now);
 		}
 	}
 
@@ -276,7 +276,7 @@
 		if (run == null) {
 			return;
 		}
-		ServingSet set = run.flight.set;
+		ServingSet set = run.pending.set;
 		this.state.runs.remove(run);
 		if (run.tokens == 0) {
 			noteBeyond(run, now);
@@ -294,25 +294,25 @@
 		if (crashes > 0) {
 			this.recovery.cancelTwins(contentHash, now);
 		}
-		for (Flight flight : List.copyOf(this.state.flights.values())) {
-			if (flight.info.contentHash() == contentHash && flight.state == Flight.State.WAITING) {
-				reconsider(flight, crashes, now);
+		for (PendingRequest pending : List.copyOf(this.state.requests.values())) {
+			if (pending.info.contentHash() == contentHash && pending.state == PendingRequest.State.WAITING) {
+				reconsider(pending, crashes, now);
 			}
 		}
 		pumpAll(now);
 	}
 
 	// Apply news of a suspicion to a request that waits.
-	private void reconsider(Flight flight, int crashes, long now) {
+	private void reconsider(PendingRequest pending, int crashes, long now) {
 		if (crashes >= SuspectTable.CONVICTION) {
-			this.state.finish(flight, ResultCode.CRASHING_CONTENT, 0);
+			this.state.finish(pending, ResultCode.CRASHING_CONTENT, 0);
 			return;
 		}
-		flight.line.remove(flight);
-		flight.apart = crashes > 0;
-		flight.notBefore = (flight.apart)
-				? this.state.suspects.trialFrom(flight.info.contentHash(), SUSPECT_HOLD_NANOS, now) : 0;
-		flight.line.add(flight);
+		pending.line.remove(pending);
+		pending.apart = crashes > 0;
+		pending.notBefore = (pending.apart)
+				? this.state.suspects.trialFrom(pending.info.contentHash(), SUSPECT_HOLD_NANOS, now) : 0;
+		pending.line.add(pending);
 	}
 
 	@Override
@@ -325,7 +325,7 @@
 	 * @return the number of requests that wait or run
 	 */
 	public int openRequests() {
-		return this.state.flights.size();
+		return this.state.requests.size();
 	}
 
 	@Override
@@ -351,30 +351,30 @@
 		}
 	}
 
-	private void expire(Flight flight, long now) {
-		if (now >= flight.deadlineAt) {
-			this.state.finish(flight, ResultCode.DEADLINE_EXCEEDED, 0);
+	private void expire(PendingRequest pending, long now) {
+		if (now >= pending.deadlineAt) {
+			this.state.finish(pending, ResultCode.DEADLINE_EXCEEDED, 0);
 		}
-		else if (flight.state == Flight.State.WAITING && this.pump.isLate(flight, now)) {
-			this.state.refuseLate(flight, now);
+		else if (pending.state == PendingRequest.State.WAITING && this.pump.isLate(pending, now)) {
+			this.state.refuseLate(pending, now);
 		}
 		else {
 			// Its time may be past while an endpoint is idle: without the pause it would
 			// be
 			// looked at each nanosecond, and the VM would do nothing else.
-			long next = Math.max(now + WAKE_NANOS, lateAt(flight));
-			this.state.reschedule(flight, Math.min(next, flight.deadlineAt));
+			long next = Math.max(now + WAKE_NANOS, lateAt(pending));
+			this.state.reschedule(pending, Math.min(next, pending.deadlineAt));
 		}
 	}
 
 	// Return when a waiting request cannot meet its target any more. What was learnt may
 	// have moved that time, so that it is worked out anew each time it is reached.
-	private static long lateAt(Flight flight) {
-		boolean waits = flight.state == Flight.State.WAITING && flight.isUntouched() && !flight.apart;
-		if (!waits || !flight.line.behaviour.heedsTargets()) {
-			return flight.deadlineAt;
+	private static long lateAt(PendingRequest pending) {
+		boolean waits = pending.state == PendingRequest.State.WAITING && pending.isUntouched() && !pending.apart;
+		if (!waits || !pending.line.behaviour.heedsTargets()) {
+			return pending.deadlineAt;
 		}
-		return Math.min(flight.targetAt - flight.set.leastTime(flight) + 1, flight.deadlineAt);
+		return Math.min(pending.targetAt - pending.set.leastTime(pending) + 1, pending.deadlineAt);
 	}
 
 	private void pumpAll(long now) {
@@ -388,7 +388,7 @@
 	}
 
 	private void scheduleWake(long now) {
-		if (this.state.flights.isEmpty()) {
+		if (this.state.requests.isEmpty()) {
 			return;
 		}
 		long next = Math.max(now + 1, Math.min(this.state.due.first().dueAt, now + WAKE_NANOS));
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -61,7 +61,7 @@
 		if (!line.behaviour.heedsTargets()) {
 			return;
 		}
-		Optional<Flight> low = line.nextBegunFirst(Tier.LOW.ordinal(), now);
+		Optional<PendingRequest> low = line.nextBegunFirst(Tier.LOW.ordinal(), now);
 		while (low.isPresent() && set.owesLowTier(line.tuning.lowestShare())) {
 			EndpointView endpoint = this.chooser.choose(low.get(), line.tuning.overcommit(), now);
 			if (endpoint == null) {
@@ -73,17 +73,17 @@
 	}
 
 	private void serveBegun(WaitingLine line, int lane, long now) {
-		List<Flight> waiting = line.begun(lane);
+		List<PendingRequest> waiting = line.begun(lane);
 		if (waiting.isEmpty()) {
 			return;
 		}
-		for (Flight flight : List.copyOf(waiting.subList(0, Math.min(BEGUN_SCANNED, waiting.size())))) {
-			if (flight.notBefore <= now) {
-				EndpointView endpoint = (flight.apart) ? trialEndpoint(flight, now) : place(flight, now);
+		for (PendingRequest pending : List.copyOf(waiting.subList(0, Math.min(BEGUN_SCANNED, waiting.size())))) {
+			if (pending.notBefore <= now) {
+				EndpointView endpoint = (pending.apart) ? trialEndpoint(pending, now) : place(pending, now);
 				if (endpoint != null) {
-					dispatch(flight, endpoint, false, now);
+					dispatch(pending, endpoint, false, now);
 				}
-				else if (!flight.isPicky()) {
+				else if (!pending.isPicky()) {
 					return;
 				}
 			}
@@ -91,39 +91,39 @@
 	}
 
 	private void serveLane(WaitingLine line, int lane, long now) {
-		Optional<Flight> next = line.next(lane, now);
+		Optional<PendingRequest> next = line.next(lane, now);
 		while (next.isPresent()) {
-			Flight flight = next.get();
-			if (isLate(flight, now)) {
-				this.state.refuseLate(flight, now);
+			PendingRequest pending = next.get();
+			if (isLate(pending, now)) {
+				this.state.refuseLate(pending, now);
 			}
 			else {
-				EndpointView endpoint = place(flight, now);
+				EndpointView endpoint = place(pending, now);
 				if (endpoint == null) {
 					return;
 				}
-				dispatch(flight, endpoint, false, now);
+				dispatch(pending, endpoint, false, now);
 			}
 			next = line.next(lane, now);
 		}
 	}
 
 	// Return whether a request that never ran cannot meet its target any more.
-	boolean isLate(Flight flight, long now) {
-		return flight.line.behaviour.heedsTargets() && flight.isUntouched()
-				&& now + flight.set.leastTime(flight, flight.line.tuning, this.state.entryCount, now) > flight.targetAt;
+	boolean isLate(PendingRequest pending, long now) {
+		return pending.line.behaviour.heedsTargets() && pending.isUntouched() && now
+				+ pending.set.leastTime(pending, pending.line.tuning, this.state.entryCount, now) > pending.targetAt;
 	}
 
-	private EndpointView place(Flight flight, long now) {
-		EndpointView endpoint = this.chooser.choose(flight, 0, now);
-		if (endpoint != null || !flight.line.behaviour.heedsTargets()) {
+	private EndpointView place(PendingRequest pending, long now) {
+		EndpointView endpoint = this.chooser.choose(pending, 0, now);
+		if (endpoint != null || !pending.line.behaviour.heedsTargets()) {
 			return endpoint;
 		}
-		if (mayPreempt(flight, now)) {
-			endpoint = preempt(flight, now);
+		if (mayPreempt(pending, now)) {
+			endpoint = preempt(pending, now);
 		}
-		if (endpoint == null && flight.requestClass.tier() == Tier.HIGH && maySendBeyond(flight, now)) {
-			endpoint = this.chooser.choose(flight, flight.line.tuning.overcommit(), now);
+		if (endpoint == null && pending.requestClass.tier() == Tier.HIGH && maySendBeyond(pending, now)) {
+			endpoint = this.chooser.choose(pending, pending.line.tuning.overcommit(), now);
 		}
 		return endpoint;
 	}
@@ -131,43 +131,43 @@
 	// A request that has waited long has no time left to wait inside an engine, if that
 	// is
 	// full of high work.
-	private boolean maySendBeyond(Flight flight, long now) {
-		double waited = now - flight.arrivedAt;
-		return waited <= BEYOND_WAITED * (flight.targetAt - flight.arrivedAt)
-				&& flight.set.beyond.permits(flight.set.lowerSlots() / this.state.entryCount, now);
+	private boolean maySendBeyond(PendingRequest pending, long now) {
+		double waited = now - pending.arrivedAt;
+		return waited <= BEYOND_WAITED * (pending.targetAt - pending.arrivedAt)
+				&& pending.set.beyond.permits(pending.set.lowerSlots() / this.state.entryCount, now);
 	}
 
-	private boolean mayPreempt(Flight flight, long now) {
-		Tier tier = flight.requestClass.tier();
+	private boolean mayPreempt(PendingRequest pending, long now) {
+		Tier tier = pending.requestClass.tier();
 		if (tier == Tier.HIGH) {
 			return true;
 		}
-		double waited = now - flight.arrivedAt;
+		double waited = now - pending.arrivedAt;
 		return tier == Tier.MIDDLE
-				&& waited >= flight.line.tuning.preemptAfter() * (flight.targetAt - flight.arrivedAt);
+				&& waited >= pending.line.tuning.preemptAfter() * (pending.targetAt - pending.arrivedAt);
 	}
 
 	// Set a lower run of this VM aside and return its endpoint. The lowest tier goes
 	// first, and of it the run with the fewest tokens, which has the least to lose.
-	private EndpointView preempt(Flight flight, long now) {
-		EndpointView endpoint = this.chooser.chooseAmong(flight, (held) -> victimAt(held, flight) != null, now);
+	private EndpointView preempt(PendingRequest pending, long now) {
+		EndpointView endpoint = this.chooser.chooseAmong(pending, (held) -> victimAt(held, pending) != null, now);
 		if (endpoint != null) {
-			this.state.abandonRun(victimAt(endpoint, flight).flight);
+			this.state.abandonRun(victimAt(endpoint, pending).pending);
 		}
 		return endpoint;
 	}
 
-	private Run victimAt(EndpointView endpoint, Flight flight) {
+	private Run victimAt(EndpointView endpoint, PendingRequest pending) {
 		Run victim = null;
 		for (Run run : endpoint.runs) {
-			victim = (isVictim(run, flight) && isCheaper(run, victim)) ? run : victim;
+			victim = (isVictim(run, pending) && isCheaper(run, victim)) ? run : victim;
 		}
 		return victim;
 	}
 
-	private boolean isVictim(Run run, Flight flight) {
-		Flight other = run.flight;
-		boolean lower = flight.requestClass.tier().outranks(other.requestClass.tier());
+	private boolean isVictim(Run run, PendingRequest pending) {
+		PendingRequest other = run.pending;
+		boolean lower = pending.requestClass.tier().outranks(other.requestClass.tier());
 		return lower && other.requestClass.preemptible() && !other.info.notRepeated() && !run.guaranteed && !run.apart
 				&& !run.cancelled && !other.isDone() && (other.set.canContinue() || other.delivered == 0);
 	}
@@ -176,29 +176,29 @@
 		if (best == null) {
 			return true;
 		}
-		Tier tier = run.flight.requestClass.tier();
-		Tier bestTier = best.flight.requestClass.tier();
-		return bestTier.outranks(tier) || (tier == bestTier && run.flight.delivered < best.flight.delivered);
+		Tier tier = run.pending.requestClass.tier();
+		Tier bestTier = best.pending.requestClass.tier();
+		return bestTier.outranks(tier) || (tier == bestTier && run.pending.delivered < best.pending.delivered);
 	}
 
 	// Return an endpoint for a suspect: one of those set aside, when nothing else runs
 	// there, one suspect at a time. After a while it runs even beside requests of other
 	// VMs, which are then retried if it does crash the endpoint.
-	private EndpointView trialEndpoint(Flight flight, long now) {
-		ServingSet set = flight.set;
+	private EndpointView trialEndpoint(PendingRequest pending, long now) {
+		ServingSet set = pending.set;
 		List<EndpointView> aside = set.aside();
-		long content = flight.info.contentHash();
+		long content = pending.info.contentHash();
 		if (aside.isEmpty() || this.state.suspects.rank(content, aside.size(), now) > 0) {
 			return null;
 		}
 		EndpointView endpoint = aside.get(Math.floorMod(content, aside.size()));
-		if (flight.tried.contains(endpoint)) {
-			return emptyElsewhere(flight, now);
+		if (pending.tried.contains(endpoint)) {
+			return emptyElsewhere(pending, now);
 		}
 		if (!endpoint.acceptsWork(now) || !endpoint.runs.isEmpty()) {
 			return null;
 		}
-		int load = endpoint.occupancy(flight.line.tuning, this.state.entryCount, now);
+		int load = endpoint.occupancy(pending.line.tuning, this.state.entryCount, now);
 		boolean waitedEnough = now - set.asideSince() > TRIAL_DRAIN_NANOS;
 		return (load <= 0 || waitedEnough) ? endpoint : null;
 	}
@@ -216,17 +216,18 @@
 		for (EndpointView endpoint : set.endpoints) {
 			for (Run run : endpoint.runs) {
 				boolean stalled = now - run.lastTokenAt > STALL_NANOS;
-				if (stalled && run.flight.requestClass.preemptible() && !run.flight.info.notRepeated() && !run.apart) {
-					this.state.abandonRun(run.flight);
+				if (stalled && run.pending.requestClass.preemptible() && !run.pending.info.notRepeated()
+						&& !run.apart) {
+					this.state.abandonRun(run.pending);
 				}
 			}
 		}
 	}
 
 	// The endpoint that is set aside may be the one that has crashed and is back already.
-	private static EndpointView emptyElsewhere(Flight flight, long now) {
-		for (EndpointView endpoint : flight.set.endpoints) {
-			if (endpoint.acceptsWork(now) && endpoint.runs.isEmpty() && !flight.tried.contains(endpoint)) {
+	private static EndpointView emptyElsewhere(PendingRequest pending, long now) {
+		for (EndpointView endpoint : pending.set.endpoints) {
+			if (endpoint.acceptsWork(now) && endpoint.runs.isEmpty() && !pending.tried.contains(endpoint)) {
 				return endpoint;
 			}
 		}
@@ -235,7 +236,7 @@
 
 	private void clear(EndpointView endpoint) {
 		for (Run run : endpoint.runs) {
-			Flight other = run.flight;
+			PendingRequest other = run.pending;
 			if (!run.apart && !run.cancelled && other.requestClass.preemptible() && !other.info.notRepeated()
 					&& other.set.canContinue()) {
 				this.state.abandonRun(other);
@@ -243,28 +244,28 @@
 		}
 	}
 
-	private void dispatch(Flight flight, EndpointView endpoint, boolean guaranteed, long now) {
-		ServingSet set = flight.set;
-		WaitingLine line = flight.line;
-		line.serve(flight, (flight.isUntouched()) ? set.expectedTokens(flight) : 0);
-		boolean beyond = line.behaviour.heedsTargets() && flight.requestClass.tier() == Tier.HIGH
+	private void dispatch(PendingRequest pending, EndpointView endpoint, boolean guaranteed, long now) {
+		ServingSet set = pending.set;
+		WaitingLine line = pending.line;
+		line.serve(pending, (pending.isUntouched()) ? set.expectedTokens(pending) : 0);
+		boolean beyond = line.behaviour.heedsTargets() && pending.requestClass.tier() == Tier.HIGH
 				&& endpoint.occupancy(line.tuning, this.state.entryCount, now) >= endpoint.usableSlots();
-		Run run = new Run(this.state.runs.nextId(), flight, endpoint, now, guaranteed, beyond);
+		Run run = new Run(this.state.runs.nextId(), pending, endpoint, now, guaranteed, beyond);
 		if (beyond) {
 			set.beyond.sent(now);
 		}
 		this.state.runs.add(run);
-		flight.run = run;
-		flight.state = Flight.State.RUNNING;
-		flight.attempts++;
-		flight.notBefore = 0;
+		pending.run = run;
+		pending.state = PendingRequest.State.RUNNING;
+		pending.attempts++;
+		pending.notBefore = 0;
 		endpoint.started(run);
 		set.running++;
 		set.noteMix();
 		set.guaranteed += (guaranteed) ? 1 : 0;
-		this.state.reschedule(flight, flight.deadlineAt);
-		this.state.actions.dispatch(new Attempt(run.id, flight.info.id(), endpoint.name,
-				line.behaviour.enginePriority(flight, guaranteed), flight.delivered, line.policy));
+		this.state.reschedule(pending, pending.deadlineAt);
+		this.state.actions.dispatch(new Attempt(run.id, pending.info.id(), endpoint.name,
+				line.behaviour.enginePriority(pending, guaranteed), pending.delivered, line.policy));
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
@@ -32,19 +32,19 @@
 
 	// Follow up the end of a run that is already off its endpoint.
 	void ended(Run run, AttemptOutcome outcome, long now) {
-		Flight flight = run.flight;
-		flight.run = null;
+		PendingRequest pending = run.pending;
+		pending.run = null;
 		noteEndpoint(run, outcome, now);
 		if (outcome == AttemptOutcome.CRASHED) {
 			noteCrash(run, now);
 		}
-		if (flight.isDone()) {
+		if (pending.isDone()) {
 			return;
 		}
 		switch (outcome) {
 			case COMPLETE -> complete(run, now);
-			case REJECTED -> this.state.finish(flight, ResultCode.ENDPOINT_ERROR, 0);
-			case CANCELLED -> resume(flight, now);
+			case REJECTED -> this.state.finish(pending, ResultCode.ENDPOINT_ERROR, 0);
+			case CANCELLED -> resume(pending, now);
 			default -> retry(run, outcome, now);
 		}
 	}
@@ -62,14 +62,14 @@
 	}
 
 	private void complete(Run run, long now) {
-		Flight flight = run.flight;
-		flight.set.learnAnswer(flight, now);
-		flight.set.learnRun(run, now);
-		this.state.close(flight);
-		long content = flight.info.contentHash();
+		PendingRequest pending = run.pending;
+		pending.set.learnAnswer(pending, now);
+		pending.set.learnRun(run, now);
+		this.state.close(pending);
+		long content = pending.info.contentHash();
 		int crashes = this.state.suspects.crashes(content, now);
-		if (flight.apart && crashes > 0 && crashes < SuspectTable.CONVICTION) {
-			acquit(flight, now);
+		if (pending.apart && crashes > 0 && crashes < SuspectTable.CONVICTION) {
+			acquit(pending, now);
 		}
 	}
 
@@ -78,32 +78,32 @@
 	// need not wait for the end of a long answer. A second crash while this request runs
 	// convicts it all the same.
 	void survived(Run run, long now) {
-		if (run.apart && run.tokens >= PROBATION_TOKENS && run.flight.apart) {
-			acquit(run.flight, now);
-			moveAway(run.flight);
+		if (run.apart && run.tokens >= PROBATION_TOKENS && run.pending.apart) {
+			acquit(run.pending, now);
+			moveAway(run.pending);
 		}
 	}
 
 	// Make room for the next trial: the acquitted one goes on at another endpoint.
-	private void moveAway(Flight flight) {
-		if (mayRunAgain(flight) && flight.set.endpoints.size() > 1) {
-			this.state.abandonRun(flight);
+	private void moveAway(PendingRequest pending) {
+		if (mayRunAgain(pending) && pending.set.endpoints.size() > 1) {
+			this.state.abandonRun(pending);
 		}
 	}
 
-	private void acquit(Flight flight, long now) {
-		flight.apart = false;
-		this.state.suspects.note(flight.info.contentHash(), 0, true, now);
-		this.state.actions.publishSuspect(flight.info.contentHash(), 0);
+	private void acquit(PendingRequest pending, long now) {
+		pending.apart = false;
+		this.state.suspects.note(pending.info.contentHash(), 0, true, now);
+		this.state.actions.publishSuspect(pending.info.contentHash(), 0);
 	}
 
 	// Take the same content off other endpoints before it crashes them too.
 	void cancelTwins(long content, long now) {
-		for (Flight flight : List.copyOf(this.state.flights.values())) {
-			boolean twin = flight.info.contentHash() == content && flight.run != null && !flight.run.apart;
-			if (twin && mayRunAgain(flight)) {
-				flight.apart = true;
-				this.state.abandonRun(flight);
+		for (PendingRequest pending : List.copyOf(this.state.requests.values())) {
+			boolean twin = pending.info.contentHash() == content && pending.run != null && !pending.run.apart;
+			if (twin && mayRunAgain(pending)) {
+				pending.apart = true;
+				this.state.abandonRun(pending);
 			}
 		}
 	}
@@ -111,9 +111,9 @@
 	// Note what ran on an endpoint when it crashed. A run beside others proves nothing
 	// and makes it suspect; a run apart convicts.
 	private void noteCrash(Run run, long now) {
-		long content = run.flight.info.contentHash();
-		run.flight.crashes++;
-		boolean proof = run.apart || run.flight.crashes >= SuspectTable.CONVICTION;
+		long content = run.pending.info.contentHash();
+		run.pending.crashes++;
+		boolean proof = run.apart || run.pending.crashes >= SuspectTable.CONVICTION;
 		int crashes = (proof) ? SuspectTable.CONVICTION : 1;
 		if (this.state.suspects.crashes(content, now) >= crashes) {
 			return;
@@ -124,40 +124,40 @@
 	}
 
 	private void retry(Run run, AttemptOutcome outcome, long now) {
-		Flight flight = run.flight;
+		PendingRequest pending = run.pending;
 		boolean notRun = outcome == AttemptOutcome.NOT_SENT || outcome == AttemptOutcome.REFUSED;
-		if (this.state.suspects.crashes(flight.info.contentHash(), now) >= SuspectTable.CONVICTION) {
-			this.state.finish(flight, ResultCode.CRASHING_CONTENT, 0);
+		if (this.state.suspects.crashes(pending.info.contentHash(), now) >= SuspectTable.CONVICTION) {
+			this.state.finish(pending, ResultCode.CRASHING_CONTENT, 0);
 		}
-		else if (!notRun && !mayRunAgain(flight)) {
-			this.state.finish(flight, finalCode(flight, outcome), 0);
+		else if (!notRun && !mayRunAgain(pending)) {
+			this.state.finish(pending, finalCode(pending, outcome), 0);
 		}
-		else if (!notRun && flight.set.endpoints.size() == 1) {
+		else if (!notRun && pending.set.endpoints.size() == 1) {
 			// There is no other endpoint: the caller gets its answer now, not at its
 			// deadline.
-			this.state.finish(flight, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
+			this.state.finish(pending, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
 		}
-		else if (++flight.failures >= flight.line.tuning.maxAttempts() || !spendBudget(run)) {
-			this.state.finish(flight, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
+		else if (++pending.failures >= pending.line.tuning.maxAttempts() || !spendBudget(run)) {
+			this.state.finish(pending, ResultCode.RETRIES_EXHAUSTED, BACKOFF_NANOS << MAX_BACKOFF_SHIFT);
 		}
 		else {
 			queueRetry(run, now);
 		}
 	}
 
-	private boolean mayRunAgain(Flight flight) {
-		return !flight.info.notRepeated() && (flight.delivered == 0 || flight.set.canContinue());
+	private boolean mayRunAgain(PendingRequest pending) {
+		return !pending.info.notRepeated() && (pending.delivered == 0 || pending.set.canContinue());
 	}
 
-	private static ResultCode finalCode(Flight flight, AttemptOutcome outcome) {
-		if (flight.delivered > 0) {
+	private static ResultCode finalCode(PendingRequest pending, AttemptOutcome outcome) {
+		if (pending.delivered > 0) {
 			return ResultCode.ANSWER_TRUNCATED;
 		}
 		return (outcome == AttemptOutcome.SILENT) ? ResultCode.ENDPOINT_TIMEOUT : ResultCode.ENDPOINT_LOST;
 	}
 
 	private boolean spendBudget(Run run) {
-		var ofClass = this.state.retries(run.flight.info.requestClass());
+		var ofClass = this.state.retries(run.pending.info.requestClass());
 		if (!ofClass.hasOne() || !run.endpoint.retries.hasOne()) {
 			return false;
 		}
@@ -167,31 +167,31 @@
 	}
 
 	private void queueRetry(Run run, long now) {
-		Flight flight = run.flight;
-		flight.tried.add(run.endpoint);
-		if (flight.tried.size() >= flight.set.endpoints.size()) {
-			flight.tried.clear();
-			if (flight.set.endpoints.size() > 1) {
-				flight.tried.add(run.endpoint);
+		PendingRequest pending = run.pending;
+		pending.tried.add(run.endpoint);
+		if (pending.tried.size() >= pending.set.endpoints.size()) {
+			pending.tried.clear();
+			if (pending.set.endpoints.size() > 1) {
+				pending.tried.add(run.endpoint);
 			}
 		}
-		int shift = Math.min(MAX_BACKOFF_SHIFT, flight.failures - 1);
-		flight.notBefore = now + (long) ((BACKOFF_NANOS << shift) * this.state.jitter());
-		if (flight.notBefore >= flight.deadlineAt) {
-			this.state.finish(flight, ResultCode.DEADLINE_EXCEEDED, 0);
+		int shift = Math.min(MAX_BACKOFF_SHIFT, pending.failures - 1);
+		pending.notBefore = now + (long) ((BACKOFF_NANOS << shift) * this.state.jitter());
+		if (pending.notBefore >= pending.deadlineAt) {
+			this.state.finish(pending, ResultCode.DEADLINE_EXCEEDED, 0);
 			return;
 		}
-		flight.apart = this.state.suspects.crashes(flight.info.contentHash(), now) > 0;
-		if (flight.apart) {
-			long trialFrom = this.state.suspects.trialFrom(flight.info.contentHash(), 0, now);
-			flight.notBefore = Math.max(flight.notBefore, trialFrom);
+		pending.apart = this.state.suspects.crashes(pending.info.contentHash(), now) > 0;
+		if (pending.apart) {
+			long trialFrom = this.state.suspects.trialFrom(pending.info.contentHash(), 0, now);
+			pending.notBefore = Math.max(pending.notBefore, trialFrom);
 		}
-		flight.line.add(flight);
+		pending.line.add(pending);
 	}
 
 	// Put a request back that was set aside for a higher tier.
-	private void resume(Flight flight, long now) {
-		flight.line.add(flight);
+	private void resume(PendingRequest pending, long now) {
+		pending.line.add(pending);
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Run.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Run.java
@@ -9,7 +9,7 @@
 
 	final long id;
 
-	final Flight flight;
+	final PendingRequest pending;
 
 	final EndpointView endpoint;
 
@@ -31,14 +31,14 @@
 	/** This VM asked for the cancellation. */
 	boolean cancelled;
 
-	Run(long id, Flight flight, EndpointView endpoint, long sentAt, boolean guaranteed, boolean beyond) {
+	Run(long id, PendingRequest pending, EndpointView endpoint, long sentAt, boolean guaranteed, boolean beyond) {
 		this.id = id;
-		this.flight = flight;
+		this.pending = pending;
 		this.endpoint = endpoint;
 		this.sentAt = sentAt;
 		this.guaranteed = guaranteed;
 		this.beyond = beyond;
-		this.apart = flight.apart;
+		this.apart = pending.apart;
 		this.lastTokenAt = sentAt;
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -102,28 +102,28 @@
 
 	// What was learnt
 
-	void learnAnswer(Flight flight, long now) {
-		String requestClass = flight.info.requestClass();
-		spread(this.tokens, requestClass).learn(flight.delivered);
+	void learnAnswer(PendingRequest pending, long now) {
+		String requestClass = pending.info.requestClass();
+		spread(this.tokens, requestClass).learn(pending.delivered);
 		if (this.tokens.size() < SPREADS_KEPT) {
-			spread(this.tokens, customerKey(flight)).learn(flight.delivered);
+			spread(this.tokens, customerKey(pending)).learn(pending.delivered);
 		}
 	}
 
 	void learnRun(Run run, long now) {
-		spread(this.durations, run.flight.info.requestClass()).learn((now - run.sentAt) / 1e6);
+		spread(this.durations, run.pending.info.requestClass()).learn((now - run.sentAt) / 1e6);
 	}
 
-	void learnFirstToken(Flight flight, long nanos) {
-		spread(this.firstTokens, flight.info.requestClass()).learn(nanos / 1e6);
+	void learnFirstToken(PendingRequest pending, long nanos) {
+		spread(this.firstTokens, pending.info.requestClass()).learn(nanos / 1e6);
 	}
 
-	double expectedTokens(Flight flight) {
-		Spread own = this.tokens.get(customerKey(flight));
+	double expectedTokens(PendingRequest pending) {
+		Spread own = this.tokens.get(customerKey(pending));
 		if (own != null && own.isKnown()) {
 			return own.mean(TYPICAL_TOKENS);
 		}
-		Spread all = this.tokens.get(flight.info.requestClass());
+		Spread all = this.tokens.get(pending.info.requestClass());
 		return (all != null) ? all.mean(TYPICAL_TOKENS) : TYPICAL_TOKENS;
 	}
 
@@ -135,12 +135,12 @@
 
 	// Return the least time from dispatch to the target in nanoseconds that is still
 	// plausible: with less left, the target is out of reach.
-	long leastTime(Flight flight) {
-		if (flight.isFirstTokenTarget()) {
-			Spread first = this.firstTokens.get(flight.info.requestClass());
+	long leastTime(PendingRequest pending) {
+		if (pending.isFirstTokenTarget()) {
+			Spread first = this.firstTokens.get(pending.info.requestClass());
 			return (first != null) ? (long) (first.quantile(FIRST_TOKEN_QUANTILE, 0) * 1e6) : 0;
 		}
-		Spread spread = this.durations.get(flight.info.requestClass());
+		Spread spread = this.durations.get(pending.info.requestClass());
 		return (spread != null) ? (long) (spread.quantile(DURATION_QUANTILE, 0) * 1e6) : 0;
 	}
 
@@ -150,8 +150,8 @@
 	// refusal teaches nothing: without this a fault that made all answers late would have
 	// every later request refused, for good. A request that an idle endpoint takes is the
 	// probe that brings the estimate back.
-	long leastTime(Flight flight, Tuning tuning, int entryCount, long now) {
-		return (hasIdleEndpoint(tuning, entryCount, now)) ? 0 : leastTime(flight);
+	long leastTime(PendingRequest pending, Tuning tuning, int entryCount, long now) {
+		return (hasIdleEndpoint(tuning, entryCount, now)) ? 0 : leastTime(pending);
 	}
 
 	private boolean hasIdleEndpoint(Tuning tuning, int entryCount, long now) {
@@ -164,8 +164,8 @@
 		return false;
 	}
 
-	private static String customerKey(Flight flight) {
-		return flight.flow;
+	private static String customerKey(PendingRequest pending) {
+		return pending.flow;
 	}
 
 	private static Spread spread(Map<String, Spread> spreads, String key) {
@@ -221,7 +221,7 @@
 		for (EndpointView endpoint : this.endpoints) {
 			all += endpoint.runs.size();
 			for (Run run : endpoint.runs) {
-				lower += (run.flight.requestClass.tier() != Tier.HIGH && !run.guaranteed) ? 1 : 0;
+				lower += (run.pending.requestClass.tier() != Tier.HIGH && !run.guaranteed) ? 1 : 0;
 			}
 		}
 		if (all > 0) {
@@ -264,8 +264,8 @@
 	private boolean hasApartWaiting() {
 		for (WaitingLine line : this.lines.values()) {
 			for (int lane = 0; lane < WaitingLine.LANES; lane++) {
-				for (Flight flight : line.begun(lane)) {
-					if (flight.apart) {
+				for (PendingRequest pending : line.begun(lane)) {
+					if (pending.apart) {
 						return true;
 					}
 				}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
@@ -14,7 +14,7 @@
  * their answers are begun, and one that only some endpoints may serve does not block the
  * others there.
  * <p>
- * Invariant: a waiting flight is in exactly one lane or list.
+ * Invariant: a waiting request is in exactly one lane or list.
  * <p>
  * Not thread safe: owned by one dispatcher.
  */
@@ -28,9 +28,9 @@
 
 	final Tuning tuning;
 
-	private final List<FairQueue<Flight>> lanes = new ArrayList<>();
+	private final List<FairQueue<PendingRequest>> lanes = new ArrayList<>();
 
-	private final List<List<Flight>> begun = new ArrayList<>();
+	private final List<List<PendingRequest>> begun = new ArrayList<>();
 
 	private int size;
 
@@ -44,59 +44,62 @@
 		}
 	}
 
-	void add(Flight flight) {
-		flight.line = this;
-		flight.state = Flight.State.WAITING;
-		int lane = lane(flight);
-		if (flight.isPicky() || !flight.isUntouched()) {
-			this.begun.get(lane).add(flight);
+	void add(PendingRequest pending) {
+		pending.line = this;
+		pending.state = PendingRequest.State.WAITING;
+		int lane = lane(pending);
+		if (pending.isPicky() || !pending.isUntouched()) {
+			this.begun.get(lane).add(pending);
 		}
 		else {
-			this.lanes.get(lane).add(this.behaviour.flow(flight), flight);
+			this.lanes.get(lane).add(this.behaviour.flow(pending), pending);
 		}
 		this.size++;
 	}
 
-	void remove(Flight flight) {
-		int lane = lane(flight);
-		boolean removed = this.begun.get(lane).remove(flight)
-				|| this.lanes.get(lane).remove(this.behaviour.flow(flight), flight);
+	void remove(PendingRequest pending) {
+		int lane = lane(pending);
+		boolean removed = this.begun.get(lane).remove(pending)
+				|| this.lanes.get(lane).remove(this.behaviour.flow(pending), pending);
 		this.size -= (removed) ? 1 : 0;
 	}
 
-	// Take a flight out because it goes to an endpoint.
-	void serve(Flight flight, double expectedTokens) {
-		int lane = lane(flight);
-		if (!this.begun.get(lane).remove(flight)) {
-			this.lanes.get(lane).serve(this.behaviour.flow(flight), flight, expectedTokens / flight.weight);
+	// Take a request out because it goes to an endpoint.
+	void serve(PendingRequest pending, double expectedTokens) {
+		int lane = lane(pending);
+		if (!this.begun.get(lane).remove(pending)) {
+			this.lanes.get(lane).serve(this.behaviour.flow(pending), pending, expectedTokens / pending.weight);
 		}
 		this.size--;
 	}
 
-	// Return the flight that is served next in a lane. Once the oldest of the flow has
+	// Return the request that is served next in a lane. Once the oldest of the flow has
 	// used up half of its time, the newest goes first (adaptive LIFO, Maurer 2015): under
 	// overload a queue in order of arrival serves each request just too late, while this
 	// order keeps the time of those that can still make it.
-	Optional<Flight> next(int lane, long now) {
-		FairQueue<Flight> queue = this.lanes.get(lane);
-		Optional<Flight> oldest = queue.oldest();
+	Optional<PendingRequest> next(int lane, long now) {
+		FairQueue<PendingRequest> queue = this.lanes.get(lane);
+		Optional<PendingRequest> oldest = queue.oldest();
 		if (!this.behaviour.heedsTargets() || oldest.isEmpty()) {
 			return oldest;
 		}
-		Flight flight = oldest.get();
-		boolean overloaded = 2 * (now - flight.arrivedAt) > flight.targetAt - flight.arrivedAt;
+		PendingRequest pending = oldest.get();
+		boolean overloaded = 2 * (now - pending.arrivedAt) > pending.targetAt - pending.arrivedAt;
 		return (overloaded) ? queue.newest() : oldest;
 	}
 
 	// Return the next of those that were begun and that any endpoint may go on with, or
 	// else
 	// the next of the lane.
-	Optional<Flight> nextBegunFirst(int lane, long now) {
-		Optional<Flight> first = this.begun.get(lane).stream().filter((flight) -> !flight.isPicky()).findFirst();
+	Optional<PendingRequest> nextBegunFirst(int lane, long now) {
+		Optional<PendingRequest> first = this.begun.get(lane)
+			.stream()
+			.filter((pending) -> !pending.isPicky())
+			.findFirst();
 		return (first.isPresent()) ? first : next(lane, now);
 	}
 
-	List<Flight> begun(int lane) {
+	List<PendingRequest> begun(int lane) {
 		return this.begun.get(lane);
 	}
 
@@ -104,17 +107,17 @@
 		return this.size;
 	}
 
-	int sizeOfFlow(Flight flight) {
-		return this.lanes.get(lane(flight)).sizeOf(this.behaviour.flow(flight));
+	int sizeOfFlow(PendingRequest pending) {
+		return this.lanes.get(lane(pending)).sizeOf(this.behaviour.flow(pending));
 	}
 
 	// Return how many are served before a new request: all of the lanes before it, and of
 	// its own lane as many of each flow as of its own, for flows take turns.
-	int aheadOf(Flight flight) {
-		int lane = lane(flight);
-		FairQueue<Flight> own = this.lanes.get(lane);
+	int aheadOf(PendingRequest pending) {
+		int lane = lane(pending);
+		FairQueue<PendingRequest> own = this.lanes.get(lane);
 		int before = sizeUpTo(lane) - own.size();
-		int turns = (own.sizeOf(this.behaviour.flow(flight)) + 1) * own.flows();
+		int turns = (own.sizeOf(this.behaviour.flow(pending)) + 1) * own.flows();
 		return before + Math.min(own.size(), turns);
 	}
 
@@ -127,13 +130,13 @@
 		return count;
 	}
 
-	void forEach(Consumer<Flight> action) {
+	void forEach(Consumer<PendingRequest> action) {
 		this.lanes.forEach((lane) -> lane.forEach(action));
 		this.begun.forEach((list) -> list.forEach(action));
 	}
 
-	private int lane(Flight flight) {
-		return this.behaviour.lane(flight.requestClass.tier());
+	private int lane(PendingRequest pending) {
+		return this.behaviour.lane(pending.requestClass.tier());
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
@@ -27,7 +27,7 @@
 	public static final long MEMORY_NANOS = 3_600_000_000_000L;
 
 	/** In which a report reaches all VMs by way of control, with room to spare. */
-	static final long SETTLE_NANOS = 500_000_000L;
+	static final long SETTLE_NANOS = 1_000_000_000L;
 
 	private static final long ACTIVE_NANOS = 20_000_000_000L;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -23,6 +23,7 @@
 import org.acaciacourse.daemon.order.OrderDuty;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
+import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.protocol.generated.PeerDescription;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -121,7 +122,6 @@
 		AdminServer admin = new AdminServer(InnerConnection.parse(this.options.admin()), this.metrics, this::isReady);
 		this.opened.push(admin);
 		server.start();
-		admin.start();
 		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
 				this.options.address());
 		if (this.store.recovered().isFresh()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Exchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Exchange.java
@@ -233,7 +233,9 @@
 	 */
 	AnswerSequence.Verdict token(Relay relay, Leg leg, long index, Leg.Data data) {
 		this.record.received(1);
-		this.ledger.ran(leg.number());
+		if (leg.tokens() == 1) {
+			this.ledger.ran(leg.number());
+		}
 		if (this.leader == null) {
 			this.leader = relay;
 		}
