--- a/bench/src/test/java/org/acaciacourse/bench/experiment/ExperimentTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/experiment/ExperimentTests.java
@@ -56,10 +56,9 @@
 			assertThat(outcome.violations).isEmpty();
 		}
 
-		// A request waits past the time that was learnt for its target while an endpoint
-		// is
-		// idle. It was looked at again each nanosecond and the VM did nothing else; these
-		// seeds showed it.
+		// A request waits past the time that was learnt for its target while an
+		// endpoint is idle. It was looked at again each nanosecond and the VM did
+		// nothing else; these seeds showed it.
 		@Test
 		void aRequestThatIsNeitherLateNorPlacedDoesNotStopTheVm() {
 			Outcome outcome = Experiment.run(Site.NKWANTA, Scenario.CRASH_IN_BURST, PolicyKind.TIERED, Map.of(), 3,
--- a/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/EndpointView.java
@@ -168,12 +168,10 @@
 	}
 
 	// Return whether one more request has room. What many VMs see free at the same time
-	// is
-	// shared by lot once it is scarce: each draws its expected part at each report, and
-	// may
-	// use again what its own requests gave back. Without the lot all VMs with something
-	// waiting send it to the one free slot, and the losers wait inside the engine, past
-	// their target and where no order of ours reaches them.
+	// is shared by lot once it is scarce: each draws its expected part at each report,
+	// and may use again what its own requests gave back. Without the lot all VMs with
+	// something waiting send it to the one free slot, and the losers wait inside the
+	// engine, past their target and where no order of ours reaches them.
 	boolean hasRoom(Tuning tuning, int entryCount, long now) {
 		int room = usableSlots() - occupancy(tuning, entryCount, now);
 		if (room <= 0) {
--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -359,9 +359,8 @@
 			this.state.refuseLate(pending, now);
 		}
 		else {
-			// Its time may be past while an endpoint is idle: without the pause it would
-			// be
-			// looked at each nanosecond, and the VM would do nothing else.
+			// Its time may be past while an endpoint is idle: without the pause it
+			// would be looked at each nanosecond, and the VM would do nothing else.
 			long next = Math.max(now + WAKE_NANOS, lateAt(pending));
 			this.state.reschedule(pending, Math.min(next, pending.deadlineAt));
 		}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Pump.java
@@ -129,8 +129,7 @@
 	}
 
 	// A request that has waited long has no time left to wait inside an engine, if that
-	// is
-	// full of high work.
+	// is full of high work.
 	private boolean maySendBeyond(PendingRequest pending, long now) {
 		double waited = now - pending.arrivedAt;
 		return waited <= BEYOND_WAITED * (pending.targetAt - pending.arrivedAt)
@@ -204,11 +203,9 @@
 	}
 
 	// Take lower runs away from an engine that has set them aside for others' work and
-	// does
-	// not come back to them: elsewhere they may go on (moving requests between engines as
-	// in
-	// Llumnix, Sun et al. 2024). Otherwise they stay behind each new high request there
-	// until their deadline, while other engines serve their peers.
+	// does not come back to them: elsewhere they may go on (moving requests between
+	// engines as in Llumnix, Sun et al. 2024). Otherwise they stay behind each new high
+	// request there until their deadline, while other engines serve their peers.
 	void moveStalled(ServingSet set, long now) {
 		if (!set.canContinue()) {
 			return;
--- a/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
@@ -74,9 +74,8 @@
 	}
 
 	// Clear a suspect that got past the point where the endpoint had crashed. The next
-	// one
-	// need not wait for the end of a long answer. A second crash while this request runs
-	// convicts it all the same.
+	// one need not wait for the end of a long answer. A second crash while this request
+	// runs convicts it all the same.
 	void survived(Run run, long now) {
 		if (run.apart && run.tokens >= PROBATION_TOKENS && run.pending.apart) {
 			acquit(run.pending, now);
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -145,11 +145,10 @@
 	}
 
 	// Return the least time as a reason to refuse: nothing while an endpoint is idle.
-	// What
-	// was learnt under load or during a fault says little of an idle endpoint, and a
-	// refusal teaches nothing: without this a fault that made all answers late would have
-	// every later request refused, for good. A request that an idle endpoint takes is the
-	// probe that brings the estimate back.
+	// What was learnt under load or during a fault says little of an idle endpoint, and
+	// a refusal teaches nothing: without this a fault that made all answers late would
+	// have every later request refused, for good. A request that an idle endpoint takes
+	// is the probe that brings the estimate back.
 	long leastTime(PendingRequest pending, Tuning tuning, int entryCount, long now) {
 		return (hasIdleEndpoint(tuning, entryCount, now)) ? 0 : leastTime(pending);
 	}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/WaitingLine.java
@@ -89,8 +89,7 @@
 	}
 
 	// Return the next of those that were begun and that any endpoint may go on with, or
-	// else
-	// the next of the lane.
+	// else the next of the lane.
 	Optional<PendingRequest> nextBegunFirst(int lane, long now) {
 		Optional<PendingRequest> first = this.begun.get(lane)
 			.stream()
--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
@@ -251,8 +251,7 @@
 	}
 
 	// Two late transfers of leadership make two candidates in one term, which may not
-	// hear
-	// each other: only the votes of the others keep them apart.
+	// hear each other: only the votes of the others keep them apart.
 	void raceElection() {
 		SimulatedNode leader = leader();
 		if (leader == null) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
@@ -117,8 +117,7 @@
 		}
 		catch (InterruptedException | RuntimeException | Error ex) {
 			// Also an error, such as memory that ran out: a thread that ended silently
-			// would
-			// leave a process that looks alive and takes part in nothing.
+			// would leave a process that looks alive and takes part in nothing.
 			LOGGER.fatal("unexpected fault, the replica stops", ex);
 			end = ResultCode.INTERNAL;
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Exchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Exchange.java
@@ -389,9 +389,9 @@
 		}
 		this.output.commentAfter(COMMENT_AFTER);
 		if (this.arrived && this.context.loop().now() > this.info.deadlineNanos() + GUARD_NANOS) {
-			// The dispatcher ends each request at its deadline. This guard holds even if
-			// a
-			// fault inside it forgot one: no caller may be left without a final answer.
+			// The dispatcher ends each request at its deadline. This guard holds even
+			// if a fault inside it forgot one: no caller may be left without a final
+			// answer.
 			this.context.loop().callerGone(this.id);
 			finish(ResultCode.DEADLINE_EXCEEDED, Optional.empty());
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Relay.java
@@ -101,10 +101,9 @@
 			end(AttemptOutcome.REJECTED, ResultCode.RETRIES_EXHAUSTED);
 			return;
 		}
-		// A plain service can't be asked about a request, so that a kept connection that
-		// went
-		// silent would hold a call until its deadline; a marked call may not risk one at
-		// all.
+		// A plain service can't be asked about a request, so that a kept connection
+		// that went silent would hold a call until its deadline; a marked call may not
+		// risk one at all.
 		boolean own = !this.exchange.plan().isModel() || this.exchange.plan().claim().isPresent();
 		open(Map.of(), 0, own);
 	}
@@ -281,8 +280,7 @@
 			tell();
 		}
 		// The connection is reused only if the answer is read to its end; an endpoint
-		// that
-		// never ends it must not hold the connection for good.
+		// that never ends it must not hold the connection for good.
 		this.exchange.executor().schedule(complete::close, 1, TimeUnit.SECONDS);
 		if (this.exchange.whole(this, complete)) {
 			end(AttemptOutcome.COMPLETE, ResultCode.OK);
@@ -318,10 +316,10 @@
 	}
 
 	// The engine does not know the request or does not answer. Either it crashed and is
-	// back already, or the
-	// connection broke before the request was read. A crash must be told as one: else the
-	// content that caused it would go on to the next engine, and the next. An engine that
-	// does not answer yet is asked again, as it may be on its way back.
+	// back already, or the connection broke before the request was read. A crash must
+	// be told as one: else the content that caused it would go on to the next engine,
+	// and the next. An engine that does not answer yet is asked again, as it may be on
+	// its way back.
 	private void lostOrCrashed(ResultCode code, long until) {
 		RunQuestion.started(this.context.client(), base()).whenCompleteAsync((started, failure) -> {
 			if (started.isEmpty() && this.startAtBegin.isPresent() && System.nanoTime() < until) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -110,9 +110,8 @@
 		boolean told = result.complete(claim);
 		boolean unknown = claim.code() == ResultCode.CLAIM_UNAVAILABLE;
 		if (unknown || (claim.granted() && !told)) {
-			// The claim may be committed, but its request will not be sent: without this
-			// the
-			// key would stay in progress and refuse the caller's own repeat.
+			// The claim may be committed, but its request will not be sent: without
+			// this the key would stay in progress and refuse the caller's own repeat.
 			complete(key, owner, ClaimOutcome.NOT_RUN, new byte[0]);
 		}
 	}
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
@@ -83,9 +83,8 @@
 		@Test
 		void garbageIsAFailureAndNoMore() {
 			// Something else than a replica talks to the port, or a frame is cut: the
-			// caller
-			// gets a failure, whatever the bytes, and no memory is reserved on their
-			// word.
+			// caller gets a failure, whatever the bytes, and no memory is reserved on
+			// their word.
 			Random random = new Random(4);
 			byte[] good = ThriftBytes.encode(ReplicaCodec.encode(new TimeoutNow(ID, 3), ID));
 			for (int size = 0; size < good.length; size++) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
@@ -63,10 +63,9 @@
 
 		@Test
 		void answerTheSameForAResendAndRefuseTheRest() throws Exception {
-			// An operator's answer is lost and the pipeline sends the manifest again; it
-			// gets the answer of the first time. Another manifest with the same number
-			// and
-			// one with a lower number are refused with what is in force.
+			// An operator's answer is lost and the pipeline sends the manifest again;
+			// it gets the answer of the first time. Another manifest with the same
+			// number and one with a lower number are refused with what is in force.
 			try (ControlCluster cluster = cluster().startAll()) {
 				ApplyReply first = cluster.apply(ControlCluster.manifest(7, "urgent"));
 				assertOk(first);
@@ -133,12 +132,9 @@
 		@Test
 		void lostFolderRejoinsAsAnotherReplicaAndASecondFailureLosesNothing() throws Exception {
 			// A VM loses its disk and comes back empty under the same settings, which
-			// list
-			// it as a founder. It must not found again nor vote as the old one: it joins
-			// as
-			// a learner, is promoted, and the old identity goes. Then a second VM dies
-			// for
-			// good, and everything committed is still there.
+			// list it as a founder. It must not found again nor vote as the old one: it
+			// joins as a learner, is promoted, and the old identity goes. Then a second
+			// VM dies for good, and everything committed is still there.
 			try (ControlCluster cluster = cluster().startAll()) {
 				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
 				int lost = (cluster.leader() + 1) % 3;
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
@@ -66,8 +66,8 @@
 		@Test
 		void areThoseWithOldClaimsInProgressOnly() {
 			// An entry VM dies between the claim and the answer. Nobody polls with its
-			// run
-			// any more; its claims must become unknown, those of a living run must not.
+			// run any more; its claims must become unknown, those of a living run must
+			// not.
 			ControlState state = new ControlState();
 			state.apply(1, new Command.Claim(1000, new ClaimKey("kumasi", "a"), "h", "entry-1/1#1"));
 			state.apply(2, new Command.Claim(1000, new ClaimKey("kumasi", "b"), "h", "entry-2/1#1"));
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/FoundingTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/FoundingTests.java
@@ -40,8 +40,7 @@
 		@Test
 		void neverFoundsBesideALogOrASilentFounder() {
 			// It may have lost its disk. One answer of a founded replica is enough to
-			// know
-			// that a log exists; a silent founder may hold one.
+			// know that a log exists; a silent founder may hold one.
 			assertThat(Founding.decide(SELF, FOUNDERS, List.of(answer(2, true))).step()).isEqualTo(Step.JOIN);
 			assertThat(Founding.decide(SELF, FOUNDERS, List.of(answer(2, false), answer(3, true))).step())
 				.isEqualTo(Step.JOIN);
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaHandlerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaHandlerTests.java
@@ -61,11 +61,9 @@
 
 		@Test
 		void takesWhatIsMeantForThisReplicaOnly() {
-			// The VM lost its disk and runs as another replica at the same address. What
-			// is
-			// sent to the old one arrives here; taken in, it would be answered by a
-			// replica
-			// that knows nothing of what the old one promised.
+			// The VM lost its disk and runs as another replica at the same address.
+			// What is sent to the old one arrives here; taken in, it would be answered
+			// by a replica that knows nothing of what the old one promised.
 			begin();
 			assertThat(deliver(KEY, 50, new ReplicaId(5))).isTrue();
 			assertThat(deliver(KEY, 3, ReplicaHandlerTests.this.self.id())).isTrue();
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaLoopTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaLoopTests.java
@@ -54,9 +54,8 @@
 		@Test
 		void endsTheLoopAndAnswersNothingAsDone() throws Exception {
 			// The disk is full while a command is written. Its caller must not be told
-			// that
-			// it is done, and the replica stops instead of going on with a log in memory
-			// that is not on the disk.
+			// that it is done, and the replica stops instead of going on with a log in
+			// memory that is not on the disk.
 			ReplicaLoop loop = start();
 			assertThat(reportCrash(loop, 1).get().code()).isEqualTo(ResultCode.OK);
 			ReplicaLoopTests.this.disk.failAfter(0);
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/CallerLimitsTests.java
@@ -136,8 +136,8 @@
 
 		// The caller asks for a long answer and takes nothing of it. The daemon stops
 		// reading from the engine, so that the engine's writes stand still long before
-		// all
-		// of the answer is in memory; then the caller reads on and gets every token.
+		// all of the answer is in memory; then the caller reads on and gets every
+		// token.
 		@Test
 		void slowCallerStopsTheReadingFromTheEngine() throws Exception {
 			int tokens = 400_000;
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/ClaimTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/ClaimTests.java
@@ -57,8 +57,7 @@
 		}
 
 		// The service takes the verdict and the connection breaks before the answer. It
-		// may
-		// have run: there is no second send, and the claim stays unknown for every
+		// may have run: there is no second send, and the claim stays unknown for every
 		// resend.
 		@Test
 		void lostAnswerIsNeverRunAgain() throws Exception {
@@ -72,8 +71,7 @@
 		}
 
 		// The service proves that it did not run the verdict: the claim is given back,
-		// and
-		// a resend may run.
+		// and a resend may run.
 		@Test
 		void provenRefusalGivesTheClaimBack() throws Exception {
 			try (FakeEndpoint service = new FakeEndpoint((call, n) -> {
@@ -89,9 +87,8 @@
 			}
 		}
 
-		// The first call leaves a kept connection behind. A marked call does not use it:
-		// it
-		// may be dead, and then nobody could tell whether the call ran.
+		// The first call leaves a kept connection behind. A marked call does not use
+		// it: it may be dead, and then nobody could tell whether the call ran.
 		@Test
 		void markedCallUsesAFreshConnection() throws Exception {
 			try (FakeEndpoint service = new FakeEndpoint((call, n) -> call.plain(200, "ok"));
--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/HostileEndpointTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/HostileEndpointTests.java
@@ -15,9 +15,9 @@
 	class ForeignAnswers {
 
 		// The caller sees its own answer. The first attempt gets an answer under the id
-		// of
-		// another request, in the header; the daemon discards it, closes the connection
-		// and asks again. Without the check the caller would get another one's summary.
+		// of another request, in the header; the daemon discards it, closes the
+		// connection and asks again. Without the check the caller would get another
+		// one's summary.
 		@Test
 		void answerUnderAnotherIdInTheHeaderIsDiscarded() throws Exception {
 			try (FakeEndpoint engine = new FakeEndpoint(
@@ -186,8 +186,7 @@
 		}
 
 		// Neither resume nor rerun is possible: the caller gets an error object inside
-		// the
-		// stream and no end mark, so that it can't take the half for the whole.
+		// the stream and no end mark, so that it can't take the half for the whole.
 		@Test
 		void streamThatCannotGoOnEndsWithAnError() throws Exception {
 			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> {
@@ -218,8 +217,7 @@
 		}
 
 		// The endpoint refuses under another request's id, which proves nothing about
-		// this
-		// one.
+		// this one.
 		@Test
 		void refusalUnderAnotherIdProvesNothing() throws Exception {
 			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> call.refuse("other"));
@@ -248,8 +246,7 @@
 		}
 
 		// The engine says that the request itself is at fault: the caller gets that
-		// answer
-		// and there is no second attempt.
+		// answer and there is no second attempt.
 		@Test
 		void rejectionIsPassedOn() throws Exception {
 			try (FakeEndpoint engine = new FakeEndpoint((call, n) -> call.plain(400, "{\"error\":\"no\"}"));
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -49,8 +49,7 @@
 		@Test
 		void neverGoBackwards() {
 			// The entry polls another control VM, one that lags behind or was cut off,
-			// and
-			// gets an older configuration. It keeps what it has.
+			// and gets an older configuration. It keeps what it has.
 			assertThat(ConfigurationFollowerTests.this.follower.take(whole(8))).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.take(whole(7))).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.number()).isEqualTo(8);
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ThriftControlLinkTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ThriftControlLinkTests.java
@@ -60,10 +60,9 @@
 
 		@Test
 		void leavesAControlVmThatIsSilent() throws Exception {
-			// The entry's control VM accepts the connection and never answers, as behind
-			// something that has lost track of it. The poll times out, the link goes to
-			// the
-			// next VM, and the entry gets the configuration within seconds.
+			// The entry's control VM accepts the connection and never answers, as
+			// behind something that has lost track of it. The poll times out, the link
+			// goes to the next VM, and the entry gets the configuration within seconds.
 			try (ControlCluster cluster = new ControlCluster(ThriftControlLinkTests.this.folder, 1).startAll();
 					SilentServer silent = new SilentServer()) {
 				cluster.apply(ControlCluster.manifest(1, "urgent"));
@@ -90,8 +89,7 @@
 		@Test
 		void areGrantedOnceAndAnsweredAfterwards() throws Exception {
 			// Two entries get the same request, which may not be repeated, at once. One
-			// may
-			// send it; the other is told that it runs, then gets the kept answer.
+			// may send it; the other is told that it runs, then gets the kept answer.
 			try (ControlCluster cluster = new ControlCluster(ThriftControlLinkTests.this.folder, 3).startAll();
 					ControlLink first = new ThriftControlLink(cluster.link("entry-1"));
 					ControlLink second = new ThriftControlLink(cluster.link("entry-2"))) {
@@ -107,9 +105,8 @@
 
 		@Test
 		void areRefusedWithoutAQuorum() throws Exception {
-			// No control VM can be reached: the request must not be sent, and the caller
-			// is
-			// told so instead of being kept waiting.
+			// No control VM can be reached: the request must not be sent, and the
+			// caller is told so instead of being kept waiting.
 			try (SilentServer silent = new SilentServer()) {
 				LinkOptions options = new LinkOptions("entry-1", "accra-a", List.of(silent.address()),
 						new SharedKey("0123456789abcdef"));
--- a/daemon/src/test/java/org/acaciacourse/daemon/store/ReplicaStoreTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/store/ReplicaStoreTests.java
@@ -78,9 +78,9 @@
 		@Test
 		void restartAfterFiveHundredChangesReturnsTheLastWithTheNewestFileTorn() throws Exception {
 			// The operator sees change 500 accepted, then the VM loses power in the
-			// middle
-			// of the next write: the newest file ends in half a record. After the restart
-			// the 500th change has to be there, because it was synced before the answer.
+			// middle of the next write: the newest file ends in half a record. After
+			// the restart the 500th change has to be there, because it was synced
+			// before the answer.
 			ReplicaId identity;
 			try (ReplicaStore store = ReplicaStore.open(this.folder)) {
 				identity = store.identity();
@@ -131,10 +131,8 @@
 		@Test
 		void atEveryOperationKeepWhatWasSynced() throws Exception {
 			// The VM loses power at any one of the operations on the disk. Whatever a
-			// sync
-			// returned for has to be there afterwards, and nothing else than what was
-			// put,
-			// since answers were given on account of it.
+			// sync returned for has to be there afterwards, and nothing else than what
+			// was put, since answers were given on account of it.
 			for (int crash = 1;; crash++) {
 				MemoryDisk disk = new MemoryDisk();
 				ReplicaStore store = ReplicaStore.open(disk, 300);
@@ -194,8 +192,7 @@
 		@Test
 		void tornTailIsCutWhereverItTears() throws Exception {
 			// The power goes while a record is being written: any part of it may be in
-			// the
-			// newest file. What was synced before stays, the rest is cut.
+			// the newest file. What was synced before stays, the rest is cut.
 			MemoryDisk disk = new MemoryDisk();
 			ReplicaStore store = ReplicaStore.open(disk, 1 << 20);
 			append(store, 1, 5, 1);
