--- a/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Recovery.java
@@ -63,7 +63,7 @@
 
 	private void complete(Run run, long now) {
 		PendingRequest pending = run.pending;
-		pending.set.learnAnswer(pending, now);
+		pending.set.learnAnswer(pending);
 		pending.set.learnRun(run, now);
 		this.state.close(pending);
 		long content = pending.info.contentHash();
--- a/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/ServingSet.java
@@ -102,7 +102,7 @@
 
 	// What was learnt
 
-	void learnAnswer(PendingRequest pending, long now) {
+	void learnAnswer(PendingRequest pending) {
 		String requestClass = pending.info.requestClass();
 		spread(this.tokens, requestClass).learn(pending.delivered);
 		if (this.tokens.size() < SPREADS_KEPT) {
--- a/core/src/main/java/org/acaciacourse/core/model/Manifest.java
+++ b/core/src/main/java/org/acaciacourse/core/model/Manifest.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -36,13 +35,4 @@
 		drainedVms = Set.copyOf(drainedVms);
 	}
 
-	/**
-	 * Find a customer by the digest of its key.
-	 * @param keyDigest the SHA-256 of the key, in lower-case hexadecimal digits
-	 * @return the customer, if the key is known
-	 */
-	public Optional<Customer> customerOfKey(String keyDigest) {
-		return this.customers.values().stream().filter((c) -> c.keyDigests().contains(keyDigest)).findFirst();
-	}
-
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -268,7 +268,7 @@
 		public void crash(long contentHash, int crashes) {
 			// What was a suspicion before this VM started is settled or forgotten by now;
 			// taken for new, each restart would set endpoints aside for old suspects.
-			if (!isReady() && crashes < SuspectTable.CONVICTION) {
+			if (EntryDaemon.this.ready.getCount() > 0 && crashes < SuspectTable.CONVICTION) {
 				return;
 			}
 			EntryDaemon.this.loop.submit((d, now) -> d.suspect(contentHash, crashes, now));
