--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/attempt/RequestProgressTests.java
@@ -0,0 +1,129 @@
+package org.acaciacourse.core.attempt;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.code.RunState;
+import org.acaciacourse.core.route.PoolShare;
+import org.acaciacourse.core.route.RequestKind;
+import org.acaciacourse.core.route.Route;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RequestProgressTests {
+
+	private static Route route(RequestKind kind, boolean resumable, int attempts) {
+		return new Route("r", "h", "/", kind, resumable, Duration.ofSeconds(1), Duration.ofMillis(100), Duration.ZERO,
+				0, List.of(new PoolShare("p", 1)), attempts, false, false);
+	}
+
+	private static RequestProgress sent(RequestKind kind, boolean resumable, AttemptEnd end) {
+		RequestProgress progress = new RequestProgress(route(kind, resumable, 2));
+		progress.begin("a");
+		if (end.isSent()) {
+			progress.sent();
+		}
+		progress.ended(end);
+		return progress;
+	}
+
+	@Nested
+	class NotIdempotent {
+
+		// The endpoint may have run the request before the connection broke. Sent again,
+		// the caller's record would be posted twice.
+		@ParameterizedTest
+		@EnumSource(value = AttemptEnd.class, names = { "FAILED", "BROKEN", "MISMATCH", "SILENT" })
+		void isNeverSentAgainOnceItMayHaveRun(AttemptEnd end) {
+			for (RequestKind kind : List.of(RequestKind.UNSAFE, RequestKind.STREAM)) {
+				RequestProgress progress = sent(kind, false, end);
+				assertThat(progress.mayTryAgain()).isFalse();
+				assertThat(progress.runState()).isEqualTo(RunState.UNKNOWN);
+				assertThat(progress.failure(false).httpStatus()).isAnyOf(502, 504);
+				assertThat(progress.failure(true).httpStatus()).isAnyOf(502, 504);
+			}
+		}
+
+		@ParameterizedTest
+		@EnumSource(value = AttemptEnd.class, names = { "NOT_SENT", "NOT_RUN" })
+		void isSentAgainIfItIsCertainThatItDidNotRun(AttemptEnd end) {
+			RequestProgress progress = sent(RequestKind.UNSAFE, false, end);
+			assertThat(progress.mayTryAgain()).isTrue();
+			assertThat(progress.runState()).isEqualTo(RunState.NOT_RUN);
+			assertThat(progress.failure(false)).isEqualTo(ResultCode.NO_ENDPOINT);
+		}
+
+		// The second endpoint states that it did not run the request, which says nothing
+		// of the first one. "Not run" would have the caller send it again.
+		@Test
+		void laterRefusalDoesNotClearAnEarlierRun() {
+			RequestProgress progress = sent(RequestKind.SAFE, false, AttemptEnd.BROKEN);
+			progress.begin("b");
+			progress.sent();
+			progress.ended(AttemptEnd.NOT_RUN);
+			assertThat(progress.runState()).isEqualTo(RunState.UNKNOWN);
+		}
+
+		@Test
+		void timeThatEndsWhileAnAttemptIsUnderWayPromisesNothing() {
+			RequestProgress progress = new RequestProgress(route(RequestKind.UNSAFE, false, 1));
+			progress.begin("a");
+			progress.sent();
+			assertThat(progress.failure(true)).isEqualTo(ResultCode.ENDPOINT_TIMEOUT);
+		}
+
+	}
+
+	@Nested
+	class Attempts {
+
+		@Test
+		void noMoreThanTheRouteAllows() {
+			RequestProgress progress = sent(RequestKind.SAFE, false, AttemptEnd.BROKEN);
+			assertThat(progress.mayTryAgain()).isTrue();
+			progress.begin("b");
+			progress.sent();
+			progress.ended(AttemptEnd.BROKEN);
+			assertThat(progress.mayTryAgain()).isFalse();
+			assertThat(progress.tried()).containsExactly("a", "b");
+		}
+
+		@Test
+		void anAttemptThatSentNothingIsFree() {
+			RequestProgress progress = sent(RequestKind.SAFE, false, AttemptEnd.NOT_SENT);
+			assertThat(progress.isRepeat()).isFalse();
+		}
+
+	}
+
+	@Nested
+	class Streams {
+
+		@Test
+		void resumableStreamGoesOnAfterPartOfItWasPassedOn() {
+			RequestProgress progress = new RequestProgress(route(RequestKind.STREAM, true, 2));
+			progress.begin("a");
+			progress.sent();
+			progress.passedOn();
+			progress.ended(AttemptEnd.BROKEN);
+			assertThat(progress.mayTryAgain()).isTrue();
+		}
+
+		@Test
+		void otherStreamDoesNot() {
+			RequestProgress progress = new RequestProgress(route(RequestKind.STREAM, false, 2));
+			progress.begin("a");
+			progress.sent();
+			progress.passedOn();
+			progress.ended(AttemptEnd.BROKEN);
+			assertThat(progress.mayTryAgain()).isFalse();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -0,0 +1,139 @@
+package org.acaciacourse.core.balance;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.acaciacourse.core.balance.PoolBalancer.Outcome;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PoolBalancerTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final PoolBalancer balancer = new PoolBalancer();
+
+	private static FleetEndpoint endpoint(String instance, boolean leaving) {
+		return new FleetEndpoint(instance, "pool", "127.0.0.1:1", "dc", 64, leaving);
+	}
+
+	private static List<FleetEndpoint> endpoints(int count) {
+		return IntStream.range(0, count).mapToObj((i) -> endpoint("i" + i, false)).toList();
+	}
+
+	private static PromptShape prompt(long sharedId) {
+		return new PromptShape(4000, 100,
+				List.of(new PromptShape.Part(sharedId, 13_000), new PromptShape.Part(-sharedId, 1_000)));
+	}
+
+	private Optional<String> choose(PromptShape shape, long salt, Set<String> without, long now) {
+		return this.balancer.choose(shape, true, salt, without, now).map(FleetEndpoint::instance);
+	}
+
+	@Nested
+	class Affinity {
+
+		@Test
+		void requestsThatShareAPromptGoToOneEndpointAtEveryEntry() {
+			PoolBalancer other = new PoolBalancer();
+			other.endpoints(endpoints(13));
+			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
+			for (long id = 1; id < 50; id++) {
+				Optional<String> first = choose(prompt(id), id, Set.of(), 0);
+				Optional<String> second = other.choose(prompt(id), true, id + 77, Set.of(), 0)
+					.map(FleetEndpoint::instance);
+				assertThat(second).isEqualTo(first);
+			}
+		}
+
+		@Test
+		void promptsAreSpreadOverTheEndpoints() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
+			Map<String, Integer> counts = new HashMap<>();
+			for (long id = 1; id <= 1300; id++) {
+				counts.merge(choose(prompt(id), id, Set.of(), 0).get(), 1, Integer::sum);
+			}
+			assertThat(counts).hasSize(13);
+			assertThat(counts.values().stream().max(Integer::compare).get()).isLessThan(150);
+		}
+
+		@Test
+		void anotherEndpointIsTakenOnceTheQueueCostsMoreThanReadingAnew() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			PoolBalancerTests.this.balancer.begin(home, 30_000);
+			assertThat(choose(prompt(1), 1, Set.of(), 0).get()).isNotEqualTo(home);
+		}
+
+	}
+
+	@Nested
+	class Health {
+
+		@Test
+		void leavingAndTriedEndpointsGetNothing() {
+			PoolBalancerTests.this.balancer.endpoints(List.of(endpoint("a", true), endpoint("b", false)));
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.of("b"));
+			assertThat(choose(PromptShape.NONE, 1, Set.of("b"), 0)).isEqualTo(Optional.empty());
+		}
+
+		@Test
+		void lostEndpointGetsNothingForAWhile() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PoolBalancerTests.this.balancer.begin("i0", 0);
+			PoolBalancerTests.this.balancer.end("i0", Outcome.LOST, SECOND);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), SECOND)).isEqualTo(Optional.empty());
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 2 * SECOND)).isEqualTo(Optional.of("i0"));
+		}
+
+		@Test
+		void failingEndpointIsTakenWhenNothingElseIsLeft() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			for (int i = 0; i < 5; i++) {
+				PoolBalancerTests.this.balancer.end("i0", Outcome.FAILED, SECOND);
+			}
+			for (long salt = 0; salt < 20; salt++) {
+				assertThat(choose(PromptShape.NONE, salt, Set.of(), SECOND)).isEqualTo(Optional.of("i1"));
+			}
+			assertThat(choose(PromptShape.NONE, 1, Set.of("i1"), SECOND)).isEqualTo(Optional.of("i0"));
+		}
+
+	}
+
+	@Nested
+	class Load {
+
+		@Test
+		void fewestRequestsWin() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PoolBalancerTests.this.balancer.begin("i0", 0);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.of("i1"));
+		}
+
+		@Test
+		void requestsOfOtherEntriesCountAsFarAsTheyAreTold() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PoolBalancerTests.this.balancer.report("i1", 9, 2, 0);
+			PoolBalancerTests.this.balancer.begin("i0", 0);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), SECOND)).isEqualTo(Optional.of("i0"));
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 3 * SECOND)).isEqualTo(Optional.of("i1"));
+		}
+
+		@Test
+		void connectionsOfOneEndpointAreBounded() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PoolBalancerTests.this.balancer.connectionsEach(1);
+			PoolBalancerTests.this.balancer.begin("i0", 0);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.empty());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -0,0 +1,60 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RetryAllowanceTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	// Endpoints fail most requests for a while, and each entry would retry all of them.
+	// Whoever counts the arrivals sees the sum of all entries over any window; it must
+	// stay within the ratio and the minimum although no entry knows of the others.
+	@Test
+	void sumOfAllEntriesStaysWithinTheBudgetInAnyWindow() {
+		int entries = 6;
+		Random random = new Random(17);
+		List<RetryAllowance> allowances = new ArrayList<>();
+		for (int i = 0; i < entries; i++) {
+			RetryAllowance allowance = new RetryAllowance(10 * SECOND, 0.2, 52);
+			allowance.sharers(entries);
+			allowances.add(allowance);
+		}
+		List<Long> requests = new ArrayList<>();
+		List<Long> retries = new ArrayList<>();
+		for (long now = 0; now < 60 * SECOND; now += SECOND / 50) {
+			// The load is uneven: one entry gets half of it.
+			RetryAllowance allowance = allowances.get((random.nextBoolean()) ? 0 : random.nextInt(entries));
+			allowance.request(now);
+			requests.add(now);
+			if (random.nextInt(10) < 8 && allowance.mayRetry(now)) {
+				allowance.spend(now);
+				retries.add(now);
+			}
+		}
+		assertThat(retries.size()).isGreaterThan(100);
+		for (long retry : retries) {
+			long spent = retries.stream().filter((at) -> at <= retry && at > retry - 10 * SECOND).count();
+			long asked = requests.stream().filter((at) -> at <= retry && at > retry - 10 * SECOND).count();
+			assertThat((double) spent).isAtMost(0.2 * asked + 52);
+		}
+	}
+
+	@Test
+	void entryAloneHasTheWholeMinimum() {
+		RetryAllowance allowance = new RetryAllowance(10 * SECOND, 0, 10);
+		int spent = 0;
+		while (allowance.mayRetry(SECOND)) {
+			allowance.spend(SECOND);
+			spent++;
+		}
+		assertThat(spent).isEqualTo(9);
+		assertThat(allowance.mayRetry(13 * SECOND)).isTrue();
+	}
+
+}
