--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -1,5 +1,8 @@
 package org.acaciacourse.core.balance;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 import org.acaciacourse.core.route.FleetEndpoint;
 
 /**
@@ -28,11 +31,28 @@
 	/** Faults of part of the answers last for seconds. */
 	private static final double FADE_SECONDS = 3;
 
+	/** More prefixes than the memory of an engine holds. */
+	private static final int MAX_PREFIXES = 256;
+
+	/** An engine in use keeps a prefix for tens of seconds. */
+	private static final long HELD_NANOS = 30_000_000_000L;
+
 	private FleetEndpoint endpoint;
 
+	private final Map<Long, Long> prefixes = new LinkedHashMap<>(16, 0.75f, true) {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+			return size() > MAX_PREFIXES;
+		}
+
+	};
+
 	private int inFlight;
 
-	private long waitingTokens;
+	private long waitingWork;
 
 	private int reportedOthers;
 
@@ -60,14 +80,24 @@
 		this.endpoint = next;
 	}
 
-	void begin(long tokens) {
+	void begin(long work) {
 		this.inFlight++;
-		this.waitingTokens += tokens;
+		this.waitingWork += work;
+	}
+
+	void read(long prefix, long now) {
+		this.prefixes.put(prefix, now);
+	}
+
+	// Whether requests of this VM had the endpoint read a prefix lately.
+	boolean holds(long prefix, long now) {
+		Long at = this.prefixes.get(prefix);
+		return at != null && now - at < HELD_NANOS;
 	}
 
 	// The prompt was read: the first event came, or the request ended before.
-	void promptRead(long tokens) {
-		this.waitingTokens = Math.max(0, this.waitingTokens - tokens);
+	void promptRead(long work) {
+		this.waitingWork = Math.max(0, this.waitingWork - work);
 	}
 
 	void end() {
@@ -112,8 +142,8 @@
 		return this.inFlight;
 	}
 
-	long waitingTokens() {
-		return this.waitingTokens;
+	long waitingWork() {
+		return this.waitingWork;
 	}
 
 	// Own requests, and those of others as far as a fresh report tells.
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -95,8 +95,7 @@
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, without, now)) {
-				double cost = cost(load, now) + ((load == home || key == 0) ? 0 : shape.sharedTokens())
-						+ tieBreak(load, salt);
+				double cost = cost(load, now) + work(load, load == home, shape, key, now) + tieBreak(load, salt);
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
@@ -106,6 +105,11 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
+	private static long work(EndpointLoad load, boolean home, PromptShape shape, long key, long now) {
+		boolean held = key != 0 && (home || load.holds(key, now));
+		return shape.work((held) ? shape.sharedTokens() : 0);
+	}
+
 	private EndpointLoad home(long key, Set<String> without, long now) {
 		EndpointLoad home = null;
 		long highest = 0;
@@ -130,7 +134,7 @@
 		// A service with few slots is full with few requests: a request there costs as
 		// much as a full batch shared by its slots.
 		double perRunning = Math.max(TOKENS_PER_RUNNING, TOKENS_PER_WAITING / slots);
-		return load.waitingTokens() + perRunning * load.running(now) + TOKENS_PER_WAITING * (over + load.waiting(now))
+		return load.waitingWork() + perRunning * load.running(now) + TOKENS_PER_WAITING * (over + load.waiting(now))
 				+ TOKENS_PER_FAILURE * load.failureRate(now);
 	}
 
@@ -156,19 +160,30 @@
 	/**
 	 * A request is sent.
 	 * @param instance the endpoint's instance
-	 * @param promptTokens the tokens it has to read
+	 * @param shape the request's prompt
+	 * @param now the time
+	 * @return the work that it waits for there, for {@link #promptRead}
 	 */
-	public void begin(String instance, long promptTokens) {
-		find(instance).ifPresent((load) -> load.begin(promptTokens));
+	public long begin(String instance, PromptShape shape, long now) {
+		long prefix = shape.sharedId();
+		return find(instance).map((load) -> {
+			boolean held = prefix != 0 && load.holds(prefix, now);
+			long work = shape.work((held) ? shape.sharedTokens() : 0);
+			load.begin(work);
+			if (prefix != 0) {
+				load.read(prefix, now);
+			}
+			return work;
+		}).orElse(0L);
 	}
 
 	/**
 	 * A request's prompt is read, or the request ended before.
 	 * @param instance the endpoint's instance
-	 * @param promptTokens the tokens it was sent with
+	 * @param work what {@link #begin} told
 	 */
-	public void promptRead(String instance, long promptTokens) {
-		find(instance).ifPresent((load) -> load.promptRead(promptTokens));
+	public void promptRead(String instance, long work) {
+		find(instance).ifPresent((load) -> load.promptRead(work));
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -13,6 +13,12 @@
  */
 public record PromptShape(long promptTokens, long outputTokens, List<Part> parts) {
 
+	/**
+	 * After how many tokens comparing a token with all before it takes as long as the rest
+	 * of the work on it; of the order of what engines of today show.
+	 */
+	private static final double TOKENS_PER_COMPARISON = 31_000;
+
 	/** A request without a prompt. */
 	public static final PromptShape NONE = new PromptShape(0, 0, List.of());
 
@@ -32,6 +38,18 @@
 		return shared;
 	}
 
+	/**
+	 * Return what an engine has to do to read the prompt, in tokens of a short prompt. Each
+	 * token is compared with all before it, so that the work grows faster than the prompt.
+	 * @param held the tokens that the engine holds already
+	 * @return the work
+	 */
+	public long work(long held) {
+		long fresh = Math.max(0, this.promptTokens - held);
+		double before = held + fresh / 2.0;
+		return (long) (fresh * (1 + before / TOKENS_PER_COMPARISON));
+	}
+
 	/**
 	 * Return what requests with the same shared parts have in common.
 	 * @return the id of the last shared part, 0 if nothing is shared
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -68,7 +68,7 @@
 		void anotherEndpointIsTakenOnceTheQueueCostsMoreThanReadingAnew() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
 			String home = choose(prompt(1), 1, Set.of(), 0).get();
-			PoolBalancerTests.this.balancer.begin(home, 30_000);
+			PoolBalancerTests.this.balancer.begin(home, new PromptShape(30_000, 1, List.of()), 0);
 			assertThat(choose(prompt(1), 1, Set.of(), 0).get()).isNotEqualTo(home);
 		}
 
@@ -87,7 +87,7 @@
 		@Test
 		void lostEndpointGetsNothingForAWhile() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
-			PoolBalancerTests.this.balancer.begin("i0", 0);
+			PoolBalancerTests.this.balancer.begin("i0", PromptShape.NONE, 0);
 			PoolBalancerTests.this.balancer.end("i0", Outcome.LOST, SECOND);
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), SECOND)).isEqualTo(Optional.empty());
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), 2 * SECOND)).isEqualTo(Optional.of("i0"));
@@ -113,7 +113,7 @@
 		@Test
 		void fewestRequestsWin() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
-			PoolBalancerTests.this.balancer.begin("i0", 0);
+			PoolBalancerTests.this.balancer.begin("i0", PromptShape.NONE, 0);
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.of("i1"));
 		}
 
@@ -121,7 +121,7 @@
 		void requestsOfOtherEntriesCountAsFarAsTheyAreTold() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
 			PoolBalancerTests.this.balancer.report("i1", 9, 2, 0);
-			PoolBalancerTests.this.balancer.begin("i0", 0);
+			PoolBalancerTests.this.balancer.begin("i0", PromptShape.NONE, 0);
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), SECOND)).isEqualTo(Optional.of("i0"));
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), 3 * SECOND)).isEqualTo(Optional.of("i1"));
 		}
@@ -130,7 +130,7 @@
 		void connectionsOfOneEndpointAreBounded() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
 			PoolBalancerTests.this.balancer.connectionsEach(1);
-			PoolBalancerTests.this.balancer.begin("i0", 0);
+			PoolBalancerTests.this.balancer.begin("i0", PromptShape.NONE, 0);
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.empty());
 		}
 
--- a/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -82,4 +82,40 @@
 		assertThat(this.manager.next(current, true, 10, (id) -> 0, (id) -> true)).isEqualTo(Optional.empty());
 	}
 
+	// A VM is replaced for good by one with another name. Its voter would count for the
+	// quorum for ever: of five voters one is dead, and two more losses stop the log. The
+	// newcomer takes its place once it has caught up, and not while the voter may only be
+	// restarting.
+	@Test
+	void voterThatIsLongGoneGivesItsPlaceToANewVm() {
+		Member d = member(7, "d", true);
+		Member e = member(8, "e", true);
+		Member f = member(9, "f", false);
+		Membership full = new Membership(List.of(A, B, C, d, e, f));
+		this.manager.observe(full, (id) -> !id.equals(B.id()), 0);
+		assertThat(nextWithoutB(full)).isEqualTo(Optional.empty());
+		this.manager.observe(full, (id) -> !id.equals(B.id()), MembershipManager.GONE_NANOS - 1);
+		assertThat(nextWithoutB(full)).isEqualTo(Optional.empty());
+		this.manager.observe(full, (id) -> !id.equals(B.id()), MembershipManager.GONE_NANOS);
+		Membership without = nextWithoutB(full).orElseThrow();
+		assertThat(without.members()).containsExactly(A, C, d, e, f);
+		Membership replaced = nextWithoutB(without).orElseThrow();
+		assertThat(replaced.isVoter(f.id())).isTrue();
+		assertThat(replaced.voters()).hasSize(5);
+	}
+
+	@Test
+	void voterThatAnswersAgainKeepsItsPlace() {
+		Membership full = new Membership(
+				List.of(A, B, C, member(7, "d", true), member(8, "e", true), member(9, "f", false)));
+		this.manager.observe(full, (id) -> !id.equals(B.id()), 0);
+		this.manager.observe(full, (id) -> true, MembershipManager.GONE_NANOS - 1);
+		this.manager.observe(full, (id) -> !id.equals(B.id()), MembershipManager.GONE_NANOS + 1);
+		assertThat(nextWithoutB(full)).isEqualTo(Optional.empty());
+	}
+
+	private Optional<Membership> nextWithoutB(Membership current) {
+		return this.manager.next(current, true, 10, (id) -> 10, (id) -> !id.equals(B.id()));
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -47,6 +47,8 @@
 
 	private final Form form = new Form();
 
+	private final long work;
+
 	private EndpointLink link;
 
 	private ScheduledFuture<?> silence;
@@ -62,6 +64,8 @@
 	Attempt(RoutedExchange exchange, FleetEndpoint endpoint) {
 		this.exchange = exchange;
 		this.endpoint = endpoint;
+		this.work = exchange.balancer()
+			.begin(endpoint.instance(), exchange.request().facts().prompt(), System.nanoTime());
 	}
 
 	/**
@@ -114,8 +118,7 @@
 	private void promptRead() {
 		if (!this.promptRead) {
 			this.promptRead = true;
-			this.exchange.balancer()
-				.promptRead(this.endpoint.instance(), this.exchange.request().facts().prompt().promptTokens());
+			this.exchange.balancer().promptRead(this.endpoint.instance(), this.work);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -160,7 +160,6 @@
 		Attempt attempt = new Attempt(this, endpoint);
 		this.current = Optional.of(attempt);
 		this.progress.begin(endpoint.instance());
-		this.balancer().begin(endpoint.instance(), this.request.facts().prompt().promptTokens());
 		this.context.links().acquire(endpoint, (link) -> connected(attempt, endpoint, link));
 	}
 
