Let entries tell each other what they have under way at the endpoints

Reports of the endpoints are late, come only with answers, and asking for them is priced. Ruled out: a load report through control (a second late).

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -37,6 +37,10 @@
 	/** An engine in use keeps a prefix for tens of seconds. */
 	private static final long HELD_NANOS = 30_000_000_000L;
 
+	private final PeerLoads peers;
+
+	private final int name;
+
 	private FleetEndpoint endpoint;
 
 	private final Map<Long, Long> prefixes = new LinkedHashMap<>(16, 0.75f, true) {
@@ -68,8 +72,10 @@
 
 	private long pausedUntil = Long.MIN_VALUE / 2;
 
-	EndpointLoad(FleetEndpoint endpoint) {
+	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers) {
 		this.endpoint = endpoint;
+		this.peers = peers;
+		this.name = PeerLoads.nameOf(endpoint.instance());
 	}
 
 	FleetEndpoint endpoint() {
@@ -142,18 +148,27 @@
 		return this.inFlight;
 	}
 
+	// The work that waits there for all VMs, as far as they tell.
 	long waitingWork() {
-		return this.waitingWork;
+		return this.waitingWork + this.peers.waitingWork(this.name);
+	}
+
+	PeerLoads.Load own() {
+		return new PeerLoads.Load(this.name, this.inFlight, this.waitingWork);
 	}
 
-	// Own requests, and those of others as far as a fresh report tells.
+	// Own requests, and those of others as far as they, or a fresh report, tell.
 	int running(long now) {
+		if (this.peers.isTold()) {
+			return this.inFlight + this.peers.inFlight(this.name);
+		}
 		boolean fresh = now - this.reportedAt < REPORT_NANOS;
 		return this.inFlight + ((fresh) ? this.reportedOthers : 0);
 	}
 
 	int waiting(long now) {
-		return (now - this.reportedAt < REPORT_NANOS) ? this.reportedWaiting : 0;
+		boolean fresh = now - this.reportedAt < REPORT_NANOS;
+		return (fresh && !this.peers.isTold()) ? this.reportedWaiting : 0;
 	}
 
 	// The failure rate fades, so that an endpoint that is well again gets its share.
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -49,8 +49,26 @@
 
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
+	private final PeerLoads peers;
+
 	private int connectionsEach = Integer.MAX_VALUE;
 
+	/**
+	 * Make a balancer.
+	 * @param peers what the other entry VMs have under way
+	 */
+	public PoolBalancer(PeerLoads peers) {
+		this.peers = peers;
+	}
+
+	/**
+	 * Return what this VM has under way.
+	 * @return the load at each endpoint where there is any
+	 */
+	public List<PeerLoads.Load> own() {
+		return this.loads.values().stream().filter((load) -> load.inFlight() > 0).map(EndpointLoad::own).toList();
+	}
+
 	/**
 	 * Take the endpoints of the pool from the fleet.
 	 * @param endpoints the endpoints
@@ -65,7 +83,7 @@
 				load.update(endpoint);
 			}
 			else {
-				this.loads.put(instance, new EndpointLoad(endpoint));
+				this.loads.put(instance, new EndpointLoad(endpoint, this.peers));
 			}
 		});
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -14,8 +14,8 @@
 public record PromptShape(long promptTokens, long outputTokens, List<Part> parts) {
 
 	/**
-	 * After how many tokens comparing a token with all before it takes as long as the rest
-	 * of the work on it; of the order of what engines of today show.
+	 * After how many tokens comparing a token with all before it takes as long as the
+	 * rest of the work on it; of the order of what engines of today show.
 	 */
 	private static final double TOKENS_PER_COMPARISON = 31_000;
 
@@ -39,8 +39,9 @@
 	}
 
 	/**
-	 * Return what an engine has to do to read the prompt, in tokens of a short prompt. Each
-	 * token is compared with all before it, so that the work grows faster than the prompt.
+	 * Return what an engine has to do to read the prompt, in tokens of a short prompt.
+	 * Each token is compared with all before it, so that the work grows faster than the
+	 * prompt.
 	 * @param held the tokens that the engine holds already
 	 * @return the work
 	 */
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -18,7 +18,9 @@
 
 	private static final long SECOND = 1_000_000_000L;
 
-	private final PoolBalancer balancer = new PoolBalancer();
+	private final PeerLoads peers = new PeerLoads();
+
+	private final PoolBalancer balancer = new PoolBalancer(this.peers);
 
 	private static FleetEndpoint endpoint(String instance, boolean leaving) {
 		return new FleetEndpoint(instance, "pool", "127.0.0.1:1", "dc", 64, leaving);
@@ -42,7 +44,7 @@
 
 		@Test
 		void requestsThatShareAPromptGoToOneEndpointAtEveryEntry() {
-			PoolBalancer other = new PoolBalancer();
+			PoolBalancer other = new PoolBalancer(new PeerLoads());
 			other.endpoints(endpoints(13));
 			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
 			for (long id = 1; id < 50; id++) {
@@ -107,6 +109,37 @@
 
 	}
 
+	@Nested
+	class Peers {
+
+		// Six entries each see a sixth of a burst of long prompts. Each sends one of them
+		// to the same idle endpoint, and the short requests there wait for seconds.
+		@Test
+		void workOfOtherEntriesCounts() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PoolBalancerTests.this.peers.take("b", 1, List.of(new PeerLoads.Load(PeerLoads.nameOf("i0"), 1, 50_000)),
+					0);
+			for (long salt = 0; salt < 20; salt++) {
+				assertThat(choose(PromptShape.NONE, salt, Set.of(), 0)).isEqualTo(Optional.of("i1"));
+			}
+		}
+
+		@Test
+		void digestReplacesTheOneBeforeAndSilenceEndsIt() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PeerLoads.Load first = new PeerLoads.Load(PeerLoads.nameOf("i0"), 5, 0);
+			PeerLoads.Load second = new PeerLoads.Load(PeerLoads.nameOf("i1"), 1, 0);
+			PoolBalancerTests.this.peers.take("b", 2, List.of(second), 0);
+			PoolBalancerTests.this.peers.take("b", 1, List.of(first), 0);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.of("i0"));
+			PoolBalancerTests.this.peers.forgetSilent(2 * SECOND);
+			assertThat(PoolBalancerTests.this.peers.isTold()).isFalse();
+			PoolBalancerTests.this.balancer.begin("i0", PromptShape.NONE, 2 * SECOND);
+			assertThat(choose(PromptShape.NONE, 1, Set.of(), 2 * SECOND)).isEqualTo(Optional.of("i1"));
+		}
+
+	}
+
 	@Nested
 	class Load {
 
--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
@@ -102,8 +102,8 @@
 	void tick() {
 		this.replica.tick(monotonic());
 		if (this.replica.isLeader()) {
-			this.manager.observe(this.replica.membership(),
-					(member) -> this.replica.isInContact(member, monotonic()), monotonic());
+			this.manager.observe(this.replica.membership(), (member) -> this.replica.isInContact(member, monotonic()),
+					monotonic());
 			this.manager
 				.next(this.replica.membership(), this.replica.isMembershipCommitted(),
 						this.replica.status().commitIndex(), this.replica::matchIndex,
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
@@ -39,7 +39,7 @@
 			return;
 		}
 		EntryStatus status = new EntryStatus(poll.getVm(), poll.getDataCentre(), poll.getNumber(), poll.getDigest(),
-				now, poll.isLeaving(), poll.getReports(), poll.getOwner());
+				now, poll.isLeaving(), poll.getReports(), poll.getOwner(), poll.getLoadAddress());
 		this.own.put(poll.getOwner(), status);
 	}
 
@@ -88,7 +88,7 @@
 	private static EntryStatus aged(EntryStatus entry, boolean withReports, long now) {
 		List<ClassReport> reports = (withReports) ? entry.getReports() : List.of();
 		return new EntryStatus(entry.getVm(), entry.getDataCentre(), entry.getNumber(), entry.getDigest(),
-				now - entry.getLastSeenMillis(), entry.isLeaving(), reports, entry.getOwner());
+				now - entry.getLastSeenMillis(), entry.isLeaving(), reports, entry.getOwner(), entry.getLoadAddress());
 	}
 
 	/**
@@ -118,6 +118,22 @@
 		return owners;
 	}
 
+	/**
+	 * Return where the live entries take the load of others.
+	 * @param owner the run of the entry that asks, which is left out
+	 * @param now the wall-clock time in milliseconds
+	 * @return the addresses in their order
+	 */
+	List<String> loadAddresses(String owner, long now) {
+		return live(now).stream()
+			.filter((entry) -> !entry.getOwner().equals(owner) && !entry.isLeaving())
+			.map(EntryStatus::getLoadAddress)
+			.filter((address) -> address != null && !address.isEmpty())
+			.distinct()
+			.sorted()
+			.toList();
+	}
+
 	/**
 	 * Count the live entry VMs that are not leaving.
 	 * @param now the wall-clock time in milliseconds
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -119,6 +119,7 @@
 			reply.setFleet(FleetCodec.encode(known));
 		}
 		reply.setControls(this.loop.board().latest().membership().members().stream().map(Member::address).toList());
+		reply.setPeers(this.registry.loadAddresses(request.getOwner(), System.currentTimeMillis()));
 		List<EndpointNotice> notices = this.platform.notices();
 		return reply.setNotices(notices).setEntryCount(this.registry.count(System.currentTimeMillis()));
 	}
@@ -129,7 +130,8 @@
 			.setDigest("")
 			.setCrashes(List.of())
 			.setNotices(List.of())
-			.setControls(List.of());
+			.setControls(List.of())
+			.setPeers(List.of());
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -86,6 +86,7 @@
 		takeCrashes(reply);
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
+		this.listener.peers(reply.getPeers());
 		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
 			this.entryCount = reply.getEntryCount();
 			this.listener.entryCount(this.entryCount);
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -100,7 +100,7 @@
 		for (String address : this.controls) {
 			try (InnerConnection direct = InnerConnection.open(address, TIMEOUT)) {
 				PollRequest request = new PollRequest(this.options.vm(), this.run, this.options.dataCentre(), 0, "", 0,
-						0, List.of(), false, true, 0);
+						0, List.of(), false, true, 0, "");
 				direct.control().poll(this.options.key().text(), request);
 				return;
 			}
@@ -168,7 +168,7 @@
 	private PollRequest request(boolean latest) {
 		return new PollRequest(this.options.vm(), this.run, this.options.dataCentre(), this.follower.number(),
 				this.follower.digest(), this.follower.crashRevision(), WAIT_MILLIS, this.reports.get(), latest,
-				this.leaving, this.follower.fleetRevision());
+				this.leaving, this.follower.fleetRevision(), this.options.loadAddress());
 	}
 
 	private void noteLatest(boolean known) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -101,6 +101,13 @@
 		default void fleet(Fleet fleet) {
 		}
 
+		/**
+		 * Which other entries are live, as of this call.
+		 * @param loadAddresses where they take the load of others
+		 */
+		default void peers(List<String> loadAddresses) {
+		}
+
 		/**
 		 * The configuration is known to be the latest committed one as of this call; the
 		 * VM may become ready.
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/LinkOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/LinkOptions.java
@@ -18,9 +18,10 @@
  * @param controls the addresses of the control VMs, at least one
  * @param key the key of the inner connections
  * @param seeds yields the control VMs that the settings name at present
+ * @param loadAddress where the other entries send their load to, empty if they should not
  */
 public record LinkOptions(String vm, String dataCentre, List<String> controls, SharedKey key,
-		Supplier<List<String>> seeds) {
+		Supplier<List<String>> seeds, String loadAddress) {
 
 	public LinkOptions {
 		controls = List.copyOf(controls);
@@ -37,7 +38,7 @@
 	 * @param key the key of the inner connections
 	 */
 	public LinkOptions(String vm, String dataCentre, List<String> controls, SharedKey key) {
-		this(vm, dataCentre, controls, key, () -> controls);
+		this(vm, dataCentre, controls, key, () -> controls, "");
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.RetryAllowance;
 import org.acaciacourse.core.route.Fleet;
@@ -33,6 +34,8 @@
 
 	private final Map<String, State> states = new HashMap<>();
 
+	private final PeerLoads peers = new PeerLoads();
+
 	private final Map<String, Long> lastHeard = new HashMap<>();
 
 	private Fleet fleet = Fleet.NONE;
@@ -79,6 +82,20 @@
 		return this.fleet;
 	}
 
+	PeerLoads peers() {
+		return this.peers;
+	}
+
+	/**
+	 * Return what this VM has under way at the endpoints of all pools.
+	 * @return the loads
+	 */
+	List<PeerLoads.Load> own() {
+		List<PeerLoads.Load> all = new ArrayList<>();
+		this.states.values().forEach((state) -> all.addAll(state.balancer().own()));
+		return all;
+	}
+
 	/**
 	 * Set how many entry VMs share budgets and connections.
 	 * @param count the number of VMs
@@ -104,7 +121,7 @@
 			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
 					this.rule.minimum());
 			allowance.sharers(this.entries);
-			return new State(new PoolBalancer(), allowance);
+			return new State(new PoolBalancer(this.peers), allowance);
 		});
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -73,6 +73,8 @@
 
 	private final FleetFallback fallback;
 
+	private final Optional<LoadGossip> gossip;
+
 	private Optional<AdminServer> admin = Optional.empty();
 
 	private volatile HttpLimits limits;
@@ -101,6 +103,7 @@
 		this.front = new HttpFront(options.listen(), () -> this.limits, this.loops, this.handler);
 		this.readiness = new HttpFront(options.ready(), () -> this.limits, this.loops, new Readiness());
 		this.fallback = new FleetFallback(options.fleet(), this::takeFleet);
+		this.gossip = options.load().map((address) -> new LoadGossip(this.loop, this.pools, address));
 	}
 
 	/**
@@ -116,6 +119,7 @@
 		}
 		this.loop.scheduleAtFixedRate(() -> this.links.sweep(this.pools::isThere), SWEEP_MILLIS, SWEEP_MILLIS,
 				TimeUnit.MILLISECONDS);
+		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::start));
 		this.link.start(new Followed(), List::of);
 		this.fallback.start();
 		logger.info("entry listens on port {}", port());
@@ -187,6 +191,7 @@
 	}
 
 	private void close() {
+		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::stop));
 		this.fallback.close();
 		this.front.close();
 		this.readiness.close();
@@ -227,6 +232,12 @@
 			takeFleet(fleet);
 		}
 
+		@Override
+		public void peers(List<String> loadAddresses) {
+			RouteDaemon.this.gossip
+				.ifPresent((sharing) -> RouteDaemon.this.loop.execute(() -> sharing.peers(loadAddresses)));
+		}
+
 		@Override
 		public void upToDate() {
 			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.upToDate = true);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -15,6 +15,7 @@
  * @param listen the address for callers
  * @param ready the address that tells whether callers should be sent here
  * @param metrics the address of health and metrics, if there is one
+ * @param load where the other entries send their load to, if they should
  * @param retries the retry budget
  * @param maxConnections the most connections of callers
  * @param stopDelay how long callers are still taken after a stop was asked for, until
@@ -23,12 +24,14 @@
  * @param fleet reads the platform's list while no control VM tells the fleet
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
-		RetryRule retries, int maxConnections, Duration stopDelay, Duration drainLimit, FleetSource fleet) {
+		Optional<InetSocketAddress> load, RetryRule retries, int maxConnections, Duration stopDelay,
+		Duration drainLimit, FleetSource fleet) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
 		Objects.requireNonNull(ready, "ready");
 		Objects.requireNonNull(metrics, "metrics");
+		Objects.requireNonNull(load, "load");
 		Objects.requireNonNull(retries, "retries");
 		Objects.requireNonNull(fleet, "fleet");
 	}
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
@@ -27,7 +27,7 @@
 class EntryViewTests {
 
 	private static PollRequest poll(String vm, String run, long number) {
-		return new PollRequest(vm, run, "accra-a", number, "", 0, 0, List.of(), false, false, 0);
+		return new PollRequest(vm, run, "accra-a", number, "", 0, 0, List.of(), false, false, 0, "");
 	}
 
 	@Nested
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -32,7 +32,8 @@
 			.setBaseDigest("")
 			.setCrashes(List.of())
 			.setNotices(List.of())
-			.setControls(List.of());
+			.setControls(List.of())
+			.setPeers(List.of());
 	}
 
 	private static PollReply whole(long number) {
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -276,6 +276,8 @@
   10: bool leaving,
   /* Of the fleet that the entry works with, 0 for none. */
   11: i64 fleetRevision,
+  /* Where the other entries send their load to, empty if they should not. */
+  12: string loadAddress,
 }
 
 struct PollReply {
@@ -295,6 +297,21 @@
   12: i64 fleetRevision,
   /* The inner addresses of the control VMs that hold the log. */
   13: list<string> controls,
+  /* Where the live entries, but for the asking one, take the load of others. */
+  14: list<string> peers,
+}
+
+/* A datagram between entries: what the sender has under way at endpoints. */
+struct LoadDigestRecord {
+  1: i64 sequence,
+  2: list<EndpointLoadRecord> loads,
+}
+
+struct EndpointLoadRecord {
+  /* A hash of the endpoint's instance. */
+  1: i32 instance,
+  2: i32 inFlight,
+  3: i64 waitingWork,
 }
 
 /* An endpoint that the platform lists. */
@@ -358,6 +375,7 @@
   6: bool leaving,
   7: list<ClassReport> reports,
   8: string owner,
+  9: string loadAddress,
 }
 
 struct ReadIndexReply {
