Let long prompts wait at the entry while the engines have much to read

Now a request whose target is not the shortest of its pool waits, most urgent first, until an engine has less to read than half of the shortest target; first for the holder of its shared part; at most 1.2 targets. Ruled out: refusing them (engines are idle in between), ordering at the engine (urgency orders admission, not reading).

--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -53,6 +53,8 @@
 
 	private int connectionsEach = Integer.MAX_VALUE;
 
+	private long room = Long.MAX_VALUE;
+
 	/**
 	 * Make a balancer.
 	 * @param peers what the other entry VMs have under way
@@ -96,25 +98,31 @@
 		this.connectionsEach = Math.max(1, most);
 	}
 
+	/**
+	 * Set how much work an endpoint may have waiting before prompts that can wait do so.
+	 * @param work the work, as {@link PromptShape#work} counts it
+	 */
+	public void room(long work) {
+		this.room = work;
+	}
+
 	/**
 	 * Choose an endpoint.
-	 * @param shape the request's prompt
-	 * @param affinity whether requests with the same shared parts belong together
-	 * @param salt a hash of the request, which decides between equal endpoints
-	 * @param without the instances that had their turn
+	 * @param asked what the request asks
 	 * @param now the time
-	 * @return the endpoint, or nothing if none may get a request now
+	 * @return the endpoint, or nothing if none may get the request now
 	 */
-	public Optional<FleetEndpoint> choose(PromptShape shape, boolean affinity, long salt, Set<String> without,
-			long now) {
-		long key = (affinity) ? shape.sharedId() : 0;
-		EndpointLoad home = (key != 0) ? home(key, without, now) : null;
+	public Optional<FleetEndpoint> choose(Placement asked, long now) {
+		long key = (asked.affinity()) ? asked.shape().sharedId() : 0;
+		EndpointLoad home = (key != 0) ? home(key, asked.without(), now) : null;
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : this.loads.values()) {
-			if (isUsable(load, without, now)) {
-				double cost = cost(load, now) + work(load, load == home, shape, key, now) + tieBreak(load, salt);
-				if (cost < bestCost) {
+			if (isUsable(load, asked.without(), now)) {
+				boolean holder = key == 0 || load == home || load.holds(key, now);
+				long work = asked.shape().work((holder && key != 0) ? asked.shape().sharedTokens() : 0);
+				double cost = cost(load, now) + work + tieBreak(load, asked.salt());
+				if (cost < bestCost && asked.patience().permits(holder, hasRoom(load, work))) {
 					best = load;
 					bestCost = cost;
 				}
@@ -123,9 +131,10 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
-	private static long work(EndpointLoad load, boolean home, PromptShape shape, long key, long now) {
-		boolean held = key != 0 && (home || load.holds(key, now));
-		return shape.work((held) ? shape.sharedTokens() : 0);
+	// An idle endpoint has room for any prompt: waiting longer would help nobody.
+	private boolean hasRoom(EndpointLoad load, long work) {
+		long waiting = load.waitingWork();
+		return waiting == 0 || waiting + work <= this.room;
 	}
 
 	private EndpointLoad home(long key, Set<String> without, long now) {
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.route;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -107,6 +108,22 @@
 		return Optional.ofNullable(this.pools.get(name));
 	}
 
+	/**
+	 * Find the shortest target of the routes to a pool.
+	 * @param pool the name of the pool
+	 * @return the target, if any route leads there
+	 */
+	public Optional<Duration> shortestTarget(String pool) {
+		return this.byHost.values()
+			.stream()
+			.flatMap((routes) -> routes.values().stream())
+			.filter((route) -> route.shares()
+				.stream()
+				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool)))
+			.map(Route::target)
+			.min(Duration::compareTo);
+	}
+
 	/**
 	 * Return the pools.
 	 * @return all pools
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import org.acaciacourse.core.balance.Placement.Patience;
 import org.acaciacourse.core.balance.PoolBalancer.Outcome;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.junit.jupiter.api.Nested;
@@ -31,12 +32,17 @@
 	}
 
 	private static PromptShape prompt(long sharedId) {
-		return new PromptShape(4000, 100,
+		return new PromptShape(14_000, 100,
 				List.of(new PromptShape.Part(sharedId, 13_000), new PromptShape.Part(-sharedId, 1_000)));
 	}
 
 	private Optional<String> choose(PromptShape shape, long salt, Set<String> without, long now) {
-		return this.balancer.choose(shape, true, salt, without, now).map(FleetEndpoint::instance);
+		return choose(shape, salt, without, Patience.NONE, now);
+	}
+
+	private Optional<String> choose(PromptShape shape, long salt, Set<String> without, Patience patience, long now) {
+		return this.balancer.choose(new Placement(shape, true, salt, without, patience), now)
+			.map(FleetEndpoint::instance);
 	}
 
 	@Nested
@@ -49,7 +55,8 @@
 			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
 			for (long id = 1; id < 50; id++) {
 				Optional<String> first = choose(prompt(id), id, Set.of(), 0);
-				Optional<String> second = other.choose(prompt(id), true, id + 77, Set.of(), 0)
+				Optional<String> second = other
+					.choose(new Placement(prompt(id), true, id + 77, Set.of(), Patience.NONE), 0)
 					.map(FleetEndpoint::instance);
 				assertThat(second).isEqualTo(first);
 			}
@@ -109,6 +116,46 @@
 
 	}
 
+	@Nested
+	class Room {
+
+		// A burst of long prompts fills every engine for a second. Short requests that
+		// come
+		// meanwhile would wait behind them; the long ones wait at the entry instead.
+		@Test
+		void longPromptWaitsWhileAllEnginesHaveMuchToRead() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PoolBalancerTests.this.balancer.room(14_000);
+			for (String instance : List.of("i0", "i1")) {
+				PoolBalancerTests.this.balancer.begin(instance, new PromptShape(14_000, 1, List.of()), 0);
+			}
+			assertThat(choose(prompt(1), 1, Set.of(), Patience.ROOM, 0)).isEqualTo(Optional.empty());
+			assertThat(choose(prompt(1), 1, Set.of(), Patience.NONE, 0)).isNotEqualTo(Optional.empty());
+		}
+
+		@Test
+		void idleEngineHasRoomForAnyPrompt() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PoolBalancerTests.this.balancer.room(1_000);
+			PromptShape huge = new PromptShape(50_000, 1, List.of());
+			assertThat(choose(huge, 1, Set.of(), Patience.ROOM, 0)).isEqualTo(Optional.of("i0"));
+		}
+
+		// The holder of the shared part is busy. Read elsewhere, the part costs three
+		// times
+		// the rest of the prompt; so the request waits for the holder first.
+		@Test
+		void requestWaitsForTheHolderOfItsSharedPart() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
+			PoolBalancerTests.this.balancer.room(14_000);
+			String home = choose(prompt(1), 1, Set.of(), Patience.HOLDER, 0).get();
+			PoolBalancerTests.this.balancer.begin(home, new PromptShape(14_000, 1, List.of()), 0);
+			assertThat(choose(prompt(1), 1, Set.of(), Patience.HOLDER, 0)).isEqualTo(Optional.empty());
+			assertThat(choose(prompt(1), 1, Set.of(), Patience.ROOM, 0)).isNotEqualTo(Optional.of(home));
+		}
+
+	}
+
 	@Nested
 	class Peers {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.route;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.RetryAllowance;
@@ -30,6 +32,20 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
+	/**
+	 * What an engine reads in a millisecond, in tokens of a short prompt; about what
+	 * engines of today show, in a batch.
+	 */
+	private static final long WORK_PER_MILLI = 60;
+
+	/**
+	 * The part of the shortest target that prompts which can wait may take at an engine:
+	 * the rest is for the first token itself and for what other entries send meanwhile.
+	 */
+	private static final double ROOM_SHARE = 0.5;
+
+	private final EventLoop loop;
+
 	private final RetryRule rule;
 
 	private final Map<String, State> states = new HashMap<>();
@@ -46,7 +62,8 @@
 
 	private int entries = 1;
 
-	PoolStates(RetryRule rule) {
+	PoolStates(EventLoop loop, RetryRule rule) {
+		this.loop = loop;
 		this.rule = rule;
 	}
 
@@ -57,6 +74,10 @@
 	void table(RouteTable table) {
 		this.declared = table.pools();
 		share();
+		this.declared.stream().filter(Pool::isEngine).forEach((pool) -> {
+			Optional<Duration> shortest = table.shortestTarget(pool.name());
+			shortest.ifPresent((target) -> state(pool.name()).target(target));
+		});
 	}
 
 	/**
@@ -121,7 +142,7 @@
 			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
 					this.rule.minimum());
 			allowance.sharers(this.entries);
-			return new State(new PoolBalancer(this.peers), allowance);
+			return new State(new PoolBalancer(this.peers), allowance, new PoolQueue(this.loop));
 		});
 	}
 
@@ -151,11 +172,60 @@
 
 	/**
 	 * The state of a pool.
-	 *
-	 * @param balancer chooses its endpoints
-	 * @param allowance bounds its retries
 	 */
-	record State(PoolBalancer balancer, RetryAllowance allowance) {
+	static final class State {
+
+		private final PoolBalancer balancer;
+
+		private final RetryAllowance allowance;
+
+		private final PoolQueue queue;
+
+		private Duration shortestTarget = Duration.ZERO;
+
+		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
+			this.balancer = balancer;
+			this.allowance = allowance;
+			this.queue = queue;
+		}
+
+		private void target(Duration shortest) {
+			this.shortestTarget = shortest;
+			this.balancer.room((long) (shortest.toMillis() * WORK_PER_MILLI * ROOM_SHARE));
+		}
+
+		/**
+		 * Return what chooses the endpoints.
+		 * @return the balancer
+		 */
+		PoolBalancer balancer() {
+			return this.balancer;
+		}
+
+		/**
+		 * Return what bounds the retries.
+		 * @return the allowance
+		 */
+		RetryAllowance allowance() {
+			return this.allowance;
+		}
+
+		/**
+		 * Return the requests that wait for an endpoint.
+		 * @return the queue
+		 */
+		PoolQueue queue() {
+			return this.queue;
+		}
+
+		/**
+		 * Return the shortest target of the routes to this pool.
+		 * @return the target, zero if the pool has no engines
+		 */
+		Duration shortestTarget() {
+			return this.shortestTarget;
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -96,7 +96,7 @@
 		this.link = link;
 		this.limits = new HttpLimits(CallerLimits.DEFAULT.maxBodyBytes(), options.maxConnections(), READ_TIMEOUT,
 				CallerLimits.DEFAULT.maxHeaderBytes(), CallerLimits.DEFAULT.idleTimeout());
-		this.pools = new PoolStates(options.retries());
+		this.pools = new PoolStates(this.loop, options.retries());
 		this.links = new EndpointLinks(this.loop);
 		this.handler = new RouteHandler(
 				new RouteContext(this.loop, dialect, this.links, this.pools, this.metrics, this.open));
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -16,6 +16,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
+import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -39,7 +40,22 @@
 
 	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-	private static final long WAIT_STEP_MILLIS = 15;
+	/**
+	 * How long a prompt that can wait does so at most, in targets: an answer that is late
+	 * is still worth something, and callers stay for four targets before the first event.
+	 */
+	private static final double HOLD_TARGETS = 1.2;
+
+	/** And as a share of the time that the request has. */
+	private static final double HOLD_TIME_SHARE = 0.35;
+
+	/** It waits for the holder of its shared part in the first quarter of its target. */
+	private static final int HOLDER_SHARE = 4;
+
+	/**
+	 * Targets within this factor of the shortest one are the short requests themselves.
+	 */
+	private static final double NEARLY_SHORTEST = 1.25;
 
 	/** When to come back if no endpoint took the request; spread over twice the time. */
 	private static final long COME_BACK_MILLIS = 300;
@@ -69,7 +85,7 @@
 
 	private OptionalLong lastEvent;
 
-	private long waitingSince;
+	private long refusedSince;
 
 	private boolean done;
 
@@ -124,36 +140,62 @@
 		if (this.done) {
 			return;
 		}
-		long now = System.nanoTime();
-		if (this.progress.isRepeat() && !this.pool.allowance().mayRetry(now)) {
+		if (this.progress.isRepeat() && !this.pool.allowance().mayRetry(System.nanoTime())) {
 			fail("no retry left in the budget");
 			return;
 		}
-		Optional<FleetEndpoint> choice = choose(now);
+		long dueAt = this.startedAt + this.request.route().target().toNanos();
+		this.pool.queue().add(this, this.request.urgency(), dueAt);
+	}
+
+	/**
+	 * Look for an endpoint; called while the request waits for one.
+	 * @return whether the request waits no more
+	 */
+	boolean place() {
+		long now = System.nanoTime();
+		Placement.Patience patience = patience(now);
+		Optional<FleetEndpoint> choice = choose(patience, now);
 		if (choice.isPresent()) {
-			this.waitingSince = 0;
+			this.pool.queue().remove(this);
+			this.refusedSince = 0;
 			begin(choice.get());
-			return;
+			return true;
 		}
-		waitForEndpoint(now);
+		return patience == Placement.Patience.NONE && isRefusedTooLong(now);
 	}
 
-	private Optional<FleetEndpoint> choose(long now) {
-		return this.pool.balancer()
-			.choose(this.request.facts().prompt(), this.request.route().affinity(), this.request.hash(),
-					this.progress.tried(), now);
+	private boolean isRefusedTooLong(long now) {
+		if (this.refusedSince == 0) {
+			this.refusedSince = now;
+		}
+		long most = Math.max(LEAST_WAIT_NANOS, this.request.route().target().toNanos() / WAIT_SHARE);
+		if (now - this.refusedSince < most) {
+			return false;
+		}
+		this.pool.queue().remove(this);
+		fail("no endpoint takes it");
+		return true;
 	}
 
-	private void waitForEndpoint(long now) {
-		if (this.waitingSince == 0) {
-			this.waitingSince = now;
+	private Placement.Patience patience(long now) {
+		long target = this.request.route().target().toNanos();
+		boolean shortest = target <= this.pool.shortestTarget().toNanos() * NEARLY_SHORTEST;
+		if (this.request.facts().prompt().promptTokens() == 0 || shortest || this.progress.isRepeat()) {
+			return Placement.Patience.NONE;
 		}
-		long patience = Math.max(LEAST_WAIT_NANOS, this.request.route().target().toNanos() / WAIT_SHARE);
-		if (now - this.waitingSince >= patience) {
-			fail("no endpoint takes it");
-			return;
+		long waited = now - this.startedAt;
+		if (waited >= Math.min(target * HOLD_TARGETS, (this.endsAt - this.startedAt) * HOLD_TIME_SHARE)) {
+			return Placement.Patience.NONE;
 		}
-		this.context.loop().schedule(this::attempt, WAIT_STEP_MILLIS, TimeUnit.MILLISECONDS);
+		boolean early = waited < target / HOLDER_SHARE;
+		return (early) ? Placement.Patience.HOLDER : Placement.Patience.ROOM;
+	}
+
+	private Optional<FleetEndpoint> choose(Placement.Patience patience, long now) {
+		return this.pool.balancer()
+			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), this.request.hash(),
+					this.progress.tried(), patience), now);
 	}
 
 	private void begin(FleetEndpoint endpoint) {
@@ -229,7 +271,8 @@
 	 */
 	boolean mayReplace() {
 		return this.request.route().isIdempotent() && this.progress.mayTryAgain()
-				&& this.pool.allowance().mayRetry(System.nanoTime()) && choose(System.nanoTime()).isPresent();
+				&& this.pool.allowance().mayRetry(System.nanoTime())
+				&& choose(Placement.Patience.NONE, System.nanoTime()).isPresent();
 	}
 
 	// An endpoint's failure, which is passed on if no attempt yields better.
@@ -342,6 +385,7 @@
 		this.done = true;
 		this.deadline.cancel(false);
 		this.context.open().remove(this);
+		this.pool.queue().remove(this);
 		this.current.ifPresent(Attempt::cancel);
 		this.current = Optional.empty();
 		return true;
