Keep brief requests and long prompts apart, hold early requests, elect early, write the decision log

Where work goes. Cause: engines read prompts between the tokens of all answers beside them, so that brief answers miss their gaps; and with a full view of the load requests left the holder of their shared part too soon, 4.5 million tokens read again in place of 2.9. Holding long prompts back is dropped: it made them late (median 1.0 s for 0.5 s) and brief ones no faster. Now a quarter of the engines is for brief requests, and reading a part anew counts three times. A replica that has heard of no leader stands after 0.3 of the timeout, and an entry holds what comes before the configuration for up to 1.5 s in place of refusing it. 3. Decision log: one line for each request that fails, attempt that ends otherwise, and change of belief, with what decided it; refusals are merged.

--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -1,7 +1,9 @@
 package org.acaciacourse.core.balance;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +34,31 @@
 	 */
 	private static final double TOKENS_PER_RUNNING = 220;
 
+	/**
+	 * What reading a prompt where its shared part is not held costs the requests behind
+	 * it, as a multiple of its work. Engines that hold the shared parts are a third busy
+	 * under loads at which engines that read them again and again are full: a part that
+	 * is read anew takes the time of three other requests.
+	 */
+	private static final double ANEW_FACTOR = 3;
+
+	/**
+	 * The part of the endpoints for requests whose target is the shortest. An engine
+	 * reads long prompts between the tokens of all that run there, so that a step takes
+	 * three to five times as long, and brief answers beside them miss their gaps however
+	 * they are ordered. Brief requests need a tenth of the engines' time.
+	 */
+	private static final double BRIEF_SHARE = 0.25;
+
+	/** With fewer endpoints a crash would leave one of the two kinds without any. */
+	private static final int LEAST_TO_DIVIDE = 4;
+
+	/**
+	 * What it costs to put a request where the other kind belongs: the work of some four
+	 * long prompts, so that it happens when its own endpoints are full or gone.
+	 */
+	private static final double STRANGE_WORK = 40_000;
+
 	/** What a request that waits at the endpoint costs, in prompt tokens. */
 	private static final double TOKENS_PER_WAITING = 4_000;
 
@@ -53,7 +80,7 @@
 
 	private int connectionsEach = Integer.MAX_VALUE;
 
-	private long room = Long.MAX_VALUE;
+	private final Set<EndpointLoad> brief = new HashSet<>();
 
 	/**
 	 * Make a balancer.
@@ -88,6 +115,7 @@
 				this.loads.put(instance, new EndpointLoad(endpoint, this.peers));
 			}
 		});
+		divide();
 	}
 
 	/**
@@ -98,14 +126,6 @@
 		this.connectionsEach = Math.max(1, most);
 	}
 
-	/**
-	 * Set how much work an endpoint may have waiting before prompts that can wait do so.
-	 * @param work the work, as {@link PromptShape#work} counts it
-	 */
-	public void room(long work) {
-		this.room = work;
-	}
-
 	/**
 	 * Choose an endpoint.
 	 * @param asked what the request asks
@@ -113,16 +133,15 @@
 	 * @return the endpoint, or nothing if none may get the request now
 	 */
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
-		long key = (asked.affinity()) ? asked.shape().sharedId() : 0;
+		long key = (asked.affinity() && !asked.brief()) ? asked.shape().sharedId() : 0;
 		EndpointLoad home = (key != 0) ? home(key, asked.without(), now) : null;
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, asked.without(), now)) {
-				boolean holder = key == 0 || load == home || load.holds(key, now);
-				long work = asked.shape().work((holder && key != 0) ? asked.shape().sharedTokens() : 0);
-				double cost = cost(load, now) + work + tieBreak(load, asked.salt());
-				if (cost < bestCost && asked.patience().permits(holder, hasRoom(load, work))) {
+				double cost = cost(load, now) + work(load, asked.shape(), key, load == home, now)
+						+ strangeness(load, asked) + tieBreak(load, asked.salt());
+				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
 				}
@@ -131,10 +150,34 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
-	// An idle endpoint has room for any prompt: waiting longer would help nobody.
-	private boolean hasRoom(EndpointLoad load, long work) {
-		long waiting = load.waitingWork();
-		return waiting == 0 || waiting + work <= this.room;
+	private static double work(EndpointLoad load, PromptShape shape, long key, boolean home, long now) {
+		if (key == 0) {
+			return shape.work(0);
+		}
+		if (home || load.holds(key, now)) {
+			return shape.work(shape.sharedTokens());
+		}
+		return ANEW_FACTOR * shape.work(0);
+	}
+
+	// Brief requests on an endpoint for long ones, and the other way round.
+	private double strangeness(EndpointLoad load, Placement asked) {
+		boolean strange = asked.shape().promptTokens() > 0 && asked.brief() != this.brief.contains(load);
+		return (strange && !this.brief.isEmpty()) ? STRANGE_WORK : 0;
+	}
+
+	// The endpoints for brief requests, the same at every entry.
+	private void divide() {
+		long engines = this.loads.values().stream().filter((load) -> !load.endpoint().leaving()).count();
+		this.brief.clear();
+		if (engines >= LEAST_TO_DIVIDE) {
+			this.loads.values()
+				.stream()
+				.filter((load) -> !load.endpoint().leaving())
+				.sorted(Comparator.comparingLong((load) -> hash(load.endpoint().instance())))
+				.limit(Math.max(1, Math.round(engines * BRIEF_SHARE)))
+				.forEach(this.brief::add);
+		}
 	}
 
 	private EndpointLoad home(long key, Set<String> without, long now) {
@@ -142,7 +185,8 @@
 		long highest = 0;
 		for (EndpointLoad load : this.loads.values()) {
 			long weight = HASH.hashLong(key ^ Long.rotateLeft(hash(load.endpoint().instance()), 32));
-			if (isUsable(load, without, now) && (home == null || Long.compareUnsigned(weight, highest) > 0)) {
+			if (isUsable(load, without, now) && !this.brief.contains(load)
+					&& (home == null || Long.compareUnsigned(weight, highest) > 0)) {
 				home = load;
 				highest = weight;
 			}
@@ -237,10 +281,30 @@
 		find(instance).ifPresent((load) -> load.report(running, waiting, now));
 	}
 
+	/**
+	 * Tell what is believed of an endpoint, for the log.
+	 * @param instance its instance
+	 * @param now the time
+	 * @return the belief, if the endpoint is in the pool
+	 */
+	public Optional<Belief> belief(String instance, long now) {
+		return find(instance).map((load) -> new Belief(load.running(now), load.waitingWork(), load.failureRate(now)));
+	}
+
 	private Optional<EndpointLoad> find(String instance) {
 		return Optional.ofNullable(this.loads.get(instance));
 	}
 
+	/**
+	 * What is believed of an endpoint.
+	 *
+	 * @param running the requests there
+	 * @param waitingWork the work of those whose prompt is not read yet
+	 * @param failureRate the share of answers that fail, the latest ones counting most
+	 */
+	public record Belief(int running, long waitingWork, double failureRate) {
+	}
+
 	/**
 	 * What the end of a request tells of its endpoint.
 	 */
--- a/core/src/main/java/org/acaciacourse/core/consensus/Election.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Election.java
@@ -12,6 +12,14 @@
  */
 final class Election {
 
+	/**
+	 * The part of the timeout after which a replica stands that has heard of no leader
+	 * since it started. After all replicas were lost at once nobody leads, and the whole
+	 * timeout would pass for nothing; a leader that works is safe, as those that hear it
+	 * refuse the pre-vote.
+	 */
+	private static final double EARLY_SHARE = 0.3;
+
 	private final long timeoutNanos;
 
 	private final Random random;
@@ -31,7 +39,8 @@
 	}
 
 	void restartTimer(long now) {
-		this.deadline = now + this.timeoutNanos + (long) (this.random.nextDouble() * this.timeoutNanos);
+		double share = (this.leaderEverSeen) ? 1 : EARLY_SHARE;
+		this.deadline = now + (long) (share * (1 + this.random.nextDouble()) * this.timeoutNanos);
 	}
 
 	boolean isDue(long now) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
@@ -27,6 +27,8 @@
 import org.acaciacourse.daemon.store.Recovered;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * Joins the replica, its store and the state machine. Events are gathered, what they ask
@@ -190,11 +192,30 @@
 			snapshot();
 		}
 		Published next = published();
-		if (!next.equals(this.board.latest())) {
+		Published before = this.board.latest();
+		if (!next.equals(before)) {
+			tell(before, next);
 			this.board.publish(next);
 		}
 	}
 
+	private static void tell(Published before, Published next) {
+		ReplicaStatus status = next.status();
+		if (status.role() != before.status().role() || status.term() != before.status().term()
+				|| !status.leader().equals(before.status().leader())) {
+			DecisionLog.write(LogEvent.LEADER, status.role().name(), status.term(),
+					status.leader().map(Member::vm).orElse(null));
+		}
+		if (!next.membership().equals(before.membership())) {
+			DecisionLog.write(LogEvent.MEMBERS,
+					next.membership()
+						.members()
+						.stream()
+						.map((member) -> member.vm() + ((member.voter()) ? "" : " (learner)"))
+						.toList());
+		}
+	}
+
 	private void manageMembership(long now) {
 		if (!this.replica.isLeader() || now - this.managedAt < MANAGE_NANOS) {
 			return;
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -39,7 +39,7 @@
 
 	private static final Duration TIMEOUT = Duration.ofMillis(WAIT_MILLIS + 600);
 
-	private static final long PAUSE_MILLIS = 200;
+	private static final long PAUSE_MILLIS = 100;
 
 	private final LinkOptions options;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -16,6 +17,8 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * One attempt of a routed request at one endpoint. Judges what comes back: an answer
@@ -53,6 +56,8 @@
 
 	private ScheduledFuture<?> silence;
 
+	private final long begunAt = System.nanoTime();
+
 	private long sentAt;
 
 	private long heardAt;
@@ -101,11 +106,22 @@
 			return;
 		}
 		settle(outcome);
-		long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.sentAt);
-		RouteLog.attemptEnded(this.exchange.request().facts().id(), this.endpoint.instance(), end.name(), age);
+		tell(end);
 		this.exchange.ended(this, end);
 	}
 
+	private void tell(AttemptEnd end) {
+		long now = System.nanoTime();
+		String instance = this.endpoint.instance();
+		long silent = TimeUnit.NANOSECONDS.toMillis(now - this.heardAt);
+		Optional<PoolBalancer.Belief> belief = this.exchange.balancer().belief(instance, now);
+		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().facts().id(), instance, end.name(),
+				TimeUnit.NANOSECONDS.toMillis(now - this.begunAt), (this.sentAt != 0) ? silent : null,
+				belief.map(PoolBalancer.Belief::running).orElse(null),
+				belief.map(PoolBalancer.Belief::waitingWork).orElse(null),
+				belief.map((b) -> Math.round(b.failureRate() * 100) / 100.0).orElse(null));
+	}
+
 	private void settle(PoolBalancer.Outcome outcome) {
 		this.done = true;
 		if (this.silence != null) {
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EarlyRequests.java
@@ -0,0 +1,104 @@
+package org.acaciacourse.daemon.route;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.acaciacourse.daemon.http.CallerRequest;
+import org.acaciacourse.daemon.http.CallerResponse;
+
+/**
+ * Requests that came before the first configuration. After all VMs were lost at once a
+ * process is there a second before the configuration is: refused, most callers would come
+ * back too early once more and give up. Held for a short part of their time they are
+ * served late instead.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class EarlyRequests {
+
+	/** A control VM is found and the newest configuration known within this time. */
+	private static final long MOST_MILLIS = 1_500;
+
+	/** As a part of the time that the caller waits, so that it can still come back. */
+	private static final int PATIENCE_SHARE = 3;
+
+	/**
+	 * Bounds the memory; more than come to a VM in that time at ten times the usual load.
+	 */
+	private static final int MOST_REQUESTS = 500;
+
+	private final List<Early> waiting = new ArrayList<>();
+
+	private final EventLoop loop;
+
+	EarlyRequests(EventLoop loop) {
+		this.loop = loop;
+	}
+
+	/**
+	 * Hold a request.
+	 * @param request the request
+	 * @param response takes its answer
+	 * @param patienceMillis how long its caller waits
+	 * @param refuse refuses it once it was held for too long
+	 * @return false if too many are held already
+	 */
+	boolean hold(CallerRequest request, CallerResponse response, long patienceMillis, Runnable refuse) {
+		if (this.waiting.size() >= MOST_REQUESTS) {
+			return false;
+		}
+		Early early = new Early(request, response);
+		early.timeout = this.loop.schedule(() -> {
+			this.waiting.remove(early);
+			refuse.run();
+		}, Math.min(MOST_MILLIS, patienceMillis / PATIENCE_SHARE), TimeUnit.MILLISECONDS);
+		response.onGone(() -> {
+			early.timeout.cancel(false);
+			this.waiting.remove(early);
+		});
+		this.waiting.add(early);
+		return true;
+	}
+
+	/**
+	 * Hand all held requests on, in the order in which they came.
+	 * @param handler gets each request
+	 */
+	void release(Consumer<Early> handler) {
+		List<Early> all = List.copyOf(this.waiting);
+		this.waiting.clear();
+		all.forEach((early) -> {
+			early.timeout.cancel(false);
+			handler.accept(early);
+		});
+	}
+
+	/** A request that came too early. */
+	static final class Early {
+
+		private final CallerRequest request;
+
+		private final CallerResponse response;
+
+		private ScheduledFuture<?> timeout;
+
+		private Early(CallerRequest request, CallerResponse response) {
+			this.request = request;
+			this.response = response;
+		}
+
+		CallerRequest request() {
+			return this.request;
+		}
+
+		CallerResponse response() {
+			return this.response;
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
@@ -7,6 +7,8 @@
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.control.FleetSource;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -37,6 +39,8 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
+	private volatile boolean lost;
+
 	private volatile long confirmedAt = System.nanoTime();
 
 	FleetFallback(FleetSource source, Consumer<Fleet> onFleet) {
@@ -50,15 +54,24 @@
 		thread.start();
 	}
 
-	/** A control VM told the fleet. */
-	void confirmed() {
+	/**
+	 * A control VM told the fleet.
+	 * @param fleet the fleet
+	 */
+	void confirmed(Fleet fleet) {
 		this.confirmedAt = System.nanoTime();
+		if (this.lost) {
+			this.lost = false;
+			DecisionLog.write(LogEvent.CONTROL_REGAINED, Long.toHexString(fleet.revision()));
+		}
 	}
 
 	private void run() {
 		try {
 			while (!this.closed.await(CHECK_MILLIS, TimeUnit.MILLISECONDS)) {
-				if (System.nanoTime() - this.confirmedAt > SILENT_NANOS) {
+				long silent = System.nanoTime() - this.confirmedAt;
+				if (silent > SILENT_NANOS) {
+					tellLost(silent);
 					read();
 					this.closed.await(PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 				}
@@ -69,6 +82,13 @@
 		}
 	}
 
+	private void tellLost(long silent) {
+		if (!this.lost) {
+			this.lost = true;
+			DecisionLog.write(LogEvent.CONTROL_LOST, TimeUnit.NANOSECONDS.toMillis(silent));
+		}
+	}
+
 	private void read() throws InterruptedException {
 		try {
 			this.onFleet.accept(this.source.read());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -32,18 +32,6 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
-	/**
-	 * What an engine reads in a millisecond, in tokens of a short prompt; about what
-	 * engines of today show, in a batch.
-	 */
-	private static final long WORK_PER_MILLI = 60;
-
-	/**
-	 * The part of the shortest target that prompts which can wait may take at an engine:
-	 * the rest is for the first token itself and for what other entries send meanwhile.
-	 */
-	private static final double ROOM_SHARE = 0.5;
-
 	private final EventLoop loop;
 
 	private final RetryRule rule;
@@ -62,6 +50,8 @@
 
 	private int entries = 1;
 
+	private long number;
+
 	PoolStates(EventLoop loop, RetryRule rule) {
 		this.loop = loop;
 		this.rule = rule;
@@ -72,6 +62,7 @@
 	 * @param table the table in force
 	 */
 	void table(RouteTable table) {
+		this.number = table.number();
 		this.declared = table.pools();
 		share();
 		this.declared.stream().filter(Pool::isEngine).forEach((pool) -> {
@@ -103,6 +94,11 @@
 		return this.fleet;
 	}
 
+	// The number of the table in force, 0 before the first one.
+	long number() {
+		return this.number;
+	}
+
 	PeerLoads peers() {
 		return this.peers;
 	}
@@ -191,7 +187,6 @@
 
 		private void target(Duration shortest) {
 			this.shortestTarget = shortest;
-			this.balancer.room((long) (shortest.toMillis() * WORK_PER_MILLI * ROOM_SHARE));
 		}
 
 		/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.model.Manifest;
 import org.acaciacourse.core.route.CallerLimits;
 import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RouteTable;
 import org.acaciacourse.daemon.http.CallerRequest;
 import org.acaciacourse.daemon.http.CallerResponse;
@@ -27,6 +28,8 @@
 import org.acaciacourse.daemon.http.RequestHandler;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.telemetry.AdminServer;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -102,7 +105,7 @@
 				new RouteContext(this.loop, dialect, this.links, this.pools, this.metrics, this.open));
 		this.front = new HttpFront(options.listen(), () -> this.limits, this.loops, this.handler);
 		this.readiness = new HttpFront(options.ready(), () -> this.limits, this.loops, new Readiness());
-		this.fallback = new FleetFallback(options.fleet(), this::takeFleet);
+		this.fallback = new FleetFallback(options.fleet(), (fleet) -> takeFleet(fleet, "list"));
 		this.gossip = options.load().map((address) -> new LoadGossip(this.loop, this.pools, address));
 	}
 
@@ -117,12 +120,16 @@
 			this.admin = Optional
 				.of(new AdminServer(this.options.metrics().get(), this.metrics.registry(), this::isReady));
 		}
-		this.loop.scheduleAtFixedRate(() -> this.links.sweep(this.pools::isThere), SWEEP_MILLIS, SWEEP_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::start));
 		this.link.start(new Followed(), List::of);
 		this.fallback.start();
-		logger.info("entry listens on port {}", port());
+		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
+	}
+
+	private void sweep() {
+		this.links.sweep(this.pools::isThere);
+		this.handler.tellMerged();
 	}
 
 	/**
@@ -158,7 +165,7 @@
 	 */
 	public ResultCode stop(BooleanSupplier hurry) throws InterruptedException {
 		this.stopping = true;
-		logger.info("stop asked for");
+		DecisionLog.write(LogEvent.STOPPING, this.loop.submit(this.open::size).awaitUninterruptibly().getNow());
 		this.link.leaving();
 		this.front.closeAfterAnswers();
 		waitFor(hurry, this.options.stopDelay(), () -> false);
@@ -169,7 +176,7 @@
 			waitFor(() -> false, Duration.ofMillis(200), this::isIdle);
 		}
 		close();
-		logger.info("stopped, drained: {}", drained);
+		DecisionLog.write(LogEvent.STOPPED, drained);
 		return (drained) ? ResultCode.OK : ResultCode.DRAIN_LIMIT;
 	}
 
@@ -200,12 +207,17 @@
 		this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
-	private void takeFleet(Fleet fleet) {
+	private static void tell(Fleet fleet, String source) {
+		long leaving = fleet.endpoints().stream().filter(FleetEndpoint::leaving).count();
+		DecisionLog.write(LogEvent.FLEET, Long.toHexString(fleet.revision()), fleet.endpoints().size(), leaving,
+				source);
+	}
+
+	private void takeFleet(Fleet fleet, String source) {
 		this.loop.execute(() -> {
 			if (fleet.revision() != this.pools.fleet().revision()) {
 				this.pools.fleet(fleet);
-				RouteLog.belief("fleet",
-						fleet.endpoints().size() + " endpoints, revision " + Long.toHexString(fleet.revision()));
+				tell(fleet, source);
 			}
 			this.fleetKnown = true;
 		});
@@ -223,13 +235,13 @@
 		public void routes(RouteTable table) {
 			RouteDaemon.this.limits = RouteDaemon.this.limits.with(table.limits());
 			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.handler.table(table));
-			RouteLog.belief("configuration", "table " + table.number());
+			DecisionLog.write(LogEvent.CONFIGURATION, table.number(), table.pools().size());
 		}
 
 		@Override
 		public void fleet(Fleet fleet) {
-			RouteDaemon.this.fallback.confirmed();
-			takeFleet(fleet);
+			RouteDaemon.this.fallback.confirmed(fleet);
+			takeFleet(fleet, "control");
 		}
 
 		@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.acaciacourse.core.code.RefusalMerger;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.route.KeyOwner;
@@ -12,6 +13,8 @@
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
 import org.acaciacourse.daemon.http.RequestHandler;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * Finds route and customer of each request and begins its exchange, or refuses it. None
@@ -22,15 +25,26 @@
  */
 final class RouteHandler implements RequestHandler {
 
-	/** A configuration is there within a second of a start, unless control is lost. */
-	private static final Duration COME_BACK = Duration.ofMillis(500);
+	/**
+	 * A request that was held for the configuration in vain finds control lost: it takes
+	 * an election, a second or two, until there is one.
+	 */
+	private static final Duration COME_BACK = Duration.ofMillis(1_200);
+
+	/** Each line costs some 30 us of processor time; this bounds them to a thousandth. */
+	private static final int REFUSALS_TOLD_PER_SECOND = 10;
+
+	private final RefusalMerger merger = new RefusalMerger(REFUSALS_TOLD_PER_SECOND);
 
 	private final RouteContext context;
 
+	private final EarlyRequests early;
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	RouteHandler(RouteContext context) {
 		this.context = context;
+		this.early = new EarlyRequests(context.loop());
 	}
 
 	/**
@@ -41,6 +55,7 @@
 		if (this.table.isEmpty() || next.number() > this.table.get().number()) {
 			this.table = Optional.of(next);
 			this.context.pools().table(next);
+			this.early.release((held) -> handle(held.request(), held.response()));
 		}
 	}
 
@@ -48,33 +63,48 @@
 	public void handle(CallerRequest request, CallerResponse response) {
 		RequestDialect.RequestFacts facts = this.context.dialect().request(request.headers());
 		if (this.table.isEmpty()) {
-			refuse(response, ResultCode.NOT_READY, facts);
+			long patience = facts.patienceMillis().orElse(Long.MAX_VALUE);
+			Runnable refusal = () -> refuse(request, response, ResultCode.NOT_READY, facts);
+			if (!this.early.hold(request, response, patience, refusal)) {
+				refusal.run();
+			}
 			return;
 		}
 		String host = request.headers().get("host", "");
 		if (host.isEmpty() || facts.id().isEmpty()) {
-			refuse(response, ResultCode.MALFORMED_REQUEST, facts);
+			refuse(request, response, ResultCode.MALFORMED_REQUEST, facts);
 			return;
 		}
 		Optional<Route> route = this.table.get().match(host, request.path());
 		if (route.isEmpty()) {
-			refuse(response, ResultCode.UNKNOWN_PATH, facts);
+			refuse(request, response, ResultCode.UNKNOWN_PATH, facts);
 			return;
 		}
 		Optional<KeyOwner> owner = facts.key().flatMap(this.table.get()::owner);
 		if (owner.isEmpty() && !route.get().anonymous() && this.table.get().isKeyed()) {
-			refuse(response, ResultCode.UNKNOWN_CUSTOMER, facts);
+			refuse(request, response, ResultCode.UNKNOWN_CUSTOMER, facts);
 			return;
 		}
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner);
 		new RoutedExchange(this.context, routed, response).start();
 	}
 
-	private void refuse(CallerResponse response, ResultCode code, RequestDialect.RequestFacts facts) {
+	private void refuse(CallerRequest request, CallerResponse response, ResultCode code,
+			RequestDialect.RequestFacts facts) {
 		this.context.metrics().refused(code);
-		RouteLog.failed(facts.id(), code, "table " + this.table.map(RouteTable::number).orElse(0L));
+		if (this.merger.tell(code, facts.id(), System.nanoTime())) {
+			DecisionLog.write(LogEvent.REQUEST_REFUSED, facts.id(), code.number(), request.headers().get("host"),
+					request.path(), this.context.pools().number(), (code.isRetryable()) ? COME_BACK.toMillis() : null);
+		}
 		RoutedExchange.refuse(this.context.dialect(), response,
-				Refusal.of(code, RunState.NOT_RUN, Optional.of(COME_BACK)), facts);
+				Refusal.of(code, RunState.NOT_RUN, Optional.of(COME_BACK)));
+	}
+
+	// Tells the refusals that were merged; called once a second.
+	void tellMerged() {
+		this.merger.due(System.nanoTime())
+			.forEach((merged) -> DecisionLog.write(LogEvent.REFUSALS_MERGED, merged.code().number(), merged.count(),
+					merged.requests()));
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -23,6 +23,8 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * One routed request from its arrival to its end: makes the attempts that
@@ -38,28 +40,21 @@
 	 */
 	private static final int WAIT_SHARE = 4;
 
-	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
-
-	/**
-	 * How long a prompt that can wait does so at most, in targets: an answer that is late
-	 * is still worth something, and callers stay for four targets before the first event.
-	 */
-	private static final double HOLD_TARGETS = 1.2;
+	/** After a start the list of endpoints comes right after the configuration. */
+	private static final long FLEET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-	/** And as a share of the time that the request has. */
-	private static final double HOLD_TIME_SHARE = 0.35;
-
-	/** It waits for the holder of its shared part in the first quarter of its target. */
-	private static final int HOLDER_SHARE = 4;
+	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
 	/**
-	 * Targets within this factor of the shortest one are the short requests themselves.
+	 * Targets within this factor of the shortest one are those of brief requests.
 	 */
 	private static final double NEARLY_SHORTEST = 1.25;
 
 	/** When to come back if no endpoint took the request; spread over twice the time. */
 	private static final long COME_BACK_MILLIS = 300;
 
+	private static final int ANSWERS_PER_LINE = 200;
+
 	/** A shorter rest of the time can't yield an answer any more. */
 	private static final long LEAST_REMAINING_MILLIS = 5;
 
@@ -87,6 +82,10 @@
 
 	private long refusedSince;
 
+	private long placedAt;
+
+	private long firstAt;
+
 	private boolean done;
 
 	RoutedExchange(RouteContext context, RoutedRequest request, CallerResponse response) {
@@ -154,15 +153,15 @@
 	 */
 	boolean place() {
 		long now = System.nanoTime();
-		Placement.Patience patience = patience(now);
-		Optional<FleetEndpoint> choice = choose(patience, now);
-		if (choice.isPresent()) {
-			this.pool.queue().remove(this);
-			this.refusedSince = 0;
-			begin(choice.get());
-			return true;
+		Optional<FleetEndpoint> choice = choose(now);
+		if (choice.isEmpty()) {
+			return isRefusedTooLong(now);
 		}
-		return patience == Placement.Patience.NONE && isRefusedTooLong(now);
+		this.pool.queue().remove(this);
+		this.refusedSince = 0;
+		this.placedAt = now;
+		begin(choice.get());
+		return true;
 	}
 
 	private boolean isRefusedTooLong(long now) {
@@ -170,6 +169,9 @@
 			this.refusedSince = now;
 		}
 		long most = Math.max(LEAST_WAIT_NANOS, this.request.route().target().toNanos() / WAIT_SHARE);
+		if (this.context.pools().fleet().revision() == 0) {
+			most = FLEET_WAIT_NANOS;
+		}
 		if (now - this.refusedSince < most) {
 			return false;
 		}
@@ -178,24 +180,12 @@
 		return true;
 	}
 
-	private Placement.Patience patience(long now) {
-		long target = this.request.route().target().toNanos();
-		boolean shortest = target <= this.pool.shortestTarget().toNanos() * NEARLY_SHORTEST;
-		if (this.request.facts().prompt().promptTokens() == 0 || shortest || this.progress.isRepeat()) {
-			return Placement.Patience.NONE;
-		}
-		long waited = now - this.startedAt;
-		if (waited >= Math.min(target * HOLD_TARGETS, (this.endsAt - this.startedAt) * HOLD_TIME_SHARE)) {
-			return Placement.Patience.NONE;
-		}
-		boolean early = waited < target / HOLDER_SHARE;
-		return (early) ? Placement.Patience.HOLDER : Placement.Patience.ROOM;
-	}
-
-	private Optional<FleetEndpoint> choose(Placement.Patience patience, long now) {
+	private Optional<FleetEndpoint> choose(long now) {
+		double shortest = this.pool.shortestTarget().toNanos() * NEARLY_SHORTEST;
+		boolean brief = this.request.route().target().toNanos() <= shortest;
 		return this.pool.balancer()
-			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), this.request.hash(),
-					this.progress.tried(), patience), now);
+			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), brief,
+					this.request.hash(), this.progress.tried()), now);
 	}
 
 	private void begin(FleetEndpoint endpoint) {
@@ -271,8 +261,7 @@
 	 */
 	boolean mayReplace() {
 		return this.request.route().isIdempotent() && this.progress.mayTryAgain()
-				&& this.pool.allowance().mayRetry(System.nanoTime())
-				&& choose(Placement.Patience.NONE, System.nanoTime()).isPresent();
+				&& this.pool.allowance().mayRetry(System.nanoTime()) && choose(System.nanoTime()).isPresent();
 	}
 
 	// An endpoint's failure, which is passed on if no attempt yields better.
@@ -282,6 +271,7 @@
 
 	/** The first part of the answer is passed on. */
 	void firstPart() {
+		this.firstAt = System.nanoTime();
 		this.context.metrics().first(this.request.route(), System.nanoTime() - this.startedAt);
 	}
 
@@ -305,6 +295,7 @@
 			firstPart();
 			this.response.answer(answer.status(), answer.headers(), answer.body());
 			this.context.metrics().ended(this.request.route(), ResultCode.OK);
+			tellAnswered();
 		}
 	}
 
@@ -313,6 +304,7 @@
 		if (close()) {
 			this.response.endStream();
 			this.context.metrics().ended(this.request.route(), ResultCode.OK);
+			tellAnswered();
 		}
 	}
 
@@ -338,17 +330,17 @@
 		if (!close()) {
 			return;
 		}
-		RouteLog.failed(this.request.facts().id(), code, detail);
+		long spread = Math.floorMod(this.request.hash(), COME_BACK_MILLIS);
+		Duration comeBack = Duration.ofMillis(COME_BACK_MILLIS + spread);
+		tellFailed(code, detail, comeBack);
 		this.context.metrics().ended(this.request.route(), code);
 		if (this.response.isStarted()) {
 			// The answer can't be completed: only a broken connection tells that.
 			this.response.abort();
 			return;
 		}
-		long spread = Math.floorMod(this.request.hash(), COME_BACK_MILLIS);
 		refuse(this.context.dialect(), this.response,
-				Refusal.of(code, this.progress.runState(), Optional.of(Duration.ofMillis(COME_BACK_MILLIS + spread))),
-				this.request.facts());
+				Refusal.of(code, this.progress.runState(), Optional.of(comeBack)));
 	}
 
 	/**
@@ -356,18 +348,42 @@
 	 * @param dialect writes the headers
 	 * @param response takes the refusal
 	 * @param refusal the reason
-	 * @param facts what the caller said
 	 */
-	static void refuse(RequestDialect dialect, CallerResponse response, Refusal refusal,
-			RequestDialect.RequestFacts facts) {
+	static void refuse(RequestDialect dialect, CallerResponse response, Refusal refusal) {
 		HttpHeaders headers = new DefaultHttpHeaders();
 		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 		refusal.retryAfter().ifPresent((delay) -> dialect.writeRetryAfter(delay, headers));
 		response.answer(refusal.code().httpStatus(), headers, refusal.bytes());
 	}
 
+	private void tellFailed(ResultCode code, String detail, Duration comeBack) {
+		long now = System.nanoTime();
+		DecisionLog.write(LogEvent.REQUEST_FAILED, this.request.facts().id(), code.number(), detail,
+				this.progress.runState().label(), this.request.route().name(), this.request.pool(),
+				this.request.customer().orElse(null), this.request.urgency(), this.context.pools().number(),
+				Long.toHexString(this.context.pools().fleet().revision()), millisTo(this.placedAt),
+				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), TimeUnit.NANOSECONDS.toMillis(this.endsAt - now),
+				this.progress.tried().size(), (code.isRetryable()) ? comeBack.toMillis() : null);
+	}
+
+	// A line for each answer would take more processor time than the answers; the ids
+	// are spread evenly, so that those told are a fair sample.
+	private void tellAnswered() {
+		if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
+			DecisionLog.write(LogEvent.REQUEST_ANSWERED, this.request.facts().id(), this.request.route().name(),
+					this.request.pool(), this.request.urgency(), this.context.pools().number(), millisTo(this.placedAt),
+					millisTo(this.firstAt), TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAt),
+					this.progress.tried().size());
+		}
+	}
+
+	private Long millisTo(long at) {
+		return (at != 0) ? TimeUnit.NANOSECONDS.toMillis(at - this.startedAt) : null;
+	}
+
 	private void callerGone() {
 		if (close()) {
+			tellFailed(ResultCode.CALLER_GONE, "the caller closed the connection", Duration.ZERO);
 			this.context.metrics().ended(this.request.route(), ResultCode.CALLER_GONE);
 		}
 	}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -0,0 +1,92 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.util.List;
+
+/**
+ * The events of the decision log with the fields of their lines, in their order. The
+ * table in {@code docs/OPERATIONS.md} lists the same; a test holds the two together.
+ * <p>
+ * Immutable and thread safe.
+ */
+public enum LogEvent {
+
+	/** A routed request ended otherwise than with a whole answer in time. */
+	REQUEST_FAILED("request-failed", "request", "code", "why", "run", "route", "pool", "customer", "urgency", "table",
+			"fleet", "waited_ms", "took_ms", "left_ms", "attempts", "retry_after_ms"),
+
+	/** A routed request was answered; one in some hundred is told. */
+	REQUEST_ANSWERED("request-answered", "request", "route", "pool", "urgency", "table", "waited_ms", "first_ms",
+			"took_ms", "attempts"),
+
+	/** A request was refused before any endpoint was looked for. */
+	REQUEST_REFUSED("request-refused", "request", "code", "host", "path", "table", "retry_after_ms"),
+
+	/** Refusals of one cause beyond the rate that is told one by one. */
+	REFUSALS_MERGED("refusals-merged", "code", "count", "requests"),
+
+	/** An attempt ended otherwise than with a whole answer. */
+	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "end", "age_ms", "silent_ms", "running", "waiting_work",
+			"failure_rate"),
+
+	/** A configuration is in force on this VM. */
+	CONFIGURATION("configuration", "table", "pools"),
+
+	/** The list of endpoints changed. */
+	FLEET("fleet", "fleet", "endpoints", "leaving", "source"),
+
+	/** No control VM tells the fleet any more. */
+	CONTROL_LOST("control-lost", "silent_ms"),
+
+	/** A control VM tells the fleet again. */
+	CONTROL_REGAINED("control-regained", "fleet"),
+
+	/** The program serves. */
+	STARTED("started", "address"),
+
+	/** A stop was asked for. */
+	STOPPING("stopping", "open"),
+
+	/** The program ends. */
+	STOPPED("stopped", "drained"),
+
+	/** The settings were read again. */
+	RELOADED("reloaded", "controls"),
+
+	/** An operator handed a configuration in. */
+	CONFIGURATION_PUT("configuration-put", "table", "code", "took_ms"),
+
+	/** The role, the term or the leader of this replica changed. */
+	LEADER("leader", "role", "term", "leader"),
+
+	/** The members of the replicated log changed. */
+	MEMBERS("members", "members"),
+
+	/** Lines that were dropped as nobody took them. */
+	LINES_DROPPED("lines-dropped", "count");
+
+	private final String label;
+
+	private final List<String> fields;
+
+	LogEvent(String label, String... fields) {
+		this.label = label;
+		this.fields = List.of(fields);
+	}
+
+	/**
+	 * Return the name of the event in a line.
+	 * @return the label
+	 */
+	public String label() {
+		return this.label;
+	}
+
+	/**
+	 * Return the names of the fields.
+	 * @return the fields in their order
+	 */
+	public List<String> fields() {
+		return this.fields;
+	}
+
+}
