Explain what became of a request from the decision logs of all VMs

On call there are only logs. The command gathers the lines that tell of an id over all VMs, each with what its VM believed at that moment, shows clocks that went back, and ends with 1 if no line tells of the id.

--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -132,6 +132,9 @@
 	/** File could not be read. */
 	FILE_UNREADABLE(506, 400, 66, false, "the file cannot be read"),
 
+	/** No line of the logs tells of the request. */
+	REQUEST_NOT_FOUND(507, 404, 1, false, "no line tells of the request"),
+
 	/** The delta starts from a manifest that is not in force any more. */
 	MANIFEST_BASE_CHANGED(510, 409, 75, true, "another manifest came first, compute the delta again"),
 
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/explain/LogLine.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.daemon.explain;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * A line of a decision log.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param at the time by the clock of its VM
+ * @param vm the VM
+ * @param event the name of the event
+ * @param fields the fields of the event
+ */
+record LogLine(Instant at, String vm, String event, JsonNode fields) {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	/**
+	 * Read a line. What stands before the first brace is passed over, as collectors put
+	 * their own marks there.
+	 * @param text the text of the line
+	 * @return the line, if it is one of a decision log
+	 */
+	static Optional<LogLine> parse(String text) {
+		int brace = text.indexOf('{');
+		if (brace < 0) {
+			return Optional.empty();
+		}
+		try {
+			JsonNode root = MAPPER.readTree(text.substring(brace));
+			JsonNode fields = root.path("message");
+			if (!fields.path("event").isTextual()) {
+				return Optional.empty();
+			}
+			return Optional.of(new LogLine(Instant.parse(root.path("time").asText()), root.path("vm").asText(),
+					fields.path("event").asText(), fields));
+		}
+		catch (JsonProcessingException | DateTimeException ex) {
+			// A line that was cut while it was written tells nothing.
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Return whether the line tells of a request.
+	 * @param request the id of the request
+	 * @return whether it names the request, be it among others
+	 */
+	boolean tellsOf(String request) {
+		if (this.fields.path("request").asText().equals(request)) {
+			return true;
+		}
+		for (JsonNode one : this.fields.path("requests")) {
+			if (one.asText().equals(request)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+}
--- a/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
+++ b/daemon/src/main/resources/META-INF/services/org.acaciacourse.daemon.cli.Command
@@ -5,3 +5,4 @@
 org.acaciacourse.daemon.operator.CompareCommand
 org.acaciacourse.daemon.operator.CheckCommand
 org.acaciacourse.daemon.operator.VersionCommand
+org.acaciacourse.daemon.explain.ExplainCommand
