--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -95,6 +95,11 @@
 		this.peers = addresses.stream().map(InnerConnection::parse).toList();
 	}
 
+	// The bound address, for those that send here.
+	InetSocketAddress boundAddress() {
+		return (InetSocketAddress) this.channel.localAddress();
+	}
+
 	void stop() {
 		this.stopped = true;
 		this.channel.close();
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.ReplicaTiming;
@@ -48,6 +49,8 @@
 
 	private Optional<String> platformList = Optional.empty();
 
+	private Optional<IntFunction<FleetSource>> fleet = Optional.empty();
+
 	public ControlCluster(Path folder, int size) throws IOException {
 		this.folder = folder;
 		this.addresses = freeAddresses(size);
@@ -78,11 +81,17 @@
 		return this;
 	}
 
+	ControlCluster fleet(IntFunction<FleetSource> source) {
+		this.fleet = Optional.of(source);
+		return this;
+	}
+
 	ControlDaemon start(int i) {
 		ReplicaTiming timing = new ReplicaTiming(Duration.ofMillis(50).toNanos(), Duration.ofMillis(500).toNanos(),
 				256 * 1024, 4 * 1024 * 1024);
 		ControlOptions options = new ControlOptions("control-" + i, this.addresses.get(i), "127.0.0.1:0",
-				this.addresses, data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries);
+				this.addresses, data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries, true,
+				this.fleet.map((source) -> source.apply(i)), () -> this.addresses);
 		this.daemons[i] = new ControlDaemon(options);
 		ResultCode code = this.daemons[i].start();
 		if (code != ResultCode.OK) {
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/FleetKeeperTests.java
@@ -0,0 +1,116 @@
+package org.acaciacourse.daemon.control;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.acaciacourse.protocol.generated.PollRequest;
+import org.apache.thrift.TException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FleetKeeperTests {
+
+	private static final int VMS = 3;
+
+	@TempDir
+	private Path folder;
+
+	private final List<AtomicInteger> reads = new ArrayList<>();
+
+	private volatile Fleet listed = fleet("i-1");
+
+	private volatile boolean unreadable;
+
+	private ControlCluster cluster;
+
+	private static Fleet fleet(String instance) {
+		return Fleet.of(List.of(new FleetEndpoint(instance, "pool", "127.0.0.1:1", "dc", 4, false)));
+	}
+
+	@BeforeEach
+	void start() throws IOException {
+		for (int i = 0; i < VMS; i++) {
+			this.reads.add(new AtomicInteger());
+		}
+		this.cluster = new ControlCluster(this.folder, VMS).fleet((i) -> () -> {
+			this.reads.get(i).incrementAndGet();
+			if (this.unreadable) {
+				throw new IOException("the list is away");
+			}
+			return this.listed;
+		}).startAll();
+	}
+
+	@AfterEach
+	void stop() {
+		this.cluster.close();
+	}
+
+	private PollReply poll(int i, long revision) {
+		String address = this.cluster.link("entry").controls().get(i);
+		try (InnerConnection connection = InnerConnection.open(address, Duration.ofSeconds(10))) {
+			PollRequest request = new PollRequest("entry", "run", "dc", 0, "", 0, 0, List.of(), false, false, revision,
+					"");
+			return connection.control().poll(this.cluster.link("entry").key().text(), request);
+		}
+		catch (TException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	// Calls for the list are bounded for all VMs together and priced. Only the leader
+	// reads it; an entry gets the same fleet from whichever control VM it polls.
+	@Test
+	void onlyTheLeaderReadsTheListAndEveryVmTellsIt() {
+		for (int i = 0; i < VMS; i++) {
+			int vm = i;
+			ControlCluster.await("the fleet at " + i, () -> poll(vm, 0).getFleetRevision() == this.listed.revision());
+		}
+		int leader = this.cluster.leader();
+		int[] before = this.reads.stream().mapToInt(AtomicInteger::get).toArray();
+		this.listed = fleet("i-2");
+		for (int i = 0; i < VMS; i++) {
+			int vm = i;
+			ControlCluster.await("the new fleet at " + i,
+					() -> poll(vm, 0).getFleetRevision() == this.listed.revision());
+		}
+		for (int i = 0; i < VMS; i++) {
+			if (i != leader) {
+				assertThat(this.reads.get(i).get()).isEqualTo(before[i]);
+			}
+		}
+		assertThat(this.reads.get(leader).get()).isGreaterThan(before[leader]);
+	}
+
+	@Test
+	void knownFleetIsNotSentAgain() {
+		ControlCluster.await("the fleet", () -> poll(0, 0).isSetFleet());
+		PollReply reply = poll(0, this.listed.revision());
+		assertThat(reply.isSetFleet()).isFalse();
+		assertThat(reply.getFleetRevision()).isEqualTo(this.listed.revision());
+	}
+
+	// The platform's list can't be read any more. What control knows grows old, and an
+	// endpoint may have left meanwhile; control says that it knows nothing, so that
+	// entries try to read the list themselves.
+	@Test
+	void fleetThatIsNotConfirmedIsNotTold() {
+		ControlCluster.await("the fleet", () -> poll(0, 0).isSetFleet());
+		this.unreadable = true;
+		ControlCluster.await("no fleet", () -> poll(0, 0).getFleetRevision() == 0);
+		assertThat(poll(0, 0).isSetFleet()).isFalse();
+	}
+
+}
