--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -54,10 +54,17 @@
 	private static final int LEAST_TO_DIVIDE = 4;
 
 	/**
-	 * What it costs to put a request where the other kind belongs: the work of some four
-	 * long prompts, so that it happens when its own endpoints are full or gone.
+	 * What it costs to put a brief request where long prompts belong: the work of two or
+	 * three of those, which it is likely to wait for.
 	 */
-	private static final double STRANGE_WORK = 40_000;
+	private static final double BRIEF_ELSEWHERE_WORK = 40_000;
+
+	/**
+	 * What it costs to put a long prompt where brief requests belong: more than its own
+	 * endpoints ever have waiting while any of them lives, as each such prompt delays
+	 * some ten brief answers that are worth more.
+	 */
+	private static final double LONG_ELSEWHERE_WORK = 500_000;
 
 	/** What a request that waits at the endpoint costs, in prompt tokens. */
 	private static final double TOKENS_PER_WAITING = 4_000;
@@ -160,10 +167,13 @@
 		return ANEW_FACTOR * shape.work(0);
 	}
 
-	// Brief requests on an endpoint for long ones, and the other way round.
+	// What it costs to put a request where the other kind belongs.
 	private double strangeness(EndpointLoad load, Placement asked) {
-		boolean strange = asked.shape().promptTokens() > 0 && asked.brief() != this.brief.contains(load);
-		return (strange && !this.brief.isEmpty()) ? STRANGE_WORK : 0;
+		boolean divided = !this.brief.isEmpty() && asked.shape().promptTokens() > 0;
+		if (!divided || asked.brief() == this.brief.contains(load)) {
+			return 0;
+		}
+		return (asked.brief()) ? BRIEF_ELSEWHERE_WORK : LONG_ELSEWHERE_WORK;
 	}
 
 	// The endpoints for brief requests, the same at every entry.
