Count the sharers of the retry budget with care after a start

Each entry spends its part of the minimum by the number of entries that control knows of. Right after all VMs started control knows one or two, and six entries would each spend all of it, in the very moment in which endpoints fail. The count now begins at 100 and falls only after 15 s. RetryAllowanceTests shows it.

--- a/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -45,6 +45,19 @@
 		}
 	}
 
+	// All VMs start again at once. Control has heard of one entry, then of two; each of
+	// the
+	// six would spend the part of the others while endpoints fail all around.
+	@Test
+	void countOfEntriesFallsOnlyAfterAWhile() {
+		SharerCount count = new SharerCount(0);
+		assertThat(count.told(1, SECOND)).isEqualTo(100);
+		assertThat(count.told(6, 16 * SECOND)).isEqualTo(6);
+		assertThat(count.told(2, 20 * SECOND)).isEqualTo(6);
+		assertThat(count.told(7, 21 * SECOND)).isEqualTo(7);
+		assertThat(count.told(2, 37 * SECOND)).isEqualTo(2);
+	}
+
 	@Test
 	void entryAloneHasTheWholeMinimum() {
 		RetryAllowance allowance = new RetryAllowance(10 * SECOND, 0, 10);
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -52,8 +52,6 @@
 
 	private long crashRevision;
 
-	private int entryCount;
-
 	ConfigurationFollower(ControlLink.Listener listener) {
 		this.listener = listener;
 	}
@@ -87,9 +85,8 @@
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
 		this.listener.peers(reply.getPeers());
-		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
-			this.entryCount = reply.getEntryCount();
-			this.listener.entryCount(this.entryCount);
+		if (reply.getEntryCount() > 0) {
+			this.listener.entryCount(reply.getEntryCount());
 		}
 		return this.number >= reply.getNumber();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -13,6 +13,7 @@
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.RetryAllowance;
+import org.acaciacourse.core.balance.SharerCount;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
@@ -48,8 +49,12 @@
 
 	private List<Pool> declared = List.of();
 
+	private final SharerCount counted = new SharerCount(System.nanoTime());
+
 	private int entries = 1;
 
+	private int sharers = this.counted.told(1, System.nanoTime());
+
 	private long number;
 
 	PoolStates(EventLoop loop, RetryRule rule) {
@@ -119,11 +124,12 @@
 	 */
 	void entries(int count) {
 		this.entries = Math.max(1, count);
+		this.sharers = this.counted.told(this.entries, System.nanoTime());
 		share();
 	}
 
 	private void share() {
-		this.states.values().forEach((state) -> state.allowance().sharers(this.entries));
+		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		this.declared.forEach((pool) -> state(pool.name()).balancer()
 			.connectionsEach((int) (pool.maxConnections() * CONNECTION_SHARE / this.entries)));
 	}
@@ -137,7 +143,7 @@
 		return this.states.computeIfAbsent(pool, (name) -> {
 			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
 					this.rule.minimum());
-			allowance.sharers(this.entries);
+			allowance.sharers(this.sharers);
 			return new State(new PoolBalancer(this.peers), allowance, new PoolQueue(this.loop));
 		});
 	}
