--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -52,6 +52,8 @@
 
 	private long crashRevision;
 
+	private int entryCount;
+
 	ConfigurationFollower(ControlLink.Listener listener) {
 		this.listener = listener;
 	}
@@ -85,8 +87,9 @@
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
 		this.listener.peers(reply.getPeers());
-		if (reply.getEntryCount() > 0) {
-			this.listener.entryCount(reply.getEntryCount());
+		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
+			this.entryCount = reply.getEntryCount();
+			this.listener.entryCount(this.entryCount);
 		}
 		return this.number >= reply.getNumber();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -129,7 +129,7 @@
 		void crash(long contentHash, int crashes);
 
 		/**
-		 * How many entry VMs share the limits of customers, as of this call.
+		 * How many entry VMs share the limits of customers changed.
 		 * @param count the number of live entry VMs, at least 1
 		 */
 		void entryCount(int count);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -124,6 +124,11 @@
 	 */
 	void entries(int count) {
 		this.entries = Math.max(1, count);
+		recount();
+	}
+
+	// Called again and again: the count that budgets are shared by falls with time.
+	void recount() {
 		this.sharers = this.counted.told(this.entries, System.nanoTime());
 		share();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -130,6 +130,7 @@
 	private void sweep() {
 		this.links.sweep(this.pools::isThere);
 		this.handler.tellMerged();
+		this.pools.recount();
 	}
 
 	/**
