--- a/bench/src/main/java/org/acaciacourse/bench/capacity/SampleDocuments.java
+++ b/bench/src/main/java/org/acaciacourse/bench/capacity/SampleDocuments.java
@@ -40,7 +40,7 @@
 					"endpoint-sets", sets.toString());
 		}
 		for (int i = 0; i < endpoints; i++) {
-			put(sections, "endpoint runner-" + i, "set", "set-" + i % models, "address",
+			put(sections, "endpoint engine-" + i, "set", "set-" + i % models, "address",
 					"http://10.%d.%d.%d:9000".formatted(i >> 16, (i >> 8) & 255, i & 255), "data-centre",
 					"dc-" + i % DATA_CENTRES, "slots", "16");
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import org.acaciacourse.core.model.Manifest;
 import org.acaciacourse.core.settings.SettingKey;
 import org.acaciacourse.core.settings.Settings;
+import org.acaciacourse.daemon.cli.StopWait;
 import org.acaciacourse.daemon.endpoint.EndpointClient;
 import org.acaciacourse.daemon.endpoint.EndpointPoller;
 import org.acaciacourse.daemon.endpoint.EngineStarts;
@@ -45,8 +46,6 @@
 
 	private static final Logger logger = LogManager.getLogger(EntryDaemon.class);
 
-	private static final long POLL_MILLIS = 20;
-
 	private static final int MOST_THREADS = 4;
 
 	private final EventLoopGroup loops = eventLoops();
@@ -180,9 +179,9 @@
 		this.stopping = true;
 		this.link.leaving();
 		this.front.closeAfterAnswers();
-		waitFor(hurry, this.settings.duration(SettingKey.ENTRY_STOP_DELAY), () -> false);
+		StopWait.until(hurry, this.settings.duration(SettingKey.ENTRY_STOP_DELAY), () -> false);
 		this.front.stopAccepting();
-		boolean drained = waitFor(hurry, this.settings.duration(SettingKey.ENTRY_DRAIN_LIMIT),
+		boolean drained = StopWait.until(hurry, this.settings.duration(SettingKey.ENTRY_DRAIN_LIMIT),
 				() -> this.open.count() == 0 && this.front.isIdle());
 		if (!drained) {
 			cutRest();
@@ -191,25 +190,13 @@
 		return (drained) ? ResultCode.OK : ResultCode.DRAIN_LIMIT;
 	}
 
-	private static boolean waitFor(BooleanSupplier hurry, Duration limit, BooleanSupplier condition)
-			throws InterruptedException {
-		long end = System.nanoTime() + limit.toNanos();
-		while (!condition.getAsBoolean()) {
-			if (hurry.getAsBoolean() || System.nanoTime() - end >= 0) {
-				return false;
-			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-		}
-		return true;
-	}
-
 	private void cutRest() throws InterruptedException {
 		List<Exchange> rest = List.copyOf(this.open.requests());
 		rest.forEach((exchange) -> {
 			logger.warn("{} cut request {}", ResultCode.DRAIN_LIMIT.number(), exchange.requestId());
 			exchange.executor().execute(exchange::cut);
 		});
-		waitFor(() -> false, Duration.ofSeconds(1), () -> this.open.count() == 0 && this.front.isIdle());
+		StopWait.until(() -> false, Duration.ofSeconds(1), () -> this.open.count() == 0 && this.front.isIdle());
 	}
 
 	private void close() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -44,6 +44,9 @@
 	/** An engine that runs anything is heard of many times in this time. */
 	private static final long ENGINE_SILENT_MILLIS = 1_500;
 
+	/** Misdirected request: the address belongs to another instance now. */
+	private static final int WRONG_INSTANCE = 421;
+
 	private final RoutedExchange exchange;
 
 	private final FleetEndpoint endpoint;
@@ -176,9 +179,6 @@
 		}
 	}
 
-	/** Misdirected request: the address belongs to another instance now. */
-	private static final int WRONG_INSTANCE = 421;
-
 	private boolean isStream(HttpResponse head) {
 		return this.exchange.request().route().kind() == RequestKind.STREAM
 				&& head.headers().get("content-type", "").startsWith("text/event-stream");
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -146,7 +147,7 @@
 	 * over.
 	 * @param isThere tells whether an instance is in the fleet
 	 */
-	void sweep(java.util.function.Predicate<String> isThere) {
+	void sweep(Predicate<String> isThere) {
 		long now = System.nanoTime();
 		this.idleNanos.keySet().removeIf((instance) -> !isThere.test(instance));
 		this.idle.entrySet().removeIf((entry) -> {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/HopHeaders.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/HopHeaders.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -36,7 +37,7 @@
 		HttpHeaders copy = new DefaultHttpHeaders();
 		for (Map.Entry<String, String> header : headers) {
 			String name = header.getKey();
-			if (!named.contains(name) && !OF_A_HOP.contains(name.toLowerCase(java.util.Locale.ROOT))) {
+			if (!named.contains(name) && !OF_A_HOP.contains(name.toLowerCase(Locale.ROOT))) {
 				copy.add(name, header.getValue());
 			}
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RouteTable;
+import org.acaciacourse.daemon.cli.StopWait;
 import org.acaciacourse.daemon.http.CallerRequest;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.HttpFront;
@@ -47,8 +49,6 @@
 
 	private static final long SWEEP_MILLIS = 1_000;
 
-	private static final long POLL_MILLIS = 20;
-
 	private static final Duration READ_TIMEOUT = Duration.ofSeconds(20);
 
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("io"),
@@ -169,12 +169,12 @@
 		DecisionLog.write(LogEvent.STOPPING, this.loop.submit(this.open::size).awaitUninterruptibly().getNow());
 		this.link.leaving();
 		this.front.closeAfterAnswers();
-		waitFor(hurry, this.options.stopDelay(), () -> false);
+		StopWait.until(hurry, this.options.stopDelay(), () -> false);
 		this.front.stopAccepting();
-		boolean drained = waitFor(hurry, this.options.drainLimit(), this::isIdle);
+		boolean drained = StopWait.until(hurry, this.options.drainLimit(), this::isIdle);
 		if (!drained) {
 			this.loop.submit(() -> List.copyOf(this.open).forEach(RoutedExchange::cut)).awaitUninterruptibly();
-			waitFor(() -> false, Duration.ofMillis(200), this::isIdle);
+			StopWait.until(() -> false, Duration.ofMillis(200), this::isIdle);
 		}
 		close();
 		DecisionLog.write(LogEvent.STOPPED, drained);
@@ -186,18 +186,6 @@
 		return none && this.front.isIdle();
 	}
 
-	private static boolean waitFor(BooleanSupplier hurry, Duration limit, BooleanSupplier condition)
-			throws InterruptedException {
-		long end = System.nanoTime() + limit.toNanos();
-		while (!condition.getAsBoolean()) {
-			if (hurry.getAsBoolean() || System.nanoTime() - end >= 0) {
-				return false;
-			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-		}
-		return true;
-	}
-
 	private void close() {
 		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::stop));
 		this.fallback.close();
@@ -279,7 +267,7 @@
 		@Override
 		public void handle(CallerRequest request, CallerResponse response) {
 			int status = (isReady()) ? 200 : 503;
-			response.answer(status, java.util.Map.of(), new byte[0]);
+			response.answer(status, Map.of(), new byte[0]);
 		}
 
 		@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
@@ -390,8 +391,8 @@
 
 	/** Cut the request: the VM ends before it does. */
 	void cut() {
-		finish((this.progress.runState() == org.acaciacourse.core.code.RunState.NOT_RUN) ? ResultCode.STOPPING
-				: ResultCode.ENDPOINT_LOST, "the VM stops");
+		finish((this.progress.runState() == RunState.NOT_RUN) ? ResultCode.STOPPING : ResultCode.ENDPOINT_LOST,
+				"the VM stops");
 	}
 
 	private boolean close() {
