--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -313,6 +313,7 @@
 		if (this.failureAnswer.isPresent() && !this.response.isStarted()) {
 			WholeAnswer kept = this.failureAnswer.get();
 			if (close()) {
+				tellFailed(ResultCode.ENDPOINT_ERROR, "the endpoint's failure is passed on", Duration.ZERO);
 				this.response.answer(kept.status(), kept.headers(), kept.body());
 				this.context.metrics().ended(this.request.route(), ResultCode.ENDPOINT_ERROR);
 			}
