--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -70,18 +70,10 @@
 	private static final double TOKENS_PER_WAITING = 4_000;
 
 	/**
-	 * What a failure rate of 1 beyond that of the pool costs, in prompt tokens: two
-	 * failures in a row cost more than any detour, so that an endpoint that fails is
-	 * taken when nothing else is left.
+	 * What a failure rate of 1 costs, in prompt tokens: more than any queue, so that an
+	 * endpoint that fails is taken when nothing else is left.
 	 */
-	private static final double TOKENS_PER_FAILURE = 250_000;
-
-	/**
-	 * The failure rate beyond that of the pool that chance explains. Some requests fail
-	 * wherever they go; without this the endpoint that had fewer of them lately would get
-	 * all the others.
-	 */
-	private static final double CHANCE = 0.12;
+	private static final double TOKENS_PER_FAILURE = 60_000;
 
 	/** How long an endpoint that said it is full gets nothing new from this VM. */
 	private static final long FULL_PAUSE_NANOS = 100_000_000L;
@@ -152,10 +144,9 @@
 		EndpointLoad home = (key != 0) ? home(key, asked.without(), now) : null;
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
-		double usualFailures = usualFailures(now);
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, asked.without(), now)) {
-				double cost = cost(load, usualFailures, now) + work(load, asked.shape(), key, load == home, now)
+				double cost = cost(load, now) + work(load, asked.shape(), key, load == home, now)
 						+ strangeness(load, asked) + tieBreak(load, asked.salt());
 				if (cost < bestCost) {
 					best = load;
@@ -218,18 +209,14 @@
 				&& !without.contains(load.endpoint().instance());
 	}
 
-	private double usualFailures(long now) {
-		return this.loads.values().stream().mapToDouble((load) -> load.failureRate(now)).average().orElse(0);
-	}
-
-	private static double cost(EndpointLoad load, double usualFailures, long now) {
+	private static double cost(EndpointLoad load, long now) {
 		double slots = load.endpoint().slots();
 		double over = Math.max(0, load.running(now) + 1 - slots);
 		// A service with few slots is full with few requests: a request there costs as
 		// much as a full batch shared by its slots.
 		double perRunning = Math.max(TOKENS_PER_RUNNING, TOKENS_PER_WAITING / slots);
 		return load.waitingWork() + perRunning * load.running(now) + TOKENS_PER_WAITING * (over + load.waiting(now))
-				+ TOKENS_PER_FAILURE * Math.max(0, load.failureRate(now) - usualFailures - CHANCE);
+				+ TOKENS_PER_FAILURE * load.failureRate(now);
 	}
 
 	// Below one token: VMs that know nothing of each other's requests should not all take
