--- a/daemon/src/test/java/org/acaciacourse/daemon/control/FoundingTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/FoundingTests.java
@@ -33,6 +33,18 @@
 	@Nested
 	class AnEmptyReplica {
 
+		// The VM lost its disk and starts again with an empty folder; the settings still
+		// name
+		// the founders, and those that answer are as empty as it is. A second founding
+		// would
+		// bring the configuration back to nothing.
+		@Test
+		void foundsNothingAtALaterStart() {
+			List<PeerDescription> others = List.of(answer(3, false), answer(2, false));
+			assertThat(Founding.decide(SELF, FOUNDERS, others, false).step()).isEqualTo(Step.ASK_AGAIN);
+			assertThat(Founding.decide(SELF, FOUNDERS, List.of(answer(2, true)), false).step()).isEqualTo(Step.JOIN);
+		}
+
 		@Test
 		void foundsWhenAllOthersAreEmptyToo() {
 			Founding.Decision decision = decide(SELF, FOUNDERS, List.of(answer(3, false), answer(2, false)));
