Let the stand-in engine write its answers to their end before it stops

The engine waited for its batch and then ended its event loops; the last parts of the answers were tasks of those loops, which close their connections before they run tasks. Now it waits for the tasks and for the bytes that callers have not taken.

--- a/engine/src/main/java/org/acaciacourse/engine/Engine.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Engine.java
@@ -34,6 +34,9 @@
 
 	private static final long CLOSE_POLL_NANOS = 5_000_000;
 
+	/** A caller that takes nothing for so long does not hold up the end. */
+	private static final long WRITE_LIMIT_NANOS = 10_000_000_000L;
+
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(IO_THREADS,
@@ -97,9 +100,22 @@
 		while (this.batchThread.isAlive() || this.handler.serviceCalls() > 0) {
 			LockSupport.parkNanos(CLOSE_POLL_NANOS);
 		}
+		awaitWrites();
 		this.group.shutdownGracefully(50, 5_000, TimeUnit.MILLISECONDS).awaitUninterruptibly();
 	}
 
+	// The last parts of answers are tasks of the event loops, and then bytes that their
+	// callers have not taken. Event loops that are told to end close their connections
+	// first, so that an answer which the engine had finished would be cut.
+	private void awaitWrites() {
+		this.group.forEach((loop) -> loop.submit(() -> {
+		}).awaitUninterruptibly());
+		long end = System.nanoTime() + WRITE_LIMIT_NANOS;
+		while (this.handler.hasPendingWrites() && System.nanoTime() < end) {
+			LockSupport.parkNanos(CLOSE_POLL_NANOS);
+		}
+	}
+
 	private Channel listen() {
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
--- a/engine/src/main/java/org/acaciacourse/engine/EngineHandler.java
+++ b/engine/src/main/java/org/acaciacourse/engine/EngineHandler.java
@@ -69,6 +69,12 @@
 		this.connections = connections;
 	}
 
+	boolean hasPendingWrites() {
+		return this.connections.stream()
+			.map((channel) -> channel.unsafe().outboundBuffer())
+			.anyMatch((buffer) -> buffer != null && buffer.totalPendingWriteBytes() > 0);
+	}
+
 	int serviceCalls() {
 		return this.serviceCalls.get();
 	}
--- a/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
+++ b/engine/src/test/java/org/acaciacourse/engine/EngineTests.java
@@ -1,11 +1,16 @@
 package org.acaciacourse.engine;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -60,6 +65,47 @@
 		return send("POST", "/v1/chat/completions", body, headers);
 	}
 
+	@Nested
+	class Stop {
+
+		private static final int WORDS = 40;
+
+		private static final String WORD = "w".repeat(100_000);
+
+		// The caller is slow, or the machine is: the engine has finished its answer, and
+		// most of its bytes are not taken yet when the engine is told to stop. The caller
+		// must get them all.
+		@Test
+		void answerThatIsNotTakenYetIsNotCut() throws Exception {
+			String body = "{\"model\":\"m\",\"stream\":false,\"messages\":[{\"role\":\"user\",\"content\":\""
+					+ String.join(" ", Collections.nCopies(WORDS, WORD)) + "\"}]}";
+			try (Socket socket = new Socket()) {
+				socket.setReceiveBufferSize(4096);
+				socket.connect(new InetSocketAddress("127.0.0.1", EngineTests.this.engine.port()));
+				socket.setSoTimeout(30_000);
+				socket.getOutputStream()
+					.write(("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nX-Request-Id: a1\r\nContent-Length: "
+							+ body.length() + "\r\n\r\n" + body)
+						.getBytes(StandardCharsets.US_ASCII));
+				InputStream in = socket.getInputStream();
+				assertThat(in.read()).isEqualTo('H');
+				Thread closer = new Thread(EngineTests.this.engine::close);
+				closer.start();
+				String batch = "engine-batch-" + EngineTests.this.engine.port();
+				while (Thread.getAllStackTraces().keySet().stream().anyMatch((t) -> t.getName().equals(batch))) {
+					Thread.onSpinWait();
+				}
+				long letters = 0;
+				for (byte b : in.readAllBytes()) {
+					letters += (b == 'w') ? 1 : 0;
+				}
+				assertThat(letters).isAtLeast((long) WORDS * WORD.length());
+				closer.join();
+			}
+		}
+
+	}
+
 	@Nested
 	class Answers {
 
