--- a/engine/src/main/java/org/acaciacourse/engine/Engine.java
+++ b/engine/src/main/java/org/acaciacourse/engine/Engine.java
@@ -108,6 +108,9 @@
 	// callers have not taken. Event loops that are told to end close their connections
 	// first, so that an answer which the engine had finished would be cut.
 	private void awaitWrites() {
+		if (this.group.isShuttingDown()) {
+			return;
+		}
 		this.group.forEach((loop) -> loop.submit(() -> {
 		}).awaitUninterruptibly());
 		long end = System.nanoTime() + WRITE_LIMIT_NANOS;
