--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -234,14 +234,6 @@
 		return HASH.hashBytes(instance.getBytes(StandardCharsets.UTF_8));
 	}
 
-	/**
-	 * Return whether any endpoint takes new requests, be it paused or busy at present.
-	 * @return whether the pool has an endpoint that is not leaving
-	 */
-	public boolean hasEndpoint() {
-		return this.loads.values().stream().anyMatch((load) -> !load.endpoint().leaving());
-	}
-
 	/**
 	 * A request is sent.
 	 * @param instance the endpoint's instance
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLink.java
@@ -47,8 +47,6 @@
 
 	private long usableUntil = Long.MAX_VALUE;
 
-	private boolean used;
-
 	/**
 	 * Make a link.
 	 * @param onGone called when the connection is closed
@@ -71,14 +69,6 @@
 		return this.channel.isActive() && this.listener == null && now < this.usableUntil;
 	}
 
-	/**
-	 * Return whether the connection has served a request before.
-	 * @return whether its endpoint may have given it up meanwhile
-	 */
-	boolean isUsed() {
-		return this.used;
-	}
-
 	/**
 	 * Set until when the idle connection may be used.
 	 * @param nanos the time in nanoseconds
@@ -170,7 +160,6 @@
 			return;
 		}
 		this.listener = null;
-		this.used = true;
 		// An endpoint may answer before it has read the request to its end. The next
 		// request would then be written behind a rest that is still on its way.
 		boolean reusable = !this.closeAfter && this.written.isSuccess() && this.channel.isActive();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -113,10 +113,6 @@
 		return this.request;
 	}
 
-	RequestProgress progress() {
-		return this.progress;
-	}
-
 	CallerResponse response() {
 		return this.response;
 	}
