Tell the other entries which engine was sent which part of a prompt

An entry knew only its own requests: a part that one entry sent past its usual engine, as the queue there was long, was read a third and a fourth time by the others, and came back to its usual engine, which had to read it anew after a crash.

Ruled out: too few engines by themselves (they were a third busy by the tokens read), the budget, the priorities (drafts are admitted before reviews).

Change: entries add the uses of parts to their digests; PromptMemory follows each engine's memory by the rule of the engines, the least recently used part first. A part that some engine holds counts as held there; the usual engine reads it at its plain cost, any other at three times that. An engine that refuses connections holds nothing.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -1,8 +1,8 @@
 package org.acaciacourse.core.balance;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.nio.charset.StandardCharsets;
 
+import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
 
 /**
@@ -13,6 +13,8 @@
  */
 final class EndpointLoad {
 
+	private static final LongHashFunction HASH = LongHashFunction.xx3();
+
 	/**
 	 * For how long a report of an endpoint's load counts: engines tell their load some
 	 * hundred milliseconds late, and requests last seconds.
@@ -31,28 +33,15 @@
 	/** Faults of part of the answers last for seconds. */
 	private static final double FADE_SECONDS = 3;
 
-	/** More prefixes than the memory of an engine holds. */
-	private static final int MAX_PREFIXES = 256;
-
-	/** An engine in use keeps a prefix for tens of seconds. */
-	private static final long HELD_NANOS = 30_000_000_000L;
-
 	private final PeerLoads peers;
 
 	private final int name;
 
-	private FleetEndpoint endpoint;
-
-	private final Map<Long, Long> prefixes = new LinkedHashMap<>(16, 0.75f, true) {
+	private final long hash;
 
-		private static final long serialVersionUID = 1L;
-
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-			return size() > MAX_PREFIXES;
-		}
+	private FleetEndpoint endpoint;
 
-	};
+	private final PromptMemory memory = new PromptMemory();
 
 	private int inFlight;
 
@@ -76,12 +65,26 @@
 		this.endpoint = endpoint;
 		this.peers = peers;
 		this.name = PeerLoads.nameOf(endpoint.instance());
+		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
 	}
 
 	FleetEndpoint endpoint() {
 		return this.endpoint;
 	}
 
+	PromptMemory memory() {
+		return this.memory;
+	}
+
+	int name() {
+		return this.name;
+	}
+
+	// The same at all entry VMs.
+	long hash() {
+		return this.hash;
+	}
+
 	void update(FleetEndpoint next) {
 		this.endpoint = next;
 	}
@@ -91,16 +94,6 @@
 		this.waitingWork += work;
 	}
 
-	void read(long prefix, long now) {
-		this.prefixes.put(prefix, now);
-	}
-
-	// Whether requests of this VM had the endpoint read a prefix lately.
-	boolean holds(long prefix, long now) {
-		Long at = this.prefixes.get(prefix);
-		return at != null && now - at < HELD_NANOS;
-	}
-
 	// The prompt was read: the first event came, or the request ended before.
 	void promptRead(long work) {
 		this.waitingWork = Math.max(0, this.waitingWork - work);
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -1,9 +1,9 @@
 package org.acaciacourse.core.balance;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,10 +15,11 @@
 /**
  * Chooses endpoints of one pool. The cost of an endpoint is what a request waits there by
  * what is known, in prompt tokens: the prompts that this VM has it read already, the
- * requests that run there, and the shared part of the prompt if the endpoint does not
- * hold it. Which one holds it follows from rendezvous hashing (Thaler and Ravishankar,
- * 1998) of the shared part, so that all entry VMs send a prompt to the same endpoint
- * without a word between them; the others get it only when that one's queue costs more
+ * requests that run there, and the shared parts of the prompt if the endpoint does not
+ * hold them. Which ones hold them follows from what all entry VMs had them read
+ * ({@link PromptMemory}). A part that none holds goes to the endpoint that rendezvous
+ * hashing (Thaler and Ravishankar, 1998) names, so that all entry VMs send it to the same
+ * one without a word between them; the others get it only when those queues cost more
  * than reading the shared part anew.
  * <p>
  * A part of the engines, the same at every entry, is for brief requests. On a day of
@@ -86,14 +87,24 @@
 	/** How long one that said it is leaving gets nothing, until the list says so too. */
 	private static final long LEAVING_PAUSE_NANOS = 3_000_000_000L;
 
+	/**
+	 * Uses of parts that wait to be told; more than a VM sends between two digests. A VM
+	 * that is alone tells nobody.
+	 */
+	private static final int MOST_UNTOLD = 64;
+
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
 	private final PeerLoads peers;
 
 	private int connectionsEach = Integer.MAX_VALUE;
 
+	private long engineTokens;
+
 	private final Set<EndpointLoad> brief = new HashSet<>();
 
+	private final Set<PartUse> untold = new LinkedHashSet<>();
+
 	/**
 	 * Make a balancer.
 	 * @param peers what the other entry VMs have under way
@@ -110,6 +121,15 @@
 		return this.loads.values().stream().filter((load) -> load.inFlight() > 0).map(EndpointLoad::own).toList();
 	}
 
+	/**
+	 * Set the size of the memory of the pool's engines.
+	 * @param tokens the tokens that each holds
+	 */
+	public void engineTokens(long tokens) {
+		this.engineTokens = tokens;
+		this.loads.values().forEach((load) -> load.memory().engineTokens(tokens));
+	}
+
 	/**
 	 * Take the endpoints of the pool from the fleet.
 	 * @param endpoints the endpoints
@@ -124,12 +144,20 @@
 				load.update(endpoint);
 			}
 			else {
-				this.loads.put(instance, new EndpointLoad(endpoint, this.peers));
+				this.loads.put(instance, made(endpoint));
 			}
 		});
 		divide();
 	}
 
+	private EndpointLoad made(FleetEndpoint endpoint) {
+		EndpointLoad load = new EndpointLoad(endpoint, this.peers);
+		if (this.engineTokens > 0) {
+			load.memory().engineTokens(this.engineTokens);
+		}
+		return load;
+	}
+
 	/**
 	 * Bound the requests of this VM at one endpoint, each of which takes a connection.
 	 * @param most the most requests at a time
@@ -145,14 +173,13 @@
 	 * @return the endpoint, or nothing if none may get the request now
 	 */
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
-		long key = (asked.affinity() && !asked.brief()) ? asked.shape().sharedId() : 0;
-		EndpointLoad home = (key != 0) ? home(key, asked.without(), now) : null;
+		Optional<EndpointLoad> home = home(asked, now);
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, asked.without(), now)) {
-				double cost = cost(load, now) + work(load, asked.shape(), key, load == home, now)
-						+ strangeness(load, asked) + tieBreak(load, asked.salt());
+				double cost = cost(load, now) + work(load, asked.shape(), home) + strangeness(load, asked)
+						+ tieBreak(load, asked.salt());
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
@@ -162,14 +189,12 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
-	private static double work(EndpointLoad load, PromptShape shape, long key, boolean home, long now) {
-		if (key == 0) {
-			return shape.work(0);
-		}
-		if (home || load.holds(key, now)) {
-			return shape.work(shape.sharedTokens());
-		}
-		return ANEW_FACTOR * shape.work(0);
+	// Reading a shared part for the first time can't be avoided, and the home is where
+	// the other requests that share it go. Anywhere else it is read once more.
+	private static double work(EndpointLoad load, PromptShape shape, Optional<EndpointLoad> home) {
+		long held = load.memory().held(shape);
+		boolean isPlace = home.isEmpty() || home.get() == load || held == shape.sharedTokens();
+		return ((isPlace) ? 1 : ANEW_FACTOR) * shape.work(held);
 	}
 
 	// What it costs to put a request where the other kind belongs.
@@ -189,24 +214,28 @@
 			this.loads.values()
 				.stream()
 				.filter((load) -> !load.endpoint().leaving())
-				.sorted(Comparator.comparingLong((load) -> hash(load.endpoint().instance())))
+				.sorted(Comparator.comparingLong(EndpointLoad::hash))
 				.limit(Math.max(1, Math.round(engines * BRIEF_SHARE)))
 				.forEach(this.brief::add);
 		}
 	}
 
-	private EndpointLoad home(long key, Set<String> without, long now) {
+	private Optional<EndpointLoad> home(Placement asked, long now) {
+		long key = asked.shape().sharedId();
+		if (key == 0 || !asked.affinity() || asked.brief()) {
+			return Optional.empty();
+		}
 		EndpointLoad home = null;
 		long highest = 0;
 		for (EndpointLoad load : this.loads.values()) {
-			long weight = HASH.hashLong(key ^ Long.rotateLeft(hash(load.endpoint().instance()), 32));
-			if (isUsable(load, without, now) && !this.brief.contains(load)
+			long weight = HASH.hashLong(key ^ Long.rotateLeft(load.hash(), 32));
+			if (isUsable(load, asked.without(), now) && !this.brief.contains(load)
 					&& (home == null || Long.compareUnsigned(weight, highest) > 0)) {
 				home = load;
 				highest = weight;
 			}
 		}
-		return home;
+		return Optional.ofNullable(home);
 	}
 
 	private boolean isUsable(EndpointLoad load, Set<String> without, long now) {
@@ -227,14 +256,10 @@
 	// Below one token: VMs that know nothing of each other's requests should not all take
 	// the first of equal endpoints.
 	private static double tieBreak(EndpointLoad load, long salt) {
-		long mixed = HASH.hashLong(salt ^ hash(load.endpoint().instance()));
+		long mixed = HASH.hashLong(salt ^ load.hash());
 		return (mixed >>> 11) * 0x1.0p-53;
 	}
 
-	private static long hash(String instance) {
-		return HASH.hashBytes(instance.getBytes(StandardCharsets.UTF_8));
-	}
-
 	/**
 	 * A request is sent.
 	 * @param instance the endpoint's instance
@@ -243,18 +268,44 @@
 	 * @return the work that it waits for there, for {@link #promptRead}
 	 */
 	public long begin(String instance, PromptShape shape, long now) {
-		long prefix = shape.sharedId();
 		return find(instance).map((load) -> {
-			boolean held = prefix != 0 && load.holds(prefix, now);
-			long work = shape.work((held) ? shape.sharedTokens() : 0);
+			long work = shape.work(load.memory().held(shape));
 			load.begin(work);
-			if (prefix != 0) {
-				load.read(prefix, now);
-			}
+			shape.sharedParts().forEach((part) -> {
+				load.memory().use(part);
+				tellLater(new PartUse(load.name(), part));
+			});
 			return work;
 		}).orElse(0L);
 	}
 
+	private void tellLater(PartUse use) {
+		if (this.untold.size() < MOST_UNTOLD) {
+			this.untold.add(use);
+		}
+	}
+
+	/**
+	 * Another entry VM had an endpoint use a part of a prompt.
+	 * @param use what it tells
+	 */
+	public void told(PartUse use) {
+		this.loads.values()
+			.stream()
+			.filter((load) -> load.name() == use.endpoint())
+			.forEach((load) -> load.memory().use(use.part()));
+	}
+
+	/**
+	 * Take the uses that the other entry VMs do not know of yet.
+	 * @return the uses since the last call
+	 */
+	public List<PartUse> takeUntold() {
+		List<PartUse> uses = List.copyOf(this.untold);
+		this.untold.clear();
+		return uses;
+	}
+
 	/**
 	 * A request's prompt is read, or the request ended before.
 	 * @param instance the endpoint's instance
@@ -302,6 +353,15 @@
 		return Optional.ofNullable(this.loads.get(instance));
 	}
 
+	/**
+	 * A part of a prompt that an endpoint was sent.
+	 *
+	 * @param endpoint the short name of the endpoint, {@link PeerLoads#nameOf}
+	 * @param part the part
+	 */
+	public record PartUse(int endpoint, PromptShape.Part part) {
+	}
+
 	/**
 	 * What is believed of an endpoint.
 	 *
@@ -341,6 +401,15 @@
 			}
 		},
 
+		/** Nobody listens at its address: its process is gone, and what it held. */
+		GONE {
+			@Override
+			void tell(EndpointLoad load, long now) {
+				load.lost(now);
+				load.memory().forget();
+			}
+		},
+
 		/** It is full. */
 		FULL {
 			@Override
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -26,16 +26,20 @@
 		parts = List.copyOf(parts);
 	}
 
+	/**
+	 * Return the parts that an engine may hold from requests before.
+	 * @return all parts but the last
+	 */
+	public List<Part> sharedParts() {
+		return this.parts.subList(0, Math.max(0, this.parts.size() - 1));
+	}
+
 	/**
 	 * Return the tokens that an engine may hold from requests before.
 	 * @return the tokens of all parts but the last
 	 */
 	public long sharedTokens() {
-		long shared = 0;
-		for (int i = 0; i < this.parts.size() - 1; i++) {
-			shared += this.parts.get(i).tokens();
-		}
-		return shared;
+		return sharedParts().stream().mapToLong(Part::tokens).sum();
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -77,6 +77,65 @@
 
 	}
 
+	// One entry sends a prompt past its usual engine, whose queue is long. If it tells
+	// nobody, each other entry has a third and a fourth engine read the same part.
+	@Nested
+	class ToldByOthers {
+
+		private final PoolBalancer other = new PoolBalancer(new PeerLoads());
+
+		private String spill() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
+			this.other.endpoints(endpoints(13));
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			String second = choose(prompt(1), 1, Set.of(home), 0).get();
+			PoolBalancerTests.this.balancer.begin(second, prompt(1), 0);
+			return second;
+		}
+
+		private Optional<String> chooseThere(long salt) {
+			return this.other.choose(new Placement(prompt(1), true, false, salt, Set.of()), 0)
+				.map(FleetEndpoint::instance);
+		}
+
+		@Test
+		void partThatAnotherEntryHadReadIsUsedThere() {
+			String second = spill();
+			PoolBalancerTests.this.balancer.takeUntold().forEach(this.other::told);
+			assertThat(chooseThere(5)).isEqualTo(Optional.of(second));
+			assertThat(PoolBalancerTests.this.balancer.takeUntold()).isEmpty();
+		}
+
+		@Test
+		void homeIsReadAnewOnceTheHolderIsBusy() {
+			String second = spill();
+			PoolBalancerTests.this.balancer.takeUntold().forEach(this.other::told);
+			this.other.begin(second, new PromptShape(30_000, 1, List.of()), 0);
+			assertThat(chooseThere(5)).isNotEqualTo(Optional.of(second));
+			assertThat(chooseThere(6)).isEqualTo(chooseThere(5));
+		}
+
+		@Test
+		void engineThatRefusesConnectionsHoldsNothingLater() {
+			String second = spill();
+			PoolBalancerTests.this.balancer.takeUntold().forEach(this.other::told);
+			this.other.begin(second, PromptShape.NONE, 0);
+			this.other.end(second, Outcome.GONE, 0);
+			assertThat(this.other.choose(new Placement(prompt(1), true, false, 5, Set.of()), 10 * SECOND)
+				.map(FleetEndpoint::instance)).isNotEqualTo(Optional.of(second));
+		}
+
+		@Test
+		void usesThatNobodyTakesAreBounded() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
+			for (long id = 1; id <= 1_000; id++) {
+				PoolBalancerTests.this.balancer.begin("i0", prompt(id), 0);
+			}
+			assertThat(PoolBalancerTests.this.balancer.takeUntold().size()).isAtMost(64);
+		}
+
+	}
+
 	@Nested
 	class Health {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -17,6 +18,7 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.vavr.control.Try;
 import jdk.net.ExtendedSocketOptions;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.InnerConnection;
@@ -71,15 +73,19 @@
 	/**
 	 * Get a connection: an idle one, the latest used first, or a new one.
 	 * @param endpoint the endpoint
-	 * @param onReady gets the connection, or {@code null} if there is none; possibly
-	 * within this call
+	 * @param onReady gets the connection, or why there is none; possibly within this call
 	 */
-	void acquire(FleetEndpoint endpoint, Consumer<EndpointLink> onReady) {
-		EndpointLink kept = takeIdle(endpoint.instance());
-		if (kept != null) {
-			onReady.accept(kept);
-			return;
+	void acquire(FleetEndpoint endpoint, Consumer<Try<EndpointLink>> onReady) {
+		Optional<EndpointLink> kept = takeIdle(endpoint.instance());
+		if (kept.isPresent()) {
+			onReady.accept(Try.success(kept.get()));
 		}
+		else {
+			connect(endpoint, onReady);
+		}
+	}
+
+	private void connect(FleetEndpoint endpoint, Consumer<Try<EndpointLink>> onReady) {
 		EndpointLink link = new EndpointLink((gone) -> forget(endpoint.instance(), gone));
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -99,20 +105,22 @@
 
 			});
 		InetSocketAddress address = InnerConnection.parse(endpoint.address());
-		bootstrap.connect(address).addListener((future) -> onReady.accept((future.isSuccess()) ? link : null));
+		bootstrap.connect(address)
+			.addListener(
+					(future) -> onReady.accept((future.isSuccess()) ? Try.success(link) : Try.failure(future.cause())));
 	}
 
-	private EndpointLink takeIdle(String instance) {
+	private Optional<EndpointLink> takeIdle(String instance) {
 		Deque<EndpointLink> links = this.idle.get(instance);
 		long now = System.nanoTime();
 		while (links != null && !links.isEmpty()) {
 			EndpointLink link = links.pollLast();
 			if (link.isUsable(now)) {
-				return link;
+				return Optional.of(link);
 			}
 			link.abandon();
 		}
-		return null;
+		return Optional.empty();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -15,10 +16,13 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.acaciacourse.core.balance.PeerLoads;
+import org.acaciacourse.core.balance.PoolBalancer;
+import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.InnerConnection;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -47,6 +51,12 @@
 
 	private static final int MAX_LOADS = 60;
 
+	/**
+	 * Uses of prompt parts in a digest, which takes less than a packet with them. What is
+	 * beyond is not told: the parts are read once more at worst.
+	 */
+	private static final int MAX_USES = 30;
+
 	private final EventLoop loop;
 
 	private final PoolStates pools;
@@ -59,6 +69,9 @@
 
 	private List<PeerLoads.Load> sent = List.of();
 
+	// Told twice, as datagrams are lost.
+	private List<PoolBalancer.PartUse> toldOnce = List.of();
+
 	private long sequence = System.currentTimeMillis() * 1_000;
 
 	private long sentAt = System.nanoTime();
@@ -131,22 +144,44 @@
 			.limit(MAX_LOADS)
 			.map((load) -> new EndpointLoadRecord(load.endpoint(), load.inFlight(), load.waitingWork()))
 			.toList();
-		byte[] bytes = ThriftBytes.encode(new LoadDigestRecord(++this.sequence, records));
+		LoadDigestRecord digest = new LoadDigestRecord(++this.sequence, records);
+		digest.setUses(uses());
+		byte[] bytes = ThriftBytes.encode(digest);
 		this.peers.forEach((peer) -> this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
 		this.channel.flush();
 	}
 
+	private List<PartUseRecord> uses() {
+		List<PoolBalancer.PartUse> next = this.pools.takeUntoldUses();
+		List<PartUseRecord> records = Stream.concat(this.toldOnce.stream(), next.stream())
+			.distinct()
+			.limit(MAX_USES)
+			.map((use) -> new PartUseRecord(use.endpoint(), use.part().id(), use.part().tokens()))
+			.toList();
+		this.toldOnce = next;
+		return records;
+	}
+
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
 		ThriftBytes.decode(ByteBufUtil.getBytes(packet.content()), new LoadDigestRecord())
-			.onSuccess((digest) -> this.pools.peers()
-				.take(packet.sender().toString(), digest.getSequence(), digest.getLoads()
-					.stream()
-					.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork()))
-					.toList(), System.nanoTime()))
+			.onSuccess((digest) -> take(packet.sender().toString(), digest))
 			.onFailure((ex) -> logger.debug("a datagram from {} is no digest", packet.sender(), ex));
 	}
 
+	private void take(String sender, LoadDigestRecord digest) {
+		List<PeerLoads.Load> loads = digest.getLoads()
+			.stream()
+			.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork()))
+			.toList();
+		this.pools.peers().take(sender, digest.getSequence(), loads, System.nanoTime());
+		if (digest.isSetUses()) {
+			digest.getUses()
+				.forEach((use) -> this.pools.toldUse(new PoolBalancer.PartUse(use.getInstance(),
+						new PromptShape.Part(use.getPart(), use.getTokens()))));
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		// A port that nobody listens on shows here; the next list of peers leaves it out.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -71,6 +71,7 @@
 		this.declared = table.pools();
 		share();
 		this.declared.stream().filter(Pool::isEngine).forEach((pool) -> {
+			state(pool.name()).balancer().engineTokens(pool.engineTokens());
 			Optional<Duration> shortest = table.shortestTarget(pool.name());
 			shortest.ifPresent((target) -> state(pool.name()).target(target));
 		});
@@ -118,6 +119,22 @@
 		return all;
 	}
 
+	/**
+	 * Take the uses of prompt parts that the other entry VMs do not know of yet.
+	 * @return those of all pools since the last call
+	 */
+	List<PoolBalancer.PartUse> takeUntoldUses() {
+		return this.states.values().stream().flatMap((state) -> state.balancer().takeUntold().stream()).toList();
+	}
+
+	/**
+	 * Another entry VM had an endpoint use a part of a prompt.
+	 * @param use what it tells
+	 */
+	void toldUse(PoolBalancer.PartUse use) {
+		this.states.values().forEach((state) -> state.balancer().told(use));
+	}
+
 	/**
 	 * Set how many entry VMs share budgets and connections.
 	 * @param count the number of VMs
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -1,11 +1,13 @@
 package org.acaciacourse.daemon.route;
 
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +16,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Try;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
 import org.acaciacourse.core.balance.Placement;
@@ -192,17 +195,26 @@
 		this.context.links().acquire(endpoint, (link) -> connected(attempt, endpoint, link));
 	}
 
-	private void connected(Attempt attempt, FleetEndpoint endpoint, EndpointLink link) {
+	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointLink> connection) {
 		if (this.done || this.current.isEmpty() || this.current.get() != attempt) {
-			if (link != null) {
-				this.context.links().release(endpoint, link);
-			}
-			return;
+			connection.forEach((link) -> this.context.links().release(endpoint, link));
 		}
-		if (link == null) {
-			attempt.end(AttemptEnd.NOT_SENT, PoolBalancer.Outcome.LOST);
-			return;
+		else if (connection.isFailure()) {
+			attempt.end(AttemptEnd.NOT_SENT, outcomeOf(connection.getCause()));
+		}
+		else {
+			send(attempt, endpoint, connection.get());
 		}
+	}
+
+	// A connection that is refused tells that nobody listens; one that times out may also
+	// be a lost packet. Netty's timeout is a kind of refusal to Java.
+	private static PoolBalancer.Outcome outcomeOf(Throwable failure) {
+		boolean refused = failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+		return (refused) ? PoolBalancer.Outcome.GONE : PoolBalancer.Outcome.LOST;
+	}
+
+	private void send(Attempt attempt, FleetEndpoint endpoint, EndpointLink link) {
 		long remaining = TimeUnit.NANOSECONDS.toMillis(this.endsAt - System.nanoTime());
 		if (remaining < LEAST_REMAINING_MILLIS) {
 			this.context.links().release(endpoint, link);
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -305,6 +305,15 @@
 struct LoadDigestRecord {
   1: i64 sequence,
   2: list<EndpointLoadRecord> loads,
+  /* The shared parts of prompts that endpoints were sent lately. */
+  3: optional list<PartUseRecord> uses,
+}
+
+struct PartUseRecord {
+  /* A hash of the endpoint's instance. */
+  1: i32 instance,
+  2: i64 part,
+  3: i64 tokens,
 }
 
 struct EndpointLoadRecord {
