--- a/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/Cluster.java
@@ -19,6 +19,10 @@
 import org.acaciacourse.bench.check.DeliveryReport;
 import org.acaciacourse.bench.check.Ran;
 import org.acaciacourse.bench.check.Told;
+import org.acaciacourse.testkit.FreePorts;
+import org.acaciacourse.testkit.JavaProcess;
+import org.acaciacourse.testkit.TcpProxy;
+import org.acaciacourse.testkit.Waiting;
 
 /**
  * Controls, entries, engines and a plain service as separate processes on loopback.
--- a/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
@@ -12,6 +12,8 @@
 
 import org.acaciacourse.bench.check.Told;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.testkit.JavaProcess;
+import org.acaciacourse.testkit.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
--- a/bench/src/test/java/org/acaciacourse/bench/process/EngineFailureTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/EngineFailureTests.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.bench.check.Told;
+import org.acaciacourse.testkit.TcpProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
--- a/bench/src/test/java/org/acaciacourse/bench/process/PoisonRequestTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/PoisonRequestTests.java
@@ -14,6 +14,7 @@
 import org.acaciacourse.bench.check.Ran;
 import org.acaciacourse.bench.check.Told;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.testkit.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
--- a/bench/src/test/java/org/acaciacourse/bench/process/SteadyLoad.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/SteadyLoad.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.bench.check.Told;
+import org.acaciacourse.testkit.Waiting;
 
 /**
  * A steady flow of streamed and marked requests through a balancer that leaves out
--- a/bench/src/test/java/org/acaciacourse/bench/process/TcpProxyTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/TcpProxyTests.java
@@ -7,6 +7,10 @@
 
 import org.acaciacourse.bench.check.Ran;
 import org.acaciacourse.bench.check.Told;
+import org.acaciacourse.testkit.FreePorts;
+import org.acaciacourse.testkit.JavaProcess;
+import org.acaciacourse.testkit.TcpProxy;
+import org.acaciacourse.testkit.Waiting;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
--- a/bench/src/test/java/org/acaciacourse/bench/process/WholePathTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/WholePathTests.java
@@ -10,6 +10,8 @@
 import org.acaciacourse.bench.check.Told;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
+import org.acaciacourse.testkit.JavaProcess;
+import org.acaciacourse.testkit.Waiting;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
--- a/core/src/main/java/org/acaciacourse/core/attempt/RequestProgress.java
+++ b/core/src/main/java/org/acaciacourse/core/attempt/RequestProgress.java
@@ -12,7 +12,7 @@
 /**
  * Decides what follows each attempt of a routed request: another one, or the final
  * answer. Invariants: a request that is not idempotent is sent again only if it is
- * certain that no endpoint ran it; no more endpoints get it than its route allows; a
+ * certain that no endpoint ran it; no more endpoints may run it than its route allows; a
  * status that promises "not run" is told only if no attempt may have run.
  * <p>
  * Not thread safe: belongs to the event loop of its caller.
@@ -25,6 +25,11 @@
 
 	private int sent;
 
+	/**
+	 * Attempts that endpoints ran or may run; those that they turned away don't count.
+	 */
+	private int mayHaveRun;
+
 	/** Whether an attempt is under way that may run. */
 	private boolean underWay;
 
@@ -53,6 +58,7 @@
 	 */
 	public void sent() {
 		this.sent++;
+		this.mayHaveRun++;
 		this.underWay = true;
 	}
 
@@ -70,6 +76,9 @@
 	 */
 	public void ended(AttemptEnd end) {
 		this.last = end;
+		if (this.underWay && !end.mayHaveRun()) {
+			this.mayHaveRun--;
+		}
 		this.underWay = false;
 		this.ranBefore |= end.mayHaveRun();
 	}
@@ -79,7 +88,7 @@
 	 * @return whether neither the route nor what may have run forbids it
 	 */
 	public boolean mayTryAgain() {
-		boolean left = this.sent < this.route.maxAttempts();
+		boolean left = this.mayHaveRun < this.route.maxAttempts();
 		boolean harmless = this.route.isIdempotent() || !this.ranBefore;
 		boolean resumes = !this.passedOn || this.route.resumable();
 		return left && harmless && resumes && this.last != AttemptEnd.ANSWERED;
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -33,6 +33,12 @@
 	/** Faults of part of the answers last for seconds. */
 	private static final double FADE_SECONDS = 3;
 
+	/**
+	 * An engine sends an event of each answer for every few steps of its batch, of which
+	 * one takes 35 ms with a full batch and a prompt that is read beside it.
+	 */
+	private static final long SUSPECT_NANOS = 400_000_000L;
+
 	private final PeerLoads peers;
 
 	private final int name;
@@ -45,6 +51,10 @@
 
 	private int inFlight;
 
+	private int streams;
+
+	private long heardAt = Long.MIN_VALUE / 2;
+
 	private long waitingWork;
 
 	private int reportedOthers;
@@ -99,6 +109,30 @@
 		this.waitingWork = Math.max(0, this.waitingWork - work);
 	}
 
+	// An answer began to come, of which something is due every few steps.
+	void streamBegan() {
+		this.streams++;
+	}
+
+	void streamEnded() {
+		this.streams = Math.max(0, this.streams - 1);
+	}
+
+	void heard(long now) {
+		this.heardAt = now;
+	}
+
+	// When anything came from the endpoint last, on any connection.
+	long heardAt() {
+		return this.heardAt;
+	}
+
+	// An engine that went dark is not found by its connections for seconds; answers that
+	// stopped in the middle tell it in a fraction of one.
+	boolean isSuspect(long now) {
+		return this.streams > 0 && now - this.heardAt > SUSPECT_NANOS;
+	}
+
 	void end() {
 		this.inFlight = Math.max(0, this.inFlight - 1);
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -48,6 +50,9 @@
 	 */
 	private static final double ANEW_FACTOR = 3;
 
+	/** The work of a usual prompt, by which the requests that wait are estimated. */
+	private static final double USUAL_WORK = 10_000;
+
 	/**
 	 * The part of the endpoints for requests whose target is the shortest. An engine
 	 * reads long prompts between the tokens of all that run there, so that a step takes
@@ -81,6 +86,13 @@
 	 */
 	private static final double TOKENS_PER_FAILURE = 60_000;
 
+	/**
+	 * What a new connection costs, in prompt tokens: the time of two round trips and of
+	 * the endpoint's work on it, some milliseconds. Less than a request that runs beside,
+	 * so that it only decides between endpoints that are about equally busy.
+	 */
+	private static final double CONNECTION_WORK = 200;
+
 	/** How long an endpoint that said it is full gets nothing new from this VM. */
 	private static final long FULL_PAUSE_NANOS = 100_000_000L;
 
@@ -97,6 +109,8 @@
 
 	private final PeerLoads peers;
 
+	private final Predicate<String> connected;
+
 	private int connectionsEach = Integer.MAX_VALUE;
 
 	private long engineTokens;
@@ -108,9 +122,11 @@
 	/**
 	 * Make a balancer.
 	 * @param peers what the other entry VMs have under way
+	 * @param connected tells whether an idle connection to an instance is kept
 	 */
-	public PoolBalancer(PeerLoads peers) {
+	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
 		this.peers = peers;
+		this.connected = connected;
 	}
 
 	/**
@@ -179,7 +195,7 @@
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, asked.without(), now)) {
 				double cost = cost(load, now) + work(load, asked.shape(), home) + strangeness(load, asked)
-						+ tieBreak(load, asked.salt());
+						+ connecting(load) + tieBreak(load, asked.salt());
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
@@ -190,11 +206,14 @@
 	}
 
 	// Reading a shared part for the first time can't be avoided, and the home is where
-	// the other requests that share it go. Anywhere else it is read once more.
+	// the other requests that share it go. Anywhere else it is read once more. Whatever
+	// is read delays all that wait there: when all queues are long, reading parts in many
+	// places makes them longer still, until engines do little else.
 	private static double work(EndpointLoad load, PromptShape shape, Optional<EndpointLoad> home) {
 		long held = load.memory().held(shape);
 		boolean isPlace = home.isEmpty() || home.get() == load || held == shape.sharedTokens();
-		return ((isPlace) ? 1 : ANEW_FACTOR) * shape.work(held);
+		double delayed = load.waitingWork() / USUAL_WORK;
+		return (((isPlace) ? 1 : ANEW_FACTOR) + delayed) * shape.work(held);
 	}
 
 	// What it costs to put a request where the other kind belongs.
@@ -206,6 +225,10 @@
 		return (asked.brief()) ? BRIEF_ELSEWHERE_WORK : LONG_ELSEWHERE_WORK;
 	}
 
+	private double connecting(EndpointLoad load) {
+		return (this.connected.test(load.endpoint().instance())) ? 0 : CONNECTION_WORK;
+	}
+
 	// The endpoints for brief requests, the same at every entry.
 	private void divide() {
 		long engines = this.loads.values().stream().filter((load) -> !load.endpoint().leaving()).count();
@@ -238,6 +261,16 @@
 		return Optional.ofNullable(home);
 	}
 
+	/**
+	 * Return whether waiting for an endpoint is in vain.
+	 * @param without the instances that had their turn
+	 * @return whether there are endpoints and all had it
+	 */
+	public boolean isExhausted(Set<String> without) {
+		List<EndpointLoad> staying = this.loads.values().stream().filter((load) -> !load.endpoint().leaving()).toList();
+		return !staying.isEmpty() && staying.stream().allMatch((load) -> without.contains(load.endpoint().instance()));
+	}
+
 	private boolean isUsable(EndpointLoad load, Set<String> without, long now) {
 		return !load.endpoint().leaving() && !load.isPaused(now) && load.inFlight() < this.connectionsEach
 				&& !without.contains(load.endpoint().instance());
@@ -249,8 +282,9 @@
 		// A service with few slots is full with few requests: a request there costs as
 		// much as a full batch shared by its slots.
 		double perRunning = Math.max(TOKENS_PER_RUNNING, TOKENS_PER_WAITING / slots);
+		double failures = (load.isSuspect(now)) ? 1 : load.failureRate(now);
 		return load.waitingWork() + perRunning * load.running(now) + TOKENS_PER_WAITING * (over + load.waiting(now))
-				+ TOKENS_PER_FAILURE * load.failureRate(now);
+				+ TOKENS_PER_FAILURE * failures;
 	}
 
 	// Below one token: VMs that know nothing of each other's requests should not all take
@@ -315,6 +349,40 @@
 		find(instance).ifPresent((load) -> load.promptRead(work));
 	}
 
+	/**
+	 * The answer to a request began to come, event by event.
+	 * @param instance the endpoint's instance
+	 */
+	public void streamBegan(String instance) {
+		find(instance).ifPresent(EndpointLoad::streamBegan);
+	}
+
+	/**
+	 * An answer that began to come ended, whole or not.
+	 * @param instance the endpoint's instance
+	 */
+	public void streamEnded(String instance) {
+		find(instance).ifPresent(EndpointLoad::streamEnded);
+	}
+
+	/**
+	 * Something came from an endpoint.
+	 * @param instance the endpoint's instance
+	 * @param now the time
+	 */
+	public void heard(String instance, long now) {
+		find(instance).ifPresent((load) -> load.heard(now));
+	}
+
+	/**
+	 * Return when an endpoint was heard of last, on any connection.
+	 * @param instance the endpoint's instance
+	 * @return the time, if it was ever heard of
+	 */
+	public OptionalLong heardAt(String instance) {
+		return find(instance).map((load) -> OptionalLong.of(load.heardAt())).orElse(OptionalLong.empty());
+	}
+
 	/**
 	 * A request ended.
 	 * @param instance the endpoint's instance
--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -68,10 +68,19 @@
 	 * @return whether one may be spent
 	 */
 	public boolean mayRetry(long now) {
+		return left(now) >= 1;
+	}
+
+	/**
+	 * Return how many retries the budget permits.
+	 * @param now the time
+	 * @return the number, of which only whole ones can be spent
+	 */
+	public double left(long now) {
 		forget(this.requests, now);
 		forget(this.retries, now);
 		double most = MARGIN * (this.ratio * this.requests.size() + this.minimum / this.sharers);
-		return this.retries.size() + 1 <= most;
+		return Math.max(0, most - this.retries.size());
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/attempt/RequestProgressTests.java
+++ b/core/src/test/java/org/acaciacourse/core/attempt/RequestProgressTests.java
@@ -93,6 +93,23 @@
 			assertThat(progress.tried()).containsExactly("a", "b");
 		}
 
+		// A full endpoint turns the one permitted attempt away. No endpoint has run the
+		// request, so that another one may; without it the caller gets a refusal while
+		// the next endpoint is idle.
+		@Test
+		void anAttemptThatWasTurnedAwayIsNotCounted() {
+			RequestProgress progress = new RequestProgress(route(RequestKind.UNSAFE, false, 1));
+			progress.begin("a");
+			progress.sent();
+			progress.ended(AttemptEnd.NOT_RUN);
+			assertThat(progress.mayTryAgain()).isTrue();
+			assertThat(progress.isRepeat()).isTrue();
+			progress.begin("b");
+			progress.sent();
+			progress.ended(AttemptEnd.BROKEN);
+			assertThat(progress.mayTryAgain()).isFalse();
+		}
+
 		@Test
 		void anAttemptThatSentNothingIsFree() {
 			RequestProgress progress = sent(RequestKind.SAFE, false, AttemptEnd.NOT_SENT);
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -21,7 +21,7 @@
 
 	private final PeerLoads peers = new PeerLoads();
 
-	private final PoolBalancer balancer = new PoolBalancer(this.peers);
+	private final PoolBalancer balancer = new PoolBalancer(this.peers, (instance) -> true);
 
 	private static FleetEndpoint endpoint(String instance, boolean leaving) {
 		return new FleetEndpoint(instance, "pool", "127.0.0.1:1", "dc", 64, leaving);
@@ -45,7 +45,7 @@
 
 		@Test
 		void requestsThatShareAPromptGoToOneEndpointAtEveryEntry() {
-			PoolBalancer other = new PoolBalancer(new PeerLoads());
+			PoolBalancer other = new PoolBalancer(new PeerLoads(), (instance) -> true);
 			other.endpoints(endpoints(13));
 			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
 			for (long id = 1; id < 50; id++) {
@@ -77,12 +77,44 @@
 
 	}
 
+	// All engines are behind by seconds. Each part that is read at one more engine makes
+	// all
+	// queues longer, so that still more requests are sent past their usual engine:
+	// engines
+	// then read shared parts again and again and answer little.
+	@Nested
+	class Overload {
+
+		private void queue(String instance, long tokens) {
+			PoolBalancerTests.this.balancer.begin(instance, new PromptShape(tokens, 1, List.of()), 0);
+		}
+
+		@Test
+		void partsAreNotReadElsewhereForASomewhatShorterQueue() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			PoolBalancerTests.this.balancer.begin(home, prompt(1), 0);
+			endpoints(3).forEach((endpoint) -> queue(endpoint.instance(), 60_000));
+			queue(home, 80_000);
+			assertThat(choose(prompt(1), 2, Set.of(), 0)).isEqualTo(Optional.of(home));
+		}
+
+		@Test
+		void idleEndpointTakesThemAtOnce() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(3));
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			queue(home, 60_000);
+			assertThat(choose(prompt(1), 2, Set.of(), 0)).isNotEqualTo(Optional.of(home));
+		}
+
+	}
+
 	// One entry sends a prompt past its usual engine, whose queue is long. If it tells
 	// nobody, each other entry has a third and a fourth engine read the same part.
 	@Nested
 	class ToldByOthers {
 
-		private final PoolBalancer other = new PoolBalancer(new PeerLoads());
+		private final PoolBalancer other = new PoolBalancer(new PeerLoads(), (instance) -> true);
 
 		private String spill() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(13));
@@ -146,6 +178,15 @@
 			assertThat(choose(PromptShape.NONE, 1, Set.of("b"), 0)).isEqualTo(Optional.empty());
 		}
 
+		@Test
+		void waitingIsInVainOnceAllHadTheirTurn() {
+			PoolBalancer pool = PoolBalancerTests.this.balancer;
+			assertThat(pool.isExhausted(Set.of("a"))).isFalse();
+			pool.endpoints(List.of(endpoint("a", true), endpoint("b", false), endpoint("c", false)));
+			assertThat(pool.isExhausted(Set.of("b"))).isFalse();
+			assertThat(pool.isExhausted(Set.of("b", "c"))).isTrue();
+		}
+
 		@Test
 		void lostEndpointGetsNothingForAWhile() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
@@ -169,6 +210,67 @@
 
 	}
 
+	// An engine goes dark while it answers. Its connections stay open, and a request that
+	// is sent over one of them waits until its time is over; it can't be sent again, as
+	// it
+	// may have run. Answers that stopped tell it sooner than any time-out.
+	@Nested
+	class Silence {
+
+		private static final long MILLI = 1_000_000L;
+
+		private String chosen(long now) {
+			return choose(PromptShape.NONE, 1, Set.of(), now).get();
+		}
+
+		@Test
+		void endpointWhoseAnswersStoppedIsAvoided() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			String first = chosen(0);
+			PoolBalancerTests.this.balancer.streamBegan(first);
+			PoolBalancerTests.this.balancer.heard(first, 0);
+			assertThat(chosen(300 * MILLI)).isEqualTo(first);
+			assertThat(chosen(500 * MILLI)).isNotEqualTo(first);
+			PoolBalancerTests.this.balancer.heard(first, 510 * MILLI);
+			assertThat(chosen(520 * MILLI)).isEqualTo(first);
+		}
+
+		@Test
+		void endpointThatOwesNothingIsNotSuspected() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			String first = chosen(0);
+			PoolBalancerTests.this.balancer.streamBegan(first);
+			PoolBalancerTests.this.balancer.heard(first, 0);
+			PoolBalancerTests.this.balancer.streamEnded(first);
+			assertThat(chosen(500 * MILLI)).isEqualTo(first);
+		}
+
+	}
+
+	@Nested
+	class Connections {
+
+		@Test
+		void amongEqualEndpointsTheConnectedOneIsTaken() {
+			PoolBalancer sparing = new PoolBalancer(new PeerLoads(), "i7"::equals);
+			sparing.endpoints(endpoints(13));
+			for (long salt = 0; salt < 20; salt++) {
+				Placement asked = new Placement(PromptShape.NONE, false, false, salt, Set.of());
+				assertThat(sparing.choose(asked, 0).get().instance()).isEqualTo("i7");
+			}
+		}
+
+		@Test
+		void busyEndpointIsNotTakenForItsConnection() {
+			PoolBalancer sparing = new PoolBalancer(new PeerLoads(), "i7"::equals);
+			sparing.endpoints(endpoints(13));
+			sparing.begin("i7", PromptShape.NONE, 0);
+			Placement asked = new Placement(PromptShape.NONE, false, false, 1, Set.of());
+			assertThat(sparing.choose(asked, 0).get().instance()).isNotEqualTo("i7");
+		}
+
+	}
+
 	@Nested
 	class Brief {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -181,7 +181,8 @@
 		PeerOutbox outbox = new PeerOutbox(this.options.address(), this.options.innerKey());
 		ReplicaDriver driver = new ReplicaDriver(this.store, this.options.vm(), this.options.timing(),
 				this.options.snapshotEntries(), outbox, System.nanoTime());
-		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver, this.ended::complete);
+		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver, ControlMetrics.commits(this.metrics),
+				this.ended::complete);
 		LinearizableRead read = new LinearizableRead(next, this.self, this.options.innerKey());
 		RegistryExchange exchange = new RegistryExchange(next, this.self, this.options.seeds(), this.options.innerKey(),
 				this.registry);
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlMetrics.java
@@ -1,11 +1,15 @@
 package org.acaciacourse.daemon.control;
 
+import java.util.function.DoubleConsumer;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.daemon.telemetry.ProcessMetrics;
 
 /**
  * Metrics of a control VM, read from what the replica published.
@@ -17,7 +21,29 @@
 	private ControlMetrics() {
 	}
 
+	/**
+	 * Make the histogram of commits.
+	 * @param registry the registry
+	 * @return takes the seconds from a proposal to its result, if it was committed
+	 */
+	static DoubleConsumer commits(PrometheusRegistry registry) {
+		Histogram seconds = Histogram.builder()
+			.name("acaciacourse_commit_seconds")
+			.help("Time from a proposal to its commit")
+			.classicOnly()
+			.classicUpperBounds(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5)
+			.register(registry);
+		return seconds::observe;
+	}
+
 	static void register(PrometheusRegistry registry, Supplier<Published> published, EntryRegistry entries) {
+		ProcessMetrics.register(registry);
+		long firstTerm = published.get().status().term();
+		CounterWithCallback.builder()
+			.name("acaciacourse_elections_total")
+			.help("Terms that the replica saw begin")
+			.callback((callback) -> callback.call(published.get().status().term() - firstTerm))
+			.register(registry);
 		gauge(registry, "acaciacourse_configuration_number", "Number of the manifest in force", published,
 				Published::number);
 		gauge(registry, "acaciacourse_replica_term", "Term of the replica", published, (p) -> p.status().term());
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
 import java.util.function.Function;
 
 import org.acaciacourse.core.code.ResultCode;
@@ -37,14 +38,24 @@
 
 	private final ReplicaDriver driver;
 
+	private final DoubleConsumer commits;
+
 	private final Consumer<ResultCode> onFault;
 
 	private final Thread thread;
 
 	private volatile boolean stopping;
 
-	ReplicaLoop(String name, ReplicaDriver driver, Consumer<ResultCode> onFault) {
+	/**
+	 * Make a loop.
+	 * @param name the name of its thread
+	 * @param driver the replica with its store
+	 * @param commits gets the seconds from each proposal to its commit
+	 * @param onFault gets the code of the fault that ended the loop
+	 */
+	ReplicaLoop(String name, ReplicaDriver driver, DoubleConsumer commits, Consumer<ResultCode> onFault) {
 		this.driver = driver;
+		this.commits = commits;
 		this.onFault = onFault;
 		this.thread = new Thread(this::run, name);
 		this.thread.setDaemon(true);
@@ -74,6 +85,8 @@
 
 	CompletableFuture<CommandResult> propose(LoopEvent.CommandMaker maker) {
 		CompletableFuture<CommandResult> result = new CompletableFuture<>();
+		long proposedAt = System.nanoTime();
+		result.thenRun(() -> this.commits.accept((System.nanoTime() - proposedAt) / 1e9));
 		return offer(new LoopEvent.Propose(maker, result), result);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -67,6 +67,8 @@
 
 	private boolean promptRead;
 
+	private boolean streaming;
+
 	private boolean done;
 
 	Attempt(RoutedExchange exchange, FleetEndpoint endpoint) {
@@ -131,6 +133,9 @@
 			this.silence.cancel(false);
 		}
 		promptRead();
+		if (this.streaming) {
+			this.exchange.balancer().streamEnded(this.endpoint.instance());
+		}
 		this.exchange.balancer().end(this.endpoint.instance(), outcome, System.nanoTime());
 	}
 
@@ -148,7 +153,7 @@
 
 	private void heard() {
 		this.heardAt = System.nanoTime();
-		this.exchange.context().pools().heard(this.endpoint.instance(), this.heardAt);
+		this.exchange.balancer().heard(this.endpoint.instance(), this.heardAt);
 	}
 
 	@Override
@@ -204,6 +209,10 @@
 			return;
 		}
 		for (EventFrames.Event event = this.form.frames.next(); event != null; event = this.form.frames.next()) {
+			if (!this.streaming) {
+				this.streaming = true;
+				this.exchange.balancer().streamBegan(this.endpoint.instance());
+			}
 			promptRead();
 			passOn(event);
 		}
@@ -290,6 +299,9 @@
 
 	@Override
 	public void broken() {
+		if (this.form.mode == Form.Mode.NONE) {
+			this.exchange.context().links().lost(this.endpoint, this.link, System.nanoTime() - this.sentAt);
+		}
 		end(AttemptEnd.BROKEN, PoolBalancer.Outcome.LOST);
 	}
 
@@ -309,7 +321,7 @@
 		long bound = silentAfterNanos();
 		long heard = this.heardAt;
 		if (isEngine()) {
-			heard = Math.max(heard, this.exchange.context().pools().lastHeard(this.endpoint.instance(), heard));
+			heard = Math.max(heard, this.exchange.balancer().heardAt(this.endpoint.instance()).orElse(heard));
 		}
 		long silent = System.nanoTime() - heard;
 		if (silent < bound) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EarlyRequests.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EarlyRequests.java
@@ -84,6 +84,9 @@
 
 		private final CallerResponse response;
 
+		// The time of a request runs while it is held.
+		private final long arrivedAt = System.nanoTime();
+
 		private ScheduledFuture<?> timeout;
 
 		private Early(CallerRequest request, CallerResponse response) {
@@ -99,6 +102,10 @@
 			return this.response;
 		}
 
+		long arrivedAt() {
+			return this.arrivedAt;
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLink.java
@@ -47,6 +47,10 @@
 
 	private long usableUntil = Long.MAX_VALUE;
 
+	private long idleSince = System.nanoTime();
+
+	private long rested;
+
 	/**
 	 * Make a link.
 	 * @param onGone called when the connection is closed
@@ -70,11 +74,23 @@
 	}
 
 	/**
-	 * Set until when the idle connection may be used.
-	 * @param nanos the time in nanoseconds
+	 * The connection rests.
+	 * @param now the time in nanoseconds
+	 * @param until until when it may be used
 	 */
-	void usableUntil(long nanos) {
-		this.usableUntil = nanos;
+	void rest(long now, long until) {
+		this.idleSince = now;
+		this.usableUntil = until;
+	}
+
+	// How long it has been idle.
+	long idleNanos(long now) {
+		return now - this.idleSince;
+	}
+
+	// How long it had been idle before the request that it serves.
+	long rested() {
+		return this.rested;
 	}
 
 	/**
@@ -84,6 +100,7 @@
 	 */
 	void send(FullHttpRequest request, Listener next) {
 		this.listener = next;
+		this.rested = System.nanoTime() - this.idleSince;
 		this.headSeen = false;
 		this.closeAfter = false;
 		this.written = this.channel.writeAndFlush(request);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointLinks.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.vavr.control.Try;
 import jdk.net.ExtendedSocketOptions;
+import org.acaciacourse.core.balance.IdleLimit;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.InnerConnection;
 
@@ -66,6 +67,8 @@
 
 	private final Map<String, Long> idleNanos = new HashMap<>();
 
+	private final Map<String, IdleLimit> limits = new HashMap<>();
+
 	EndpointLinks(EventLoop loop) {
 		this.loop = loop;
 	}
@@ -76,7 +79,7 @@
 	 * @param onReady gets the connection, or why there is none; possibly within this call
 	 */
 	void acquire(FleetEndpoint endpoint, Consumer<Try<EndpointLink>> onReady) {
-		Optional<EndpointLink> kept = takeIdle(endpoint.instance());
+		Optional<EndpointLink> kept = takeIdle(endpoint);
 		if (kept.isPresent()) {
 			onReady.accept(Try.success(kept.get()));
 		}
@@ -110,12 +113,13 @@
 					(future) -> onReady.accept((future.isSuccess()) ? Try.success(link) : Try.failure(future.cause())));
 	}
 
-	private Optional<EndpointLink> takeIdle(String instance) {
-		Deque<EndpointLink> links = this.idle.get(instance);
+	private Optional<EndpointLink> takeIdle(FleetEndpoint endpoint) {
+		Deque<EndpointLink> links = this.idle.get(endpoint.instance());
 		long now = System.nanoTime();
+		long most = limit(endpoint.pool()).limit(now);
 		while (links != null && !links.isEmpty()) {
 			EndpointLink link = links.pollLast();
-			if (link.isUsable(now)) {
+			if (link.isUsable(now) && link.idleNanos(now) < most) {
 				return Optional.of(link);
 			}
 			link.abandon();
@@ -129,8 +133,8 @@
 	 * @param link the connection
 	 */
 	void release(FleetEndpoint endpoint, EndpointLink link) {
-		long nanos = this.idleNanos.getOrDefault(endpoint.instance(), IDLE_NANOS);
-		link.usableUntil(System.nanoTime() + nanos);
+		long now = System.nanoTime();
+		link.rest(now, now + this.idleNanos.getOrDefault(endpoint.instance(), IDLE_NANOS));
 		this.idle.computeIfAbsent(endpoint.instance(), (instance) -> new ArrayDeque<>()).addLast(link);
 	}
 
@@ -143,6 +147,34 @@
 		this.idleNanos.put(endpoint.instance(), (long) (TimeUnit.SECONDS.toNanos(seconds) * IDLE_SHARE));
 	}
 
+	/**
+	 * A request was lost without any answer.
+	 * @param endpoint its endpoint
+	 * @param link the connection that it was sent over
+	 * @param took nanoseconds from the request to the loss
+	 */
+	void lost(FleetEndpoint endpoint, EndpointLink link, long took) {
+		limit(endpoint.pool()).lost(link.rested(), took, System.nanoTime());
+	}
+
+	private IdleLimit limit(String pool) {
+		return this.limits.computeIfAbsent(pool, (name) -> new IdleLimit());
+	}
+
+	/**
+	 * Return whether a request can be sent without a new connection.
+	 * @param instance the endpoint's instance
+	 * @return whether an idle connection is kept
+	 */
+	boolean hasIdle(String instance) {
+		Deque<EndpointLink> links = this.idle.get(instance);
+		return links != null && !links.isEmpty();
+	}
+
+	int idle() {
+		return this.idle.values().stream().mapToInt(Deque::size).sum();
+	}
+
 	private void forget(String instance, EndpointLink link) {
 		Deque<EndpointLink> links = this.idle.get(instance);
 		if (links != null) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
@@ -44,6 +44,10 @@
 		this.waiting.remove(exchange);
 	}
 
+	int size() {
+		return this.waiting.size();
+	}
+
 	private void offer() {
 		int misses = 0;
 		for (RoutedExchange exchange : this.waiting.inOrder()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.PeerLoads;
@@ -33,16 +34,21 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
+	/**
+	 * Targets within this factor of the shortest one are those of brief requests.
+	 */
+	private static final double NEARLY_SHORTEST = 1.25;
+
 	private final EventLoop loop;
 
 	private final RetryRule rule;
 
+	private final Predicate<String> connected;
+
 	private final Map<String, State> states = new HashMap<>();
 
 	private final PeerLoads peers = new PeerLoads();
 
-	private final Map<String, Long> lastHeard = new HashMap<>();
-
 	private Fleet fleet = Fleet.NONE;
 
 	private Set<String> instances = Set.of();
@@ -57,9 +63,16 @@
 
 	private long number;
 
-	PoolStates(EventLoop loop, RetryRule rule) {
+	/**
+	 * Make the states.
+	 * @param loop the event loop
+	 * @param rule the retry budget
+	 * @param connected tells whether an idle connection to an instance is kept
+	 */
+	PoolStates(EventLoop loop, RetryRule rule, Predicate<String> connected) {
 		this.loop = loop;
 		this.rule = rule;
+		this.connected = connected;
 	}
 
 	/**
@@ -90,7 +103,6 @@
 			there.add(endpoint.instance());
 		});
 		this.instances = there;
-		this.lastHeard.keySet().retainAll(there);
 		byPool.keySet().forEach(this::state);
 		this.states.forEach((pool, state) -> state.balancer().endpoints(byPool.getOrDefault(pool, List.of())));
 		share();
@@ -166,10 +178,24 @@
 			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
 					this.rule.minimum());
 			allowance.sharers(this.sharers);
-			return new State(new PoolBalancer(this.peers), allowance, new PoolQueue(this.loop));
+			return new State(new PoolBalancer(this.peers, this.connected), allowance, new PoolQueue(this.loop));
 		});
 	}
 
+	/**
+	 * Return what holds in each pool.
+	 * @param now the time
+	 * @return the values by the name of the pool
+	 */
+	Map<String, RouteGauges.Pool> gauges(long now) {
+		Map<String, RouteGauges.Pool> gauges = new HashMap<>();
+		this.states.forEach((name, state) -> gauges.put(name,
+				new RouteGauges.Pool(state.queue().size(),
+						state.balancer().own().stream().mapToInt(PeerLoads.Load::inFlight).sum(),
+						state.allowance().left(now))));
+		return gauges;
+	}
+
 	Optional<Pool> declared(String pool) {
 		return this.declared.stream().filter((p) -> p.name().equals(pool)).findFirst();
 	}
@@ -178,22 +204,6 @@
 		return this.instances.contains(instance);
 	}
 
-	void heard(String instance, long now) {
-		if (this.instances.contains(instance)) {
-			this.lastHeard.put(instance, now);
-		}
-	}
-
-	/**
-	 * Return when an endpoint was heard of last, on any connection.
-	 * @param instance the instance
-	 * @param otherwise the time if it never was
-	 * @return the time in nanoseconds
-	 */
-	long lastHeard(String instance, long otherwise) {
-		return this.lastHeard.getOrDefault(instance, otherwise);
-	}
-
 	/**
 	 * The state of a pool.
 	 */
@@ -242,11 +252,12 @@
 		}
 
 		/**
-		 * Return the shortest target of the routes to this pool.
-		 * @return the target, zero if the pool has no engines
+		 * Return whether a target is about the shortest of the pool.
+		 * @param target the target
+		 * @return whether requests with it belong to the brief ones
 		 */
-		Duration shortestTarget() {
-			return this.shortestTarget;
+		boolean isBrief(Duration target) {
+			return target.toNanos() <= this.shortestTarget.toNanos() * NEARLY_SHORTEST;
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -80,6 +80,9 @@
 
 	private Optional<AdminServer> admin = Optional.empty();
 
+	// Belongs to the event loop.
+	private long configuredAt = System.nanoTime();
+
 	private volatile HttpLimits limits;
 
 	private volatile boolean upToDate;
@@ -99,8 +102,8 @@
 		this.link = link;
 		this.limits = new HttpLimits(CallerLimits.DEFAULT.maxBodyBytes(), options.maxConnections(), READ_TIMEOUT,
 				CallerLimits.DEFAULT.maxHeaderBytes(), CallerLimits.DEFAULT.idleTimeout());
-		this.pools = new PoolStates(this.loop, options.retries());
 		this.links = new EndpointLinks(this.loop);
+		this.pools = new PoolStates(this.loop, options.retries(), this.links::hasIdle);
 		this.handler = new RouteHandler(
 				new RouteContext(this.loop, dialect, this.links, this.pools, this.metrics, this.open));
 		this.front = new HttpFront(options.listen(), () -> this.limits, this.loops, this.handler);
@@ -116,10 +119,8 @@
 	public void start() throws IOException {
 		this.readiness.start();
 		this.front.start();
-		if (this.options.metrics().isPresent()) {
-			this.admin = Optional
-				.of(new AdminServer(this.options.metrics().get(), this.metrics.registry(), this::isReady));
-		}
+		this.admin = this.options.metrics()
+			.flatMap((address) -> AdminServer.open(address, this.metrics.registry(), this::isReady));
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::start));
 		this.link.start(new Followed(), List::of);
@@ -131,6 +132,14 @@
 		this.links.sweep(this.pools::isThere);
 		this.handler.tellMerged();
 		this.pools.recount();
+		publishGauges();
+	}
+
+	private void publishGauges() {
+		long now = System.nanoTime();
+		this.metrics.gauges()
+			.publish(new RouteGauges.Snapshot(this.open.size(), this.front.connections(), this.links.idle(),
+					this.pools.number(), (now - this.configuredAt) / 1e9, this.pools.gauges(now)));
 	}
 
 	/**
@@ -223,7 +232,10 @@
 		@Override
 		public void routes(RouteTable table) {
 			RouteDaemon.this.limits = RouteDaemon.this.limits.with(table.limits());
-			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.handler.table(table));
+			RouteDaemon.this.loop.execute(() -> {
+				RouteDaemon.this.handler.table(table);
+				RouteDaemon.this.configuredAt = System.nanoTime();
+			});
 			DecisionLog.write(LogEvent.CONFIGURATION, table.number(), table.pools().size());
 		}
 
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -0,0 +1,88 @@
+package org.acaciacourse.daemon.route;
+
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * What an entry VM holds at the moment, as gauges. The event loop publishes a snapshot
+ * once a second, so that a reader of the metrics never waits for it nor holds it up;
+ * values are at most that old.
+ * <p>
+ * Thread safe.
+ */
+final class RouteGauges {
+
+	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, Map.of());
+
+	RouteGauges(PrometheusRegistry registry) {
+		gauge(registry, "acaciacourse_routed_open_requests", "Routed requests without an end", Snapshot::open);
+		gauge(registry, "acaciacourse_caller_connections", "Open connections of callers", Snapshot::callers);
+		gauge(registry, "acaciacourse_endpoint_connections_idle", "Kept connections to endpoints", Snapshot::idleLinks);
+		gauge(registry, "acaciacourse_configuration_number", "Number of the configuration in force",
+				Snapshot::configuration);
+		gauge(registry, "acaciacourse_configuration_age_seconds", "Time since the configuration came into force",
+				Snapshot::configurationAge);
+		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
+		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
+		perPool(registry, "acaciacourse_pool_retries_left", "Retries that the budget permits now", Pool::retriesLeft);
+	}
+
+	private void gauge(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Snapshot> value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.applyAsDouble(this.latest)))
+			.register(registry);
+	}
+
+	private void perPool(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Pool> value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.labelNames("pool")
+			.callback((callback) -> this.latest.pools()
+				.forEach((pool, state) -> callback.call(value.applyAsDouble(state), pool)))
+			.register(registry);
+	}
+
+	/**
+	 * Publish what holds now.
+	 * @param next the values
+	 */
+	void publish(Snapshot next) {
+		this.latest = next;
+	}
+
+	/**
+	 * The values of one moment.
+	 *
+	 * @param open requests without an end
+	 * @param callers open connections of callers
+	 * @param idleLinks kept connections to endpoints
+	 * @param configuration the number in force, 0 for none
+	 * @param configurationAge seconds since it came into force
+	 * @param pools the pools by name
+	 */
+	record Snapshot(int open, int callers, int idleLinks, long configuration, double configurationAge,
+			Map<String, Pool> pools) {
+
+		Snapshot {
+			pools = Map.copyOf(pools);
+		}
+
+	}
+
+	/**
+	 * The values of a pool.
+	 *
+	 * @param waiting requests that wait for an endpoint
+	 * @param inFlight requests at its endpoints
+	 * @param retriesLeft retries that the budget permits
+	 */
+	record Pool(int waiting, int inFlight, double retriesLeft) {
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -55,12 +55,16 @@
 		if (this.table.isEmpty() || next.number() > this.table.get().number()) {
 			this.table = Optional.of(next);
 			this.context.pools().table(next);
-			this.early.release((held) -> handle(held.request(), held.response()));
+			this.early.release((held) -> handle(held.request(), held.response(), held.arrivedAt()));
 		}
 	}
 
 	@Override
 	public void handle(CallerRequest request, CallerResponse response) {
+		handle(request, response, System.nanoTime());
+	}
+
+	private void handle(CallerRequest request, CallerResponse response, long arrivedAt) {
 		RequestDialect.RequestFacts facts = this.context.dialect().request(request.headers());
 		if (this.table.isEmpty()) {
 			long patience = facts.patienceMillis().orElse(Long.MAX_VALUE);
@@ -86,7 +90,7 @@
 			return;
 		}
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner);
-		new RoutedExchange(this.context, routed, response).start();
+		new RoutedExchange(this.context, routed, response, arrivedAt).start();
 	}
 
 	private void refuse(CallerRequest request, CallerResponse response, ResultCode code,
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -9,10 +9,11 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.daemon.telemetry.ProcessMetrics;
 
 /**
  * Counters and latencies of routed requests. Labels are bounded: the result codes, the
- * kinds of requests, and the priorities.
+ * pools, the kinds of requests, and the priorities.
  * <p>
  * Thread safe.
  */
@@ -22,8 +23,8 @@
 
 	private final Counter ends = Counter.builder()
 		.name("acaciacourse_routed_requests_total")
-		.help("Routed requests by result code, kind and priority")
-		.labelNames("code", "kind", "priority")
+		.help("Routed requests by result code, pool, kind and priority")
+		.labelNames("code", "pool", "kind", "priority")
 		.register(this.registry);
 
 	private final Counter attempts = Counter.builder()
@@ -32,32 +33,50 @@
 		.labelNames("end")
 		.register(this.registry);
 
-	private final Histogram first = Histogram.builder()
-		.name("acaciacourse_routed_first_answer_seconds")
-		.help("Time from a request to the first part of its answer")
-		.labelNames("kind")
-		.classicOnly()
-		.classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
-		.register(this.registry);
+	private final Histogram first = seconds("first_answer", "Time from a request to the first part of its answer");
+
+	private final Histogram waited = seconds("queue", "Time that a request waited for an endpoint");
+
+	private final Histogram gap = seconds("longest_gap", "Longest time between two events of an answer");
+
+	private final RouteGauges gauges = new RouteGauges(this.registry);
 
 	private final Map<String, CounterDataPoint> points = new ConcurrentHashMap<>();
 
+	RouteMetrics() {
+		ProcessMetrics.register(this.registry);
+	}
+
+	private Histogram seconds(String name, String help) {
+		return Histogram.builder()
+			.name("acaciacourse_routed_" + name + "_seconds")
+			.help(help)
+			.labelNames("kind")
+			.classicOnly()
+			.classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+			.register(this.registry);
+	}
+
 	PrometheusRegistry registry() {
 		return this.registry;
 	}
 
-	void ended(Route route, ResultCode code) {
-		String key = code.number() + " " + route.kind().label() + " " + route.priority();
+	RouteGauges gauges() {
+		return this.gauges;
+	}
+
+	void ended(Route route, String pool, ResultCode code) {
+		String key = code.number() + " " + pool + " " + route.kind().label() + " " + route.priority();
 		this.points
-			.computeIfAbsent(key, (k) -> this.ends.labelValues(Integer.toString(code.number()), route.kind().label(),
-					Integer.toString(route.priority())))
+			.computeIfAbsent(key, (k) -> this.ends.labelValues(Integer.toString(code.number()), pool,
+					route.kind().label(), Integer.toString(route.priority())))
 			.inc();
 	}
 
 	void refused(ResultCode code) {
 		this.points
 			.computeIfAbsent(Integer.toString(code.number()),
-					(k) -> this.ends.labelValues(Integer.toString(code.number()), "none", "none"))
+					(k) -> this.ends.labelValues(Integer.toString(code.number()), "none", "none", "none"))
 			.inc();
 	}
 
@@ -69,4 +88,12 @@
 		this.first.labelValues(route.kind().label()).observe(nanos / 1e9);
 	}
 
+	void waited(Route route, long nanos) {
+		this.waited.labelValues(route.kind().label()).observe(nanos / 1e9);
+	}
+
+	void longestGap(Route route, long nanos) {
+		this.gap.labelValues(route.kind().label()).observe(nanos / 1e9);
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -49,11 +49,6 @@
 
 	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-	/**
-	 * Targets within this factor of the shortest one are those of brief requests.
-	 */
-	private static final double NEARLY_SHORTEST = 1.25;
-
 	/** When to come back if no endpoint took the request; spread over twice the time. */
 	private static final long COME_BACK_MILLIS = 300;
 
@@ -72,7 +67,7 @@
 
 	private final RequestProgress progress;
 
-	private final long startedAt = System.nanoTime();
+	private final long startedAt;
 
 	private final long endsAt;
 
@@ -90,9 +85,21 @@
 
 	private long firstAt;
 
+	private long lastEventAt;
+
+	private long longestGap;
+
 	private boolean done;
 
-	RoutedExchange(RouteContext context, RoutedRequest request, CallerResponse response) {
+	/**
+	 * Make an exchange.
+	 * @param context what all requests of the VM share
+	 * @param request the request
+	 * @param response takes the answer
+	 * @param arrivedAt when the request was read, from which on its time runs
+	 */
+	RoutedExchange(RouteContext context, RoutedRequest request, CallerResponse response, long arrivedAt) {
+		this.startedAt = arrivedAt;
 		this.context = context;
 		this.request = request;
 		this.pool = context.pools().state(request.pool());
@@ -104,7 +111,7 @@
 			millis = Math.min(millis, request.facts().patienceMillis().getAsLong());
 		}
 		this.endsAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(millis);
-		this.deadline = context.loop().schedule(this::timedOut, Math.max(0, millis), TimeUnit.MILLISECONDS);
+		this.deadline = context.loop().schedule(this::timedOut, this.endsAt - System.nanoTime(), TimeUnit.NANOSECONDS);
 		response.onGone(this::callerGone);
 	}
 
@@ -160,6 +167,7 @@
 		this.pool.queue().remove(this);
 		this.refusedSince = 0;
 		this.placedAt = now;
+		this.context.metrics().waited(this.request.route(), now - this.startedAt);
 		begin(choice.get());
 		return true;
 	}
@@ -172,7 +180,8 @@
 		if (this.context.pools().fleet().revision() == 0) {
 			most = FLEET_WAIT_NANOS;
 		}
-		if (now - this.refusedSince < most) {
+		boolean vain = this.pool.balancer().isExhausted(this.progress.tried());
+		if (!vain && now - this.refusedSince < most) {
 			return false;
 		}
 		this.pool.queue().remove(this);
@@ -181,8 +190,7 @@
 	}
 
 	private Optional<FleetEndpoint> choose(long now) {
-		double shortest = this.pool.shortestTarget().toNanos() * NEARLY_SHORTEST;
-		boolean brief = this.request.route().target().toNanos() <= shortest;
+		boolean brief = this.pool.isBrief(this.request.route().target());
 		return this.pool.balancer()
 			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), brief,
 					this.request.hash(), this.progress.tried()), now);
@@ -290,6 +298,11 @@
 	 */
 	void passedOn(OptionalLong id) {
 		this.progress.passedOn();
+		long now = System.nanoTime();
+		if (this.lastEventAt != 0) {
+			this.longestGap = Math.max(this.longestGap, now - this.lastEventAt);
+		}
+		this.lastEventAt = now;
 		if (id.isPresent()) {
 			this.lastEvent = id;
 		}
@@ -303,7 +316,7 @@
 		if (close()) {
 			firstPart();
 			this.response.answer(answer.status(), answer.headers(), answer.body());
-			this.context.metrics().ended(this.request.route(), ResultCode.OK);
+			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
 			tellAnswered();
 		}
 	}
@@ -312,7 +325,8 @@
 	void endStream() {
 		if (close()) {
 			this.response.endStream();
-			this.context.metrics().ended(this.request.route(), ResultCode.OK);
+			this.context.metrics().longestGap(this.request.route(), this.longestGap);
+			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
 			tellAnswered();
 		}
 	}
@@ -323,7 +337,7 @@
 			if (close()) {
 				tellFailed(ResultCode.ENDPOINT_ERROR, "the endpoint's failure is passed on", Duration.ZERO);
 				this.response.answer(kept.status(), kept.headers(), kept.body());
-				this.context.metrics().ended(this.request.route(), ResultCode.ENDPOINT_ERROR);
+				this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.ENDPOINT_ERROR);
 			}
 			return;
 		}
@@ -343,7 +357,7 @@
 		long spread = Math.floorMod(this.request.hash(), COME_BACK_MILLIS);
 		Duration comeBack = Duration.ofMillis(COME_BACK_MILLIS + spread);
 		tellFailed(code, detail, comeBack);
-		this.context.metrics().ended(this.request.route(), code);
+		this.context.metrics().ended(this.request.route(), this.request.pool(), code);
 		if (this.response.isStarted()) {
 			// The answer can't be completed: only a broken connection tells that.
 			this.response.abort();
@@ -394,7 +408,7 @@
 	private void callerGone() {
 		if (close()) {
 			tellFailed(ResultCode.CALLER_GONE, "the caller closed the connection", Duration.ZERO);
-			this.context.metrics().ended(this.request.route(), ResultCode.CALLER_GONE);
+			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.CALLER_GONE);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/AdminServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/AdminServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.BooleanSupplier;
@@ -11,6 +12,9 @@
 import com.sun.net.httpserver.HttpServer;
 import io.prometheus.metrics.exporter.httpserver.MetricsHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.code.ResultCode;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Health and metrics of a daemon on an address of their own, so that they answer while
@@ -20,6 +24,8 @@
  */
 public final class AdminServer implements AutoCloseable {
 
+	private static final Logger logger = LogManager.getLogger(AdminServer.class);
+
 	private static final int THREADS = 2;
 
 	private final HttpServer server;
@@ -43,6 +49,25 @@
 		this.server.start();
 	}
 
+	/**
+	 * Open a server, or go on without one: a VM that can't show its metrics serves all
+	 * the same.
+	 * @param address the address
+	 * @param registry the metrics
+	 * @param ready tells whether the daemon is ready
+	 * @return the server, if the address can be used
+	 */
+	public static Optional<AdminServer> open(InetSocketAddress address, PrometheusRegistry registry,
+			BooleanSupplier ready) {
+		try {
+			return Optional.of(new AdminServer(address, registry, ready));
+		}
+		catch (IOException ex) {
+			logger.error("{} no metrics at {}", ResultCode.ADDRESS_IN_USE.number(), address, ex);
+			return Optional.empty();
+		}
+	}
+
 	/**
 	 * Return the bound port.
 	 * @return the port
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.telemetry;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -65,6 +66,17 @@
 		return queue;
 	}
 
+	/**
+	 * Find the queue of the configuration in force.
+	 * @return the queue, if one was installed
+	 */
+	public static Optional<LogQueue> installed() {
+		LoggerContext context = (LoggerContext) LogManager.getContext(false);
+		return Optional.ofNullable(context.getConfiguration().<Appender>getAppender(NAME))
+			.filter(LogQueue.class::isInstance)
+			.map(LogQueue.class::cast);
+	}
+
 	@Override
 	public void start() {
 		super.start();
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaHandlerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaHandlerTests.java
@@ -32,7 +32,8 @@
 
 	private final ReplicaLoop loop = new ReplicaLoop("replica",
 			new ReplicaDriver(this.store, "control-1", ReplicaTiming.defaults(), 100, this.outbox, System.nanoTime()),
-			(code) -> {
+			(seconds) -> {
+			}, (code) -> {
 			});
 
 	@AfterEach
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaLoopTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ReplicaLoopTests.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vavr.control.Try;
@@ -29,6 +31,8 @@
 
 	private final CompletableFuture<ResultCode> fault = new CompletableFuture<>();
 
+	private final Queue<Double> commits = new ConcurrentLinkedQueue<>();
+
 	private ReplicaLoop start() {
 		ReplicaStore store = this.disk.openStore();
 		if (store.recovered().isFresh()) {
@@ -38,7 +42,7 @@
 		}
 		ReplicaDriver driver = new ReplicaDriver(store, "control-1", ReplicaTiming.defaults(), 100, new NoPeers(),
 				System.nanoTime());
-		ReplicaLoop loop = new ReplicaLoop("replica", driver, this.fault::complete);
+		ReplicaLoop loop = new ReplicaLoop("replica", driver, this.commits::add, this.fault::complete);
 		loop.start();
 		ControlCluster.await("leadership", () -> loop.board().latest().status().leader().isPresent());
 		return loop;
@@ -62,6 +66,7 @@
 			Throwable failure = Try.of(() -> reportCrash(loop, 2).get()).getCause().getCause();
 			assertThat(((ControlException) failure).code()).isEqualTo(ResultCode.OUTCOME_UNKNOWN);
 			assertThat(ReplicaLoopTests.this.fault.get()).isEqualTo(ResultCode.DISK_FAILED);
+			assertThat(ReplicaLoopTests.this.commits).hasSize(1);
 			assertThat(Try.of(() -> reportCrash(loop, 3).get()).isFailure()).isTrue();
 		}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -37,7 +37,8 @@
 	}
 
 	private PoolStates pools() throws Exception {
-		PoolStates pools = new PoolStates(this.loop, new RetryRule(Duration.ofSeconds(10), 0.2, 10));
+		PoolStates pools = new PoolStates(this.loop, new RetryRule(Duration.ofSeconds(10), 0.2, 10),
+				(instance) -> true);
 		onLoop(() -> {
 			pools.fleet(FLEET);
 			return null;
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -0,0 +1,59 @@
+package org.acaciacourse.daemon.route;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.route.PoolShare;
+import org.acaciacourse.core.route.RequestKind;
+import org.acaciacourse.core.route.Route;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RouteMetricsTests {
+
+	private static final Route ROUTE = new Route("r", "h", "/", RequestKind.STREAM, false, Duration.ofSeconds(1),
+			Duration.ofMillis(100), Duration.ZERO, 2, List.of(new PoolShare("engines", 1)), 1, false, false);
+
+	private final RouteMetrics metrics = new RouteMetrics();
+
+	private String page() throws IOException {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		PrometheusTextFormatWriter.builder().build().write(out, this.metrics.registry().scrape());
+		return out.toString(StandardCharsets.UTF_8);
+	}
+
+	@Test
+	void endsAreCountedByCodePoolKindAndPriority() throws IOException {
+		this.metrics.ended(ROUTE, "engines", ResultCode.OK);
+		this.metrics.ended(ROUTE, "engines", ResultCode.OK);
+		this.metrics.refused(ResultCode.NOT_READY);
+		assertThat(page()).contains(
+				"acaciacourse_routed_requests_total{code=\"0\",kind=\"stream\",pool=\"engines\",priority=\"2\"} 2.0");
+		assertThat(page()).contains("code=\"" + ResultCode.NOT_READY.number() + "\",kind=\"none\"");
+	}
+
+	@Test
+	void snapshotIsShownAsGauges() throws IOException {
+		this.metrics.gauges()
+			.publish(new RouteGauges.Snapshot(3, 5, 7, 12, 1.5, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5))));
+		String page = page();
+		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
+		assertThat(page).contains("acaciacourse_configuration_number 12.0");
+		assertThat(page).contains("acaciacourse_pool_waiting_requests{pool=\"engines\"} 2.0");
+		assertThat(page).contains("acaciacourse_pool_retries_left{pool=\"engines\"} 6.5");
+	}
+
+	@Test
+	void processIsShownToo() throws IOException {
+		assertThat(page()).contains("jvm_memory_used_bytes{area=\"heap\"}");
+		assertThat(page()).contains("acaciacourse_log_lines_dropped_total 0.0");
+	}
+
+}
--- a/bench/src/test/java/org/acaciacourse/bench/process/FreePorts.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/FreePorts.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.bench.process;
+package org.acaciacourse.testkit;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -11,7 +11,7 @@
  * <p>
  * Thread safe.
  */
-final class FreePorts {
+public final class FreePorts {
 
 	private static final int FIRST = 12_000;
 
@@ -22,7 +22,11 @@
 	private FreePorts() {
 	}
 
-	static int next() {
+	/**
+	 * Find the next one.
+	 * @return a port that nothing listens on
+	 */
+	public static int next() {
 		for (int i = 0; i < COUNT; i++) {
 			int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
--- a/bench/src/test/java/org/acaciacourse/bench/process/JavaProcess.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/JavaProcess.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.bench.process;
+package org.acaciacourse.testkit;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -14,7 +14,7 @@
  * <p>
  * Not thread safe.
  */
-final class JavaProcess implements AutoCloseable {
+public final class JavaProcess implements AutoCloseable {
 
 	private final Process process;
 
@@ -32,7 +32,7 @@
 	 * @param args the command line
 	 * @return the process
 	 */
-	static JavaProcess start(Path folder, String name, String... args) {
+	public static JavaProcess start(Path folder, String name, String... args) {
 		List<String> command = new ArrayList<>(
 				List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx96m", "-XX:+UseSerialGC",
 						"-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName()));
@@ -50,15 +50,27 @@
 		}
 	}
 
-	long id() {
+	/**
+	 * Return the id of the process.
+	 * @return the id
+	 */
+	public long id() {
 		return this.process.pid();
 	}
 
-	boolean isAlive() {
+	/**
+	 * Return whether the process runs.
+	 * @return whether it has not ended
+	 */
+	public boolean isAlive() {
 		return this.process.isAlive();
 	}
 
-	String output() {
+	/**
+	 * Return what the process wrote.
+	 * @return its output and its errors so far
+	 */
+	public String output() {
 		try {
 			return Files.readString(this.output);
 		}
@@ -68,27 +80,31 @@
 	}
 
 	/** Send SIGTERM. */
-	void terminate() {
+	public void terminate() {
 		this.process.destroy();
 	}
 
 	/** Send SIGKILL. */
-	void kill() {
+	public void kill() {
 		this.process.destroyForcibly();
 		awaitExit();
 	}
 
 	/** Send SIGSTOP: the process stays, its connections stay, nothing moves. */
-	void freeze() {
+	public void freeze() {
 		signal("-STOP");
 	}
 
 	/** Send SIGCONT. */
-	void thaw() {
+	public void thaw() {
 		signal("-CONT");
 	}
 
-	int awaitExit() {
+	/**
+	 * Wait for the end of the process.
+	 * @return its exit code
+	 */
+	public int awaitExit() {
 		try {
 			if (!this.process.waitFor(Waiting.BOUND.toSeconds(), TimeUnit.SECONDS)) {
 				throw new AssertionError("process " + id() + " did not end: " + output());
--- a/bench/src/test/java/org/acaciacourse/bench/process/TcpProxy.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.bench.process;
+package org.acaciacourse.testkit;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -17,7 +17,7 @@
  * <p>
  * Thread safe.
  */
-final class TcpProxy implements AutoCloseable {
+public final class TcpProxy implements AutoCloseable {
 
 	private static final int BUFFER = 16_384;
 
@@ -29,18 +29,27 @@
 
 	private volatile long delayNanos;
 
-	TcpProxy(int targetPort) throws IOException {
+	/**
+	 * Begin to pass connections on.
+	 * @param targetPort the loopback port that they go to
+	 * @throws IOException if no port can be had
+	 */
+	public TcpProxy(int targetPort) throws IOException {
 		this.targetPort = targetPort;
 		this.listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
 		start(this::accept);
 	}
 
-	int port() {
+	/**
+	 * Return the port that takes connections.
+	 * @return the port
+	 */
+	public int port() {
 		return this.listener.getLocalPort();
 	}
 
 	/** Close every open connection. */
-	void cut() {
+	public void cut() {
 		this.links.forEach(Link::close);
 	}
 
@@ -49,13 +58,17 @@
 	 * without closing them.
 	 * @return how many there were
 	 */
-	int silence() {
+	public int silence() {
 		List<Link> open = this.links.stream().filter((link) -> !link.silent).toList();
 		open.forEach((link) -> link.silent = true);
 		return open.size();
 	}
 
-	void delay(int millis) {
+	/**
+	 * Delay what is passed on from now on.
+	 * @param millis the delay of each piece of data
+	 */
+	public void delay(int millis) {
 		this.delayNanos = TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
--- a/bench/src/test/java/org/acaciacourse/bench/process/Waiting.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/Waiting.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.bench.process;
+package org.acaciacourse.testkit;
 
 import java.time.Duration;
 import java.util.concurrent.Callable;
@@ -11,16 +11,22 @@
  * <p>
  * Thread safe: it has no state.
  */
-final class Waiting {
+public final class Waiting {
 
-	static final Duration BOUND = Duration.ofSeconds(60);
+	/** After this time a test counts as hanging. */
+	public static final Duration BOUND = Duration.ofSeconds(60);
 
 	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private Waiting() {
 	}
 
-	static void until(String what, Callable<Boolean> condition) {
+	/**
+	 * Wait until something is so.
+	 * @param what what is waited for
+	 * @param condition whether it is so; a condition that throws does not hold
+	 */
+	public static void until(String what, Callable<Boolean> condition) {
 		long end = System.nanoTime() + BOUND.toNanos();
 		while (!holds(condition)) {
 			if (System.nanoTime() > end) {
