--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -48,7 +48,7 @@
 	 * under loads at which engines that read them again and again are full: a part that
 	 * is read anew takes the time of three other requests.
 	 */
-	private static final double ANEW_FACTOR = 3;
+	private static final double ANEW_FACTOR = 10;
 
 	/** The work of a usual prompt, by which the requests that wait are estimated. */
 	private static final double USUAL_WORK = 10_000;
@@ -407,6 +407,15 @@
 		find(instance).ifPresent((load) -> load.report(running, waiting, now));
 	}
 
+	/**
+	 * Return the work that waits at an endpoint, of all VMs as far as they tell.
+	 * @param instance its instance
+	 * @return the work in prompt tokens, 0 if the endpoint is not in the pool
+	 */
+	public long waitingWork(String instance) {
+		return find(instance).map(EndpointLoad::waitingWork).orElse(0L);
+	}
+
 	/**
 	 * Tell what is believed of an endpoint, for the log.
 	 * @param instance its instance
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -109,11 +109,11 @@
 	}
 
 	/**
-	 * Find the shortest target of the routes to a pool.
+	 * Find the targets of the routes to a pool.
 	 * @param pool the name of the pool
-	 * @return the target, if any route leads there
+	 * @return the targets, the shortest first
 	 */
-	public Optional<Duration> shortestTarget(String pool) {
+	public List<Duration> targets(String pool) {
 		return this.byHost.values()
 			.stream()
 			.flatMap((routes) -> routes.values().stream())
@@ -121,7 +121,9 @@
 				.stream()
 				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool)))
 			.map(Route::target)
-			.min(Duration::compareTo);
+			.distinct()
+			.sorted()
+			.toList();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpFront.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,9 @@
 
 	private static final long TLS_CHECK_SECONDS = 2;
 
+	/** Connections that wait to be accepted: those of a second at the highest load. */
+	private static final int BACKLOG = 1024;
+
 	private final InetSocketAddress address;
 
 	private final Optional<Settings> tlsSettings;
@@ -71,6 +76,20 @@
 		this(address, limits, Optional.empty(), workers, workers, handler);
 	}
 
+	/**
+	 * Open a socket that listens, before anything that would serve it is there: callers
+	 * that connect meanwhile wait in its queue and are not refused.
+	 * @param address where it listens
+	 * @return the socket
+	 * @throws IOException if the address can't be used
+	 */
+	public static ServerSocketChannel open(InetSocketAddress address) throws IOException {
+		ServerSocketChannel opened = ServerSocketChannel.open();
+		opened.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+		opened.bind(address, BACKLOG);
+		return opened;
+	}
+
 	private HttpFront(InetSocketAddress address, Supplier<HttpLimits> limits, Optional<Settings> tlsSettings,
 			EventLoopGroup workers, EventLoopGroup acceptors, RequestHandler handler) {
 		this.address = address;
@@ -101,17 +120,27 @@
 	 * @throws IOException if the address or the TLS files can't be used
 	 */
 	public void start() throws IOException {
+		start(Optional.empty());
+	}
+
+	/**
+	 * Accept connections.
+	 * @param opened a socket that listens already, else one is bound
+	 * @throws IOException if the address or the TLS files can't be used
+	 */
+	public void start(Optional<ServerSocketChannel> opened) throws IOException {
 		Optional<TlsFiles> tls = tls();
 		tls.ifPresent((files) -> this.acceptors.scheduleAtFixedRate(files::reload, TLS_CHECK_SECONDS, TLS_CHECK_SECONDS,
 				TimeUnit.SECONDS));
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.acceptors, this.workers)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, 1024)
+			.channelFactory(() -> opened.map(NioServerSocketChannel::new).orElseGet(NioServerSocketChannel::new))
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ConnectionInitializer(this.limits, this.handler, this.gate, tls));
-		ChannelFuture bound = bootstrap.bind(this.address).awaitUninterruptibly();
+		ChannelFuture bound = (opened.isPresent()) ? bootstrap.register() : bootstrap.bind(this.address);
+		bound.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
 			throw new IOException("cannot bind " + this.address, bound.cause());
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -346,7 +346,9 @@
 		}
 		long millis = ENGINE_SILENT_MILLIS;
 		if (!this.promptRead) {
-			millis += this.exchange.request().facts().prompt().promptTokens() / TOKENS_PER_MILLI;
+			// With many entries each hears little of an engine that is busy with the
+			// prompts of the others: what waits there must not count as silence.
+			millis += this.exchange.balancer().waitingWork(this.endpoint.instance()) / TOKENS_PER_MILLI;
 		}
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -85,8 +85,7 @@
 		share();
 		this.declared.stream().filter(Pool::isEngine).forEach((pool) -> {
 			state(pool.name()).balancer().engineTokens(pool.engineTokens());
-			Optional<Duration> shortest = table.shortestTarget(pool.name());
-			shortest.ifPresent((target) -> state(pool.name()).target(target));
+			state(pool.name()).targets(table.targets(pool.name()));
 		});
 	}
 
@@ -215,7 +214,7 @@
 
 		private final PoolQueue queue;
 
-		private Duration shortestTarget = Duration.ZERO;
+		private List<Duration> targets = List.of();
 
 		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
 			this.balancer = balancer;
@@ -223,8 +222,8 @@
 			this.queue = queue;
 		}
 
-		private void target(Duration shortest) {
-			this.shortestTarget = shortest;
+		private void targets(List<Duration> next) {
+			this.targets = next;
 		}
 
 		/**
@@ -257,7 +256,17 @@
 		 * @return whether requests with it belong to the brief ones
 		 */
 		boolean isBrief(Duration target) {
-			return target.toNanos() <= this.shortestTarget.toNanos() * NEARLY_SHORTEST;
+			return !this.targets.isEmpty() && target.toNanos() <= this.targets.get(0).toNanos() * NEARLY_SHORTEST;
+		}
+
+		/**
+		 * Return whether requests with a target share endpoints with others that have
+		 * less time.
+		 * @param target the target
+		 * @return whether there is a shorter target that is not brief
+		 */
+		boolean isBesideShorter(Duration target) {
+			return this.targets.stream().anyMatch((other) -> !isBrief(other) && other.compareTo(target) < 0);
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
@@ -117,8 +118,17 @@
 	 * @throws IOException if an address can't be used
 	 */
 	public void start() throws IOException {
+		start(Optional.empty());
+	}
+
+	/**
+	 * Begin to serve.
+	 * @param opened a socket for callers that listens already, else one is bound
+	 * @throws IOException if an address can't be used
+	 */
+	public void start(Optional<ServerSocketChannel> opened) throws IOException {
 		this.readiness.start();
-		this.front.start();
+		this.front.start(opened);
 		this.admin = this.options.metrics()
 			.flatMap((address) -> AdminServer.open(address, this.metrics.registry(), this::isReady));
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -49,6 +49,20 @@
 
 	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+	/**
+	 * The work that waits at an engine, in prompt tokens, when it is behind: what it
+	 * reads in about two seconds beside the answers that run, twice the target of drafts.
+	 */
+	private static final long OVERLOAD_WORK = 80_000;
+
+	/** What an engine reads in a millisecond beside the answers that run. */
+	private static final long TOKENS_PER_MILLI = 40;
+
+	/**
+	 * The part of its target that a request waits at most for engines that are behind.
+	 */
+	private static final double MAKE_WAY_SHARE = 0.4;
+
 	/** When to come back if no endpoint took the request; spread over twice the time. */
 	private static final long COME_BACK_MILLIS = 300;
 
@@ -164,6 +178,10 @@
 		if (choice.isEmpty()) {
 			return isRefusedTooLong(now);
 		}
+		long ahead = this.pool.balancer().waitingWork(choice.get().instance());
+		if (ahead > OVERLOAD_WORK && this.pool.isBesideShorter(this.request.route().target())) {
+			return isShed(now, ahead);
+		}
 		this.pool.queue().remove(this);
 		this.refusedSince = 0;
 		this.placedAt = now;
@@ -172,6 +190,26 @@
 		return true;
 	}
 
+	// Engines read prompts in about the order in which they come. Once they are behind by
+	// more than the shorter targets permit, a prompt that has time waits here, and is
+	// refused if the engines are still behind after a part of its target: it would be
+	// late
+	// itself, and would make those late that are worth more.
+	private boolean isShed(long now, long ahead) {
+		if (now - this.startedAt < this.request.route().target().toNanos() * MAKE_WAY_SHARE) {
+			return false;
+		}
+		this.pool.queue().remove(this);
+		Duration behind = Duration.ofMillis((ahead - OVERLOAD_WORK) / TOKENS_PER_MILLI);
+		finish(ResultCode.SHED, "its endpoint is " + ahead + " tokens behind", comeBack().plus(behind));
+		return true;
+	}
+
+	// Spread over twice the shortest time.
+	private Duration comeBack() {
+		return Duration.ofMillis(COME_BACK_MILLIS + Math.floorMod(this.request.hash(), COME_BACK_MILLIS));
+	}
+
 	private boolean isRefusedTooLong(long now) {
 		if (this.refusedSince == 0) {
 			this.refusedSince = now;
@@ -351,11 +389,13 @@
 	}
 
 	private void finish(ResultCode code, String detail) {
+		finish(code, detail, comeBack());
+	}
+
+	private void finish(ResultCode code, String detail, Duration comeBack) {
 		if (!close()) {
 			return;
 		}
-		long spread = Math.floorMod(this.request.hash(), COME_BACK_MILLIS);
-		Duration comeBack = Duration.ofMillis(COME_BACK_MILLIS + spread);
 		tellFailed(code, detail, comeBack);
 		this.context.metrics().ended(this.request.route(), this.request.pool(), code);
 		if (this.response.isStarted()) {
