Decide in the core who makes way, and part the record of a routed request from its life

A request that was sent once is not refused by it any more: a resumable stream that has run would have been told that it has not.

RoutedExchange keeps the life of a request; metrics and lines of the log are in ExchangeRecord.

--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -0,0 +1,103 @@
+package org.acaciacourse.daemon.route;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import org.acaciacourse.core.attempt.RequestProgress;
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
+
+/**
+ * What is written down of one routed request: metrics, a line if it ends otherwise than
+ * with a whole answer, and one for a sample of the others.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class ExchangeRecord {
+
+	/**
+	 * A line for each answer would take more processor time than the answers; the ids are
+	 * spread evenly, so that those told are a fair sample.
+	 */
+	private static final int ANSWERS_PER_LINE = 200;
+
+	private final RouteContext context;
+
+	private final RoutedRequest request;
+
+	private final long startedAt;
+
+	private final long endsAt;
+
+	private long placedAt;
+
+	private long firstAt;
+
+	private long lastEventAt;
+
+	private long longestGap;
+
+	ExchangeRecord(RouteContext context, RoutedRequest request, long startedAt, long endsAt) {
+		this.context = context;
+		this.request = request;
+		this.startedAt = startedAt;
+		this.endsAt = endsAt;
+	}
+
+	/** The request has an endpoint. */
+	void placed(long now) {
+		this.placedAt = now;
+		this.context.metrics().waited(this.request.route(), now - this.startedAt);
+	}
+
+	/** The first part of the answer is passed on. */
+	void first(long now) {
+		this.firstAt = now;
+		this.context.metrics().first(this.request.route(), now - this.startedAt);
+	}
+
+	/** An event is passed on. */
+	void event(long now) {
+		if (this.lastEventAt != 0) {
+			this.longestGap = Math.max(this.longestGap, now - this.lastEventAt);
+		}
+		this.lastEventAt = now;
+	}
+
+	/** The whole answer was passed on. */
+	void answered(RequestProgress progress) {
+		if (this.lastEventAt != 0) {
+			this.context.metrics().longestGap(this.request.route(), this.longestGap);
+		}
+		this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
+		if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
+			DecisionLog.write(LogEvent.REQUEST_ANSWERED, this.request.facts().id(), this.request.route().name(),
+					this.request.pool(), this.request.urgency(), this.context.pools().number(), millisTo(this.placedAt),
+					millisTo(this.firstAt), millisTo(System.nanoTime()), progress.tried().size());
+		}
+	}
+
+	/**
+	 * The request ended otherwise.
+	 * @param code the reason
+	 * @param detail the reason in words
+	 * @param progress the attempts
+	 * @param comeBack when the caller was told to come back
+	 */
+	void failed(ResultCode code, String detail, RequestProgress progress, Duration comeBack) {
+		long now = System.nanoTime();
+		DecisionLog.write(LogEvent.REQUEST_FAILED, this.request.facts().id(), code.number(), detail,
+				progress.runState().label(), this.request.route().name(), this.request.pool(),
+				this.request.customer().orElse(null), this.request.urgency(), this.context.pools().number(),
+				Long.toHexString(this.context.pools().fleet().revision()), millisTo(this.placedAt), millisTo(now),
+				TimeUnit.NANOSECONDS.toMillis(this.endsAt - now), progress.tried().size(),
+				(code.isRetryable()) ? comeBack.toMillis() : null);
+		this.context.metrics().ended(this.request.route(), this.request.pool(), code);
+	}
+
+	private Long millisTo(long at) {
+		return (at != 0) ? TimeUnit.NANOSECONDS.toMillis(at - this.startedAt) : null;
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Try;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
+import org.acaciacourse.core.balance.MakeWay;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.code.ResultCode;
@@ -27,8 +28,6 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
-import org.acaciacourse.daemon.telemetry.DecisionLog;
-import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * One routed request from its arrival to its end: makes the attempts that
@@ -49,25 +48,9 @@
 
 	private static final long LEAST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-	/**
-	 * The work that waits at an engine, in prompt tokens, when it is behind: what it
-	 * reads in about two seconds beside the answers that run, twice the target of drafts.
-	 */
-	private static final long OVERLOAD_WORK = 80_000;
-
-	/** What an engine reads in a millisecond beside the answers that run. */
-	private static final long TOKENS_PER_MILLI = 40;
-
-	/**
-	 * The part of its target that a request waits at most for engines that are behind.
-	 */
-	private static final double MAKE_WAY_SHARE = 0.4;
-
 	/** When to come back if no endpoint took the request; spread over twice the time. */
 	private static final long COME_BACK_MILLIS = 300;
 
-	private static final int ANSWERS_PER_LINE = 200;
-
 	/** A shorter rest of the time can't yield an answer any more. */
 	private static final long LEAST_REMAINING_MILLIS = 5;
 
@@ -81,6 +64,8 @@
 
 	private final RequestProgress progress;
 
+	private final ExchangeRecord record;
+
 	private final long startedAt;
 
 	private final long endsAt;
@@ -95,14 +80,6 @@
 
 	private long refusedSince;
 
-	private long placedAt;
-
-	private long firstAt;
-
-	private long lastEventAt;
-
-	private long longestGap;
-
 	private boolean done;
 
 	/**
@@ -125,6 +102,7 @@
 			millis = Math.min(millis, request.facts().patienceMillis().getAsLong());
 		}
 		this.endsAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.record = new ExchangeRecord(context, request, this.startedAt, this.endsAt);
 		this.deadline = context.loop().schedule(this::timedOut, this.endsAt - System.nanoTime(), TimeUnit.NANOSECONDS);
 		response.onGone(this::callerGone);
 	}
@@ -179,30 +157,32 @@
 			return isRefusedTooLong(now);
 		}
 		long ahead = this.pool.balancer().waitingWork(choice.get().instance());
-		if (ahead > OVERLOAD_WORK && this.pool.isBesideShorter(this.request.route().target())) {
-			return isShed(now, ahead);
+		switch (verdict(ahead, now)) {
+			case WAIT -> {
+				return false;
+			}
+			case REFUSE -> {
+				finish(ResultCode.SHED, "its endpoint is " + ahead + " tokens behind",
+						comeBack().plus(MakeWay.untilRoom(ahead)));
+				return true;
+			}
+			case SEND -> {
+			}
 		}
 		this.pool.queue().remove(this);
 		this.refusedSince = 0;
-		this.placedAt = now;
-		this.context.metrics().waited(this.request.route(), now - this.startedAt);
+		this.record.placed(now);
 		begin(choice.get());
 		return true;
 	}
 
-	// Engines read prompts in about the order in which they come. Once they are behind by
-	// more than the shorter targets permit, a prompt that has time waits here, and is
-	// refused if the engines are still behind after a part of its target: it would be
-	// late
-	// itself, and would make those late that are worth more.
-	private boolean isShed(long now, long ahead) {
-		if (now - this.startedAt < this.request.route().target().toNanos() * MAKE_WAY_SHARE) {
-			return false;
+	// What was sent once goes on: refused now it would be told that it has not run.
+	private MakeWay.Verdict verdict(long ahead, long now) {
+		Duration target = this.request.route().target();
+		if (this.progress.isRepeat() || !this.pool.isBesideShorter(target)) {
+			return MakeWay.Verdict.SEND;
 		}
-		this.pool.queue().remove(this);
-		Duration behind = Duration.ofMillis((ahead - OVERLOAD_WORK) / TOKENS_PER_MILLI);
-		finish(ResultCode.SHED, "its endpoint is " + ahead + " tokens behind", comeBack().plus(behind));
-		return true;
+		return MakeWay.decide(ahead, target, now - this.startedAt);
 	}
 
 	// Spread over twice the shortest time.
@@ -326,8 +306,7 @@
 
 	/** The first part of the answer is passed on. */
 	void firstPart() {
-		this.firstAt = System.nanoTime();
-		this.context.metrics().first(this.request.route(), System.nanoTime() - this.startedAt);
+		this.record.first(System.nanoTime());
 	}
 
 	/**
@@ -336,11 +315,7 @@
 	 */
 	void passedOn(OptionalLong id) {
 		this.progress.passedOn();
-		long now = System.nanoTime();
-		if (this.lastEventAt != 0) {
-			this.longestGap = Math.max(this.longestGap, now - this.lastEventAt);
-		}
-		this.lastEventAt = now;
+		this.record.event(System.nanoTime());
 		if (id.isPresent()) {
 			this.lastEvent = id;
 		}
@@ -354,8 +329,7 @@
 		if (close()) {
 			firstPart();
 			this.response.answer(answer.status(), answer.headers(), answer.body());
-			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
-			tellAnswered();
+			this.record.answered(this.progress);
 		}
 	}
 
@@ -363,9 +337,7 @@
 	void endStream() {
 		if (close()) {
 			this.response.endStream();
-			this.context.metrics().longestGap(this.request.route(), this.longestGap);
-			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
-			tellAnswered();
+			this.record.answered(this.progress);
 		}
 	}
 
@@ -373,9 +345,9 @@
 		if (this.failureAnswer.isPresent() && !this.response.isStarted()) {
 			WholeAnswer kept = this.failureAnswer.get();
 			if (close()) {
-				tellFailed(ResultCode.ENDPOINT_ERROR, "the endpoint's failure is passed on", Duration.ZERO);
+				this.record.failed(ResultCode.ENDPOINT_ERROR, "the endpoint's failure is passed on", this.progress,
+						Duration.ZERO);
 				this.response.answer(kept.status(), kept.headers(), kept.body());
-				this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.ENDPOINT_ERROR);
 			}
 			return;
 		}
@@ -396,8 +368,7 @@
 		if (!close()) {
 			return;
 		}
-		tellFailed(code, detail, comeBack);
-		this.context.metrics().ended(this.request.route(), this.request.pool(), code);
+		this.record.failed(code, detail, this.progress, comeBack);
 		if (this.response.isStarted()) {
 			// The answer can't be completed: only a broken connection tells that.
 			this.response.abort();
@@ -420,35 +391,10 @@
 		response.answer(refusal.code().httpStatus(), headers, refusal.bytes());
 	}
 
-	private void tellFailed(ResultCode code, String detail, Duration comeBack) {
-		long now = System.nanoTime();
-		DecisionLog.write(LogEvent.REQUEST_FAILED, this.request.facts().id(), code.number(), detail,
-				this.progress.runState().label(), this.request.route().name(), this.request.pool(),
-				this.request.customer().orElse(null), this.request.urgency(), this.context.pools().number(),
-				Long.toHexString(this.context.pools().fleet().revision()), millisTo(this.placedAt),
-				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), TimeUnit.NANOSECONDS.toMillis(this.endsAt - now),
-				this.progress.tried().size(), (code.isRetryable()) ? comeBack.toMillis() : null);
-	}
-
-	// A line for each answer would take more processor time than the answers; the ids
-	// are spread evenly, so that those told are a fair sample.
-	private void tellAnswered() {
-		if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
-			DecisionLog.write(LogEvent.REQUEST_ANSWERED, this.request.facts().id(), this.request.route().name(),
-					this.request.pool(), this.request.urgency(), this.context.pools().number(), millisTo(this.placedAt),
-					millisTo(this.firstAt), TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.startedAt),
-					this.progress.tried().size());
-		}
-	}
-
-	private Long millisTo(long at) {
-		return (at != 0) ? TimeUnit.NANOSECONDS.toMillis(at - this.startedAt) : null;
-	}
-
 	private void callerGone() {
 		if (close()) {
-			tellFailed(ResultCode.CALLER_GONE, "the caller closed the connection", Duration.ZERO);
-			this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.CALLER_GONE);
+			this.record.failed(ResultCode.CALLER_GONE, "the caller closed the connection", this.progress,
+					Duration.ZERO);
 		}
 	}
 
