--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -109,11 +109,11 @@
 	}
 
 	/**
-	 * Find the targets of the routes to a pool.
+	 * Find the shortest target of the routes to a pool.
 	 * @param pool the name of the pool
-	 * @return the targets, the shortest first
+	 * @return the target, if any route leads there
 	 */
-	public List<Duration> targets(String pool) {
+	public Optional<Duration> shortestTarget(String pool) {
 		return this.byHost.values()
 			.stream()
 			.flatMap((routes) -> routes.values().stream())
@@ -121,9 +121,7 @@
 				.stream()
 				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool)))
 			.map(Route::target)
-			.distinct()
-			.sorted()
-			.toList();
+			.min(Duration::compareTo);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -45,19 +45,19 @@
 		this.endsAt = endsAt;
 	}
 
-	/** The request has an endpoint. */
+	// The request has an endpoint.
 	void placed(long now) {
 		this.placedAt = now;
 		this.context.metrics().waited(this.request.route(), now - this.startedAt);
 	}
 
-	/** The first part of the answer is passed on. */
+	// The first part of the answer is passed on.
 	void first(long now) {
 		this.firstAt = now;
 		this.context.metrics().first(this.request.route(), now - this.startedAt);
 	}
 
-	/** An event is passed on. */
+	// An event is passed on.
 	void event(long now) {
 		if (this.lastEventAt != 0) {
 			this.longestGap = Math.max(this.longestGap, now - this.lastEventAt);
@@ -65,7 +65,7 @@
 		this.lastEventAt = now;
 	}
 
-	/** The whole answer was passed on. */
+	// The whole answer was passed on.
 	void answered(RequestProgress progress) {
 		if (this.lastEventAt != 0) {
 			this.context.metrics().longestGap(this.request.route(), this.longestGap);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -85,7 +85,8 @@
 		share();
 		this.declared.stream().filter(Pool::isEngine).forEach((pool) -> {
 			state(pool.name()).balancer().engineTokens(pool.engineTokens());
-			state(pool.name()).targets(table.targets(pool.name()));
+			Optional<Duration> shortest = table.shortestTarget(pool.name());
+			shortest.ifPresent((target) -> state(pool.name()).target(target));
 		});
 	}
 
@@ -214,7 +215,7 @@
 
 		private final PoolQueue queue;
 
-		private List<Duration> targets = List.of();
+		private Duration shortestTarget = Duration.ZERO;
 
 		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
 			this.balancer = balancer;
@@ -222,8 +223,8 @@
 			this.queue = queue;
 		}
 
-		private void targets(List<Duration> next) {
-			this.targets = next;
+		private void target(Duration shortest) {
+			this.shortestTarget = shortest;
 		}
 
 		/**
@@ -256,17 +257,7 @@
 		 * @return whether requests with it belong to the brief ones
 		 */
 		boolean isBrief(Duration target) {
-			return !this.targets.isEmpty() && target.toNanos() <= this.targets.get(0).toNanos() * NEARLY_SHORTEST;
-		}
-
-		/**
-		 * Return whether requests with a target share endpoints with others that have
-		 * less time.
-		 * @param target the target
-		 * @return whether there is a shorter target that is not brief
-		 */
-		boolean isBesideShorter(Duration target) {
-			return this.targets.stream().anyMatch((other) -> !isBrief(other) && other.compareTo(target) < 0);
+			return target.toNanos() <= this.shortestTarget.toNanos() * NEARLY_SHORTEST;
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -19,7 +19,6 @@
 import io.vavr.control.Try;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
-import org.acaciacourse.core.balance.MakeWay;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.code.ResultCode;
@@ -156,19 +155,6 @@
 		if (choice.isEmpty()) {
 			return isRefusedTooLong(now);
 		}
-		long ahead = this.pool.balancer().waitingWork(choice.get().instance());
-		switch (verdict(ahead, now)) {
-			case WAIT -> {
-				return false;
-			}
-			case REFUSE -> {
-				finish(ResultCode.SHED, "its endpoint is " + ahead + " tokens behind",
-						comeBack().plus(MakeWay.untilRoom(ahead)));
-				return true;
-			}
-			case SEND -> {
-			}
-		}
 		this.pool.queue().remove(this);
 		this.refusedSince = 0;
 		this.record.placed(now);
@@ -176,15 +162,6 @@
 		return true;
 	}
 
-	// What was sent once goes on: refused now it would be told that it has not run.
-	private MakeWay.Verdict verdict(long ahead, long now) {
-		Duration target = this.request.route().target();
-		if (this.progress.isRepeat() || !this.pool.isBesideShorter(target)) {
-			return MakeWay.Verdict.SEND;
-		}
-		return MakeWay.decide(ahead, target, now - this.startedAt);
-	}
-
 	// Spread over twice the shortest time.
 	private Duration comeBack() {
 		return Duration.ofMillis(COME_BACK_MILLIS + Math.floorMod(this.request.hash(), COME_BACK_MILLIS));
@@ -361,13 +338,10 @@
 	}
 
 	private void finish(ResultCode code, String detail) {
-		finish(code, detail, comeBack());
-	}
-
-	private void finish(ResultCode code, String detail, Duration comeBack) {
 		if (!close()) {
 			return;
 		}
+		Duration comeBack = comeBack();
 		this.record.failed(code, detail, this.progress, comeBack);
 		if (this.response.isStarted()) {
 			// The answer can't be completed: only a broken connection tells that.
