--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -43,10 +43,11 @@
 	private static final double TOKENS_PER_RUNNING = 220;
 
 	/**
-	 * What reading a prompt where its shared part is not held costs the requests behind
-	 * it, as a multiple of its work. Engines that hold the shared parts are a third busy
-	 * under loads at which engines that read them again and again are full: a part that
-	 * is read anew takes the time of three other requests.
+	 * What reading a prompt where its shared part is not held costs, as a multiple of its
+	 * work. An engine holds little more than its shared parts beside the requests that
+	 * run, so that a part which is held twice drives out another one, and that one is
+	 * read again. With 3 in place of 10 a day of twice the usual load on thirteen engines
+	 * read 2.3 million tokens again, not 1.4.
 	 */
 	private static final double ANEW_FACTOR = 10;
 
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptMemory.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptMemory.java
@@ -45,8 +45,10 @@
 	 * @param part the part
 	 */
 	void use(PromptShape.Part part) {
-		Long before = this.parts.put(part.id(), part.tokens());
-		this.tokens += part.tokens() - ((before != null) ? before : 0);
+		// Callers and datagrams tell the size: a wrong one must not spoil the sum.
+		long size = Math.max(0, Math.min(this.capacity, part.tokens()));
+		Long before = this.parts.put(part.id(), size);
+		this.tokens += size - ((before != null) ? before : 0);
 		evict();
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/balance/PromptMemoryTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PromptMemoryTests.java
@@ -55,6 +55,18 @@
 		assertThat(this.memory.held(prompt(TEMPLATE, OWN))).isEqualTo(0);
 	}
 
+	// Without the bound the sum overflows, and nothing ever makes room again.
+	@Test
+	void sizesThatNoEngineHasSpoilNothing() {
+		this.memory.engineTokens(8_000);
+		this.memory.use(new PromptShape.Part(8, Long.MAX_VALUE));
+		this.memory.use(new PromptShape.Part(9, Long.MIN_VALUE));
+		this.memory.use(TEMPLATE);
+		this.memory.use(CASE);
+		assertThat(this.memory.held(prompt(CASE, OWN))).isEqualTo(4_000);
+		assertThat(this.memory.held(prompt(TEMPLATE, OWN))).isEqualTo(0);
+	}
+
 	@Test
 	void engineThatStartedAgainHoldsNothing() {
 		this.memory.use(TEMPLATE);
