--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -78,10 +78,8 @@
 	}
 
 	// All engines are behind by seconds. Each part that is read at one more engine makes
-	// all
-	// queues longer, so that still more requests are sent past their usual engine:
-	// engines
-	// then read shared parts again and again and answer little.
+	// all queues longer, so that still more requests are sent past their usual engine.
+	// Engines then read shared parts again and again and answer little.
 	@Nested
 	class Overload {
 
@@ -211,9 +209,8 @@
 	}
 
 	// An engine goes dark while it answers. Its connections stay open, and a request that
-	// is sent over one of them waits until its time is over; it can't be sent again, as
-	// it
-	// may have run. Answers that stopped tell it sooner than any time-out.
+	// is sent over one of them waits until its time is over and can't be sent again, as
+	// it may have run. Answers that stopped tell it sooner than any time-out.
 	@Nested
 	class Silence {
 
@@ -275,10 +272,8 @@
 	class Brief {
 
 		// Long prompts are read between the tokens of the answers beside them, whose
-		// events
-		// come too late then. The two kinds go to endpoints of their own, which all
-		// entries
-		// agree on.
+		// events come too late then. The two kinds go to endpoints of their own, which
+		// all entries agree on.
 		@Test
 		void briefRequestsAndLongPromptsAreKeptApart() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(12));
