--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -1,8 +1,6 @@
 package org.acaciacourse.core.balance;
 
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,82 +22,12 @@
  * one without a word between them; the others get it only when those queues cost more
  * than reading the shared part anew.
  * <p>
- * A part of the engines, the same at every entry, is for brief requests. On a day of
- * twice the usual load on thirteen engines their answers in time rose from 49 to 77 in a
- * hundred, those to the longest prompts fell from 77 to 69; by what answers are worth the
- * day gained.
- * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class PoolBalancer {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
-	/**
-	 * What a running request costs one that joins it, in prompt tokens: a step of a batch
-	 * takes about 0.18 ms longer with each, an engine reads some 60 tokens in a
-	 * millisecond, and a target covers some twenty steps.
-	 */
-	private static final double TOKENS_PER_RUNNING = 220;
-
-	/**
-	 * What reading a prompt where its shared part is not held costs, as a multiple of its
-	 * work. An engine holds little more than its shared parts beside the requests that
-	 * run, so that a part which is held twice drives out another one, and that one is
-	 * read again. With 3 in place of 10 a day of twice the usual load on thirteen engines
-	 * read 2.3 million tokens again, not 1.4.
-	 */
-	private static final double ANEW_FACTOR = 10;
-
-	/** The work of a usual prompt, by which the requests that wait are estimated. */
-	private static final double USUAL_WORK = 10_000;
-
-	/**
-	 * The part of the endpoints for requests whose target is the shortest. An engine
-	 * reads long prompts between the tokens of all that run there, so that a step takes
-	 * some four times as long, and brief answers beside them miss their gaps however they
-	 * are ordered. A third of the engines was no better: the long ones lack them then.
-	 */
-	private static final double BRIEF_SHARE = 0.25;
-
-	/** With fewer endpoints a crash would leave one of the two kinds without any. */
-	private static final int LEAST_TO_DIVIDE = 4;
-
-	/**
-	 * What it costs to put a brief request where long prompts belong: the work of two or
-	 * three of those, which it is likely to wait for.
-	 */
-	private static final double BRIEF_ELSEWHERE_WORK = 40_000;
-
-	/**
-	 * What it costs to put a long prompt where brief requests belong: more than its own
-	 * endpoints ever have waiting while any of them lives, as each such prompt delays
-	 * some ten brief answers that are worth more.
-	 */
-	private static final double LONG_ELSEWHERE_WORK = 500_000;
-
-	/** What a request that waits at the endpoint costs, in prompt tokens. */
-	private static final double TOKENS_PER_WAITING = 4_000;
-
-	/**
-	 * What a failure rate of 1 costs, in prompt tokens: more than any queue, so that an
-	 * endpoint that fails is taken when nothing else is left.
-	 */
-	private static final double TOKENS_PER_FAILURE = 60_000;
-
-	/**
-	 * What a new connection costs, in prompt tokens: the time of two round trips and of
-	 * the endpoint's work on it, some milliseconds. Less than a request that runs beside,
-	 * so that it only decides between endpoints that are about equally busy.
-	 */
-	private static final double CONNECTION_WORK = 200;
-
-	/** How long an endpoint that said it is full gets nothing new from this VM. */
-	private static final long FULL_PAUSE_NANOS = 100_000_000L;
-
-	/** How long one that said it is leaving gets nothing, until the list says so too. */
-	private static final long LEAVING_PAUSE_NANOS = 3_000_000_000L;
-
 	/**
 	 * Uses of parts that wait to be told; more than a VM sends between two digests. A VM
 	 * that is alone tells nobody.
@@ -108,6 +36,9 @@
 
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
+	/** Under the short names of digests, of which one comes for every few requests. */
+	private final Map<Integer, EndpointLoad> byName = new HashMap<>();
+
 	private final PeerLoads peers;
 
 	private final Predicate<String> connected;
@@ -116,7 +47,7 @@
 
 	private long engineTokens;
 
-	private final Set<EndpointLoad> brief = new HashSet<>();
+	private final BriefEngines brief = new BriefEngines();
 
 	private final Set<PartUse> untold = new LinkedHashSet<>();
 
@@ -164,7 +95,9 @@
 				this.loads.put(instance, made(endpoint));
 			}
 		});
-		divide();
+		this.byName.clear();
+		this.loads.values().forEach((load) -> this.byName.put(load.name(), load));
+		this.brief.divide(this.loads.values());
 	}
 
 	private EndpointLoad made(FleetEndpoint endpoint) {
@@ -195,8 +128,7 @@
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : this.loads.values()) {
 			if (isUsable(load, asked.without(), now)) {
-				double cost = cost(load, now) + work(load, asked.shape(), home) + strangeness(load, asked)
-						+ connecting(load) + tieBreak(load, asked.salt());
+				double cost = cost(load, asked, home, now);
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
@@ -206,42 +138,17 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
-	// Reading a shared part for the first time can't be avoided, and the home is where
-	// the other requests that share it go. Anywhere else it is read once more. Whatever
-	// is read delays all that wait there: when all queues are long, reading parts in many
-	// places makes them longer still, until engines do little else.
-	private static double work(EndpointLoad load, PromptShape shape, Optional<EndpointLoad> home) {
-		long held = load.memory().held(shape);
-		boolean isPlace = home.isEmpty() || home.get() == load || held == shape.sharedTokens();
-		double delayed = load.waitingWork() / USUAL_WORK;
-		return (((isPlace) ? 1 : ANEW_FACTOR) + delayed) * shape.work(held);
-	}
-
-	// What it costs to put a request where the other kind belongs.
-	private double strangeness(EndpointLoad load, Placement asked) {
-		boolean divided = !this.brief.isEmpty() && asked.shape().promptTokens() > 0;
-		if (!divided || asked.brief() == this.brief.contains(load)) {
-			return 0;
+	private double cost(EndpointLoad load, Placement asked, Optional<EndpointLoad> home, long now) {
+		long held = load.memory().held(asked.shape());
+		boolean isPlace = home.isEmpty() || home.get() == load || held == asked.shape().sharedTokens();
+		double cost = PlacementCost.of(load, asked, held, isPlace, now);
+		if (this.brief.isForOthers(load, asked)) {
+			cost += PlacementCost.elsewhere(asked.brief());
 		}
-		return (asked.brief()) ? BRIEF_ELSEWHERE_WORK : LONG_ELSEWHERE_WORK;
-	}
-
-	private double connecting(EndpointLoad load) {
-		return (this.connected.test(load.endpoint().instance())) ? 0 : CONNECTION_WORK;
-	}
-
-	// The endpoints for brief requests, the same at every entry.
-	private void divide() {
-		long engines = this.loads.values().stream().filter((load) -> !load.endpoint().leaving()).count();
-		this.brief.clear();
-		if (engines >= LEAST_TO_DIVIDE) {
-			this.loads.values()
-				.stream()
-				.filter((load) -> !load.endpoint().leaving())
-				.sorted(Comparator.comparingLong(EndpointLoad::hash))
-				.limit(Math.max(1, Math.round(engines * BRIEF_SHARE)))
-				.forEach(this.brief::add);
+		if (!this.connected.test(load.endpoint().instance())) {
+			cost += PlacementCost.connection();
 		}
+		return cost;
 	}
 
 	private Optional<EndpointLoad> home(Placement asked, long now) {
@@ -277,24 +184,6 @@
 				&& !without.contains(load.endpoint().instance());
 	}
 
-	private static double cost(EndpointLoad load, long now) {
-		double slots = load.endpoint().slots();
-		double over = Math.max(0, load.running(now) + 1 - slots);
-		// A service with few slots is full with few requests: a request there costs as
-		// much as a full batch shared by its slots.
-		double perRunning = Math.max(TOKENS_PER_RUNNING, TOKENS_PER_WAITING / slots);
-		double failures = (load.isSuspect(now)) ? 1 : load.failureRate(now);
-		return load.waitingWork() + perRunning * load.running(now) + TOKENS_PER_WAITING * (over + load.waiting(now))
-				+ TOKENS_PER_FAILURE * failures;
-	}
-
-	// Below one token: VMs that know nothing of each other's requests should not all take
-	// the first of equal endpoints.
-	private static double tieBreak(EndpointLoad load, long salt) {
-		long mixed = HASH.hashLong(salt ^ load.hash());
-		return (mixed >>> 11) * 0x1.0p-53;
-	}
-
 	/**
 	 * A request is sent.
 	 * @param instance the endpoint's instance
@@ -325,10 +214,10 @@
 	 * @param use what it tells
 	 */
 	public void told(PartUse use) {
-		this.loads.values()
-			.stream()
-			.filter((load) -> load.name() == use.endpoint())
-			.forEach((load) -> load.memory().use(use.part()));
+		EndpointLoad load = this.byName.get(use.endpoint());
+		if (load != null) {
+			load.memory().use(use.part());
+		}
 	}
 
 	/**
@@ -431,15 +320,6 @@
 		return Optional.ofNullable(this.loads.get(instance));
 	}
 
-	/**
-	 * A part of a prompt that an endpoint was sent.
-	 *
-	 * @param endpoint the short name of the endpoint, {@link PeerLoads#nameOf}
-	 * @param part the part
-	 */
-	public record PartUse(int endpoint, PromptShape.Part part) {
-	}
-
 	/**
 	 * What is believed of an endpoint.
 	 *
@@ -450,69 +330,4 @@
 	public record Belief(int running, long waitingWork, double failureRate) {
 	}
 
-	/**
-	 * What the end of a request tells of its endpoint.
-	 */
-	public enum Outcome {
-
-		/** It answered. */
-		GOOD {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.succeeded();
-			}
-		},
-
-		/** It answered with a failure of its own. */
-		FAILED {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.failed(now);
-			}
-		},
-
-		/** It could not be reached, broke off or went silent. */
-		LOST {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.lost(now);
-			}
-		},
-
-		/** Nobody listens at its address: its process is gone, and what it held. */
-		GONE {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.lost(now);
-				load.memory().forget();
-			}
-		},
-
-		/** It is full. */
-		FULL {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.refused(now, FULL_PAUSE_NANOS);
-			}
-		},
-
-		/** It is leaving, or another one has its address now. */
-		LEAVING {
-			@Override
-			void tell(EndpointLoad load, long now) {
-				load.refused(now, LEAVING_PAUSE_NANOS);
-			}
-		},
-
-		/** Nothing: the caller went away, or the time was over. */
-		UNKNOWN {
-			@Override
-			void tell(EndpointLoad load, long now) {
-			}
-		};
-
-		abstract void tell(EndpointLoad load, long now);
-
-	}
-
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -70,6 +70,13 @@
 	 * @param tokens its tokens
 	 */
 	public record Part(long id, long tokens) {
+
+		public Part {
+			if (tokens < 0) {
+				throw new IllegalArgumentException("a part of a prompt has tokens");
+			}
+		}
+
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
-import org.acaciacourse.core.balance.PoolBalancer.Outcome;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlMetrics.java
@@ -5,10 +5,10 @@
 import java.util.function.ToDoubleFunction;
 
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.daemon.telemetry.Gauges;
 import org.acaciacourse.daemon.telemetry.ProcessMetrics;
 
 /**
@@ -54,20 +54,13 @@
 				(p) -> (p.status().role() == Role.LEADER) ? 1 : 0);
 		gauge(registry, "acaciacourse_replica_voters", "Voters of the membership in force", published,
 				(p) -> p.membership().voters().size());
-		GaugeWithCallback.builder()
-			.name("acaciacourse_entries_live")
-			.help("Live entry VMs")
-			.callback((callback) -> callback.call(entries.live(System.currentTimeMillis()).size()))
-			.register(registry);
+		Gauges.register(registry, "acaciacourse_entries_live", "Live entry VMs",
+				() -> entries.live(System.currentTimeMillis()).size());
 	}
 
 	private static void gauge(PrometheusRegistry registry, String name, String help, Supplier<Published> published,
 			ToDoubleFunction<Published> value) {
-		GaugeWithCallback.builder()
-			.name(name)
-			.help(help)
-			.callback((callback) -> callback.call(value.applyAsDouble(published.get())))
-			.register(registry);
+		Gauges.register(registry, name, help, () -> value.applyAsDouble(published.get()));
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.acaciacourse.core.attempt.AttemptEnd;
+import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
@@ -94,7 +95,7 @@
 	/** Give the attempt up; its endpoint sees the connection close. */
 	void cancel() {
 		if (!this.done) {
-			settle(PoolBalancer.Outcome.UNKNOWN);
+			settle(Outcome.UNKNOWN);
 			if (this.link != null) {
 				this.link.abandon();
 			}
@@ -106,7 +107,7 @@
 	 * @param end how
 	 * @param outcome what that tells of the endpoint
 	 */
-	void end(AttemptEnd end, PoolBalancer.Outcome outcome) {
+	void end(AttemptEnd end, Outcome outcome) {
 		if (this.done) {
 			return;
 		}
@@ -127,7 +128,7 @@
 				belief.map((b) -> Math.round(b.failureRate() * 100) / 100.0).orElse(null));
 	}
 
-	private void settle(PoolBalancer.Outcome outcome) {
+	private void settle(Outcome outcome) {
 		this.done = true;
 		if (this.silence != null) {
 			this.silence.cancel(false);
@@ -146,7 +147,7 @@
 		}
 	}
 
-	private void abandon(AttemptEnd end, PoolBalancer.Outcome outcome) {
+	private void abandon(AttemptEnd end, Outcome outcome) {
 		this.link.abandon();
 		end(end, outcome);
 	}
@@ -168,13 +169,13 @@
 		boolean notRun = facts.notRun() || status == WRONG_INSTANCE;
 		boolean own = facts.requestId().equals(this.exchange.request().facts().id());
 		if (!own && !notRun) {
-			abandon(AttemptEnd.MISMATCH, PoolBalancer.Outcome.FAILED);
+			abandon(AttemptEnd.MISMATCH, Outcome.FAILED);
 		}
 		else if (notRun) {
 			this.form.begin(Form.Mode.NOT_RUN, head);
 		}
 		else if (status / 100 == 2 && !facts.sealed()) {
-			abandon(AttemptEnd.BROKEN, PoolBalancer.Outcome.FAILED);
+			abandon(AttemptEnd.BROKEN, Outcome.FAILED);
 		}
 		else if (status / 100 == 2 && isStream(head)) {
 			this.form.begin(Form.Mode.STREAM, head);
@@ -199,13 +200,13 @@
 			events(ByteBufUtil.getBytes(bytes));
 		}
 		else if (this.form.mode == Form.Mode.WHOLE && !this.form.collect(bytes)) {
-			abandon(AttemptEnd.BROKEN, PoolBalancer.Outcome.FAILED);
+			abandon(AttemptEnd.BROKEN, Outcome.FAILED);
 		}
 	}
 
 	private void events(byte[] bytes) {
 		if (!this.form.frames.feed(bytes)) {
-			abandon(AttemptEnd.BROKEN, PoolBalancer.Outcome.FAILED);
+			abandon(AttemptEnd.BROKEN, Outcome.FAILED);
 			return;
 		}
 		for (EventFrames.Event event = this.form.frames.next(); event != null; event = this.form.frames.next()) {
@@ -250,24 +251,24 @@
 			case NOT_RUN -> notRun();
 			case STREAM -> streamEnded();
 			case WHOLE -> whole();
-			case NONE -> end(AttemptEnd.BROKEN, PoolBalancer.Outcome.LOST);
+			case NONE -> end(AttemptEnd.BROKEN, Outcome.LOST);
 		}
 	}
 
 	private void notRun() {
 		boolean leaving = this.form.status == WRONG_INSTANCE;
-		end(AttemptEnd.NOT_RUN, (leaving) ? PoolBalancer.Outcome.LEAVING : PoolBalancer.Outcome.FULL);
+		end(AttemptEnd.NOT_RUN, (leaving) ? Outcome.LEAVING : Outcome.FULL);
 	}
 
 	private void streamEnded() {
 		if (this.form.frames.isWithinEvent()) {
-			end(AttemptEnd.BROKEN, PoolBalancer.Outcome.LOST);
+			end(AttemptEnd.BROKEN, Outcome.LOST);
 			return;
 		}
 		if (!this.exchange.response().isStarted()) {
 			this.exchange.response().startStream(this.form.status, this.form.headers);
 		}
-		settle(PoolBalancer.Outcome.GOOD);
+		settle(Outcome.GOOD);
 		this.exchange.endStream();
 	}
 
@@ -277,18 +278,18 @@
 		int status = this.form.status;
 		if (this.exchange.response().isStarted()) {
 			// A stream was to go on here, and this is none.
-			end(AttemptEnd.FAILED, PoolBalancer.Outcome.FAILED);
+			end(AttemptEnd.FAILED, Outcome.FAILED);
 		}
 		else if (isPromise(status)) {
 			// Passed on, the status would promise that the request was not run.
-			end(AttemptEnd.FAILED, PoolBalancer.Outcome.FAILED);
+			end(AttemptEnd.FAILED, Outcome.FAILED);
 		}
 		else if (status >= 500) {
 			this.exchange.keepFailure(answer);
-			end(AttemptEnd.FAILED, PoolBalancer.Outcome.FAILED);
+			end(AttemptEnd.FAILED, Outcome.FAILED);
 		}
 		else {
-			settle(PoolBalancer.Outcome.GOOD);
+			settle(Outcome.GOOD);
 			this.exchange.answer(answer);
 		}
 	}
@@ -302,7 +303,7 @@
 		if (this.form.mode == Form.Mode.NONE) {
 			this.exchange.context().links().lost(this.endpoint, this.link, System.nanoTime() - this.sentAt);
 		}
-		end(AttemptEnd.BROKEN, PoolBalancer.Outcome.LOST);
+		end(AttemptEnd.BROKEN, Outcome.LOST);
 	}
 
 	// A connection can go silent for good, and an endpoint can be cut off, without
@@ -328,7 +329,7 @@
 			watch(bound - silent);
 		}
 		else if (this.exchange.mayReplace()) {
-			abandon(AttemptEnd.SILENT, PoolBalancer.Outcome.LOST);
+			abandon(AttemptEnd.SILENT, Outcome.LOST);
 		}
 		else {
 			watch(bound / 2);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -15,8 +15,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
-import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.InnerConnection;
@@ -70,7 +70,7 @@
 	private List<PeerLoads.Load> sent = List.of();
 
 	// Told twice, as datagrams are lost.
-	private List<PoolBalancer.PartUse> toldOnce = List.of();
+	private List<PartUse> toldOnce = List.of();
 
 	private long sequence = System.currentTimeMillis() * 1_000;
 
@@ -152,7 +152,7 @@
 	}
 
 	private List<PartUseRecord> uses() {
-		List<PoolBalancer.PartUse> next = this.pools.takeUntoldUses();
+		List<PartUse> next = this.pools.takeUntoldUses();
 		List<PartUseRecord> records = Stream.concat(this.toldOnce.stream(), next.stream())
 			.distinct()
 			.limit(MAX_USES)
@@ -165,7 +165,7 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
 		ThriftBytes.decode(ByteBufUtil.getBytes(packet.content()), new LoadDigestRecord())
-			.onSuccess((digest) -> take(packet.sender().toString(), digest))
+			.andThenTry((digest) -> take(packet.sender().toString(), digest))
 			.onFailure((ex) -> logger.debug("a datagram from {} is no digest", packet.sender(), ex));
 	}
 
@@ -177,8 +177,8 @@
 		this.pools.peers().take(sender, digest.getSequence(), loads, System.nanoTime());
 		if (digest.isSetUses()) {
 			digest.getUses()
-				.forEach((use) -> this.pools.toldUse(new PoolBalancer.PartUse(use.getInstance(),
-						new PromptShape.Part(use.getPart(), use.getTokens()))));
+				.forEach((use) -> this.pools
+					.toldUse(new PartUse(use.getInstance(), new PromptShape.Part(use.getPart(), use.getTokens()))));
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
+import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.RetryAllowance;
@@ -135,7 +136,7 @@
 	 * Take the uses of prompt parts that the other entry VMs do not know of yet.
 	 * @return those of all pools since the last call
 	 */
-	List<PoolBalancer.PartUse> takeUntoldUses() {
+	List<PartUse> takeUntoldUses() {
 		return this.states.values().stream().flatMap((state) -> state.balancer().takeUntold().stream()).toList();
 	}
 
@@ -143,7 +144,7 @@
 	 * Another entry VM had an endpoint use a part of a prompt.
 	 * @param use what it tells
 	 */
-	void toldUse(PoolBalancer.PartUse use) {
+	void toldUse(PartUse use) {
 		this.states.values().forEach((state) -> state.balancer().told(use));
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -5,6 +5,7 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.daemon.telemetry.Gauges;
 
 /**
  * What an entry VM holds at the moment, as gauges. The event loop publishes a snapshot
@@ -31,11 +32,7 @@
 	}
 
 	private void gauge(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Snapshot> value) {
-		GaugeWithCallback.builder()
-			.name(name)
-			.help(help)
-			.callback((callback) -> callback.call(value.applyAsDouble(this.latest)))
-			.register(registry);
+		Gauges.register(registry, name, help, () -> value.applyAsDouble(this.latest));
 	}
 
 	private void perPool(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Pool> value) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Try;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
+import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.code.ResultCode;
@@ -212,9 +213,9 @@
 
 	// A connection that is refused tells that nobody listens; one that times out may also
 	// be a lost packet. Netty's timeout is a kind of refusal to Java.
-	private static PoolBalancer.Outcome outcomeOf(Throwable failure) {
+	private static Outcome outcomeOf(Throwable failure) {
 		boolean refused = failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
-		return (refused) ? PoolBalancer.Outcome.GONE : PoolBalancer.Outcome.LOST;
+		return (refused) ? Outcome.GONE : Outcome.LOST;
 	}
 
 	private void send(Attempt attempt, FleetEndpoint endpoint, EndpointLink link) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/EntryMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/EntryMetrics.java
@@ -5,7 +5,6 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.code.ResultCode;
@@ -70,11 +69,8 @@
 	private final Histogram wholeAnswer = seconds("answer_seconds", "time to the end of the answer");
 
 	public EntryMetrics(IntSupplier connections) {
-		GaugeWithCallback.builder()
-			.name("acaciacourse_caller_connections")
-			.help("open connections of callers")
-			.callback((callback) -> callback.call(connections.getAsInt()))
-			.register(this.registry);
+		Gauges.register(this.registry, "acaciacourse_caller_connections", "open connections of callers",
+				connections::getAsInt);
 	}
 
 	private Counter perPolicy(String name, String help) {
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/http/HttpFrontTests.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.daemon.http;
+
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.acaciacourse.core.code.ResultCode;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HttpFrontTests {
+
+	private static final HttpLimits LIMITS = new HttpLimits(1_000, 10, Duration.ofSeconds(20), 1_000,
+			Duration.ofSeconds(20));
+
+	// After a loss of power a caller connects while the process is still starting. It is
+	// not refused: its request waits in the socket's queue and is served once the server
+	// is there.
+	@Test
+	void requestSentBeforeTheServerStartsIsServed() throws Exception {
+		EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		ServerSocketChannel opened = HttpFront.open(any);
+		HttpFront front = new HttpFront(any, () -> LIMITS, loops, new Answering());
+		try (Socket caller = new Socket()) {
+			caller.connect(opened.getLocalAddress());
+			caller.getOutputStream()
+				.write("GET /early HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+			front.start(Optional.of(opened));
+			assertThat(front.port()).isEqualTo(caller.getPort());
+			String status = new BufferedReader(
+					new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII))
+				.readLine();
+			assertThat(status).contains("200");
+		}
+		finally {
+			front.close();
+			loops.shutdownGracefully();
+		}
+	}
+
+	/** Answers every request. */
+	private static final class Answering implements RequestHandler {
+
+		@Override
+		public void handle(CallerRequest request, CallerResponse response) {
+			response.answer(200, Map.of(), new byte[0]);
+		}
+
+		@Override
+		public void refused(ResultCode code) {
+			throw new IllegalStateException("refused with " + code.number());
+		}
+
+	}
+
+}
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.daemon.route;
 
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -16,7 +18,11 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.protocol.generated.EndpointLoadRecord;
+import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -84,4 +90,52 @@
 		}
 	}
 
+	// An entry has had an endpoint read a part. The other entry would have the part read
+	// once more at the endpoint of its own choice, were it not told.
+	@Test
+	void otherEntryGoesWhereThePartIsHeld() throws Exception {
+		PoolStates first = pools();
+		PoolStates second = pools();
+		LoadGossip sender = gossip(first);
+		LoadGossip receiver = gossip(second);
+		PromptShape prompt = new PromptShape(14_000, 1,
+				List.of(new PromptShape.Part(7, 13_000), new PromptShape.Part(8, 1_000)));
+		Placement asked = new Placement(prompt, true, false, 1, Set.of());
+		Callable<String> choice = () -> second.state("pool")
+			.balancer()
+			.choose(asked, System.nanoTime())
+			.get()
+			.instance();
+		String other = (onLoop(choice).equals("i-1")) ? "i-2" : "i-1";
+		onLoop(() -> {
+			long work = first.state("pool").balancer().begin(other, prompt, System.nanoTime());
+			first.state("pool").balancer().promptRead(other, work);
+			sender.peers(List.of(InnerConnection.format(receiver.boundAddress())));
+			return null;
+		});
+		while (!onLoop(choice).equals(other)) {
+			LockSupport.parkNanos(1_000_000);
+		}
+	}
+
+	// What another process sends there by mistake must not end the loop of all requests.
+	@Test
+	void datagramThatIsNoDigestIsPassedOver() throws Exception {
+		PoolStates pools = pools();
+		LoadGossip receiver = gossip(pools);
+		try (DatagramSocket socket = new DatagramSocket()) {
+			byte[] noise = { 1, 2, 3 };
+			LoadDigestRecord damaged = new LoadDigestRecord(1, List.of());
+			damaged.setUses(List.of(new PartUseRecord(1, 2, -3)));
+			byte[] negative = ThriftBytes.encode(damaged);
+			byte[] sound = ThriftBytes.encode(new LoadDigestRecord(2, List.of(new EndpointLoadRecord(5, 1, 9))));
+			for (byte[] bytes : List.of(noise, negative, sound)) {
+				socket.send(new DatagramPacket(bytes, bytes.length, receiver.boundAddress()));
+			}
+		}
+		while (!onLoop(pools.peers()::isTold)) {
+			LockSupport.parkNanos(1_000_000);
+		}
+	}
+
 }
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 class RouteMetricsTests {
 
@@ -56,4 +59,13 @@
 		assertThat(page()).contains("acaciacourse_log_lines_dropped_total 0.0");
 	}
 
+	@Test
+	void everyMetricStandsInThePageForThoseOnCall() throws IOException {
+		String onCall = Files.readString(Path.of("..", "docs", "OPERATIONS.md"));
+		this.metrics.registry().scrape().forEach((metric) -> {
+			String name = metric.getMetadata().getPrometheusName();
+			assertWithMessage(name).that(onCall).contains(name);
+		});
+	}
+
 }
