--- a/daemon/src/main/java/org/acaciacourse/daemon/explain/Explanation.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/explain/Explanation.java
@@ -37,6 +37,8 @@
 
 	private final Map<String, Instant> latest = new HashMap<>();
 
+	private final Map<String, Instant> highest = new HashMap<>();
+
 	private final List<Step> steps = new ArrayList<>();
 
 	Explanation(String request) {
@@ -54,6 +56,7 @@
 	private void take(LogLine line) {
 		Instant before = this.latest.put(line.vm(), line.at());
 		Duration back = (before != null) ? Duration.between(line.at(), before) : Duration.ZERO;
+		Instant order = this.highest.merge(line.vm(), line.at(), (one, other) -> (one.isAfter(other)) ? one : other);
 		Map<String, LogLine> believed = this.beliefs.computeIfAbsent(line.vm(), (vm) -> new LinkedHashMap<>());
 		if (BELIEFS.contains(line.event())) {
 			believed.remove(line.event());
@@ -61,7 +64,7 @@
 		}
 		if (line.tellsOf(this.request)) {
 			Optional<Duration> step = Optional.of(back).filter((b) -> b.compareTo(STEP) > 0);
-			this.steps.add(new Step(line, List.copyOf(believed.values()), step));
+			this.steps.add(new Step(line, order, List.copyOf(believed.values()), step));
 		}
 	}
 
@@ -75,7 +78,7 @@
 	 */
 	String text() {
 		StringBuilder text = new StringBuilder();
-		this.steps.sort(Comparator.comparing((step) -> step.line().at()));
+		this.steps.sort(Comparator.comparing(Step::order));
 		for (Step step : this.steps) {
 			step.clockStep()
 				.ifPresent((back) -> text.append("  the clock of ")
@@ -108,10 +111,11 @@
 	 * A line that tells of the request.
 	 *
 	 * @param line the line
+	 * @param order the latest time that its VM has shown so far, which never goes back
 	 * @param beliefs what its VM believed, oldest first
 	 * @param clockStep by how much the clock went back before it, if it did
 	 */
-	private record Step(LogLine line, List<LogLine> beliefs, Optional<Duration> clockStep) {
+	private record Step(LogLine line, Instant order, List<LogLine> beliefs, Optional<Duration> clockStep) {
 	}
 
 }
--- a/daemon/src/test/java/org/acaciacourse/daemon/explain/ExplainCommandTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/explain/ExplainCommandTests.java
@@ -78,6 +78,15 @@
 		assertThat(explained("r1", log)).contains("the clock of entry-1 went back by 2000 ms");
 	}
 
+	@Test
+	void linesOfAVmWhoseClockStepsBackKeepTheirOrder() throws IOException {
+		Path log = log("a.log", line("05.000", "entry-1", "{\"event\":\"attempt-ended\",\"request\":\"r1\"}"),
+				line("03.000", "entry-1", "{\"event\":\"request-failed\",\"request\":\"r1\"}"));
+		String text = explained("r1", log);
+		assertThat(text.indexOf("attempt-ended")).isLessThan(text.indexOf("request-failed"));
+		assertThat(text).contains("decided by: 2026-03-01T08:00:03Z entry-1 request-failed");
+	}
+
 	@Test
 	void unknownRequestAndMissingLogHaveCodesOfTheirOwn() throws IOException {
 		Path log = log("a.log", line("01.000", "entry-1", "{\"event\":\"stopped\",\"drained\":true}"));
