Order requests by customer and then by route at the engines

Cause: the urgency that engines are told was the customer's priority in place of the route's.

Ruled out: a queue at the entry (waited_ms is 0 nearly everywhere) and the choice of the engine (what waits there is about equal).

Change: a rank is the position of the pair of both priorities, the customer's first, among those that the table can yield.

The urgent kinds are served first; the long ones pay in a burst, as they should.

--- a/core/src/main/java/org/acaciacourse/core/route/KeyOwner.java
+++ b/core/src/main/java/org/acaciacourse/core/route/KeyOwner.java
@@ -11,7 +11,7 @@
  *
  * @param customer the name of the customer
  * @param keys its keys
- * @param priority the rank of its requests, in place of their route's
+ * @param priority the rank of its requests, which goes before their route's
  */
 public record KeyOwner(String customer, List<String> keys, OptionalInt priority) {
 
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -28,6 +28,8 @@
 
 	private final boolean keyed;
 
+	private final UrgencyScale urgency;
+
 	RouteTable(long number, CallerLimits limits, List<Route> routes, List<Pool> pools, List<KeyOwner> owners) {
 		this.number = number;
 		this.limits = Objects.requireNonNull(limits, "limits");
@@ -37,6 +39,7 @@
 		// A customer without any key is one that lost them all, not one that needs none.
 		this.keyed = !owners.isEmpty();
 		owners.forEach((owner) -> owner.keys().forEach((key) -> this.owners.put(key, owner)));
+		this.urgency = new UrgencyScale(routes, owners);
 	}
 
 	/**
@@ -91,6 +94,16 @@
 		return Optional.ofNullable(this.owners.get(key));
 	}
 
+	/**
+	 * Return the rank of a request: its customer's priority goes before its route's.
+	 * @param route its route, one of this table
+	 * @param owner its customer, one of this table, if there is any
+	 * @return 0 for the highest, at most 9
+	 */
+	public int urgency(Route route, Optional<KeyOwner> owner) {
+		return this.urgency.rank(route, owner);
+	}
+
 	/**
 	 * Return whether requests need a customer's key.
 	 * @return whether there is any customer
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -0,0 +1,107 @@
+package org.acaciacourse.core.route;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class UrgencyScaleTests {
+
+	private static Route route(int priority, boolean anonymous) {
+		return new Route("r" + priority, "h.example", "/" + priority + "/", RequestKind.STREAM, false,
+				Duration.ofSeconds(6), Duration.ofSeconds(1), Duration.ZERO, priority, List.of(new PoolShare("llm", 1)),
+				1, anonymous, true);
+	}
+
+	private static Route route(int priority) {
+		return route(priority, false);
+	}
+
+	private static KeyOwner owner(OptionalInt priority) {
+		return new KeyOwner("c" + priority, List.of("k" + priority), priority);
+	}
+
+	private static int rank(UrgencyScale scale, int route, int owner) {
+		return scale.rank(route(route), Optional.of(owner(OptionalInt.of(owner))));
+	}
+
+	@Nested
+	class OrderAtAnEngine {
+
+		private final List<Route> routes = List.of(route(0), route(1), route(2));
+
+		/*
+		 * In a burst of long prompts with a target of 1.5 s, short ones with one of 400
+		 * ms wait behind them at all engines and get nothing: engines admit the more
+		 * urgent first, but all were of one rank, as each customer has the same priority
+		 * and that went in the place of the route's.
+		 */
+		@Test
+		void routesOfEqualCustomersAreToldApart() {
+			UrgencyScale scale = new UrgencyScale(this.routes, List.of(owner(OptionalInt.of(1))));
+			assertThat(rank(scale, 0, 1)).isLessThan(rank(scale, 1, 1));
+			assertThat(rank(scale, 1, 1)).isLessThan(rank(scale, 2, 1));
+		}
+
+		@Test
+		void customerGoesBeforeTheRoute() {
+			UrgencyScale scale = new UrgencyScale(this.routes,
+					List.of(owner(OptionalInt.of(0)), owner(OptionalInt.of(1))));
+			assertThat(rank(scale, 2, 0)).isLessThan(rank(scale, 0, 1));
+		}
+
+		@Test
+		void withoutCustomersTheRouteDecides() {
+			UrgencyScale scale = new UrgencyScale(this.routes, List.of());
+			assertThat(scale.rank(route(0), Optional.empty())).isLessThan(scale.rank(route(1), Optional.empty()));
+		}
+
+		@Test
+		void customerWithoutAPriorityHasThatOfTheRoute() {
+			KeyOwner plain = owner(OptionalInt.empty());
+			UrgencyScale scale = new UrgencyScale(this.routes, List.of(owner(OptionalInt.of(1)), plain));
+			assertThat(scale.rank(route(0), Optional.of(plain))).isLessThan(rank(scale, 0, 1));
+			assertThat(scale.rank(route(2), Optional.of(plain))).isGreaterThan(rank(scale, 2, 1));
+		}
+
+		@Test
+		void anonymousRequestHasThePriorityOfItsRoute() {
+			Route open = route(0, true);
+			UrgencyScale scale = new UrgencyScale(List.of(open, route(1)), List.of(owner(OptionalInt.of(1))));
+			assertThat(scale.rank(open, Optional.empty())).isLessThan(rank(scale, 0, 1));
+		}
+
+	}
+
+	@Nested
+	class ManyLevels {
+
+		/*
+		 * Seven priorities of customers and eight of routes make more pairs than ranks.
+		 */
+		@Test
+		void ranksStayWithinTheBoundAndInOrder() {
+			List<Route> routes = IntStream.range(0, 8).mapToObj((i) -> route(i * 3)).toList();
+			List<KeyOwner> owners = IntStream.range(0, 7).mapToObj((i) -> owner(OptionalInt.of(i * 5))).toList();
+			UrgencyScale scale = new UrgencyScale(routes, owners);
+			int before = 0;
+			for (KeyOwner owner : owners) {
+				for (Route route : routes) {
+					int rank = scale.rank(route, Optional.of(owner));
+					assertThat(rank).isAtLeast(before);
+					assertThat(rank).isLessThan(UrgencyScale.RANKS);
+					before = rank;
+				}
+			}
+			assertThat(before).isEqualTo(UrgencyScale.RANKS - 1);
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -89,7 +89,8 @@
 			refuse(request, response, ResultCode.UNKNOWN_CUSTOMER, facts);
 			return;
 		}
-		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner);
+		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner,
+				this.table.get().urgency(route.get(), owner));
 		new RoutedExchange(this.context, routed, response, arrivedAt).start();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -22,25 +22,23 @@
  * @param facts what the caller says in headers
  * @param route the route
  * @param owner the customer, if there is a key
+ * @param urgency the rank of the request, 0 is the highest
  * @param hash a hash of the request's id
  */
 record RoutedRequest(String method, String target, HttpHeaders headers, byte[] body, boolean hasBody,
-		RequestDialect.RequestFacts facts, Route route, Optional<KeyOwner> owner, long hash) {
-
-	/** The lowest rank that an endpoint is told. */
-	private static final int LOWEST_URGENCY = 9;
+		RequestDialect.RequestFacts facts, Route route, Optional<KeyOwner> owner, int urgency, long hash) {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	static RoutedRequest of(CallerRequest request, RequestDialect dialect, RequestDialect.RequestFacts facts,
-			Route route, Optional<KeyOwner> owner) {
+			Route route, Optional<KeyOwner> owner, int urgency) {
 		HttpHeaders headers = HopHeaders.endToEnd(request.headers());
 		boolean hasBody = request.headers().contains("content-length")
 				|| request.headers().contains("transfer-encoding");
 		dialect.clean(headers);
 		long hash = HASH.hashBytes(facts.id().getBytes(StandardCharsets.UTF_8));
 		return new RoutedRequest(request.method(), request.target(), headers, request.body(), hasBody, facts, route,
-				owner, hash);
+				owner, urgency, hash);
 	}
 
 	/**
@@ -55,16 +53,4 @@
 		return this.owner.map(KeyOwner::customer);
 	}
 
-	/**
-	 * Return the rank of the request; a customer's goes before its route's.
-	 * @return 0 for the highest
-	 */
-	int urgency() {
-		int rank = this.route.priority();
-		if (this.owner.isPresent() && this.owner.get().priority().isPresent()) {
-			rank = this.owner.get().priority().getAsInt();
-		}
-		return Math.min(rank, LOWEST_URGENCY);
-	}
-
 }
