--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
@@ -1,16 +1,13 @@
 package org.acaciacourse.daemon.telemetry;
 
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
-import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.core.Appender;
-import org.apache.logging.log4j.core.LoggerContext;
-import org.apache.logging.log4j.core.appender.AbstractAppender;
-import org.apache.logging.log4j.core.config.Configuration;
-import org.apache.logging.log4j.core.config.LoggerConfig;
-import org.apache.logging.log4j.core.config.Property;
+import org.apache.logging.log4j.core.LogEvent;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 
 /**
@@ -19,9 +16,12 @@
  * line tells how many were. A reader of the log that stands still so costs lines and no
  * request. Log4j's own asynchronous appender drops too, but does not count.
  * <p>
+ * The appender may be made late, by the thread that writes: making it takes a third of
+ * the processor time until an entry serves.
+ * <p>
  * Thread safe.
  */
-public final class LogQueue extends AbstractAppender {
+public final class LogQueue {
 
 	/**
 	 * Lines of a few hundred bytes: a quarter of a megabyte, and seconds of a usual load.
@@ -30,65 +30,68 @@
 
 	private static final long FLUSH_MILLIS = 50;
 
-	private static final String NAME = "bounded";
+	/** What making the appender and writing what waits takes at an early end. */
+	private static final long LATE_FLUSH_MILLIS = 1_000;
 
-	private final MpscBlockingConsumerArrayQueue<org.apache.logging.log4j.core.LogEvent> ring = new MpscBlockingConsumerArrayQueue<>(
+	private final MpscBlockingConsumerArrayQueue<Supplier<LogEvent>> ring = new MpscBlockingConsumerArrayQueue<>(
 			CAPACITY);
 
 	private final AtomicLong dropped = new AtomicLong();
 
-	private final Appender target;
+	private final CountDownLatch hurried = new CountDownLatch(1);
+
+	private final Supplier<Appender> target;
+
+	private final long delayMillis;
+
+	private volatile boolean writing;
 
 	private volatile boolean closed;
 
 	private long told;
 
 	LogQueue(Appender target) {
-		super(NAME, null, null, true, Property.EMPTY_ARRAY);
-		this.target = target;
+		this(() -> target, 0);
 	}
 
 	/**
-	 * Put a queue before an appender of the configuration in force.
-	 * @param appender the name of the appender, which the root logger writes to
-	 * @return the queue
+	 * Make a queue.
+	 * @param target makes the appender
+	 * @param delayMillis how long after the start it is made, unless the ring gets full
 	 */
-	public static LogQueue install(String appender) {
-		LoggerContext context = (LoggerContext) LogManager.getContext(false);
-		Configuration configuration = context.getConfiguration();
-		LogQueue queue = new LogQueue(configuration.getAppender(appender));
-		queue.start();
-		configuration.addAppender(queue);
-		LoggerConfig root = configuration.getRootLogger();
-		root.removeAppender(appender);
-		root.addAppender(queue, null, null);
-		context.updateLoggers();
-		return queue;
+	LogQueue(Supplier<Appender> target, long delayMillis) {
+		this.target = target;
+		this.delayMillis = delayMillis;
 	}
 
 	/**
-	 * Find the queue of the configuration in force.
-	 * @return the queue, if one was installed
+	 * Find the queue of this process.
+	 * @return the queue, if the lines of this process pass one
 	 */
 	public static Optional<LogQueue> installed() {
-		LoggerContext context = (LoggerContext) LogManager.getContext(false);
-		return Optional.ofNullable(context.getConfiguration().<Appender>getAppender(NAME))
-			.filter(LogQueue.class::isInstance)
-			.map(LogQueue.class::cast);
+		return QueuedLog.queue();
 	}
 
-	@Override
-	public void start() {
-		super.start();
+	/** Begin to write. */
+	void start() {
 		Thread writer = new Thread(this::write, "log");
 		writer.setDaemon(true);
 		writer.start();
 	}
 
-	@Override
-	public void append(org.apache.logging.log4j.core.LogEvent event) {
-		if (!this.ring.offer(event.toImmutable())) {
+	void append(LogEvent event) {
+		LogEvent kept = event.toImmutable();
+		append(() -> kept);
+	}
+
+	/**
+	 * Write a line, or drop it.
+	 * @param line makes the line's event, on the thread that writes
+	 */
+	void append(Supplier<LogEvent> line) {
+		if (!this.ring.offer(line)) {
 			this.dropped.incrementAndGet();
+			this.hurried.countDown();
 		}
 	}
 
@@ -102,10 +105,13 @@
 
 	private void write() {
 		try {
+			this.hurried.await(this.delayMillis, TimeUnit.MILLISECONDS);
+			Appender appender = this.target.get();
+			this.writing = true;
 			while (!this.closed) {
-				org.apache.logging.log4j.core.LogEvent event = this.ring.poll(1, TimeUnit.SECONDS);
-				if (event != null) {
-					this.target.append(event);
+				Supplier<LogEvent> line = this.ring.poll(1, TimeUnit.SECONDS);
+				if (line != null) {
+					appender.append(line.get());
 					tellDropped();
 				}
 			}
@@ -118,14 +124,16 @@
 	private void tellDropped() {
 		long now = this.dropped.get();
 		if (now != this.told && this.ring.size() < CAPACITY / 2) {
-			DecisionLog.write(LogEvent.LINES_DROPPED, now - this.told);
+			DecisionLog.write(org.acaciacourse.daemon.telemetry.LogEvent.LINES_DROPPED, now - this.told);
 			this.told = now;
 		}
 	}
 
 	/** Write what waits, as far as it can be written soon, and end. */
 	public void flush() {
-		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_MILLIS);
+		this.hurried.countDown();
+		long most = (this.writing) ? FLUSH_MILLIS : LATE_FLUSH_MILLIS;
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(most);
 		while (!this.ring.isEmpty() && System.nanoTime() < end) {
 			Thread.onSpinWait();
 		}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/QueuedLogger.java
@@ -0,0 +1,68 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.io.PrintStream;
+import java.util.Map;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.Marker;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.message.Message;
+import org.apache.logging.log4j.message.ObjectMessage;
+import org.apache.logging.log4j.message.ParameterizedMessageFactory;
+import org.apache.logging.log4j.message.SimpleMessage;
+import org.apache.logging.log4j.simple.SimpleLogger;
+import org.apache.logging.log4j.util.PropertiesUtil;
+
+/**
+ * A logger that puts its lines into a queue, with the time at which they were logged. It
+ * takes the choice by level from Log4j's simple logger, and none of its output.
+ * <p>
+ * Thread safe.
+ */
+final class QueuedLogger extends SimpleLogger {
+
+	private static final long serialVersionUID = 1L;
+
+	/**
+	 * What is told of each package: our own decisions, and of libraries what they can't
+	 * bear. Both libraries that are kept quieter warn of each connection that breaks.
+	 */
+	private static final Map<String, Level> LEVELS = Map.of("org.acaciacourse", Level.INFO, "org.apache.thrift",
+			Level.OFF, "org.asynchttpclient.netty.request", Level.FATAL);
+
+	private final transient LogQueue queue;
+
+	QueuedLogger(String name, LogQueue queue) {
+		super(name, levelOf(name), false, false, false, false, "", ParameterizedMessageFactory.INSTANCE,
+				PropertiesUtil.getProperties(), new PrintStream(PrintStream.nullOutputStream()));
+		this.queue = queue;
+	}
+
+	private static Level levelOf(String name) {
+		return LEVELS.entrySet()
+			.stream()
+			.filter((entry) -> name.equals(entry.getKey()) || name.startsWith(entry.getKey() + "."))
+			.map(Map.Entry::getValue)
+			.findFirst()
+			.orElse(Level.WARN);
+	}
+
+	@Override
+	public void logMessage(String caller, Level level, Marker marker, Message message, Throwable thrown) {
+		long at = System.currentTimeMillis();
+		Message kept = (message instanceof ObjectMessage) ? message : new SimpleMessage(message.getFormattedMessage());
+		this.queue.append(() -> event(at, level, kept, thrown));
+	}
+
+	private LogEvent event(long at, Level level, Message message, Throwable thrown) {
+		return Log4jLogEvent.newBuilder()
+			.setTimeMillis(at)
+			.setLoggerName(getName())
+			.setLevel(level)
+			.setMessage(message)
+			.setThrown(thrown)
+			.build();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/telemetry/QueuedLoggerTests.java
@@ -0,0 +1,145 @@
+package org.acaciacourse.daemon.telemetry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.config.Property;
+import org.apache.logging.log4j.message.ObjectMessage;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class QueuedLoggerTests {
+
+	private static final long NEVER_MILLIS = TimeUnit.HOURS.toMillis(1);
+
+	private final Output output = new Output();
+
+	private QueuedLogger logger(String name, LogQueue queue) {
+		return new QueuedLogger(name, queue);
+	}
+
+	@Nested
+	class BeforeThereIsAnOutput {
+
+		/*
+		 * All VMs start again at once. Each process tells how it started, but makes the
+		 * output of its log only later, when it serves. What it told meanwhile is written
+		 * then, in its order and with the time at which it was told.
+		 */
+		@Test
+		void linesAreWrittenLaterWithTheTimeOfTheirEvent() throws Exception {
+			CountDownLatch served = new CountDownLatch(1);
+			LogQueue queue = new LogQueue(() -> {
+				await(served);
+				return QueuedLoggerTests.this.output;
+			}, 0);
+			queue.start();
+			QueuedLogger logger = logger("org.acaciacourse.Daemon", queue);
+			long before = System.currentTimeMillis();
+			logger.info("started at {}", "here");
+			logger.info(new ObjectMessage(Map.of("event", "fleet")));
+			long after = System.currentTimeMillis();
+			served.countDown();
+			LogEvent first = QueuedLoggerTests.this.output.next();
+			LogEvent second = QueuedLoggerTests.this.output.next();
+			assertThat(first.getMessage().getFormattedMessage()).isEqualTo("started at here");
+			assertThat(first.getLoggerName()).isEqualTo("org.acaciacourse.Daemon");
+			assertThat(first.getLevel()).isEqualTo(Level.INFO);
+			assertThat(first.getTimeMillis()).isAtLeast(before);
+			assertThat(second.getTimeMillis()).isAtMost(after);
+			assertThat(((ObjectMessage) second.getMessage()).getParameter()).isEqualTo(Map.of("event", "fleet"));
+		}
+
+		/*
+		 * A process ends before it made the output, as its address is taken. Why it ended
+		 * stands in its last lines, which are written at once then.
+		 */
+		@Test
+		void endOfTheProcessWritesWhatWaits() throws Exception {
+			LogQueue queue = new LogQueue(() -> QueuedLoggerTests.this.output, NEVER_MILLIS);
+			queue.start();
+			logger("org.acaciacourse.Daemon", queue).error("address in use");
+			queue.flush();
+			assertThat(QueuedLoggerTests.this.output.next().getMessage().getFormattedMessage())
+				.isEqualTo("address in use");
+		}
+
+		/*
+		 * A process that logs more than fits before its output is made makes it at once,
+		 * and tells how many lines were dropped.
+		 */
+		@Test
+		void fullQueueMakesTheOutputAtOnce() throws Exception {
+			LogQueue queue = new LogQueue(() -> QueuedLoggerTests.this.output, NEVER_MILLIS);
+			queue.start();
+			QueuedLogger logger = logger("org.acaciacourse.Daemon", queue);
+			while (queue.dropped() == 0) {
+				logger.info("one of many");
+			}
+			assertThat(QueuedLoggerTests.this.output.next().getMessage().getFormattedMessage())
+				.isEqualTo("one of many");
+		}
+
+	}
+
+	@Nested
+	class Levels {
+
+		@Test
+		void ownDecisionsAreToldAndOfLibrariesWhatTheyCannotBear() throws Exception {
+			LogQueue queue = new LogQueue(() -> QueuedLoggerTests.this.output, 0);
+			queue.start();
+			logger("org.acaciacourse.core.Any", queue).debug("a detail");
+			logger("org.apache.thrift.transport.Any", queue).error("a connection broke");
+			logger("io.netty.Any", queue).info("chatter");
+			logger("io.netty.Any", queue).warn("a warning");
+			logger("org.acaciacourse", queue).info("a decision");
+			List<String> told = new ArrayList<>();
+			told.add(QueuedLoggerTests.this.output.next().getMessage().getFormattedMessage());
+			told.add(QueuedLoggerTests.this.output.next().getMessage().getFormattedMessage());
+			assertThat(told).containsExactly("a warning", "a decision").inOrder();
+		}
+
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/** Keeps what is written. */
+	private static final class Output extends AbstractAppender {
+
+		private final BlockingQueue<LogEvent> written = new LinkedBlockingQueue<>();
+
+		Output() {
+			super("output", null, null, true, Property.EMPTY_ARRAY);
+			start();
+		}
+
+		@Override
+		public void append(LogEvent event) {
+			this.written.add(event);
+		}
+
+		LogEvent next() throws InterruptedException {
+			return this.written.take();
+		}
+
+	}
+
+}
