Let the engines for brief requests follow the load; keep long prompts off their answers

With one, a burst of driver-chat fails in its turn (88 of 100 in time, 67), and with none nearly all of it (14): a long prompt is read between two events, 180 ms, and the gap may be 150.

Brief answers were late by one gap of some 200 ms: entries believe in different numbers for a while, and one sends a long prompt beside another's answers.

A line `division` tells each change.

--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -7,58 +7,174 @@
 import java.util.Set;
 
 /**
- * The engines for requests whose target is the shortest, the same at every entry VM
- * without a word between them: a part of all that stay, in the order of a hash.
+ * The engines for requests whose target is the shortest: the first of all that stay, in
+ * the order of a hash, so that the entry VMs agree on them. How many there are follows
+ * from how many such requests run at all entries. An engine that is kept for them lacks
+ * for long prompts, and one too few makes all brief answers late, so that no fixed part
+ * is right for more than one mix.
  * <p>
- * On a day of twice the usual load on thirteen engines their answers in time rose from 49
- * to 77 in a hundred, those to the longest prompts fell from 77 to 69; by what answers
- * are worth the day gained.
+ * With a fixed quarter, two of six engines, a burst of long prompts of twice the usual
+ * was answered in time to 49 in a hundred where one engine for brief requests gave 79;
+ * with one, a burst of brief requests fell from 88 to 67 in a hundred.
+ * <p>
+ * Invariant: once divided, each kind has an engine.
  * <p>
  * Not thread safe: belongs to one {@link PoolBalancer}.
  */
 final class BriefEngines {
 
-	/**
-	 * The part of the endpoints for requests whose target is the shortest. An engine
-	 * reads long prompts between the tokens of all that run there, so that a step takes
-	 * some four times as long, and brief answers beside them miss their gaps however they
-	 * are ordered. A third of the engines was no better: the long ones lack them then.
-	 */
-	private static final double BRIEF_SHARE = 0.25;
+	/** The part of the endpoints to begin with, until it is seen what they need. */
+	private static final double FIRST_SHARE = 0.25;
 
 	/** With fewer endpoints a crash would leave one of the two kinds without any. */
 	private static final int LEAST_TO_DIVIDE = 4;
 
+	/**
+	 * The part of the slots that brief requests may fill before there is another engine
+	 * for them, whatever waits elsewhere. A step of a batch grows with the requests in
+	 * it, so that beyond this a little more load makes the batch fill up.
+	 */
+	private static final double MOST_FILLED = 0.9;
+
+	/**
+	 * The part of the slots that they may fill on one engine less for that one to be
+	 * given back: below {@link #MOST_FILLED}, as they run longer on fewer engines.
+	 */
+	private static final double FILLED_AFTER = 0.6;
+
+	/** What they fill before they get an engine that nobody else needs. */
+	private static final double LEAST_FILLED = 0.25;
+
+	/**
+	 * The work that waits at each engine for long prompts when these need another one: a
+	 * usual prompt.
+	 */
+	private static final double PRESSED_WORK = 10_000;
+
+	/** The work below which they do not need all that they have. */
+	private static final double CALM_WORK = 4_000;
+
+	/** Over what time the waiting work is taken: prompts come in clumps. */
+	private static final double SMOOTHING_NANOS = 500_000_000;
+
+	/** Digests of the other entries take some hundred milliseconds to show a change. */
+	private static final long SETTLE_NANOS = 500_000_000L;
+
+	/**
+	 * How often it is looked at, at most: every request would take time for nothing.
+	 */
+	private static final long STEP_NANOS = 20_000_000L;
+
+	private List<EndpointLoad> order = List.of();
+
 	private final Set<EndpointLoad> brief = new HashSet<>();
 
+	// 0 before there are endpoints.
+	private int size;
+
+	private double waiting;
+
+	private int running;
+
+	private long seenAt = Long.MIN_VALUE / 2;
+
+	private long changedAt = Long.MIN_VALUE / 2;
+
 	/**
 	 * Divide the endpoints of a pool.
 	 * @param loads the endpoints
 	 */
 	void divide(Collection<EndpointLoad> loads) {
-		List<EndpointLoad> staying = loads.stream().filter((load) -> !load.endpoint().leaving()).toList();
+		this.order = loads.stream()
+			.filter((load) -> !load.endpoint().leaving())
+			.sorted(Comparator.comparingLong(EndpointLoad::hash))
+			.toList();
+		if (this.size == 0) {
+			this.size = (int) Math.round(this.order.size() * FIRST_SHARE);
+		}
 		this.brief.clear();
-		if (staying.size() >= LEAST_TO_DIVIDE) {
-			staying.stream()
-				.sorted(Comparator.comparingLong(EndpointLoad::hash))
-				.limit(Math.max(1, Math.round(staying.size() * BRIEF_SHARE)))
-				.forEach(this.brief::add);
+		if (this.order.size() >= LEAST_TO_DIVIDE) {
+			this.order.stream().limit(this.size).forEach(this.brief::add);
 		}
 	}
 
+	// The next ones stand in for those that are lost: brief requests would be spread over
+	// all engines for long prompts otherwise, and be late there.
+	private void pick(long now) {
+		this.brief.clear();
+		for (EndpointLoad load : this.order) {
+			if (this.brief.size() < this.size && load.isSound(now)) {
+				this.brief.add(load);
+			}
+		}
+		if (this.brief.isEmpty()) {
+			this.brief.add(this.order.get(0));
+		}
+	}
+
+	/**
+	 * Let the number of engines follow what runs and waits at all entries.
+	 * @param now the time
+	 */
+	void follow(long now) {
+		if (this.brief.isEmpty() || now - this.seenAt < STEP_NANOS) {
+			return;
+		}
+		pick(now);
+		measure(now);
+		if (now - this.changedAt < SETTLE_NANOS) {
+			return;
+		}
+		double most = (this.waiting < CALM_WORK) ? LEAST_FILLED : MOST_FILLED;
+		if (this.running > most * slots(this.size)) {
+			change(Math.min(this.order.size() / 2, this.size + 1), now);
+		}
+		else if (this.waiting > PRESSED_WORK && this.size > 1 && this.running < FILLED_AFTER * slots(this.size - 1)) {
+			change(this.size - 1, now);
+		}
+	}
+
+	private void measure(long now) {
+		double next = this.order.stream()
+			.filter((load) -> !this.brief.contains(load))
+			.mapToLong(EndpointLoad::waitingWork)
+			.average()
+			.orElse(0);
+		this.waiting += (next - this.waiting) * (1 - Math.exp((this.seenAt - now) / SMOOTHING_NANOS));
+		this.seenAt = now;
+		this.running = this.order.stream().mapToInt(EndpointLoad::brief).sum();
+	}
+
+	private void change(int next, long now) {
+		if (next != this.size) {
+			this.size = next;
+			this.changedAt = now;
+			pick(now);
+		}
+	}
+
+	private int slots(int engines) {
+		return this.order.stream().limit(engines).mapToInt((load) -> load.endpoint().slots()).sum();
+	}
+
 	boolean contains(EndpointLoad load) {
 		return this.brief.contains(load);
 	}
 
 	/**
-	 * Return whether an endpoint is for the other kind of requests.
-	 * @param load the endpoint
-	 * @param asked the request
-	 * @return false if the pool is not divided, or the request has no prompt
+	 * Tell what is believed, for the log.
+	 * @return the division as it was looked at last
+	 */
+	PoolBalancer.Division told() {
+		return new PoolBalancer.Division(this.brief.size(), this.running, Math.round(this.waiting));
+	}
+
+	/**
+	 * Return whether the pool is divided.
+	 * @return false if it has too few endpoints
 	 */
-	boolean isForOthers(EndpointLoad load, Placement asked) {
-		boolean divided = !this.brief.isEmpty() && asked.shape().promptTokens() > 0;
-		return divided && asked.brief() != this.brief.contains(load);
+	boolean isDivided() {
+		return !this.brief.isEmpty();
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -51,12 +51,16 @@
 
 	private int inFlight;
 
+	private int brief;
+
 	private int streams;
 
 	private long heardAt = Long.MIN_VALUE / 2;
 
 	private long waitingWork;
 
+	private long deferredWork;
+
 	private int reportedOthers;
 
 	private int reportedWaiting;
@@ -104,11 +108,39 @@
 		this.waitingWork += work;
 	}
 
+	// All others go before it, so that nothing waits for it.
+	void beginDeferred(long work) {
+		this.inFlight++;
+		this.deferredWork += work;
+	}
+
 	// The prompt was read: the first event came, or the request ended before.
 	void promptRead(long work) {
 		this.waitingWork = Math.max(0, this.waitingWork - work);
 	}
 
+	void deferredRead(long work) {
+		this.deferredWork = Math.max(0, this.deferredWork - work);
+	}
+
+	// The own work that others go before.
+	long deferredWork() {
+		return this.deferredWork;
+	}
+
+	void briefBegan() {
+		this.brief++;
+	}
+
+	void briefEnded() {
+		this.brief = Math.max(0, this.brief - 1);
+	}
+
+	// The brief requests there of all VMs, as far as they tell.
+	int brief() {
+		return this.brief + this.peers.brief(this.name);
+	}
+
 	// An answer began to come, of which something is due every few steps.
 	void streamBegan() {
 		this.streams++;
@@ -133,6 +165,11 @@
 		return this.streams > 0 && now - this.heardAt > SUSPECT_NANOS;
 	}
 
+	// Whether nothing tells that it is lost.
+	boolean isSound(long now) {
+		return this.lostInARow == 0 && !isSuspect(now);
+	}
+
 	void end() {
 		this.inFlight = Math.max(0, this.inFlight - 1);
 	}
@@ -181,7 +218,7 @@
 	}
 
 	PeerLoads.Load own() {
-		return new PeerLoads.Load(this.name, this.inFlight, this.waitingWork);
+		return new PeerLoads.Load(this.name, this.inFlight, this.waitingWork, this.brief);
 	}
 
 	// Own requests, and those of others as far as they, or a fresh report, tell.
--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -66,6 +66,7 @@
 			Sum sum = this.sums.computeIfAbsent(load.endpoint(), (name) -> new Sum());
 			sum.inFlight += sign * load.inFlight();
 			sum.waitingWork += sign * load.waitingWork();
+			sum.brief += sign * load.brief();
 		}
 	}
 
@@ -103,14 +104,20 @@
 		return (sum != null) ? sum.waitingWork : 0;
 	}
 
+	int brief(int endpoint) {
+		Sum sum = this.sums.get(endpoint);
+		return (sum != null) ? sum.brief : 0;
+	}
+
 	/**
 	 * What a VM has under way at an endpoint.
 	 *
 	 * @param endpoint the short name of the endpoint
 	 * @param inFlight its requests there
 	 * @param waitingWork the work of those whose prompt is not read yet
+	 * @param brief those of its requests whose target is among the shortest
 	 */
-	public record Load(int endpoint, int inFlight, long waitingWork) {
+	public record Load(int endpoint, int inFlight, long waitingWork, int brief) {
 	}
 
 	private record Digest(long sequence, List<Load> loads, long at) {
@@ -123,6 +130,8 @@
 
 		private long waitingWork;
 
+		private int brief;
+
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
@@ -44,6 +44,24 @@
 	 */
 	private static final double LONG_ELSEWHERE_WORK = 500_000;
 
+	/**
+	 * What a short prompt costs where brief requests belong, beside what it delays: work
+	 * that has to wait elsewhere before it is worth to mix the kinds.
+	 */
+	private static final double SHORT_ELSEWHERE_WORK = 10_000;
+
+	/**
+	 * What a brief answer that runs beside costs a prompt which does not make it late, as
+	 * a part of the work on that prompt, by which the answer is delayed.
+	 */
+	private static final double BESIDE_FACTOR = 0.5;
+
+	/**
+	 * What a brief answer costs that a prompt makes late: work of half a second, about as
+	 * much as the prompt itself is late elsewhere in a burst, for each of those answers.
+	 */
+	private static final double MADE_LATE_WORK = 30_000;
+
 	/** What a request that waits at the endpoint costs, in prompt tokens. */
 	private static final double TOKENS_PER_WAITING = 4_000;
 
@@ -104,12 +122,32 @@
 	}
 
 	/**
-	 * Return the cost of putting a request where the other kind belongs.
-	 * @param brief whether the request is a brief one
+	 * Return the cost of putting a brief request where long prompts belong.
+	 * @return the cost
+	 */
+	static double briefElsewhere() {
+		return BRIEF_ELSEWHERE_WORK;
+	}
+
+	/**
+	 * Return the cost of putting a prompt where brief requests belong.
+	 * @param work the work on the prompt
+	 * @param harmless the work that makes no brief answer late
+	 * @return the cost
+	 */
+	static double elsewhere(long work, long harmless) {
+		return (work > harmless) ? LONG_ELSEWHERE_WORK : SHORT_ELSEWHERE_WORK;
+	}
+
+	/**
+	 * Return the cost of putting a prompt beside brief answers that run.
+	 * @param brief the brief answers
+	 * @param work the work on the prompt
+	 * @param harmless the work that makes no brief answer late
 	 * @return the cost
 	 */
-	static double elsewhere(boolean brief) {
-		return (brief) ? BRIEF_ELSEWHERE_WORK : LONG_ELSEWHERE_WORK;
+	static double beside(int brief, long work, long harmless) {
+		return brief * ((work > harmless) ? MADE_LATE_WORK : BESIDE_FACTOR * work);
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
 
 import net.openhft.hashing.LongHashFunction;
@@ -34,6 +35,16 @@
 	 */
 	private static final int MOST_UNTOLD = 64;
 
+	/** The longest pause between events that routes of today aim for. */
+	private static final long USUAL_GAP_MILLIS = 150;
+
+	/**
+	 * The work that may come between two events, for each millisecond of the gap that is
+	 * aimed for: engines read some 50 tokens in one, and the steps of the batch take the
+	 * larger part of the gap.
+	 */
+	private static final long HARMLESS_TOKENS_PER_MILLI = 20;
+
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
 	/** Under the short names of digests, of which one comes for every few requests. */
@@ -47,8 +58,12 @@
 
 	private long engineTokens;
 
+	private long harmlessWork = USUAL_GAP_MILLIS * HARMLESS_TOKENS_PER_MILLI;
+
 	private final BriefEngines brief = new BriefEngines();
 
+	private final ReadingPace pace = new ReadingPace();
+
 	private final Set<PartUse> untold = new LinkedHashSet<>();
 
 	/**
@@ -78,6 +93,14 @@
 		this.loads.values().forEach((load) -> load.memory().engineTokens(tokens));
 	}
 
+	/**
+	 * Set the shortest pause between events that a route of the pool aims for.
+	 * @param millis the pause
+	 */
+	public void shortestGap(long millis) {
+		this.harmlessWork = millis * HARMLESS_TOKENS_PER_MILLI;
+	}
+
 	/**
 	 * Take the endpoints of the pool from the fleet.
 	 * @param endpoints the endpoints
@@ -123,6 +146,7 @@
 	 * @return the endpoint, or nothing if none may get the request now
 	 */
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
+		this.brief.follow(now);
 		Optional<EndpointLoad> home = home(asked, now);
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
@@ -142,8 +166,8 @@
 		long held = load.memory().held(asked.shape());
 		boolean isPlace = home.isEmpty() || home.get() == load || held == asked.shape().sharedTokens();
 		double cost = PlacementCost.of(load, asked, held, isPlace, now);
-		if (this.brief.isForOthers(load, asked)) {
-			cost += PlacementCost.elsewhere(asked.brief());
+		if (this.brief.isDivided() && asked.shape().promptTokens() > 0) {
+			cost += mixing(load, asked, held);
 		}
 		if (!this.connected.test(load.endpoint().instance())) {
 			cost += PlacementCost.connection();
@@ -151,6 +175,18 @@
 		return cost;
 	}
 
+	// An engine reads a prompt between the tokens of all that run there: a long one makes
+	// each brief answer beside it late by its gap alone.
+	private double mixing(EndpointLoad load, Placement asked, long held) {
+		boolean forBrief = this.brief.contains(load);
+		if (asked.brief()) {
+			return (forBrief) ? 0 : PlacementCost.briefElsewhere();
+		}
+		long work = asked.shape().work(held);
+		double cost = PlacementCost.beside(load.brief(), work, this.harmlessWork);
+		return (forBrief) ? cost + PlacementCost.elsewhere(work, this.harmlessWork) : cost;
+	}
+
 	private Optional<EndpointLoad> home(Placement asked, long now) {
 		long key = asked.shape().sharedId();
 		if (key == 0 || !asked.affinity() || asked.brief()) {
@@ -192,9 +228,24 @@
 	 * @return the work that it waits for there, for {@link #promptRead}
 	 */
 	public long begin(String instance, PromptShape shape, long now) {
+		return begin(instance, shape, EndpointLoad::begin);
+	}
+
+	/**
+	 * A request is sent that all others go before at the endpoint. Its work is not told
+	 * to the other entries, as nothing waits for it.
+	 * @param instance the endpoint's instance
+	 * @param shape the request's prompt
+	 * @return the work that is to be read, for {@link #deferredRead}
+	 */
+	public long beginDeferred(String instance, PromptShape shape) {
+		return begin(instance, shape, EndpointLoad::beginDeferred);
+	}
+
+	private long begin(String instance, PromptShape shape, ObjLongConsumer<EndpointLoad> note) {
 		return find(instance).map((load) -> {
 			long work = shape.work(load.memory().held(shape));
-			load.begin(work);
+			note.accept(load, work);
 			shape.sharedParts().forEach((part) -> {
 				load.memory().use(part);
 				tellLater(new PartUse(load.name(), part));
@@ -239,6 +290,54 @@
 		find(instance).ifPresent((load) -> load.promptRead(work));
 	}
 
+	/**
+	 * The prompt of a deferred request is read, or the request ended before.
+	 * @param instance the endpoint's instance
+	 * @param work what {@link #beginDeferred} told
+	 */
+	public void deferredRead(String instance, long work) {
+		find(instance).ifPresent((load) -> load.deferredRead(work));
+	}
+
+	/**
+	 * Return whether a prompt would be read too late at an endpoint.
+	 * @param instance its instance
+	 * @param shape the prompt
+	 * @param left nanoseconds until the first event is due
+	 * @return whether what waits there takes longer, by what is known
+	 */
+	public boolean isLate(String instance, PromptShape shape, long left) {
+		return find(instance).map((load) -> {
+			long work = load.waitingWork() + shape.work(load.memory().held(shape));
+			return this.pace.nanos(work) > left;
+		}).orElse(false);
+	}
+
+	/**
+	 * A prompt was read to its end.
+	 * @param ahead the work that waited when it was sent, with its own
+	 * @param took nanoseconds from then to its first event
+	 */
+	public void read(long ahead, long took) {
+		this.pace.read(ahead, took);
+	}
+
+	/**
+	 * A request whose target is among the shortest is sent.
+	 * @param instance the endpoint's instance
+	 */
+	public void briefBegan(String instance) {
+		find(instance).ifPresent(EndpointLoad::briefBegan);
+	}
+
+	/**
+	 * A request whose target is among the shortest ended.
+	 * @param instance the endpoint's instance
+	 */
+	public void briefEnded(String instance) {
+		find(instance).ifPresent(EndpointLoad::briefEnded);
+	}
+
 	/**
 	 * The answer to a request began to come, event by event.
 	 * @param instance the endpoint's instance
@@ -306,6 +405,16 @@
 		return find(instance).map(EndpointLoad::waitingWork).orElse(0L);
 	}
 
+	/**
+	 * Return the work that waits at an endpoint, with that of this VM which others go
+	 * before.
+	 * @param instance its instance
+	 * @return the work in prompt tokens, 0 if the endpoint is not in the pool
+	 */
+	public long allWaitingWork(String instance) {
+		return find(instance).map((load) -> load.waitingWork() + load.deferredWork()).orElse(0L);
+	}
+
 	/**
 	 * Tell what is believed of an endpoint, for the log.
 	 * @param instance its instance
@@ -316,10 +425,28 @@
 		return find(instance).map((load) -> new Belief(load.running(now), load.waitingWork(), load.failureRate(now)));
 	}
 
+	/**
+	 * Tell how the pool is divided, for the log.
+	 * @return the division, if there are endpoints enough
+	 */
+	public Optional<Division> division() {
+		return Optional.of(this.brief.told()).filter((told) -> told.engines() > 0);
+	}
+
 	private Optional<EndpointLoad> find(String instance) {
 		return Optional.ofNullable(this.loads.get(instance));
 	}
 
+	/**
+	 * The part of the engines that is for requests whose target is the shortest.
+	 *
+	 * @param engines how many engines
+	 * @param running such requests that run at all entries
+	 * @param waitingWork the work that waits at each of the other engines
+	 */
+	public record Division(int engines, int running, long waitingWork) {
+	}
+
 	/**
 	 * What is believed of an endpoint.
 	 *
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/balance/ReadingPace.java
@@ -0,0 +1,55 @@
+package org.acaciacourse.core.balance;
+
+/**
+ * How fast the engines of a pool read what waits there, learnt from the requests that had
+ * to wait: the work ahead of each by the time to its first event. More urgent work that
+ * comes later, full batches and slow engines all show in it.
+ * <p>
+ * Not thread safe: belongs to one {@link PoolBalancer}.
+ */
+final class ReadingPace {
+
+	/**
+	 * Tokens in a millisecond, until enough was seen: engines of today read some 60, half
+	 * of that in a full batch.
+	 */
+	private static final double USUAL_TOKENS_PER_MILLI = 30;
+
+	/**
+	 * Shorter waits tell of the steps of the batch, not of reading: a step takes some ten
+	 * milliseconds and reads a few hundred tokens.
+	 */
+	private static final long LEAST_WORK = 5_000;
+
+	/** Some twenty requests that waited make the estimate. */
+	private static final double WEIGHT = 0.05;
+
+	/** One wait can't move the estimate by more than this factor of the usual pace. */
+	private static final double MOST_FACTOR = 4;
+
+	private double tokensPerMilli = USUAL_TOKENS_PER_MILLI;
+
+	/**
+	 * A prompt was read.
+	 * @param ahead the work that waited when it was sent, with its own
+	 * @param took nanoseconds from then to its first event
+	 */
+	void read(long ahead, long took) {
+		if (ahead >= LEAST_WORK && took > 0) {
+			double seen = ahead * 1e6 / took;
+			double bounded = Math.max(USUAL_TOKENS_PER_MILLI / MOST_FACTOR,
+					Math.min(USUAL_TOKENS_PER_MILLI * MOST_FACTOR, seen));
+			this.tokensPerMilli += WEIGHT * (bounded - this.tokensPerMilli);
+		}
+	}
+
+	/**
+	 * Return how long work takes.
+	 * @param work the work in prompt tokens
+	 * @return nanoseconds
+	 */
+	long nanos(long work) {
+		return (long) (work / this.tokensPerMilli * 1e6);
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.Stream;
 
 /**
  * The checked routes of one manifest with what they refer to. Invariants: no two routes
@@ -104,6 +106,16 @@
 		return this.urgency.rank(route, owner);
 	}
 
+	/**
+	 * Return the rank of a request that its target passes in any case.
+	 * @param route its route, one of this table
+	 * @param owner its customer, one of this table, if there is any
+	 * @return the rank, if no route of the table is less urgent
+	 */
+	public OptionalInt deferredUrgency(Route route, Optional<KeyOwner> owner) {
+		return this.urgency.deferredRank(route, owner);
+	}
+
 	/**
 	 * Return whether requests need a customer's key.
 	 * @return whether there is any customer
@@ -127,14 +139,25 @@
 	 * @return the target, if any route leads there
 	 */
 	public Optional<Duration> shortestTarget(String pool) {
+		return routesTo(pool).map(Route::target).min(Duration::compareTo);
+	}
+
+	/**
+	 * Find the shortest pause between events that a route to a pool aims for.
+	 * @param pool the name of the pool
+	 * @return the pause, if any route there aims for one
+	 */
+	public Optional<Duration> shortestGap(String pool) {
+		return routesTo(pool).map(Route::eventGap).filter((gap) -> !gap.isZero()).min(Duration::compareTo);
+	}
+
+	private Stream<Route> routesTo(String pool) {
 		return this.byHost.values()
 			.stream()
 			.flatMap((routes) -> routes.values().stream())
 			.filter((route) -> route.shares()
 				.stream()
-				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool)))
-			.map(Route::target)
-			.min(Duration::compareTo);
+				.anyMatch((share) -> share.weight() > 0 && share.pool().equals(pool)));
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -11,8 +11,8 @@
  * The order of the requests of one table, as the few ranks that endpoints understand. A
  * customer's priority goes before its route's, and the route's decides between requests
  * of equal customers. Where all customers have the same priority, as most have, engines
- * would otherwise serve in the order of arrival, and a short prompt with a target of
- * 400 ms waits for seconds behind long ones that may take longer.
+ * would otherwise serve in the order of arrival, and a short prompt with a target of 400
+ * ms waits for seconds behind long ones that may take longer.
  * <p>
  * A rank is the position of the two priorities among all pairs that the table can yield,
  * so that levels which nobody uses take no rank. With more pairs than ranks neighbours
@@ -51,6 +51,19 @@
 				|| routes.stream().anyMatch(Route::anonymous);
 	}
 
+	/**
+	 * Return the rank of a request that its target passes in any case. It lies below all
+	 * requests of equal customers and above those of customers with a lower priority.
+	 * @param route its route, one of the table
+	 * @param owner its customer, one of the table, if there is any
+	 * @return the rank, if no route of the table is less urgent; else a less urgent
+	 * request would go before it
+	 */
+	OptionalInt deferredRank(Route route, Optional<KeyOwner> owner) {
+		boolean least = this.second.indexOf(route.priority()) == this.second.size() - 1;
+		return (least) ? OptionalInt.of(ranked(leading(route, owner), this.second.size())) : OptionalInt.empty();
+	}
+
 	/**
 	 * Return the rank of a request.
 	 * @param route its route, one of the table
@@ -58,10 +71,20 @@
 	 * @return 0 for the highest, less than {@link #RANKS}
 	 */
 	int rank(Route route, Optional<KeyOwner> owner) {
-		int leading = owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
-		int pair = this.first.indexOf(leading) * this.second.size() + this.second.indexOf(route.priority());
-		int pairs = this.first.size() * this.second.size();
-		return (pairs <= RANKS) ? pair : pair * RANKS / pairs;
+		return ranked(leading(route, owner), this.second.indexOf(route.priority()));
+	}
+
+	private int leading(Route route, Optional<KeyOwner> owner) {
+		int priority = owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+		return this.first.indexOf(priority);
+	}
+
+	// Each level of customers has one rank more than there are levels of routes.
+	private int ranked(int leading, int following) {
+		int each = this.second.size() + 1;
+		int level = leading * each + following;
+		int levels = this.first.size() * each;
+		return (levels <= RANKS) ? level : level * RANKS / levels;
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -290,6 +290,60 @@
 			assertThat(brief).containsNoneIn(others);
 		}
 
+		/*
+		 * An engine was for brief requests until a moment ago and still runs eight. A
+		 * long prompt is read between their events, which come a fifth of a second late:
+		 * each of them misses its gap for one prompt that would wait a little elsewhere.
+		 */
+		@Test
+		void longPromptKeepsAwayFromBriefAnswers() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(6));
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			IntStream.range(0, 8).forEach((i) -> PoolBalancerTests.this.balancer.briefBegan(home));
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isNotEqualTo(Optional.of(home));
+			IntStream.range(0, 8).forEach((i) -> PoolBalancerTests.this.balancer.briefEnded(home));
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(home));
+		}
+
+		/*
+		 * In a burst of long prompts, prompts that are read between two events wait
+		 * behind them for half a second, while the engines for brief requests could read
+		 * them.
+		 */
+		@Test
+		void shortPromptsGoToTheEnginesForBriefRequestsInABurst() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(6));
+			PromptShape small = new PromptShape(2_000, 1, List.of());
+			String brief = PoolBalancerTests.this.balancer.choose(new Placement(small, true, true, 1, Set.of()), 0)
+				.get()
+				.instance();
+			PromptShape burst = new PromptShape(20_000, 1, List.of());
+			for (int i = 0; i < 8; i++) {
+				PoolBalancerTests.this.balancer.begin(choose(burst, i, Set.of(), 0).get(), burst, 0);
+			}
+			Set<String> taken = new HashSet<>();
+			for (int i = 0; i < 4; i++) {
+				String next = choose(small, i, Set.of(), 0).get();
+				PoolBalancerTests.this.balancer.begin(next, small, 0);
+				taken.add(next);
+			}
+			assertThat(taken).contains(brief);
+			assertThat(choose(burst, 99, Set.of(), 0)).isNotEqualTo(Optional.of(brief));
+		}
+
+		/*
+		 * Another service aims for longer gaps between events, so that longer prompts do
+		 * no harm.
+		 */
+		@Test
+		void whatDoesNoHarmFollowsFromTheGapThatIsAimedFor() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(6));
+			PoolBalancerTests.this.balancer.shortestGap(2_000);
+			String home = choose(prompt(1), 1, Set.of(), 0).get();
+			IntStream.range(0, 8).forEach((i) -> PoolBalancerTests.this.balancer.briefBegan(home));
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(home));
+		}
+
 		@Test
 		void eachKindGoesToTheOthersEndpointsWhenItsOwnAreGone() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(4));
@@ -305,6 +359,36 @@
 
 	}
 
+	// Long prompts come twice as fast as engines read them. Served in the order of
+	// arrival
+	// all are late in the end, each by as much as its caller bears.
+	@Nested
+	class Late {
+
+		private static final long TARGET = 1_500_000_000L;
+
+		@Test
+		void requestIsLateOnceWhatWaitsTakesLongerThanItsTarget() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			assertThat(PoolBalancerTests.this.balancer.isLate("i0", prompt(1), TARGET)).isFalse();
+			PoolBalancerTests.this.balancer.begin("i0", new PromptShape(40_000, 1, List.of()), 0);
+			assertThat(PoolBalancerTests.this.balancer.isLate("i0", prompt(1), TARGET)).isTrue();
+		}
+
+		@Test
+		void deferredRequestDelaysNobody() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PromptShape large = new PromptShape(40_000, 1, List.of());
+			long work = PoolBalancerTests.this.balancer.beginDeferred("i0", large);
+			assertThat(PoolBalancerTests.this.balancer.waitingWork("i0")).isEqualTo(0);
+			assertThat(PoolBalancerTests.this.balancer.allWaitingWork("i0")).isEqualTo(work);
+			assertThat(PoolBalancerTests.this.balancer.isLate("i0", prompt(1), TARGET)).isFalse();
+			PoolBalancerTests.this.balancer.deferredRead("i0", work);
+			assertThat(PoolBalancerTests.this.balancer.allWaitingWork("i0")).isEqualTo(0);
+		}
+
+	}
+
 	@Nested
 	class Peers {
 
@@ -313,7 +397,7 @@
 		@Test
 		void workOfOtherEntriesCounts() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
-			PoolBalancerTests.this.peers.take("b", 1, List.of(new PeerLoads.Load(PeerLoads.nameOf("i0"), 1, 50_000)),
+			PoolBalancerTests.this.peers.take("b", 1, List.of(new PeerLoads.Load(PeerLoads.nameOf("i0"), 1, 50_000, 0)),
 					0);
 			for (long salt = 0; salt < 20; salt++) {
 				assertThat(choose(PromptShape.NONE, salt, Set.of(), 0)).isEqualTo(Optional.of("i1"));
@@ -323,8 +407,8 @@
 		@Test
 		void digestReplacesTheOneBeforeAndSilenceEndsIt() {
 			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
-			PeerLoads.Load first = new PeerLoads.Load(PeerLoads.nameOf("i0"), 5, 0);
-			PeerLoads.Load second = new PeerLoads.Load(PeerLoads.nameOf("i1"), 1, 0);
+			PeerLoads.Load first = new PeerLoads.Load(PeerLoads.nameOf("i0"), 5, 0, 0);
+			PeerLoads.Load second = new PeerLoads.Load(PeerLoads.nameOf("i1"), 1, 0, 0);
 			PoolBalancerTests.this.peers.take("b", 2, List.of(second), 0);
 			PoolBalancerTests.this.peers.take("b", 1, List.of(first), 0);
 			assertThat(choose(PromptShape.NONE, 1, Set.of(), 0)).isEqualTo(Optional.of("i0"));
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/ReadingPaceTests.java
@@ -0,0 +1,54 @@
+package org.acaciacourse.core.balance;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ReadingPaceTests {
+
+	private static final long MILLI = 1_000_000L;
+
+	private final ReadingPace pace = new ReadingPace();
+
+	private long millis(long work) {
+		return this.pace.nanos(work) / MILLI;
+	}
+
+	private void read(int times, long ahead, long tookMillis) {
+		for (int i = 0; i < times; i++) {
+			this.pace.read(ahead, tookMillis * MILLI);
+		}
+	}
+
+	@Test
+	void usualPaceHoldsUntilSomethingIsSeen() {
+		assertThat(millis(30_000)).isEqualTo(1_000);
+	}
+
+	/* Engines of another kind read three times as fast as usual. */
+	@Test
+	void paceFollowsWhatRequestsWaited() {
+		read(200, 45_000, 500);
+		assertThat(millis(90_000)).isIn(com.google.common.collect.Range.closed(990L, 1_010L));
+	}
+
+	/*
+	 * An idle engine answers after a step of its batch, which tells nothing of reading.
+	 */
+	@Test
+	void shortWaitsTellNothing() {
+		read(200, 2_000, 400);
+		assertThat(millis(30_000)).isEqualTo(1_000);
+	}
+
+	/*
+	 * One request waited for ten seconds behind an engine that stood still. The next ones
+	 * must not all be taken for late.
+	 */
+	@Test
+	void singleWaitMovesTheEstimateLittle() {
+		read(1, 20_000, 10_000);
+		assertThat(millis(30_000)).isLessThan(1_050L);
+	}
+
+}
--- a/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -79,6 +79,33 @@
 
 	}
 
+	// Of the least urgent kind those that are late in any case wait behind those that can
+	// still be in time, but before what customers of a lower priority send.
+	@Nested
+	class Deferred {
+
+		private final List<Route> routes = List.of(route(0), route(1));
+
+		private final KeyOwner high = owner(OptionalInt.of(0));
+
+		private final KeyOwner low = owner(OptionalInt.of(1));
+
+		private final UrgencyScale scale = new UrgencyScale(this.routes, List.of(this.high, this.low));
+
+		@Test
+		void goesBehindItsOwnKindAndBeforeLowerCustomers() {
+			int deferred = this.scale.deferredRank(route(1), Optional.of(this.high)).getAsInt();
+			assertThat(deferred).isGreaterThan(rank(this.scale, 1, 0));
+			assertThat(deferred).isLessThan(rank(this.scale, 0, 1));
+		}
+
+		@Test
+		void moreUrgentKindsAreNotDeferred() {
+			assertThat(this.scale.deferredRank(route(0), Optional.of(this.high))).isEqualTo(OptionalInt.empty());
+		}
+
+	}
+
 	@Nested
 	class ManyLevels {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -15,6 +15,7 @@
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.PoolBalancer;
+import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
@@ -54,8 +55,12 @@
 
 	private final Form form = new Form();
 
+	private final boolean deferred;
+
 	private final long work;
 
+	private final long ahead;
+
 	private final long begunAt = System.nanoTime();
 
 	private EndpointLink link;
@@ -72,11 +77,17 @@
 
 	private boolean done;
 
-	Attempt(RoutedExchange exchange, FleetEndpoint endpoint) {
+	Attempt(RoutedExchange exchange, FleetEndpoint endpoint, boolean deferred) {
 		this.exchange = exchange;
 		this.endpoint = endpoint;
-		this.work = exchange.balancer()
-			.begin(endpoint.instance(), exchange.request().facts().prompt(), System.nanoTime());
+		this.deferred = deferred;
+		PromptShape prompt = exchange.request().facts().prompt();
+		this.work = (deferred) ? exchange.balancer().beginDeferred(endpoint.instance(), prompt)
+				: exchange.balancer().begin(endpoint.instance(), prompt, this.begunAt);
+		this.ahead = exchange.balancer().waitingWork(endpoint.instance());
+		if (exchange.isBrief()) {
+			exchange.balancer().briefBegan(endpoint.instance());
+		}
 	}
 
 	/**
@@ -137,12 +148,21 @@
 		if (this.streaming) {
 			this.exchange.balancer().streamEnded(this.endpoint.instance());
 		}
+		if (this.exchange.isBrief()) {
+			this.exchange.balancer().briefEnded(this.endpoint.instance());
+		}
 		this.exchange.balancer().end(this.endpoint.instance(), outcome, System.nanoTime());
 	}
 
 	private void promptRead() {
-		if (!this.promptRead) {
-			this.promptRead = true;
+		if (this.promptRead) {
+			return;
+		}
+		this.promptRead = true;
+		if (this.deferred) {
+			this.exchange.balancer().deferredRead(this.endpoint.instance(), this.work);
+		}
+		else {
 			this.exchange.balancer().promptRead(this.endpoint.instance(), this.work);
 		}
 	}
@@ -213,12 +233,19 @@
 			if (!this.streaming) {
 				this.streaming = true;
 				this.exchange.balancer().streamBegan(this.endpoint.instance());
+				tellPace();
 			}
 			promptRead();
 			passOn(event);
 		}
 	}
 
+	private void tellPace() {
+		if (!this.promptRead && !this.deferred) {
+			this.exchange.balancer().read(this.ahead, System.nanoTime() - this.sentAt);
+		}
+	}
+
 	private void passOn(EventFrames.Event event) {
 		OptionalLong last = this.exchange.lastEvent();
 		if (last.isPresent() && event.id().isPresent() && event.id().getAsLong() <= last.getAsLong()) {
@@ -349,7 +376,7 @@
 		if (!this.promptRead) {
 			// With many entries each hears little of an engine that is busy with the
 			// prompts of the others: what waits there must not count as silence.
-			millis += this.exchange.balancer().waitingWork(this.endpoint.instance()) / TOKENS_PER_MILLI;
+			millis += this.exchange.balancer().allWaitingWork(this.endpoint.instance()) / TOKENS_PER_MILLI;
 		}
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -142,7 +142,7 @@
 		this.sent = own;
 		List<EndpointLoadRecord> records = own.stream()
 			.limit(MAX_LOADS)
-			.map((load) -> new EndpointLoadRecord(load.endpoint(), load.inFlight(), load.waitingWork()))
+			.map((load) -> new EndpointLoadRecord(load.endpoint(), load.inFlight(), load.waitingWork(), load.brief()))
 			.toList();
 		LoadDigestRecord digest = new LoadDigestRecord(++this.sequence, records);
 		digest.setUses(uses());
@@ -172,7 +172,8 @@
 	private void take(String sender, LoadDigestRecord digest) {
 		List<PeerLoads.Load> loads = digest.getLoads()
 			.stream()
-			.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork()))
+			.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork(),
+					load.getBrief()))
 			.toList();
 		this.pools.peers().take(sender, digest.getSequence(), loads, System.nanoTime());
 		if (digest.isSetUses()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -20,6 +20,8 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTable;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * What an entry VM knows of each pool. A pool's state outlives the manifest that named
@@ -88,6 +90,8 @@
 			state(pool.name()).balancer().engineTokens(pool.engineTokens());
 			Optional<Duration> shortest = table.shortestTarget(pool.name());
 			shortest.ifPresent((target) -> state(pool.name()).target(target));
+			table.shortestGap(pool.name())
+				.ifPresent((gap) -> state(pool.name()).balancer().shortestGap(gap.toMillis()));
 		});
 	}
 
@@ -163,6 +167,16 @@
 		share();
 	}
 
+	/** Tell the pools that are divided otherwise than before; called again and again. */
+	void tellDivisions() {
+		this.states.forEach((pool, state) -> state.balancer().division().ifPresent((next) -> {
+			if (next.engines() != state.toldEngines && this.declared(pool).map(Pool::isEngine).orElse(false)) {
+				state.toldEngines = next.engines();
+				DecisionLog.write(LogEvent.DIVISION, pool, next.engines(), next.running(), next.waitingWork());
+			}
+		}));
+	}
+
 	private void share() {
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		this.declared.forEach((pool) -> state(pool.name()).balancer()
@@ -218,6 +232,8 @@
 
 		private Duration shortestTarget = Duration.ZERO;
 
+		private int toldEngines;
+
 		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
 			this.balancer = balancer;
 			this.allowance = allowance;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -142,6 +142,7 @@
 		this.links.sweep(this.pools::isThere);
 		this.handler.tellMerged();
 		this.pools.recount();
+		this.pools.tellDivisions();
 		publishGauges();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -90,7 +90,7 @@
 			return;
 		}
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner,
-				this.table.get().urgency(route.get(), owner));
+				this.table.get().urgency(route.get(), owner), this.table.get().deferredUrgency(route.get(), owner));
 		new RoutedExchange(this.context, routed, response, arrivedAt).start();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -60,6 +60,8 @@
 
 	private final PoolStates.State pool;
 
+	private final boolean brief;
+
 	private final CallerResponse response;
 
 	private final RequestProgress progress;
@@ -80,6 +82,8 @@
 
 	private long refusedSince;
 
+	private boolean deferred;
+
 	private boolean done;
 
 	/**
@@ -95,6 +99,7 @@
 		this.request = request;
 		this.pool = context.pools().state(request.pool());
 		this.response = response;
+		this.brief = this.pool.isBrief(request.route().target());
 		this.progress = new RequestProgress(request.route());
 		this.lastEvent = request.facts().lastEvent();
 		long millis = request.route().timeout().toMillis();
@@ -123,6 +128,10 @@
 		return this.pool.balancer();
 	}
 
+	boolean isBrief() {
+		return this.brief;
+	}
+
 	OptionalLong lastEvent() {
 		return this.lastEvent;
 	}
@@ -186,19 +195,28 @@
 	}
 
 	private Optional<FleetEndpoint> choose(long now) {
-		boolean brief = this.pool.isBrief(this.request.route().target());
 		return this.pool.balancer()
-			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), brief,
+			.choose(new Placement(this.request.facts().prompt(), this.request.route().affinity(), this.brief,
 					this.request.hash(), this.progress.tried()), now);
 	}
 
 	private void begin(FleetEndpoint endpoint) {
-		Attempt attempt = new Attempt(this, endpoint);
+		this.deferred = isLate(endpoint);
+		Attempt attempt = new Attempt(this, endpoint, this.deferred);
 		this.current = Optional.of(attempt);
 		this.progress.begin(endpoint.instance());
 		this.context.links().acquire(endpoint, (link) -> connected(attempt, endpoint, link));
 	}
 
+	// A request that is late in any case waits at its engine behind those that can still
+	// be in time: in an overload all would be late otherwise, each by as much as the
+	// callers bear.
+	private boolean isLate(FleetEndpoint endpoint) {
+		long left = this.startedAt + this.request.route().target().toNanos() - System.nanoTime();
+		return this.request.deferredUrgency().isPresent()
+				&& this.pool.balancer().isLate(endpoint.instance(), this.request.facts().prompt(), left);
+	}
+
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointLink> connection) {
 		if (this.done || this.current.isEmpty() || this.current.get() != attempt) {
 			connection.forEach((link) -> this.context.links().release(endpoint, link));
@@ -243,11 +261,15 @@
 		}
 		boolean engine = this.context.pools().declared(this.request.pool()).map(Pool::isEngine).orElse(false);
 		this.context.dialect()
-			.write(new RequestDialect.SendFacts(endpoint.instance(), this.request.customer(), remaining,
-					this.request.urgency(), this.lastEvent, engine), headers);
+			.write(new RequestDialect.SendFacts(endpoint.instance(), this.request.customer(), remaining, urgency(),
+					this.lastEvent, engine), headers);
 		return message;
 	}
 
+	private int urgency() {
+		return (this.deferred) ? this.request.deferredUrgency().orElseThrow() : this.request.urgency();
+	}
+
 	/**
 	 * An attempt ended without an answer that is passed on.
 	 * @param attempt the attempt
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import net.openhft.hashing.LongHashFunction;
@@ -23,22 +24,24 @@
  * @param route the route
  * @param owner the customer, if there is a key
  * @param urgency the rank of the request, 0 is the highest
+ * @param deferredUrgency its rank if it is late in any case, if it may get another one
  * @param hash a hash of the request's id
  */
 record RoutedRequest(String method, String target, HttpHeaders headers, byte[] body, boolean hasBody,
-		RequestDialect.RequestFacts facts, Route route, Optional<KeyOwner> owner, int urgency, long hash) {
+		RequestDialect.RequestFacts facts, Route route, Optional<KeyOwner> owner, int urgency,
+		OptionalInt deferredUrgency, long hash) {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	static RoutedRequest of(CallerRequest request, RequestDialect dialect, RequestDialect.RequestFacts facts,
-			Route route, Optional<KeyOwner> owner, int urgency) {
+			Route route, Optional<KeyOwner> owner, int urgency, OptionalInt deferredUrgency) {
 		HttpHeaders headers = HopHeaders.endToEnd(request.headers());
 		boolean hasBody = request.headers().contains("content-length")
 				|| request.headers().contains("transfer-encoding");
 		dialect.clean(headers);
 		long hash = HASH.hashBytes(facts.id().getBytes(StandardCharsets.UTF_8));
 		return new RoutedRequest(request.method(), request.target(), headers, request.body(), hasBody, facts, route,
-				owner, urgency, hash);
+				owner, urgency, deferredUrgency, hash);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -34,6 +34,9 @@
 	/** The list of endpoints changed. */
 	FLEET("fleet", "fleet", "endpoints", "leaving", "source"),
 
+	/** Another number of engines is for the requests whose target is the shortest. */
+	DIVISION("division", "pool", "engines", "brief_running", "waiting_work"),
+
 	/** No control VM tells the fleet any more. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -63,6 +63,8 @@
 			gossip.start();
 			return null;
 		});
+		// The address is bound by a task that the start puts into the loop's queue.
+		onLoop(() -> null);
 		return gossip;
 	}
 
@@ -128,7 +130,7 @@
 			LoadDigestRecord damaged = new LoadDigestRecord(1, List.of());
 			damaged.setUses(List.of(new PartUseRecord(1, 2, -3)));
 			byte[] negative = ThriftBytes.encode(damaged);
-			byte[] sound = ThriftBytes.encode(new LoadDigestRecord(2, List.of(new EndpointLoadRecord(5, 1, 9))));
+			byte[] sound = ThriftBytes.encode(new LoadDigestRecord(2, List.of(new EndpointLoadRecord(5, 1, 9, 0))));
 			for (byte[] bytes : List.of(noise, negative, sound)) {
 				socket.send(new DatagramPacket(bytes, bytes.length, receiver.boundAddress()));
 			}
--- a/daemon/src/test/java/org/acaciacourse/daemon/telemetry/QueuedLoggerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/telemetry/QueuedLoggerTests.java
@@ -28,6 +28,15 @@
 		return new QueuedLogger(name, queue);
 	}
 
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	@Nested
 	class BeforeThereIsAnOutput {
 
@@ -112,15 +121,6 @@
 
 	}
 
-	private static void await(CountDownLatch latch) {
-		try {
-			latch.await();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	/** Keeps what is written. */
 	private static final class Output extends AbstractAppender {
 
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -321,6 +321,8 @@
   1: i32 instance,
   2: i32 inFlight,
   3: i64 waitingWork,
+  /* Of the requests in flight those with the shortest targets. */
+  4: i32 brief,
 }
 
 /* An endpoint that the platform lists. */
