--- a/core/src/main/java/org/acaciacourse/core/ini/Units.java
+++ b/core/src/main/java/org/acaciacourse/core/ini/Units.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.ini;
 
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.regex.Matcher;
@@ -12,15 +13,18 @@
  */
 public final class Units {
 
-	private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})\\s*(ms|s|min|h)");
+	private static final Pattern DURATION = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,20})?)\\s*(ms|s|min|h)");
 
 	private static final Pattern BYTES = Pattern.compile("([1-9][0-9]{0,8})\\s*(B|KiB|MiB)");
 
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
 	private Units() {
 	}
 
 	/**
-	 * Read a duration such as {@code 250 ms} or {@code 2 min}.
+	 * Read a duration such as {@code 250 ms}, {@code 2 min} or {@code 1.5 s}. Parts of a
+	 * nanosecond are cut off.
 	 * @param text the text
 	 * @return the duration, if the text is one
 	 */
@@ -29,14 +33,15 @@
 		if (!matcher.matches()) {
 			return Optional.empty();
 		}
-		long amount = Long.parseLong(matcher.group(1));
-		Duration duration = switch (matcher.group(2)) {
-			case "ms" -> Duration.ofMillis(amount);
-			case "s" -> Duration.ofSeconds(amount);
-			case "min" -> Duration.ofMinutes(amount);
-			default -> Duration.ofHours(amount);
+		Duration unit = switch (matcher.group(2)) {
+			case "ms" -> Duration.ofMillis(1);
+			case "s" -> Duration.ofSeconds(1);
+			case "min" -> Duration.ofMinutes(1);
+			default -> Duration.ofHours(1);
 		};
-		return Optional.of(duration);
+		BigDecimal nanos = new BigDecimal(matcher.group(1)).multiply(BigDecimal.valueOf(unit.toNanos()));
+		BigDecimal[] parts = nanos.divideAndRemainder(BigDecimal.valueOf(NANOS_PER_SECOND));
+		return Optional.of(Duration.ofSeconds(parts[0].longValue(), parts[1].longValue()));
 	}
 
 	/**
