Leave a kept connection to the call that uses it

Cause: a second after an answer was whole its call is closed, in case the endpoint never ends the answer. The call closed its connection, which by then served another request: the endpoint saw 299 connections end in one run of ControlFailureTests$Restarted without closing any itself, and the entry took 150 of its own answers for broken off ("Remotely closed", 0 to 58 of 60 tokens passed on). Each was resumed, three times at most; beside other load, when silence is found too (the engine was ahead, the entry had not read it yet), the three were used up and a caller got 305. A request that may not be resumed was lost at the first time.

Ruled out: the engine (no cancel, no exception, no close of its own), the pool's idle timeout (connections that carried tokens).

Change: a connection that was offered for other calls is theirs; closing is decided on its event loop, which also offers it. Tests fail without it.

--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
@@ -47,6 +47,9 @@
 
 	private volatile Channel channel;
 
+	// Set on the event loop of the connection, and read there.
+	private volatile boolean offered;
+
 	private int status;
 
 	private boolean delimited;
@@ -66,18 +69,32 @@
 
 	/**
 	 * Give the call up: nothing more reaches the listener, and the connection is closed,
-	 * as the rest of an answer may still come over it.
+	 * as the rest of an answer may still come over it. A connection that was offered for
+	 * other calls, as the answer came to its end, is theirs and stays open.
 	 * @return whether a byte of the request may have been sent
 	 */
 	public boolean close() {
 		boolean sent = !this.stage.compareAndSet(Stage.PREPARED, Stage.CLOSED) && this.stage.get() == Stage.SENT;
 		Channel open = this.channel;
-		if (open != null) {
-			open.close();
+		if (open != null && open.isOpen()) {
+			open.eventLoop().execute(() -> closeUnlessOffered(open));
 		}
 		return sent;
 	}
 
+	// On the connection's thread, which also offers it: checked elsewhere, another call
+	// could begin on the connection between the check and the closing.
+	private void closeUnlessOffered(Channel open) {
+		if (!this.offered) {
+			open.close();
+		}
+	}
+
+	@Override
+	public void onConnectionOffer(Channel connection) {
+		this.offered = true;
+	}
+
 	@Override
 	public void onTcpConnectSuccess(java.net.InetSocketAddress address, Channel connection) {
 		this.channel = connection;
--- a/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
@@ -98,6 +98,42 @@
 
 	}
 
+	@Nested
+	class Closing {
+
+		private boolean isOpen() {
+			EndpointCallTests.this.channel.runPendingTasks();
+			return EndpointCallTests.this.channel.isOpen();
+		}
+
+		// The rest of an answer that is given up may still come over its connection.
+		@Test
+		void callThatIsUnderWayClosesItsConnection() {
+			EndpointCallTests.this.call.close();
+			assertThat(isOpen()).isFalse();
+		}
+
+		// An answer is whole, and its connection serves another request. A second later
+		// the first call is closed for good, in case its endpoint never ended the answer.
+		// That must not cut the answer which the connection carries by now: its caller
+		// got it in pieces of three attempts, and none if it may not be resumed.
+		@Test
+		void callThatIsOverLeavesItsConnectionToTheNextOne() {
+			EndpointCallTests.this.call.onConnectionOffer(EndpointCallTests.this.channel);
+			EndpointCallTests.this.call.close();
+			assertThat(isOpen()).isTrue();
+		}
+
+		// The order to close crosses the end of the answer on the connection's thread.
+		@Test
+		void connectionThatWasKeptMeanwhileStaysOpen() {
+			EndpointCallTests.this.call.close();
+			EndpointCallTests.this.call.onConnectionOffer(EndpointCallTests.this.channel);
+			assertThat(isOpen()).isTrue();
+		}
+
+	}
+
 	/** Ignores what arrives. */
 	private static final class Ignored implements EndpointCall.Listener {
 
