--- a/bench/src/main/java/org/acaciacourse/bench/cli/Main.java
+++ b/bench/src/main/java/org/acaciacourse/bench/cli/Main.java
@@ -8,6 +8,7 @@
 import org.acaciacourse.bench.control.ControlBench;
 import org.acaciacourse.bench.experiment.ExperimentCommand;
 import org.acaciacourse.bench.load.LoadCommand;
+import org.acaciacourse.bench.losses.LossesCommand;
 import org.acaciacourse.core.code.ResultCode;
 
 /**
@@ -21,7 +22,8 @@
 	}
 
 	private static List<BenchCommand> commands() {
-		return List.of(new ExperimentCommand(), new LoadCommand(), new ManifestSlopes(), new ControlBench());
+		return List.of(new ExperimentCommand(), new LoadCommand(), new ManifestSlopes(), new ControlBench(),
+				new LossesCommand());
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/explain/LogLine.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/explain/LogLine.java
@@ -18,7 +18,7 @@
  * @param event the name of the event
  * @param fields the fields of the event
  */
-record LogLine(Instant at, String vm, String event, JsonNode fields) {
+public record LogLine(Instant at, String vm, String event, JsonNode fields) {
 
 	private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -28,7 +28,7 @@
 	 * @param text the text of the line
 	 * @return the line, if it is one of a decision log
 	 */
-	static Optional<LogLine> parse(String text) {
+	public static Optional<LogLine> parse(String text) {
 		int brace = text.indexOf('{');
 		if (brace < 0) {
 			return Optional.empty();
