--- a/core/src/main/java/org/acaciacourse/core/balance/PromptMemory.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptMemory.java
@@ -68,7 +68,8 @@
 	 */
 	long held(PromptShape shape) {
 		long held = 0;
-		for (PromptShape.Part part : shape.sharedParts()) {
+		for (int i = 0; i < shape.parts().size() - 1; i++) {
+			PromptShape.Part part = shape.parts().get(i);
 			if (!this.parts.containsKey(part.id())) {
 				break;
 			}
