--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -39,7 +39,8 @@
 	 * @return the tokens of all parts but the last
 	 */
 	public long sharedTokens() {
-		// Asked for each engine at each placement: a stream would cost more than the rest.
+		// Asked for each engine at each placement: a stream would cost more than the
+		// rest.
 		long tokens = 0;
 		for (int i = 0; i < this.parts.size() - 1; i++) {
 			tokens += this.parts.get(i).tokens();
