Close a connection that gave a foreign answer although it was offered

A whole answer under another id is offered before its id is looked at, and its connection then served the repeat.

Change: `close` gives the connection up with the call, as before; `release` leaves an offered one to others, and is what ends a call that is over or whose caller left. A test in EndpointCallTests fails without the difference.

--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointCall.java
@@ -68,13 +68,27 @@
 	}
 
 	/**
-	 * Give the call up: nothing more reaches the listener, and the connection is closed,
-	 * as the rest of an answer may still come over it. A connection that was offered for
-	 * other calls, as the answer came to its end, is theirs and stays open.
+	 * Give the call up and its connection with it, whoever uses that by now: what came
+	 * over it cannot be trusted, and neither can what comes next.
 	 * @return whether a byte of the request may have been sent
 	 */
 	public boolean close() {
-		boolean sent = !this.stage.compareAndSet(Stage.PREPARED, Stage.CLOSED) && this.stage.get() == Stage.SENT;
+		boolean sent = giveUp();
+		Channel open = this.channel;
+		if (open != null) {
+			open.close();
+		}
+		return sent;
+	}
+
+	/**
+	 * Give the call up: nothing more reaches the listener. The connection is closed, as
+	 * the rest of the answer may still come over it, unless the answer came to its end
+	 * and the connection was offered for other calls: then it is theirs.
+	 * @return whether a byte of the request may have been sent
+	 */
+	public boolean release() {
+		boolean sent = giveUp();
 		Channel open = this.channel;
 		if (open != null && open.isOpen()) {
 			open.eventLoop().execute(() -> closeUnlessOffered(open));
@@ -82,6 +96,10 @@
 		return sent;
 	}
 
+	private boolean giveUp() {
+		return !this.stage.compareAndSet(Stage.PREPARED, Stage.CLOSED) && this.stage.get() == Stage.SENT;
+	}
+
 	// On the connection's thread, which also offers it: checked elsewhere, another call
 	// could begin on the connection between the check and the closing.
 	private void closeUnlessOffered(Channel open) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/Leg.java
@@ -111,7 +111,7 @@
 	 */
 	boolean close() {
 		this.closed = true;
-		return this.call.close();
+		return this.call.release();
 	}
 
 	@Override
--- a/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
@@ -109,29 +109,38 @@
 		// The rest of an answer that is given up may still come over its connection.
 		@Test
 		void callThatIsUnderWayClosesItsConnection() {
-			EndpointCallTests.this.call.close();
+			EndpointCallTests.this.call.release();
 			assertThat(isOpen()).isFalse();
 		}
 
 		// An answer is whole, and its connection serves another request. A second later
-		// the first call is closed for good, in case its endpoint never ended the answer.
-		// That must not cut the answer which the connection carries by now: its caller
-		// got it in pieces of three attempts, and none if it may not be resumed.
+		// the first call is released, in case its endpoint never ended the answer. That
+		// must not cut the answer which the connection carries by now: its caller got it
+		// in pieces of three attempts, and none if it may not be resumed.
 		@Test
 		void callThatIsOverLeavesItsConnectionToTheNextOne() {
 			EndpointCallTests.this.call.onConnectionOffer(EndpointCallTests.this.channel);
-			EndpointCallTests.this.call.close();
+			EndpointCallTests.this.call.release();
 			assertThat(isOpen()).isTrue();
 		}
 
-		// The order to close crosses the end of the answer on the connection's thread.
+		// The order to release crosses the end of the answer on the connection's thread.
 		@Test
 		void connectionThatWasKeptMeanwhileStaysOpen() {
-			EndpointCallTests.this.call.close();
+			EndpointCallTests.this.call.release();
 			EndpointCallTests.this.call.onConnectionOffer(EndpointCallTests.this.channel);
 			assertThat(isOpen()).isTrue();
 		}
 
+		// A whole answer came under the id of another request. Its connection was offered
+		// before that was seen; the next answer over it would be a foreign one too.
+		@Test
+		void connectionThatIsNotTrustedIsClosedAlthoughItWasOffered() {
+			EndpointCallTests.this.call.onConnectionOffer(EndpointCallTests.this.channel);
+			EndpointCallTests.this.call.close();
+			assertThat(isOpen()).isFalse();
+		}
+
 	}
 
 	/** Ignores what arrives. */
