--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/endpoint/LazySslEnginesTests.java
@@ -0,0 +1,34 @@
+package org.acaciacourse.daemon.endpoint;
+
+import javax.net.ssl.SSLEngine;
+
+import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LazySslEnginesTests {
+
+	private final AsyncHttpClientConfig config = new DefaultAsyncHttpClientConfig.Builder().build();
+
+	// The client prepares its engines at its start; the first connection over TLS has to
+	// find them all the same, set up to check the name of its peer.
+	@Test
+	void firstConnectionGetsAnEngineThatChecksItsPeer() throws Exception {
+		LazySslEngines engines = new LazySslEngines();
+		engines.init(this.config);
+		SSLEngine engine = engines.newSslEngine(this.config, "endpoint.example", 443);
+		assertThat(engine.getUseClientMode()).isTrue();
+		assertThat(engine.getPeerHost()).isEqualTo("endpoint.example");
+		assertThat(engine.getSSLParameters().getEndpointIdentificationAlgorithm()).isEqualTo("HTTPS");
+		engines.destroy();
+	}
+
+	// A process that only spoke plain HTTP ends.
+	@Test
+	void enginesThatWereNeverUsedCanBeEnded() {
+		new LazySslEngines().destroy();
+	}
+
+}
