Spend no rank on what is late where it makes two kinds share one

Cause: each priority of customers had one rank more than there are routes' priorities. With three of each the nine pairs fit into the ten ranks, the twelve levels do not: the two most urgent kinds of the first customers got one rank, and short prompts wait behind longer ones again.

Change: deferral has a rank only where all pairs keep one of their own. The test fails without it.

--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -29,6 +29,11 @@
 
 	private final List<Integer> second;
 
+	// The levels of each customer's priority: those of the routes, and one for what is
+	// late
+	// if all levels then still have a rank of their own.
+	private final int each;
+
 	/**
 	 * Make the scale of a table.
 	 * @param routes the routes
@@ -44,6 +49,8 @@
 		}
 		this.first = List.copyOf(ofCustomers);
 		this.second = List.copyOf(ofRoutes);
+		int withLate = this.second.size() + 1;
+		this.each = (this.first.size() * withLate <= RANKS) ? withLate : this.second.size();
 	}
 
 	private static boolean isRouteLeading(Collection<Route> routes, Collection<KeyOwner> owners) {
@@ -56,12 +63,14 @@
 	 * requests of equal customers and above those of customers with a lower priority.
 	 * @param route its route, one of the table
 	 * @param owner its customer, one of the table, if there is any
-	 * @return the rank, if no route of the table is less urgent; else a less urgent
-	 * request would go before it
+	 * @return the rank, if there is one to spare and no route of the table is less
+	 * urgent: a less urgent request would go before it
 	 */
 	OptionalInt deferredRank(Route route, Optional<KeyOwner> owner) {
 		boolean least = this.second.indexOf(route.priority()) == this.second.size() - 1;
-		return (least) ? OptionalInt.of(ranked(leading(route, owner), this.second.size())) : OptionalInt.empty();
+		boolean spare = this.each > this.second.size();
+		return (least && spare) ? OptionalInt.of(ranked(leading(route, owner), this.second.size()))
+				: OptionalInt.empty();
 	}
 
 	/**
@@ -79,11 +88,9 @@
 		return this.first.indexOf(priority);
 	}
 
-	// Each level of customers has one rank more than there are levels of routes.
 	private int ranked(int leading, int following) {
-		int each = this.second.size() + 1;
-		int level = leading * each + following;
-		int levels = this.first.size() * each;
+		int level = leading * this.each + following;
+		int levels = this.first.size() * this.each;
 		return (levels <= RANKS) ? level : level * RANKS / levels;
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -109,6 +109,23 @@
 	@Nested
 	class ManyLevels {
 
+		/*
+		 * Three priorities of customers and three of routes fill nine of the ten ranks. A
+		 * rank for what is late would make two kinds share one: the short prompts of the
+		 * first customers would wait behind longer ones again.
+		 */
+		@Test
+		void pairsThatFitAreToldApartWithoutARankForWhatIsLate() {
+			List<Route> routes = List.of(route(0), route(1), route(2));
+			List<KeyOwner> owners = IntStream.range(0, 3).mapToObj((i) -> owner(OptionalInt.of(i))).toList();
+			UrgencyScale scale = new UrgencyScale(routes, owners);
+			List<Integer> ranks = owners.stream()
+				.flatMap((owner) -> routes.stream().map((route) -> scale.rank(route, Optional.of(owner))))
+				.toList();
+			assertThat(ranks).isInStrictOrder();
+			assertThat(scale.deferredRank(route(2), Optional.of(owners.get(0)))).isEqualTo(OptionalInt.empty());
+		}
+
 		/*
 		 * Seven priorities of customers and eight of routes make more pairs than ranks.
 		 */
