A control VM that joins is ready as a voter only

The leader takes three steps of 100 ms or more from admission to promotion, and the VM's old voter goes before the promotion; whoever stopped the next VM in between left one voter of two.

Shown: with the steps 1.5 s apart the test fails with the same output, its members at the kill are [control-0 (learner), control-1, control-2]; with this change it passes with the steps 1.5 s apart. Ruled out: an election that the promoted replica loses (members and terms in the logs), the limit of `apply` (15 s, refused for all of them). Not reproduced at the real steps under 14 busy loops on 8 cores (3 of 3 green).

The new test replicaThatJoinsIsReadyAsAVoterOnly was red in 2 of 2 runs before and is green now.

--- a/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -167,6 +167,21 @@
 		return Optional.of(current.with(member));
 	}
 
+	/**
+	 * Return whether a replica has the place that it will keep: that of a voter, or that
+	 * of a spare learner while the voters of other VMs fill all places. A learner that is
+	 * to be promoted is not settled, and until then its VM counts for no quorum: the loss
+	 * of another voter would stop the log.
+	 * @param current the membership in force
+	 * @param id the replica
+	 * @return whether it is listed and no step of this class is due for it
+	 */
+	public static boolean isSettled(Membership current, ReplicaId id) {
+		Optional<Member> member = current.member(id);
+		return member.isPresent() && (member.get().voter()
+				|| (current.voters().size() >= MAX_VOTERS && oldVoter(current, member.get()).isEmpty()));
+	}
+
 	private static Optional<Member> oldVoter(Membership current, Member learner) {
 		return current.members()
 			.stream()
--- a/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -114,6 +114,28 @@
 		assertThat(nextWithoutB(full)).isEqualTo(Optional.empty());
 	}
 
+	// A replica with an empty folder says that it is ready, and whoever replaces the
+	// control VMs one by one stops the next one. Were it a learner still, two voters of
+	// three would be gone, and the log would stop until one of them came back.
+	@Test
+	void replicaThatJoinsIsSettledAsAVoterOnly() {
+		assertThat(MembershipManager.isSettled(new Membership(List.of(A, B, C)), NEW_B.id())).isFalse();
+		assertThat(MembershipManager.isSettled(new Membership(List.of(A, B, C, NEW_B)), NEW_B.id())).isFalse();
+		Membership removed = new Membership(List.of(A, C, NEW_B));
+		assertThat(MembershipManager.isSettled(removed, NEW_B.id())).isFalse();
+		Membership promoted = removed.with(member(4, "b", true));
+		assertThat(MembershipManager.isSettled(promoted, NEW_B.id())).isTrue();
+	}
+
+	@Test
+	void learnerIsSettledWhileTheVotersOfOthersFillAllPlaces() {
+		Member spare = member(9, "f", false);
+		Membership full = new Membership(List.of(A, B, C, member(7, "d", true), member(8, "e", true), spare));
+		assertThat(MembershipManager.isSettled(full, spare.id())).isTrue();
+		Membership replaced = full.with(NEW_B);
+		assertThat(MembershipManager.isSettled(replaced, NEW_B.id())).isFalse();
+	}
+
 	private Optional<Membership> nextWithoutB(Membership current) {
 		return this.manager.next(current, true, 10, (id) -> 10, (id) -> !id.equals(B.id()));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -16,6 +16,7 @@
 import org.acaciacourse.core.consensus.Member;
 import org.acaciacourse.core.consensus.Membership;
 import org.acaciacourse.core.consensus.MembershipCodec;
+import org.acaciacourse.core.consensus.MembershipManager;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
 import org.acaciacourse.core.order.OrderTiming;
 import org.acaciacourse.daemon.inner.InnerConnection;
@@ -227,12 +228,18 @@
 	}
 
 	/**
-	 * Return whether this replica takes part and has known the latest state once.
+	 * Return whether this replica takes part, with the place among the members that it
+	 * will keep, and has known the latest state once. Whoever replaces control VMs one by
+	 * one goes on when the last one is ready: a replica that joined with an empty folder
+	 * and is a learner yet would leave the others without a quorum.
 	 * @return whether it is ready
 	 */
 	public boolean isReady() {
-		boolean led = this.loop.filter((l) -> l.board().latest().status().leader().isPresent()).isPresent();
-		return led && this.latestKnown && !this.stopping && !this.ended.isDone();
+		boolean placed = this.loop.map((l) -> l.board().latest())
+			.filter((p) -> p.status().leader().isPresent())
+			.filter((p) -> MembershipManager.isSettled(p.membership(), this.self.id()))
+			.isPresent();
+		return placed && this.latestKnown && !this.stopping && !this.ended.isDone();
 	}
 
 	/**
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
@@ -159,6 +159,30 @@
 			return now.size() == 3 && now.stream().allMatch(MemberRecord::isVoter) && !now.equals(before);
 		}
 
+		@Test
+		void replicaThatJoinsIsReadyAsAVoterOnly() throws Exception {
+			// A VM lost its disk and comes back empty. Its replica has a leader and the
+			// latest state while it is a learner yet; if it said then that it is ready,
+			// an
+			// operator would stop the next VM, and one voter of two would be left.
+			try (ControlCluster cluster = cluster().startAll()) {
+				int lost = (cluster.leader() + 1) % 3;
+				cluster.kill(lost);
+				delete(cluster.data(lost));
+				ControlDaemon empty = cluster.start(lost);
+				ControlCluster.await("ready", empty::isReady);
+				assertThat(isVoterWithoutALearner(cluster.status(lost).getMembers(), lost)).isTrue();
+				cluster.kill((lost + 1) % 3);
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+			}
+		}
+
+		private boolean isVoterWithoutALearner(List<MemberRecord> members, int lost) {
+			return members.stream()
+				.filter((member) -> member.getVm().equals("control-" + lost))
+				.allMatch(MemberRecord::isVoter);
+		}
+
 		@Test
 		void emptyReplicaDoesNotFoundWhileAnotherFounderIsSilent() throws Exception {
 			// One VM lost its disk, and of the others one is dead and one not up yet. An
