The routed path decides by a policy with named mechanisms

Constants of the balancer, the division of engines, the queue, the ranks, the silence of attempts and the start become one record (RoutingPolicy) with 19 mechanisms that can be off and 19 figures with unit, range and ground, read from the section [routing-policy] of an entry's settings, checked whole, refused with line and range, taken without a restart, told in the log and in a metric. The defaults are the constants as they stood; nothing else changes.

Not built: the policy in the manifest. Not measured here.

--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -23,37 +23,9 @@
  */
 final class BriefEngines {
 
-	/** The part of the endpoints to begin with, until it is seen what they need. */
-	private static final double FIRST_SHARE = 0.25;
-
 	/** With fewer endpoints a crash would leave one of the two kinds without any. */
 	private static final int LEAST_TO_DIVIDE = 4;
 
-	/**
-	 * The part of the slots that brief requests may fill before there is another engine
-	 * for them, whatever waits elsewhere. A step of a batch grows with the requests in
-	 * it, so that beyond this a little more load makes the batch fill up.
-	 */
-	private static final double MOST_FILLED = 0.9;
-
-	/**
-	 * The part of the slots that they may fill on one engine less for that one to be
-	 * given back: below {@link #MOST_FILLED}, as they run longer on fewer engines.
-	 */
-	private static final double FILLED_AFTER = 0.6;
-
-	/** What they fill before they get an engine that nobody else needs. */
-	private static final double LEAST_FILLED = 0.25;
-
-	/**
-	 * The work that waits at each engine for long prompts when these need another one: a
-	 * usual prompt.
-	 */
-	private static final double PRESSED_WORK = 10_000;
-
-	/** The work below which they do not need all that they have. */
-	private static final double CALM_WORK = 4_000;
-
 	/** Over what time the waiting work is taken: prompts come in clumps. */
 	private static final double SMOOTHING_NANOS = 500_000_000;
 
@@ -65,6 +37,8 @@
 	 */
 	private static final long STEP_NANOS = 20_000_000L;
 
+	private RoutingPolicy policy = RoutingPolicy.DEFAULT;
+
 	private List<EndpointLoad> order = List.of();
 
 	private final Set<EndpointLoad> brief = new HashSet<>();
@@ -80,6 +54,17 @@
 
 	private long changedAt = Long.MIN_VALUE / 2;
 
+	/**
+	 * Set how the number of engines is found from now on.
+	 * @param next the policy
+	 * @param loads the endpoints
+	 */
+	void policy(RoutingPolicy next, Collection<EndpointLoad> loads) {
+		this.policy = next;
+		this.size = 0;
+		divide(loads);
+	}
+
 	/**
 	 * Divide the endpoints of a pool.
 	 * @param loads the endpoints
@@ -90,11 +75,11 @@
 			.sorted(Comparator.comparingLong(EndpointLoad::hash))
 			.toList();
 		if (this.size == 0) {
-			this.size = (int) Math.round(this.order.size() * FIRST_SHARE);
+			this.size = (int) Math.round(this.order.size() * value(RoutingParameter.FIRST_BRIEF_SHARE));
 		}
 		this.size = Math.min(this.size, this.order.size() / 2);
 		this.brief.clear();
-		if (this.order.size() >= LEAST_TO_DIVIDE) {
+		if (this.order.size() >= LEAST_TO_DIVIDE && this.policy.isOn(RoutingMechanism.BRIEF_ENGINES)) {
 			this.order.stream().limit(this.size).forEach(this.brief::add);
 		}
 	}
@@ -102,9 +87,10 @@
 	// The next ones stand in for those that are lost: brief requests would be spread over
 	// all engines for long prompts otherwise, and be late there.
 	private void pick(long now) {
+		boolean standIns = this.policy.isOn(RoutingMechanism.BRIEF_STAND_INS);
 		this.brief.clear();
 		for (EndpointLoad load : this.order) {
-			if (this.brief.size() < this.size && load.isSound(now)) {
+			if (this.brief.size() < this.size && (!standIns || load.isSound(now))) {
 				this.brief.add(load);
 			}
 		}
@@ -123,18 +109,24 @@
 		}
 		pick(now);
 		measure(now);
-		if (now - this.changedAt < SETTLE_NANOS) {
+		if (now - this.changedAt < SETTLE_NANOS || !this.policy.isOn(RoutingMechanism.BRIEF_ENGINES_FOLLOW_LOAD)) {
 			return;
 		}
-		double most = (this.waiting < CALM_WORK) ? LEAST_FILLED : MOST_FILLED;
+		double most = value((this.waiting < value(RoutingParameter.CALM_WORK)) ? RoutingParameter.LEAST_FILLED
+				: RoutingParameter.MOST_FILLED);
 		if (this.running > most * slots(this.size)) {
 			change(Math.min(this.order.size() / 2, this.size + 1), now);
 		}
-		else if (this.waiting > PRESSED_WORK && this.size > 1 && this.running < FILLED_AFTER * slots(this.size - 1)) {
+		else if (this.waiting > value(RoutingParameter.PRESSED_WORK) && this.size > 1
+				&& this.running < value(RoutingParameter.FILLED_AFTER) * slots(this.size - 1)) {
 			change(this.size - 1, now);
 		}
 	}
 
+	private double value(RoutingParameter parameter) {
+		return this.policy.value(parameter);
+	}
+
 	private void measure(long now) {
 		double next = this.order.stream()
 			.filter((load) -> !this.brief.contains(load))
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
@@ -3,82 +3,44 @@
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * What it costs to put a request at an endpoint, in prompt tokens: what the request waits
- * there, and what those wait longer that are there.
+ * What it costs to put a request at an endpoint under a policy, in prompt tokens: what
+ * the request waits there, and what those wait longer that are there.
  * <p>
- * Thread safe: it has no state.
+ * Immutable and thread safe.
  */
 final class PlacementCost {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
-	/**
-	 * What a running request costs one that joins it, in prompt tokens: a step of a batch
-	 * takes about 0.18 ms longer with each, an engine reads some 60 tokens in a
-	 * millisecond, and a target covers some twenty steps.
-	 */
-	private static final double TOKENS_PER_RUNNING = 220;
-
-	/**
-	 * What reading a prompt where its shared part is not held costs, as a multiple of its
-	 * work. An engine holds little more than its shared parts beside the requests that
-	 * run, so that a part which is held twice drives out another one, and that one is
-	 * read again. With 3 in place of 10 a day of twice the usual load on thirteen engines
-	 * read 2.3 million tokens again, not 1.4.
-	 */
-	private static final double ANEW_FACTOR = 10;
-
 	/** The work of a usual prompt, by which the requests that wait are estimated. */
 	private static final double USUAL_WORK = 10_000;
 
-	/**
-	 * What it costs to put a brief request where long prompts belong: the work of two or
-	 * three of those, which it is likely to wait for.
-	 */
-	private static final double BRIEF_ELSEWHERE_WORK = 40_000;
+	private final RoutingPolicy policy;
 
-	/**
-	 * What it costs to put a long prompt where brief requests belong: more than its own
-	 * endpoints ever have waiting while any of them lives, as each such prompt delays
-	 * some ten brief answers that are worth more.
-	 */
-	private static final double LONG_ELSEWHERE_WORK = 500_000;
+	private final double running;
 
-	/**
-	 * What a short prompt costs where brief requests belong, beside what it delays: work
-	 * that has to wait elsewhere before it is worth to mix the kinds.
-	 */
-	private static final double SHORT_ELSEWHERE_WORK = 10_000;
+	private final double waiting;
 
-	/**
-	 * What a brief answer that runs beside costs a prompt which does not make it late, as
-	 * a part of the work on that prompt, by which the answer is delayed.
-	 */
-	private static final double BESIDE_FACTOR = 0.5;
+	private final double anew;
 
-	/**
-	 * What a brief answer costs that a prompt makes late: work of half a second, about as
-	 * much as the prompt itself is late elsewhere in a burst, for each of those answers.
-	 */
-	private static final double MADE_LATE_WORK = 30_000;
+	private final double failure;
 
-	/** What a request that waits at the endpoint costs, in prompt tokens. */
-	private static final double TOKENS_PER_WAITING = 4_000;
+	private final double connection;
 
-	/**
-	 * What a failure rate of 1 costs, in prompt tokens: more than any queue, so that an
-	 * endpoint that fails is taken when nothing else is left.
-	 */
-	private static final double TOKENS_PER_FAILURE = 60_000;
+	private final double lateAnswer;
 
-	/**
-	 * What a new connection costs, in prompt tokens: the time of two round trips and of
-	 * the endpoint's work on it, some milliseconds. Less than a request that runs beside,
-	 * so that it only decides between endpoints that are about equally busy.
-	 */
-	private static final double CONNECTION_WORK = 200;
+	PlacementCost(RoutingPolicy policy) {
+		this.policy = policy;
+		this.running = policy.value(RoutingParameter.RUNNING_COST);
+		this.waiting = policy.value(RoutingParameter.WAITING_COST);
+		this.anew = price(RoutingMechanism.PRICE_OF_READING_ANEW, RoutingParameter.ANEW_FACTOR, 1);
+		this.failure = price(RoutingMechanism.PRICE_OF_FAILURES, RoutingParameter.FAILURE_COST, 0);
+		this.connection = price(RoutingMechanism.PRICE_OF_CONNECTIONS, RoutingParameter.CONNECTION_COST, 0);
+		this.lateAnswer = price(RoutingMechanism.PRICE_OF_LATE_ANSWERS, RoutingParameter.LATE_ANSWER_COST, 0);
+	}
 
-	private PlacementCost() {
+	private double price(RoutingMechanism mechanism, RoutingParameter parameter, double otherwise) {
+		return (this.policy.isOn(mechanism)) ? this.policy.value(parameter) : otherwise;
 	}
 
 	/**
@@ -91,9 +53,9 @@
 	 * @param now the time
 	 * @return the cost
 	 */
-	static double of(EndpointLoad load, Placement asked, long held, boolean isPlace, long now) {
-		long waiting = load.waitingWork();
-		return waiting + work(asked.shape(), held, isPlace, waiting) + running(load, now) + failures(load, now)
+	double of(EndpointLoad load, Placement asked, long held, boolean isPlace, long now) {
+		long ahead = load.waitingWork();
+		return ahead + work(asked.shape(), held, isPlace, ahead) + running(load, now) + failures(load, now)
 				+ tieBreak(load, asked.salt());
 	}
 
@@ -101,32 +63,31 @@
 	// it is read once more. Whatever is read delays all that wait there: when all queues
 	// are long, reading parts in many places makes them longer still, until engines do
 	// little else.
-	private static double work(PromptShape shape, long held, boolean isPlace, long waiting) {
-		double delayed = waiting / USUAL_WORK;
-		return (((isPlace) ? 1 : ANEW_FACTOR) + delayed) * shape.work(held);
+	private double work(PromptShape shape, long held, boolean isPlace, long ahead) {
+		double delayed = ahead / USUAL_WORK;
+		return (((isPlace) ? 1 : this.anew) + delayed) * shape.work(held);
 	}
 
 	// A service with few slots is full with few requests: a request there costs as much
-	// as
-	// a full batch shared by its slots.
-	private static double running(EndpointLoad load, long now) {
+	// as a full batch shared by its slots.
+	private double running(EndpointLoad load, long now) {
 		double slots = load.endpoint().slots();
-		int running = load.running(now);
-		double over = Math.max(0, running + 1 - slots);
-		return Math.max(TOKENS_PER_RUNNING, TOKENS_PER_WAITING / slots) * running
-				+ TOKENS_PER_WAITING * (over + load.waiting(now));
+		int runs = load.running(now);
+		double over = Math.max(0, runs + 1 - slots);
+		return Math.max(this.running, this.waiting / slots) * runs + this.waiting * (over + load.waiting(now));
 	}
 
-	private static double failures(EndpointLoad load, long now) {
-		return TOKENS_PER_FAILURE * ((load.isSuspect(now)) ? 1 : load.failureRate(now));
+	private double failures(EndpointLoad load, long now) {
+		boolean suspect = this.policy.isOn(RoutingMechanism.SUSPECTS) && load.isSuspect(now);
+		return this.failure * ((suspect) ? 1 : load.failureRate(now));
 	}
 
 	/**
 	 * Return the cost of putting a brief request where long prompts belong.
 	 * @return the cost
 	 */
-	static double briefElsewhere() {
-		return BRIEF_ELSEWHERE_WORK;
+	double briefElsewhere() {
+		return this.policy.value(RoutingParameter.BRIEF_ELSEWHERE_COST);
 	}
 
 	/**
@@ -135,8 +96,10 @@
 	 * @param harmless the work that makes no brief answer late
 	 * @return the cost
 	 */
-	static double elsewhere(long work, long harmless) {
-		return (work > harmless) ? LONG_ELSEWHERE_WORK : SHORT_ELSEWHERE_WORK;
+	double elsewhere(long work, long harmless) {
+		boolean isShort = work <= harmless && this.policy.isOn(RoutingMechanism.SHORT_BESIDE_BRIEF);
+		return this.policy
+			.value((isShort) ? RoutingParameter.SHORT_ELSEWHERE_COST : RoutingParameter.LONG_ELSEWHERE_COST);
 	}
 
 	/**
@@ -146,16 +109,16 @@
 	 * @param harmless the work that makes no brief answer late
 	 * @return the cost
 	 */
-	static double beside(int brief, long work, long harmless) {
-		return brief * ((work > harmless) ? MADE_LATE_WORK : BESIDE_FACTOR * work);
+	double beside(int brief, long work, long harmless) {
+		return brief * ((work > harmless) ? this.lateAnswer : this.policy.value(RoutingParameter.BESIDE_FACTOR) * work);
 	}
 
 	/**
 	 * Return the cost of a new connection.
 	 * @return the cost
 	 */
-	static double connection() {
-		return CONNECTION_WORK;
+	double connection() {
+		return this.connection;
 	}
 
 	// Below one token: VMs that know nothing of each other's requests should not all take
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -38,13 +38,6 @@
 	/** The longest pause between events that routes of today aim for. */
 	private static final long USUAL_GAP_MILLIS = 150;
 
-	/**
-	 * The work that may come between two events, for each millisecond of the gap that is
-	 * aimed for: engines read some 50 tokens in one, and the steps of the batch take the
-	 * larger part of the gap.
-	 */
-	private static final long HARMLESS_TOKENS_PER_MILLI = 20;
-
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
 	/** Under the short names of digests, of which one comes for every few requests. */
@@ -58,7 +51,13 @@
 
 	private long engineTokens;
 
-	private long harmlessWork = USUAL_GAP_MILLIS * HARMLESS_TOKENS_PER_MILLI;
+	private long shortestGapMillis = USUAL_GAP_MILLIS;
+
+	private RoutingPolicy policy = RoutingPolicy.DEFAULT;
+
+	private PlacementCost cost = new PlacementCost(this.policy);
+
+	private long harmlessWork = harmlessWork();
 
 	private final BriefEngines brief = new BriefEngines();
 
@@ -76,6 +75,21 @@
 		this.connected = connected;
 	}
 
+	/**
+	 * Set how the balancer decides from now on.
+	 * @param next the policy
+	 */
+	public void policy(RoutingPolicy next) {
+		this.policy = next;
+		this.cost = new PlacementCost(next);
+		this.harmlessWork = harmlessWork();
+		this.brief.policy(next, this.loads.values());
+	}
+
+	private long harmlessWork() {
+		return Math.round(this.shortestGapMillis * this.policy.value(RoutingParameter.HARMLESS_WORK));
+	}
+
 	/**
 	 * Return what this VM has under way.
 	 * @return the load at each endpoint where there is any
@@ -98,7 +112,8 @@
 	 * @param millis the pause
 	 */
 	public void shortestGap(long millis) {
-		this.harmlessWork = millis * HARMLESS_TOKENS_PER_MILLI;
+		this.shortestGapMillis = millis;
+		this.harmlessWork = harmlessWork();
 	}
 
 	/**
@@ -165,14 +180,14 @@
 	private double cost(EndpointLoad load, Placement asked, Optional<EndpointLoad> home, long now) {
 		long held = load.memory().held(asked.shape());
 		boolean isPlace = home.isEmpty() || home.get() == load || held == asked.shape().sharedTokens();
-		double cost = PlacementCost.of(load, asked, held, isPlace, now);
+		double sum = this.cost.of(load, asked, held, isPlace, now);
 		if (this.brief.isDivided() && asked.shape().promptTokens() > 0) {
-			cost += mixing(load, asked, held);
+			sum += mixing(load, asked, held);
 		}
 		if (!this.connected.test(load.endpoint().instance())) {
-			cost += PlacementCost.connection();
+			sum += this.cost.connection();
 		}
-		return cost;
+		return sum;
 	}
 
 	// An engine reads a prompt between the tokens of all that run there: a long one makes
@@ -180,16 +195,16 @@
 	private double mixing(EndpointLoad load, Placement asked, long held) {
 		boolean forBrief = this.brief.contains(load);
 		if (asked.brief()) {
-			return (forBrief) ? 0 : PlacementCost.briefElsewhere();
+			return (forBrief) ? 0 : this.cost.briefElsewhere();
 		}
 		long work = asked.shape().work(held);
-		double cost = PlacementCost.beside(load.brief(), work, this.harmlessWork);
-		return (forBrief) ? cost + PlacementCost.elsewhere(work, this.harmlessWork) : cost;
+		double beside = this.cost.beside(load.brief(), work, this.harmlessWork);
+		return (forBrief) ? beside + this.cost.elsewhere(work, this.harmlessWork) : beside;
 	}
 
 	private Optional<EndpointLoad> home(Placement asked, long now) {
 		long key = asked.shape().sharedId();
-		if (key == 0 || !asked.affinity() || asked.brief()) {
+		if (key == 0 || !asked.affinity() || asked.brief() || !this.policy.isOn(RoutingMechanism.HOME_OF_PARTS)) {
 			return Optional.empty();
 		}
 		EndpointLoad home = null;
@@ -216,7 +231,8 @@
 	}
 
 	private boolean isUsable(EndpointLoad load, Set<String> without, long now) {
-		return !load.endpoint().leaving() && !load.isPaused(now) && load.inFlight() < this.connectionsEach
+		boolean paused = load.isPaused(now) && this.policy.isOn(RoutingMechanism.PAUSES);
+		return !load.endpoint().leaving() && !paused && load.inFlight() < this.connectionsEach
 				&& !without.contains(load.endpoint().instance());
 	}
 
@@ -255,7 +271,7 @@
 	}
 
 	private void tellLater(PartUse use) {
-		if (this.untold.size() < MOST_UNTOLD) {
+		if (this.policy.isOn(RoutingMechanism.PARTS_TOLD) && this.untold.size() < MOST_UNTOLD) {
 			this.untold.add(use);
 		}
 	}
@@ -307,6 +323,9 @@
 	 * @return whether what waits there takes longer, by what is known
 	 */
 	public boolean isLate(String instance, PromptShape shape, long left) {
+		if (!this.policy.isOn(RoutingMechanism.DEFERRAL)) {
+			return false;
+		}
 		return find(instance).map((load) -> {
 			long work = load.waitingWork() + shape.work(load.memory().held(shape));
 			return this.pace.nanos(work) > left;
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicy.java
@@ -0,0 +1,77 @@
+package org.acaciacourse.core.balance;
+
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * How the routed path decides: which mechanisms are off and which figures differ from
+ * their defaults. Invariants: no mechanism is on without the one that it needs; all
+ * values are within their range.
+ * <p>
+ * Immutable and thread safe.
+ *
+ * @param name what logs and metrics call the policy
+ * @param off the mechanisms that are switched off
+ * @param values the values of parameters that are not at their defaults
+ */
+public record RoutingPolicy(String name, Set<RoutingMechanism> off, Map<RoutingParameter, Double> values) {
+
+	/** All mechanisms with the figures that were measured. */
+	public static final RoutingPolicy DEFAULT = new RoutingPolicy("default", Set.of(), Map.of());
+
+	public RoutingPolicy {
+		Objects.requireNonNull(name, "name");
+		EnumSet<RoutingMechanism> switchedOff = EnumSet.noneOf(RoutingMechanism.class);
+		switchedOff.addAll(off);
+		off = Collections.unmodifiableSet(switchedOff);
+		EnumMap<RoutingParameter, Double> given = new EnumMap<>(RoutingParameter.class);
+		given.putAll(values);
+		values = Collections.unmodifiableMap(given);
+		if (!withoutNeeded(off).isEmpty()) {
+			throw new IllegalArgumentException("on without what they need: " + withoutNeeded(off));
+		}
+		values.forEach((parameter, value) -> {
+			if (!parameter.permits(value)) {
+				throw new IllegalArgumentException(parameter.label() + " is not " + parameter.range());
+			}
+		});
+	}
+
+	/**
+	 * Find the mechanisms that would be on without the one that they need.
+	 * @param off the mechanisms that are off
+	 * @return those mechanisms
+	 */
+	static List<RoutingMechanism> withoutNeeded(Set<RoutingMechanism> off) {
+		return EnumSet.allOf(RoutingMechanism.class)
+			.stream()
+			.filter((mechanism) -> !off.contains(mechanism))
+			.filter((mechanism) -> mechanism.needs().filter(off::contains).isPresent())
+			.toList();
+	}
+
+	/**
+	 * Return whether a mechanism is in use.
+	 * @param mechanism the mechanism
+	 * @return whether it is on
+	 */
+	public boolean isOn(RoutingMechanism mechanism) {
+		return !this.off.contains(mechanism);
+	}
+
+	/**
+	 * Return the value of a parameter.
+	 * @param parameter the parameter
+	 * @return the value, in the parameter's unit
+	 */
+	public double value(RoutingParameter parameter) {
+		Double given = this.values.get(parameter);
+		return (given != null) ? given : parameter.defaultValue();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicyParser.java
@@ -0,0 +1,106 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import io.vavr.control.Either;
+import org.acaciacourse.core.ini.IniText;
+import org.acaciacourse.core.ini.Problem;
+
+/**
+ * Reads a {@link RoutingPolicy} from the section {@value #SECTION} of a settings file:
+ * {@code name}, mechanisms as {@code on} or {@code off}, parameters as numbers. Without
+ * the section the default policy holds. A policy is taken whole or not at all.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class RoutingPolicyParser {
+
+	/** The name of the section. */
+	public static final String SECTION = "routing-policy";
+
+	private static final String NAME = "name";
+
+	private static final String ON = "on";
+
+	private static final String OFF = "off";
+
+	private final IniText ini;
+
+	private final List<Problem> problems = new ArrayList<>();
+
+	private RoutingPolicyParser(IniText ini) {
+		this.ini = ini;
+	}
+
+	/**
+	 * Read the policy of a settings file.
+	 * @param ini the file
+	 * @return the policy, or what is wrong with the section
+	 */
+	public static Either<List<Problem>, RoutingPolicy> parse(IniText ini) {
+		return new RoutingPolicyParser(ini).policy();
+	}
+
+	private Either<List<Problem>, RoutingPolicy> policy() {
+		SortedMap<String, String> keys = this.ini.sections().getOrDefault(SECTION, new TreeMap<>());
+		Set<RoutingMechanism> off = EnumSet.noneOf(RoutingMechanism.class);
+		Map<RoutingParameter, Double> values = new EnumMap<>(RoutingParameter.class);
+		String name = RoutingPolicy.DEFAULT.name();
+		for (Map.Entry<String, String> entry : keys.entrySet()) {
+			Optional<RoutingMechanism> mechanism = RoutingMechanism.ofLabel(entry.getKey());
+			Optional<RoutingParameter> parameter = RoutingParameter.ofLabel(entry.getKey());
+			if (mechanism.isPresent()) {
+				if (isOff(entry)) {
+					off.add(mechanism.get());
+				}
+			}
+			else if (parameter.isPresent()) {
+				number(entry, parameter.get()).ifPresent((value) -> values.put(parameter.get(), value));
+			}
+			else if (entry.getKey().equals(NAME) && !entry.getValue().isEmpty()) {
+				name = entry.getValue();
+			}
+			else {
+				tell(entry.getKey(), (entry.getKey().equals(NAME)) ? "empty" : "no mechanism and no parameter");
+			}
+		}
+		RoutingPolicy.withoutNeeded(off)
+			.forEach((m) -> tell(m.label(), "needs " + m.needs().orElseThrow().label() + ", which is off"));
+		return (this.problems.isEmpty()) ? Either.right(new RoutingPolicy(name, off, values))
+				: Either.left(this.problems);
+	}
+
+	private boolean isOff(Map.Entry<String, String> entry) {
+		if (!entry.getValue().equals(ON) && !entry.getValue().equals(OFF)) {
+			tell(entry.getKey(), "expected on or off");
+		}
+		return entry.getValue().equals(OFF);
+	}
+
+	private Optional<Double> number(Map.Entry<String, String> entry, RoutingParameter parameter) {
+		try {
+			double value = Double.parseDouble(entry.getValue());
+			if (parameter.permits(value)) {
+				return Optional.of(value);
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Told below, as for a number out of range.
+		}
+		tell(entry.getKey(), "expected a number " + parameter.range());
+		return Optional.empty();
+	}
+
+	private void tell(String key, String text) {
+		this.problems.add(new Problem(this.ini.line(SECTION, key), SECTION, key, text));
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -106,6 +106,17 @@
 		return this.urgency.rank(route, owner);
 	}
 
+	/**
+	 * Return the priority of a request, its customer's or else its route's, without the
+	 * order of the routes of equal customers that {@link #urgency} makes.
+	 * @param route its route
+	 * @param owner its customer, if there is any
+	 * @return the priority, 0 is the highest
+	 */
+	public static int priority(Route route, Optional<KeyOwner> owner) {
+		return UrgencyScale.priority(route, owner);
+	}
+
 	/**
 	 * Return the rank of a request that its target passes in any case.
 	 * @param route its route, one of this table
--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -84,8 +84,11 @@
 	}
 
 	private int leading(Route route, Optional<KeyOwner> owner) {
-		int priority = owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
-		return this.first.indexOf(priority);
+		return this.first.indexOf(priority(route, owner));
+	}
+
+	static int priority(Route route, Optional<KeyOwner> owner) {
+		return owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
 	}
 
 	private int ranked(int leading, int following) {
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -76,6 +76,71 @@
 
 	}
 
+	// What a policy switches off has no part in the choice, and comes back when the next
+	// policy has it, with what was learnt meanwhile.
+	@Nested
+	class Policies {
+
+		private void policy(RoutingMechanism... off) {
+			PoolBalancerTests.this.balancer.policy(new RoutingPolicy("p", Set.of(off), Map.of()));
+		}
+
+		@Test
+		void pauseHoldsOnlyWhilePausesAreOn() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PoolBalancerTests.this.balancer.end("i0", Outcome.LOST, 0);
+			assertThat(choose(prompt(1), 1, Set.of(), 1).isPresent()).isFalse();
+			policy(RoutingMechanism.PAUSES);
+			assertThat(choose(prompt(1), 1, Set.of(), 1).isPresent()).isTrue();
+			policy();
+			assertThat(choose(prompt(1), 1, Set.of(), 1).isPresent()).isFalse();
+		}
+
+		@Test
+		void failuresCountOnlyWhileTheyHaveAPrice() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			PromptShape alone = new PromptShape(1_000, 1, List.of());
+			String home = choose(alone, 1, Set.of(), 0).get();
+			IntStream.range(0, 20).forEach((i) -> PoolBalancerTests.this.balancer.end(home, Outcome.FAILED, 0));
+			assertThat(choose(alone, 1, Set.of(), 1).get()).isNotEqualTo(home);
+			policy(RoutingMechanism.PRICE_OF_FAILURES);
+			assertThat(choose(alone, 1, Set.of(), 1).get()).isEqualTo(home);
+		}
+
+		@Test
+		void partsAreToldOnlyWhileThatIsOn() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(2));
+			policy(RoutingMechanism.PARTS_TOLD);
+			PoolBalancerTests.this.balancer.begin("i0", prompt(1), 0);
+			assertThat(PoolBalancerTests.this.balancer.takeUntold()).isEmpty();
+			policy();
+			PoolBalancerTests.this.balancer.begin("i0", prompt(1), 0);
+			assertThat(PoolBalancerTests.this.balancer.takeUntold()).isNotEmpty();
+		}
+
+		@Test
+		void poolIsDividedOnlyWhileThereAreEnginesForBriefRequests() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(8));
+			assertThat(PoolBalancerTests.this.balancer.division().isPresent()).isTrue();
+			policy(RoutingMechanism.BRIEF_ENGINES, RoutingMechanism.BRIEF_ENGINES_FOLLOW_LOAD,
+					RoutingMechanism.BRIEF_STAND_INS, RoutingMechanism.SHORT_BESIDE_BRIEF,
+					RoutingMechanism.PRICE_OF_LATE_ANSWERS);
+			assertThat(PoolBalancerTests.this.balancer.division().isPresent()).isFalse();
+			policy();
+			assertThat(PoolBalancerTests.this.balancer.division().isPresent()).isTrue();
+		}
+
+		@Test
+		void lateRequestsAreDeferredOnlyWhileThatIsOn() {
+			PoolBalancerTests.this.balancer.endpoints(endpoints(1));
+			PoolBalancerTests.this.balancer.begin("i0", new PromptShape(90_000, 1, List.of()), 0);
+			assertThat(PoolBalancerTests.this.balancer.isLate("i0", prompt(1), SECOND)).isTrue();
+			policy(RoutingMechanism.DEFERRAL);
+			assertThat(PoolBalancerTests.this.balancer.isLate("i0", prompt(1), SECOND)).isFalse();
+		}
+
+	}
+
 	// All engines are behind by seconds. Each part that is read at one more engine makes
 	// all queues longer, so that still more requests are sent past their usual engine.
 	// Engines then read shared parts again and again and answer little.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -16,6 +16,9 @@
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.core.balance.RoutingMechanism;
+import org.acaciacourse.core.balance.RoutingParameter;
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
@@ -43,9 +46,6 @@
 	 */
 	private static final long TOKENS_PER_MILLI = 30;
 
-	/** An engine that runs anything is heard of many times in this time. */
-	private static final long ENGINE_SILENT_MILLIS = 1_500;
-
 	/** Misdirected request: the address belongs to another instance now. */
 	private static final int WRONG_INSTANCE = 421;
 
@@ -337,7 +337,7 @@
 	// anything that TCP reports in time. Only a request that may run again is moved: any
 	// other one waits for its answer until its time is over.
 	private void watch(long nanos) {
-		if (this.exchange.request().route().isIdempotent()) {
+		if (this.exchange.request().route().isIdempotent() && policy().isOn(RoutingMechanism.REPLACED_ATTEMPTS)) {
 			this.silence = this.exchange.context().loop().schedule(this::checkSilence, nanos, TimeUnit.NANOSECONDS);
 		}
 	}
@@ -367,12 +367,16 @@
 		return this.exchange.request().route().kind() == RequestKind.STREAM;
 	}
 
+	private RoutingPolicy policy() {
+		return this.exchange.context().pools().policy();
+	}
+
 	private long silentAfterNanos() {
 		Route route = this.exchange.request().route();
 		if (!isEngine()) {
 			return SILENT_TARGETS * route.target().toNanos();
 		}
-		long millis = ENGINE_SILENT_MILLIS;
+		long millis = Math.round(policy().value(RoutingParameter.ENGINE_SILENCE));
 		if (!this.promptRead) {
 			// With many entries each hears little of an engine that is busy with the
 			// prompts of the others: what waits there must not count as silence.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -18,6 +18,7 @@
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.InnerConnection;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
@@ -129,6 +130,10 @@
 		}
 		long now = System.nanoTime();
 		this.pools.peers().forgetSilent(now);
+		if (!isOn()) {
+			schedule();
+			return;
+		}
 		List<PeerLoads.Load> own = this.pools.own();
 		boolean due = now - this.sentAt > TimeUnit.MILLISECONDS.toNanos(MOST_MILLIS);
 		if (!this.peers.isEmpty() && (due || !own.equals(this.sent))) {
@@ -169,7 +174,14 @@
 			.onFailure((ex) -> logger.debug("a datagram from {} is no digest", packet.sender(), ex));
 	}
 
+	private boolean isOn() {
+		return this.pools.policy().isOn(RoutingMechanism.LOAD_DIGESTS);
+	}
+
 	private void take(String sender, LoadDigestRecord digest) {
+		if (!isOn()) {
+			return;
+		}
 		List<PeerLoads.Load> loads = digest.getLoads()
 			.stream()
 			.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork(),
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -15,6 +15,7 @@
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
 import org.acaciacourse.core.balance.RetryAllowance;
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.balance.SharerCount;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -37,11 +38,6 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
-	/**
-	 * Targets within this factor of the shortest one are those of brief requests.
-	 */
-	private static final double NEARLY_SHORTEST = 1.25;
-
 	private final EventLoop loop;
 
 	private final RetryRule rule;
@@ -66,6 +62,8 @@
 
 	private long number;
 
+	private RoutingPolicy policy = RoutingPolicy.DEFAULT;
+
 	/**
 	 * Make the states.
 	 * @param loop the event loop
@@ -95,6 +93,19 @@
 		});
 	}
 
+	/**
+	 * Set how all pools decide from now on.
+	 * @param next the policy
+	 */
+	void policy(RoutingPolicy next) {
+		this.policy = next;
+		this.states.values().forEach((state) -> state.balancer().policy(next));
+	}
+
+	RoutingPolicy policy() {
+		return this.policy;
+	}
+
 	/**
 	 * Take a fleet.
 	 * @param next the fleet
@@ -193,7 +204,9 @@
 			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
 					this.rule.minimum());
 			allowance.sharers(this.sharers);
-			return new State(new PoolBalancer(this.peers, this.connected), allowance, new PoolQueue(this.loop));
+			PoolBalancer balancer = new PoolBalancer(this.peers, this.connected);
+			balancer.policy(this.policy);
+			return new State(balancer, allowance, new PoolQueue(this.loop));
 		});
 	}
 
@@ -271,10 +284,11 @@
 		/**
 		 * Return whether a target is about the shortest of the pool.
 		 * @param target the target
+		 * @param factor how much longer than the shortest it may be
 		 * @return whether requests with it belong to the brief ones
 		 */
-		boolean isBrief(Duration target) {
-			return target.toNanos() <= this.shortestTarget.toNanos() * NEARLY_SHORTEST;
+		boolean isBrief(Duration target, double factor) {
+			return target.toNanos() <= this.shortestTarget.toNanos() * factor;
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -16,6 +16,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.acaciacourse.core.balance.RoutingMechanism;
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.model.Manifest;
@@ -131,6 +133,7 @@
 		this.front.start(opened);
 		this.admin = this.options.metrics()
 			.flatMap((address) -> AdminServer.open(address, this.metrics.registry(), this::isReady));
+		policy(this.options.policy());
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::start));
 		this.link.start(new Followed(), List::of);
@@ -138,6 +141,21 @@
 		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
 	}
 
+	/**
+	 * Decide otherwise from now on, without cutting a request: what is under way keeps
+	 * its endpoint, its rank and its place in the queue.
+	 * @param next the policy
+	 */
+	public void policy(RoutingPolicy next) {
+		this.loop.execute(() -> takePolicy(next));
+	}
+
+	private void takePolicy(RoutingPolicy next) {
+		this.pools.policy(next);
+		DecisionLog.write(LogEvent.ROUTING_POLICY, next.name(),
+				next.off().stream().map(RoutingMechanism::label).toList(), next.values().toString());
+	}
+
 	private void sweep() {
 		this.links.sweep(this.pools::isThere);
 		this.handler.tellMerged();
@@ -150,7 +168,7 @@
 		long now = System.nanoTime();
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(this.open.size(), this.front.connections(), this.links.idle(),
-					this.pools.number(), (now - this.configuredAt) / 1e9, this.pools.gauges(now)));
+					this.pools.number(), (now - this.configuredAt) / 1e9, this.pools.gauges(now), this.pools.policy()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -5,6 +5,8 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.balance.RoutingMechanism;
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.telemetry.Gauges;
 
 /**
@@ -16,7 +18,7 @@
  */
 final class RouteGauges {
 
-	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, Map.of());
+	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
 
 	RouteGauges(PrometheusRegistry registry) {
 		gauge(registry, "acaciacourse_routed_open_requests", "Routed requests without an end", Snapshot::open);
@@ -26,6 +28,7 @@
 				Snapshot::configuration);
 		gauge(registry, "acaciacourse_configuration_age_seconds", "Time since the configuration came into force",
 				Snapshot::configurationAge);
+		perMechanism(registry);
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
 		perPool(registry, "acaciacourse_pool_retries_left", "Retries that the budget permits now", Pool::retriesLeft);
@@ -45,6 +48,20 @@
 			.register(registry);
 	}
 
+	private void perMechanism(PrometheusRegistry registry) {
+		GaugeWithCallback.builder()
+			.name("acaciacourse_routing_mechanism_on")
+			.help("Whether a mechanism of the routing policy in force is on")
+			.labelNames("policy", "mechanism")
+			.callback((callback) -> {
+				RoutingPolicy policy = this.latest.policy();
+				for (RoutingMechanism mechanism : RoutingMechanism.values()) {
+					callback.call((policy.isOn(mechanism)) ? 1 : 0, policy.name(), mechanism.label());
+				}
+			})
+			.register(registry);
+	}
+
 	/**
 	 * Publish what holds now.
 	 * @param next the values
@@ -62,9 +79,10 @@
 	 * @param configuration the number in force, 0 for none
 	 * @param configurationAge seconds since it came into force
 	 * @param pools the pools by name
+	 * @param policy the routing policy in force
 	 */
 	record Snapshot(int open, int callers, int idleLinks, long configuration, double configurationAge,
-			Map<String, Pool> pools) {
+			Map<String, Pool> pools, RoutingPolicy policy) {
 
 		Snapshot {
 			pools = Map.copyOf(pools);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 
+import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.code.RefusalMerger;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
@@ -69,7 +71,8 @@
 		if (this.table.isEmpty()) {
 			long patience = facts.patienceMillis().orElse(Long.MAX_VALUE);
 			Runnable refusal = () -> refuse(request, response, ResultCode.NOT_READY, facts);
-			if (!this.early.hold(request, response, patience, refusal)) {
+			boolean holds = this.context.pools().policy().isOn(RoutingMechanism.HELD_REQUESTS);
+			if (!holds || !this.early.hold(request, response, patience, refusal)) {
 				refusal.run();
 			}
 			return;
@@ -89,8 +92,11 @@
 			refuse(request, response, ResultCode.UNKNOWN_CUSTOMER, facts);
 			return;
 		}
+		boolean ranked = this.context.pools().policy().isOn(RoutingMechanism.RANKS_OF_ROUTES);
+		RouteTable inForce = this.table.get();
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), facts, route.get(), owner,
-				this.table.get().urgency(route.get(), owner), this.table.get().deferredUrgency(route.get(), owner));
+				(ranked) ? inForce.urgency(route.get(), owner) : RouteTable.priority(route.get(), owner),
+				(ranked) ? inForce.deferredUrgency(route.get(), owner) : OptionalInt.empty());
 		new RoutedExchange(this.context, routed, response, arrivedAt).start();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.control.FleetSource;
 
 /**
@@ -22,10 +23,11 @@
  * whoever sends them has seen that the VM is not ready
  * @param drainLimit the longest time for what is in flight after that
  * @param fleet reads the platform's list while no control VM tells the fleet
+ * @param policy how it decides until it is told otherwise
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
 		Optional<InetSocketAddress> load, RetryRule retries, int maxConnections, Duration stopDelay,
-		Duration drainLimit, FleetSource fleet) {
+		Duration drainLimit, FleetSource fleet, RoutingPolicy policy) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
@@ -34,6 +36,7 @@
 		Objects.requireNonNull(load, "load");
 		Objects.requireNonNull(retries, "retries");
 		Objects.requireNonNull(fleet, "fleet");
+		Objects.requireNonNull(policy, "policy");
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -22,6 +22,8 @@
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PoolBalancer;
+import org.acaciacourse.core.balance.RoutingMechanism;
+import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -99,7 +101,8 @@
 		this.request = request;
 		this.pool = context.pools().state(request.pool());
 		this.response = response;
-		this.brief = this.pool.isBrief(request.route().target());
+		this.brief = this.pool.isBrief(request.route().target(),
+				context.pools().policy().value(RoutingParameter.NEARLY_SHORTEST));
 		this.progress = new RequestProgress(request.route());
 		this.lastEvent = request.facts().lastEvent();
 		long millis = request.route().timeout().toMillis();
@@ -151,8 +154,13 @@
 			fail("no retry left in the budget");
 			return;
 		}
-		long dueAt = this.startedAt + this.request.route().target().toNanos();
-		this.pool.queue().add(this, this.request.urgency(), dueAt);
+		if (this.context.pools().policy().isOn(RoutingMechanism.ORDER_OF_THE_QUEUE)) {
+			long dueAt = this.startedAt + this.request.route().target().toNanos();
+			this.pool.queue().add(this, this.request.urgency(), dueAt);
+		}
+		else {
+			this.pool.queue().add(this, 0, this.startedAt);
+		}
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -64,6 +64,9 @@
 	/** The members of the replicated log changed. */
 	MEMBERS("members", "members"),
 
+	/** The routing policy in force: its name, what is off and which figures differ. */
+	ROUTING_POLICY("routing-policy", "policy", "off", "values"),
+
 	/** Lines that were dropped as nobody took them. */
 	LINES_DROPPED("lines-dropped", "count");
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -8,8 +8,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import org.acaciacourse.core.balance.RoutingMechanism;
+import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.PoolShare;
 import org.acaciacourse.core.route.RequestKind;
@@ -45,7 +48,8 @@
 	@Test
 	void snapshotIsShownAsGauges() throws IOException {
 		this.metrics.gauges()
-			.publish(new RouteGauges.Snapshot(3, 5, 7, 12, 1.5, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5))));
+			.publish(new RouteGauges.Snapshot(3, 5, 7, 12, 1.5, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
+					new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
 		String page = page();
 		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
 		assertThat(page).contains("acaciacourse_configuration_number 12.0");
