Late answers have a log line with where their time went

A late answer earns a part of its worth and no line told of it, so that the losses after a restart of all processes could not be followed. The event request-late tells what the request waited for at the entry, until it was sent, until the endpoint began, and its longest pause; ten a second, the rest counted. The command losses counts them by cause.

--- a/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
+++ b/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
@@ -4,18 +4,51 @@
 import java.util.Optional;
 import java.util.Set;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.daemon.explain.LogLine;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
- * Why a request was lost, as the line that tells of its end shows. The first cause that
- * fits is the cause.
+ * Why a request was lost or late, as the line that tells of its end shows. The first
+ * cause that fits is the cause.
  * <p>
  * Immutable and thread safe.
  */
 enum LossCause {
 
+	/** It was answered late, as it waited for an endpoint. */
+	LATE_BY_WAITING("late: no endpoint yet", Set.of()) {
+		@Override
+		boolean fits(LogLine line) {
+			return isFirstLate(line) && partOf(line) == Part.WAITED;
+		}
+	},
+
+	/** It was answered late, as it took long until it was sent to its last endpoint. */
+	LATE_BY_SENDING("late: sent late", Set.of()) {
+		@Override
+		boolean fits(LogLine line) {
+			return isFirstLate(line) && partOf(line) == Part.SENT;
+		}
+	},
+
+	/** It was answered late, as its endpoint began late. */
+	LATE_BY_ENDPOINT("late: endpoint began late", Set.of()) {
+		@Override
+		boolean fits(LogLine line) {
+			return isFirstLate(line);
+		}
+	},
+
+	/** It began in time, with too long a pause between two events. */
+	LATE_BY_PAUSE("late: pause too long", Set.of()) {
+		@Override
+		boolean fits(LogLine line) {
+			return line.event().equals(LogEvent.REQUEST_LATE.label());
+		}
+	},
+
 	/** The caller went away before the answer was whole. */
 	CALLER_LEFT("caller left", Set.of(ResultCode.CALLER_GONE)),
 
@@ -55,7 +88,7 @@
 	};
 
 	private static final Set<String> ENDS = Set.of(LogEvent.REQUEST_FAILED.label(), LogEvent.REQUEST_REFUSED.label(),
-			LogEvent.REFUSALS_MERGED.label());
+			LogEvent.REFUSALS_MERGED.label(), LogEvent.REQUEST_LATE.label());
 
 	private final String label;
 
@@ -74,6 +107,24 @@
 		return this.label;
 	}
 
+	private static boolean isFirstLate(LogLine line) {
+		JsonNode fields = line.fields();
+		return line.event().equals(LogEvent.REQUEST_LATE.label())
+				&& fields.path("first_ms").asLong() > fields.path("target_ms").asLong();
+	}
+
+	// Where the longest part of the time until the first event went.
+	private static Part partOf(LogLine line) {
+		JsonNode fields = line.fields();
+		long waited = fields.path("waited_ms").asLong();
+		long sending = fields.path("sent_ms").asLong() - waited;
+		long answering = fields.path("first_ms").asLong() - fields.path("sent_ms").asLong();
+		if (waited >= Math.max(sending, answering)) {
+			return Part.WAITED;
+		}
+		return (sending >= answering) ? Part.SENT : Part.ANSWERED;
+	}
+
 	boolean fits(LogLine line) {
 		return ResultCode.ofNumber(line.fields().path("code").asInt()).filter(this.codes::contains).isPresent();
 	}
@@ -90,4 +141,11 @@
 		return Arrays.stream(values()).filter((cause) -> cause.fits(line)).findFirst();
 	}
 
+	/** The parts of the time until the first event. */
+	private enum Part {
+
+		WAITED, SENT, ANSWERED
+
+	}
+
 }
--- a/bench/src/main/java/org/acaciacourse/bench/losses/LossTable.java
+++ b/bench/src/main/java/org/acaciacourse/bench/losses/LossTable.java
@@ -13,9 +13,10 @@
 import org.acaciacourse.daemon.explain.LogLine;
 
 /**
- * Counts lost requests by time, route and cause, and keeps the ids of a few of each for
- * {@code explain}. Times are those of the VMs' clocks. What no log tells is not here:
- * answers that came late, and requests whose entry was killed.
+ * Counts lost and late requests by time, route and cause, and keeps the ids of a few of
+ * each for {@code explain}. Times are those of the VMs' clocks. What no log tells is not
+ * here: requests whose entry was killed, and those late answers of an overload whose
+ * number alone is told.
  * <p>
  * Not thread safe: filled, then printed.
  */
--- a/bench/src/test/java/org/acaciacourse/bench/losses/LossTableTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/losses/LossTableTests.java
@@ -38,6 +38,26 @@
 
 	}
 
+	// An answer that comes late earns little, and no failure tells of it.
+	@Nested
+	class LateAnswers {
+
+		private void late(int waited, int sent, int first, int gap) {
+			take("00.000", """
+					{"event":"request-late","request":"a1","route":"r","waited_ms":%d,"sent_ms":%d,"first_ms":%d,\
+					"gap_ms":%d,"target_ms":250,"gap_target_ms":100}""".formatted(waited, sent, first, gap));
+		}
+
+		@ParameterizedTest
+		@CsvSource({ "300, 310, 400, 0, late: no endpoint yet", "0, 300, 400, 0, late: sent late",
+				"1, 2, 400, 500, late: endpoint began late", "1, 2, 200, 150, late: pause too long" })
+		void causeIsTheLongestPartOfTheTime(int waited, int sent, int first, int gap, String cause) {
+			late(waited, sent, first, gap);
+			assertThat(LossTableTests.this.table.text()).containsMatch(" r +" + cause + " +1  a1");
+		}
+
+	}
+
 	@Nested
 	class Rows {
 
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/code/LineBudgetTests.java
@@ -0,0 +1,36 @@
+package org.acaciacourse.core.code;
+
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link LineBudget}.
+ */
+class LineBudgetTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final LineBudget budget = new LineBudget(2, 0);
+
+	@Test
+	void firstLinesOfASecondAreWritten() {
+		assertThat(this.budget.next(1)).isEqualTo(OptionalLong.of(0));
+		assertThat(this.budget.next(2)).isEqualTo(OptionalLong.of(0));
+		assertThat(this.budget.next(3)).isEqualTo(OptionalLong.empty());
+	}
+
+	// Nearly all answers of a burst are late. The line after it tells how many more there
+	// were, once.
+	@Test
+	void lineAfterABurstTellsHowManyWereNotWritten() {
+		for (int i = 0; i < 10; i++) {
+			this.budget.next(i);
+		}
+		assertThat(this.budget.next(SECOND)).isEqualTo(OptionalLong.of(8));
+		assertThat(this.budget.next(SECOND + 1)).isEqualTo(OptionalLong.of(0));
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -1,16 +1,18 @@
 package org.acaciacourse.daemon.route;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.attempt.RequestProgress;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.route.Route;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * What is written down of one routed request: metrics, a line if it ends otherwise than
- * with a whole answer, and one for a sample of the others.
+ * with a whole answer or late, and one for a sample of the others.
  * <p>
  * Not thread safe: belongs to the event loop.
  */
@@ -32,6 +34,10 @@
 
 	private long placedAt;
 
+	private long sentAt;
+
+	private String sentTo;
+
 	private long firstAt;
 
 	private long lastEventAt;
@@ -51,6 +57,12 @@
 		this.context.metrics().waited(this.request.route(), now - this.startedAt);
 	}
 
+	// The request is written to its endpoint.
+	void sent(String instance, long now) {
+		this.sentAt = now;
+		this.sentTo = instance;
+	}
+
 	// The first part of the answer is passed on.
 	void first(long now) {
 		this.firstAt = now;
@@ -71,13 +83,35 @@
 			this.context.metrics().longestGap(this.request.route(), this.longestGap);
 		}
 		this.context.metrics().ended(this.request.route(), this.request.pool(), ResultCode.OK);
-		if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
+		if (isLate()) {
+			late(progress);
+		}
+		else if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
 			DecisionLog.write(LogEvent.REQUEST_ANSWERED, this.request.facts().id(), this.request.route().name(),
 					this.request.pool(), this.request.urgency(), this.context.pools().number(), millisTo(this.placedAt),
 					millisTo(this.firstAt), millisTo(System.nanoTime()), progress.tried().size());
 		}
 	}
 
+	private boolean isLate() {
+		Route route = this.request.route();
+		boolean gap = !route.eventGap().isZero() && this.longestGap > route.eventGap().toNanos();
+		return gap || this.firstAt - this.startedAt > route.target().toNanos();
+	}
+
+	private void late(RequestProgress progress) {
+		long now = System.nanoTime();
+		OptionalLong untold = this.context.lateLines().next(now);
+		if (untold.isPresent()) {
+			Route route = this.request.route();
+			DecisionLog.write(LogEvent.REQUEST_LATE, this.request.facts().id(), route.name(), this.request.pool(),
+					this.request.urgency(), this.context.pools().number(), this.sentTo, millisTo(this.placedAt),
+					millisTo(this.sentAt), millisTo(this.firstAt), TimeUnit.NANOSECONDS.toMillis(this.longestGap),
+					millisTo(now), progress.tried().size(), route.target().toMillis(), route.eventGap().toMillis(),
+					untold.getAsLong());
+		}
+	}
+
 	/**
 	 * The request ended otherwise.
 	 * @param code the reason
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -18,6 +18,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
+import org.acaciacourse.core.code.LineBudget;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.model.Manifest;
@@ -52,6 +53,9 @@
 
 	private static final long SWEEP_MILLIS = 1_000;
 
+	/** As many as an entry has usual requests. */
+	private static final int LATE_LINES_PER_SECOND = 10;
+
 	private static final Duration READ_TIMEOUT = Duration.ofSeconds(20);
 
 	private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("io"),
@@ -107,8 +111,8 @@
 				CallerLimits.DEFAULT.maxHeaderBytes(), CallerLimits.DEFAULT.idleTimeout());
 		this.links = new EndpointLinks(this.loop);
 		this.pools = new PoolStates(this.loop, options.retries(), this.links::hasIdle);
-		this.handler = new RouteHandler(
-				new RouteContext(this.loop, dialect, this.links, this.pools, this.metrics, this.open));
+		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.links, this.pools, this.metrics,
+				this.open, new LineBudget(LATE_LINES_PER_SECOND, System.nanoTime())));
 		this.front = new HttpFront(options.listen(), () -> this.limits, this.loops, this.handler);
 		this.readiness = new HttpFront(options.ready(), () -> this.limits, this.loops, new Readiness());
 		this.fallback = new FleetFallback(options.fleet(), (fleet) -> takeFleet(fleet, "list"));
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -255,6 +255,7 @@
 			this.pool.allowance().spend(System.nanoTime());
 		}
 		this.progress.sent();
+		this.record.sent(endpoint.instance(), System.nanoTime());
 		attempt.send(link, message(endpoint, remaining));
 	}
 
