--- a/core/src/main/java/org/acaciacourse/core/consensus/Election.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Election.java
@@ -21,6 +21,20 @@
 	 */
 	private static final double EARLY_SHARE = 0.12;
 
+	/**
+	 * The part of the timeout after which the first of the voters stands for the first
+	 * time after its start.
+	 */
+	private static final double FIRST_SHARE = 0.06;
+
+	/**
+	 * How much longer each further voter waits the first time. When all start at once,
+	 * two that stand within the time of a vote take each other's votes, and a second
+	 * round costs a tenth of a second. The order lasts for the first timer only: voters
+	 * that were not reached then go on by chance.
+	 */
+	private static final double STEP_SHARE = 0.08;
+
 	private final long timeoutNanos;
 
 	private final Random random;
@@ -33,10 +47,17 @@
 
 	private boolean leaderEverSeen;
 
-	Election(long timeoutNanos, long seed, long now) {
+	/**
+	 * Make the timer of a replica that starts.
+	 * @param timeoutNanos the shortest election timeout
+	 * @param seed the seed of the timers' lengths
+	 * @param position how many voters go before this replica in the order of identities
+	 * @param now the time
+	 */
+	Election(long timeoutNanos, long seed, int position, long now) {
 		this.timeoutNanos = timeoutNanos;
 		this.random = new Random(seed);
-		restartTimer(now);
+		this.deadline = now + (long) ((FIRST_SHARE + position * STEP_SHARE) * timeoutNanos);
 	}
 
 	void restartTimer(long now) {
--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -72,7 +72,7 @@
 		this.log = new LogView(recovered);
 		this.hardState = recovered.hardState();
 		this.commitIndex = this.log.baseIndex();
-		this.election = new Election(timing.electionTimeoutNanos(), seed, now);
+		this.election = new Election(timing.electionTimeoutNanos(), seed, position(), now);
 		this.reported = status();
 	}
 
@@ -426,6 +426,11 @@
 		}
 	}
 
+	// How many voters go before this one.
+	private int position() {
+		return (int) membership().voters().stream().filter((id) -> id.compareTo(this.self) < 0).count();
+	}
+
 	private boolean isVoter() {
 		return membership().isVoter(this.self);
 	}
--- a/core/src/main/java/org/acaciacourse/core/ini/Units.java
+++ b/core/src/main/java/org/acaciacourse/core/ini/Units.java
@@ -13,11 +13,13 @@
  */
 public final class Units {
 
-	private static final Pattern DURATION = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,20})?)\\s*(ms|s|min|h)");
+	private static final int MOST_DIGITS = 9;
 
-	private static final Pattern BYTES = Pattern.compile("([1-9][0-9]{0,8})\\s*(B|KiB|MiB)");
+	private static final int MOST_DECIMALS = 20;
+
+	private static final int MOST_EXPONENT_DIGITS = 2;
 
-	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+	private static final Pattern BYTES = Pattern.compile("([1-9][0-9]{0,8})\\s*(B|KiB|MiB)");
 
 	private Units() {
 	}
@@ -29,19 +31,50 @@
 	 * @return the duration, if the text is one
 	 */
 	public static Optional<Duration> duration(String text) {
-		Matcher matcher = DURATION.matcher(text.strip());
-		if (!matcher.matches()) {
+		TextCursor cursor = new TextCursor(text.strip());
+		String whole = cursor.digits(MOST_DIGITS);
+		boolean pointed = cursor.pass(".");
+		String fraction = (pointed) ? cursor.digits(MOST_DECIMALS) : "";
+		cursor.passBlanks();
+		Optional<Duration> unit = unit(cursor.rest());
+		if (whole.isEmpty() || fraction.isEmpty() == pointed || unit.isEmpty()) {
 			return Optional.empty();
 		}
-		Duration unit = switch (matcher.group(2)) {
-			case "ms" -> Duration.ofMillis(1);
-			case "s" -> Duration.ofSeconds(1);
-			case "min" -> Duration.ofMinutes(1);
-			default -> Duration.ofHours(1);
+		Duration duration = unit.get().multipliedBy(Long.parseLong(whole));
+		return Optional.of((pointed) ? duration.plusNanos(part(unit.get(), fraction)) : duration);
+	}
+
+	private static Optional<Duration> unit(String name) {
+		return switch (name) {
+			case "ms" -> Optional.of(Duration.ofMillis(1));
+			case "s" -> Optional.of(Duration.ofSeconds(1));
+			case "min" -> Optional.of(Duration.ofMinutes(1));
+			case "h" -> Optional.of(Duration.ofHours(1));
+			default -> Optional.empty();
 		};
-		BigDecimal nanos = new BigDecimal(matcher.group(1)).multiply(BigDecimal.valueOf(unit.toNanos()));
-		BigDecimal[] parts = nanos.divideAndRemainder(BigDecimal.valueOf(NANOS_PER_SECOND));
-		return Optional.of(Duration.ofSeconds(parts[0].longValue(), parts[1].longValue()));
+	}
+
+	private static long part(Duration unit, String decimals) {
+		return new BigDecimal("0." + decimals).multiply(BigDecimal.valueOf(unit.toNanos())).longValue();
+	}
+
+	/**
+	 * Return whether a text is a decimal number of up to nine digits before the point and
+	 * twenty after it, with an exponent or without.
+	 * @param text the text
+	 * @return whether it is
+	 */
+	public static boolean isDecimal(String text) {
+		TextCursor cursor = new TextCursor(text);
+		boolean sound = !cursor.digits(MOST_DIGITS).isEmpty();
+		if (cursor.pass(".")) {
+			sound &= !cursor.digits(MOST_DECIMALS).isEmpty();
+		}
+		if (cursor.pass("eE")) {
+			cursor.pass("+-");
+			sound &= !cursor.digits(MOST_EXPONENT_DIGITS).isEmpty();
+		}
+		return sound && cursor.rest().isEmpty();
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
@@ -10,22 +10,32 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 
+import io.vavr.Lazy;
+import net.openhft.hashing.LongHashFunction;
+
 /**
  * The sections of a manifest as text, in canonical order. This is what is replicated,
  * digested and sent as deltas; {@link ManifestParser} turns it into a checked manifest.
  * <p>
  * Documents that follow from one another share the sections that did not change, with
- * their digests: a change costs by the size of the change and not of the document.
+ * their digests: a change costs by the size of the change and not of the document. A
+ * digest is made when it is asked for: an entry that has just started takes the whole
+ * document as the control VM tells it, and its first digest alone, in code that runs for
+ * the first time, takes 30 to 50 ms.
  * <p>
  * Immutable and thread safe.
  */
 public final class ManifestDocument {
 
+	private static final LongHashFunction XXH3 = LongHashFunction.xx3();
+
 	private static final ManifestDocument EMPTY = new ManifestDocument(Map.of());
 
 	private final SortedMap<String, Section> sections;
 
-	private final String digest;
+	private final Lazy<String> digest;
+
+	private final Lazy<Long> checksum;
 
 	/**
 	 * Make a document.
@@ -37,7 +47,8 @@
 
 	private ManifestDocument(TreeMap<String, Section> sections) {
 		this.sections = sections;
-		this.digest = digest(sections);
+		this.digest = Lazy.of(() -> digest(sections));
+		this.checksum = Lazy.of(() -> checksum(sections));
 	}
 
 	private static TreeMap<String, Section> copy(Map<String, ? extends Map<String, String>> sections) {
@@ -99,7 +110,28 @@
 	 * @return the digest in lower-case hexadecimal digits
 	 */
 	public String digest() {
-		return this.digest;
+		return this.digest.get();
+	}
+
+	/**
+	 * Return XXH3 over all sections, by which a copy of the whole is checked where a
+	 * digest would take too long. Documents are told apart by their digests.
+	 * @return the checksum
+	 */
+	public long checksum() {
+		return this.checksum.get();
+	}
+
+	private static long checksum(SortedMap<String, Section> sections) {
+		long sum = sections.size();
+		for (Map.Entry<String, Section> section : sections.entrySet()) {
+			sum = XXH3.hashLong(sum ^ XXH3.hashChars(section.getKey()));
+			for (Map.Entry<String, String> key : section.getValue().keys.entrySet()) {
+				sum = XXH3.hashLong(sum ^ XXH3.hashChars(key.getKey()));
+				sum = XXH3.hashLong(sum ^ XXH3.hashChars(key.getValue()));
+			}
+		}
+		return sum;
 	}
 
 	/**
@@ -138,17 +170,17 @@
 
 	@Override
 	public int hashCode() {
-		return this.digest.hashCode();
+		return digest().hashCode();
 	}
 
 	@Override
 	public String toString() {
-		return "ManifestDocument[" + this.sections.size() + " sections, " + this.digest + "]";
+		return "ManifestDocument[" + this.sections.size() + " sections, " + digest() + "]";
 	}
 
 	private static String digest(SortedMap<String, Section> sections) {
 		MessageDigest sha = sha256();
-		sections.values().forEach((section) -> sha.update(section.digest));
+		sections.values().forEach((section) -> sha.update(section.digest.get()));
 		return HexFormat.of().formatHex(sha.digest());
 	}
 
@@ -161,16 +193,16 @@
 		}
 	}
 
-	/** A section with its digest; equal digests stand for equal content. */
+	/** A section with its digest, made when it is asked for. */
 	private static final class Section {
 
 		private final SortedMap<String, String> keys;
 
-		private final byte[] digest;
+		private final Lazy<byte[]> digest;
 
 		private Section(String name, Map<String, String> keys) {
 			this.keys = Collections.unmodifiableSortedMap(new TreeMap<>(keys));
-			this.digest = digest(name, this.keys);
+			this.digest = Lazy.of(() -> digest(name, this.keys));
 		}
 
 		private static byte[] digest(String name, SortedMap<String, String> keys) {
@@ -194,14 +226,12 @@
 
 		@Override
 		public boolean equals(Object other) {
-			return this == other
-					|| (other instanceof Section section && MessageDigest.isEqual(this.digest, section.digest));
+			return this == other || (other instanceof Section section && this.keys.equals(section.keys));
 		}
 
 		@Override
 		public int hashCode() {
-			return this.digest[0] << 24 | (this.digest[1] & 255) << 16 | (this.digest[2] & 255) << 8
-					| (this.digest[3] & 255);
+			return this.keys.hashCode();
 		}
 
 	}
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
@@ -14,6 +14,7 @@
 import java.util.function.BiFunction;
 
 import io.vavr.control.Either;
+import org.acaciacourse.core.ini.CommaList;
 import org.acaciacourse.core.ini.Problem;
 import org.acaciacourse.core.ini.Units;
 import org.acaciacourse.core.manifest.ManifestDocument;
@@ -231,7 +232,7 @@
 		}
 
 		private List<String> list(String key) {
-			return text(key).map((value) -> List.of(value.split("\\s*,\\s*"))).orElse(List.of());
+			return text(key).map(CommaList::split).orElse(List.of());
 		}
 
 		private boolean flag(String key) {
--- a/core/src/test/java/org/acaciacourse/core/ini/UnitsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/ini/UnitsTests.java
@@ -24,6 +24,18 @@
 		assertThat(Units.duration(text)).isEqualTo(Optional.empty());
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "0", "58", "0.2", "0.30000000000000004", "1e-05", "2.5E+3", "123456789" })
+	void decimalNumbersMayHaveExponents(String text) {
+		assertThat(Units.isDecimal(text)).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", ".5", "1.", "1,5", "-1", "1e", "1e123", "1234567890", "0x1p3", "NaN", "1 " })
+	void otherTextsAreNoDecimalNumbers(String text) {
+		assertThat(Units.isDecimal(text)).isFalse();
+	}
+
 	@ParameterizedTest
 	@CsvSource({ "8 MiB, 8388608", "4KiB, 4096", "1 B, 1" })
 	void sizesAreWhole(String text, long bytes) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.DoubleConsumer;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vavr.Lazy;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.HardState;
 import org.acaciacourse.core.consensus.LogEntry;
@@ -100,12 +102,12 @@
 		}
 		catch (StoreException ex) {
 			LOGGER.fatal("the data folder cannot be used", ex);
-			closeAll();
+			abort();
 			return ex.code();
 		}
 		catch (IOException | TTransportException ex) {
 			LOGGER.fatal("an address cannot be bound", ex);
-			closeAll();
+			abort();
 			return ResultCode.ADDRESS_IN_USE;
 		}
 	}
@@ -122,8 +124,6 @@
 		listener.bind(InnerConnection.parse(this.options.address()));
 		InnerServer server = new InnerServer(listener, this.replicaHandler, this.controlHandler);
 		this.opened.push(server);
-		AdminServer admin = new AdminServer(InnerConnection.parse(this.options.admin()), this.metrics, this::isReady);
-		this.opened.push(admin);
 		server.start();
 		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
 				this.options.address());
@@ -134,6 +134,9 @@
 		else {
 			begin();
 		}
+		// After the replica: an election, and all entries with it, would wait for what
+		// operators look at later.
+		this.opened.push(new AdminServer(InnerConnection.parse(this.options.admin()), this.metrics, this::isReady));
 	}
 
 	private synchronized void found() {
@@ -182,17 +185,21 @@
 		PeerOutbox outbox = new PeerOutbox(this.options.address(), this.options.innerKey());
 		ReplicaDriver driver = new ReplicaDriver(this.store, this.options.vm(), this.options.timing(),
 				this.options.snapshotEntries(), outbox, System.nanoTime());
-		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver, ControlMetrics.commits(this.metrics),
-				this.ended::complete);
+		Lazy<DoubleConsumer> commits = Lazy.of(() -> ControlMetrics.commits(this.metrics));
+		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver,
+				(seconds) -> commits.get().accept(seconds), this.ended::complete);
+		// First of all: others wait for this replica's vote, and while an election runs
+		// the
+		// rest gets ready.
+		next.start();
+		this.replicaHandler.begin(next, outbox);
+		this.loop = Optional.of(next);
 		LinearizableRead read = new LinearizableRead(next, this.self, this.options.innerKey());
 		RegistryExchange exchange = new RegistryExchange(next, this.self, this.options.seeds(), this.options.innerKey(),
 				this.registry);
 		PlatformList platform = new PlatformList(this.options.platformList());
 		FleetKeeper fleet = new FleetKeeper(next, this.self, this.options.innerKey(), this.options.fleet());
 		ApplyService applies = new ApplyService(next);
-		ControlMetrics.register(this.metrics, () -> next.board().latest(), this.registry);
-		next.start();
-		this.replicaHandler.begin(next, outbox);
 		this.controlHandler.begin(
 				new ControlHandler.Services(next, applies, new PollService(next, read, this.registry, platform, fleet),
 						new StatusService(next, this.self, exchange), this.registry, fleet));
@@ -201,7 +208,6 @@
 		fleet.start();
 		this.configuration = Optional
 			.of(new ConfigurationStore(next, this.self, applies, read, this.options.operatorKey()));
-		this.loop = Optional.of(next);
 		this.opened.push(outbox);
 		this.opened.push(platform);
 		this.opened.push(fleet);
@@ -210,6 +216,8 @@
 		if (this.options.orders()) {
 			beginOrders(next);
 		}
+		commits.get();
+		ControlMetrics.register(this.metrics, () -> next.board().latest(), this.registry);
 	}
 
 	private void beginOrders(ReplicaLoop running) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Fleet;
@@ -46,6 +48,14 @@
 
 	private final SharedKey operatorKey;
 
+	/**
+	 * How long a poll waits for a replica that has just started to begin: it listens some
+	 * tens of milliseconds before. An entry that is turned away pauses for longer.
+	 */
+	private static final long BEGIN_MILLIS = 200;
+
+	private final CountDownLatch begun = new CountDownLatch(1);
+
 	private volatile Optional<Services> services = Optional.empty();
 
 	ControlHandler(SharedKey innerKey, SharedKey operatorKey) {
@@ -59,6 +69,7 @@
 	 */
 	void begin(Services next) {
 		this.services = Optional.of(next);
+		this.begun.countDown();
 	}
 
 	@Override
@@ -74,6 +85,16 @@
 
 	@Override
 	public PollReply poll(String sharedKey, PollRequest request) throws TException {
+		checkKey(sharedKey);
+		try {
+			if (!this.begun.await(BEGIN_MILLIS, TimeUnit.MILLISECONDS)) {
+				throw new TException("not founded");
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new TException("stopping", ex);
+		}
 		return checked(sharedKey).poll().poll(request);
 	}
 
@@ -168,10 +189,14 @@
 	}
 
 	private Services checked(String sharedKey) throws TException {
+		checkKey(sharedKey);
+		return this.services.orElseThrow(() -> new TException("not founded"));
+	}
+
+	private void checkKey(String sharedKey) throws TException {
 		if (!this.innerKey.matches(sharedKey)) {
 			throw new TException("wrong key");
 		}
-		return this.services.orElseThrow(() -> new TException("not founded"));
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/LinearizableRead.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/LinearizableRead.java
@@ -17,6 +17,12 @@
 
 	private static final long WAIT_MILLIS = 3000;
 
+	/**
+	 * How long a read waits for a leader: about as long as an election after a start. An
+	 * entry that is refused pauses, and asks another control VM that knows no more.
+	 */
+	private static final long LEADER_MILLIS = 150;
+
 	private final ReplicaLoop loop;
 
 	private final Member self;
@@ -35,6 +41,7 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	boolean await() throws InterruptedException {
+		this.loop.board().await((published) -> published.status().leader().isPresent(), LEADER_MILLIS);
 		Optional<Long> index = index();
 		return index.isPresent()
 				&& this.loop.board().await((published) -> published.appliedIndex() >= index.get(), WAIT_MILLIS);
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PeerSender.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PeerSender.java
@@ -31,8 +31,11 @@
 
 	private static final int MAX_MESSAGES = 64;
 
-	/** The longest pause after a connection that failed. */
-	private static final long RETRY_MILLIS = 200;
+	/**
+	 * The longest pause after a connection that failed. A peer that listens since then
+	 * hears nothing of a new leader for that long, and refuses entries meanwhile.
+	 */
+	private static final long RETRY_MILLIS = 50;
 
 	/**
 	 * The first pause, doubled with each failure in a row: after a loss of power all
@@ -41,7 +44,7 @@
 	 */
 	private static final long FIRST_RETRY_MILLIS = 25;
 
-	private static final int MOST_DOUBLINGS = 8;
+	private static final int MOST_DOUBLINGS = 4;
 
 	private final MpscBlockingConsumerArrayQueue<ReplicaEnvelope> ring = new MpscBlockingConsumerArrayQueue<>(RING);
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -106,7 +106,8 @@
 		if (state.number() > request.getNumber()) {
 			Optional<ManifestDelta> delta = state.deltaFrom(request.getNumber(), request.getDigest());
 			delta.ifPresentOrElse((d) -> reply.setDelta(ManifestCodec.encode(d)).setBaseDigest(request.getDigest()),
-					() -> reply.setSnapshot(ManifestCodec.encode(state.document())));
+					() -> reply.setSnapshot(ManifestCodec.encode(state.document()))
+						.setChecksum(state.document().checksum()));
 		}
 		reply.setCrashRevision(state.statistics().crashRevision());
 		reply.setCrashes(state.crashesSince(request.getCrashRevision())
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -26,7 +26,8 @@
  * <p>
  * Invariants: the number only grows; a document is taken only if its digest is the one
  * that goes with its number, so that a delta that met another base is found out and the
- * whole document is asked for.
+ * whole document is asked for. A whole one that has the control VM's checksum is taken
+ * with the digest that it tells; the next delta is checked against the digest of all.
  * <p>
  * Not thread safe: the thread that polls calls it.
  */
@@ -95,7 +96,7 @@
 	}
 
 	private void takeDocument(PollReply reply) {
-		Optional<ManifestDocument> next = documentOf(reply).filter((d) -> d.digest().equals(reply.getDigest()));
+		Optional<ManifestDocument> next = documentOf(reply);
 		if (next.isEmpty()) {
 			LOGGER.warn("the change to manifest {} does not fit, the whole is asked for", reply.getNumber());
 			this.wholeNeeded = true;
@@ -138,14 +139,21 @@
 
 	private Optional<ManifestDocument> documentOf(PollReply reply) {
 		if (reply.isSetSnapshot()) {
-			return Optional.of(ManifestCodec.decode(reply.getSnapshot()));
+			return Optional.of(ManifestCodec.decode(reply.getSnapshot()))
+				.filter((document) -> isWhole(document, reply));
 		}
 		if (reply.isSetDelta() && reply.getBaseDigest().equals(this.digest)) {
-			return Optional.of(this.document.with(ManifestCodec.decode(reply.getDelta())));
+			return Optional.of(this.document.with(ManifestCodec.decode(reply.getDelta())))
+				.filter((document) -> document.digest().equals(reply.getDigest()));
 		}
 		return Optional.empty();
 	}
 
+	private static boolean isWhole(ManifestDocument document, PollReply reply) {
+		return (reply.isSetChecksum()) ? document.checksum() == reply.getChecksum()
+				: document.digest().equals(reply.getDigest());
+	}
+
 	private void takeCrashes(PollReply reply) {
 		reply.getCrashes().forEach((crash) -> this.listener.crash(crash.getContentHash(), crash.getCrashes()));
 		this.crashRevision = Math.max(this.crashRevision, reply.getCrashRevision());
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -39,7 +39,11 @@
 
 	private static final Duration TIMEOUT = Duration.ofMillis(WAIT_MILLIS + 600);
 
-	private static final long PAUSE_MILLIS = 100;
+	/**
+	 * The pause after a poll that failed. The control VM itself holds a poll for a while
+	 * that it can't answer yet.
+	 */
+	private static final long PAUSE_MILLIS = 50;
 
 	private final LinkOptions options;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -1,6 +1,5 @@
 package org.acaciacourse.daemon.link;
 
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HexFormat;
 import java.util.List;
@@ -64,13 +63,20 @@
 	 */
 	public ThriftControlLink(LinkOptions options) {
 		this.options = options;
-		byte[] random = new byte[8];
-		new SecureRandom().nextBytes(random);
-		this.run = options.vm() + "/" + HexFormat.of().formatHex(random);
+		this.run = options.vm() + "/" + nameOfThisStart();
 		this.claims = new LeaderCalls("control-claim", options.controls(), CLAIM_THREADS);
 		this.completions = new LeaderCalls("control-complete", options.controls(), COMPLETE_THREADS);
 	}
 
+	// Two starts of a VM differ in the process, or in the moment by both clocks. Nothing
+	// depends on a name that can't be guessed, and the first random number of a process
+	// that can't be takes 25 ms of a start.
+	private static String nameOfThisStart() {
+		HexFormat hex = HexFormat.of();
+		return hex.toHexDigits(ProcessHandle.current().pid()) + hex.toHexDigits(System.currentTimeMillis())
+				+ hex.toHexDigits(System.nanoTime());
+	}
+
 	@Override
 	public synchronized void start(Listener listener, Supplier<List<ClassReport>> reports) {
 		this.poller = Optional.of(new ConfigurationPoller(this.options, this.run, listener, reports));
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/HopHeaders.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/HopHeaders.java
@@ -1,6 +1,5 @@
 package org.acaciacourse.daemon.route;
 
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -8,6 +7,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import org.acaciacourse.core.ini.CommaList;
 
 /**
  * Parts the headers of a message from those of its connection (RFC 9110, section 7.6.1).
@@ -32,7 +32,7 @@
 	static HttpHeaders endToEnd(HttpHeaders headers) {
 		Set<String> named = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 		for (String value : headers.getAll("connection")) {
-			named.addAll(List.of(value.strip().split("\\s*,\\s*")));
+			named.addAll(CommaList.split(value));
 		}
 		HttpHeaders copy = new DefaultHttpHeaders();
 		for (Map.Entry<String, String> header : headers) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -133,6 +133,8 @@
 	 * @throws IOException if an address can't be used
 	 */
 	public void start(Optional<ServerSocketChannel> opened) throws IOException {
+		// First of all: control answers while the rest gets ready.
+		this.link.start(new Followed(), List::of);
 		this.readiness.start();
 		this.front.start(opened);
 		this.admin = this.options.metrics()
@@ -140,7 +142,6 @@
 		policy(this.options.policy());
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		this.gossip.ifPresent((sharing) -> this.loop.execute(sharing::start));
-		this.link.start(new Followed(), List::of);
 		this.fallback.start();
 		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -18,6 +18,14 @@
 	REQUEST_ANSWERED("request-answered", "request", "route", "pool", "urgency", "table", "waited_ms", "first_ms",
 			"took_ms", "attempts"),
 
+	/**
+	 * An answer came whole, but after its target or with too long a pause: what it waited
+	 * for at the entry, until it was sent, until the endpoint answered, its longest
+	 * pause, and how many late answers since the line before were not told.
+	 */
+	REQUEST_LATE("request-late", "request", "route", "pool", "urgency", "table", "endpoint", "waited_ms", "sent_ms",
+			"first_ms", "gap_ms", "took_ms", "attempts", "target_ms", "gap_target_ms", "untold"),
+
 	/** A request was refused before any endpoint was looked for. */
 	REQUEST_REFUSED("request-refused", "request", "code", "host", "path", "table", "retry_after_ms"),
 
@@ -67,14 +75,6 @@
 	/** The routing policy in force: its name, what is off and which figures differ. */
 	ROUTING_POLICY("routing-policy", "policy", "off", "values"),
 
-	/**
-	 * An answer came whole, but after its target or with too long a pause: what it waited
-	 * for at the entry, until it was sent, until the endpoint answered, its longest
-	 * pause, and how many late answers since the line before were not told.
-	 */
-	REQUEST_LATE("request-late", "request", "route", "pool", "urgency", "table", "endpoint", "waited_ms", "sent_ms",
-			"first_ms", "gap_ms", "took_ms", "attempts", "target_ms", "gap_target_ms", "untold"),
-
 	/** Lines that were dropped as nobody took them. */
 	LINES_DROPPED("lines-dropped", "count");
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -85,6 +85,20 @@
 			assertThat(ConfigurationFollowerTests.this.seen).isEmpty();
 		}
 
+		// An entry that starts checks the whole by its checksum, as a digest takes too
+		// long then. Damage has to be found all the same.
+		@Test
+		void wholeIsCheckedByItsChecksumWhereThereIsOne() {
+			PollReply damaged = whole(2).setChecksum(document(2).checksum());
+			damaged.getSnapshot().put("class added", Map.of("tier", "low"));
+			assertThat(ConfigurationFollowerTests.this.follower.take(damaged)).isFalse();
+			assertThat(ConfigurationFollowerTests.this.seen).isEmpty();
+			assertThat(ConfigurationFollowerTests.this.follower.take(whole(2).setChecksum(document(2).checksum())))
+				.isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.take(delta(2, 3))).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.digest()).isEqualTo(document(3).digest());
+		}
+
 	}
 
 	@Nested
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -299,6 +299,8 @@
   13: list<string> controls,
   /* Where the live entries, but for the asking one, take the load of others. */
   14: list<string> peers,
+  /* XXH3 over the whole document that a snapshot holds; cheaper to check than the digest. */
+  15: optional i64 checksum,
 }
 
 /* A datagram between entries: what the sender has under way at endpoints. */
