--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -128,6 +128,7 @@
 		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
 				this.options.address());
 		if (this.store.recovered().isFresh()) {
+			this.controlHandler.founding();
 			this.founding = Optional.of(new Ticker("founding", ASK_MILLIS, this::found));
 			this.opened.push(this.founding.get());
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -63,6 +63,14 @@
 		this.operatorKey = operatorKey;
 	}
 
+	/**
+	 * The data folder is empty: whoever polls is turned away at once until the replica
+	 * has joined the others, which takes longer than a poll should wait.
+	 */
+	void founding() {
+		this.begun.countDown();
+	}
+
 	/**
 	 * The founding is decided: serve.
 	 * @param next what calls are handed to
