--- a/core/src/test/java/org/acaciacourse/core/consensus/ReplicaTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/ReplicaTests.java
@@ -43,6 +43,15 @@
 		return new Replica(A.id(), "a", recovered, TIMING, 1, this.recorder, 0);
 	}
 
+	// Starts the replica of a member with the log of all three.
+	private Replica start(Member member) {
+		LogEntry members = new LogEntry(1, 1, LogEntry.Kind.MEMBERSHIP,
+				MembershipCodec.encode(new Membership(List.of(A, B, C))));
+		RecoveredLog recovered = new RecoveredLog(new HardState(1, Optional.empty()), Optional.empty(),
+				List.of(members));
+		return new Replica(member.id(), member.vm(), recovered, TIMING, 1, this.recorder, 0);
+	}
+
 	private static LogEntry command(long index, long term) {
 		return new LogEntry(index, term, LogEntry.Kind.COMMAND, new byte[] { (byte) index });
 	}
@@ -88,6 +97,28 @@
 
 	}
 
+	// All VMs lose power and start at once. Two replicas that stand within the time of a
+	// vote take each other's votes, and callers wait for a second round.
+	@Nested
+	class StartOfAll {
+
+		@Test
+		void firstTimersFollowTheOrderOfIdentities() {
+			List<Replica> replicas = List.of(start(A), start(B), start(C));
+			for (int now = 5; now < 30; now += 8) {
+				for (Replica replica : replicas) {
+					replica.tick(now);
+				}
+				int stood = Math.min(replicas.size(), now / 8);
+				List<ReplicaStatus.Role> roles = replicas.stream().map((r) -> r.status().role()).toList();
+				assertThat(roles.stream().filter((role) -> role == ReplicaStatus.Role.PRE_CANDIDATE).count())
+					.isEqualTo(stood);
+				assertThat(roles.subList(stood, roles.size())).doesNotContain(ReplicaStatus.Role.PRE_CANDIDATE);
+			}
+		}
+
+	}
+
 	@Nested
 	class Follower {
 
