Test of wasted tokens waits for the metric

The answer ends for the caller before the entry's decision thread counts it, so the test now reads until the line is there, within 20 s, and then checks as before.

--- a/daemon/src/test/java/org/acaciacourse/daemon/entry/TelemetryTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/entry/TelemetryTests.java
@@ -1,9 +1,11 @@
 package org.acaciacourse.daemon.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 
 import io.opentelemetry.sdk.common.CompletableResultCode;
 import io.opentelemetry.sdk.trace.data.SpanData;
@@ -19,6 +21,18 @@
 
 	private static final String TRACE = "0af7651916cd43dd8448eb211c80319c";
 
+	// The caller sees the end of its answer before the entry counts it.
+	private static String awaitMetrics(EntryFixture entry, String line) throws Exception {
+		long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+		String page = entry.metrics();
+		while (!page.contains(line) && System.nanoTime() < end) {
+			LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+			page = entry.metrics();
+		}
+		assertThat(page).contains(line);
+		return page;
+	}
+
 	@Nested
 	class Metrics {
 
@@ -51,9 +65,9 @@
 				call.close();
 			}); EntryFixture entry = EntryFixture.with(engine).start()) {
 				entry.send(entry.chat(true));
-				assertThat(entry.metrics())
-					.contains("acaciacourse_tokens_wasted_total{class=\"standard\",policy=\"tiered\"} 1.0");
-				assertThat(entry.metrics()).contains("acaciacourse_retries_total{class=\"standard\"");
+				String page = awaitMetrics(entry,
+						"acaciacourse_tokens_wasted_total{class=\"standard\",policy=\"tiered\"} 1.0");
+				assertThat(page).contains("acaciacourse_retries_total{class=\"standard\"");
 			}
 		}
 
