--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -119,8 +119,7 @@
 	 */
 	public record Load(int endpoint, int inFlight, long waitingWork, int brief) {
 		// By hand, as the generated methods are put together at their first use: some
-		// tens of
-		// milliseconds, which callers wait for after a start.
+		// tens of milliseconds, which callers wait for after a start.
 		@Override
 		public boolean equals(Object other) {
 			return this == other
--- a/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PromptShape.java
@@ -84,8 +84,7 @@
 		}
 
 		// By hand, as the generated methods are put together at their first use: some
-		// tens of
-		// milliseconds, which callers wait for after a start.
+		// tens of milliseconds, which callers wait for after a start.
 		@Override
 		public boolean equals(Object other) {
 			return this == other || (other instanceof Part that && this.id == that.id && this.tokens == that.tokens);
