--- a/core/src/main/java/org/acaciacourse/core/ini/TextCursor.java
+++ b/core/src/main/java/org/acaciacourse/core/ini/TextCursor.java
@@ -2,8 +2,8 @@
 
 /**
  * Reads a short text from left to right. Regular expressions cost a process that has just
- * started some tens of milliseconds before it serves: a hundred durations of a manifest
- * took 19 ms by them, and less than 1 ms by this.
+ * started time before it serves: 120 durations took 17 to 23 ms by them and with exact
+ * decimals, and take 5 to 9 ms by this (four and three fresh processes on one core).
  * <p>
  * Not thread safe: made for one text.
  */
