--- a/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
+++ b/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
@@ -45,7 +45,7 @@
 	LATE_BY_PAUSE("late: pause too long", Set.of()) {
 		@Override
 		boolean fits(LogLine line) {
-			return line.event().equals(LogEvent.REQUEST_LATE.label());
+			return isLate(line);
 		}
 	},
 
@@ -107,10 +107,21 @@
 		return this.label;
 	}
 
+	/**
+	 * Return whether the request was answered all the same.
+	 * @return whether it was late, and not lost
+	 */
+	boolean isLate() {
+		return compareTo(LATE_BY_PAUSE) <= 0;
+	}
+
+	private static boolean isLate(LogLine line) {
+		return line.event().equals(LogEvent.REQUEST_LATE.label());
+	}
+
 	private static boolean isFirstLate(LogLine line) {
 		JsonNode fields = line.fields();
-		return line.event().equals(LogEvent.REQUEST_LATE.label())
-				&& fields.path("first_ms").asLong() > fields.path("target_ms").asLong();
+		return isLate(line) && fields.path("first_ms").asLong() > fields.path("target_ms").asLong();
 	}
 
 	// Where the longest part of the time until the first event went.
--- a/bench/src/main/java/org/acaciacourse/bench/losses/LossTable.java
+++ b/bench/src/main/java/org/acaciacourse/bench/losses/LossTable.java
@@ -15,8 +15,8 @@
 /**
  * Counts lost and late requests by time, route and cause, and keeps the ids of a few of
  * each for {@code explain}. Times are those of the VMs' clocks. What no log tells is not
- * here: requests whose entry was killed, and those late answers of an overload whose
- * number alone is told.
+ * here: requests whose entry was killed; of the late answers of an overload the number
+ * alone.
  * <p>
  * Not thread safe: filled, then printed.
  */
@@ -30,6 +30,8 @@
 
 	private final List<Loss> losses = new ArrayList<>();
 
+	private long untold;
+
 	private Optional<Instant> first = Optional.empty();
 
 	/**
@@ -48,6 +50,7 @@
 		LogLine.parse(text).ifPresent((line) -> {
 			this.first = Optional.of(this.first.filter((at) -> at.isBefore(line.at())).orElse(line.at()));
 			LossCause.of(line).ifPresent((cause) -> this.losses.add(loss(line, cause)));
+			this.untold += line.fields().path("untold").asLong();
 		});
 	}
 
@@ -64,10 +67,14 @@
 
 	/**
 	 * Return how many requests were lost.
-	 * @return the number
+	 * @return the number, without those that were late
 	 */
 	int total() {
-		return this.losses.stream().mapToInt(Loss::count).sum();
+		return count(false);
+	}
+
+	private int count(boolean late) {
+		return this.losses.stream().filter((loss) -> loss.cause().isLate() == late).mapToInt(Loss::count).sum();
 	}
 
 	/**
@@ -80,11 +87,12 @@
 			long row = Duration.between(this.first.orElse(loss.at()), loss.at()).dividedBy(this.step);
 			cells.computeIfAbsent(new Key(row, loss.route(), loss.cause()), (key) -> new Cell()).add(loss);
 		}
-		StringBuilder text = new StringBuilder("from second  route         cause                   lost  some ids\n");
+		StringBuilder text = new StringBuilder("from second  route         cause                        some ids\n");
 		cells.forEach((key,
 				cell) -> text.append(String.format(Locale.ROOT, "%11.1f  %-12s  %-22s  %4d  %s%n",
 						key.row() * this.step.toMillis() / 1000.0, key.route(), key.cause().label(), cell.count,
 						String.join(" ", cell.ids))));
+		text.append(count(true)).append(" late, ").append(this.untold).append(" more without a line of their own\n");
 		return text.append(total()).append(" lost in all\n").toString();
 	}
 
--- a/bench/src/test/java/org/acaciacourse/bench/losses/LossTableTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/losses/LossTableTests.java
@@ -58,6 +58,24 @@
 
 	}
 
+	@Nested
+	class Totals {
+
+		// Late answers earn something, and in an overload most have no line.
+		@Test
+		void lateAnswersAreCountedApart() {
+			failed("00.000", "a1", "r", 302, "unknown");
+			take("00.100", """
+					{"event":"request-late","request":"a2","route":"r","first_ms":9,"target_ms":1,"untold":0}""");
+			take("01.100", """
+					{"event":"request-late","request":"a3","route":"r","first_ms":9,"target_ms":1,"untold":40}""");
+			assertThat(LossTableTests.this.table.text())
+				.endsWith("2 late, 40 more without a line of their own\n1 lost in all\n");
+			assertThat(LossTableTests.this.table.total()).isEqualTo(1);
+		}
+
+	}
+
 	@Nested
 	class Rows {
 
