--- a/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
+++ b/bench/src/main/java/org/acaciacourse/bench/losses/LossCause.java
@@ -45,7 +45,7 @@
 	LATE_BY_PAUSE("late: pause too long", Set.of()) {
 		@Override
 		boolean fits(LogLine line) {
-			return isLate(line);
+			return tellsALateAnswer(line);
 		}
 	},
 
@@ -115,13 +115,13 @@
 		return compareTo(LATE_BY_PAUSE) <= 0;
 	}
 
-	private static boolean isLate(LogLine line) {
+	private static boolean tellsALateAnswer(LogLine line) {
 		return line.event().equals(LogEvent.REQUEST_LATE.label());
 	}
 
 	private static boolean isFirstLate(LogLine line) {
 		JsonNode fields = line.fields();
-		return isLate(line) && fields.path("first_ms").asLong() > fields.path("target_ms").asLong();
+		return tellsALateAnswer(line) && fields.path("first_ms").asLong() > fields.path("target_ms").asLong();
 	}
 
 	// Where the longest part of the time until the first event went.
