Ranks are given to pairs of priorities that occur, so that late work has one beside anonymous routes

The scale multiplied the levels of customers by those of routes; one anonymous route adds its own level to the customers', 3 x 4 pairs are more than the ten ranks, and the rank for late work is dropped. Only pairs that occur are counted now. Ruled out: the estimate of what is late.

--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 
 /**
  * The order of the requests of one table, as the few ranks that endpoints understand. A
@@ -18,6 +19,10 @@
  * so that levels which nobody uses take no rank. With more pairs than ranks neighbours
  * share one. Invariant: a request that goes before another one has no higher rank.
  * <p>
+ * What is late in any case has a rank of its own behind its equals if all pairs then
+ * still have one. Only pairs that occur are counted: with one anonymous route beside
+ * customers of one priority the product of all levels would leave no rank for it.
+ * <p>
  * Immutable and thread safe.
  */
 final class UrgencyScale {
@@ -25,14 +30,14 @@
 	/** The ranks that an endpoint tells apart, 0 is the highest. */
 	static final int RANKS = 10;
 
-	private final List<Integer> first;
+	/** In place of a route's priority: behind all of them. */
+	private static final long LATE = Integer.MAX_VALUE;
+
+	private final int leastUrgent;
 
-	private final List<Integer> second;
+	private final List<Long> pairs;
 
-	// The levels of each customer's priority: those of the routes, and one for what is
-	// late
-	// if all levels then still have a rank of their own.
-	private final int each;
+	private final boolean hasLate;
 
 	/**
 	 * Make the scale of a table.
@@ -40,22 +45,27 @@
 	 * @param owners the customers
 	 */
 	UrgencyScale(Collection<Route> routes, Collection<KeyOwner> owners) {
-		NavigableSet<Integer> ofRoutes = new TreeSet<>();
-		routes.forEach((route) -> ofRoutes.add(route.priority()));
-		NavigableSet<Integer> ofCustomers = new TreeSet<>();
-		owners.stream().map(KeyOwner::priority).flatMapToInt(OptionalInt::stream).forEach(ofCustomers::add);
-		if (isRouteLeading(routes, owners)) {
-			ofCustomers.addAll(ofRoutes);
-		}
-		this.first = List.copyOf(ofCustomers);
-		this.second = List.copyOf(ofRoutes);
-		int withLate = this.second.size() + 1;
-		this.each = (this.first.size() * withLate <= RANKS) ? withLate : this.second.size();
+		this.leastUrgent = routes.stream().mapToInt(Route::priority).max().orElse(0);
+		NavigableSet<Long> usual = new TreeSet<>();
+		routes.forEach((route) -> leading(route, owners).forEach((first) -> usual.add(pair(first, route.priority()))));
+		NavigableSet<Long> withLate = new TreeSet<>(usual);
+		routes.stream()
+			.filter((route) -> route.priority() == this.leastUrgent)
+			.forEach((route) -> leading(route, owners).forEach((first) -> withLate.add(pair(first, LATE))));
+		this.hasLate = withLate.size() <= RANKS;
+		this.pairs = List.copyOf((this.hasLate) ? withLate : usual);
+	}
+
+	// The priorities that requests of a route can have by their customers.
+	private static IntStream leading(Route route, Collection<KeyOwner> owners) {
+		IntStream ofCustomers = owners.stream().mapToInt((owner) -> priority(route, Optional.of(owner)));
+		boolean anonymous = owners.isEmpty() || route.anonymous();
+		return (anonymous) ? IntStream.concat(ofCustomers, IntStream.of(route.priority())) : ofCustomers;
 	}
 
-	private static boolean isRouteLeading(Collection<Route> routes, Collection<KeyOwner> owners) {
-		return owners.isEmpty() || owners.stream().anyMatch((owner) -> owner.priority().isEmpty())
-				|| routes.stream().anyMatch(Route::anonymous);
+	// Pairs are ordered by the first number, then by the second one.
+	private static long pair(int first, long second) {
+		return ((long) first << Integer.SIZE) + second;
 	}
 
 	/**
@@ -67,10 +77,8 @@
 	 * urgent: a less urgent request would go before it
 	 */
 	OptionalInt deferredRank(Route route, Optional<KeyOwner> owner) {
-		boolean least = this.second.indexOf(route.priority()) == this.second.size() - 1;
-		boolean spare = this.each > this.second.size();
-		return (least && spare) ? OptionalInt.of(ranked(leading(route, owner), this.second.size()))
-				: OptionalInt.empty();
+		return (this.hasLate && route.priority() == this.leastUrgent)
+				? OptionalInt.of(ranked(pair(priority(route, owner), LATE))) : OptionalInt.empty();
 	}
 
 	/**
@@ -80,21 +88,16 @@
 	 * @return 0 for the highest, less than {@link #RANKS}
 	 */
 	int rank(Route route, Optional<KeyOwner> owner) {
-		return ranked(leading(route, owner), this.second.indexOf(route.priority()));
-	}
-
-	private int leading(Route route, Optional<KeyOwner> owner) {
-		return this.first.indexOf(priority(route, owner));
+		return ranked(pair(priority(route, owner), route.priority()));
 	}
 
 	static int priority(Route route, Optional<KeyOwner> owner) {
 		return owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
 	}
 
-	private int ranked(int leading, int following) {
-		int level = leading * this.each + following;
-		int levels = this.first.size() * this.each;
-		return (levels <= RANKS) ? level : level * RANKS / levels;
+	private int ranked(long pair) {
+		int position = this.pairs.indexOf(pair);
+		return (this.pairs.size() <= RANKS) ? position : position * RANKS / this.pairs.size();
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -99,6 +99,23 @@
 			assertThat(deferred).isLessThan(rank(this.scale, 0, 1));
 		}
 
+		/*
+		 * All customers have one priority and one route may be used without a key. In a
+		 * burst all long prompts came late, none was set behind: the levels that only
+		 * anonymous requests have were multiplied by all routes and left no rank.
+		 */
+		@Test
+		void anonymousRoutesLeaveARankForWhatIsLate() {
+			List<Route> several = List.of(route(0), route(1), route(2, true));
+			KeyOwner customer = owner(OptionalInt.of(1));
+			UrgencyScale scale = new UrgencyScale(several, List.of(customer));
+			int deferred = scale.deferredRank(route(2, true), Optional.of(customer)).getAsInt();
+			assertThat(deferred).isGreaterThan(rank(scale, 2, 1));
+			assertThat(deferred).isLessThan(scale.rank(route(2, true), Optional.empty()));
+			assertThat(scale.rank(route(2, true), Optional.empty()))
+				.isLessThan(scale.deferredRank(route(2, true), Optional.empty()).getAsInt());
+		}
+
 		@Test
 		void moreUrgentKindsAreNotDeferred() {
 			assertThat(this.scale.deferredRank(route(0), Optional.of(this.high))).isEqualTo(OptionalInt.empty());
