The pace of engines is learnt from requests that nothing less urgent waits behind

Cause: what is late in any case was sent as if it could be in time. The pace was learnt from all that waited: urgent prompts go before what waits and are answered at once, which looked like four times the pace. Ruled out: old digests (what was believed to wait fits what each waited), and engines' queues that are full (864 arrivals not run were left by callers, 82 turned away). Test: whatGoesBeforeOthersTellsNothingOfThePace. The lines of late, failed and sampled answers tell the rank that was sent and the work that was believed to wait.

--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -18,7 +18,7 @@
 
 	private final boolean brief;
 
-	private final boolean deferred;
+	private final Turn turn;
 
 	private final long work;
 
@@ -30,17 +30,17 @@
 
 	private boolean ended;
 
-	PlacedRequest(EndpointLoad load, ReadingPace pace, Placement asked, boolean deferred) {
+	PlacedRequest(EndpointLoad load, ReadingPace pace, Placement asked, Turn turn) {
 		this.load = load;
 		this.pace = pace;
 		this.brief = asked.brief();
-		this.deferred = deferred;
+		this.turn = turn;
 		this.work = asked.shape().work(load.memory().held(asked.shape()));
-		if (deferred) {
-			load.beginDeferred(this.work);
+		if (turn.delaysOthers()) {
+			load.begin(this.work);
 		}
 		else {
-			load.begin(this.work);
+			load.beginDeferred(this.work);
 		}
 		if (this.brief) {
 			load.briefBegan();
@@ -48,6 +48,14 @@
 		this.ahead = load.waitingWork();
 	}
 
+	/**
+	 * Return the work that waited at the endpoint when the request was sent.
+	 * @return the work in prompt tokens, that of the request included
+	 */
+	public long workAhead() {
+		return this.ahead;
+	}
+
 	/**
 	 * Something came from the endpoint.
 	 * @param now the time
@@ -85,7 +93,7 @@
 		}
 		this.streaming = true;
 		this.load.streamBegan();
-		if (!this.deferred) {
+		if (this.turn.tellsPace()) {
 			this.pace.read(this.ahead, took);
 		}
 		promptRead();
@@ -96,11 +104,11 @@
 			return;
 		}
 		this.promptRead = true;
-		if (this.deferred) {
-			this.load.deferredRead(this.work);
+		if (this.turn.delaysOthers()) {
+			this.load.promptRead(this.work);
 		}
 		else {
-			this.load.promptRead(this.work);
+			this.load.deferredRead(this.work);
 		}
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -238,13 +238,12 @@
 	 * A request is sent.
 	 * @param instance the endpoint that was chosen, still in the pool
 	 * @param asked what the request asks
-	 * @param deferred whether all others go before it there, so that nothing waits for it
-	 * and its work is not told to the other entries
+	 * @param turn when the endpoint turns to it
 	 * @return the request there
 	 */
-	public PlacedRequest begin(String instance, Placement asked, boolean deferred) {
+	public PlacedRequest begin(String instance, Placement asked, Turn turn) {
 		EndpointLoad load = find(instance).orElseThrow();
-		PlacedRequest placed = new PlacedRequest(load, this.pace, asked, deferred);
+		PlacedRequest placed = new PlacedRequest(load, this.pace, asked, turn);
 		asked.shape().sharedParts().forEach((part) -> {
 			load.memory().use(part);
 			tellLater(new PartUse(load.name(), part));
--- a/core/src/test/java/org/acaciacourse/core/balance/MixedPlacementTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/MixedPlacementTests.java
@@ -120,12 +120,31 @@
 			assertThat(MixedPlacementTests.this.balancer.isLate("i0", prompt(1), TARGET)).isTrue();
 		}
 
+		/*
+		 * Short prompts go before the long ones of a burst, and each is answered within a
+		 * step of the engine, though 80,000 tokens wait there. That must not pass for the
+		 * pace of reading: no long prompt would be late by it, until all are.
+		 */
+		@Test
+		void whatGoesBeforeOthersTellsNothingOfThePace() {
+			MixedPlacementTests.this.balancer.endpoints(endpoints(1));
+			begin("i0", new PromptShape(60_000, 1, List.of()));
+			for (int i = 0; i < 100; i++) {
+				PlacedRequest urgent = MixedPlacementTests.this.balancer.begin("i0",
+						new Placement(new PromptShape(2_000, 1, List.of()), true, false, i, Set.of()),
+						Turn.BEFORE_OTHERS);
+				urgent.streamBegan(200_000_000L);
+				urgent.end(Outcome.GOOD, 0);
+			}
+			assertThat(MixedPlacementTests.this.balancer.isLate("i0", prompt(1), TARGET)).isTrue();
+		}
+
 		@Test
 		void deferredRequestDelaysNobody() {
 			MixedPlacementTests.this.balancer.endpoints(endpoints(1));
 			PromptShape large = new PromptShape(40_000, 1, List.of());
 			PlacedRequest deferred = MixedPlacementTests.this.balancer.begin("i0",
-					new Placement(large, true, false, 0, Set.of()), true);
+					new Placement(large, true, false, 0, Set.of()), Turn.DEFERRED);
 			assertThat(deferred.belief(0).waitingWork()).isEqualTo(0);
 			assertThat(deferred.waitingWork()).isEqualTo(large.work(0));
 			assertThat(MixedPlacementTests.this.balancer.isLate("i0", prompt(1), TARGET)).isFalse();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -73,6 +73,14 @@
 		this.placed = placed;
 	}
 
+	/**
+	 * Return what was believed to wait at the endpoint when it was chosen.
+	 * @return the work in prompt tokens, that of this request included
+	 */
+	long workAhead() {
+		return this.placed.workAhead();
+	}
+
 	/**
 	 * Send the request.
 	 * @param over the connection
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -38,6 +38,10 @@
 
 	private String sentTo;
 
+	private Integer sentUrgency;
+
+	private Long ahead;
+
 	private long firstAt;
 
 	private long lastEventAt;
@@ -57,10 +61,13 @@
 		this.context.metrics().waited(this.request.route(), now - this.startedAt);
 	}
 
-	// The request is written to its endpoint.
-	void sent(String instance, long now) {
+	// The request is written to its endpoint, where so many tokens of prompts, its own
+	// among them, were believed to wait.
+	void sent(String instance, int urgency, long work, long now) {
 		this.sentAt = now;
 		this.sentTo = instance;
+		this.sentUrgency = urgency;
+		this.ahead = work;
 	}
 
 	// The first part of the answer is passed on.
@@ -89,7 +96,8 @@
 		if (Math.floorMod(this.request.hash(), ANSWERS_PER_LINE) == 0) {
 			DecisionLog.write(LogEvent.REQUEST_ANSWERED, this.request.facts().id(), this.request.route().name(),
 					this.request.pool(), this.request.urgency(), this.context.pools().number(), millisTo(this.placedAt),
-					millisTo(this.firstAt), millisTo(System.nanoTime()), progress.tried().size());
+					millisTo(this.firstAt), millisTo(System.nanoTime()), progress.tried().size(), this.sentUrgency,
+					this.ahead);
 		}
 	}
 
@@ -108,7 +116,7 @@
 					this.request.urgency(), this.context.pools().number(), this.sentTo, millisTo(this.placedAt),
 					millisTo(this.sentAt), millisTo(this.firstAt), TimeUnit.NANOSECONDS.toMillis(this.longestGap),
 					millisTo(now), progress.tried().size(), route.target().toMillis(), route.eventGap().toMillis(),
-					untold.getAsLong());
+					untold.getAsLong(), this.sentUrgency, this.ahead);
 		}
 	}
 
@@ -126,7 +134,7 @@
 				this.request.customer().orElse(null), this.request.urgency(), this.context.pools().number(),
 				Long.toHexString(this.context.pools().fleet().revision()), millisTo(this.placedAt), millisTo(now),
 				TimeUnit.NANOSECONDS.toMillis(this.endsAt - now), progress.tried().size(),
-				(code.isRetryable()) ? comeBack.toMillis() : null);
+				(code.isRetryable()) ? comeBack.toMillis() : null, this.sentUrgency, this.ahead);
 		this.context.metrics().ended(this.request.route(), this.request.pool(), code);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -23,6 +23,7 @@
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingParameter;
+import org.acaciacourse.core.balance.Turn;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -83,7 +84,7 @@
 
 	private long refusedSince;
 
-	private boolean deferred;
+	private Turn turn = Turn.BEFORE_OTHERS;
 
 	private boolean done;
 
@@ -200,9 +201,9 @@
 	}
 
 	private void begin(FleetEndpoint endpoint, Placement asked) {
-		this.deferred = isLate(endpoint);
+		this.turn = turn(endpoint);
 		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), asked, this.deferred));
+				this.pool.balancer().begin(endpoint.instance(), asked, this.turn));
 		this.current = Optional.of(attempt);
 		this.progress.begin(endpoint.instance());
 		this.context.links().acquire(endpoint, (link) -> connected(attempt, endpoint, link));
@@ -211,10 +212,13 @@
 	// A request that is late in any case waits at its engine behind those that can still
 	// be in time: in an overload all would be late otherwise, each by as much as the
 	// callers bear.
-	private boolean isLate(FleetEndpoint endpoint) {
+	private Turn turn(FleetEndpoint endpoint) {
+		if (this.request.deferredUrgency().isEmpty()) {
+			return Turn.BEFORE_OTHERS;
+		}
 		long left = this.startedAt + this.request.route().target().toNanos() - System.nanoTime();
-		return this.request.deferredUrgency().isPresent()
-				&& this.pool.balancer().isLate(endpoint.instance(), this.request.facts().prompt(), left);
+		boolean late = this.pool.balancer().isLate(endpoint.instance(), this.request.facts().prompt(), left);
+		return (late) ? Turn.DEFERRED : Turn.AFTER_OTHERS;
 	}
 
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointLink> connection) {
@@ -247,7 +251,7 @@
 			this.pool.allowance().spend(System.nanoTime());
 		}
 		this.progress.sent();
-		this.record.sent(endpoint.instance(), System.nanoTime());
+		this.record.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		attempt.send(link, message(endpoint, remaining));
 	}
 
@@ -268,7 +272,7 @@
 	}
 
 	private int urgency() {
-		return (this.deferred) ? this.request.deferredUrgency().orElseThrow() : this.request.urgency();
+		return (this.turn == Turn.DEFERRED) ? this.request.deferredUrgency().orElseThrow() : this.request.urgency();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -12,11 +12,11 @@
 
 	/** A routed request ended otherwise than with a whole answer in time. */
 	REQUEST_FAILED("request-failed", "request", "code", "why", "run", "route", "pool", "customer", "urgency", "table",
-			"fleet", "waited_ms", "took_ms", "left_ms", "attempts", "retry_after_ms"),
+			"fleet", "waited_ms", "took_ms", "left_ms", "attempts", "retry_after_ms", "sent_urgency", "ahead"),
 
 	/** A routed request was answered; one in some hundred is told. */
 	REQUEST_ANSWERED("request-answered", "request", "route", "pool", "urgency", "table", "waited_ms", "first_ms",
-			"took_ms", "attempts"),
+			"took_ms", "attempts", "sent_urgency", "ahead"),
 
 	/**
 	 * An answer came whole, but after its target or with too long a pause: what it waited
@@ -24,7 +24,8 @@
 	 * pause, and how many late answers since the line before were not told.
 	 */
 	REQUEST_LATE("request-late", "request", "route", "pool", "urgency", "table", "endpoint", "waited_ms", "sent_ms",
-			"first_ms", "gap_ms", "took_ms", "attempts", "target_ms", "gap_target_ms", "untold"),
+			"first_ms", "gap_ms", "took_ms", "attempts", "target_ms", "gap_target_ms", "untold", "sent_urgency",
+			"ahead"),
 
 	/** A request was refused before any endpoint was looked for. */
 	REQUEST_REFUSED("request-refused", "request", "code", "host", "path", "table", "retry_after_ms"),
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -20,6 +20,7 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
+import org.acaciacourse.core.balance.Turn;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.codec.ThriftBytes;
@@ -73,7 +74,9 @@
 	}
 
 	private static PlacedRequest begin(PoolStates pools, String instance, PromptShape shape) {
-		return pools.state("pool").balancer().begin(instance, new Placement(shape, true, false, 0, Set.of()), false);
+		return pools.state("pool")
+			.balancer()
+			.begin(instance, new Placement(shape, true, false, 0, Set.of()), Turn.AFTER_OTHERS);
 	}
 
 	// An entry whose policy has no digests takes none, whatever the others send; the
