The number of engines for brief requests changes by an eighth of all engines at a time

The engines for them were full: 90 to 100 brief requests ran on 5 to 7 engines of 16 slots, as their number grew by one in each second while 204 ran in the burst at 15 s on 12. Ruled out: the price of a slot (4,000 tokens a place are 80 to 130 ms, about what a place takes); old digests alone (see the sampled choice). Up to now by one, now by up to an eighth of all engines in half a second, towards what runs needs; pools of fewer than 16 engines go on as before, so that the earlier sites see no change.

--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -37,6 +37,13 @@
 	 */
 	private static final long STEP_NANOS = 20_000_000L;
 
+	/**
+	 * How many change at a time, at most, as a part of all engines: what runs on fewer of
+	 * them runs longer, which shows only then. With one at a time a hundred engines are
+	 * behind a burst for as long as it lasts.
+	 */
+	private static final int CHANGE_PART = 8;
+
 	private RoutingPolicy policy = RoutingPolicy.DEFAULT;
 
 	private List<EndpointLoad> order = List.of();
@@ -119,14 +126,26 @@
 		double most = value((this.waiting < value(RoutingParameter.CALM_WORK)) ? RoutingParameter.LEAST_FILLED
 				: RoutingParameter.MOST_FILLED);
 		if (this.running > most * slots(this.size)) {
-			change(Math.min(this.order.size() / 2, this.size + 1), now);
+			int next = Math.max(this.size + 1, Math.min(this.size + step(), needed(most)));
+			change(Math.min(this.order.size() / 2, next), now);
 		}
 		else if (this.waiting > value(RoutingParameter.PRESSED_WORK) && this.size > 1
 				&& this.running < value(RoutingParameter.FILLED_AFTER) * slots(this.size - 1)) {
-			change(this.size - 1, now);
+			int next = Math.max(this.size - step(), needed(value(RoutingParameter.FILLED_AFTER)));
+			change(Math.max(1, Math.min(this.size - 1, next)), now);
 		}
 	}
 
+	private int step() {
+		return Math.max(1, this.order.size() / CHANGE_PART);
+	}
+
+	// How many engines the brief requests fill to a part of their slots.
+	private int needed(double filled) {
+		double slotsEach = (double) slots(this.order.size()) / this.order.size();
+		return (int) Math.ceil(this.running / (filled * slotsEach));
+	}
+
 	private double value(RoutingParameter parameter) {
 		return this.policy.value(parameter);
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
@@ -143,6 +143,19 @@
 			assertThat(forBrief()).isEqualTo(18);
 		}
 
+		/*
+		 * A burst of brief requests comes to a hundred small engines. With one engine
+		 * more in each half second they are still full when it is over.
+		 */
+		@Test
+		void burstGetsManyEnginesAtOnce() {
+			pool(100, 16);
+			waitEverywhereElse(USUAL_PROMPT);
+			run(570);
+			pass(SECOND);
+			assertThat(forBrief()).isEqualTo(40);
+		}
+
 	}
 
 	@Nested
