Fewer endpoints are compared for a request, the more the other entries send between their digests

Cause: 77 entries hear of one another every 0.77 s and place 577 requests a second. All take the engine that looks best by the same old digests. Shown in virtual time (ChoiceSampleTests): 40 entries, 50 engines of 16 slots, 62% taken: 140 of some 1,600 requests find all slots of their engine taken, 5 with a sample of a share that leaves two untold requests to the best one. Endpoints that hold the shared parts of a prompt are compared in any case. Small pools: all are compared while less than two requests are untold.

--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -25,12 +25,17 @@
 	/** VMs send at least twice in this time while they have anything under way. */
 	private static final long SILENT_NANOS = 1_200_000_000L;
 
+	/** Some ten digests make the estimate of their pause. */
+	private static final double PAUSE_WEIGHT = 0.1;
+
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	private final Map<String, Digest> digests = new HashMap<>();
 
 	private final Map<Integer, Sum> sums = new HashMap<>();
 
+	private double pauseNanos;
+
 	/**
 	 * Return the short name of an endpoint in digests. Two endpoints of one name would
 	 * share their load, which only makes both look busier.
@@ -56,6 +61,7 @@
 		}
 		if (before != null) {
 			add(before.loads(), -1);
+			this.pauseNanos += PAUSE_WEIGHT * (now - before.at() - this.pauseNanos);
 		}
 		this.digests.put(peer, new Digest(sequence, List.copyOf(loads), now));
 		add(loads, 1);
@@ -94,6 +100,16 @@
 		return !this.digests.isEmpty();
 	}
 
+	// The VMs that tell their load.
+	int count() {
+		return this.digests.size();
+	}
+
+	// The pause between two digests of a VM, of late.
+	double pauseNanos() {
+		return this.pauseNanos;
+	}
+
 	int inFlight(int endpoint) {
 		Sum sum = this.sums.get(endpoint);
 		return (sum != null) ? sum.inFlight : 0;
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.balance;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,6 +62,10 @@
 
 	private final ReadingPace pace = new ReadingPace();
 
+	private final ChoiceSample ofBrief;
+
+	private final ChoiceSample ofOthers;
+
 	private final Set<PartUse> untold = new LinkedHashSet<>();
 
 	/**
@@ -71,6 +76,8 @@
 	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
 		this.peers = peers;
 		this.connected = connected;
+		this.ofBrief = new ChoiceSample(peers);
+		this.ofOthers = new ChoiceSample(peers);
 	}
 
 	/**
@@ -161,10 +168,17 @@
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
 		this.brief.follow(now);
 		Optional<EndpointLoad> home = home(asked, now);
+		List<EndpointLoad> usable = usable(asked.without(), now);
+		boolean mixed = isMixed(asked);
+		int apart = (mixed) ? (int) usable.stream().filter(this.brief::contains).count() : 0;
+		double share = share(asked, now);
+		ChoiceSample.Draw forBrief = new ChoiceSample.Draw(share, apart, asked.salt());
+		ChoiceSample.Draw others = new ChoiceSample.Draw(share, usable.size() - apart, asked.salt());
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
-		for (EndpointLoad load : this.loads.values()) {
-			if (isUsable(load, asked.without(), now)) {
+		for (EndpointLoad load : usable) {
+			boolean drawn = (mixed && this.brief.contains(load)) ? forBrief.next() : others.next();
+			if (drawn || isPlace(load, asked, home)) {
 				double cost = cost(load, asked, home, now);
 				if (cost < bestCost) {
 					best = load;
@@ -172,14 +186,43 @@
 				}
 			}
 		}
+		if (best != null) {
+			sample(asked).chosen(now);
+		}
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
+	private List<EndpointLoad> usable(Set<String> without, long now) {
+		List<EndpointLoad> usable = new ArrayList<>(this.loads.size());
+		for (EndpointLoad load : this.loads.values()) {
+			if (isUsable(load, without, now)) {
+				usable.add(load);
+			}
+		}
+		return usable;
+	}
+
+	private double share(Placement asked, long now) {
+		return (this.policy.isOn(RoutingMechanism.SAMPLED_CHOICE))
+				? sample(asked).share(this.policy.value(RoutingParameter.UNTOLD_REQUESTS), now) : 1;
+	}
+
+	// Both kinds have endpoints of their own, where only their own is untold.
+	private ChoiceSample sample(Placement asked) {
+		return (asked.brief()) ? this.ofBrief : this.ofOthers;
+	}
+
+	// The endpoints that hold the shared parts are few, and compared in any case.
+	private static boolean isPlace(EndpointLoad load, Placement asked, Optional<EndpointLoad> home) {
+		long shared = asked.shape().sharedTokens();
+		return (home.isPresent() && home.get() == load) || (shared > 0 && load.memory().held(asked.shape()) == shared);
+	}
+
 	private double cost(EndpointLoad load, Placement asked, Optional<EndpointLoad> home, long now) {
 		long held = load.memory().held(asked.shape());
 		boolean isPlace = home.isEmpty() || home.get() == load || held == asked.shape().sharedTokens();
 		double sum = this.cost.of(load, asked, held, isPlace, now);
-		if (this.brief.isDivided() && asked.shape().promptTokens() > 0) {
+		if (isMixed(asked)) {
 			sum += mixing(load, asked, held);
 		}
 		if (!this.connected.test(load.endpoint().instance())) {
@@ -188,6 +231,10 @@
 		return sum;
 	}
 
+	private boolean isMixed(Placement asked) {
+		return this.brief.isDivided() && asked.shape().promptTokens() > 0;
+	}
+
 	// An engine reads a prompt between the tokens of all that run there: a long one makes
 	// each brief answer beside it late by its gap alone.
 	private double mixing(EndpointLoad load, Placement asked, long held) {
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
@@ -17,6 +17,9 @@
 	/** Entries tell one another which parts of prompts an endpoint has read. */
 	PARTS_TOLD("parts-told", LOAD_DIGESTS),
 
+	/** Fewer endpoints are compared for a request, the older what is known of them. */
+	SAMPLED_CHOICE("sampled-choice", LOAD_DIGESTS),
+
 	/** A part that no endpoint holds is read first at the one that a hash names. */
 	HOME_OF_PARTS("home-of-parts"),
 
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
@@ -83,6 +83,13 @@
 	 */
 	HARMLESS_WORK("harmless-work", "tokens per ms", 20, 0, 10_000),
 
+	/**
+	 * How many requests, that other entries sent and did not tell yet, the endpoint may
+	 * get that looks best to all: two of them delay one another by the gap of an event at
+	 * most.
+	 */
+	UNTOLD_REQUESTS("untold-requests", "requests", 2, 0.1, 1_000),
+
 	/** Targets within this factor of the shortest one are those of brief requests. */
 	NEARLY_SHORTEST("nearly-shortest", "times", 1.25, 1, 100),
 
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/ChoiceSampleTests.java
@@ -0,0 +1,204 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import com.google.common.collect.Range;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ChoiceSampleTests extends BalancerTestBase {
+
+	private static final long MILLI = 1_000_000;
+
+	@Nested
+	class Share {
+
+		private final PeerLoads peers = new PeerLoads();
+
+		private final ChoiceSample sample = new ChoiceSample(this.peers);
+
+		private void digests(int vms, long pauseMillis) {
+			for (int number = 1; number <= 30; number++) {
+				for (int vm = 0; vm < vms; vm++) {
+					this.peers.take("vm" + vm, number, List.of(), number * pauseMillis * MILLI);
+				}
+			}
+		}
+
+		private void requests(int perSecond, long until) {
+			for (long at = until - 3_000 * MILLI; at < until; at += 1_000 * MILLI / perSecond) {
+				this.sample.chosen(at);
+			}
+		}
+
+		@Test
+		void allAreComparedWhereNobodyElseSends() {
+			requests(100, 5_000 * MILLI);
+			assertThat(this.sample.share(2, 5_000 * MILLI)).isEqualTo(1.0);
+		}
+
+		@Test
+		void allAreComparedWhileLittleIsUntold() {
+			digests(8, 80);
+			requests(4, 5_000 * MILLI);
+			assertThat(this.sample.share(2, 5_000 * MILLI)).isEqualTo(1.0);
+		}
+
+		@Test
+		void fewAreComparedWhereMuchIsUntold() {
+			digests(76, 760);
+			requests(8, 30_000 * MILLI);
+			// 8 requests x 76 VMs x 0.38 s = 231
+			assertThat(this.sample.share(2, 30_000 * MILLI)).isWithin(0.002).of(2 / 231.0);
+		}
+
+		@Test
+		void quietVmComparesAllAgain() {
+			digests(76, 760);
+			requests(8, 30_000 * MILLI);
+			assertThat(this.sample.share(2, 40_000 * MILLI)).isEqualTo(1.0);
+		}
+
+		private static long drawn(double share, int endpoints, long salt) {
+			ChoiceSample.Draw draw = new ChoiceSample.Draw(share, endpoints, salt);
+			return IntStream.range(0, endpoints).filter((i) -> draw.next()).count();
+		}
+
+		@Test
+		void twoAreComparedAtLeast() {
+			assertThat(drawn(0.001, 98, 5)).isEqualTo(2);
+			assertThat(drawn(0.001, 1, 6)).isEqualTo(1);
+			assertThat(drawn(0.1, 98, 7)).isEqualTo(10);
+			assertThat(drawn(1, 98, 8)).isEqualTo(98);
+			assertThat(drawn(1, 0, 9)).isEqualTo(0);
+		}
+
+		// Engines for brief requests are neighbours in the order of their hashes: drawn
+		// from a random place among all, two of them would get what all entries send.
+		@Test
+		void eachEngineOfItsKindIsAsLikely() {
+			PoolBalancer balancer = new PoolBalancer(this.peers, (instance) -> true);
+			balancer.endpoints(endpoints(96));
+			digests(76, 760);
+			Map<String, Integer> chosen = new HashMap<>();
+			for (int i = 0; i < 2_400; i++) {
+				Placement asked = new Placement(new PromptShape(500, 1, List.of()), false, true, i, Set.of());
+				long at = 25_000 * MILLI + i * 10 * MILLI;
+				chosen.merge(balancer.choose(asked, at).map(FleetEndpoint::instance).orElseThrow(), 1, Integer::sum);
+			}
+			assertThat(chosen).hasSize(24);
+			chosen.values().forEach((count) -> assertThat(count).isIn(Range.closed(60, 140)));
+		}
+
+	}
+
+	// Many entries hear of one another every 0.8 s only and have 160 answers of 3 s each
+	// for 50 engines of 16 slots, 10 for each. If all entries take the engine that was
+	// least loaded by the last digests, it gets a crowd at a time: callers wait for a
+	// slot
+	// there while others are free.
+	@Nested
+	class ManyEntries {
+
+		private static final int ENTRIES = 40;
+
+		private static final int ENGINES = 50;
+
+		private static final int SLOTS = 16;
+
+		private static final int PAUSE_MILLIS = 800;
+
+		private final List<PeerLoads> peers = new ArrayList<>();
+
+		private final List<PoolBalancer> balancers = new ArrayList<>();
+
+		private final Deque<Run> runs = new ArrayDeque<>();
+
+		private final Map<String, Integer> running = new HashMap<>();
+
+		private int waiting;
+
+		private void make(RoutingPolicy policy) {
+			for (int i = 0; i < ENTRIES; i++) {
+				PeerLoads heard = new PeerLoads();
+				PoolBalancer balancer = new PoolBalancer(heard, (instance) -> true);
+				balancer.endpoints(endpoints(ENGINES));
+				balancer.policy(policy);
+				this.peers.add(heard);
+				this.balancers.add(balancer);
+			}
+		}
+
+		private void tell(int from, long at, long number) {
+			List<PeerLoads.Load> loads = this.balancers.get(from).own();
+			for (int to = 0; to < ENTRIES; to++) {
+				if (to != from) {
+					this.peers.get(to).take("vm" + from, number, loads, at);
+				}
+			}
+		}
+
+		private void send(PoolBalancer balancer, long salt, long at) {
+			Placement asked = new Placement(PromptShape.NONE, false, false, salt, Set.of());
+			String instance = balancer.choose(asked, at).map(FleetEndpoint::instance).orElseThrow();
+			this.runs.add(new Run(balancer.begin(instance, asked, Turn.AFTER_OTHERS), instance, at + 3_000 * MILLI));
+			if (this.running.merge(instance, 1, Integer::sum) > SLOTS) {
+				this.waiting++;
+			}
+		}
+
+		private void endUntil(long at) {
+			while (!this.runs.isEmpty() && this.runs.peek().endsAt() <= at) {
+				Run run = this.runs.poll();
+				run.placed().end(Outcome.GOOD, at);
+				this.running.merge(run.instance(), -1, Integer::sum);
+			}
+		}
+
+		private int play() {
+			Random random = new Random(7);
+			for (int milli = 0; milli < 10_000; milli++) {
+				long at = milli * MILLI;
+				endUntil(at);
+				for (int vm = 0; vm < ENTRIES; vm++) {
+					if (milli % PAUSE_MILLIS == vm * PAUSE_MILLIS / ENTRIES) {
+						tell(vm, at, milli + 1);
+					}
+				}
+				if (random.nextInt(1_000) < 160) {
+					send(this.balancers.get(random.nextInt(ENTRIES)), random.nextLong(), at);
+				}
+			}
+			return this.waiting;
+		}
+
+		// Of some 1,600 requests one in a hundred may find all slots taken.
+		@Test
+		void fewWaitForASlot() {
+			make(RoutingPolicy.DEFAULT);
+			assertThat(play()).isAtMost(16);
+		}
+
+		@Test
+		void manyWaitWithoutTheSample() {
+			make(new RoutingPolicy("all", Set.of(RoutingMechanism.SAMPLED_CHOICE), Map.of()));
+			assertThat(play()).isAtLeast(100);
+		}
+
+		private record Run(PlacedRequest placed, String instance, long endsAt) {
+		}
+
+	}
+
+}
