--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
@@ -18,7 +18,7 @@
 	PARTS_TOLD("parts-told", LOAD_DIGESTS),
 
 	/** Fewer endpoints are compared for a request, the older what is known of them. */
-	SAMPLED_CHOICE("sampled-choice", LOAD_DIGESTS),
+	SAMPLED_CHOICE("sampled-choice"),
 
 	/** A part that no endpoint holds is read first at the one that a hash names. */
 	HOME_OF_PARTS("home-of-parts"),
