The scale of ranks walks over the priorities of customers, not over all customers for each route

Cause: read in the diff. With 1,700 customers and a thousand routes each change of the configuration would have added 1.7 million pairs; the customers have a few priorities. Same ranks (tests of the package green), not measured at that size.

--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -46,21 +46,24 @@
 	 */
 	UrgencyScale(Collection<Route> routes, Collection<KeyOwner> owners) {
 		this.leastUrgent = routes.stream().mapToInt(Route::priority).max().orElse(0);
+		// Thousands of customers have a few priorities.
+		List<OptionalInt> ofCustomers = owners.stream().map(KeyOwner::priority).distinct().toList();
 		NavigableSet<Long> usual = new TreeSet<>();
-		routes.forEach((route) -> leading(route, owners).forEach((first) -> usual.add(pair(first, route.priority()))));
+		routes.forEach(
+				(route) -> leading(route, ofCustomers).forEach((first) -> usual.add(pair(first, route.priority()))));
 		NavigableSet<Long> withLate = new TreeSet<>(usual);
 		routes.stream()
 			.filter((route) -> route.priority() == this.leastUrgent)
-			.forEach((route) -> leading(route, owners).forEach((first) -> withLate.add(pair(first, LATE))));
+			.forEach((route) -> leading(route, ofCustomers).forEach((first) -> withLate.add(pair(first, LATE))));
 		this.hasLate = withLate.size() <= RANKS;
 		this.pairs = List.copyOf((this.hasLate) ? withLate : usual);
 	}
 
 	// The priorities that requests of a route can have by their customers.
-	private static IntStream leading(Route route, Collection<KeyOwner> owners) {
-		IntStream ofCustomers = owners.stream().mapToInt((owner) -> priority(route, Optional.of(owner)));
-		boolean anonymous = owners.isEmpty() || route.anonymous();
-		return (anonymous) ? IntStream.concat(ofCustomers, IntStream.of(route.priority())) : ofCustomers;
+	private static IntStream leading(Route route, List<OptionalInt> ofCustomers) {
+		IntStream told = ofCustomers.stream().mapToInt((priority) -> priority.orElse(route.priority()));
+		boolean anonymous = ofCustomers.isEmpty() || route.anonymous();
+		return (anonymous) ? IntStream.concat(told, IntStream.of(route.priority())) : told;
 	}
 
 	// Pairs are ordered by the first number, then by the second one.
