What reading the whole change found: the choice walks once, ranks look at pools, requests count when they are sent

- The memory of each engine was asked twice for a compared one, the usable ones were found twice, the shared tokens summed for each; a question whether an attempt may be replaced counted as a request.
Now once, and counted in begin().
- Late work had no rank where a plain service of another pool is less urgent than all prompts: the scale looked at all routes.
It looks at those of the same pools (test: routesOfOtherPoolsDoNotCount, red before).
- A rank is found by binary search rather than by walking over the pairs, twice a request.
- A comment that the formatter had broken.

--- a/bench/src/main/java/org/acaciacourse/bench/decision/PlacementBenchmark.java
+++ b/bench/src/main/java/org/acaciacourse/bench/decision/PlacementBenchmark.java
@@ -70,8 +70,9 @@
 		for (int i = 0; i < this.engines * SLOTS / 4; i++) {
 			Placement placement = this.asked.get(i % PARTS);
 			this.balancer.choose(placement, this.now)
-				.ifPresent((endpoint) -> this.balancer.begin(endpoint.instance(), placement, Turn.AFTER_OTHERS)
-					.streamBegan(1));
+				.ifPresent(
+						(endpoint) -> this.balancer.begin(endpoint.instance(), placement, Turn.AFTER_OTHERS, this.now)
+							.streamBegan(1));
 		}
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -126,17 +126,17 @@
 		double most = value((this.waiting < value(RoutingParameter.CALM_WORK)) ? RoutingParameter.LEAST_FILLED
 				: RoutingParameter.MOST_FILLED);
 		if (this.running > most * slots(this.size)) {
-			int next = Math.max(this.size + 1, Math.min(this.size + step(), needed(most)));
+			int next = Math.max(this.size + 1, Math.min(this.size + mostChange(), needed(most)));
 			change(Math.min(this.order.size() / 2, next), now);
 		}
 		else if (this.waiting > value(RoutingParameter.PRESSED_WORK) && this.size > 1
 				&& this.running < value(RoutingParameter.FILLED_AFTER) * slots(this.size - 1)) {
-			int next = Math.max(this.size - step(), needed(value(RoutingParameter.FILLED_AFTER)));
+			int next = Math.max(this.size - mostChange(), needed(value(RoutingParameter.FILLED_AFTER)));
 			change(Math.max(1, Math.min(this.size - 1, next)), now);
 		}
 	}
 
-	private int step() {
+	private int mostChange() {
 		return Math.max(1, this.order.size() / CHANGE_PART);
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/ChoiceSample.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/ChoiceSample.java
@@ -27,23 +27,23 @@
 
 	private double perSecond;
 
-	private long chosenAt;
+	private long sentAt;
 
 	ChoiceSample(PeerLoads peers) {
 		this.peers = peers;
 	}
 
 	/**
-	 * This VM chose an endpoint for a request.
+	 * This VM sent a request.
 	 * @param now the time
 	 */
-	void chosen(long now) {
+	void sent(long now) {
 		this.perSecond = perSecond(now) + 1 / RATE_SECONDS;
-		this.chosenAt = now;
+		this.sentAt = now;
 	}
 
 	private double perSecond(long now) {
-		double age = Math.max(0, now - this.chosenAt) / 1e9;
+		double age = Math.max(0, now - this.sentAt) / 1e9;
 		return this.perSecond * Math.exp(-age / RATE_SECONDS);
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -167,28 +167,29 @@
 	 */
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
 		this.brief.follow(now);
-		Optional<EndpointLoad> home = home(asked, now);
 		List<EndpointLoad> usable = usable(asked.without(), now);
+		Optional<EndpointLoad> home = home(asked, usable);
 		boolean mixed = isMixed(asked);
 		int apart = (mixed) ? (int) usable.stream().filter(this.brief::contains).count() : 0;
 		double share = share(asked, now);
 		ChoiceSample.Draw forBrief = new ChoiceSample.Draw(share, apart, asked.salt());
 		ChoiceSample.Draw others = new ChoiceSample.Draw(share, usable.size() - apart, asked.salt());
+		long shared = asked.shape().sharedTokens();
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : usable) {
 			boolean drawn = (mixed && this.brief.contains(load)) ? forBrief.next() : others.next();
-			if (drawn || isPlace(load, asked, home)) {
-				double cost = cost(load, asked, home, now);
+			long held = load.memory().held(asked.shape());
+			boolean isPlace = held == shared || (home.isPresent() && home.get() == load);
+			// The endpoints that hold the shared parts are few, and compared in any case.
+			if (drawn || (isPlace && shared > 0)) {
+				double cost = cost(load, asked, held, isPlace || home.isEmpty(), now);
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
 				}
 			}
 		}
-		if (best != null) {
-			sample(asked).chosen(now);
-		}
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
@@ -212,15 +213,7 @@
 		return (asked.brief()) ? this.ofBrief : this.ofOthers;
 	}
 
-	// The endpoints that hold the shared parts are few, and compared in any case.
-	private static boolean isPlace(EndpointLoad load, Placement asked, Optional<EndpointLoad> home) {
-		long shared = asked.shape().sharedTokens();
-		return (home.isPresent() && home.get() == load) || (shared > 0 && load.memory().held(asked.shape()) == shared);
-	}
-
-	private double cost(EndpointLoad load, Placement asked, Optional<EndpointLoad> home, long now) {
-		long held = load.memory().held(asked.shape());
-		boolean isPlace = home.isEmpty() || home.get() == load || held == asked.shape().sharedTokens();
+	private double cost(EndpointLoad load, Placement asked, long held, boolean isPlace, long now) {
 		double sum = this.cost.of(load, asked, held, isPlace, now);
 		if (isMixed(asked)) {
 			sum += mixing(load, asked, held);
@@ -247,17 +240,16 @@
 		return (forBrief) ? beside + this.cost.elsewhere(work, this.harmlessWork) : beside;
 	}
 
-	private Optional<EndpointLoad> home(Placement asked, long now) {
+	private Optional<EndpointLoad> home(Placement asked, List<EndpointLoad> usable) {
 		long key = asked.shape().sharedId();
 		if (key == 0 || !asked.affinity() || asked.brief() || !this.policy.isOn(RoutingMechanism.HOME_OF_PARTS)) {
 			return Optional.empty();
 		}
 		EndpointLoad home = null;
 		long highest = 0;
-		for (EndpointLoad load : this.loads.values()) {
+		for (EndpointLoad load : usable) {
 			long weight = HASH.hashLong(key ^ Long.rotateLeft(load.hash(), 32));
-			if (isUsable(load, asked.without(), now) && !this.brief.contains(load)
-					&& (home == null || Long.compareUnsigned(weight, highest) > 0)) {
+			if (!this.brief.contains(load) && (home == null || Long.compareUnsigned(weight, highest) > 0)) {
 				home = load;
 				highest = weight;
 			}
@@ -286,9 +278,11 @@
 	 * @param instance the endpoint that was chosen, still in the pool
 	 * @param asked what the request asks
 	 * @param turn when the endpoint turns to it
+	 * @param now the time
 	 * @return the request there
 	 */
-	public PlacedRequest begin(String instance, Placement asked, Turn turn) {
+	public PlacedRequest begin(String instance, Placement asked, Turn turn, long now) {
+		sample(asked).sent(now);
 		EndpointLoad load = find(instance).orElseThrow();
 		PlacedRequest placed = new PlacedRequest(load, this.pace, asked, turn);
 		asked.shape().sharedParts().forEach((part) -> {
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -121,7 +121,7 @@
 	 * Return the rank of a request that its target passes in any case.
 	 * @param route its route, one of this table
 	 * @param owner its customer, one of this table, if there is any
-	 * @return the rank, if no route of the table is less urgent
+	 * @return the rank, if no route of its pools is less urgent
 	 */
 	public OptionalInt deferredUrgency(Route route, Optional<KeyOwner> owner) {
 		return this.urgency.deferredRank(route, owner);
--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -1,7 +1,10 @@
 package org.acaciacourse.core.route;
 
 import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -33,7 +36,7 @@
 	/** In place of a route's priority: behind all of them. */
 	private static final long LATE = Integer.MAX_VALUE;
 
-	private final int leastUrgent;
+	private final Map<String, Integer> leastUrgent = new HashMap<>();
 
 	private final List<Long> pairs;
 
@@ -45,7 +48,8 @@
 	 * @param owners the customers
 	 */
 	UrgencyScale(Collection<Route> routes, Collection<KeyOwner> owners) {
-		this.leastUrgent = routes.stream().mapToInt(Route::priority).max().orElse(0);
+		routes.forEach((route) -> route.shares()
+			.forEach((share) -> this.leastUrgent.merge(share.pool(), route.priority(), Math::max)));
 		// Thousands of customers have a few priorities.
 		List<OptionalInt> ofCustomers = owners.stream().map(KeyOwner::priority).distinct().toList();
 		NavigableSet<Long> usual = new TreeSet<>();
@@ -53,12 +57,17 @@
 				(route) -> leading(route, ofCustomers).forEach((first) -> usual.add(pair(first, route.priority()))));
 		NavigableSet<Long> withLate = new TreeSet<>(usual);
 		routes.stream()
-			.filter((route) -> route.priority() == this.leastUrgent)
+			.filter(this::isLeastUrgent)
 			.forEach((route) -> leading(route, ofCustomers).forEach((first) -> withLate.add(pair(first, LATE))));
 		this.hasLate = withLate.size() <= RANKS;
 		this.pairs = List.copyOf((this.hasLate) ? withLate : usual);
 	}
 
+	// Requests of other pools wait at other endpoints.
+	private boolean isLeastUrgent(Route route) {
+		return route.shares().stream().allMatch((share) -> this.leastUrgent.get(share.pool()) == route.priority());
+	}
+
 	// The priorities that requests of a route can have by their customers.
 	private static IntStream leading(Route route, List<OptionalInt> ofCustomers) {
 		IntStream told = ofCustomers.stream().mapToInt((priority) -> priority.orElse(route.priority()));
@@ -76,12 +85,12 @@
 	 * requests of equal customers and above those of customers with a lower priority.
 	 * @param route its route, one of the table
 	 * @param owner its customer, one of the table, if there is any
-	 * @return the rank, if there is one to spare and no route of the table is less
+	 * @return the rank, if there is one to spare and no route of its pools is less
 	 * urgent: a less urgent request would go before it
 	 */
 	OptionalInt deferredRank(Route route, Optional<KeyOwner> owner) {
-		return (this.hasLate && route.priority() == this.leastUrgent)
-				? OptionalInt.of(ranked(pair(priority(route, owner), LATE))) : OptionalInt.empty();
+		return (this.hasLate && isLeastUrgent(route)) ? OptionalInt.of(ranked(pair(priority(route, owner), LATE)))
+				: OptionalInt.empty();
 	}
 
 	/**
@@ -99,7 +108,7 @@
 	}
 
 	private int ranked(long pair) {
-		int position = this.pairs.indexOf(pair);
+		int position = Collections.binarySearch(this.pairs, pair);
 		return (this.pairs.size() <= RANKS) ? position : position * RANKS / this.pairs.size();
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/balance/BalancerTestBase.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/BalancerTestBase.java
@@ -44,12 +44,12 @@
 	}
 
 	static PlacedRequest begin(PoolBalancer balancer, String instance, PromptShape shape) {
-		return balancer.begin(instance, new Placement(shape, true, false, 0, Set.of()), Turn.AFTER_OTHERS);
+		return balancer.begin(instance, new Placement(shape, true, false, 0, Set.of()), Turn.AFTER_OTHERS, 0);
 	}
 
 	PlacedRequest beginBrief(String instance) {
 		return this.balancer.begin(instance, new Placement(PromptShape.NONE, false, true, 0, Set.of()),
-				Turn.AFTER_OTHERS);
+				Turn.AFTER_OTHERS, 0);
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/ChoiceSampleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/ChoiceSampleTests.java
@@ -38,7 +38,7 @@
 
 		private void requests(int perSecond, long until) {
 			for (long at = until - 3_000 * MILLI; at < until; at += 1_000 * MILLI / perSecond) {
-				this.sample.chosen(at);
+				this.sample.sent(at);
 			}
 		}
 
@@ -95,7 +95,9 @@
 			for (int i = 0; i < 2_400; i++) {
 				Placement asked = new Placement(new PromptShape(500, 1, List.of()), false, true, i, Set.of());
 				long at = 25_000 * MILLI + i * 10 * MILLI;
-				chosen.merge(balancer.choose(asked, at).map(FleetEndpoint::instance).orElseThrow(), 1, Integer::sum);
+				String instance = balancer.choose(asked, at).map(FleetEndpoint::instance).orElseThrow();
+				balancer.begin(instance, asked, Turn.AFTER_OTHERS, at).end(Outcome.GOOD, at);
+				chosen.merge(instance, 1, Integer::sum);
 			}
 			assertThat(chosen).hasSize(24);
 			chosen.values().forEach((count) -> assertThat(count).isIn(Range.closed(60, 140)));
@@ -152,7 +154,8 @@
 		private void send(PoolBalancer balancer, long salt, long at) {
 			Placement asked = new Placement(PromptShape.NONE, false, false, salt, Set.of());
 			String instance = balancer.choose(asked, at).map(FleetEndpoint::instance).orElseThrow();
-			this.runs.add(new Run(balancer.begin(instance, asked, Turn.AFTER_OTHERS), instance, at + 3_000 * MILLI));
+			this.runs
+				.add(new Run(balancer.begin(instance, asked, Turn.AFTER_OTHERS, at), instance, at + 3_000 * MILLI));
 			if (this.running.merge(instance, 1, Integer::sum) > SLOTS) {
 				this.waiting++;
 			}
--- a/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -14,8 +14,12 @@
 class UrgencyScaleTests {
 
 	private static Route route(int priority, boolean anonymous) {
+		return route(priority, anonymous, "llm");
+	}
+
+	private static Route route(int priority, boolean anonymous, String pool) {
 		return new Route("r" + priority, "h.example", "/" + priority + "/", RequestKind.STREAM, false,
-				Duration.ofSeconds(6), Duration.ofSeconds(1), Duration.ZERO, priority, List.of(new PoolShare("llm", 1)),
+				Duration.ofSeconds(6), Duration.ofSeconds(1), Duration.ZERO, priority, List.of(new PoolShare(pool, 1)),
 				1, anonymous, true);
 	}
 
@@ -116,6 +120,19 @@
 				.isLessThan(scale.deferredRank(route(2, true), Optional.empty()).getAsInt());
 		}
 
+		/*
+		 * The calls of a plain service are less urgent than any prompt. They wait
+		 * elsewhere: prompts that are late must not go before others for their sake.
+		 */
+		@Test
+		void routesOfOtherPoolsDoNotCount() {
+			Route calls = route(5, false, "service");
+			UrgencyScale beside = new UrgencyScale(List.of(route(0), route(1), calls), List.of(this.high));
+			assertThat(beside.deferredRank(route(1), Optional.of(this.high)).isPresent()).isTrue();
+			assertThat(beside.deferredRank(calls, Optional.of(this.high)).isPresent()).isTrue();
+			assertThat(beside.deferredRank(route(0), Optional.of(this.high))).isEqualTo(OptionalInt.empty());
+		}
+
 		@Test
 		void moreUrgentKindsAreNotDeferred() {
 			assertThat(this.scale.deferredRank(route(0), Optional.of(this.high))).isEqualTo(OptionalInt.empty());
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -190,8 +190,7 @@
 		ReplicaLoop next = new ReplicaLoop("replica-" + this.options.vm(), driver,
 				(seconds) -> commits.get().accept(seconds), this.ended::complete);
 		// First of all: others wait for this replica's vote, and while an election runs
-		// the
-		// rest gets ready.
+		// the rest gets ready.
 		next.start();
 		this.replicaHandler.begin(next, outbox);
 		this.loop = Optional.of(next);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -203,7 +203,7 @@
 	private void begin(FleetEndpoint endpoint, Placement asked) {
 		this.turn = turn(endpoint);
 		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), asked, this.turn));
+				this.pool.balancer().begin(endpoint.instance(), asked, this.turn, System.nanoTime()));
 		this.current = Optional.of(attempt);
 		this.progress.begin(endpoint.instance());
 		this.context.links().acquire(endpoint, (link) -> connected(attempt, endpoint, link));
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -76,7 +76,7 @@
 	private static PlacedRequest begin(PoolStates pools, String instance, PromptShape shape) {
 		return pools.state("pool")
 			.balancer()
-			.begin(instance, new Placement(shape, true, false, 0, Set.of()), Turn.AFTER_OTHERS);
+			.begin(instance, new Placement(shape, true, false, 0, Set.of()), Turn.AFTER_OTHERS, 0);
 	}
 
 	// An entry whose policy has no digests takes none, whatever the others send; the
