--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -73,6 +73,12 @@
 		return gossip;
 	}
 
+	private void awaitDigest(PoolStates pools) throws Exception {
+		while (!onLoop(pools.peers()::isTold)) {
+			LockSupport.parkNanos(1_000_000);
+		}
+	}
+
 	private static PlacedRequest begin(PoolStates pools, String instance, PromptShape shape) {
 		return pools.state("pool")
 			.balancer()
@@ -97,9 +103,7 @@
 			begin(first, "i-1", PromptShape.NONE);
 			return null;
 		});
-		while (!onLoop(heard.peers()::isTold)) {
-			LockSupport.parkNanos(1_000_000);
-		}
+		awaitDigest(heard);
 		// Both were sent at once, the other one first: what has arrived is read by the
 		// next turns of the loop.
 		onLoop(() -> null);
@@ -109,9 +113,7 @@
 			second.policy(RoutingPolicy.DEFAULT);
 			return null;
 		});
-		while (!onLoop(second.peers()::isTold)) {
-			LockSupport.parkNanos(1_000_000);
-		}
+		awaitDigest(second);
 	}
 
 	// An entry sends a long prompt to one of two endpoints. The other entry has nothing
@@ -127,9 +129,7 @@
 			begin(first, "i-1", new PromptShape(50_000, 1, List.of()));
 			return null;
 		});
-		while (!onLoop(second.peers()::isTold)) {
-			LockSupport.parkNanos(1_000_000);
-		}
+		awaitDigest(second);
 		for (long salt = 0; salt < 20; salt++) {
 			Placement asked = new Placement(PromptShape.NONE, false, false, salt, Set.of());
 			String chosen = onLoop(
@@ -180,9 +180,7 @@
 				socket.send(new DatagramPacket(bytes, bytes.length, receiver.boundAddress()));
 			}
 		}
-		while (!onLoop(pools.peers()::isTold)) {
-			LockSupport.parkNanos(1_000_000);
-		}
+		awaitDigest(pools);
 	}
 
 }
