--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -50,7 +50,8 @@
 
 	/**
 	 * Return the work that waited at the endpoint when the request was sent.
-	 * @return the work in prompt tokens, that of the request included
+	 * @return the work in prompt tokens, that of the request included unless all others
+	 * go before it
 	 */
 	public long workAhead() {
 		return this.ahead;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -75,7 +75,8 @@
 
 	/**
 	 * Return what was believed to wait at the endpoint when it was chosen.
-	 * @return the work in prompt tokens, that of this request included
+	 * @return the work in prompt tokens, that of this request included unless all others
+	 * go before it
 	 */
 	long workAhead() {
 		return this.placed.workAhead();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -61,8 +61,9 @@
 		this.context.metrics().waited(this.request.route(), now - this.startedAt);
 	}
 
-	// The request is written to its endpoint, where so many tokens of prompts, its own
-	// among them, were believed to wait.
+	// The request is written to its endpoint, where so many tokens of prompts were
+	// believed
+	// to wait.
 	void sent(String instance, int urgency, long work, long now) {
 		this.sentAt = now;
 		this.sentTo = instance;
