Log membership changes, open elections and join requests on control VMs

A replica now also logs its role and members at startup. A leader logs each membership change, with the time for which a removed voter was out of contact (member-change). A candidate logs which voters granted their vote and which did not, at most once every two seconds (election-open). A replica that requests to join logs the result codes it received, on the first attempt and then at most once every four seconds (join-asked).

Decisions are unchanged.

--- a/core/src/main/java/org/acaciacourse/core/consensus/Election.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Election.java
@@ -96,6 +96,10 @@
 		this.granted.add(voter);
 	}
 
+	Set<ReplicaId> grantingVoters() {
+		return Set.copyOf(this.granted);
+	}
+
 	/**
 	 * Return whether the election is won. Only voters of the candidate's own membership
 	 * count.
--- a/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.consensus;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -86,6 +87,16 @@
 			.forEach((id) -> this.absentSince.putIfAbsent(id, now));
 	}
 
+	/**
+	 * Return how long a voter has been out of contact.
+	 * @param id the identity of the voter
+	 * @return the duration up to the last {@link #observe}, or nothing if the replica was
+	 * in contact then or is not a voter
+	 */
+	public Optional<Duration> absence(ReplicaId id) {
+		return Optional.ofNullable(this.absentSince.get(id)).map((since) -> Duration.ofNanos(this.observedAt - since));
+	}
+
 	/**
 	 * Decide the next change. The caller proposes it by
 	 * {@link ReplicatedLog#changeMembership} and asks again later in any case.
--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciacourse.core.consensus.ReplicaMessage.AppendReply;
 import org.acaciacourse.core.consensus.ReplicaMessage.AppendRequest;
@@ -184,6 +185,16 @@
 		return this.leadership.map((leading) -> leading.isInContact(id, now)).orElse(false);
 	}
 
+	/**
+	 * Return the voters that granted this replica's current vote or pre-vote request.
+	 * @return their identities, including its own, or nothing if this replica is neither
+	 * a candidate nor a pre-candidate
+	 */
+	public Optional<Set<ReplicaId>> grantingVoters() {
+		boolean candidate = this.role == Role.PRE_CANDIDATE || this.role == Role.CANDIDATE;
+		return candidate ? Optional.of(this.election.grantingVoters()) : Optional.empty();
+	}
+
 	@Override
 	public long matchIndex(ReplicaId id) {
 		return this.leadership.map((leading) -> leading.matchIndex(id)).orElse(0L);
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
@@ -14,6 +14,8 @@
 import org.acaciacourse.core.state.ControlState;
 import org.acaciacourse.daemon.codec.ReplicaCodec;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.acaciacourse.protocol.generated.EntryStatus;
 import org.acaciacourse.protocol.generated.Result;
 
@@ -35,6 +37,9 @@
 	/** While it is not listed a replica does not count for the loss of others. */
 	private static final long JOIN_MILLIS = 400;
 
+	/** Limits the log of a replica that is not admitted to one line in four seconds. */
+	private static final int ATTEMPTS_PER_JOIN_LOG = 10;
+
 	private static final String RUN_END = "#";
 
 	private final ReplicaLoop loop;
@@ -51,6 +56,8 @@
 
 	private Optional<Ticker> joiner = Optional.empty();
 
+	private int joinAttempts;
+
 	private int lastCount;
 
 	private long leadingSince;
@@ -86,22 +93,27 @@
 		// but no leader sends it anything.
 		boolean served = published.status().role() != Role.LEARNER || published.status().leader().isPresent();
 		if (listed && served) {
+			this.joinAttempts = 0;
 			return;
 		}
 		// The seeds may be gone; the members that this replica knew last may not.
 		Set<String> addresses = new LinkedHashSet<>(this.seeds.get());
 		published.membership().members().stream().map(Member::address).forEach(addresses::add);
-		for (String address : addresses) {
-			if (!address.equals(this.self.address())) {
-				join(address);
-			}
+		addresses.remove(this.self.address());
+		List<Integer> resultCodes = addresses.stream()
+			.flatMap((address) -> join(address).stream())
+			.map(Result::getCode)
+			.toList();
+		if (this.joinAttempts++ % ATTEMPTS_PER_JOIN_LOG == 0) {
+			DecisionLog.write(LogEvent.JOIN_ASKED, this.self.id().value(), listed, addresses.size(), resultCodes);
 		}
 	}
 
-	private void join(String address) {
+	private Optional<Result> join(String address) {
 		Optional<Result> answer = askToJoin(address);
-		answer.filter((result) -> result.isSetLeaderAddress() && !result.getLeaderAddress().equals(address))
-			.ifPresent((result) -> askToJoin(result.getLeaderAddress()));
+		return answer.filter((result) -> result.isSetLeaderAddress() && !result.getLeaderAddress().equals(address))
+			.flatMap((result) -> askToJoin(result.getLeaderAddress()))
+			.or(() -> answer);
 	}
 
 	private Optional<Result> askToJoin(String address) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
@@ -10,6 +10,7 @@
 import org.acaciacourse.core.consensus.HardState;
 import org.acaciacourse.core.consensus.LogEntry;
 import org.acaciacourse.core.consensus.Member;
+import org.acaciacourse.core.consensus.Membership;
 import org.acaciacourse.core.consensus.MembershipManager;
 import org.acaciacourse.core.consensus.RecoveredLog;
 import org.acaciacourse.core.consensus.Replica;
@@ -27,8 +28,6 @@
 import org.acaciacourse.daemon.store.Recovered;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
-import org.acaciacourse.daemon.telemetry.DecisionLog;
-import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * Joins the replica, its store and the state machine. Events are gathered, what they ask
@@ -57,6 +56,8 @@
 
 	private final PublishedBoard board;
 
+	private final ReplicaDecisionLog decisionLog;
+
 	private final long snapshotEntries;
 
 	private final Map<Long, Proposal> proposals = new HashMap<>();
@@ -97,7 +98,9 @@
 		this.replica = new Replica(store.identity(), vm, log, timing, store.identity().value(), this, now);
 		store.forgetRecovered();
 		this.managedAt = now;
+		this.decisionLog = new ReplicaDecisionLog(now);
 		this.board = new PublishedBoard(published());
+		this.decisionLog.writeChanges(this.board.latest());
 	}
 
 	PublishedBoard board() {
@@ -192,28 +195,13 @@
 			snapshot();
 		}
 		Published next = published();
-		Published before = this.board.latest();
-		if (!next.equals(before)) {
-			tell(before, next);
+		if (!next.equals(this.board.latest())) {
+			this.decisionLog.writeChanges(next);
 			this.board.publish(next);
 		}
-	}
-
-	private static void tell(Published before, Published next) {
-		ReplicaStatus status = next.status();
-		if (status.role() != before.status().role() || status.term() != before.status().term()
-				|| !status.leader().equals(before.status().leader())) {
-			DecisionLog.write(LogEvent.LEADER, status.role().name(), status.term(),
-					status.leader().map(Member::vm).orElse(null));
-		}
-		if (!next.membership().equals(before.membership())) {
-			DecisionLog.write(LogEvent.MEMBERS,
-					next.membership()
-						.members()
-						.stream()
-						.map((member) -> member.vm() + ((member.voter()) ? "" : " (learner)"))
-						.toList());
-		}
+		this.replica.grantingVoters()
+			.ifPresent((voters) -> this.decisionLog.writeOpenElection(voters, next.membership(), next.status().term(),
+					now));
 	}
 
 	private void manageMembership(long now) {
@@ -225,7 +213,14 @@
 		this.manager
 			.next(this.replica.membership(), this.replica.isMembershipCommitted(), this.replica.status().commitIndex(),
 					this.replica::matchIndex, (id) -> this.replica.isInContact(id, now))
-			.ifPresent((next) -> this.replica.changeMembership(this.nextId++, next, now));
+			.ifPresent((next) -> changeMembership(next, now));
+	}
+
+	private void changeMembership(Membership next, long now) {
+		Membership current = this.replica.membership();
+		if (this.replica.changeMembership(this.nextId++, next, now) >= 0) {
+			this.decisionLog.writeMembershipChange(current, next, this.manager, this.replica.status().term());
+		}
 	}
 
 	private boolean isSnapshotDue() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -70,9 +70,24 @@
 	/** The role, the term or the leader of this replica changed. */
 	LEADER("leader", "role", "term", "leader"),
 
-	/** The members of the replicated log changed. */
+	/** The members of the replicated log, written at startup and on each change. */
 	MEMBERS("members", "members"),
 
+	/**
+	 * The leader proposed a membership change: its kind, the member, and how long that
+	 * member had been out of contact if it is a voter.
+	 */
+	MEMBER_CHANGE("member-change", "change", "vm", "replica", "voter", "absent_ms", "term"),
+
+	/**
+	 * An election is undecided: the voters that granted their vote and those that did
+	 * not.
+	 */
+	ELECTION_OPEN("election-open", "term", "granted", "missing"),
+
+	/** This replica requested to join the membership: the result codes it received. */
+	JOIN_ASKED("join-asked", "replica", "listed", "asked", "answers"),
+
 	/** The routing policy in force: its name, what is off and which figures differ. */
 	ROUTING_POLICY("routing-policy", "policy", "off", "values"),
 
