Decide whether a replica rejoins by leader contact, not by its own membership

Cause: a partitioned control VM was replaced in the membership by a new VM, while another VM had been replaced permanently. A removed replica is not sent the change that removes it, so after the partition healed it still listed itself as a voter, kept standing for election and never asked to join. The dead VM remained a voter. Of five voters four were running; two lost disks at the end left two, which is no quorum. Ruled out: a storage fault (the three VMs that kept their disks recovered their entries) and lost votes (the same sequences end the same way in virtual time, without disks or sockets).

Change: whether a replica asks to join now depends on whether a leader replicates to it as a member. Replica.needsToJoin makes this decision, and the daemon's copy of it is removed. A voter asks after two election timeouts without a leader. The leader adds it as a learner, and MembershipManager gives it the place of the voter that has been absent for longest. The same fault kept a VM out of the membership after a slow restart while there was a spare learner.

ControlClusterTests$SixReplicas is new and failed with the old decision; MembershipManagerTests.longestAbsentVoterIsRemovedFirst failed with the old choice of voter.

--- a/core/src/main/java/org/acaciacourse/core/consensus/Election.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Election.java
@@ -35,6 +35,12 @@
 	 */
 	private static final double STEP_SHARE = 0.08;
 
+	/**
+	 * The number of shortest election timeouts without a leader after which a voter asks
+	 * to join again. An election that the voters can win is over by then.
+	 */
+	private static final int LEADERLESS_TIMEOUTS = 2;
+
 	private final long timeoutNanos;
 
 	private final Random random;
@@ -57,6 +63,7 @@
 	Election(long timeoutNanos, long seed, int position, long now) {
 		this.timeoutNanos = timeoutNanos;
 		this.random = new Random(seed);
+		this.leaderSeen = now;
 		this.deadline = now + (long) ((FIRST_SHARE + position * STEP_SHARE) * timeoutNanos);
 	}
 
@@ -86,6 +93,18 @@
 		return this.leaderEverSeen && now - this.leaderSeen < this.timeoutNanos;
 	}
 
+	/**
+	 * Return whether no leader has been heard of for several election timeouts, counted
+	 * from the start of this replica if there was none. A voter in this state may have
+	 * been removed from the membership.
+	 * @param now the time
+	 * @return whether at least {@value #LEADERLESS_TIMEOUTS} of the shortest election
+	 * timeouts have passed without a leader
+	 */
+	boolean isLeaderless(long now) {
+		return now - this.leaderSeen >= LEADERLESS_TIMEOUTS * this.timeoutNanos;
+	}
+
 	void begin(ReplicaId self, long now) {
 		this.granted.clear();
 		this.granted.add(self);
--- a/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.core.consensus;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -145,7 +146,7 @@
 		return current.voters()
 			.stream()
 			.filter((id) -> this.observedAt - this.absentSince.getOrDefault(id, this.observedAt) >= GONE_NANOS)
-			.findFirst();
+			.min(Comparator.comparing(this.absentSince::get));
 	}
 
 	private boolean isCaughtUp(Member learner, long commitIndex, ToLongFunction<ReplicaId> matchIndex) {
--- a/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/Replica.java
@@ -164,15 +164,19 @@
 	}
 
 	/**
-	 * Return whether this replica should ask to join. The change that added it may have
-	 * been rolled back with a leader that failed, even after it received it: then no
-	 * leader knows of it, and without asking again it would wait for good. A request of a
-	 * replica that is listed does no harm.
-	 * @return whether it is no voter and no leader sends it the log as a member
+	 * Return whether this replica should ask to join. Its local membership may be stale:
+	 * a replica that is removed while it is partitioned does not receive the change, and
+	 * the change that added a replica may be rolled back when the leader fails. The
+	 * decision therefore depends on whether a leader replicates to it as a member. A
+	 * voter waits for several election timeouts first. A request from a replica that is
+	 * already a member is harmless.
+	 * @param now the time
+	 * @return whether no leader replicates to it as a member and, for a voter, the wait
+	 * is over
 	 */
-	public boolean needsToJoin() {
+	public boolean needsToJoin(long now) {
 		boolean served = membership().member(this.self).isPresent() && this.leader.isPresent();
-		return !isVoter() && !served;
+		return !served && (!isVoter() || this.election.isLeaderless(now));
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -104,6 +104,28 @@
 		assertThat(replaced.voters()).hasSize(5);
 	}
 
+	// Guards against removing a recently partitioned voter while another voter has been
+	// absent for longer.
+	@Test
+	void longestAbsentVoterIsRemovedFirst() {
+		Member d = member(7, "d", true);
+		Member e = member(8, "e", true);
+		Membership full = new Membership(List.of(A, B, C, d, e, member(9, "f", false)));
+		for (Member first : List.of(B, d, e)) {
+			for (Member second : List.of(B, d, e)) {
+				this.manager.leadershipLost();
+				this.manager.observe(full, (id) -> !id.equals(first.id()), 0);
+				this.manager.observe(full, (id) -> !id.equals(first.id()) && !id.equals(second.id()), 1);
+				this.manager.observe(full, (id) -> !id.equals(first.id()) && !id.equals(second.id()),
+						2 * MembershipManager.GONE_NANOS);
+				Membership without = this.manager
+					.next(full, true, 10, (id) -> 10, (id) -> !id.equals(first.id()) && !id.equals(second.id()))
+					.orElseThrow();
+				assertThat(without).isEqualTo(full.without(first.id()));
+			}
+		}
+	}
+
 	@Test
 	void voterThatAnswersAgainKeepsItsPlace() {
 		Membership full = new Membership(
--- a/core/src/test/java/org/acaciacourse/core/consensus/ReturningVmTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/ReturningVmTests.java
@@ -6,13 +6,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * VMs that keep their disk and return after a newcomer has taken their place.
+ * Tests that a VM which keeps its disk rejoins after another VM has replaced it in the
+ * membership.
  */
 class ReturningVmTests {
 
 	private static final int RUNS = 60;
 
-	private static final long GONE_MILLIS = 2_500;
+	private static final long ABSENCE_MILLIS = 2_500;
 
 	private static SimulatedCluster cluster(long seed, int size) {
 		SimulatedCluster cluster = new SimulatedCluster(seed, size, new Faults());
@@ -20,7 +21,7 @@
 		return cluster;
 	}
 
-	private static void operate(SimulatedCluster cluster, long millis) {
+	private static void runWorkload(SimulatedCluster cluster, long millis) {
 		for (long i = 0; i < millis; i += 20) {
 			cluster.operate(cluster.randomNode());
 			cluster.read();
@@ -28,7 +29,7 @@
 		}
 	}
 
-	private static SimulatedNode other(SimulatedCluster cluster, SimulatedNode node) {
+	private static SimulatedNode randomNodeExcept(SimulatedCluster cluster, SimulatedNode node) {
 		SimulatedNode other = cluster.randomNode();
 		while (other == node) {
 			other = cluster.randomNode();
@@ -36,66 +37,91 @@
 		return other;
 	}
 
-	private static void repair(SimulatedCluster cluster) {
+	private static void awaitRepair(SimulatedCluster cluster) {
 		for (int i = 0; i < 500 && !cluster.isRepaired(); i++) {
-			operate(cluster, 20);
+			runWorkload(cluster, 20);
 		}
-		History.checkProgress(cluster.isRepaired(), "not repaired: " + cluster.describe());
+		History.checkProgress(cluster.isRepaired(), "membership not repaired: " + cluster.describe());
 	}
 
 	/**
-	 * While one VM is cut off, another one is replaced for good.
+	 * One VM is partitioned from the others while another is replaced permanently.
 	 */
 	@Nested
 	class CutOffDuringAReplacement {
 
 		private SimulatedCluster cluster;
 
-		// Leaves five VMs that run: four voters and the one that was cut off.
-		private void replaceWhileCutOff(long seed, boolean leads) {
+		// Leaves five running VMs: four voters and the VM that was isolated.
+		private void replaceWhileIsolated(long seed, boolean isolateLeader) {
 			this.cluster = cluster(seed, 5);
-			repair(this.cluster);
-			SimulatedNode cutOff = leads ? this.cluster.leader() : this.cluster.randomNode();
-			this.cluster.isolate(cutOff.vm);
-			operate(this.cluster, GONE_MILLIS);
-			this.cluster.replace(other(this.cluster, cutOff));
-			this.cluster.isolate(cutOff.vm);
-			operate(this.cluster, GONE_MILLIS);
+			awaitRepair(this.cluster);
+			SimulatedNode isolated = isolateLeader ? this.cluster.leader() : this.cluster.randomNode();
+			this.cluster.isolate(isolated.vm);
+			runWorkload(this.cluster, ABSENCE_MILLIS);
+			this.cluster.replace(randomNodeExcept(this.cluster, isolated));
+			this.cluster.isolate(isolated.vm);
+			runWorkload(this.cluster, ABSENCE_MILLIS);
 			this.cluster.heal();
 		}
 
-		// Guards against a VM that stays out of the membership for good, as nobody tells
-		// it that it was removed, while a dead VM keeps its vote.
+		// Guards against a removed VM that never rejoins because it did not receive its
+		// own removal, while a dead VM remains a voter.
 		@Test
 		void returnsAndTakesThePlaceOfTheDeadVm() {
 			for (long seed = 0; seed < RUNS; seed++) {
-				replaceWhileCutOff(seed, false);
-				repair(this.cluster);
+				replaceWhileIsolated(seed, false);
+				awaitRepair(this.cluster);
+			}
+		}
+
+		// Guards against a former leader that keeps standing for election and never
+		// rejoins.
+		@Test
+		void formerLeaderReturns() {
+			for (long seed = 0; seed < RUNS; seed++) {
+				replaceWhileIsolated(seed, true);
+				awaitRepair(this.cluster);
+			}
+		}
+
+		// Guards against the loss of an acknowledged manifest, or of the quorum, when two
+		// disks are lost after the partition has healed.
+		@Test
+		void toleratesTwoDiskLossesAfterRejoining() {
+			for (long seed = 0; seed < RUNS; seed++) {
+				replaceWhileIsolated(seed, seed % 2 == 0);
+				this.cluster.runFor(4_000);
+				long acknowledged = this.cluster.history.acknowledgedNumber();
+				SimulatedNode first = this.cluster.randomNode();
+				this.cluster.loseDisk(first);
+				this.cluster.loseDisk(randomNodeExcept(this.cluster, this.cluster.nodes.get(first.vm)));
+				awaitRepair(this.cluster);
+				assertThat(this.cluster.leader().state.number()).isAtLeast(acknowledged);
 			}
 		}
 
 	}
 
 	/**
-	 * There is a spare learner, and a voter is down for longer than it may be absent.
+	 * A voter is down for longer than the allowed absence while there is a spare learner.
 	 */
 	@Nested
 	class DownWhileASpareIsThere {
 
-		// Guards against a VM that restarts slowly and is then outside the membership for
-		// good.
+		// Guards against a VM that never rejoins after a slow restart.
 		@Test
 		void returnsAsTheSpare() {
 			for (long seed = 0; seed < RUNS; seed++) {
 				SimulatedCluster cluster = cluster(seed, 6);
-				operate(cluster, 2_000);
-				SimulatedNode slow = cluster.randomNode();
-				cluster.crash(slow);
-				operate(cluster, GONE_MILLIS);
-				cluster.restart(slow);
-				operate(cluster, 2_000);
+				runWorkload(cluster, 2_000);
+				SimulatedNode restarted = cluster.randomNode();
+				cluster.crash(restarted);
+				runWorkload(cluster, ABSENCE_MILLIS);
+				cluster.restart(restarted);
+				runWorkload(cluster, 2_000);
 				Membership members = cluster.leader().replica.membership();
-				assertThat(members.member(slow.id).isPresent()).isTrue();
+				assertThat(members.member(restarted.id).isPresent()).isTrue();
 				assertThat(members.voters()).hasSize(5);
 			}
 		}
--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedNode.java
@@ -110,7 +110,7 @@
 						(member) -> this.replica.isInContact(member, monotonic()))
 				.ifPresent((next) -> this.replica.changeMembership(-this.cluster.nextNumber(), next, monotonic()));
 		}
-		else if (this.replica.needsToJoin()) {
+		else if (this.replica.needsToJoin(monotonic())) {
 			Member joiner = new Member(this.id, this.vm, this.vm, false);
 			this.cluster.call(this.vm, this.cluster.randomNode(), (node) -> {
 				if (node.replica.isLeader()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/Published.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/Published.java
@@ -14,9 +14,11 @@
  * @param number the number of the manifest in force
  * @param digest its digest
  * @param crashRevision the revision of the latest crash report
+ * @param needsToJoin whether the replica should ask to join because no leader replicates
+ * to it as a member
  */
 record Published(ReplicaStatus status, Membership membership, long appliedIndex, long number, String digest,
-		long crashRevision) {
+		long crashRevision, boolean needsToJoin) {
 	// By hand, as the generated methods are put together at their first use: some tens of
 	// milliseconds, which callers wait for after a start.
 	@Override
@@ -24,7 +26,7 @@
 		return this == other || (other instanceof Published that && this.status.equals(that.status)
 				&& this.membership.equals(that.membership) && this.appliedIndex == that.appliedIndex
 				&& this.number == that.number && this.digest.equals(that.digest)
-				&& this.crashRevision == that.crashRevision);
+				&& this.crashRevision == that.crashRevision && this.needsToJoin == that.needsToJoin);
 	}
 
 	@Override
@@ -35,6 +37,7 @@
 		hash = 31 * hash + Long.hashCode(this.number);
 		hash = 31 * hash + this.digest.hashCode();
 		hash = 31 * hash + Long.hashCode(this.crashRevision);
+		hash = 31 * hash + Boolean.hashCode(this.needsToJoin);
 		return hash;
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
@@ -21,8 +21,8 @@
 
 /**
  * The duties between control VMs that come again and again: fetch which entries poll the
- * others, end the runs of entries that are silent everywhere, and, on a replica that is
- * not listed, ask to join.
+ * others, end the runs of entries that are silent everywhere, and, on a replica that no
+ * leader replicates to, ask to join.
  * <p>
  * A run that is ended may be alive behind a cut; that is harmless. Its claims become
  * unknown, never not run, so nobody sends such a request again, and the run may still
@@ -34,7 +34,7 @@
 
 	private static final long PERIOD_MILLIS = 2000;
 
-	/** While it is not listed a replica does not count for the loss of others. */
+	/** Kept short, as a replica outside the membership does not count for the quorum. */
 	private static final long JOIN_MILLIS = 400;
 
 	/** Limits the log of a replica that is not admitted to one line in four seconds. */
@@ -73,7 +73,7 @@
 
 	void start() {
 		this.ticker = Optional.of(new Ticker("registry-" + this.self.vm(), PERIOD_MILLIS, this::run));
-		this.joiner = Optional.of(new Ticker("join-" + this.self.vm(), JOIN_MILLIS, this::joinIfNotListed));
+		this.joiner = Optional.of(new Ticker("join-" + this.self.vm(), JOIN_MILLIS, this::joinIfNeeded));
 	}
 
 	private void run() {
@@ -86,13 +86,9 @@
 		endSilentRuns(System.currentTimeMillis());
 	}
 
-	private void joinIfNotListed() {
+	private void joinIfNeeded() {
 		Published published = this.loop.board().latest();
-		boolean listed = published.membership().member(this.self.id()).isPresent();
-		// A learner whose admission was rolled back with its leader still lists itself,
-		// but no leader sends it anything.
-		boolean served = published.status().role() != Role.LEARNER || published.status().leader().isPresent();
-		if (listed && served) {
+		if (!published.needsToJoin()) {
 			this.joinAttempts = 0;
 			return;
 		}
@@ -105,6 +101,7 @@
 			.map(Result::getCode)
 			.toList();
 		if (this.joinAttempts++ % ATTEMPTS_PER_JOIN_LOG == 0) {
+			boolean listed = published.membership().member(this.self.id()).isPresent();
 			DecisionLog.write(LogEvent.JOIN_ASKED, this.self.id().value(), listed, addresses.size(), resultCodes);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaDriver.java
@@ -99,7 +99,7 @@
 		store.forgetRecovered();
 		this.managedAt = now;
 		this.decisionLog = new ReplicaDecisionLog(now);
-		this.board = new PublishedBoard(published());
+		this.board = new PublishedBoard(published(now));
 		this.decisionLog.writeChanges(this.board.latest());
 	}
 
@@ -194,7 +194,7 @@
 		if (isSnapshotDue()) {
 			snapshot();
 		}
-		Published next = published();
+		Published next = published(now);
 		if (!next.equals(this.board.latest())) {
 			this.decisionLog.writeChanges(next);
 			this.board.publish(next);
@@ -237,9 +237,9 @@
 		this.bytesSinceSnapshot = 0;
 	}
 
-	private Published published() {
+	private Published published(long now) {
 		return new Published(this.replica.status(), this.replica.membership(), this.appliedIndex, this.state.number(),
-				this.state.digest(), this.state.statistics().crashRevision());
+				this.state.digest(), this.state.statistics().crashRevision(), this.replica.needsToJoin(now));
 	}
 
 	/**
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -45,6 +45,8 @@
 
 	private final ControlDaemon[] daemons;
 
+	private int founders;
+
 	private long snapshotEntries = ControlOptions.SNAPSHOT_ENTRIES;
 
 	private Optional<String> platformList = Optional.empty();
@@ -55,6 +57,7 @@
 		this.folder = folder;
 		this.addresses = freeAddresses(size);
 		this.daemons = new ControlDaemon[size];
+		this.founders = size;
 	}
 
 	private static List<String> freeAddresses(int count) throws IOException {
@@ -71,6 +74,11 @@
 		return found;
 	}
 
+	ControlCluster founders(int count) {
+		this.founders = count;
+		return this;
+	}
+
 	ControlCluster snapshotEntries(long entries) {
 		this.snapshotEntries = entries;
 		return this;
@@ -90,8 +98,8 @@
 		ReplicaTiming timing = new ReplicaTiming(Duration.ofMillis(50).toNanos(), Duration.ofMillis(500).toNanos(),
 				256 * 1024, 4 * 1024 * 1024);
 		ControlOptions options = new ControlOptions("control-" + i, this.addresses.get(i), "127.0.0.1:0",
-				this.addresses, data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries, true,
-				this.fleet.map((source) -> source.apply(i)), () -> this.addresses);
+				founderAddresses(), data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries,
+				true, this.fleet.map((source) -> source.apply(i)), this::founderAddresses);
 		this.daemons[i] = new ControlDaemon(options);
 		ResultCode code = this.daemons[i].start();
 		if (code != ResultCode.OK) {
@@ -100,6 +108,10 @@
 		return this.daemons[i];
 	}
 
+	private List<String> founderAddresses() {
+		return this.addresses.subList(0, this.founders);
+	}
+
 	public ControlCluster startAll() {
 		for (int i = 0; i < this.daemons.length; i++) {
 			start(i);
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlClusterTests.java
@@ -220,4 +220,32 @@
 
 	}
 
+	@Nested
+	class SixReplicas {
+
+		private boolean isMember(ControlCluster cluster, int replica) {
+			return Try.of(() -> cluster.status(cluster.leader()).getMembers())
+				.getOrElse(List.of())
+				.stream()
+				.anyMatch((member) -> member.getVm().equals("control-" + replica));
+		}
+
+		// Guards against a replica that never rejoins after the spare has replaced it,
+		// because the membership in its own data folder still lists it.
+		@Test
+		void restartedReplicaRejoinsAfterSpareReplacedIt() throws Exception {
+			try (ControlCluster cluster = new ControlCluster(ControlClusterTests.this.folder, 6).founders(3)) {
+				cluster.startAll();
+				int restarted = (cluster.leader() + 1) % 3;
+				cluster.kill(restarted);
+				ControlCluster.await("the removal of the stopped replica", () -> !isMember(cluster, restarted));
+				cluster.start(restarted);
+				ControlCluster.await("the restarted replica to rejoin", () -> isMember(cluster, restarted));
+				assertOk(cluster.apply(ControlCluster.manifest(1, "urgent")));
+				ControlCluster.await("number 1 on the restarted replica", () -> cluster.number(restarted) == 1);
+			}
+		}
+
+	}
+
 }
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlMetricsTests.java
@@ -24,7 +24,7 @@
 
 	private static Published inTerm(long term) {
 		return new Published(new ReplicaStatus(Role.FOLLOWER, term, Optional.empty(), 0), new Membership(List.of()), 0,
-				0, "", 0);
+				0, "", 0, false);
 	}
 
 	private void register() {
