--- a/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
+++ b/core/src/main/java/org/acaciacourse/core/consensus/MembershipManager.java
@@ -10,10 +10,11 @@
 import java.util.function.ToLongFunction;
 
 /**
- * Decides the next membership change while this replica leads: a replica with an empty
- * disk joins as a learner, and once it has caught up it takes the place of the voter that
- * its VM had before. Identity lies with the disk, so that a replica which lost its disk,
- * and with it its votes and acknowledged entries, is never taken for the old one.
+ * Decides the next membership change while this replica leads: a replica that is not in
+ * the membership joins as a learner, and once it has caught up it replaces the previous
+ * voter of its VM, or a voter that has been out of contact for too long. A replica's
+ * identity is tied to its disk, so that a replica which lost its disk, and with it its
+ * votes and acknowledged entries, is never mistaken for the previous one.
  * <p>
  * The steps: add the learner; wait until it holds a point that was committed after it
  * joined; remove the VM's old voter; promote the learner. The old voter goes before the
@@ -51,8 +52,9 @@
 	private long observedAt;
 
 	/**
-	 * Note that an empty replica asks to join. It repeats this until it finds itself in
-	 * the membership.
+	 * Note a join request from a replica that has an empty disk, or that was removed from
+	 * the membership while it was out of contact. The replica repeats the request until a
+	 * leader replicates to it.
 	 * @param member the replica
 	 * @return whether the request is noted; it is refused when too many wait
 	 */
