--- a/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/Admission.java
@@ -48,8 +48,9 @@
 		}
 		if (line.behaviour.heedsTargets()) {
 			long wait = expectedWait(pending, line, now);
-			if (now + wait
-					+ pending.set.leastTime(pending, line.tuning, this.state.entryCount, now) > pending.targetAt) {
+			long least = pending.set.leastTime(pending, line.tuning, this.state.entryCount, now);
+			if (now + wait + least > pending.targetAt) {
+				this.state.tellUnreachable(pending, line, wait, least, now);
 				return Refusal.of(ResultCode.TARGET_UNREACHABLE, wait);
 			}
 		}
--- a/core/src/main/java/org/acaciacourse/core/dispatch/DispatchActions.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchActions.java
@@ -32,6 +32,15 @@
 	 */
 	void finish(long requestId, ResultCode code, Optional<Duration> retryAfter);
 
+	/**
+	 * Tell what the refusal of a request went by whose target is out of reach.
+	 * {@link #finish} follows.
+	 * @param requestId the request
+	 * @param estimate what was known
+	 */
+	default void unreachable(long requestId, TargetEstimate estimate) {
+	}
+
 	/**
 	 * Tell all VMs about content that was running on an endpoint that crashed.
 	 * @param contentHash the hash of the customer and the content
--- a/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/DispatchState.java
@@ -112,10 +112,24 @@
 
 	// Refuse a request whose target is out of reach.
 	void refuseLate(PendingRequest pending, long now) {
+		tellUnreachable(pending, pending.line, 0, pending.set.leastTime(pending), now);
 		holdPlace(pending, pending.line, now);
 		finish(pending, ResultCode.TARGET_UNREACHABLE, pending.targetAt - pending.arrivedAt);
 	}
 
+	void tellUnreachable(PendingRequest pending, WaitingLine line, long expectedWait, long leastTime, long now) {
+		int healthy = 0;
+		int slots = 0;
+		for (EndpointView endpoint : pending.set.endpoints) {
+			healthy += (endpoint.isHealthy()) ? 1 : 0;
+			slots += (endpoint.isHealthy()) ? endpoint.usableSlots() : 0;
+		}
+		this.actions.unreachable(pending.info.id(),
+				new TargetEstimate(now - pending.arrivedAt, expectedWait, leastTime,
+						pending.targetAt - pending.arrivedAt, line.aheadOf(pending), pending.set.running, healthy,
+						slots, (long) pending.set.meanDuration(pending.info.requestClass())));
+	}
+
 	// Keep the place of a refused request from lower ones.
 	void holdPlace(PendingRequest pending, WaitingLine line, long now) {
 		int lane = line.behaviour.lane(pending.requestClass.tier());
--- a/core/src/test/java/org/acaciacourse/core/dispatch/Driver.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/Driver.java
@@ -36,6 +36,8 @@
 
 	final Map<Long, Optional<Duration>> comeBack = new HashMap<>();
 
+	final Map<Long, TargetEstimate> estimates = new HashMap<>();
+
 	final Map<Long, Integer> suspects = new HashMap<>();
 
 	final PolicyDispatcher dispatcher = new PolicyDispatcher(this, 7);
@@ -123,6 +125,11 @@
 		this.comeBack.put(requestId, retryAfter);
 	}
 
+	@Override
+	public void unreachable(long requestId, TargetEstimate estimate) {
+		this.estimates.put(requestId, estimate);
+	}
+
 	@Override
 	public void publishSuspect(long contentHash, int crashes) {
 		this.suspects.put(contentHash, crashes);
--- a/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/PolicyDispatcherTests.java
@@ -152,6 +152,27 @@
 			assertThat(driver.comeBack.get(last)).isPresent();
 		}
 
+		/*
+		 * Requests are refused on a night without operators. The log must tell which
+		 * input refused them: the pace of the endpoints, what waited before, or lost
+		 * endpoints.
+		 */
+		@Test
+		void tellsWhatItWentBy() {
+			Driver driver = new Driver("tiered", 2, 1);
+			driver.dispatcher.endpointStatus("llm-1", EndpointStatus.LEAVING, driver.now);
+			long running = driver.arrive("broker");
+			long waiting = driver.arrive("broker");
+			driver.pass(3 * Driver.SECOND);
+			assertThat(driver.finished).containsExactly(waiting, ResultCode.TARGET_UNREACHABLE);
+			TargetEstimate estimate = driver.estimates.get(waiting);
+			assertThat(estimate.waited()).isAtLeast(estimate.target());
+			assertThat(estimate.running()).isEqualTo(1);
+			assertThat(estimate.healthy()).isEqualTo(1);
+			assertThat(estimate.slots()).isEqualTo(1);
+			assertThat(driver.estimates).doesNotContainKey(running);
+		}
+
 		@Test
 		void namesTheReason() {
 			Driver driver = new Driver("tiered", 1, 1);
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/DecisionLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/DecisionLoop.java
@@ -6,15 +6,20 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 
+import org.acaciacourse.core.code.LineBudget;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.AttemptOutcome;
 import org.acaciacourse.core.dispatch.DispatchActions;
 import org.acaciacourse.core.dispatch.Dispatcher;
+import org.acaciacourse.core.dispatch.TargetEstimate;
 import org.acaciacourse.core.model.Endpoint;
 import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jctools.queues.MpscArrayQueue;
@@ -42,6 +47,11 @@
 
 	private static final long LONGEST_PARK = 10_000_000L;
 
+	/** In an overload nearly every request is refused. */
+	private static final int REFUSAL_LINES_PER_SECOND = 10;
+
+	private final LineBudget refusalLines = new LineBudget(REFUSAL_LINES_PER_SECOND, System.nanoTime());
+
 	private final MpscArrayQueue<DecisionEvent> ring = new MpscArrayQueue<>(CAPACITY);
 
 	private final Deque<DecisionEvent> own = new ArrayDeque<>();
@@ -238,6 +248,19 @@
 		}
 	}
 
+	@Override
+	public void unreachable(long requestId, TargetEstimate estimate) {
+		this.refusalLines.next(System.nanoTime())
+			.ifPresent((untold) -> DecisionLog.write(LogEvent.TARGET_REFUSED, requestId, millis(estimate.waited()),
+					millis(estimate.expectedWait()), millis(estimate.leastTime()), millis(estimate.target()),
+					estimate.ahead(), estimate.running(), estimate.healthy(), estimate.slots(),
+					millis(estimate.meanDuration()), untold));
+	}
+
+	private static long millis(long nanos) {
+		return TimeUnit.NANOSECONDS.toMillis(nanos);
+	}
+
 	@Override
 	public void publishSuspect(long contentHash, int crashes) {
 		this.link.reportCrash(contentHash, crashes);
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -30,6 +30,13 @@
 	/** A request was refused before any endpoint was looked for. */
 	REQUEST_REFUSED("request-refused", "request", "code", "host", "path", "table", "retry_after_ms"),
 
+	/**
+	 * A request was refused because its target is out of reach: what the decision went
+	 * by, and how many such refusals since the line before were not told.
+	 */
+	TARGET_REFUSED("target-refused", "request", "waited_ms", "expected_wait_ms", "least_ms", "target_ms", "ahead",
+			"running", "healthy", "slots", "mean_ms", "untold"),
+
 	/** Refusals of one cause beyond the rate that is told one by one. */
 	REFUSALS_MERGED("refusals-merged", "code", "count", "requests"),
 
