--- a/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/ControlFailureTests.java
@@ -32,6 +32,9 @@
 
 	private static final int ENTRIES = 2;
 
+	/** Within the deadline, and out of reach of what a starved stand-in loses. */
+	private static final String TARGET = "40 s";
+
 	private Cluster cluster;
 
 	private Caller caller;
@@ -39,6 +42,7 @@
 	@BeforeEach
 	void start(@TempDir Path folder) {
 		this.cluster = new Cluster(folder, CONTROLS, ENTRIES, 1);
+		this.cluster.firstTokenTarget(TARGET);
 		this.caller = new Caller();
 		this.cluster.start();
 	}
--- a/bench/src/test/java/org/acaciacourse/bench/process/PoisonRequestTests.java
+++ b/bench/src/test/java/org/acaciacourse/bench/process/PoisonRequestTests.java
@@ -30,6 +30,9 @@
 
 	private static final String POISON = "poison";
 
+	/** Within the deadline, and out of reach of what a starved stand-in loses. */
+	private static final String TARGET = "40 s";
+
 	private Cluster cluster;
 
 	private Caller caller;
@@ -40,6 +43,7 @@
 	void start(@TempDir Path folder) {
 		this.cluster = new Cluster(folder, 1, 2, 3);
 		this.cluster.engineArgs("--token-ms", "5", "--prefill-ms", "5", "--slots", "32", "--crash-marker", POISON);
+		this.cluster.firstTokenTarget(TARGET);
 		this.caller = new Caller();
 		this.cluster.start();
 	}
