--- a/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/MembershipManagerTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 
 import org.junit.jupiter.api.Test;
@@ -104,6 +105,27 @@
 		assertThat(replaced.voters()).hasSize(5);
 	}
 
+	/*
+	 * A new leader finds two voters absent and has seen neither before. Which of them it
+	 * removes must follow from the membership alone: else a sequence of failures that
+	 * lost the log once cannot be played again.
+	 */
+	@Test
+	void equallyAbsentVotersAreRemovedInTheOrderOfTheirIdentities() {
+		for (long first = 100; first < 300; first += 10) {
+			List<Member> members = List.of(member(first, "a", true), member(first + 1, "b", true),
+					member(first + 2, "c", true), member(first + 3, "d", true), member(first + 4, "e", true),
+					member(first + 5, "f", false));
+			Membership full = new Membership(members);
+			Set<ReplicaId> absent = Set.of(new ReplicaId(first + 1), new ReplicaId(first + 3));
+			MembershipManager leader = new MembershipManager();
+			leader.observe(full, (id) -> !absent.contains(id), 0);
+			leader.observe(full, (id) -> !absent.contains(id), MembershipManager.GONE_NANOS);
+			Optional<Membership> next = leader.next(full, true, 10, (id) -> 10, (id) -> !absent.contains(id));
+			assertThat(next).isEqualTo(Optional.of(full.without(new ReplicaId(first + 1))));
+		}
+	}
+
 	// Guards against removing a recently partitioned voter while another voter has been
 	// absent for longer.
 	@Test
