--- a/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
@@ -23,6 +23,8 @@
 
 	private final double anew;
 
+	private final double second;
+
 	private final double failure;
 
 	private final double connection;
@@ -42,6 +44,7 @@
 		this.running = policy.value(RoutingParameter.RUNNING_COST);
 		this.waiting = policy.value(RoutingParameter.WAITING_COST);
 		this.anew = price(RoutingMechanism.PRICE_OF_READING_ANEW, RoutingParameter.ANEW_FACTOR, 1);
+		this.second = policy.value(RoutingParameter.SECOND_FACTOR);
 		this.failure = price(RoutingMechanism.PRICE_OF_FAILURES, RoutingParameter.FAILURE_COST, 0);
 		this.connection = price(RoutingMechanism.PRICE_OF_CONNECTIONS, RoutingParameter.CONNECTION_COST, 0);
 		this.lateAnswer = price(RoutingMechanism.PRICE_OF_LATE_ANSWERS, RoutingParameter.LATE_ANSWER_COST, 0);
@@ -61,14 +64,13 @@
 	 * @param load the endpoint
 	 * @param asked the request
 	 * @param held the tokens of the prompt that the endpoint holds
-	 * @param isPlace whether the endpoint is the one to read the shared parts, or holds
-	 * them
+	 * @param home what the endpoint is to the shared parts
 	 * @param now the time
 	 * @return the cost
 	 */
-	double of(EndpointLoad load, Placement asked, long held, boolean isPlace, long now) {
+	double of(EndpointLoad load, Placement asked, long held, HomeOfParts home, long now) {
 		long ahead = load.waitingWork();
-		return ahead + work(asked.shape(), held, isPlace, ahead) + running(load, now) + failures(load, now)
+		return ahead + work(asked.shape(), held, home, ahead) + running(load, now) + failures(load, now)
 				+ tieBreak(load, asked.salt());
 	}
 
@@ -76,9 +78,17 @@
 	// it is read once more. Whatever is read delays all that wait there: when all queues
 	// are long, reading parts in many places makes them longer still, until engines do
 	// little else.
-	private double work(PromptShape shape, long held, boolean isPlace, long ahead) {
+	private double work(PromptShape shape, long held, HomeOfParts home, long ahead) {
 		double delayed = ahead / USUAL_WORK;
-		return (((isPlace) ? 1 : this.anew) + delayed) * shape.work(held);
+		return (anew(home) + delayed) * shape.work(held);
+	}
+
+	private double anew(HomeOfParts home) {
+		return switch (home) {
+			case FIRST -> 1;
+			case SECOND -> this.second;
+			case NONE -> this.anew;
+		};
 	}
 
 	// A service with few slots is full with few requests: a request there costs as much
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
-import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
 
 /**
@@ -26,8 +25,6 @@
  */
 public final class PoolBalancer {
 
-	private static final LongHashFunction HASH = LongHashFunction.xx3();
-
 	/**
 	 * Uses of parts that wait to be told; more than a VM sends between two digests. A VM
 	 * that is alone tells nobody.
@@ -168,7 +165,7 @@
 	public Optional<FleetEndpoint> choose(Placement asked, long now) {
 		this.brief.follow(now);
 		List<EndpointLoad> usable = usable(asked.without(), now);
-		Optional<EndpointLoad> home = home(asked, usable);
+		Homes homes = homes(asked, usable);
 		boolean mixed = isMixed(asked);
 		int apart = (mixed) ? (int) usable.stream().filter(this.brief::contains).count() : 0;
 		double share = share(asked, now);
@@ -180,10 +177,10 @@
 		for (EndpointLoad load : usable) {
 			boolean drawn = (mixed && this.brief.contains(load)) ? forBrief.next() : others.next();
 			long held = load.memory().held(asked.shape());
-			boolean isPlace = held == shared || (home.isPresent() && home.get() == load);
+			boolean isPlace = held == shared || homes.contains(load);
 			// The endpoints that hold the shared parts are few, and compared in any case.
 			if (drawn || (isPlace && shared > 0)) {
-				double cost = cost(load, asked, held, isPlace || home.isEmpty(), now);
+				double cost = cost(load, asked, held, homes.role(load, held == shared), now);
 				if (cost < bestCost) {
 					best = load;
 					bestCost = cost;
@@ -213,8 +210,8 @@
 		return (asked.brief()) ? this.ofBrief : this.ofOthers;
 	}
 
-	private double cost(EndpointLoad load, Placement asked, long held, boolean isPlace, long now) {
-		double sum = this.cost.of(load, asked, held, isPlace, now);
+	private double cost(EndpointLoad load, Placement asked, long held, HomeOfParts home, long now) {
+		double sum = this.cost.of(load, asked, held, home, now);
 		if (isMixed(asked)) {
 			sum += mixing(load, asked, held);
 		}
@@ -240,21 +237,18 @@
 		return (forBrief) ? beside + this.cost.elsewhere(work, this.harmlessWork) : beside;
 	}
 
-	private Optional<EndpointLoad> home(Placement asked, List<EndpointLoad> usable) {
-		long key = asked.shape().sharedId();
-		if (key == 0 || !asked.affinity() || asked.brief() || !this.policy.isOn(RoutingMechanism.HOME_OF_PARTS)) {
-			return Optional.empty();
-		}
-		EndpointLoad home = null;
-		long highest = 0;
-		for (EndpointLoad load : usable) {
-			long weight = HASH.hashLong(key ^ Long.rotateLeft(load.hash(), 32));
-			if (!this.brief.contains(load) && (home == null || Long.compareUnsigned(weight, highest) > 0)) {
-				home = load;
-				highest = weight;
-			}
+	private Homes homes(Placement asked, List<EndpointLoad> usable) {
+		PromptShape shape = asked.shape();
+		if (shape.sharedId() == 0 || !asked.affinity() || asked.brief()
+				|| !this.policy.isOn(RoutingMechanism.HOME_OF_PARTS)) {
+			return Homes.NONE;
 		}
-		return Optional.ofNullable(home);
+		Homes homes = Homes.of(shape, usable, (load) -> !this.brief.contains(load));
+		double factor = this.policy
+			.value((homes.held()) ? RoutingParameter.SECOND_FACTOR : RoutingParameter.NEW_PART_FACTOR);
+		boolean helps = this.policy.isOn(RoutingMechanism.SECOND_HOME)
+				&& homes.queueDifference() > factor * shape.work(0);
+		return (helps) ? homes : homes.withoutSecond();
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
@@ -23,6 +23,12 @@
 	/** A part that no endpoint holds is read first at the one that a hash names. */
 	HOME_OF_PARTS("home-of-parts"),
 
+	/**
+	 * A second endpoint reads a part for which the queue of the first one is long.
+	 * Without {@link #HOME_OF_PARTS} there is neither.
+	 */
+	SECOND_HOME("second-home"),
+
 	/** Reading a part where others hold it costs a multiple of its work. */
 	PRICE_OF_READING_ANEW("price-of-reading-anew"),
 
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
@@ -32,6 +32,21 @@
 	 */
 	ANEW_FACTOR("anew-factor", "times", 10, 1, 1_000),
 
+	/**
+	 * The same at the endpoint that the hash of the part names second, and by how much
+	 * the queue of the first one is longer when it reads the part once more. A part has
+	 * two homes at most, so that the other parts keep their place in the memory.
+	 */
+	SECOND_FACTOR("second-factor", "times", 3, 1, 1_000),
+
+	/**
+	 * By how much the queue of the first home of a part is longer, as a multiple of the
+	 * work on the prompt, when the second one reads a part that neither holds. Reading it
+	 * is no loss there; but entries that do not know of one another's choice may have
+	 * both read it.
+	 */
+	NEW_PART_FACTOR("new-part-factor", "times", 0.25, 0, 1_000),
+
 	/**
 	 * What a failure rate of 1 costs: more than any queue, so that an endpoint that fails
 	 * is taken when nothing else is left.
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/HomesTests.java
@@ -0,0 +1,105 @@
+package org.acaciacourse.core.balance;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HomesTests extends BalancerTestBase {
+
+	private static final int ENGINES = 13;
+
+	private String first;
+
+	@BeforeEach
+	void findFirst() {
+		this.balancer.endpoints(endpoints(ENGINES));
+		this.first = choose(prompt(1), 1, Set.of(), 0).get();
+	}
+
+	private void queueAtFirst(long tokens) {
+		begin(this.first, new PromptShape(tokens, 1, List.of()));
+	}
+
+	private void readAtFirst() {
+		begin(this.first, prompt(1)).end(Outcome.GOOD, 0);
+	}
+
+	@Test
+	void thereIsNoSecondHomeWhileThatIsOff() {
+		HomesTests.this.balancer.policy(new RoutingPolicy("one-home", Set.of(RoutingMechanism.SECOND_HOME), Map.of()));
+		queueAtFirst(20_000);
+		assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(this.first));
+	}
+
+	@Nested
+	class NewPart {
+
+		/*
+		 * Entries that do not know of one another yet send a new part past its busy first
+		 * home. They must agree on where: else it is read at as many engines as there are
+		 * entries.
+		 */
+		@Test
+		void isReadAtOneOtherEndpointByAllEntries() {
+			queueAtFirst(20_000);
+			String second = choose(prompt(1), 1, Set.of(), 0).get();
+			assertThat(second).isNotEqualTo(HomesTests.this.first);
+			PoolBalancer other = new PoolBalancer(new PeerLoads(), (instance) -> true);
+			other.endpoints(endpoints(ENGINES));
+			begin(other, HomesTests.this.first, new PromptShape(40_000, 1, List.of()));
+			for (int salt = 0; salt < 20; salt++) {
+				Placement asked = new Placement(prompt(1), true, false, salt, Set.of());
+				assertThat(other.choose(asked, 0).map(FleetEndpoint::instance)).isEqualTo(Optional.of(second));
+			}
+		}
+
+		@Test
+		void staysForAShortQueue() {
+			queueAtFirst(3_000);
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(HomesTests.this.first));
+		}
+
+	}
+
+	@Nested
+	class HeldPart {
+
+		@Test
+		void staysForAQueueThatIsShorterThanReadingItAgain() {
+			readAtFirst();
+			queueAtFirst(30_000);
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(HomesTests.this.first));
+		}
+
+		@Test
+		void isReadOnceMoreForALongQueue() {
+			readAtFirst();
+			queueAtFirst(60_000);
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isNotEqualTo(Optional.of(HomesTests.this.first));
+		}
+
+		/*
+		 * Both homes of a part are busy. Each further copy would drive out the parts of
+		 * others, which are then read again while all queues grow.
+		 */
+		@Test
+		void isNotReadAtAThirdEndpoint() {
+			readAtFirst();
+			queueAtFirst(60_000);
+			String second = choose(prompt(1), 1, Set.of(), 0).get();
+			begin(second, prompt(1)).end(Outcome.GOOD, 0);
+			begin(second, new PromptShape(30_000, 1, List.of()));
+			assertThat(choose(prompt(1), 1, Set.of(), 0)).isEqualTo(Optional.of(second));
+		}
+
+	}
+
+}
