--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.core.balance;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -23,19 +24,31 @@
 public final class PeerLoads {
 
 	/** VMs send at least twice in this time while they have anything under way. */
-	private static final long SILENT_NANOS = 1_200_000_000L;
+	static final long SILENT_NANOS = 1_200_000_000L;
 
 	/** Some ten digests make the estimate of their pause. */
 	private static final double PAUSE_WEIGHT = 0.1;
 
+	/** What a view tells passed from a VM to its relay, to another one and from there. */
+	private static final int HOPS_OF_VIEW = 3;
+
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	private final Map<String, Digest> digests = new HashMap<>();
 
-	private final Map<Integer, Sum> sums = new HashMap<>();
+	private final LoadSums sums = new LoadSums();
+
+	/** The parts of the latest view; while there is one it counts in place of digests. */
+	private final Map<Integer, Digest> view = new HashMap<>();
+
+	private final LoadSums viewSums = new LoadSums();
+
+	private String viewedBy = "";
 
 	private double pauseNanos;
 
+	private double viewPauseNanos;
+
 	/**
 	 * Return the short name of an endpoint in digests. Two endpoints of one name would
 	 * share their load, which only makes both look busier.
@@ -47,33 +60,83 @@
 	}
 
 	/**
-	 * Take a digest.
+	 * Take a digest of what a VM has under way.
 	 * @param peer the VM that sent it
 	 * @param sequence its number; a VM that started again begins with a higher one
 	 * @param loads what the VM has under way
 	 * @param now the time
 	 */
 	public void take(String peer, long sequence, List<Load> loads, long now) {
-		Digest before = this.digests.get(peer);
-		if (before != null && sequence <= before.sequence()) {
+		take(peer, LoadDigest.of(LoadDigest.Kind.SUMMARY, sequence, 1, loads, List.of()), now);
+	}
+
+	/**
+	 * Take a digest of what a VM has under way, or of what several have.
+	 * @param peer the VM that sent it
+	 * @param digest the digest; a VM that started again begins with a higher number
+	 * @param now the time
+	 * @return whether it is newer than what is known
+	 */
+	boolean take(String peer, LoadDigest digest, long now) {
+		String key = peer + "#" + digest.part();
+		Digest before = this.digests.get(key);
+		if (before != null && digest.sequence() <= before.sequence()) {
 			// Datagrams overtake each other.
-			return;
+			return false;
 		}
 		if (before != null) {
-			add(before.loads(), -1);
+			this.sums.remove(before.loads());
 			this.pauseNanos += PAUSE_WEIGHT * (now - before.at() - this.pauseNanos);
 		}
-		this.digests.put(peer, new Digest(sequence, List.copyOf(loads), now));
-		add(loads, 1);
+		this.digests.put(key, new Digest(digest.sequence(), digest.loads(), vmsOf(digest), now));
+		this.sums.add(digest.loads());
+		for (int part = digest.parts(); this.digests.containsKey(peer + "#" + part); part++) {
+			this.sums.remove(this.digests.remove(peer + "#" + part).loads());
+		}
+		return true;
+	}
+
+	private static int vmsOf(LoadDigest digest) {
+		return (digest.part() == 0) ? digest.vms() : 0;
 	}
 
-	private void add(List<Load> loads, int sign) {
-		for (Load load : loads) {
-			Sum sum = this.sums.computeIfAbsent(load.endpoint(), (name) -> new Sum());
-			sum.inFlight += sign * load.inFlight();
-			sum.waitingWork += sign * load.waitingWork();
-			sum.brief += sign * load.brief();
+	/**
+	 * Take a view of what all VMs have under way.
+	 * @param relay the VM that sent it
+	 * @param digest the view
+	 * @param own what of this VM is in it
+	 * @param now the time
+	 * @return whether it is newer than what is known
+	 */
+	boolean takeView(String relay, LoadDigest digest, List<Load> own, long now) {
+		if (!this.viewedBy.equals(relay)) {
+			forgetView();
+			this.viewedBy = relay;
+		}
+		Digest before = this.view.get(digest.part());
+		if (before != null && digest.sequence() <= before.sequence()) {
+			return false;
+		}
+		if (before != null) {
+			this.viewSums.remove(before.loads());
+			this.viewPauseNanos += PAUSE_WEIGHT * (now - before.at() - this.viewPauseNanos);
+		}
+		LoadSums others = new LoadSums();
+		others.add(digest.loads());
+		others.remove(own.stream().filter((load) -> others.contains(load.endpoint())).toList());
+		this.view.put(digest.part(), new Digest(digest.sequence(), others.all(), vmsOf(digest), now));
+		this.viewSums.add(others.all());
+		for (int part = digest.parts(); this.view.containsKey(part); part++) {
+			this.viewSums.remove(this.view.remove(part).loads());
 		}
+		return true;
+	}
+
+	/** Forget the view: this VM makes one itself. */
+	void forgetView() {
+		this.view.values().forEach((part) -> this.viewSums.remove(part.loads()));
+		this.view.clear();
+		this.viewedBy = "";
 	}
 
 	/**
@@ -81,15 +144,19 @@
 	 * @param now the time
 	 */
 	public void forgetSilent(long now) {
-		Iterator<Digest> all = this.digests.values().iterator();
+		forgetSilent(this.digests.values(), this.sums, now);
+		forgetSilent(this.view.values(), this.viewSums, now);
+	}
+
+	private static void forgetSilent(Collection<Digest> digests, LoadSums sums, long now) {
+		Iterator<Digest> all = digests.iterator();
 		while (all.hasNext()) {
 			Digest digest = all.next();
 			if (now - digest.at() > SILENT_NANOS) {
 				all.remove();
-				add(digest.loads(), -1);
+				sums.remove(digest.loads());
 			}
 		}
-		this.sums.values().removeIf((sum) -> sum.inFlight == 0 && sum.waitingWork == 0);
 	}
 
 	/**
@@ -97,32 +164,50 @@
 	 * @return whether the sums stand for more than nothing
 	 */
 	public boolean isTold() {
-		return !this.digests.isEmpty();
+		return !this.digests.isEmpty() || !this.view.isEmpty();
+	}
+
+	private boolean isViewed() {
+		return !this.view.isEmpty();
 	}
 
 	// The VMs that tell their load.
 	int count() {
-		return this.digests.size();
+		return (isViewed()) ? vms(this.view.values()) - 1 : vms(this.digests.values());
+	}
+
+	private static int vms(Collection<Digest> digests) {
+		return digests.stream().mapToInt(Digest::vms).sum();
 	}
 
-	// The pause between two digests of a VM, of late.
+	// Twice the usual age of what is known: the pause between two digests of a VM, or its
+	// like for what comes by way of relays.
 	double pauseNanos() {
-		return this.pauseNanos;
+		return (isViewed()) ? HOPS_OF_VIEW * this.viewPauseNanos : this.pauseNanos;
+	}
+
+	/**
+	 * Return what the VMs have under way that tell this one.
+	 * @return the sums by endpoint
+	 */
+	List<Load> all() {
+		return current().all();
+	}
+
+	private LoadSums current() {
+		return (isViewed()) ? this.viewSums : this.sums;
 	}
 
 	int inFlight(int endpoint) {
-		Sum sum = this.sums.get(endpoint);
-		return (sum != null) ? sum.inFlight : 0;
+		return current().inFlight(endpoint);
 	}
 
 	long waitingWork(int endpoint) {
-		Sum sum = this.sums.get(endpoint);
-		return (sum != null) ? sum.waitingWork : 0;
+		return current().waitingWork(endpoint);
 	}
 
 	int brief(int endpoint) {
-		Sum sum = this.sums.get(endpoint);
-		return (sum != null) ? sum.brief : 0;
+		return current().brief(endpoint);
 	}
 
 	/**
@@ -154,18 +239,7 @@
 
 	}
 
-	private record Digest(long sequence, List<Load> loads, long at) {
-	}
-
-	/** The sum over all VMs. */
-	private static final class Sum {
-
-		private int inFlight;
-
-		private long waitingWork;
-
-		private int brief;
-
+	private record Digest(long sequence, List<Load> loads, int vms, long at) {
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
@@ -0,0 +1,356 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Many entry VMs in virtual time, with datagrams that are late, lost and doubled.
+ */
+class LoadExchangeTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final int ENDPOINTS = 74;
+
+	private static final int DATA_CENTRES = 5;
+
+	/** Longer than a report, a summary and a view take one after the other. */
+	private static final long SETTLED_MILLIS = 1_000;
+
+	/** From the failure of a relay until its group is served by the next one. */
+	private static final long FAILED_OVER_MILLIS = 2_500;
+
+	private static List<PeerLoads.Load> loads(Random random) {
+		return random.ints(4, 0, ENDPOINTS)
+			.distinct()
+			.sorted()
+			.mapToObj((endpoint) -> new PeerLoads.Load(endpoint, 1 + random.nextInt(3), random.nextInt(20_000),
+					random.nextInt(2)))
+			.toList();
+	}
+
+	/**
+	 * All entry VMs and the network between them.
+	 */
+	private static final class Network {
+
+		private final Random random;
+
+		private final double loss;
+
+		private final List<Vm> vms = new ArrayList<>();
+
+		private final Map<String, Vm> byAddress = new HashMap<>();
+
+		private final PriorityQueue<Packet> onTheWay = new PriorityQueue<>(
+				(a, b) -> Long.compare(a.arrivesAt(), b.arrivesAt()));
+
+		private long now = 5_000 * MILLI;
+
+		Network(int count, double loss, long seed) {
+			this.random = new Random(seed);
+			this.loss = loss;
+			IntStream.range(0, count).forEach((i) -> this.vms.add(new Vm(i, this.now)));
+			this.vms.forEach((vm) -> this.byAddress.put(vm.self.address(), vm));
+			tellPeers();
+		}
+
+		private void tellPeers() {
+			List<LoadPeer> live = this.vms.stream().filter((vm) -> !vm.down).map((vm) -> vm.self).toList();
+			this.vms.forEach((vm) -> vm.exchange.peers(live));
+		}
+
+		void run(long millis) {
+			for (long end = this.now + millis * MILLI; this.now < end; this.now += MILLI) {
+				deliver();
+				this.vms.stream().filter((vm) -> !vm.down && !vm.frozen && vm.nextTick <= this.now).forEach(this::tick);
+			}
+		}
+
+		private void tick(Vm vm) {
+			vm.nextTick = this.now + vm.exchange.pauseMillis() * MILLI;
+			for (LoadExchange.Outgoing message : vm.exchange.tick(vm.own, vm.takeUses(), this.now)) {
+				message.receivers().forEach((to) -> send(vm, to, message.digest()));
+			}
+		}
+
+		private void send(Vm from, String to, LoadDigest digest) {
+			from.sent++;
+			int copies = (this.random.nextDouble() < this.loss) ? this.random.nextInt(3) : 1;
+			for (int i = 0; i < copies; i++) {
+				long delay = (copies > 1) ? this.random.nextInt(400) : 1 + this.random.nextInt(3);
+				this.onTheWay.add(new Packet(from, this.byAddress.get(to), digest, this.now + delay * MILLI));
+			}
+		}
+
+		private void deliver() {
+			while (!this.onTheWay.isEmpty() && this.onTheWay.peek().arrivesAt() <= this.now) {
+				Packet packet = this.onTheWay.poll();
+				if (!packet.to().down && !packet.to().deaf && !packet.to().frozen) {
+					packet.to().received++;
+					if (packet.to().exchange.take(packet.from().self.address(), packet.digest(), this.now)) {
+						packet.to().told.addAll(packet.digest().uses());
+					}
+				}
+			}
+		}
+
+		// Each VM sees what all others have under way, no more and no less.
+		void assertAllKnown() {
+			for (Vm vm : this.vms) {
+				if (!vm.down) {
+					LoadSums others = new LoadSums();
+					this.vms.stream()
+						.filter((other) -> other != vm && !other.down)
+						.forEach((other) -> others.add(other.own));
+					assertThat(vm.loads.all()).isEqualTo(others.all());
+				}
+			}
+		}
+
+		void changeLoads() {
+			this.vms.forEach((vm) -> vm.own = loads(this.random));
+		}
+
+		double receivedPerSecond(long millis) {
+			this.vms.forEach((vm) -> vm.received = 0);
+			long end = this.now + millis * MILLI;
+			while (this.now < end) {
+				changeLoads();
+				run(50);
+			}
+			return this.vms.stream().mapToInt((vm) -> vm.received).average().orElse(0) * 1_000 / millis;
+		}
+
+		int mostReceived() {
+			return this.vms.stream().mapToInt((vm) -> vm.received).max().orElse(0);
+		}
+
+		// The VMs that sum a group up.
+		List<Vm> relays() {
+			this.vms.forEach((vm) -> vm.sent = 0);
+			run(2_000);
+			int usual = this.vms.stream()
+				.mapToInt((vm) -> vm.sent)
+				.sorted()
+				.skip(this.vms.size() / 2)
+				.findFirst()
+				.orElse(0);
+			return this.vms.stream().filter((vm) -> vm.sent > 3 * usual + 3).toList();
+		}
+
+	}
+
+	private static final class Vm {
+
+		private final LoadPeer self;
+
+		private final PeerLoads loads = new PeerLoads();
+
+		private final LoadExchange exchange;
+
+		private final List<PartUse> told = new ArrayList<>();
+
+		private List<PeerLoads.Load> own = List.of();
+
+		private List<PartUse> uses = List.of();
+
+		private long nextTick;
+
+		private int sent;
+
+		private int received;
+
+		private boolean down;
+
+		private boolean frozen;
+
+		private boolean deaf;
+
+		Vm(int index, long now) {
+			this.self = new LoadPeer("10.0." + index / 250 + "." + index % 250 + ":1", "dc-" + index % DATA_CENTRES);
+			this.exchange = new LoadExchange(this.self, this.loads, now, now);
+			this.nextTick = now + index % 100 * MILLI;
+		}
+
+		private List<PartUse> takeUses() {
+			List<PartUse> taken = this.uses;
+			this.uses = List.of();
+			return taken;
+		}
+
+	}
+
+	private record Packet(Vm from, Vm to, LoadDigest digest, long arrivesAt) {
+	}
+
+	@Nested
+	class AllIsKnown {
+
+		@Test
+		void soonAfterAChangeWhateverTheNumberOfVms() {
+			for (int count : new int[] { 2, 9, 21, 22, 40, 95, 380 }) {
+				Network network = new Network(count, 0, 7);
+				network.changeLoads();
+				network.run(SETTLED_MILLIS);
+				network.assertAllKnown();
+				network.changeLoads();
+				network.run(SETTLED_MILLIS);
+				network.assertAllKnown();
+			}
+		}
+
+		@Test
+		void alsoWhereDatagramsAreLostLateAndDoubled() {
+			for (long seed = 1; seed <= 20; seed++) {
+				Network network = new Network(95, 0.05, seed);
+				for (int i = 0; i < 10; i++) {
+					network.changeLoads();
+					network.run(100);
+				}
+				network.run(3 * SETTLED_MILLIS);
+				network.assertAllKnown();
+			}
+		}
+
+		/*
+		 * An entry had an engine read a part of a prompt. Each entry that is not told has
+		 * it read once more at an engine of its own choice.
+		 */
+		@Test
+		void usesOfPartsReachAllVms() {
+			for (int count : new int[] { 9, 95, 380 }) {
+				Network network = new Network(count, 0, 7);
+				network.run(SETTLED_MILLIS);
+				PartUse use = new PartUse(5, new PromptShape.Part(77, 13_000));
+				network.vms.get(count - 1).uses = List.of(use);
+				network.run(SETTLED_MILLIS);
+				network.vms.stream().limit(count - 1).forEach((vm) -> assertThat(vm.told).contains(use));
+			}
+		}
+
+	}
+
+	@Nested
+	class Cost {
+
+		/*
+		 * Each VM told each other one: with 95 of them that were 9,500 datagrams a
+		 * second, for views that were a second old.
+		 */
+		@Test
+		void doesNotGrowWithTheNumberOfVms() {
+			Network small = new Network(95, 0, 7);
+			Network large = new Network(380, 0, 7);
+			assertThat(small.receivedPerSecond(5_000)).isLessThan(60.0);
+			assertThat(large.receivedPerSecond(5_000)).isLessThan(60.0);
+		}
+
+		@Test
+		void ofARelayIsBounded() {
+			Network network = new Network(380, 0, 7);
+			network.receivedPerSecond(5_000);
+			assertThat(network.mostReceived() / 5).isLessThan(1_000);
+		}
+
+	}
+
+	@Nested
+	class Relays {
+
+		@Test
+		void eachGroupHasOne() {
+			Network network = new Network(95, 0, 7);
+			network.run(SETTLED_MILLIS);
+			assertThat(network.relays()).hasSize(DATA_CENTRES);
+		}
+
+		// It loses its power: the platform's control notices that after ten seconds.
+		@Test
+		void nextOneServesTheGroupOfOneThatIsLost() {
+			Network network = new Network(95, 0, 7);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			network.relays().forEach((relay) -> relay.down = true);
+			network.run(FAILED_OVER_MILLIS);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			network.assertAllKnown();
+		}
+
+		/*
+		 * A relay sends and does not receive, as behind a cut in one direction. What it
+		 * still tells must not stand in the way of the next one.
+		 */
+		@Test
+		void nextOneServesTheGroupOfOneThatHearsNothing() {
+			Network network = new Network(95, 0, 7);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			List<Vm> relays = network.relays();
+			relays.forEach((relay) -> relay.deaf = true);
+			network.run(FAILED_OVER_MILLIS);
+			relays.forEach((relay) -> relay.down = true);
+			network.run(FAILED_OVER_MILLIS);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			network.assertAllKnown();
+		}
+
+		@Test
+		void frozenOneThatWakesDoesNoHarm() {
+			Network network = new Network(95, 0, 7);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			List<Vm> relays = network.relays();
+			relays.forEach((relay) -> relay.frozen = true);
+			network.run(4_000);
+			network.changeLoads();
+			relays.forEach((relay) -> relay.frozen = false);
+			network.run(FAILED_OVER_MILLIS);
+			network.assertAllKnown();
+		}
+
+	}
+
+	@Nested
+	class BadInput {
+
+		private final PeerLoads loads = new PeerLoads();
+
+		private final LoadExchange exchange = new LoadExchange(new LoadPeer("a:1", "dc"), this.loads, 10, 0);
+
+		private final List<PeerLoads.Load> some = List.of(new PeerLoads.Load(1, 1, 1, 0));
+
+		@Test
+		void olderDigestDoesNotReplaceANewerOne() {
+			assertThat(this.exchange.take("b:1", summary(5, this.some), 0)).isTrue();
+			assertThat(this.exchange.take("b:1", summary(5, List.of()), 1)).isFalse();
+			assertThat(this.exchange.take("b:1", summary(4, List.of()), 2)).isFalse();
+			assertThat(this.loads.all()).isEqualTo(this.some);
+		}
+
+		@Test
+		void viewOfAVmThatIsNotTheOwnRelayIsDropped() {
+			LoadDigest view = LoadDigest.of(LoadDigest.Kind.VIEW, 5, 9, this.some, List.of());
+			assertThat(this.exchange.take("b:1", view, 0)).isFalse();
+			assertThat(this.loads.isTold()).isFalse();
+		}
+
+		private LoadDigest summary(long sequence, List<PeerLoads.Load> loads) {
+			return LoadDigest.of(LoadDigest.Kind.SUMMARY, sequence, 1, loads, List.of());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -0,0 +1,79 @@
+package org.acaciacourse.daemon.codec;
+
+import java.util.List;
+import java.util.Map;
+
+import io.vavr.control.Try;
+import org.acaciacourse.core.balance.LoadDigest;
+import org.acaciacourse.core.balance.PartUse;
+import org.acaciacourse.core.balance.PeerLoads;
+import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.protocol.generated.EndpointLoadRecord;
+import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.PartUseRecord;
+
+/**
+ * Digests of load to datagrams and back.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class LoadDigestCodec {
+
+	private static final LoadDigest.Kind[] KINDS = LoadDigest.Kind.values();
+
+	private LoadDigestCodec() {
+	}
+
+	/**
+	 * Encode a digest.
+	 * @param digest the digest
+	 * @return the content of a datagram
+	 */
+	public static byte[] encode(LoadDigest digest) {
+		List<EndpointLoadRecord> loads = digest.loads()
+			.stream()
+			.map((load) -> new EndpointLoadRecord(load.endpoint(), load.inFlight(), load.waitingWork(), load.brief()))
+			.toList();
+		LoadDigestRecord record = new LoadDigestRecord(digest.sequence(), loads);
+		record.setUses(digest.uses()
+			.stream()
+			.map((use) -> new PartUseRecord(use.endpoint(), use.part().id(), use.part().tokens()))
+			.toList());
+		record.setKind(digest.kind().ordinal()).setPart(digest.part()).setParts(digest.parts()).setVms(digest.vms());
+		if (!digest.heard().isEmpty()) {
+			record.setHeard(digest.heard());
+		}
+		return ThriftBytes.encode(record);
+	}
+
+	/**
+	 * Decode a digest.
+	 * @param bytes the content of a datagram
+	 * @return the digest, or why it is none
+	 */
+	public static Try<LoadDigest> decode(byte[] bytes) {
+		return ThriftBytes.decode(bytes, new LoadDigestRecord()).mapTry(LoadDigestCodec::digest);
+	}
+
+	// A VM of an older release tells nothing but its own load in one part.
+	private static LoadDigest digest(LoadDigestRecord record) {
+		List<PeerLoads.Load> loads = record.getLoads().stream().map(LoadDigestCodec::load).toList();
+		List<PartUse> uses = (record.isSetUses()) ? record.getUses().stream().map(LoadDigestCodec::use).toList()
+				: List.of();
+		return new LoadDigest(KINDS[record.getKind()], record.getSequence(), record.getPart(),
+				(record.isSetParts()) ? record.getParts() : 1, (record.isSetVms()) ? record.getVms() : 1, loads, uses,
+				(record.isSetHeard()) ? record.getHeard() : Map.of());
+	}
+
+	private static PeerLoads.Load load(EndpointLoadRecord load) {
+		if (load.getInFlight() < 0 || load.getWaitingWork() < 0 || load.getBrief() < 0) {
+			throw new IllegalArgumentException("a load is below 0");
+		}
+		return new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork(), load.getBrief());
+	}
+
+	private static PartUse use(PartUseRecord use) {
+		return new PartUse(use.getInstance(), new PromptShape.Part(use.getPart(), use.getTokens()));
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.protocol.generated.ClassReport;
 import org.acaciacourse.protocol.generated.EntryStatus;
 import org.acaciacourse.protocol.generated.PollRequest;
@@ -119,19 +121,19 @@
 	}
 
 	/**
-	 * Return where the live entries take the load of others.
+	 * Return the live entries that take the load of others.
 	 * @param owner the run of the entry that asks, which is left out
 	 * @param now the wall-clock time in milliseconds
-	 * @return the addresses in their order
+	 * @return the entries in the order of their addresses
 	 */
-	List<String> loadAddresses(String owner, long now) {
-		return live(now).stream()
+	List<LoadPeer> loadPeers(String owner, long now) {
+		Map<String, LoadPeer> peers = new TreeMap<>();
+		live(now).stream()
 			.filter((entry) -> !entry.getOwner().equals(owner) && !entry.isLeaving())
-			.map(EntryStatus::getLoadAddress)
-			.filter((address) -> address != null && !address.isEmpty())
-			.distinct()
-			.sorted()
-			.toList();
+			.filter((entry) -> entry.getLoadAddress() != null && !entry.getLoadAddress().isEmpty())
+			.forEach((entry) -> peers.put(entry.getLoadAddress(),
+					new LoadPeer(entry.getLoadAddress(), entry.getDataCentre())));
+		return List.copyOf(peers.values());
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.Member;
 import org.acaciacourse.core.manifest.ManifestDelta;
@@ -120,7 +121,9 @@
 			reply.setFleet(FleetCodec.encode(known));
 		}
 		reply.setControls(this.loop.board().latest().membership().members().stream().map(Member::address).toList());
-		reply.setPeers(this.registry.loadAddresses(request.getOwner(), System.currentTimeMillis()));
+		List<LoadPeer> peers = this.registry.loadPeers(request.getOwner(), System.currentTimeMillis());
+		reply.setPeers(peers.stream().map(LoadPeer::address).toList());
+		reply.setPeerDataCentres(peers.stream().map(LoadPeer::dataCentre).toList());
 		List<EndpointNotice> notices = this.platform.notices();
 		return reply.setNotices(notices).setEntryCount(this.registry.count(System.currentTimeMillis()));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.ini.Problem;
 import org.acaciacourse.core.manifest.ManifestDocument;
@@ -88,7 +90,7 @@
 		takeCrashes(reply);
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
-		this.listener.peers(reply.getPeers());
+		this.listener.peers(peers(reply));
 		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
 			this.entryCount = reply.getEntryCount();
 			this.listener.entryCount(this.entryCount);
@@ -96,6 +98,15 @@
 		return this.number >= reply.getNumber();
 	}
 
+	// A control VM of an older release tells no data centres.
+	private static List<LoadPeer> peers(PollReply reply) {
+		List<String> addresses = reply.getPeers();
+		List<String> dataCentres = (reply.isSetPeerDataCentres()) ? reply.getPeerDataCentres() : List.of();
+		return IntStream.range(0, addresses.size())
+			.mapToObj((i) -> new LoadPeer(addresses.get(i), (i < dataCentres.size()) ? dataCentres.get(i) : ""))
+			.toList();
+	}
+
 	private void takeDocument(PollReply reply) {
 		Optional<ManifestDocument> next = documentOf(reply);
 		if (next.isEmpty()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.model.Manifest;
@@ -103,9 +104,9 @@
 
 		/**
 		 * Which other entries are live, as of this call.
-		 * @param loadAddresses where they take the load of others
+		 * @param peers the entries that take the load of others
 		 */
-		default void peers(List<String> loadAddresses) {
+		default void peers(List<LoadPeer> peers) {
 		}
 
 		/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -1,9 +1,10 @@
 package org.acaciacourse.daemon.route;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -15,23 +16,19 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import org.acaciacourse.core.balance.PartUse;
-import org.acaciacourse.core.balance.PeerLoads;
-import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.core.balance.LoadDigest;
+import org.acaciacourse.core.balance.LoadExchange;
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RoutingMechanism;
-import org.acaciacourse.daemon.codec.ThriftBytes;
+import org.acaciacourse.core.code.LineBudget;
+import org.acaciacourse.daemon.codec.LoadDigestCodec;
 import org.acaciacourse.daemon.inner.InnerConnection;
-import org.acaciacourse.protocol.generated.EndpointLoadRecord;
-import org.acaciacourse.protocol.generated.LoadDigestRecord;
-import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Sends what this VM has under way to the other entry VMs and takes what they send, by
- * datagrams: a late digest is worth nothing, so that one which is lost is not sent again.
- * The more VMs there are the less often each sends, so that what a VM receives is
- * bounded.
+ * Carries the exchange of loads between entry VMs ({@link LoadExchange}) by datagrams: a
+ * late digest is worth nothing, so that one which is lost is not sent again.
  * <p>
  * Not thread safe: belongs to the event loop.
  */
@@ -39,24 +36,8 @@
 
 	private static final Logger logger = LogManager.getLogger(LoadGossip.class);
 
-	/**
-	 * Digests that a VM receives in a second, about as many as the events that it passes
-	 * on: each is one wake-up and one read, whatever the number of entries.
-	 */
-	private static final int RECEIVED_PER_SECOND = 100;
-
-	/** A prompt is read in some hundred milliseconds: more often tells little more. */
-	private static final long LEAST_MILLIS = 60;
-
-	private static final long MOST_MILLIS = 500;
-
-	private static final int MAX_LOADS = 60;
-
-	/**
-	 * Uses of prompt parts in a digest, which takes less than a packet with them. What is
-	 * beyond is not told: the parts are read once more at worst.
-	 */
-	private static final int MAX_USES = 30;
+	/** Whoever sends datagrams that are no digests may send many. */
+	private static final int DROPPED_LINES_PER_SECOND = 1;
 
 	private final EventLoop loop;
 
@@ -64,25 +45,22 @@
 
 	private final InetSocketAddress address;
 
-	private Channel channel;
-
-	private List<InetSocketAddress> peers = List.of();
-
-	private List<PeerLoads.Load> sent = List.of();
+	private final LoadExchange exchange;
 
-	// Told twice, as datagrams are lost.
-	private List<PartUse> toldOnce = List.of();
+	private final Map<String, InetSocketAddress> addresses = new HashMap<>();
 
-	private long sequence = System.currentTimeMillis() * 1_000;
+	private final LineBudget droppedLines = new LineBudget(DROPPED_LINES_PER_SECOND, System.nanoTime());
 
-	private long sentAt = System.nanoTime();
+	private Channel channel;
 
 	private boolean stopped;
 
-	LoadGossip(EventLoop loop, PoolStates pools, InetSocketAddress address) {
+	LoadGossip(EventLoop loop, PoolStates pools, LoadPeer self) {
 		this.loop = loop;
 		this.pools = pools;
-		this.address = address;
+		this.address = InnerConnection.parse(self.address());
+		// A VM that starts again begins above what it sent in its life before.
+		this.exchange = new LoadExchange(self, pools.peers(), System.currentTimeMillis() * 1_000, System.nanoTime());
 	}
 
 	/** Begin to send and to take. */
@@ -102,11 +80,12 @@
 	}
 
 	/**
-	 * Set who gets the digests.
-	 * @param addresses where the other entries take them
+	 * Set which VMs exchange their load.
+	 * @param peers the live ones
 	 */
-	void peers(List<String> addresses) {
-		this.peers = addresses.stream().map(InnerConnection::parse).toList();
+	void peers(List<LoadPeer> peers) {
+		this.exchange.peers(peers);
+		this.addresses.keySet().retainAll(peers.stream().map(LoadPeer::address).toList());
 	}
 
 	// The bound address, for those that send here.
@@ -120,8 +99,7 @@
 	}
 
 	private void schedule() {
-		long millis = Math.max(LEAST_MILLIS, 1_000L * this.peers.size() / RECEIVED_PER_SECOND);
-		this.loop.schedule(this::tick, millis, TimeUnit.MILLISECONDS);
+		this.loop.schedule(this::tick, this.exchange.pauseMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private void tick() {
@@ -129,72 +107,52 @@
 			return;
 		}
 		long now = System.nanoTime();
-		this.pools.peers().forgetSilent(now);
-		if (!isOn()) {
-			schedule();
-			return;
+		if (isOn()) {
+			this.exchange.tick(this.pools.own(), this.pools.takeUntoldUses(), now).forEach(this::send);
+			this.channel.flush();
 		}
-		List<PeerLoads.Load> own = this.pools.own();
-		boolean due = now - this.sentAt > TimeUnit.MILLISECONDS.toNanos(MOST_MILLIS);
-		if (!this.peers.isEmpty() && (due || !own.equals(this.sent))) {
-			send(own);
-			this.sentAt = now;
+		else {
+			this.pools.peers().forgetSilent(now);
 		}
 		schedule();
 	}
 
-	private void send(List<PeerLoads.Load> own) {
-		this.sent = own;
-		List<EndpointLoadRecord> records = own.stream()
-			.limit(MAX_LOADS)
-			.map((load) -> new EndpointLoadRecord(load.endpoint(), load.inFlight(), load.waitingWork(), load.brief()))
-			.toList();
-		LoadDigestRecord digest = new LoadDigestRecord(++this.sequence, records);
-		digest.setUses(uses());
-		byte[] bytes = ThriftBytes.encode(digest);
-		this.peers.forEach((peer) -> this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
-		this.channel.flush();
+	private void send(LoadExchange.Outgoing message) {
+		byte[] bytes = LoadDigestCodec.encode(message.digest());
+		message.receivers()
+			.forEach((peer) -> this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), resolved(peer))));
 	}
 
-	private List<PartUseRecord> uses() {
-		List<PartUse> next = this.pools.takeUntoldUses();
-		List<PartUseRecord> records = Stream.concat(this.toldOnce.stream(), next.stream())
-			.distinct()
-			.limit(MAX_USES)
-			.map((use) -> new PartUseRecord(use.endpoint(), use.part().id(), use.part().tokens()))
-			.toList();
-		this.toldOnce = next;
-		return records;
+	private InetSocketAddress resolved(String peer) {
+		return this.addresses.computeIfAbsent(peer, InnerConnection::parse);
 	}
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-		ThriftBytes.decode(ByteBufUtil.getBytes(packet.content()), new LoadDigestRecord())
-			.andThenTry((digest) -> take(packet.sender().toString(), digest))
-			.onFailure((ex) -> logger.debug("a datagram from {} is no digest", packet.sender(), ex));
+		if (!isOn()) {
+			return;
+		}
+		LoadDigestCodec.decode(ByteBufUtil.getBytes(packet.content()))
+			.andThen((digest) -> take(InnerConnection.format(packet.sender()), digest))
+			.onFailure((ex) -> tellDropped(packet.sender(), ex));
 	}
 
 	private boolean isOn() {
 		return this.pools.policy().isOn(RoutingMechanism.LOAD_DIGESTS);
 	}
 
-	private void take(String sender, LoadDigestRecord digest) {
-		if (!isOn()) {
-			return;
-		}
-		List<PeerLoads.Load> loads = digest.getLoads()
-			.stream()
-			.map((load) -> new PeerLoads.Load(load.getInstance(), load.getInFlight(), load.getWaitingWork(),
-					load.getBrief()))
-			.toList();
-		this.pools.peers().take(sender, digest.getSequence(), loads, System.nanoTime());
-		if (digest.isSetUses()) {
-			digest.getUses()
-				.forEach((use) -> this.pools
-					.toldUse(new PartUse(use.getInstance(), new PromptShape.Part(use.getPart(), use.getTokens()))));
+	private void take(String sender, LoadDigest digest) {
+		if (this.exchange.take(sender, digest, System.nanoTime())) {
+			digest.uses().forEach(this.pools::toldUse);
 		}
 	}
 
+	private void tellDropped(InetSocketAddress sender, Throwable cause) {
+		this.droppedLines.next(System.nanoTime())
+			.ifPresent((untold) -> logger.warn("a datagram from {} is no digest of load ({} more before it): {}",
+					sender, untold, String.valueOf(cause)));
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		// A port that nobody listens on shows here; the next list of peers leaves it out.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -17,6 +17,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.code.LineBudget;
@@ -125,7 +126,7 @@
 		this.front = new HttpFront(options.listen(), () -> this.limits, this.loops, this.handler);
 		this.readiness = new HttpFront(options.ready(), () -> this.limits, this.loops, new Readiness());
 		this.fallback = new FleetFallback(options.fleet(), (fleet) -> takeFleet(fleet, "list"));
-		this.gossip = options.load().map((address) -> new LoadGossip(this.loop, this.pools, address));
+		this.gossip = options.load().map((self) -> new LoadGossip(this.loop, this.pools, self));
 	}
 
 	/**
@@ -310,9 +311,8 @@
 		}
 
 		@Override
-		public void peers(List<String> loadAddresses) {
-			RouteDaemon.this.gossip
-				.ifPresent((sharing) -> RouteDaemon.this.loop.execute(() -> sharing.peers(loadAddresses)));
+		public void peers(List<LoadPeer> peers) {
+			RouteDaemon.this.gossip.ifPresent((sharing) -> RouteDaemon.this.loop.execute(() -> sharing.peers(peers)));
 		}
 
 		@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.control.FleetSource;
 
@@ -16,7 +17,7 @@
  * @param listen the address for callers
  * @param ready the address that tells whether callers should be sent here
  * @param metrics the address of health and metrics, if there is one
- * @param load where the other entries send their load to, if they should
+ * @param load this VM as one that exchanges its load with others, if it should
  * @param retries the retry budget
  * @param maxConnections the most connections of callers
  * @param stopDelay how long callers are still taken after a stop was asked for, until
@@ -26,8 +27,8 @@
  * @param policy how it decides until it is told otherwise
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
-		Optional<InetSocketAddress> load, RetryRule retries, int maxConnections, Duration stopDelay,
-		Duration drainLimit, FleetSource fleet, RoutingPolicy policy) {
+		Optional<LoadPeer> load, RetryRule retries, int maxConnections, Duration stopDelay, Duration drainLimit,
+		FleetSource fleet, RoutingPolicy policy) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -0,0 +1,80 @@
+package org.acaciacourse.daemon.codec;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.acaciacourse.core.balance.LoadDigest;
+import org.acaciacourse.core.balance.PartUse;
+import org.acaciacourse.core.balance.PeerLoads;
+import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.protocol.generated.EndpointLoadRecord;
+import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class LoadDigestCodecTests {
+
+	private static final List<PeerLoads.Load> LOADS = List.of(new PeerLoads.Load(-7, 2, 17_000, 1));
+
+	@Test
+	void digestIsReadAsItWasWritten() {
+		LoadDigest view = new LoadDigest(LoadDigest.Kind.VIEW, 1L << 50, 1, 3, 95, LOADS,
+				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L));
+		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get()).isEqualTo(view);
+	}
+
+	// Entries are replaced one after the other: those of the release before tell less.
+	@Test
+	void digestOfTheReleaseBeforeIsItsSendersOwnLoad() {
+		byte[] bytes = ThriftBytes.encode(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(-7, 2, 17_000, 1))));
+		assertThat(LoadDigestCodec.decode(bytes).get())
+			.isEqualTo(new LoadDigest(LoadDigest.Kind.SUMMARY, 3, 0, 1, 1, LOADS, List.of(), Map.of()));
+	}
+
+	@Nested
+	class Malformed {
+
+		private static LoadDigestRecord sound() {
+			return new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, 1, 1, 0)));
+		}
+
+		private void assertRefused(LoadDigestRecord record) {
+			assertThat(LoadDigestCodec.decode(ThriftBytes.encode(record)).isFailure()).isTrue();
+		}
+
+		@Test
+		void valuesOutOfTheirRangeAreRefused() {
+			assertRefused(sound().setKind(3));
+			assertRefused(sound().setKind(-1));
+			assertRefused(sound().setPart(1));
+			assertRefused(sound().setPart(-1).setParts(2));
+			assertRefused(sound().setParts(0));
+			assertRefused(sound().setParts(1_000_000));
+			assertRefused(sound().setVms(0));
+			assertRefused(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, -1, 1, 0))));
+			assertRefused(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, 1, -1, 0))));
+			assertRefused(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, 1, 1, -1))));
+		}
+
+		// Whatever bytes come, reading them ends with a digest or a failure.
+		@Test
+		void damagedBytesNeverThrow() {
+			Random random = new Random(11);
+			byte[] bytes = LoadDigestCodec.encode(new LoadDigest(LoadDigest.Kind.VIEW, 7, 0, 1, 9, LOADS,
+					List.of(new PartUse(5, new PromptShape.Part(1, 13_300))), Map.of(4, 9L)));
+			for (int i = 0; i < 20_000; i++) {
+				byte[] damaged = Arrays.copyOf(bytes, random.nextInt(bytes.length + 1));
+				for (int j = 0; j < 3 && damaged.length > 0; j++) {
+					damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+				}
+				assertThat(LoadDigestCodec.decode(damaged)).isNotNull();
+			}
+		}
+
+	}
+
+}
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -2,8 +2,6 @@
 
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +13,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PromptShape;
@@ -62,8 +61,7 @@
 	}
 
 	private LoadGossip gossip(PoolStates pools) throws Exception {
-		LoadGossip gossip = new LoadGossip(this.loop, pools,
-				new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		LoadGossip gossip = new LoadGossip(this.loop, pools, new LoadPeer("127.0.0.1:0", "dc"));
 		onLoop(() -> {
 			gossip.start();
 			return null;
@@ -73,6 +71,10 @@
 		return gossip;
 	}
 
+	private static LoadPeer peer(LoadGossip gossip) {
+		return new LoadPeer(InnerConnection.format(gossip.boundAddress()), "dc");
+	}
+
 	private void awaitDigest(PoolStates pools) throws Exception {
 		while (!onLoop(pools.peers()::isTold)) {
 			LockSupport.parkNanos(1_000_000);
@@ -98,8 +100,7 @@
 		LoadGossip receiver = gossip(heard);
 		onLoop(() -> {
 			second.policy(new RoutingPolicy("without-digests", off, Map.of()));
-			sender.peers(List.of(InnerConnection.format(silent.boundAddress()),
-					InnerConnection.format(receiver.boundAddress())));
+			sender.peers(List.of(peer(silent), peer(receiver)));
 			begin(first, "i-1", PromptShape.NONE);
 			return null;
 		});
@@ -125,7 +126,7 @@
 		LoadGossip sender = gossip(first);
 		LoadGossip receiver = gossip(second);
 		onLoop(() -> {
-			sender.peers(List.of(InnerConnection.format(receiver.boundAddress())));
+			sender.peers(List.of(peer(receiver)));
 			begin(first, "i-1", new PromptShape(50_000, 1, List.of()));
 			return null;
 		});
@@ -157,7 +158,7 @@
 		String other = (onLoop(choice).equals("i-1")) ? "i-2" : "i-1";
 		onLoop(() -> {
 			begin(first, other, prompt).streamBegan(1);
-			sender.peers(List.of(InnerConnection.format(receiver.boundAddress())));
+			sender.peers(List.of(peer(receiver)));
 			return null;
 		});
 		while (!onLoop(choice).equals(other)) {
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -299,6 +299,8 @@
   13: list<string> controls,
   /* Where the live entries, but for the asking one, take the load of others. */
   14: list<string> peers,
+  /* The data centres of these, in the same order. */
+  16: optional list<string> peerDataCentres,
   /* XXH3 over the whole document that a snapshot holds; cheaper to check than the digest. */
   15: optional i64 checksum,
 }
@@ -309,6 +311,15 @@
   2: list<EndpointLoadRecord> loads,
   /* The shared parts of prompts that endpoints were sent lately. */
   3: optional list<PartUseRecord> uses,
+  /* What it covers: 0 for the sender and those that report to it, 1 for a report, 2 for a view of all VMs. */
+  4: optional i32 kind,
+  /* Its place among the parts of one digest, and their number. */
+  5: optional i32 part,
+  6: optional i32 parts,
+  /* How many VMs have their load in it. */
+  7: optional i32 vms,
+  /* The numbers of the reports in a view, by hashes of the addresses of their senders. */
+  8: optional map<i32, i64> heard,
 }
 
 struct PartUseRecord {
