--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -72,6 +72,8 @@
 
 	private List<String> peers = List.of();
 
+	private Optional<String> relay = Optional.empty();
+
 	private List<PeerLoads.Load> told = List.of();
 
 	private long toldAt;
@@ -106,6 +108,15 @@
 		return this.peers.size() > MOST_DIRECT;
 	}
 
+	/**
+	 * Return who sums up what this VM has under way.
+	 * @return the address of its relay, its own if it is one, nothing while VMs tell one
+	 * another
+	 */
+	public Optional<String> relay() {
+		return this.relay;
+	}
+
 	/**
 	 * Return the pause until the next call of {@link #tick}.
 	 * @return the pause in milliseconds
@@ -129,11 +140,13 @@
 			return List.of();
 		}
 		if (!isRelayed()) {
+			this.relay = Optional.empty();
 			return tellAll(own, now);
 		}
-		Optional<String> relay = this.relays.relay(now);
-		if (relay.isPresent() && this.group.isEmpty()) {
-			return report(own, relay.get(), now);
+		Optional<String> other = this.relays.relay(now).filter((vm) -> this.group.isEmpty());
+		this.relay = Optional.of(other.orElse(this.self.address()));
+		if (other.isPresent()) {
+			return report(own, other.get(), now);
 		}
 		this.usesOfAll.add(uses);
 		return sumUp(own, now);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -23,6 +24,8 @@
 import org.acaciacourse.core.code.LineBudget;
 import org.acaciacourse.daemon.codec.LoadDigestCodec;
 import org.acaciacourse.daemon.inner.InnerConnection;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -51,6 +54,8 @@
 
 	private final LineBudget droppedLines = new LineBudget(DROPPED_LINES_PER_SECOND, System.nanoTime());
 
+	private Optional<String> relay = Optional.empty();
+
 	private Channel channel;
 
 	private boolean stopped;
@@ -110,6 +115,7 @@
 		if (isOn()) {
 			this.exchange.tick(this.pools.own(), this.pools.takeUntoldUses(), now).forEach(this::send);
 			this.channel.flush();
+			tellRelay();
 		}
 		else {
 			this.pools.peers().forgetSilent(now);
@@ -117,6 +123,14 @@
 		schedule();
 	}
 
+	private void tellRelay() {
+		Optional<String> next = this.exchange.relay();
+		if (!next.equals(this.relay)) {
+			DecisionLog.write(LogEvent.LOAD_RELAY, next.orElse(""), this.relay.orElse(""));
+			this.relay = next;
+		}
+	}
+
 	private void send(LoadExchange.Outgoing message) {
 		byte[] bytes = LoadDigestCodec.encode(message.digest());
 		message.receivers()
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -50,6 +50,9 @@
 	/** The list of endpoints changed. */
 	FLEET("fleet", "fleet", "endpoints", "leaving", "source"),
 
+	/** Another VM sums the load of this one up, none, or this VM itself. */
+	LOAD_RELAY("load-relay", "relay", "before"),
+
 	/** Another number of engines is for the requests whose target is the shortest. */
 	DIVISION("division", "pool", "engines", "brief_running", "waiting_work"),
 
