--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadPeersCodec.java
@@ -0,0 +1,70 @@
+package org.acaciacourse.daemon.codec;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import net.openhft.hashing.LongHashFunction;
+import org.acaciacourse.core.balance.LoadPeer;
+import org.acaciacourse.protocol.generated.PollReply;
+import org.acaciacourse.protocol.generated.PollRequest;
+
+/**
+ * The entries that exchange their loads, in the answers to polls. They are told only
+ * where they changed: each entry polls about once a second, and the list grows with the
+ * number of entries.
+ * <p>
+ * Thread safe: it has no state.
+ */
+public final class LoadPeersCodec {
+
+	private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+	private LoadPeersCodec() {
+	}
+
+	/**
+	 * Write the peers into an answer.
+	 * @param peers the live entries but for the one that asks, in a fixed order
+	 * @param request what the entry asks
+	 * @param reply the answer
+	 */
+	public static void write(List<LoadPeer> peers, PollRequest request, PollReply reply) {
+		long revision = revision(peers);
+		reply.setPeersRevision(revision);
+		if (request.isSetPeersRevision() && request.getPeersRevision() == revision) {
+			reply.setPeers(List.of());
+			return;
+		}
+		reply.setPeers(peers.stream().map(LoadPeer::address).toList());
+		reply.setPeerDataCentres(peers.stream().map(LoadPeer::dataCentre).toList());
+	}
+
+	private static long revision(List<LoadPeer> peers) {
+		String all = peers.stream()
+			.map((peer) -> peer.address() + " " + peer.dataCentre())
+			.collect(Collectors.joining("\n"));
+		return HASH.hashBytes(all.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Read the peers from an answer. A control VM of an older release tells them each
+	 * time, without revision and data centres.
+	 * @param reply the answer
+	 * @param known the revision that the poll asked with
+	 * @return the peers, if they may differ from those that are known
+	 */
+	public static Optional<List<LoadPeer>> read(PollReply reply, long known) {
+		if (reply.isSetPeersRevision() && reply.getPeersRevision() == known) {
+			return Optional.empty();
+		}
+		List<String> addresses = reply.getPeers();
+		List<String> dataCentres = (reply.isSetPeerDataCentres()) ? reply.getPeerDataCentres() : List.of();
+		return Optional.of(IntStream.range(0, addresses.size())
+			.mapToObj((i) -> new LoadPeer(addresses.get(i), (i < dataCentres.size()) ? dataCentres.get(i) : ""))
+			.toList());
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -6,13 +6,13 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
-import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.Member;
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.state.ControlState;
 import org.acaciacourse.daemon.codec.FleetCodec;
+import org.acaciacourse.daemon.codec.LoadPeersCodec;
 import org.acaciacourse.daemon.codec.ManifestCodec;
 import org.acaciacourse.protocol.generated.EndpointNotice;
 import org.acaciacourse.protocol.generated.PollReply;
@@ -121,9 +121,7 @@
 			reply.setFleet(FleetCodec.encode(known));
 		}
 		reply.setControls(this.loop.board().latest().membership().members().stream().map(Member::address).toList());
-		List<LoadPeer> peers = this.registry.loadPeers(request.getOwner(), System.currentTimeMillis());
-		reply.setPeers(peers.stream().map(LoadPeer::address).toList());
-		reply.setPeerDataCentres(peers.stream().map(LoadPeer::dataCentre).toList());
+		LoadPeersCodec.write(this.registry.loadPeers(request.getOwner(), System.currentTimeMillis()), request, reply);
 		List<EndpointNotice> notices = this.platform.notices();
 		return reply.setNotices(notices).setEntryCount(this.registry.count(System.currentTimeMillis()));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -6,10 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
-import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.ini.Problem;
 import org.acaciacourse.core.manifest.ManifestDocument;
@@ -17,6 +15,7 @@
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.RouteTableParser;
 import org.acaciacourse.daemon.codec.FleetCodec;
+import org.acaciacourse.daemon.codec.LoadPeersCodec;
 import org.acaciacourse.daemon.codec.ManifestCodec;
 import org.acaciacourse.protocol.generated.EndpointNotice;
 import org.acaciacourse.protocol.generated.PollReply;
@@ -54,6 +53,8 @@
 
 	private Fleet fleet = Fleet.NONE;
 
+	private long peersRevision;
+
 	private long crashRevision;
 
 	private int entryCount;
@@ -74,6 +75,10 @@
 		return (this.wholeNeeded) ? "" : this.digest;
 	}
 
+	long peersRevision() {
+		return this.peersRevision;
+	}
+
 	long crashRevision() {
 		return this.crashRevision;
 	}
@@ -90,7 +95,7 @@
 		takeCrashes(reply);
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
-		this.listener.peers(peers(reply));
+		takePeers(reply);
 		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
 			this.entryCount = reply.getEntryCount();
 			this.listener.entryCount(this.entryCount);
@@ -98,13 +103,11 @@
 		return this.number >= reply.getNumber();
 	}
 
-	// A control VM of an older release tells no data centres.
-	private static List<LoadPeer> peers(PollReply reply) {
-		List<String> addresses = reply.getPeers();
-		List<String> dataCentres = (reply.isSetPeerDataCentres()) ? reply.getPeerDataCentres() : List.of();
-		return IntStream.range(0, addresses.size())
-			.mapToObj((i) -> new LoadPeer(addresses.get(i), (i < dataCentres.size()) ? dataCentres.get(i) : ""))
-			.toList();
+	private void takePeers(PollReply reply) {
+		LoadPeersCodec.read(reply, this.peersRevision).ifPresent((peers) -> {
+			this.peersRevision = reply.getPeersRevision();
+			this.listener.peers(peers);
+		});
 	}
 
 	private void takeDocument(PollReply reply) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -172,7 +172,8 @@
 	private PollRequest request(boolean latest) {
 		return new PollRequest(this.options.vm(), this.run, this.options.dataCentre(), this.follower.number(),
 				this.follower.digest(), this.follower.crashRevision(), WAIT_MILLIS, this.reports.get(), latest,
-				this.leaving, this.follower.fleetRevision(), this.options.loadAddress());
+				this.leaving, this.follower.fleetRevision(), this.options.loadAddress())
+			.setPeersRevision(this.follower.peersRevision());
 	}
 
 	private void noteLatest(boolean known) {
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -278,6 +278,8 @@
   11: i64 fleetRevision,
   /* Where the other entries send their load to, empty if they should not. */
   12: string loadAddress,
+  /* Of the peers that the entry knows. */
+  13: optional i64 peersRevision,
 }
 
 struct PollReply {
@@ -301,6 +303,8 @@
   14: list<string> peers,
   /* The data centres of these, in the same order. */
   16: optional list<string> peerDataCentres,
+  /* A hash of the peers, which are told only if it is another than the entry's. */
+  17: optional i64 peersRevision,
   /* XXH3 over the whole document that a snapshot holds; cheaper to check than the digest. */
   15: optional i64 checksum,
 }
