--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -144,7 +144,7 @@
 			return tellAll(own, now);
 		}
 		Optional<String> other = this.relays.relay(now).filter((vm) -> this.group.isEmpty());
-		this.relay = Optional.of(other.orElse(this.self.address()));
+		follow(other.orElse(this.self.address()), now);
 		if (other.isPresent()) {
 			return report(own, other.get(), now);
 		}
@@ -152,6 +152,14 @@
 		return sumUp(own, now);
 	}
 
+	// The next relay knows nothing of this VM yet.
+	private void follow(String next, long now) {
+		if (!this.relay.equals(Optional.of(next))) {
+			this.relay = Optional.of(next);
+			this.toldAt = now - QUIET_NANOS;
+		}
+	}
+
 	private void forgetSilent(long now) {
 		this.loads.forgetSilent(now);
 		this.group.values().removeIf((report) -> now - report.at() > PeerLoads.SILENT_NANOS);
--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -15,6 +15,9 @@
  * comes only with answers; without this each VM sees a part of the load only, and all of
  * them may send long prompts to one endpoint at the same moment.
  * <p>
+ * With many VMs a relay tells what all of them have under way; while there is such a view
+ * it counts, and no digest does.
+ * <p>
  * The state is soft: a digest that is lost is replaced by the next one, and what a VM
  * told counts no more once it is silent. Invariant: the sums are those of the latest
  * digests of all VMs that are kept.
--- a/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
@@ -223,6 +223,24 @@
 			}
 		}
 
+		/*
+		 * A release or a fault takes entries away, and VMs are added. Some entries tell
+		 * one another then while others report to relays already.
+		 */
+		@Test
+		void alsoWhereTheNumberOfVmsPassesThatOfRelays() {
+			Network network = new Network(26, 0, 7);
+			network.changeLoads();
+			network.run(SETTLED_MILLIS);
+			for (boolean down : new boolean[] { true, false, true, false }) {
+				network.vms.stream().skip(18).forEach((vm) -> vm.down = down);
+				network.tellPeers();
+				network.changeLoads();
+				network.run(2 * SETTLED_MILLIS);
+				network.assertAllKnown();
+			}
+		}
+
 		/*
 		 * An entry had an engine read a part of a prompt. Each entry that is not told has
 		 * it read once more at an engine of its own choice.
