--- a/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/suspect/SuspectTable.java
@@ -26,9 +26,15 @@
 	/** How long an entry is kept. */
 	public static final long MEMORY_NANOS = 3_600_000_000_000L;
 
-	/** In which a report reaches all VMs by way of control, with room to spare. */
+	/**
+	 * In which the reports of all VMs come by way of control, from when the own one came
+	 * back.
+	 */
 	static final long SETTLE_NANOS = 1_000_000_000L;
 
+	/** How long the own report is waited for: control may be lost. */
+	static final long UNCONFIRMED_NANOS = 5_000_000_000L;
+
 	private static final long ACTIVE_NANOS = 20_000_000_000L;
 
 	private final Map<Long, Entry> entries = new LinkedHashMap<>();
@@ -39,7 +45,8 @@
 	 * Note how many crashes a content had part in.
 	 * @param contentHash the hash of customer and content
 	 * @param crashes how many crashes, 0 clears it
-	 * @param own whether this VM ran it, so that it is this VM's task to try it again
+	 * @param own whether this VM ran it, so that it is this VM's task to try it again;
+	 * false also for its own report that comes back from control
 	 * @param now the time
 	 */
 	public void note(long contentHash, int crashes, boolean own, long now) {
@@ -50,7 +57,7 @@
 		this.lastSuspicion = now;
 		int most = (old != null) ? Math.max(old.crashes, crashes) : crashes;
 		boolean ours = own || (old != null && old.own);
-		this.entries.put(contentHash, new Entry(Math.min(most, CONVICTION), ours, now));
+		this.entries.put(contentHash, new Entry(Math.min(most, CONVICTION), ours, !own, now));
 		if (this.entries.size() > LIMIT) {
 			Iterator<Long> oldest = this.entries.keySet().iterator();
 			oldest.next();
@@ -104,11 +111,11 @@
 	}
 
 	/**
-	 * Return when this VM may try a suspect. If it ran here, after the time in which the
-	 * VMs hear of each other's suspects: a trial that began before could meet another
-	 * VM's suspect at the same endpoint, and a crash would convict both. Otherwise only
-	 * after the VM that ran it had time to come to a verdict. Two VMs that try it at the
-	 * same time would lose two more endpoints.
+	 * Return when this VM may try a suspect. If it ran here, once its report came back
+	 * from control and the VMs had time to hear of each other's suspects: a trial that
+	 * began before could meet another VM's suspect at the same endpoint, and a crash
+	 * would convict both. Otherwise only after the VM that ran it had time to come to a
+	 * verdict. Two VMs that try it at the same time would lose two more endpoints.
 	 * @param contentHash the hash of customer and content
 	 * @param holdNanos how long to wait for the verdict of another VM
 	 * @param now the time
@@ -119,7 +126,10 @@
 		if (entry == null) {
 			return now;
 		}
-		return entry.since + ((entry.own) ? SETTLE_NANOS : holdNanos);
+		if (!entry.own) {
+			return entry.since + holdNanos;
+		}
+		return entry.since + ((entry.confirmed) ? SETTLE_NANOS : UNCONFIRMED_NANOS);
 	}
 
 	private Entry find(long contentHash, long now) {
@@ -131,7 +141,7 @@
 		return entry;
 	}
 
-	private record Entry(int crashes, boolean own, long since) {
+	private record Entry(int crashes, boolean own, boolean confirmed, long since) {
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/dispatch/SuspectsOfTwoEntriesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/SuspectsOfTwoEntriesTests.java
@@ -42,7 +42,7 @@
 
 	private final List<News> onTheWay = new ArrayList<>();
 
-	private final Set<News> sent = new HashSet<>();
+	private final Set<List<Number>> sent = new HashSet<>();
 
 	private int crashes;
 
@@ -55,8 +55,8 @@
 		for (int step = 0; step < STEPS; step++) {
 			crash(this.poisoned.attemptOf(poison));
 			answer();
-			publish(this.poisoned, this.other, step + delayMillis / STEP_MILLIS);
-			publish(this.other, this.poisoned, step + delayMillis / STEP_MILLIS);
+			publish(this.poisoned, step + delayMillis / STEP_MILLIS);
+			publish(this.other, step + delayMillis / STEP_MILLIS);
 			deliver(step);
 			this.poisoned.pass(STEP_MILLIS * 1_000_000L);
 			this.other.pass(STEP_MILLIS * 1_000_000L);
@@ -85,11 +85,12 @@
 		}
 	}
 
-	private void publish(Driver from, Driver to, int arrivesAt) {
+	// Control tells all VMs, the sender as well.
+	private void publish(Driver from, int arrivesAt) {
 		from.suspects.forEach((content, proven) -> {
-			News news = new News(to, content, proven, 0);
-			if (this.sent.add(news)) {
-				this.onTheWay.add(new News(to, content, proven, arrivesAt));
+			if (this.sent.add(List.of(content, proven))) {
+				this.onTheWay.add(new News(this.poisoned, content, proven, arrivesAt));
+				this.onTheWay.add(new News(this.other, content, proven, arrivesAt));
 			}
 		});
 	}
--- a/core/src/test/java/org/acaciacourse/core/dispatch/suspect/SuspectTableTests.java
+++ b/core/src/test/java/org/acaciacourse/core/dispatch/suspect/SuspectTableTests.java
@@ -43,7 +43,20 @@
 		this.table.note(1, 1, false, 0);
 		this.table.note(2, 1, true, 0);
 		assertThat(this.table.trialFrom(1, 15 * SECOND, SECOND)).isEqualTo(15 * SECOND);
-		assertThat(this.table.trialFrom(2, 15 * SECOND, SECOND)).isEqualTo(SuspectTable.SETTLE_NANOS);
+		this.table.note(2, 1, false, SECOND / 2);
+		assertThat(this.table.trialFrom(2, 15 * SECOND, SECOND)).isEqualTo(SECOND / 2 + SuspectTable.SETTLE_NANOS);
+	}
+
+	/*
+	 * Control is slow or lost. Reports of other VMs may be on their way as long as the
+	 * own one has not come back; without control a request must not wait for ever.
+	 */
+	@Test
+	void ownSuspectWaitsUntilItsReportCameBack() {
+		this.table.note(2, 1, true, 0);
+		assertThat(this.table.trialFrom(2, 15 * SECOND, SECOND)).isEqualTo(SuspectTable.UNCONFIRMED_NANOS);
+		this.table.note(2, 1, false, 3 * SECOND);
+		assertThat(this.table.trialFrom(2, 15 * SECOND, 3 * SECOND)).isEqualTo(3 * SECOND + SuspectTable.SETTLE_NANOS);
 	}
 
 	@Test
