--- a/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
@@ -286,19 +286,23 @@
 	@Nested
 	class Relays {
 
-		@Test
-		void eachGroupHasOne() {
+		private static Network settled() {
 			Network network = new Network(95, 0, 7);
+			network.changeLoads();
 			network.run(SETTLED_MILLIS);
+			return network;
+		}
+
+		@Test
+		void eachGroupHasOne() {
+			Network network = settled();
 			assertThat(network.relays()).hasSize(DATA_CENTRES);
 		}
 
 		// It loses its power: the platform's control notices that after ten seconds.
 		@Test
 		void nextOneServesTheGroupOfOneThatIsLost() {
-			Network network = new Network(95, 0, 7);
-			network.changeLoads();
-			network.run(SETTLED_MILLIS);
+			Network network = settled();
 			network.relays().forEach((relay) -> relay.down = true);
 			network.run(FAILED_OVER_MILLIS);
 			network.changeLoads();
@@ -312,9 +316,7 @@
 		 */
 		@Test
 		void nextOneServesTheGroupOfOneThatHearsNothing() {
-			Network network = new Network(95, 0, 7);
-			network.changeLoads();
-			network.run(SETTLED_MILLIS);
+			Network network = settled();
 			List<Vm> relays = network.relays();
 			relays.forEach((relay) -> relay.deaf = true);
 			network.run(FAILED_OVER_MILLIS);
@@ -327,9 +329,7 @@
 
 		@Test
 		void frozenOneThatWakesDoesNoHarm() {
-			Network network = new Network(95, 0, 7);
-			network.changeLoads();
-			network.run(SETTLED_MILLIS);
+			Network network = settled();
 			List<Vm> relays = network.relays();
 			relays.forEach((relay) -> relay.frozen = true);
 			network.run(4_000);
