Log each retry with what its permission rests on

The logs of an entry told when the budget was empty, not what was spent: whether one process spent more than its part (left below 0), whether two processes of a VM spent one after the other (running_ms), or whether the budget was divided by too few VMs (sharers, count_age_ms) could not be told apart. Each retry now writes a line; the budget itself bounds their number. Control's answers confirm the number of entries, so that its age is known. No decision changes.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -77,10 +77,19 @@
 	 * @return the number, of which only whole ones can be spent
 	 */
 	public double left(long now) {
+		return Math.max(0, balance(now));
+	}
+
+	/**
+	 * Return what is left of the budget.
+	 * @param now the time
+	 * @return the number of retries, below 0 if more were spent than permitted
+	 */
+	public double balance(long now) {
 		forget(this.requests, now);
 		forget(this.retries, now);
 		double most = MARGIN * (this.ratio * this.requests.size() + this.minimum / this.sharers);
-		return Math.max(0, most - this.retries.size());
+		return most - this.retries.size();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -96,13 +96,21 @@
 		takeNotices(reply.getNotices());
 		takeFleet(reply);
 		takePeers(reply);
-		if (reply.getEntryCount() > 0 && reply.getEntryCount() != this.entryCount) {
-			this.entryCount = reply.getEntryCount();
-			this.listener.entryCount(this.entryCount);
-		}
+		takeEntryCount(reply.getEntryCount());
 		return this.number >= reply.getNumber();
 	}
 
+	// A reply without a count names 0.
+	private void takeEntryCount(int count) {
+		if (count > 0 && count == this.entryCount) {
+			this.listener.entryCountConfirmed();
+		}
+		else if (count > 0) {
+			this.entryCount = count;
+			this.listener.entryCount(count);
+		}
+	}
+
 	private void takePeers(PollReply reply) {
 		LoadPeersCodec.read(reply, this.peersRevision).ifPresent((peers) -> {
 			this.peersRevision = reply.getPeersRevision();
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -135,6 +135,12 @@
 		 */
 		void entryCount(int count);
 
+		/**
+		 * Control told the number of entry VMs again, and it is the same.
+		 */
+		default void entryCountConfirmed() {
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeRecord.java
@@ -71,6 +71,14 @@
 		this.ahead = work;
 	}
 
+	// The request is sent once more, and so much of the budget is left then.
+	void retried(String instance, double left) {
+		PoolStates.Sharing sharing = this.context.pools().sharing();
+		DecisionLog.write(LogEvent.RETRY, this.request.facts().id(), this.request.pool(), instance,
+				Math.round(left * 100) / 100.0, sharing.vms(), sharing.age().toMillis(), sharing.running().toMillis());
+		this.context.metrics().retried(this.request.pool());
+	}
+
 	// The first part of the answer is passed on.
 	void first(long now) {
 		this.firstAt = now;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -54,7 +54,11 @@
 
 	private List<Pool> declared = List.of();
 
-	private final SharerCount counted = new SharerCount(System.nanoTime());
+	private final long startedAt = System.nanoTime();
+
+	private final SharerCount counted = new SharerCount(this.startedAt);
+
+	private long countedAt = this.startedAt;
 
 	private int entries = 1;
 
@@ -169,9 +173,25 @@
 	 */
 	void entries(int count) {
 		this.entries = Math.max(1, count);
+		this.countedAt = System.nanoTime();
 		recount();
 	}
 
+	/** Control told the number of entry VMs again. */
+	void entriesConfirmed() {
+		entries(this.entries);
+	}
+
+	/**
+	 * Return by how many VMs the budgets are divided.
+	 * @return the number and what it rests on
+	 */
+	Sharing sharing() {
+		long now = System.nanoTime();
+		return new Sharing(this.sharers, Duration.ofNanos(now - this.countedAt),
+				Duration.ofNanos(now - this.startedAt));
+	}
+
 	// Called again and again: the count that budgets are shared by falls with time.
 	void recount() {
 		this.sharers = this.counted.told(this.entries, System.nanoTime());
@@ -232,6 +252,17 @@
 		return this.instances.contains(instance);
 	}
 
+	/**
+	 * By how many VMs the retry budgets are divided.
+	 *
+	 * @param vms the number of VMs
+	 * @param age how long ago control told the number of entries, or the time since the
+	 * start if it never did
+	 * @param running the time since this process began to keep account
+	 */
+	record Sharing(int vms, Duration age, Duration running) {
+	}
+
 	/**
 	 * The state of a pool.
 	 */
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -204,7 +204,8 @@
 		long now = System.nanoTime();
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(this.open.size(), this.front.connections(), this.links.idle(),
-					this.pools.number(), (now - this.configuredAt) / 1e9, this.pools.gauges(now), this.pools.policy()));
+					this.pools.number(), (now - this.configuredAt) / 1e9, this.pools.sharing().vms(),
+					this.pools.gauges(now), this.pools.policy()));
 	}
 
 	/**
@@ -335,6 +336,11 @@
 			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.pools.entries(count));
 		}
 
+		@Override
+		public void entryCountConfirmed() {
+			RouteDaemon.this.loop.execute(RouteDaemon.this.pools::entriesConfirmed);
+		}
+
 	}
 
 	/** Answers every request at its address with whether the VM is ready. */
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -18,7 +18,7 @@
  */
 final class RouteGauges {
 
-	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
+	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
 
 	RouteGauges(PrometheusRegistry registry) {
 		gauge(registry, "acaciacourse_routed_open_requests", "Routed requests without an end", Snapshot::open);
@@ -28,6 +28,8 @@
 				Snapshot::configuration);
 		gauge(registry, "acaciacourse_configuration_age_seconds", "Time since the configuration came into force",
 				Snapshot::configurationAge);
+		gauge(registry, "acaciacourse_retry_sharers", "Entry VMs that the retry budgets are divided by",
+				Snapshot::sharers);
 		perMechanism(registry);
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
@@ -78,10 +80,11 @@
 	 * @param idleLinks kept connections to endpoints
 	 * @param configuration the number in force, 0 for none
 	 * @param configurationAge seconds since it came into force
+	 * @param sharers entry VMs that the retry budgets are divided by
 	 * @param pools the pools by name
 	 * @param policy the routing policy in force
 	 */
-	record Snapshot(int open, int callers, int idleLinks, long configuration, double configurationAge,
+	record Snapshot(int open, int callers, int idleLinks, long configuration, double configurationAge, int sharers,
 			Map<String, Pool> pools, RoutingPolicy policy) {
 
 		Snapshot {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -33,6 +33,12 @@
 		.labelNames("end")
 		.register(this.registry);
 
+	private final Counter retries = Counter.builder()
+		.name("acaciacourse_pool_retries_total")
+		.help("Requests that were sent once more and counted against the retry budget")
+		.labelNames("pool")
+		.register(this.registry);
+
 	private final Histogram first = seconds("first_answer", "Time from a request to the first part of its answer");
 
 	private final Histogram waited = seconds("queue", "Time that a request waited for an endpoint");
@@ -84,6 +90,10 @@
 		this.points.computeIfAbsent(end, this.attempts::labelValues).inc();
 	}
 
+	void retried(String pool) {
+		this.retries.labelValues(pool).inc();
+	}
+
 	void first(Route route, long nanos) {
 		this.first.labelValues(route.kind().label()).observe(nanos / 1e9);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -248,7 +248,9 @@
 			return;
 		}
 		if (this.progress.isRepeat()) {
-			this.pool.allowance().spend(System.nanoTime());
+			long now = System.nanoTime();
+			this.pool.allowance().spend(now);
+			this.record.retried(endpoint.instance(), this.pool.allowance().balance(now));
 		}
 		this.progress.sent();
 		this.record.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -44,6 +44,13 @@
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "end", "age_ms", "silent_ms", "running", "waiting_work",
 			"failure_rate"),
 
+	/**
+	 * A request is sent once more, which the retry budget pays for: what is left of the
+	 * part of this VM, by how many VMs it divides the budget, how long ago control told
+	 * that number, and for how long this process has run.
+	 */
+	RETRY("retry", "request", "pool", "endpoint", "left", "sharers", "count_age_ms", "running_ms"),
+
 	/** A configuration is in force on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -114,6 +114,21 @@
 
 	}
 
+	@Nested
+	class EntryCount {
+
+		@Test
+		void sameNumberIsConfirmedAndNoneIsNotTold() {
+			ConfigurationFollowerTests.this.follower.take(whole(1).setEntryCount(3));
+			ConfigurationFollowerTests.this.follower.take(whole(1).setEntryCount(3));
+			ConfigurationFollowerTests.this.follower.take(whole(1).setEntryCount(0));
+			ConfigurationFollowerTests.this.follower.take(whole(1).setEntryCount(4));
+			assertThat(ConfigurationFollowerTests.this.seen).containsExactly(1L, "3 entries", "confirmed", "4 entries")
+				.inOrder();
+		}
+
+	}
+
 	/** Notes what a listener gets. */
 	private final class Notes implements ControlLink.Listener {
 
@@ -137,6 +152,12 @@
 
 		@Override
 		public void entryCount(int count) {
+			ConfigurationFollowerTests.this.seen.add(count + " entries");
+		}
+
+		@Override
+		public void entryCountConfirmed() {
+			ConfigurationFollowerTests.this.seen.add("confirmed");
 		}
 
 	}
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -45,14 +45,21 @@
 		assertThat(page()).contains("code=\"" + ResultCode.NOT_READY.number() + "\",kind=\"none\"");
 	}
 
+	@Test
+	void retriesAreCountedByPool() throws IOException {
+		this.metrics.retried("engines");
+		assertThat(page()).contains("acaciacourse_pool_retries_total{pool=\"engines\"} 1.0");
+	}
+
 	@Test
 	void snapshotIsShownAsGauges() throws IOException {
 		this.metrics.gauges()
-			.publish(new RouteGauges.Snapshot(3, 5, 7, 12, 1.5, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
+			.publish(new RouteGauges.Snapshot(3, 5, 7, 12, 1.5, 6, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
 					new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
 		String page = page();
 		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
 		assertThat(page).contains("acaciacourse_configuration_number 12.0");
+		assertThat(page).contains("acaciacourse_retry_sharers 6.0");
 		assertThat(page).contains("acaciacourse_pool_waiting_requests{pool=\"engines\"} 2.0");
 		assertThat(page).contains("acaciacourse_pool_retries_left{pool=\"engines\"} 6.5");
 	}
