Tests that fail: the sum of all entries' retries in any window

A fleet of entries in virtual time, with kills, freezes, cuts, control that is down, callers that move and VMs that come and go, counted as an observer of the whole system counts.

--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -0,0 +1,251 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * Entry VMs that share one retry budget, in virtual time: callers, endpoints that refuse,
+ * processes that are killed, frozen and cut off, and control VMs that count who polls.
+ * Counts all requests and retries as an observer of the whole system does.
+ * <p>
+ * Not thread safe.
+ */
+final class RetryFleet {
+
+	static final long MILLI = 1_000_000L;
+
+	static final long SECOND = 1000 * MILLI;
+
+	private static final long STEP = 20 * MILLI;
+
+	private static final long POLL = 900 * MILLI;
+
+	/** Control counts an entry for so long after its last poll. */
+	private static final long SILENT = 10 * SECOND;
+
+	private static final int MOST_RETRIES = 5;
+
+	private final Rule rule;
+
+	private final Random random;
+
+	private final Map<Integer, Entry> entries = new TreeMap<>();
+
+	private final Map<Integer, Long> polled = new HashMap<>();
+
+	private final List<Long> requests = new ArrayList<>();
+
+	private final List<Long> retries = new ArrayList<>();
+
+	private long now;
+
+	private boolean controlUp = true;
+
+	private double requestsPerSecond;
+
+	private double refused;
+
+	private int preferred = -1;
+
+	RetryFleet(Rule rule, int vms, long seed) {
+		this.rule = rule;
+		this.random = new Random(seed);
+		for (int vm = 0; vm < vms; vm++) {
+			start(vm);
+		}
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	List<Integer> vms() {
+		return List.copyOf(this.entries.keySet());
+	}
+
+	long seconds() {
+		return this.now / SECOND;
+	}
+
+	int retryCount() {
+		return this.retries.size();
+	}
+
+	// The requests of all callers in a second, and the part of the attempts that
+	// endpoints
+	// refuse.
+	void load(double perSecond, double refusedShare) {
+		this.requestsPerSecond = perSecond;
+		this.refused = refusedShare;
+	}
+
+	// All callers use one VM as long as it serves; -1 spreads them.
+	void prefer(int vm) {
+		this.preferred = vm;
+	}
+
+	/** Start a process, in place of the one that the VM had. */
+	void start(int vm) {
+		this.entries.put(vm, new Entry(vm));
+	}
+
+	void remove(int vm) {
+		this.entries.remove(vm);
+		this.polled.remove(vm);
+	}
+
+	void freeze(int vm, long nanos) {
+		this.entries.get(vm).frozenUntil = this.now + nanos;
+	}
+
+	// The VM is cut off from control, and serves.
+	void cut(int vm, long nanos) {
+		this.entries.get(vm).cutUntil = this.now + nanos;
+	}
+
+	// Control is down, then knows nothing of who polled before.
+	void control(boolean up) {
+		this.controlUp = up;
+		this.polled.clear();
+	}
+
+	void run(long nanos) {
+		long end = this.now + nanos;
+		while (this.now < end) {
+			this.now += STEP;
+			this.entries.values().forEach(Entry::step);
+			double expected = this.requestsPerSecond * STEP / SECOND;
+			for (int i = (int) expected + ((this.random.nextDouble() < expected % 1) ? 1 : 0); i > 0; i--) {
+				request();
+			}
+		}
+	}
+
+	private void request() {
+		this.requests.add(this.now);
+		List<Entry> serving = this.entries.values().stream().filter((entry) -> !entry.isFrozen()).toList();
+		if (serving.isEmpty()) {
+			return;
+		}
+		Entry chosen = serving.get(this.random.nextInt(serving.size()));
+		serving.stream().filter((entry) -> entry.vm == this.preferred).findFirst().orElse(chosen).serve();
+	}
+
+	/**
+	 * Return the first window in which more was sent again than the rule allows.
+	 * @return what was counted in it
+	 */
+	Optional<String> excess() {
+		long window = this.rule.window();
+		for (int i = 0; i < this.retries.size(); i++) {
+			long from = this.retries.get(i);
+			int sent = count(this.retries, from, from + window);
+			int most = Math.max(count(this.requests, from, from + window),
+					Math.max(count(this.requests, from - window, from),
+							count(this.requests, from - window / 2, from + window / 2)));
+			double allowed = this.rule.ratio() * most + this.rule.minimum();
+			if (sent > allowed) {
+				return Optional.of("%d retries for %d requests in the window from %d ms, allowed %.1f".formatted(sent,
+						most, from / MILLI, allowed));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private static int count(List<Long> times, long from, long to) {
+		return firstAfter(times, to) - firstAfter(times, from - 1);
+	}
+
+	private static int firstAfter(List<Long> times, long bound) {
+		int low = 0;
+		int high = times.size();
+		while (low < high) {
+			int middle = (low + high) / 2;
+			if (times.get(middle) <= bound) {
+				low = middle + 1;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+	/**
+	 * The rule that all entries together keep.
+	 *
+	 * @param window the length of any span that is counted, in nanoseconds
+	 * @param ratio retries for each request
+	 * @param minimum retries whatever the requests are
+	 */
+	record Rule(long window, double ratio, double minimum) {
+	}
+
+	/** One process on a VM. */
+	private final class Entry {
+
+		private final int vm;
+
+		private final RetryAllowance allowance = new RetryAllowance(RetryFleet.this.rule.window(),
+				RetryFleet.this.rule.ratio(), RetryFleet.this.rule.minimum());
+
+		private final SharerCount sharers = new SharerCount(RetryFleet.this.now);
+
+		private int told = 1;
+
+		private long pollAt;
+
+		private long frozenUntil;
+
+		private long cutUntil;
+
+		Entry(int vm) {
+			this.vm = vm;
+			this.pollAt = RetryFleet.this.now + RetryFleet.this.random.nextInt(900) * MILLI;
+			this.allowance.sharers(this.sharers.told(1, RetryFleet.this.now));
+		}
+
+		private boolean isFrozen() {
+			return RetryFleet.this.now < this.frozenUntil;
+		}
+
+		private void step() {
+			long at = RetryFleet.this.now;
+			if (isFrozen()) {
+				return;
+			}
+			if (at >= this.pollAt) {
+				this.pollAt = at + POLL;
+				if (at >= this.cutUntil && RetryFleet.this.controlUp) {
+					poll(at);
+				}
+				this.allowance.sharers(this.sharers.told(this.told, at));
+			}
+		}
+
+		private void poll(long at) {
+			RetryFleet.this.polled.put(this.vm, at);
+			RetryFleet.this.polled.values().removeIf((last) -> at - last > SILENT);
+			this.told = RetryFleet.this.polled.size();
+		}
+
+		private void serve() {
+			long at = RetryFleet.this.now;
+			this.allowance.request(at);
+			for (int i = 0; i < MOST_RETRIES && RetryFleet.this.random.nextDouble() < RetryFleet.this.refused; i++) {
+				if (!this.allowance.mayRetry(at)) {
+					return;
+				}
+				this.allowance.spend(at);
+				RetryFleet.this.retries.add(at);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -0,0 +1,160 @@
+package org.acaciacourse.core.balance;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class SharedRetryBudgetTests {
+
+	private static final long SECOND = RetryFleet.SECOND;
+
+	private static final RetryFleet.Rule RULE = new RetryFleet.Rule(10 * SECOND, 0.2, 52);
+
+	private static final int VMS = 6;
+
+	private static RetryFleet served(RetryFleet.Rule rule, int vms, long seed) {
+		RetryFleet fleet = new RetryFleet(rule, vms, seed);
+		fleet.load(60, 0.02);
+		fleet.run(30 * SECOND);
+		return fleet;
+	}
+
+	private static List<Integer> some(RetryFleet fleet, double share) {
+		List<Integer> vms = new ArrayList<>(fleet.vms());
+		Collections.shuffle(vms, fleet.random());
+		return vms.subList(0, (int) Math.ceil(vms.size() * share));
+	}
+
+	private static void assertWithin(RetryFleet fleet, String run) {
+		assertWithMessage(run).that(fleet.excess()).isEmpty();
+	}
+
+	@Nested
+	class OneFault {
+
+		// A process that starts again spends once more what the one before it has spent
+		// in
+		// the same window.
+		@Test
+		void entriesKilledInSeriesWhileEndpointsRefuse() {
+			for (long seed = 1; seed <= 50; seed++) {
+				RetryFleet fleet = served(RULE, VMS, seed);
+				fleet.load(100, 0.8);
+				for (int kill = 0; kill < 4; kill++) {
+					fleet.run(2 * SECOND);
+					some(fleet, 0.8).forEach(fleet::start);
+				}
+				fleet.run(12 * SECOND);
+				assertThat(fleet.retryCount()).isGreaterThan(100);
+				assertWithin(fleet, "seed " + seed);
+			}
+		}
+
+		// An entry spends for the requests that it had before callers moved, and the
+		// other
+		// one earns from the same callers.
+		@Test
+		void callersThatMoveToAnotherEntry() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.prefer(0);
+			fleet.run(20 * SECOND);
+			fleet.load(60, 0.9);
+			fleet.run(SECOND / 2);
+			fleet.prefer(1);
+			fleet.run(12 * SECOND);
+			assertWithin(fleet, "callers moved");
+		}
+
+		// An entry that heard of no other one since its start spends the whole minimum.
+		@Test
+		void entriesThatStartWithoutControl() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.control(false);
+			fleet.vms().forEach(fleet::start);
+			fleet.run(20 * SECOND);
+			fleet.load(60, 0.9);
+			fleet.run(12 * SECOND);
+			assertWithin(fleet, "no control since the start");
+		}
+
+		// A control VM that just started has heard of few entries only.
+		@Test
+		void controlThatStartsAfterALongTimeWithout() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.control(false);
+			fleet.run(20 * SECOND);
+			fleet.load(60, 0.9);
+			fleet.control(true);
+			fleet.run(12 * SECOND);
+			assertWithin(fleet, "control counts anew");
+		}
+
+		// The others divide the part of an entry that control lost sight of, and it still
+		// spends it.
+		@Test
+		void entriesThatAreCutOffFromControl() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.load(10, 0);
+			for (int vm = 0; vm < VMS / 2; vm++) {
+				fleet.cut(vm, 60 * SECOND);
+			}
+			fleet.run(40 * SECOND);
+			fleet.load(10, 0.9);
+			fleet.run(12 * SECOND);
+			assertWithin(fleet, "cut off");
+		}
+
+	}
+
+	@Nested
+	class ManyFaults {
+
+		// Faults come in series and overlap, of a kind and at a moment drawn from the
+		// seed.
+		@Test
+		void sumStaysWithinTheRuleWhateverHappensToEntries() {
+			for (long seed = 1; seed <= 200; seed++) {
+				int vms = 2 + (int) (seed % 12);
+				RetryFleet fleet = served(new RetryFleet.Rule(10 * SECOND, 0.2, 26 + seed % 100), vms, seed);
+				Random random = fleet.random();
+				int next = vms;
+				while (fleet.seconds() < 120) {
+					fleet.load(20 + random.nextInt(100), random.nextInt(10) / 10.0);
+					next = fault(fleet, random, next);
+					fleet.run((1 + random.nextInt(40)) * SECOND / 10);
+				}
+				assertWithin(fleet, "seed " + seed);
+			}
+		}
+
+		private int fault(RetryFleet fleet, Random random, int next) {
+			double share = random.nextDouble();
+			long nanos = (1 + random.nextInt(300)) * SECOND / 10;
+			switch (random.nextInt(8)) {
+				case 0, 1 -> some(fleet, share).forEach(fleet::start);
+				case 2 -> some(fleet, share).forEach((vm) -> fleet.freeze(vm, nanos / 4));
+				case 3 -> some(fleet, share).forEach((vm) -> fleet.cut(vm, nanos));
+				case 4 -> fleet.control(random.nextInt(3) != 0);
+				case 5 -> fleet.prefer(random.nextInt(next));
+				case 6 -> fleet.prefer(-1);
+				default -> {
+					fleet.start(next);
+					if (fleet.vms().size() > 3) {
+						fleet.remove(some(fleet, 0.1).get(0));
+					}
+					return next + 1;
+				}
+			}
+			return next;
+		}
+
+	}
+
+}
