Retry budget: a part of the minimum is known, or it is not spent

Cause: an entry that no control VM had answered for 15 s took itself for the only one and spent the whole minimum; one that was cut off kept its part while the others divided it among themselves; and after 15 s the number of VMs fell to whatever control counted at that moment, also where a control VM had just started. Now the number is the highest of the last 25 s in which control was heard, is given up after 10 s of silence (a window of the budget before the others divide it), and is not known before control was heard for 15 s; without it an entry spends its ratio only. Connections to endpoints are divided by the same highest number, not by the last one: an entry of a control VM that just started opened the connections of all.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalInt;
 
 /**
  * The part of a retry budget that one entry VM may spend on one pool, over any span of
@@ -30,7 +31,7 @@
 
 	private final Deque<Long> retries = new ArrayDeque<>();
 
-	private int sharers = 1;
+	private double part;
 
 	/**
 	 * Make an allowance.
@@ -47,10 +48,10 @@
 
 	/**
 	 * Set how many entry VMs share the budget.
-	 * @param count the number of VMs, at least 1
+	 * @param count the number of VMs, empty if it is not known
 	 */
-	public void sharers(int count) {
-		this.sharers = Math.max(1, count);
+	public void sharers(OptionalInt count) {
+		this.part = (count.isPresent()) ? this.minimum / count.getAsInt() : 0;
 	}
 
 	/**
@@ -88,7 +89,7 @@
 	public double balance(long now) {
 		forget(this.requests, now);
 		forget(this.retries, now);
-		double most = MARGIN * (this.ratio * this.requests.size() + this.minimum / this.sharers);
+		double most = MARGIN * (this.ratio * this.requests.size() + this.part);
 		return most - this.retries.size();
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
@@ -1,48 +1,103 @@
 package org.acaciacourse.core.balance;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.OptionalInt;
+
 /**
  * How many entry VMs may be spending the shared retry budget. Control counts those that
  * poll, and right after a start or an election it has heard of a few only: a VM that took
  * the first count for the whole would spend the part of all others, and all VMs do so at
- * the same moment, when failures are many. So the count falls only after a while, and
- * begins high.
+ * the same moment, when failures are many.
+ * <p>
+ * Invariants: the number is the highest of the last {@value #HOLD_SECONDS} s in which
+ * control was heard; it is not known until control was heard for {@value #START_SECONDS}
+ * s, nor after {@value #LEASE_SECONDS} s of silence. A VM that is cut off gives up its
+ * part before the others divide it, as {@value #HOLD_SECONDS} s hold the lease and a
+ * window of the budget.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class SharerCount {
 
-	/**
-	 * More than any system has today; an entry that just started spends its ratio only.
-	 */
-	private static final int AT_START = 100;
+	/** In this time a control VM that started hears of all entries. */
+	private static final int START_SECONDS = 15;
 
-	/** The window of the budget and the time in which all entries are heard of again. */
-	private static final long HOLD_NANOS = 15_000_000_000L;
+	private static final int LEASE_SECONDS = 10;
 
-	private int highest = AT_START;
+	private static final int HOLD_SECONDS = 25;
 
-	private long heardAt;
+	private static final long SECOND = 1_000_000_000L;
+
+	/** The highest first, and of equal ones the last. */
+	private final Deque<Told> told = new ArrayDeque<>();
+
+	private long firstAt;
+
+	private long lastAt;
 
 	/**
-	 * Begin to count.
+	 * Take a count.
+	 * @param count the entry VMs that control knows of
 	 * @param now the time
 	 */
-	public SharerCount(long now) {
-		this.heardAt = now;
+	public void told(int count, long now) {
+		if (this.told.isEmpty()) {
+			this.firstAt = now;
+		}
+		else if (isSilent(now)) {
+			// A control VM that started meanwhile knows less than was known before.
+			int before = this.told.getFirst().count();
+			this.told.clear();
+			this.told.addLast(new Told(now, before));
+		}
+		this.lastAt = now;
+		while (!this.told.isEmpty() && this.told.getLast().count() <= count) {
+			this.told.removeLast();
+		}
+		this.told.addLast(new Told(now, count));
+		while (now - this.told.getFirst().at() > HOLD_SECONDS * SECOND) {
+			this.told.removeFirst();
+		}
 	}
 
 	/**
-	 * Take a count.
-	 * @param count the entry VMs that control knows of
+	 * Return how many VMs share the budget.
 	 * @param now the time
-	 * @return how many VMs to share with
+	 * @return the number, at least 1, or empty if it is not known
 	 */
-	public int told(int count, long now) {
-		if (count >= this.highest || now - this.heardAt > HOLD_NANOS) {
-			this.highest = Math.max(1, count);
-			this.heardAt = now;
-		}
-		return this.highest;
+	public OptionalInt sharers(long now) {
+		boolean known = !this.told.isEmpty() && !isSilent(now) && now - this.firstAt >= START_SECONDS * SECOND;
+		return (known) ? OptionalInt.of(Math.max(1, highest())) : OptionalInt.empty();
+	}
+
+	/**
+	 * Return the highest number that control told lately.
+	 * @return the number, 0 before the first one
+	 */
+	public int highest() {
+		return (this.told.isEmpty()) ? 0 : this.told.getFirst().count();
+	}
+
+	/**
+	 * Return the number that control told last.
+	 * @return the number, 0 before the first one
+	 */
+	public int latest() {
+		return (this.told.isEmpty()) ? 0 : this.told.getLast().count();
+	}
+
+	private boolean isSilent(long now) {
+		return now - this.lastAt > LEASE_SECONDS * SECOND;
+	}
+
+	/**
+	 * What control told.
+	 *
+	 * @param at when
+	 * @param count the number of entry VMs
+	 */
+	private record Told(long at, int count) {
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharerCountTests.java
@@ -0,0 +1,95 @@
+package org.acaciacourse.core.balance;
+
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class SharerCountTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final SharerCount count = new SharerCount();
+
+	// Control tells the number once a second.
+	private void told(int number, int fromSecond, int toSecond) {
+		for (int second = fromSecond; second <= toSecond; second++) {
+			this.count.told(number, second * SECOND);
+		}
+	}
+
+	private OptionalInt sharers(int second) {
+		return this.count.sharers(second * SECOND);
+	}
+
+	@Nested
+	class Start {
+
+		// All VMs start again at once. Control has heard of one entry, then of two; each
+		// of
+		// the six would spend the part of the others while endpoints fail all around.
+		@Test
+		void numberIsNotKnownUntilControlHeardOfAll() {
+			told(1, 1, 2);
+			assertThat(sharers(2)).isEqualTo(OptionalInt.empty());
+			told(6, 3, 16);
+			assertThat(sharers(15)).isEqualTo(OptionalInt.empty());
+			assertThat(sharers(16)).isEqualTo(OptionalInt.of(6));
+		}
+
+		// An entry that reaches no control VM takes itself for the only one.
+		@Test
+		void numberIsNotKnownWithoutControl() {
+			assertThat(sharers(100)).isEqualTo(OptionalInt.empty());
+		}
+
+	}
+
+	@Nested
+	class Changes {
+
+		// A control VM that just started counts few entries for some seconds.
+		@Test
+		void numberFallsOnlyAfterAWhile() {
+			told(6, 1, 20);
+			told(2, 21, 45);
+			assertThat(sharers(45)).isEqualTo(OptionalInt.of(6));
+			told(2, 46, 46);
+			assertThat(sharers(46)).isEqualTo(OptionalInt.of(2));
+		}
+
+		@Test
+		void numberRisesAtOnce() {
+			told(6, 1, 20);
+			told(7, 21, 21);
+			assertThat(sharers(21)).isEqualTo(OptionalInt.of(7));
+		}
+
+	}
+
+	@Nested
+	class Silence {
+
+		// Control does not count a VM that is cut off, and the others divide its part.
+		@Test
+		void partIsGivenUp() {
+			told(6, 1, 20);
+			assertThat(sharers(30)).isEqualTo(OptionalInt.of(6));
+			assertThat(sharers(31)).isEqualTo(OptionalInt.empty());
+		}
+
+		// All control VMs start again, and the first one that answers knows one entry.
+		@Test
+		void numberFromBeforeItHoldsForAWhile() {
+			told(6, 1, 20);
+			told(1, 60, 60);
+			assertThat(sharers(60)).isEqualTo(OptionalInt.of(6));
+			told(1, 61, 86);
+			assertThat(sharers(86)).isEqualTo(OptionalInt.of(1));
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -56,13 +57,11 @@
 
 	private final long startedAt = System.nanoTime();
 
-	private final SharerCount counted = new SharerCount(this.startedAt);
+	private final SharerCount counted = new SharerCount();
 
 	private long countedAt = this.startedAt;
 
-	private int entries = 1;
-
-	private int sharers = this.counted.told(1, System.nanoTime());
+	private OptionalInt sharers = OptionalInt.empty();
 
 	private long number;
 
@@ -168,18 +167,24 @@
 	}
 
 	/**
-	 * Set how many entry VMs share budgets and connections.
+	 * Control told how many entry VMs share budgets and connections.
 	 * @param count the number of VMs
 	 */
 	void entries(int count) {
-		this.entries = Math.max(1, count);
 		this.countedAt = System.nanoTime();
+		this.counted.told(count, this.countedAt);
 		recount();
 	}
 
-	/** Control told the number of entry VMs again. */
+	/** Control told the same number of entry VMs again. */
 	void entriesConfirmed() {
-		entries(this.entries);
+		entries(this.counted.latest());
+	}
+
+	// Called again and again, as the number falls or is forgotten with time.
+	void recount() {
+		this.sharers = this.counted.sharers(System.nanoTime());
+		share();
 	}
 
 	/**
@@ -188,16 +193,10 @@
 	 */
 	Sharing sharing() {
 		long now = System.nanoTime();
-		return new Sharing(this.sharers, Duration.ofNanos(now - this.countedAt),
+		return new Sharing(this.sharers.orElse(0), Duration.ofNanos(now - this.countedAt),
 				Duration.ofNanos(now - this.startedAt));
 	}
 
-	// Called again and again: the count that budgets are shared by falls with time.
-	void recount() {
-		this.sharers = this.counted.told(this.entries, System.nanoTime());
-		share();
-	}
-
 	/** Tell the pools that are divided otherwise than before; called again and again. */
 	void tellDivisions() {
 		this.states.forEach((pool, state) -> state.balancer().division().ifPresent((next) -> {
@@ -210,8 +209,9 @@
 
 	private void share() {
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
+		int entries = Math.max(1, this.counted.highest());
 		this.declared.forEach((pool) -> state(pool.name()).balancer()
-			.connectionsEach((int) (pool.maxConnections() * CONNECTION_SHARE / this.entries)));
+			.connectionsEach((int) (pool.maxConnections() * CONNECTION_SHARE / entries)));
 	}
 
 	/**
@@ -255,7 +255,7 @@
 	/**
 	 * By how many VMs the retry budgets are divided.
 	 *
-	 * @param vms the number of VMs
+	 * @param vms the number of VMs, 0 while it is not known
 	 * @param age how long ago control told the number of entries, or the time since the
 	 * start if it never did
 	 * @param running the time since this process began to keep account
