Retry budget: retries are earned in the window in which they are spent

Cause: an entry was charged against the requests of the 11 s before the retry. A process that was killed had spent for the requests before the kill what its successor spent again for those after it, and a window over the kill held both; so it was without a kill where callers moved from one entry to another. Each process by itself was within its part. Now the retries in any span of a window are at most what requests of that same span earn, plus a part of the minimum; spans and requests of all processes then add up to the rule wherever callers go. A process has no part of the minimum for the first window of its life, and never less than one retry at a time after it. The debt before each event, with the lowest one of the window at the head of a queue, makes a decision O(1). Class: a bound on the whole that each process keeps from its own memory.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -5,15 +5,20 @@
 import java.util.OptionalInt;
 
 /**
- * The part of a retry budget that one entry VM may spend on one pool, over any span of
- * the window's length. All VMs share the budget without a word on the path of a request:
- * each spends the ratio of its own requests and an equal part of the minimum, so that the
- * sum stays within the whole whatever the others do.
+ * The part of a retry budget that one process may spend on one pool. All entry VMs share
+ * the budget without a word on the path of a request, so the parts must add up to no more
+ * than the whole for any number of processes, whenever they start and end and wherever
+ * the callers go.
  * <p>
- * Requests count in the window before a retry; a margin of a tenth covers that windows of
- * this VM and of whoever counts the arrivals do not begin at the same time.
+ * Invariant: in any span of the window's length the retries are at most what the requests
+ * of that same span earn, plus a burst, which is this VM's part of the minimum. Requests
+ * of an earlier span earn nothing: the callers may have moved to another VM, which earns
+ * from them as well. A process that started within the window has no burst, as the one
+ * before it on this VM may have spent it. A margin of a tenth covers that spans seen by
+ * an observer of all VMs include requests and retries that were on their way.
  * <p>
- * Invariant: the retries in any window are at most what {@link #mayRetry} permitted.
+ * The sum of all VMs is within the budget as long as there are no more VMs than the
+ * minimum has retries: a burst is never less than one retry.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
@@ -21,28 +26,36 @@
 
 	private static final double MARGIN = 0.9;
 
+	private static final double LEAST_BURST = 1;
+
+	private final long startedAt;
+
 	private final long windowNanos;
 
-	private final double ratio;
+	private final double earned;
 
 	private final double minimum;
 
-	private final Deque<Long> requests = new ArrayDeque<>();
+	/** The debt just before events of the window, the lowest first. */
+	private final Deque<Mark> marks = new ArrayDeque<>();
 
-	private final Deque<Long> retries = new ArrayDeque<>();
+	private double burst = LEAST_BURST;
 
-	private double part;
+	/** Retries since the start, less what all requests since then earned. */
+	private double debt;
 
 	/**
 	 * Make an allowance.
+	 * @param startedAt when the process started
 	 * @param windowNanos the length of the window
 	 * @param ratio retries for each request in a window
 	 * @param minimum retries that are permitted in a window whatever the requests are, of
 	 * all VMs together
 	 */
-	public RetryAllowance(long windowNanos, double ratio, double minimum) {
+	public RetryAllowance(long startedAt, long windowNanos, double ratio, double minimum) {
+		this.startedAt = startedAt;
 		this.windowNanos = (long) (windowNanos * (2 - MARGIN));
-		this.ratio = ratio;
+		this.earned = MARGIN * ratio;
 		this.minimum = minimum;
 	}
 
@@ -51,7 +64,8 @@
 	 * @param count the number of VMs, empty if it is not known
 	 */
 	public void sharers(OptionalInt count) {
-		this.part = (count.isPresent()) ? this.minimum / count.getAsInt() : 0;
+		this.burst = (count.isPresent()) ? Math.max(LEAST_BURST, MARGIN * this.minimum / count.getAsInt())
+				: LEAST_BURST;
 	}
 
 	/**
@@ -59,8 +73,7 @@
 	 * @param now the time
 	 */
 	public void request(long now) {
-		forget(this.requests, now);
-		this.requests.addLast(now);
+		add(-this.earned, now);
 	}
 
 	/**
@@ -87,10 +100,11 @@
 	 * @return the number of retries, below 0 if more were spent than permitted
 	 */
 	public double balance(long now) {
-		forget(this.requests, now);
-		forget(this.retries, now);
-		double most = MARGIN * (this.ratio * this.requests.size() + this.part);
-		return most - this.retries.size();
+		forget(now);
+		double lowest = (this.marks.isEmpty()) ? this.debt : Math.min(this.debt, this.marks.getFirst().debt());
+		double inWindow = this.burst - (this.debt - lowest);
+		boolean young = now - this.startedAt <= this.windowNanos;
+		return (young) ? Math.min(inWindow, -this.debt) : inWindow;
 	}
 
 	/**
@@ -98,13 +112,33 @@
 	 * @param now the time
 	 */
 	public void spend(long now) {
-		this.retries.addLast(now);
+		add(1, now);
+	}
+
+	// Of two moments the later one with the lower debt bounds the retries for longer and
+	// by more: the earlier one is not needed.
+	private void add(double change, long now) {
+		forget(now);
+		while (!this.marks.isEmpty() && this.marks.getLast().debt() >= this.debt) {
+			this.marks.removeLast();
+		}
+		this.marks.addLast(new Mark(now, this.debt));
+		this.debt += change;
 	}
 
-	private void forget(Deque<Long> times, long now) {
-		while (!times.isEmpty() && now - times.getFirst() > this.windowNanos) {
-			times.removeFirst();
+	private void forget(long now) {
+		while (!this.marks.isEmpty() && now - this.marks.getFirst().at() > this.windowNanos) {
+			this.marks.removeFirst();
 		}
 	}
 
+	/**
+	 * The debt just before an event.
+	 *
+	 * @param at the time of the event
+	 * @param debt the debt up to it
+	 */
+	private record Mark(long at, double debt) {
+	}
+
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -22,7 +23,7 @@
 		Random random = new Random(17);
 		List<RetryAllowance> allowances = new ArrayList<>();
 		for (int i = 0; i < entries; i++) {
-			RetryAllowance allowance = new RetryAllowance(10 * SECOND, 0.2, 52);
+			RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0.2, 52);
 			allowance.sharers(OptionalInt.of(entries));
 			allowances.add(allowance);
 		}
@@ -48,7 +49,7 @@
 
 	@Test
 	void entryAloneHasTheWholeMinimum() {
-		RetryAllowance allowance = new RetryAllowance(10 * SECOND, 0, 10);
+		RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0, 10);
 		allowance.sharers(OptionalInt.of(1));
 		int spent = 0;
 		while (allowance.mayRetry(SECOND)) {
@@ -59,4 +60,33 @@
 		assertThat(allowance.mayRetry(13 * SECOND)).isTrue();
 	}
 
+	@Nested
+	class Start {
+
+		// The process before this one may have spent the burst in the same window.
+		@Test
+		void earnsFromItsOwnRequestsOnly() {
+			RetryAllowance allowance = new RetryAllowance(0, 10 * SECOND, 0.2, 52);
+			allowance.sharers(OptionalInt.of(1));
+			assertThat(allowance.mayRetry(SECOND)).isFalse();
+			for (int i = 0; i < 20; i++) {
+				allowance.request(SECOND);
+			}
+			assertThat(allowance.left(SECOND)).isWithin(0.001).of(3.6);
+			assertThat(allowance.left(12 * SECOND)).isGreaterThan(40.0);
+		}
+
+		// An entry that started is not without retries until control has counted for
+		// long.
+		@Test
+		void hasARetryAfterAFewRequestsWithoutACount() {
+			RetryAllowance allowance = new RetryAllowance(0, 10 * SECOND, 0.2, 52);
+			for (int i = 0; i < 6; i++) {
+				allowance.request(SECOND);
+			}
+			assertThat(allowance.mayRetry(SECOND)).isTrue();
+		}
+
+	}
+
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -191,7 +191,7 @@
 
 		private final int vm;
 
-		private final RetryAllowance allowance = new RetryAllowance(RetryFleet.this.rule.window(),
+		private final RetryAllowance allowance = new RetryAllowance(RetryFleet.this.now, RetryFleet.this.rule.window(),
 				RetryFleet.this.rule.ratio(), RetryFleet.this.rule.minimum());
 
 		private final SharerCount sharers = new SharerCount();
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -113,6 +113,25 @@
 
 	}
 
+	@Nested
+	class NoFaultOfEntries {
+
+		// Care with the budget costs callers the retries that it allows.
+		@Test
+		void callersHaveMostOfTheBudgetWhileEndpointsRefuse() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.load(60, 0.9);
+			for (int window = 0; window < 4; window++) {
+				int before = fleet.retryCount();
+				fleet.run(10 * SECOND);
+				double allowed = 0.2 * 60 * 10 + 52;
+				assertThat(fleet.retryCount() - before).isAtLeast((int) (0.8 * allowed));
+			}
+			assertWithin(fleet, "steady load");
+		}
+
+	}
+
 	@Nested
 	class ManyFaults {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -221,8 +221,8 @@
 	 */
 	State state(String pool) {
 		return this.states.computeIfAbsent(pool, (name) -> {
-			RetryAllowance allowance = new RetryAllowance(this.rule.window().toNanos(), this.rule.ratio(),
-					this.rule.minimum());
+			RetryAllowance allowance = new RetryAllowance(this.startedAt, this.rule.window().toNanos(),
+					this.rule.ratio(), this.rule.minimum());
 			allowance.sharers(this.sharers);
 			PoolBalancer balancer = new PoolBalancer(this.peers, this.connected);
 			balancer.policy(this.policy);
