Retry budget: a retry is reserved when a request asks for it

Cause: mayRetry was asked when a request joined the queue of its pool and spend was called when it was sent, so that all requests that waited for an endpoint or a connection in between passed on the same last retry.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -44,6 +44,8 @@
 	/** Retries since the start, less what all requests since then earned. */
 	private double debt;
 
+	private int reserved;
+
 	/**
 	 * Make an allowance.
 	 * @param startedAt when the process started
@@ -77,27 +79,27 @@
 	}
 
 	/**
-	 * Return whether a retry is within the budget.
+	 * Return whether a retry is within the budget and not reserved.
 	 * @param now the time
-	 * @return whether one may be spent
+	 * @return whether one may be reserved
 	 */
 	public boolean mayRetry(long now) {
 		return left(now) >= 1;
 	}
 
 	/**
-	 * Return how many retries the budget permits.
+	 * Return how many retries the budget permits beside the reserved ones.
 	 * @param now the time
 	 * @return the number, of which only whole ones can be spent
 	 */
 	public double left(long now) {
-		return Math.max(0, balance(now));
+		return Math.max(0, balance(now) - this.reserved);
 	}
 
 	/**
 	 * Return what is left of the budget.
 	 * @param now the time
-	 * @return the number of retries, below 0 if more were spent than permitted
+	 * @return the number of retries, reserved ones included
 	 */
 	public double balance(long now) {
 		forget(now);
@@ -108,11 +110,35 @@
 	}
 
 	/**
-	 * Spend one retry.
+	 * Reserve a retry for a request that waits or connects, so that no other one counts
+	 * on it. Each reservation is either spent or released.
 	 * @param now the time
+	 * @return whether the budget permits it
 	 */
-	public void spend(long now) {
-		add(1, now);
+	public boolean reserve(long now) {
+		boolean permitted = mayRetry(now);
+		this.reserved += (permitted) ? 1 : 0;
+		return permitted;
+	}
+
+	/** Give a reservation back: the request is not sent again. */
+	public void release() {
+		this.reserved--;
+	}
+
+	/**
+	 * Spend a reserved retry on a request that is sent now. The part of this VM may have
+	 * become smaller since the reservation.
+	 * @param now the time
+	 * @return whether the budget still permits it; if not, the reservation is released
+	 */
+	public boolean spend(long now) {
+		release();
+		boolean permitted = balance(now) >= 1;
+		if (permitted) {
+			add(1, now);
+		}
+		return permitted;
 	}
 
 	// Of two moments the later one with the lower debt bounds the retries for longer and
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -34,8 +34,7 @@
 			RetryAllowance allowance = allowances.get((random.nextBoolean()) ? 0 : random.nextInt(entries));
 			allowance.request(now);
 			requests.add(now);
-			if (random.nextInt(10) < 8 && allowance.mayRetry(now)) {
-				allowance.spend(now);
+			if (random.nextInt(10) < 8 && allowance.reserve(now) && allowance.spend(now)) {
 				retries.add(now);
 			}
 		}
@@ -52,8 +51,7 @@
 		RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0, 10);
 		allowance.sharers(OptionalInt.of(1));
 		int spent = 0;
-		while (allowance.mayRetry(SECOND)) {
-			allowance.spend(SECOND);
+		while (allowance.reserve(SECOND) && allowance.spend(SECOND)) {
 			spent++;
 		}
 		assertThat(spent).isEqualTo(9);
@@ -68,7 +66,7 @@
 		void earnsFromItsOwnRequestsOnly() {
 			RetryAllowance allowance = new RetryAllowance(0, 10 * SECOND, 0.2, 52);
 			allowance.sharers(OptionalInt.of(1));
-			assertThat(allowance.mayRetry(SECOND)).isFalse();
+			assertThat(allowance.reserve(SECOND)).isFalse();
 			for (int i = 0; i < 20; i++) {
 				allowance.request(SECOND);
 			}
@@ -84,7 +82,44 @@
 			for (int i = 0; i < 6; i++) {
 				allowance.request(SECOND);
 			}
-			assertThat(allowance.mayRetry(SECOND)).isTrue();
+			assertThat(allowance.reserve(SECOND) && allowance.spend(SECOND)).isTrue();
+		}
+
+	}
+
+	@Nested
+	class Reservations {
+
+		private final RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0.2, 10);
+
+		Reservations() {
+			this.allowance.sharers(OptionalInt.of(5));
+		}
+
+		// All requests that wait for an endpoint pass on the same last retry.
+		@Test
+		void lastRetryIsReservedOnce() {
+			assertThat(this.allowance.reserve(SECOND)).isTrue();
+			assertThat(this.allowance.reserve(SECOND)).isFalse();
+			this.allowance.release();
+			assertThat(this.allowance.reserve(SECOND)).isTrue();
+		}
+
+		// VMs join while retries are reserved that the smaller part does not hold.
+		@Test
+		void reservationDoesNotOutliveThePart() {
+			this.allowance.sharers(OptionalInt.of(1));
+			int reserved = 0;
+			while (this.allowance.reserve(SECOND)) {
+				reserved++;
+			}
+			assertThat(reserved).isEqualTo(9);
+			this.allowance.sharers(OptionalInt.of(5));
+			int spent = 0;
+			for (int i = 0; i < reserved; i++) {
+				spent += (this.allowance.spend(SECOND)) ? 1 : 0;
+			}
+			assertThat(spent).isEqualTo(1);
 		}
 
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -1,6 +1,8 @@
 package org.acaciacourse.core.balance;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +54,8 @@
 
 	private int preferred = -1;
 
+	private long sentAfter;
+
 	RetryFleet(Rule rule, int vms, long seed) {
 		this.rule = rule;
 		this.random = new Random(seed);
@@ -89,6 +93,13 @@
 		this.preferred = vm;
 	}
 
+	// Retries wait for an endpoint or a connection for so long, each one until the step
+	// in
+	// which the time is over.
+	void sendAfter(long nanos) {
+		this.sentAfter = nanos;
+	}
+
 	/** Start a process, in place of the one that the VM had. */
 	void start(int vm) {
 		this.entries.put(vm, new Entry(vm));
@@ -196,6 +207,9 @@
 
 		private final SharerCount sharers = new SharerCount();
 
+		/** When the retries that wait are sent. */
+		private final Deque<Long> waiting = new ArrayDeque<>();
+
 		private long pollAt;
 
 		private long frozenUntil;
@@ -216,6 +230,10 @@
 			if (isFrozen()) {
 				return;
 			}
+			while (!this.waiting.isEmpty() && this.waiting.getFirst() <= at) {
+				this.waiting.removeFirst();
+				send(at);
+			}
 			if (at >= this.pollAt) {
 				this.pollAt = at + POLL;
 				if (at >= this.cutUntil && RetryFleet.this.controlUp) {
@@ -235,10 +253,19 @@
 			long at = RetryFleet.this.now;
 			this.allowance.request(at);
 			for (int i = 0; i < MOST_RETRIES && RetryFleet.this.random.nextDouble() < RetryFleet.this.refused; i++) {
-				if (!this.allowance.mayRetry(at)) {
+				if (!this.allowance.reserve(at)) {
 					return;
 				}
-				this.allowance.spend(at);
+				if (RetryFleet.this.sentAfter > 0) {
+					this.waiting.addLast(at + RetryFleet.this.sentAfter);
+					return;
+				}
+				send(at);
+			}
+		}
+
+		private void send(long at) {
+			if (this.allowance.spend(at)) {
 				RetryFleet.this.retries.add(at);
 			}
 		}
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -72,6 +72,17 @@
 			assertWithin(fleet, "callers moved");
 		}
 
+		// All requests that wait for an endpoint count on the same last retry.
+		@Test
+		void retriesThatWaitForAnEndpoint() {
+			RetryFleet fleet = served(RULE, VMS, 1);
+			fleet.load(60, 0.9);
+			fleet.run(15 * SECOND);
+			fleet.sendAfter(2 * SECOND);
+			fleet.run(15 * SECOND);
+			assertWithin(fleet, "retries wait");
+		}
+
 		// An entry that heard of no other one since its start spends the whole minimum.
 		@Test
 		void entriesThatStartWithoutControl() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -56,6 +56,8 @@
 	/** A shorter rest of the time can't yield an answer any more. */
 	private static final long LEAST_REMAINING_MILLIS = 5;
 
+	private static final String NO_RETRY_LEFT = "no retry left in the budget";
+
 	private final RouteContext context;
 
 	private final RoutedRequest request;
@@ -86,6 +88,9 @@
 
 	private Turn turn = Turn.BEFORE_OTHERS;
 
+	/** Whether a retry of the budget is set aside for this request. */
+	private boolean retryReserved;
+
 	private boolean done;
 
 	/**
@@ -142,8 +147,8 @@
 		if (this.done) {
 			return;
 		}
-		if (this.progress.isRepeat() && !this.pool.allowance().mayRetry(System.nanoTime())) {
-			fail("no retry left in the budget");
+		if (this.progress.isRepeat() && !reserveRetry()) {
+			fail(NO_RETRY_LEFT);
 			return;
 		}
 		if (this.context.pools().policy().isOn(RoutingMechanism.ORDER_OF_THE_QUEUE)) {
@@ -155,6 +160,13 @@
 		}
 	}
 
+	private boolean reserveRetry() {
+		if (!this.retryReserved) {
+			this.retryReserved = this.pool.allowance().reserve(System.nanoTime());
+		}
+		return this.retryReserved;
+	}
+
 	/**
 	 * Look for an endpoint; called while the request waits for one.
 	 * @return whether the request waits no more
@@ -247,16 +259,26 @@
 			timedOut();
 			return;
 		}
-		if (this.progress.isRepeat()) {
-			long now = System.nanoTime();
-			this.pool.allowance().spend(now);
-			this.record.retried(endpoint.instance(), this.pool.allowance().balance(now));
+		if (this.progress.isRepeat() && !spendRetry(endpoint)) {
+			this.context.links().release(endpoint, link);
+			fail(NO_RETRY_LEFT);
+			return;
 		}
 		this.progress.sent();
 		this.record.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		attempt.send(link, message(endpoint, remaining));
 	}
 
+	private boolean spendRetry(FleetEndpoint endpoint) {
+		long now = System.nanoTime();
+		this.retryReserved = false;
+		boolean permitted = this.pool.allowance().spend(now);
+		if (permitted) {
+			this.record.retried(endpoint.instance(), this.pool.allowance().balance(now));
+		}
+		return permitted;
+	}
+
 	private FullHttpRequest message(FleetEndpoint endpoint, long remaining) {
 		byte[] body = this.request.body();
 		FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
@@ -417,6 +439,10 @@
 		this.deadline.cancel(false);
 		this.context.open().remove(this);
 		this.pool.queue().remove(this);
+		if (this.retryReserved) {
+			this.retryReserved = false;
+			this.pool.allowance().release();
+		}
 		this.current.ifPresent(Attempt::cancel);
 		this.current = Optional.empty();
 		return true;
