Chat entries: hold the number of VMs that customers' limits are divided by

The number is now the highest of the last 25 s in which control was heard, from the number of the settings on, as for the retry budget (SharerCountTests). Unchanged numbers no longer configure all limits again. Looked at and left: the chat path's RetryBudget is each VM's own, with no bound over VMs; a process that starts has a full reserve (64 retries a class, 32 an endpoint).

--- a/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
+++ b/core/src/main/java/org/acaciacourse/core/dispatch/PolicyDispatcher.java
@@ -61,8 +61,9 @@
 
 	@Override
 	public void entryCount(int count, long now) {
+		int before = this.state.entryCount;
 		this.state.entryCount = Math.max(1, count);
-		if (this.state.manifest != null) {
+		if (this.state.entryCount != before && this.state.manifest != null) {
 			this.state.manifest.customers().values().forEach(this::configureLimit);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
+import org.acaciacourse.core.balance.SharerCount;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.DispatchActions;
 import org.acaciacourse.core.dispatch.Dispatcher;
@@ -72,6 +73,9 @@
 
 	private final CountDownLatch ready = new CountDownLatch(1);
 
+	/** Belongs to the thread of the link, once that is started. */
+	private final SharerCount counted = new SharerCount();
+
 	private AdminServer admin;
 
 	private Optional<Configuration> configuration = Optional.empty();
@@ -116,7 +120,7 @@
 	 */
 	public void start() throws IOException {
 		this.loop.start();
-		shareAmong(this.settings.count(SettingKey.ENTRY_PEERS));
+		told(this.settings.count(SettingKey.ENTRY_PEERS));
 		this.poller.start();
 		this.admin = new AdminServer(this.settings.address(SettingKey.ENTRY_ADMIN), this.metrics.registry(),
 				this::isReady);
@@ -210,8 +214,13 @@
 		this.traces.close();
 	}
 
-	private void shareAmong(int entryCount) {
-		this.loop.submit((d, now) -> d.entryCount(entryCount, now));
+	// A control VM that just started knows of few entries; divided by their number,
+	// limits
+	// would be many times what they are.
+	private void told(int entryCount) {
+		this.counted.told(entryCount, System.nanoTime());
+		int highest = this.counted.highest();
+		this.loop.submit((d, now) -> d.entryCount(highest, now));
 	}
 
 	private void apply(Manifest next) {
@@ -263,7 +272,12 @@
 
 		@Override
 		public void entryCount(int count) {
-			shareAmong(count);
+			told(count);
+		}
+
+		@Override
+		public void entryCountConfirmed() {
+			told(EntryDaemon.this.counted.latest());
 		}
 
 	}
