--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -20,7 +20,7 @@
  * The sum of all VMs is within the budget as long as there are no more VMs than the
  * minimum has retries: a burst is never less than one retry.
  * <p>
- * Not thread safe: belongs to one event loop.
+ * Not thread safe: belongs to one event loop. Times never go back.
  */
 public final class RetryAllowance {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -139,7 +139,7 @@
 	/** Begin. */
 	void start() {
 		this.context.open().add(this);
-		this.pool.allowance().request(this.startedAt);
+		this.pool.allowance().request(System.nanoTime());
 		attempt();
 	}
 
