--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -24,8 +24,10 @@
  */
 public final class RetryAllowance {
 
+	/** The part of the budget that is used. */
 	private static final double MARGIN = 0.9;
 
+	/** With less no retry would ever be permitted. */
 	private static final double LEAST_BURST = 1;
 
 	private final long startedAt;
--- a/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
@@ -23,8 +23,10 @@
 	/** In this time a control VM that started hears of all entries. */
 	private static final int START_SECONDS = 15;
 
+	/** Control stops counting a VM that was silent for as long. */
 	private static final int LEASE_SECONDS = 10;
 
+	/** The lease, then a window of the budget, in which its last retries count. */
 	private static final int HOLD_SECONDS = 25;
 
 	private static final long SECOND = 1_000_000_000L;
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/EntryDaemon.java
@@ -120,7 +120,7 @@
 	 */
 	public void start() throws IOException {
 		this.loop.start();
-		told(this.settings.count(SettingKey.ENTRY_PEERS));
+		shareAmong(this.settings.count(SettingKey.ENTRY_PEERS));
 		this.poller.start();
 		this.admin = new AdminServer(this.settings.address(SettingKey.ENTRY_ADMIN), this.metrics.registry(),
 				this::isReady);
@@ -214,10 +214,9 @@
 		this.traces.close();
 	}
 
-	// A control VM that just started knows of few entries; divided by their number,
-	// limits
-	// would be many times what they are.
-	private void told(int entryCount) {
+	// A control VM that just started knows of few entries; their number would widen the
+	// limits many times.
+	private void shareAmong(int entryCount) {
 		this.counted.told(entryCount, System.nanoTime());
 		int highest = this.counted.highest();
 		this.loop.submit((d, now) -> d.entryCount(highest, now));
@@ -272,12 +271,12 @@
 
 		@Override
 		public void entryCount(int count) {
-			told(count);
+			shareAmong(count);
 		}
 
 		@Override
 		public void entryCountConfirmed() {
-			told(EntryDaemon.this.counted.latest());
+			shareAmong(EntryDaemon.this.counted.latest());
 		}
 
 	}
