--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/measure/RetryWindows.java
@@ -0,0 +1,105 @@
+package org.acaciacourse.core.measure;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The requests and retries of a whole system as an observer saw them, checked against a
+ * retry budget in every window. The requests that count are those of the window, of the
+ * one before it, or of the one half a window before it, whichever are most.
+ * <p>
+ * Not thread safe.
+ */
+public final class RetryWindows {
+
+	private final long windowNanos;
+
+	private final double ratio;
+
+	private final double minimum;
+
+	private final List<Long> requests = new ArrayList<>();
+
+	private final List<Long> retries = new ArrayList<>();
+
+	/**
+	 * Make an empty account.
+	 * @param windowNanos the length of any span that is counted
+	 * @param ratio retries for each request
+	 * @param minimum retries that are permitted whatever the requests are
+	 */
+	public RetryWindows(long windowNanos, double ratio, double minimum) {
+		this.windowNanos = windowNanos;
+		this.ratio = ratio;
+		this.minimum = minimum;
+	}
+
+	/**
+	 * Note a request of a caller.
+	 * @param at when it was sent
+	 */
+	public void request(long at) {
+		this.requests.add(at);
+	}
+
+	/**
+	 * Note an arrival at an endpoint beyond the first one of its request.
+	 * @param at when it arrived
+	 */
+	public void retry(long at) {
+		this.retries.add(at);
+	}
+
+	/**
+	 * Return the number of retries.
+	 * @return those noted so far
+	 */
+	public int retryCount() {
+		return this.retries.size();
+	}
+
+	/**
+	 * Return the first window in which there were more retries than the budget allows.
+	 * @return what was counted in it
+	 */
+	public Optional<String> excess() {
+		Collections.sort(this.requests);
+		Collections.sort(this.retries);
+		return this.retries.stream().distinct().flatMap((from) -> excessFrom(from).stream()).findFirst();
+	}
+
+	private Optional<String> excessFrom(long from) {
+		int sent = count(this.retries, from, from + this.windowNanos);
+		int most = Math.max(requestsFrom(from),
+				Math.max(requestsFrom(from - this.windowNanos / 2), requestsFrom(from - this.windowNanos)));
+		double allowed = this.ratio * most + this.minimum;
+		return (sent > allowed) ? Optional.of("%d retries for %d requests in the window from %d ms, allowed %.1f"
+			.formatted(sent, most, from / 1_000_000, allowed)) : Optional.empty();
+	}
+
+	private int requestsFrom(long from) {
+		return count(this.requests, from, from + this.windowNanos);
+	}
+
+	private static int count(List<Long> times, long from, long to) {
+		return countUpTo(times, to) - countUpTo(times, from - 1);
+	}
+
+	private static int countUpTo(List<Long> times, long bound) {
+		int low = 0;
+		int high = times.size();
+		while (low < high) {
+			int middle = (low + high) / 2;
+			if (times.get(middle) <= bound) {
+				low = middle + 1;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/measure/package-info.java
+++ b/core/src/main/java/org/acaciacourse/core/measure/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Statistics of results: intervals of shares.
+ * Statistics of results: intervals of shares, retries in sliding windows.
  */
 package org.acaciacourse.core.measure;
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -1,7 +1,6 @@
 package org.acaciacourse.core.balance;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +9,8 @@
 import java.util.Random;
 import java.util.TreeMap;
 
+import org.acaciacourse.core.measure.RetryWindows;
+
 /**
  * Entry VMs that share one retry budget, in virtual time: callers, endpoints that refuse,
  * processes that are killed, frozen and cut off, and control VMs that count who polls.
@@ -40,9 +41,7 @@
 
 	private final Map<Integer, Long> polled = new HashMap<>();
 
-	private final List<Long> requests = new ArrayList<>();
-
-	private final List<Long> retries = new ArrayList<>();
+	private final RetryWindows seen;
 
 	private long now;
 
@@ -58,6 +57,7 @@
 
 	RetryFleet(Rule rule, int vms, long seed) {
 		this.rule = rule;
+		this.seen = new RetryWindows(rule.window(), rule.ratio(), rule.minimum());
 		this.random = new Random(seed);
 		for (int vm = 0; vm < vms; vm++) {
 			start(vm);
@@ -77,7 +77,7 @@
 	}
 
 	int retryCount() {
-		return this.retries.size();
+		return this.seen.retryCount();
 	}
 
 	// The requests of all callers in a second, and the part of the attempts that
@@ -138,7 +138,7 @@
 	}
 
 	private void request() {
-		this.requests.add(this.now);
+		this.seen.request(this.now);
 		List<Entry> serving = this.entries.values().stream().filter((entry) -> !entry.isFrozen()).toList();
 		if (serving.isEmpty()) {
 			return;
@@ -152,39 +152,7 @@
 	 * @return what was counted in it
 	 */
 	Optional<String> excess() {
-		long window = this.rule.window();
-		for (int i = 0; i < this.retries.size(); i++) {
-			long from = this.retries.get(i);
-			int sent = count(this.retries, from, from + window);
-			int most = Math.max(count(this.requests, from, from + window),
-					Math.max(count(this.requests, from - window, from),
-							count(this.requests, from - window / 2, from + window / 2)));
-			double allowed = this.rule.ratio() * most + this.rule.minimum();
-			if (sent > allowed) {
-				return Optional.of("%d retries for %d requests in the window from %d ms, allowed %.1f".formatted(sent,
-						most, from / MILLI, allowed));
-			}
-		}
-		return Optional.empty();
-	}
-
-	private static int count(List<Long> times, long from, long to) {
-		return firstAfter(times, to) - firstAfter(times, from - 1);
-	}
-
-	private static int firstAfter(List<Long> times, long bound) {
-		int low = 0;
-		int high = times.size();
-		while (low < high) {
-			int middle = (low + high) / 2;
-			if (times.get(middle) <= bound) {
-				low = middle + 1;
-			}
-			else {
-				high = middle;
-			}
-		}
-		return low;
+		return this.seen.excess();
 	}
 
 	/**
@@ -266,7 +234,7 @@
 
 		private void send(long at) {
 			if (this.allowance.spend(at)) {
-				RetryFleet.this.retries.add(at);
+				RetryFleet.this.seen.retry(at);
 			}
 		}
 
