--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -80,9 +80,7 @@
 		return this.seen.retryCount();
 	}
 
-	// The requests of all callers in a second, and the part of the attempts that
-	// endpoints
-	// refuse.
+	// The requests of all callers in a second, and the part of attempts that is refused.
 	void load(double perSecond, double refusedShare) {
 		this.requestsPerSecond = perSecond;
 		this.refused = refusedShare;
@@ -93,9 +91,7 @@
 		this.preferred = vm;
 	}
 
-	// Retries wait for an endpoint or a connection for so long, each one until the step
-	// in
-	// which the time is over.
+	// How long retries wait for an endpoint or a connection.
 	void sendAfter(long nanos) {
 		this.sentAfter = nanos;
 	}
