--- a/testkit/src/main/java/org/acaciacourse/testkit/JavaProcess.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/JavaProcess.java
@@ -20,9 +20,13 @@
 
 	private final Path output;
 
-	private JavaProcess(Process process, Path output) {
+	/** The length of what processes before this one wrote to the same file. */
+	private final int writtenBefore;
+
+	private JavaProcess(Process process, Path output, int writtenBefore) {
 		this.process = process;
 		this.output = output;
+		this.writtenBefore = writtenBefore;
 	}
 
 	/**
@@ -39,11 +43,12 @@
 		command.addAll(List.of(args));
 		Path output = folder.resolve(name + ".out");
 		try {
+			int writtenBefore = (Files.exists(output)) ? Files.readString(output).length() : 0;
 			Process process = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
 				.start();
 			Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
-			return new JavaProcess(process, output);
+			return new JavaProcess(process, output, writtenBefore);
 		}
 		catch (IOException ex) {
 			throw new AssertionError(ex);
@@ -79,6 +84,14 @@
 		}
 	}
 
+	/**
+	 * Return what this process wrote, without those that had the same name before it.
+	 * @return its output and its errors so far
+	 */
+	public String ownOutput() {
+		return output().substring(this.writtenBefore);
+	}
+
 	/** Send SIGTERM. */
 	public void terminate() {
 		this.process.destroy();
