--- a/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -74,8 +74,7 @@
 			assertThat(allowance.left(12 * SECOND)).isGreaterThan(40.0);
 		}
 
-		// An entry that started is not without retries until control has counted for
-		// long.
+		// A started entry is left without retries until control has counted for long.
 		@Test
 		void hasARetryAfterAFewRequestsWithoutACount() {
 			RetryAllowance allowance = new RetryAllowance(0, 10 * SECOND, 0.2, 52);
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -39,9 +39,7 @@
 	@Nested
 	class OneFault {
 
-		// A process that starts again spends once more what the one before it has spent
-		// in
-		// the same window.
+		// A process that starts again spends once more what the one before it spent.
 		@Test
 		void entriesKilledInSeriesWhileEndpointsRefuse() {
 			for (long seed = 1; seed <= 50; seed++) {
@@ -57,9 +55,8 @@
 			}
 		}
 
-		// An entry spends for the requests that it had before callers moved, and the
-		// other
-		// one earns from the same callers.
+		// An entry spends for the callers that it had, and another one for the same
+		// callers after they moved.
 		@Test
 		void callersThatMoveToAnotherEntry() {
 			RetryFleet fleet = served(RULE, VMS, 1);
@@ -146,8 +143,7 @@
 	@Nested
 	class ManyFaults {
 
-		// Faults come in series and overlap, of a kind and at a moment drawn from the
-		// seed.
+		// Faults of all kinds come in series and overlap, as drawn from the seed.
 		@Test
 		void sumStaysWithinTheRuleWhateverHappensToEntries() {
 			for (long seed = 1; seed <= 200; seed++) {
--- a/core/src/test/java/org/acaciacourse/core/balance/SharerCountTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharerCountTests.java
@@ -27,9 +27,8 @@
 	@Nested
 	class Start {
 
-		// All VMs start again at once. Control has heard of one entry, then of two; each
-		// of
-		// the six would spend the part of the others while endpoints fail all around.
+		// All VMs start again at once, and control has heard of two entries. Each of the
+		// six would spend the part of the others while endpoints fail all around.
 		@Test
 		void numberIsNotKnownUntilControlHeardOfAll() {
 			told(1, 1, 2);
