Tests that fail: stalls of entry VMs and of endpoints add up windows of the retry budget

The fleet in virtual time let callers avoid a frozen VM at once and let retries arrive when they were sent, so that no test saw what bunches. It can now queue requests at frozen VMs and retries at endpoints that do not read.

--- a/core/src/main/java/org/acaciacourse/core/measure/RetryBudgetChecker.java
+++ b/core/src/main/java/org/acaciacourse/core/measure/RetryBudgetChecker.java
@@ -71,13 +71,29 @@
 		return this.retries.stream().distinct().flatMap((from) -> violationFrom(from).stream()).findFirst();
 	}
 
+	/**
+	 * Return the highest share of the budget that the retries of one window used.
+	 * @return the share, above 1 if a window has more retries than the budget allows
+	 */
+	public double highestUse() {
+		Collections.sort(this.requests);
+		Collections.sort(this.retries);
+		return this.retries.stream().distinct().mapToDouble((from) -> windowFrom(from).use()).max().orElse(0);
+	}
+
 	private Optional<String> violationFrom(long from) {
-		int retried = count(this.retries, from, from + this.windowNanos);
+		Window window = windowFrom(from);
+		return (window.use() > 1)
+				? Optional.of("%d retries for %d requests in the window from %d ms, allowed %.1f"
+					.formatted(window.retries(), window.requests(), from / 1_000_000, window.allowed()))
+				: Optional.empty();
+	}
+
+	private Window windowFrom(long from) {
 		int counted = Math.max(requestsFrom(from),
 				Math.max(requestsFrom(from - this.windowNanos / 2), requestsFrom(from - this.windowNanos)));
-		double allowed = this.ratio * counted + this.minimum;
-		return (retried > allowed) ? Optional.of("%d retries for %d requests in the window from %d ms, allowed %.1f"
-			.formatted(retried, counted, from / 1_000_000, allowed)) : Optional.empty();
+		return new Window(count(this.retries, from, from + this.windowNanos), counted,
+				this.ratio * counted + this.minimum);
 	}
 
 	private int requestsFrom(long from) {
@@ -103,4 +119,19 @@
 		return low;
 	}
 
+	/**
+	 * One window.
+	 *
+	 * @param retries the retries in it
+	 * @param requests the requests that count for it
+	 * @param allowed the retries that the budget allows
+	 */
+	private record Window(int retries, int requests, double allowed) {
+
+		private double use() {
+			return this.retries / this.allowed;
+		}
+
+	}
+
 }
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.core.balance;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -14,7 +15,8 @@
 /**
  * Simulates entry VMs that share one retry budget: callers, endpoints that refuse,
  * processes that are killed, frozen and disconnected, and control VMs that count the
- * polling VMs. Counts all requests and retries as an observer of the whole system does.
+ * polling VMs. Counts all requests when they are sent and all retries when they reach an
+ * endpoint, as an observer of the whole system does.
  * <p>
  * Not thread safe.
  */
@@ -55,6 +57,13 @@
 
 	private long retryDelay;
 
+	private boolean callersWait;
+
+	private long endpointsStalledUntil;
+
+	/** Retries that stalled endpoints have not read yet. */
+	private final List<Entry> unread = new ArrayList<>();
+
 	RetryFleet(Rule rule, int vms, long seed) {
 		this.rule = rule;
 		this.windows = new RetryBudgetChecker(rule.window(), rule.ratio(), rule.minimum());
@@ -97,6 +106,16 @@
 		this.retryDelay = nanos;
 	}
 
+	// Lets callers also use frozen VMs, which read the requests when they run again.
+	void waitForFrozen() {
+		this.callersWait = true;
+	}
+
+	// Stops all endpoints from reading. They read what was sent when they run again.
+	void stallEndpoints(long nanos) {
+		this.endpointsStalledUntil = this.now + nanos;
+	}
+
 	/** Start a process, replacing that of the VM. */
 	void start(int vm) {
 		this.entries.put(vm, new Entry(vm));
@@ -126,6 +145,10 @@
 		long end = this.now + nanos;
 		while (this.now < end) {
 			this.now += TICK;
+			if (this.now >= this.endpointsStalledUntil) {
+				this.unread.forEach((entry) -> this.windows.addRetry(this.now));
+				this.unread.clear();
+			}
 			this.entries.values().forEach(Entry::step);
 			double expected = this.requestsPerSecond * TICK / SECOND;
 			for (int i = (int) expected + ((this.random.nextDouble() < expected % 1) ? 1 : 0); i > 0; i--) {
@@ -136,7 +159,10 @@
 
 	private void request() {
 		this.windows.addRequest(this.now);
-		List<Entry> serving = this.entries.values().stream().filter((entry) -> !entry.isFrozen()).toList();
+		List<Entry> serving = this.entries.values()
+			.stream()
+			.filter((entry) -> this.callersWait || !entry.isFrozen())
+			.toList();
 		if (serving.isEmpty()) {
 			return;
 		}
@@ -175,6 +201,9 @@
 		/** When the waiting retries are sent. */
 		private final Deque<Long> waiting = new ArrayDeque<>();
 
+		/** Requests that were sent while the process was frozen. */
+		private int unreadRequests;
+
 		private long pollAt;
 
 		private long frozenUntil;
@@ -195,6 +224,9 @@
 			if (isFrozen()) {
 				return;
 			}
+			for (; this.unreadRequests > 0; this.unreadRequests--) {
+				serve();
+			}
 			while (!this.waiting.isEmpty() && this.waiting.getFirst() <= at) {
 				this.waiting.removeFirst();
 				send(at);
@@ -216,6 +248,10 @@
 
 		private void serve() {
 			long at = RetryFleet.this.now;
+			if (isFrozen()) {
+				this.unreadRequests++;
+				return;
+			}
 			this.allowance.request(at);
 			for (int i = 0; i < MAX_RETRIES
 					&& RetryFleet.this.random.nextDouble() < RetryFleet.this.refusedShare; i++) {
@@ -232,7 +268,12 @@
 
 		private void send(long at) {
 			if (this.allowance.spend(at)) {
-				RetryFleet.this.windows.addRetry(at);
+				if (at < RetryFleet.this.endpointsStalledUntil) {
+					RetryFleet.this.unread.add(this);
+				}
+				else {
+					RetryFleet.this.windows.addRetry(at);
+				}
 			}
 		}
 
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -122,6 +122,51 @@
 
 	}
 
+	@Nested
+	class Stalls {
+
+		private static RetryFleet refusingFleet(long seed) {
+			RetryFleet fleet = new RetryFleet(new RetryFleet.Rule(10 * SECOND, 0.2, 194), 77, seed);
+			fleet.load(740, 0.02);
+			fleet.run(30 * SECOND);
+			fleet.load(740, 0.9);
+			fleet.waitForFrozen();
+			return fleet;
+		}
+
+		// Requests that were sent while the entry VMs did not run are read together, and
+		// must not earn retries for a later window.
+		@Test
+		void requestsReadTogetherAfterEntryVmsStalled() {
+			for (long seed = 1; seed <= 10; seed++) {
+				RetryFleet fleet = refusingFleet(seed);
+				for (int stall = 0; stall < 4; stall++) {
+					fleet.run((1 + fleet.random().nextInt(3)) * SECOND);
+					long nanos = (10 + fleet.random().nextInt(30)) * SECOND / 10;
+					sample(fleet, 0.9).forEach((vm) -> fleet.freeze(vm, nanos));
+				}
+				fleet.run(15 * SECOND);
+				assertWithin(fleet, "seed " + seed);
+			}
+		}
+
+		// Retries that were sent while the endpoints did not read arrive together, and
+		// must not add to those of a later window.
+		@Test
+		void retriesReadTogetherAfterEndpointsStalled() {
+			for (long seed = 1; seed <= 10; seed++) {
+				RetryFleet fleet = refusingFleet(seed);
+				for (int stall = 0; stall < 4; stall++) {
+					fleet.run((1 + fleet.random().nextInt(3)) * SECOND);
+					fleet.stallEndpoints((10 + fleet.random().nextInt(30)) * SECOND / 10);
+				}
+				fleet.run(15 * SECOND);
+				assertWithin(fleet, "seed " + seed);
+			}
+		}
+
+	}
+
 	@Nested
 	class NoEntryVmFaults {
 
