Observability of stalls: loop-stalled line, transit time of retries

Now each stall of an entry's event loop writes a line with its length, a retry line tells the age of its request, and histograms give the lengths of stalls and the time from sending a retry to the first sign of its endpoint. StallDetector also sees a suspended VM, whose steady clock stands still. No decision changes.

--- a/core/src/main/java/org/acaciacourse/core/attempt/RequestProgress.java
+++ b/core/src/main/java/org/acaciacourse/core/attempt/RequestProgress.java
@@ -103,6 +103,14 @@
 		return this.sentAttempts > 0;
 	}
 
+	/**
+	 * Return whether the request was sent more than once.
+	 * @return whether the latest attempt that was sent is a retry
+	 */
+	public boolean isRepeated() {
+		return this.sentAttempts > 1;
+	}
+
 	/**
 	 * Return the instances of the endpoints that were tried.
 	 * @return the instances
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -154,6 +154,7 @@
 	@Override
 	public void headReceived(HttpResponse head) {
 		recordActivity();
+		this.exchange.endpointResponded(this.lastActivityAt - this.sentAt);
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		metadata.load().ifPresent((load) -> this.placed.report(load.running(), load.waiting(), this.lastActivityAt));
 		metadata.idleTimeoutSeconds()
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -76,10 +76,15 @@
 		PoolStates.Sharing sharing = this.context.pools().sharing();
 		DecisionLog.write(LogEvent.RETRY, this.request.metadata().id(), this.request.pool(), instance,
 				Math.round(left * 100) / 100.0, sharing.vms(), sharing.countAge().toMillis(),
-				sharing.uptime().toMillis());
+				sharing.uptime().toMillis(), millisUntil(System.nanoTime()));
 		this.context.metrics().retried(this.request.pool());
 	}
 
+	// The endpoint responded to a retry, which it must have received by now.
+	void retryReceived(long nanos) {
+		this.context.metrics().retryReceived(this.request.pool(), nanos);
+	}
+
 	// The first part of the response is forwarded.
 	void responseStarted(long now) {
 		this.responseStartedAt = now;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -18,6 +19,7 @@
 import org.acaciacourse.core.balance.RetryAllowance;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.balance.SharerCount;
+import org.acaciacourse.core.balance.StallDetector;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
@@ -59,6 +61,8 @@
 
 	private final SharerCount sharerCount = new SharerCount();
 
+	private final StallDetector stallDetector = new StallDetector(this.startedAt, System.currentTimeMillis());
+
 	private long countedAt = this.startedAt;
 
 	private OptionalInt sharers = OptionalInt.empty();
@@ -192,6 +196,14 @@
 		applySharers();
 	}
 
+	/**
+	 * Record that the event loop runs; called at the interval of a tick.
+	 * @return how long it had stalled, in milliseconds, empty if it had not
+	 */
+	OptionalLong tick() {
+		return this.stallDetector.tick(System.nanoTime(), System.currentTimeMillis());
+	}
+
 	/**
 	 * Return the number of VMs among which the retry budgets are divided.
 	 * @return the number, the age of the count and the uptime
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -20,6 +20,7 @@
 import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
+import org.acaciacourse.core.balance.StallDetector;
 import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
@@ -162,6 +163,7 @@
 		CompletableFuture.delayedExecutor(ADMIN_DELAY_MILLIS, TimeUnit.MILLISECONDS).execute(this::openAdmin);
 		policy(this.options.policy());
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.execute(this::tick);
 		this.gossip.ifPresent((loadGossip) -> this.loop.execute(loadGossip::start));
 		this.fallback.start();
 		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
@@ -194,6 +196,15 @@
 		this.admin.ifPresent(AdminServer::close);
 	}
 
+	// Not at a fixed rate: after a stall, missed ticks must not be made up for.
+	private void tick() {
+		this.pools.tick().ifPresent((millis) -> {
+			DecisionLog.write(LogEvent.LOOP_STALLED, millis);
+			this.metrics.loopStalled(millis);
+		});
+		this.loop.schedule(this::tick, StallDetector.TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
 	private void sweep() {
 		this.connections.sweep(this.pools::isInFleet);
 		this.handler.logRefusalSummaries();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -19,6 +19,8 @@
  */
 final class RouteMetrics {
 
+	private static final double[] SECONDS_BOUNDS = { 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8 };
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Counter requests = Counter.builder()
@@ -39,6 +41,21 @@
 		.labelNames("pool")
 		.register(this.registry);
 
+	private final Histogram retryTransit = Histogram.builder()
+		.name("acaciacourse_pool_retry_transit_seconds")
+		.help("Time from sending a retry to the first sign that its endpoint received it")
+		.labelNames("pool")
+		.classicOnly()
+		.classicUpperBounds(SECONDS_BOUNDS)
+		.register(this.registry);
+
+	private final Histogram loopStalls = Histogram.builder()
+		.name("acaciacourse_loop_stall_seconds")
+		.help("Times for which the event loop did not run")
+		.classicOnly()
+		.classicUpperBounds(SECONDS_BOUNDS)
+		.register(this.registry);
+
 	private final Histogram responseStart = secondsHistogram("first_answer",
 			"Time from a request to the first part of its answer");
 
@@ -61,7 +78,7 @@
 			.help(help)
 			.labelNames("kind")
 			.classicOnly()
-			.classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+			.classicUpperBounds(SECONDS_BOUNDS)
 			.register(this.registry);
 	}
 
@@ -96,6 +113,14 @@
 		this.retries.labelValues(pool).inc();
 	}
 
+	void retryReceived(String pool, long nanos) {
+		this.retryTransit.labelValues(pool).observe(nanos / 1e9);
+	}
+
+	void loopStalled(long millis) {
+		this.loopStalls.observe(millis / 1e3);
+	}
+
 	void responseStarted(Route route, long nanos) {
 		this.responseStart.labelValues(route.kind().label()).observe(nanos / 1e9);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -342,6 +342,16 @@
 		this.failureResponse = Optional.of(failure);
 	}
 
+	/**
+	 * The endpoint of the current attempt responded.
+	 * @param nanos nanoseconds since the request was sent to it
+	 */
+	void endpointResponded(long nanos) {
+		if (this.progress.isRepeated()) {
+			this.telemetry.retryReceived(nanos);
+		}
+	}
+
 	/** The first part of the response is forwarded. */
 	void responseStarted() {
 		this.telemetry.responseStarted(System.nanoTime());
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -52,9 +52,16 @@
 	/**
 	 * A request is retried, which is charged to the retry budget: what is left of this
 	 * VM's share, the number of VMs that share the budget, the age of that number since a
-	 * control VM reported it, and the uptime of this process.
+	 * control VM reported it, the uptime of this process, and the time since the request
+	 * was read.
 	 */
-	RETRY("retry", "request", "pool", "endpoint", "left", "sharers", "count_age_ms", "running_ms"),
+	RETRY("retry", "request", "pool", "endpoint", "left", "sharers", "count_age_ms", "running_ms", "age_ms"),
+
+	/**
+	 * The event loop did not run for a while: what it reads now may have been sent during
+	 * that time.
+	 */
+	LOOP_STALLED("loop-stalled", "late_ms"),
 
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
