A request that may have been sent long before it was read earns no retry

Cause: an entry that runs again reads at once what its callers sent during the stall, and earned retries for all of it in the window in which it read them, while the rule counts them in the windows in which they were sent. The retries that two windows earn fell into one. Requests that are held until the first configuration arrives did the same after a start of all VMs.

Change: StallDetector tells whether the event loop is stalled or has only just resumed; what is read then, and what was held for longer than 0.3 s, earns nothing. Retries in any span are thus covered by requests that were sent in that span, up to 0.3 s. Ruled out: crediting such requests to the time of the stall, which changes nothing as the burst bounds what is left of it.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -73,7 +73,8 @@
 	}
 
 	/**
-	 * Record a request for the pool.
+	 * Record a request for the pool that was sent just before. One that may have been
+	 * sent well before must not be recorded, as it belongs to an earlier span.
 	 * @param now the time
 	 */
 	public void request(long now) {
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -198,6 +198,8 @@
 
 		private final SharerCount sharers = new SharerCount();
 
+		private final StallDetector stalls = new StallDetector(RetryFleet.this.now, RetryFleet.this.now / MILLI);
+
 		/** When the waiting retries are sent. */
 		private final Deque<Long> waiting = new ArrayDeque<>();
 
@@ -206,6 +208,8 @@
 
 		private long pollAt;
 
+		private long tickAt;
+
 		private long frozenUntil;
 
 		private long disconnectedUntil;
@@ -231,6 +235,10 @@
 				this.waiting.removeFirst();
 				send(at);
 			}
+			if (at >= this.tickAt) {
+				this.tickAt = at + StallDetector.TICK_MILLIS * MILLI;
+				this.stalls.tick(at, at / MILLI);
+			}
 			if (at >= this.pollAt) {
 				this.pollAt = at + POLL_INTERVAL;
 				if (at >= this.disconnectedUntil && RetryFleet.this.controlUp) {
@@ -252,7 +260,9 @@
 				this.unreadRequests++;
 				return;
 			}
-			this.allowance.request(at);
+			if (!this.stalls.isCatchingUp(at, at / MILLI)) {
+				this.allowance.request(at);
+			}
 			for (int i = 0; i < MAX_RETRIES
 					&& RetryFleet.this.random.nextDouble() < RetryFleet.this.refusedShare; i++) {
 				if (!this.allowance.reserve(at)) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
@@ -41,6 +42,9 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
+	/** Requests that arrived before the configuration may be held for longer. */
+	private static final long MAX_HELD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	private final EventLoop loop;
 
 	private final RetryBudgetOptions retryBudget;
@@ -196,6 +200,20 @@
 		applySharers();
 	}
 
+	/**
+	 * Record a request, which earns a part of a retry. A request that may have been sent
+	 * well before earns nothing: its retry would count in a later window than itself.
+	 * @param pool the pool of the request
+	 * @param readAt when the request was read
+	 */
+	void recordRequest(State pool, long readAt) {
+		long now = System.nanoTime();
+		boolean held = now - readAt > MAX_HELD_NANOS;
+		if (!held && !this.stallDetector.isCatchingUp(now, System.currentTimeMillis())) {
+			pool.allowance().request(now);
+		}
+	}
+
 	/**
 	 * Record that the event loop runs; called at the interval of a tick.
 	 * @return how long it had stalled, in milliseconds, empty if it had not
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -144,7 +144,7 @@
 	/** Start to process the request. */
 	void start() {
 		this.context.openExchanges().add(this);
-		this.pool.allowance().request(System.nanoTime());
+		this.context.pools().recordRequest(this.pool, this.startedAt);
 		enqueue();
 	}
 
