A retry counts until its arrival at the endpoint is confirmed

Cause: an entry counted a retry when it sent it, the rule counts it when it reaches an endpoint. An endpoint or a link that stalls hands over at once what was sent during the stall, so that a window holds the retries of more than a window, and the part of the minimum of each entry twice. The same happens where an attempt without a response is replaced: the endpoint that stalled reads the first attempt later than another one reads the second.

Change: a retry that was sent is in transit, and counts in each span, until its endpoint responds, closes the connection, shows activity on another connection of this VM, or 6 s have passed. From then on it counts at that time. Of the attempts of one request the last arrival is the retry (RequestArrivals). Ruled out: a longer window and a smaller ratio, which would deny callers a third of the retries when nothing stalls.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -18,6 +18,11 @@
  * requests and retries in transit at the edges of a span, as seen by an observer of all
  * VMs.
  * <p>
+ * A retry counts at the time when it reaches its endpoint. Until that is confirmed it
+ * counts in each span, as an endpoint that stalls may read it at any time. A request
+ * earns in the span in which its caller sent it. One that may have been sent well before
+ * it was read earns nothing.
+ * <p>
  * The sum over all VMs is within the budget as long as there are no more VMs than the
  * minimum has retries: a burst is never less than one retry.
  * <p>
@@ -49,6 +54,9 @@
 
 	private int reserved;
 
+	/** Retries that were sent and may not have reached their endpoint. */
+	private int inTransit;
+
 	/**
 	 * Make an allowance.
 	 * @param startedAt when the process started
@@ -109,7 +117,7 @@
 		double lowest = (this.marks.isEmpty()) ? this.debt : Math.min(this.debt, this.marks.getFirst().debt());
 		double inWindow = this.burst - (this.debt - lowest);
 		boolean young = now - this.startedAt <= this.windowNanos;
-		return (young) ? Math.min(inWindow, -this.debt) : inWindow;
+		return ((young) ? Math.min(inWindow, -this.debt) : inWindow) - this.inTransit;
 	}
 
 	/**
@@ -131,15 +139,36 @@
 
 	/**
 	 * Spend a reserved retry on a request that is sent now. The share of this VM may have
-	 * shrunk since the reservation.
+	 * shrunk since the reservation. Each retry that is permitted must be followed by one
+	 * call of {@link #arrived}.
 	 * @param now the time
 	 * @return whether the budget still permits it; if not, the reservation is released
 	 */
-	public boolean spend(long now) {
+	public boolean send(long now) {
 		release();
 		boolean permitted = balance(now) >= 1;
+		this.inTransit += (permitted) ? 1 : 0;
+		return permitted;
+	}
+
+	/**
+	 * Record that a retry has reached its endpoint, or never will.
+	 * @param now the time
+	 */
+	public void arrived(long now) {
+		this.inTransit--;
+		add(1, now);
+	}
+
+	/**
+	 * Spend a reserved retry on a request that reaches its endpoint now.
+	 * @param now the time
+	 * @return whether the budget still permits it; if not, the reservation is released
+	 */
+	public boolean spend(long now) {
+		boolean permitted = send(now);
 		if (permitted) {
-			add(1, now);
+			arrived(now);
 		}
 		return permitted;
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryFleet.java
@@ -146,7 +146,7 @@
 		while (this.now < end) {
 			this.now += TICK;
 			if (this.now >= this.endpointsStalledUntil) {
-				this.unread.forEach((entry) -> this.windows.addRetry(this.now));
+				this.unread.forEach((entry) -> entry.arrive(this.now));
 				this.unread.clear();
 			}
 			this.entries.values().forEach(Entry::step);
@@ -277,14 +277,20 @@
 		}
 
 		private void send(long at) {
-			if (this.allowance.spend(at)) {
-				if (at < RetryFleet.this.endpointsStalledUntil) {
-					RetryFleet.this.unread.add(this);
-				}
-				else {
-					RetryFleet.this.windows.addRetry(at);
-				}
+			if (!this.allowance.send(at)) {
+				return;
+			}
+			if (at < RetryFleet.this.endpointsStalledUntil) {
+				RetryFleet.this.unread.add(this);
 			}
+			else {
+				arrive(at);
+			}
+		}
+
+		private void arrive(long at) {
+			this.allowance.arrived(at);
+			RetryFleet.this.windows.addRetry(at);
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -48,6 +48,12 @@
 	 */
 	private static final long PROMPT_TOKENS_PER_MILLI = 30;
 
+	/**
+	 * The time after which a request that no sign of the endpoint has followed is taken
+	 * to have arrived: longer than endpoints and links usually stall.
+	 */
+	private static final long MAX_TRANSIT_NANOS = TimeUnit.SECONDS.toNanos(6);
+
 	/** HTTP 421: the address belongs to another instance now. */
 	private static final int MISDIRECTED_REQUEST = 421;
 
@@ -71,6 +77,8 @@
 
 	private boolean done;
 
+	private boolean arrived;
+
 	Attempt(RoutedExchange exchange, FleetEndpoint endpoint, PlacedRequest placed) {
 		this.exchange = exchange;
 		this.endpoint = endpoint;
@@ -109,6 +117,26 @@
 		}
 	}
 
+	/**
+	 * Confirm the arrival of the request if the endpoint has shown activity since it was
+	 * sent, or if it has been in transit for the longest time.
+	 * @param now the time
+	 * @return whether the arrival is confirmed
+	 */
+	boolean tryConfirmArrival(long now) {
+		if (this.placed.lastActivityAt() > this.sentAt || now - this.sentAt > MAX_TRANSIT_NANOS) {
+			confirmArrival();
+		}
+		return this.arrived;
+	}
+
+	private void confirmArrival() {
+		if (!this.arrived) {
+			this.arrived = true;
+			this.exchange.arrivalConfirmed(System.nanoTime() - this.sentAt);
+		}
+	}
+
 	/**
 	 * End the attempt without a response.
 	 * @param end how it ended
@@ -143,6 +171,9 @@
 
 	private void abandon(AttemptEnd end, Outcome outcome) {
 		this.connection.abandon();
+		if (!this.arrived) {
+			this.exchange.abandonedInTransit(this);
+		}
 		end(end, outcome);
 	}
 
@@ -154,7 +185,7 @@
 	@Override
 	public void headReceived(HttpResponse head) {
 		recordActivity();
-		this.exchange.endpointResponded(this.lastActivityAt - this.sentAt);
+		confirmArrival();
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		metadata.load().ifPresent((load) -> this.placed.report(load.running(), load.waiting(), this.lastActivityAt));
 		metadata.idleTimeoutSeconds()
@@ -294,6 +325,7 @@
 
 	@Override
 	public void connectionFailed() {
+		confirmArrival();
 		if (this.partial.mode == PartialResponse.Mode.NO_HEAD) {
 			this.exchange.context()
 				.connections()
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -219,7 +219,14 @@
 	 * @return how long it had stalled, in milliseconds, empty if it had not
 	 */
 	OptionalLong tick() {
-		return this.stallDetector.tick(System.nanoTime(), System.currentTimeMillis());
+		long now = System.nanoTime();
+		long wallClock = System.currentTimeMillis();
+		OptionalLong stalled = this.stallDetector.tick(now, wallClock);
+		// Data that is read while catching up may be older than the retries.
+		if (!this.stallDetector.isCatchingUp(now, wallClock)) {
+			this.states.values().forEach((state) -> state.confirmArrivals(now));
+		}
+		return stalled;
 	}
 
 	/**
@@ -309,6 +316,8 @@
 
 		private final PoolQueue queue;
 
+		private final List<Attempt> unconfirmed = new ArrayList<>();
+
 		private Duration shortestTarget = Duration.ZERO;
 
 		private int loggedEngines;
@@ -347,6 +356,19 @@
 			return this.queue;
 		}
 
+		/**
+		 * Add an attempt of a retried request that was sent. Until its arrival is
+		 * confirmed it counts against the allowance.
+		 * @param attempt the attempt
+		 */
+		void addUnconfirmed(Attempt attempt) {
+			this.unconfirmed.add(attempt);
+		}
+
+		private void confirmArrivals(long now) {
+			this.unconfirmed.removeIf((attempt) -> attempt.tryConfirmArrival(now));
+		}
+
 		/**
 		 * Return whether a target is among the shortest of the pool.
 		 * @param target the target
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -22,6 +22,7 @@
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.QueuePosition;
+import org.acaciacourse.core.balance.RequestArrivals;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
@@ -74,6 +75,8 @@
 
 	private final RequestProgress progress;
 
+	private final RequestArrivals arrivals;
+
 	private final ExchangeTelemetry telemetry;
 
 	private final long startedAt;
@@ -113,6 +116,7 @@
 		this.brief = this.pool.isBrief(request.route().target(),
 				context.pools().policy().value(RoutingParameter.NEARLY_SHORTEST));
 		this.progress = new RequestProgress(request.route());
+		this.arrivals = new RequestArrivals(this.pool.allowance());
 		this.lastEventId = request.metadata().lastEventId();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
@@ -266,10 +270,13 @@
 			timedOut();
 			return;
 		}
-		if (this.progress.isRetry() && !spendRetry(endpoint)) {
-			this.context.connections().release(endpoint, connection);
-			fail(RETRY_BUDGET_EXHAUSTED);
-			return;
+		if (this.progress.isRetry()) {
+			if (!spendRetry(endpoint)) {
+				this.context.connections().release(endpoint, connection);
+				fail(RETRY_BUDGET_EXHAUSTED);
+				return;
+			}
+			this.pool.addUnconfirmed(attempt);
 		}
 		this.progress.beforeSend();
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
@@ -279,7 +286,7 @@
 	private boolean spendRetry(FleetEndpoint endpoint) {
 		long now = System.nanoTime();
 		this.retryReserved = false;
-		boolean permitted = this.pool.allowance().spend(now);
+		boolean permitted = this.pool.allowance().send(now);
 		if (permitted) {
 			this.telemetry.retried(endpoint.instance(), this.pool.allowance().balance(now));
 		}
@@ -343,15 +350,24 @@
 	}
 
 	/**
-	 * The endpoint of the current attempt responded.
+	 * An attempt has reached its endpoint, or never will.
 	 * @param nanos nanoseconds since the request was sent to it
 	 */
-	void endpointResponded(long nanos) {
+	void arrivalConfirmed(long nanos) {
+		this.arrivals.confirm(System.nanoTime());
 		if (this.progress.isRepeated()) {
 			this.telemetry.retryReceived(nanos);
 		}
 	}
 
+	/**
+	 * An attempt ended before its arrival was confirmed.
+	 * @param attempt the attempt
+	 */
+	void abandonedInTransit(Attempt attempt) {
+		this.pool.addUnconfirmed(attempt);
+	}
+
 	/** The first part of the response is forwarded. */
 	void responseStarted() {
 		this.telemetry.responseStarted(System.nanoTime());
