A VM that is back takes its share of the minimum only when the others count it

One that was cut off from control, frozen or suspended for more than 25 s had its share back with the first count that it received, while the others had divided it and spent it in the same window.

Change: after a silence beyond the lease the number of sharers is unknown until control was reachable for 15 s, as after a start; in that time the others count the VM for a window. A suspension, which the steady clock does not count, is a silence too.

--- a/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/SharerCount.java
@@ -12,15 +12,19 @@
  * <p>
  * Invariants: the number is the highest of the last {@value #HOLD_SECONDS} s in which
  * control was reachable; it is unknown until control was reachable for
- * {@value #START_SECONDS} s, and after {@value #LEASE_SECONDS} s without contact. A VM
- * that is disconnected gives up its share before the others divide it, as
- * {@value #HOLD_SECONDS} s cover the lease and a window of the budget.
+ * {@value #START_SECONDS} s without an interruption, and after {@value #LEASE_SECONDS} s
+ * without contact. A VM that is disconnected gives up its share before the others divide
+ * it, as {@value #HOLD_SECONDS} s cover the lease and a window of the budget. A VM that
+ * is back takes its share only after the others have counted it for a window.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class SharerCount {
 
-	/** Within this time a newly started control VM hears from all entry VMs. */
+	/**
+	 * Within this time a newly started control VM hears from all entry VMs, and these
+	 * count a VM that is back for a window of the budget.
+	 */
 	private static final int START_SECONDS = 15;
 
 	/** After this time without a poll, control no longer counts a VM. */
@@ -34,10 +38,13 @@
 	/** In descending order of count; of equal counts only the latest is kept. */
 	private final Deque<Observation> counts = new ArrayDeque<>();
 
-	private long firstReceivedAt;
+	private long reachableSince;
 
 	private long lastReceivedAt;
 
+	/** Whether this VM was suspended for longer than the lease since the last count. */
+	private boolean expired;
+
 	/**
 	 * Record a count from control.
 	 * @param count the number of entry VMs that control knows of
@@ -45,15 +52,17 @@
 	 */
 	public void update(int count, long now) {
 		if (this.counts.isEmpty()) {
-			this.firstReceivedAt = now;
+			this.reachableSince = now;
 		}
 		else if (isSilent(now)) {
+			this.reachableSince = now;
 			// A control VM that started in the meantime knows of fewer VMs than before.
 			int before = this.counts.getFirst().count();
 			this.counts.clear();
 			this.counts.addLast(new Observation(now, before));
 		}
 		this.lastReceivedAt = now;
+		this.expired = false;
 		while (!this.counts.isEmpty() && this.counts.getLast().count() <= count) {
 			this.counts.removeLast();
 		}
@@ -70,7 +79,7 @@
 	 */
 	public OptionalInt sharers(long now) {
 		boolean known = !this.counts.isEmpty() && !isSilent(now)
-				&& now - this.firstReceivedAt >= START_SECONDS * NANOS_PER_SECOND;
+				&& now - this.reachableSince >= START_SECONDS * NANOS_PER_SECOND;
 		return (known) ? OptionalInt.of(Math.max(1, highest())) : OptionalInt.empty();
 	}
 
@@ -90,8 +99,17 @@
 		return (this.counts.isEmpty()) ? 0 : this.counts.getLast().count();
 	}
 
+	/**
+	 * Record that this VM did not run for a while, which the clock of the other calls may
+	 * not have counted.
+	 * @param seconds for how long
+	 */
+	public void stalled(long seconds) {
+		this.expired |= seconds > LEASE_SECONDS;
+	}
+
 	private boolean isSilent(long now) {
-		return now - this.lastReceivedAt > LEASE_SECONDS * NANOS_PER_SECOND;
+		return this.expired || now - this.lastReceivedAt > LEASE_SECONDS * NANOS_PER_SECOND;
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -120,6 +120,36 @@
 			assertWithin(fleet, "cut off");
 		}
 
+		// The others have divided the share of an entry VM that was disconnected for
+		// long,
+		// and have just spent it when that VM is back.
+		@Test
+		void entryVmsThatReconnectToControl() {
+			RetryFleet fleet = warmedUp(RULE, VMS, 1);
+			fleet.load(10, 0);
+			for (int vm = 0; vm < VMS / 2; vm++) {
+				fleet.disconnect(vm, 45 * SECOND);
+			}
+			fleet.run(43 * SECOND);
+			fleet.load(10, 0.9);
+			fleet.run(15 * SECOND);
+			assertWithin(fleet, "reconnected");
+		}
+
+		// Nor may a VM that did not run at all for that time spend its share at once.
+		@Test
+		void entryVmsThatRunAgainAfterALongFreeze() {
+			RetryFleet fleet = warmedUp(RULE, VMS, 1);
+			fleet.load(10, 0);
+			for (int vm = 0; vm < VMS / 2; vm++) {
+				fleet.freeze(vm, 45 * SECOND);
+			}
+			fleet.run(43 * SECOND);
+			fleet.load(10, 0.9);
+			fleet.run(15 * SECOND);
+			assertWithin(fleet, "frozen for long");
+		}
+
 	}
 
 	@Nested
@@ -189,6 +219,27 @@
 	@Nested
 	class ManyFaults {
 
+		// As below, and callers also use frozen VMs while endpoints stop reading.
+		@Test
+		void sumStaysWithinTheRuleUnderAnyFaultsAndStalls() {
+			for (long seed = 1; seed <= 200; seed++) {
+				int vms = 2 + (int) (seed % 20);
+				RetryFleet fleet = warmedUp(new RetryFleet.Rule(10 * SECOND, 0.2, 26 + seed % 100), vms, seed);
+				fleet.waitForFrozen();
+				Random random = fleet.random();
+				int next = vms;
+				while (fleet.seconds() < 120) {
+					fleet.load(20 + random.nextInt(400), random.nextInt(10) / 10.0);
+					next = fault(fleet, random, next);
+					if (random.nextInt(3) == 0) {
+						fleet.stallEndpoints(random.nextInt(40) * SECOND / 10);
+					}
+					fleet.run((1 + random.nextInt(40)) * SECOND / 10);
+				}
+				assertWithin(fleet, "seed " + seed);
+			}
+		}
+
 		// Faults of all kinds occur in series and overlap, as drawn from the seed.
 		@Test
 		void sumStaysWithinTheRuleUnderAnyFaults() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -222,6 +222,7 @@
 		long now = System.nanoTime();
 		long wallClock = System.currentTimeMillis();
 		OptionalLong stalled = this.stallDetector.tick(now, wallClock);
+		stalled.ifPresent((millis) -> this.sharerCount.stalled(TimeUnit.MILLISECONDS.toSeconds(millis)));
 		// Data that is read while catching up may be older than the retries.
 		if (!this.stallDetector.isCatchingUp(now, wallClock)) {
 			this.states.values().forEach((state) -> state.confirmArrivals(now));
