The retries of a request in one class; what the mend left over

RequestRetries (before: RequestArrivals) holds the reservation too, which stood as a flag with three branches in RoutedExchange. The limit of 0.3 s for a request that may be old stood twice and is StallDetector's now, with a test. RetryAllowance.spend, which only tests used, is gone from the product. The two tests of VMs that are back share their steps.

What is sent and counted stays as it was.

--- a/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RetryAllowance.java
@@ -122,7 +122,7 @@
 
 	/**
 	 * Reserve a retry for a request that waits or connects, so that no other one relies
-	 * on it. Each reservation is either spent or released.
+	 * on it. Each reservation is either sent or released.
 	 * @param now the time
 	 * @return whether the budget permits it
 	 */
@@ -160,19 +160,6 @@
 		add(1, now);
 	}
 
-	/**
-	 * Spend a reserved retry on a request that reaches its endpoint now.
-	 * @param now the time
-	 * @return whether the budget still permits it; if not, the reservation is released
-	 */
-	public boolean spend(long now) {
-		boolean permitted = send(now);
-		if (permitted) {
-			arrived(now);
-		}
-		return permitted;
-	}
-
 	// Of two marks the later one with the lower debt is the stricter bound and expires
 	// later, so the earlier one is not needed.
 	private void add(double change, long now) {
--- a/core/src/main/java/org/acaciacourse/core/balance/StallDetector.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/StallDetector.java
@@ -57,6 +57,18 @@
 		return (stalled) ? OptionalLong.of(late) : OptionalLong.empty();
 	}
 
+	/**
+	 * Return whether a request may have been sent well before now, because it was held
+	 * since it was read, or read after a stall.
+	 * @param readAt when the request was read, by the steady clock
+	 * @param now the time of the steady clock, in nanoseconds
+	 * @param wallClock the time of day, in milliseconds
+	 * @return whether the request may be old
+	 */
+	public boolean mayBeOld(long readAt, long now, long wallClock) {
+		return (now - readAt) / NANOS_PER_MILLI > MAX_LATENESS_MILLIS || isCatchingUp(now, wallClock);
+	}
+
 	/**
 	 * Return whether what is read now may have been sent during a stall.
 	 * @param now the time of the steady clock, in nanoseconds
--- a/core/src/test/java/org/acaciacourse/core/balance/RequestArrivalsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RequestRetriesTests.java
@@ -6,25 +6,36 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class RequestArrivalsTests {
+class RequestRetriesTests {
 
 	private static final long SECOND = 1_000_000_000L;
 
 	private final RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0, 20);
 
-	private final RequestArrivals arrivals = new RequestArrivals(this.allowance);
+	private final RequestRetries retries = new RequestRetries(this.allowance);
 
-	RequestArrivalsTests() {
+	RequestRetriesTests() {
 		this.allowance.sharers(OptionalInt.of(10));
 	}
 
 	private boolean retry(long now) {
-		return this.allowance.reserve(now) && this.allowance.send(now);
+		return this.retries.reserve(now) && this.retries.send(now);
+	}
+
+	// A request that waits for an endpoint asks again and again.
+	@Test
+	void reservesOneRetryAndReleasesItOnce() {
+		assertThat(this.retries.reserve(SECOND)).isTrue();
+		assertThat(this.retries.reserve(SECOND)).isTrue();
+		assertThat(this.allowance.left(SECOND)).isWithin(0.001).of(0.8);
+		this.retries.release();
+		this.retries.release();
+		assertThat(this.allowance.left(SECOND)).isWithin(0.001).of(1.8);
 	}
 
 	@Test
 	void firstArrivalIsNoRetry() {
-		this.arrivals.confirm(SECOND);
+		this.retries.confirmArrival(SECOND);
 		assertThat(this.allowance.left(SECOND)).isWithin(0.001).of(1.8);
 	}
 
@@ -32,10 +43,10 @@
 	// later ones.
 	@Test
 	void retryCountsForAWindowFromItsArrival() {
-		this.arrivals.confirm(0);
+		this.retries.confirmArrival(0);
 		assertThat(retry(SECOND)).isTrue();
 		assertThat(this.allowance.mayRetry(14 * SECOND)).isFalse();
-		this.arrivals.confirm(15 * SECOND);
+		this.retries.confirmArrival(15 * SECOND);
 		assertThat(this.allowance.mayRetry(25 * SECOND)).isFalse();
 		assertThat(this.allowance.mayRetry(27 * SECOND)).isTrue();
 	}
@@ -44,9 +55,9 @@
 	@Test
 	void laterArrivalOfTheFirstAttemptIsTheRetry() {
 		assertThat(retry(SECOND)).isTrue();
-		this.arrivals.confirm(SECOND);
+		this.retries.confirmArrival(SECOND);
 		assertThat(this.allowance.mayRetry(14 * SECOND)).isFalse();
-		this.arrivals.confirm(15 * SECOND);
+		this.retries.confirmArrival(15 * SECOND);
 		assertThat(this.allowance.mayRetry(25 * SECOND)).isFalse();
 		assertThat(this.allowance.mayRetry(27 * SECOND)).isTrue();
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RetryAllowanceTests.java
@@ -14,6 +14,15 @@
 
 	private static final long SECOND = 1_000_000_000L;
 
+	// Sends a reserved retry that arrives at once.
+	private static boolean spend(RetryAllowance allowance, long now) {
+		boolean permitted = allowance.send(now);
+		if (permitted) {
+			allowance.arrived(now);
+		}
+		return permitted;
+	}
+
 	// Endpoints fail most requests for a while, and each entry VM would retry all of
 	// them. The sum over all entry VMs in any window, as counted by an observer of the
 	// arrivals, must stay within the ratio and the minimum although the VMs do not
@@ -35,7 +44,7 @@
 			RetryAllowance allowance = allowances.get((random.nextBoolean()) ? 0 : random.nextInt(entries));
 			allowance.request(now);
 			requests.add(now);
-			if (random.nextInt(10) < 8 && allowance.reserve(now) && allowance.spend(now)) {
+			if (random.nextInt(10) < 8 && allowance.reserve(now) && spend(allowance, now)) {
 				retries.add(now);
 			}
 		}
@@ -52,7 +61,7 @@
 		RetryAllowance allowance = new RetryAllowance(-60 * SECOND, 10 * SECOND, 0, 10);
 		allowance.sharers(OptionalInt.of(1));
 		int spent = 0;
-		while (allowance.reserve(SECOND) && allowance.spend(SECOND)) {
+		while (allowance.reserve(SECOND) && spend(allowance, SECOND)) {
 			spent++;
 		}
 		assertThat(spent).isEqualTo(9);
@@ -83,7 +92,7 @@
 			for (int i = 0; i < 6; i++) {
 				allowance.request(SECOND);
 			}
-			assertThat(allowance.reserve(SECOND) && allowance.spend(SECOND)).isTrue();
+			assertThat(allowance.reserve(SECOND) && spend(allowance, SECOND)).isTrue();
 		}
 
 	}
@@ -119,7 +128,7 @@
 			this.allowance.sharers(OptionalInt.of(5));
 			int spent = 0;
 			for (int i = 0; i < reserved; i++) {
-				spent += (this.allowance.spend(SECOND)) ? 1 : 0;
+				spent += (spend(this.allowance, SECOND)) ? 1 : 0;
 			}
 			assertThat(spent).isEqualTo(1);
 		}
--- a/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/SharedRetryBudgetTests.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -120,34 +121,29 @@
 			assertWithin(fleet, "cut off");
 		}
 
-		// The others have divided the share of an entry VM that was disconnected for
-		// long,
-		// and have just spent it when that VM is back.
+		// The others have just spent the share of an entry VM when it is back from a long
+		// time without control.
 		@Test
 		void entryVmsThatReconnectToControl() {
-			RetryFleet fleet = warmedUp(RULE, VMS, 1);
-			fleet.load(10, 0);
-			for (int vm = 0; vm < VMS / 2; vm++) {
-				fleet.disconnect(vm, 45 * SECOND);
-			}
-			fleet.run(43 * SECOND);
-			fleet.load(10, 0.9);
-			fleet.run(15 * SECOND);
-			assertWithin(fleet, "reconnected");
+			assertWithin(returningVms((fleet, vm) -> fleet.disconnect(vm, 45 * SECOND)), "reconnected");
 		}
 
 		// Nor may a VM that did not run at all for that time spend its share at once.
 		@Test
 		void entryVmsThatRunAgainAfterALongFreeze() {
+			assertWithin(returningVms((fleet, vm) -> fleet.freeze(vm, 45 * SECOND)), "frozen for long");
+		}
+
+		private static RetryFleet returningVms(BiConsumer<RetryFleet, Integer> fault) {
 			RetryFleet fleet = warmedUp(RULE, VMS, 1);
 			fleet.load(10, 0);
 			for (int vm = 0; vm < VMS / 2; vm++) {
-				fleet.freeze(vm, 45 * SECOND);
+				fault.accept(fleet, vm);
 			}
 			fleet.run(43 * SECOND);
 			fleet.load(10, 0.9);
 			fleet.run(15 * SECOND);
-			assertWithin(fleet, "frozen for long");
+			return fleet;
 		}
 
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/StallDetectorTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/StallDetectorTests.java
@@ -42,6 +42,15 @@
 		assertThat(this.detector.isCatchingUp(3_350 * MILLI, 3_350)).isFalse();
 	}
 
+	// Requests that arrive before the first configuration are held for it.
+	@Test
+	void requestsThatWereHeldOrReadLateMayBeOld() {
+		tickUntil(1_000);
+		assertThat(this.detector.mayBeOld(1_000 * MILLI, 1_050 * MILLI, 1_050)).isFalse();
+		assertThat(this.detector.mayBeOld(700 * MILLI, 1_050 * MILLI, 1_050)).isTrue();
+		assertThat(this.detector.mayBeOld(3_000 * MILLI, 3_000 * MILLI, 3_000)).isTrue();
+	}
+
 	// The steady clock does not count the time for which a VM is suspended.
 	@Test
 	void suspensionIsDetectedByTheTimeOfDay() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -296,8 +296,8 @@
 	}
 
 	private void endBuffered() {
-		RoutedExchange.BufferedResponse buffered = new RoutedExchange.BufferedResponse(this.partial.status,
-				this.partial.headers, this.partial.body.toByteArray());
+		BufferedResponse buffered = new BufferedResponse(this.partial.status, this.partial.headers,
+				this.partial.body.toByteArray());
 		int status = this.partial.status;
 		if (this.exchange.response().isStarted()) {
 			// The caller's stream is to be resumed here, and this response is not a
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -80,11 +80,6 @@
 		this.context.metrics().retried(this.request.pool());
 	}
 
-	// The endpoint responded to a retry, which it must have received by now.
-	void retryReceived(long nanos) {
-		this.context.metrics().retryReceived(this.request.pool(), nanos);
-	}
-
 	// The first part of the response is forwarded.
 	void responseStarted(long now) {
 		this.responseStartedAt = now;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -42,9 +42,6 @@
 	 */
 	private static final double CONNECTION_SHARE = 0.8;
 
-	/** Requests that arrived before the configuration may be held for longer. */
-	private static final long MAX_HELD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
 	private final EventLoop loop;
 
 	private final RetryBudgetOptions retryBudget;
@@ -208,8 +205,7 @@
 	 */
 	void recordRequest(State pool, long readAt) {
 		long now = System.nanoTime();
-		boolean held = now - readAt > MAX_HELD_NANOS;
-		if (!held && !this.stallDetector.isCatchingUp(now, System.currentTimeMillis())) {
+		if (!this.stallDetector.mayBeOld(readAt, now, System.currentTimeMillis())) {
 			pool.allowance().request(now);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -22,7 +22,7 @@
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.QueuePosition;
-import org.acaciacourse.core.balance.RequestArrivals;
+import org.acaciacourse.core.balance.RequestRetries;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
@@ -41,17 +41,6 @@
  */
 final class RoutedExchange {
 
-	/**
-	 * A request waits for an endpoint that accepts it for at most its target divided by
-	 * this.
-	 */
-	private static final int PLACEMENT_WAIT_DIVISOR = 4;
-
-	/** After a start, the list of endpoints arrives right after the configuration. */
-	private static final long FLEET_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-	private static final long MIN_PLACEMENT_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
-
 	/**
 	 * Shortest delay for a retry if no endpoint accepted the request; the actual delay is
 	 * up to twice as long.
@@ -75,7 +64,9 @@
 
 	private final RequestProgress progress;
 
-	private final RequestArrivals arrivals;
+	private final RequestRetries retries;
+
+	private final PlacementWait placementWait = new PlacementWait();
 
 	private final ExchangeTelemetry telemetry;
 
@@ -91,13 +82,8 @@
 
 	private OptionalLong lastEventId;
 
-	private long unplacedSince;
-
 	private QueuePosition queuePosition = QueuePosition.OVERTAKES_OTHERS;
 
-	/** Whether a retry of the budget is reserved for this request. */
-	private boolean retryReserved;
-
 	private boolean done;
 
 	/**
@@ -116,7 +102,7 @@
 		this.brief = this.pool.isBrief(request.route().target(),
 				context.pools().policy().value(RoutingParameter.NEARLY_SHORTEST));
 		this.progress = new RequestProgress(request.route());
-		this.arrivals = new RequestArrivals(this.pool.allowance());
+		this.retries = new RequestRetries(this.pool.allowance());
 		this.lastEventId = request.metadata().lastEventId();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
@@ -156,7 +142,7 @@
 		if (this.done) {
 			return;
 		}
-		if (this.progress.isRetry() && !reserveRetry()) {
+		if (this.progress.isRetry() && !this.retries.reserve(System.nanoTime())) {
 			fail(RETRY_BUDGET_EXHAUSTED);
 			return;
 		}
@@ -169,13 +155,6 @@
 		}
 	}
 
-	private boolean reserveRetry() {
-		if (!this.retryReserved) {
-			this.retryReserved = this.pool.allowance().reserve(System.nanoTime());
-		}
-		return this.retryReserved;
-	}
-
 	/**
 	 * Try to place the request on an endpoint; called while it waits for one.
 	 * @return whether the request no longer waits
@@ -188,7 +167,7 @@
 			return failIfWaitedTooLong(now);
 		}
 		this.pool.queue().remove(this);
-		this.unplacedSince = 0;
+		this.placementWait.end();
 		this.telemetry.placed(now);
 		startAttempt(choice.get(), placement);
 		return true;
@@ -201,16 +180,10 @@
 	}
 
 	private boolean failIfWaitedTooLong(long now) {
-		if (this.unplacedSince == 0) {
-			this.unplacedSince = now;
-		}
-		long maxWaitNanos = Math.max(MIN_PLACEMENT_WAIT_NANOS,
-				this.request.route().target().toNanos() / PLACEMENT_WAIT_DIVISOR);
-		if (this.context.pools().fleet().revision() == 0) {
-			maxWaitNanos = FLEET_WAIT_NANOS;
-		}
+		boolean tooLong = this.placementWait.isTooLong(now, this.request.route().target(),
+				this.context.pools().fleet().revision() != 0);
 		boolean exhausted = this.pool.balancer().isExhausted(this.progress.triedInstances());
-		if (!exhausted && now - this.unplacedSince < maxWaitNanos) {
+		if (!exhausted && !tooLong) {
 			return false;
 		}
 		this.pool.queue().remove(this);
@@ -270,24 +243,21 @@
 			timedOut();
 			return;
 		}
-		if (this.progress.isRetry()) {
-			if (!spendRetry(endpoint)) {
-				this.context.connections().release(endpoint, connection);
-				fail(RETRY_BUDGET_EXHAUSTED);
-				return;
-			}
-			this.pool.addUnconfirmed(attempt);
+		if (this.progress.isRetry() && !sendRetry(attempt, endpoint)) {
+			this.context.connections().release(endpoint, connection);
+			fail(RETRY_BUDGET_EXHAUSTED);
+			return;
 		}
 		this.progress.beforeSend();
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
 
-	private boolean spendRetry(FleetEndpoint endpoint) {
+	private boolean sendRetry(Attempt attempt, FleetEndpoint endpoint) {
 		long now = System.nanoTime();
-		this.retryReserved = false;
-		boolean permitted = this.pool.allowance().send(now);
+		boolean permitted = this.retries.send(now);
 		if (permitted) {
+			this.pool.addUnconfirmed(attempt);
 			this.telemetry.retried(endpoint.instance(), this.pool.allowance().balance(now));
 		}
 		return permitted;
@@ -354,9 +324,9 @@
 	 * @param nanos nanoseconds since the request was sent to it
 	 */
 	void arrivalConfirmed(long nanos) {
-		this.arrivals.confirm(System.nanoTime());
+		this.retries.confirmArrival(System.nanoTime());
 		if (this.progress.isRepeated()) {
-			this.telemetry.retryReceived(nanos);
+			this.context.metrics().retryReceived(this.request.pool(), nanos);
 		}
 	}
 
@@ -474,23 +444,10 @@
 		this.deadlineTimer.cancel(false);
 		this.context.openExchanges().remove(this);
 		this.pool.queue().remove(this);
-		if (this.retryReserved) {
-			this.retryReserved = false;
-			this.pool.allowance().release();
-		}
+		this.retries.release();
 		this.current.ifPresent(Attempt::cancel);
 		this.current = Optional.empty();
 		return true;
 	}
 
-	/**
-	 * A complete response of an endpoint.
-	 *
-	 * @param status the HTTP status
-	 * @param headers the headers that are forwarded
-	 * @param body the body
-	 */
-	record BufferedResponse(int status, HttpHeaders headers, byte[] body) {
-	}
-
 }
