Observability of links: which endpoints a VM reaches, and whether several are lost at once

A VM logged how each attempt ended, and nothing told whether an endpoint was lost for all or only out of this VM's reach. Lines link-lost with the sign, link-regained and links-doubted (several lost within two seconds), and the gauge acaciacourse_endpoint_links_lost. Each open request is looked at ten times a second: a link is silent when nothing arrives over it, whatever may be done with the request. No decision depends on it yet.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -17,6 +17,7 @@
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.balance.RoutingPolicy;
+import org.acaciacourse.core.path.LinkSign;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
@@ -54,6 +55,12 @@
 	 */
 	private static final long MAX_TRANSIT_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+	/**
+	 * An engine sends events of its running responses every few batch steps. A step takes
+	 * 35 ms with a full batch and a concurrent prefill.
+	 */
+	private static final long STREAM_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
 	/** HTTP 421: the address belongs to another instance now. */
 	private static final int MISDIRECTED_REQUEST = 421;
 
@@ -334,6 +341,25 @@
 		end(AttemptEnd.BROKEN, Outcome.LOST);
 	}
 
+	/**
+	 * Check whether the link to the endpoint has gone silent. Unlike an attempt, which is
+	 * replaced only if it may be repeated, a link is doubted for any kind of request.
+	 */
+	void checkLink() {
+		if (this.done || this.connection == null) {
+			return;
+		}
+		long now = System.nanoTime();
+		long silentNanos = now - Math.max(this.sentAt, this.connection.link().aliveAt());
+		if (silentNanos > linkSilenceNanos()) {
+			this.connection.link().lost(LinkSign.SILENT, now);
+		}
+	}
+
+	private long linkSilenceNanos() {
+		return (this.placed.isStreaming()) ? STREAM_PAUSE_NANOS : silenceTimeoutNanos();
+	}
+
 	// A connection can stall for good and an endpoint can be cut off without TCP
 	// reporting it in time. Only an idempotent request is moved to another endpoint; any
 	// other request waits for its response until its deadline.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.acaciacourse.core.path.EndpointLink;
+import org.acaciacourse.core.path.LinkSign;
 
 /**
  * One connection to an endpoint, which carries one request at a time. A connection is
@@ -29,6 +31,8 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+	private final EndpointLink link;
+
 	private final Consumer<EndpointConnection> onClosed;
 
 	private Channel channel;
@@ -53,9 +57,11 @@
 
 	/**
 	 * Create a connection handler.
+	 * @param link the link that the connection runs over
 	 * @param onClosed called when the connection is closed
 	 */
-	EndpointConnection(Consumer<EndpointConnection> onClosed) {
+	EndpointConnection(EndpointLink link, Consumer<EndpointConnection> onClosed) {
+		this.link = link;
 		this.onClosed = onClosed;
 	}
 
@@ -64,6 +70,10 @@
 		this.channel = ctx.channel();
 	}
 
+	EndpointLink link() {
+		return this.link;
+	}
+
 	/**
 	 * Return whether the connection may carry a request.
 	 * @param now the time in nanoseconds
@@ -117,6 +127,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		this.link.alive(System.nanoTime());
 		try {
 			if (message instanceof HttpObject part) {
 				read(part);
@@ -206,6 +217,7 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		this.connectionReset = true;
+		this.link.lost(LinkSign.RESET, System.nanoTime());
 		fail();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.route;
 
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -14,6 +15,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -21,6 +23,9 @@
 import io.vavr.control.Try;
 import jdk.net.ExtendedSocketOptions;
 import org.acaciacourse.core.balance.IdleLimit;
+import org.acaciacourse.core.path.EndpointLink;
+import org.acaciacourse.core.path.LinkSign;
+import org.acaciacourse.core.path.PathLinks;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.InternalConnection;
 
@@ -67,6 +72,8 @@
 
 	private final Map<String, IdleLimit> idleLimits = new HashMap<>();
 
+	private final PathLinks directLinks = new PathLinks(new LinkLog());
+
 	EndpointConnections(EventLoop loop) {
 		this.loop = loop;
 	}
@@ -88,7 +95,8 @@
 	}
 
 	private void connect(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
-		EndpointConnection connection = new EndpointConnection((closed) -> remove(endpoint.instance(), closed));
+		EndpointLink link = this.directLinks.link(endpoint.instance());
+		EndpointConnection connection = new EndpointConnection(link, (closed) -> remove(endpoint.instance(), closed));
 		Bootstrap bootstrap = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
@@ -108,9 +116,30 @@
 
 			});
 		InetSocketAddress address = InternalConnection.parse(endpoint.address());
-		bootstrap.connect(address)
-			.addListener((future) -> onReady
-				.accept((future.isSuccess()) ? Try.success(connection) : Try.failure(future.cause())));
+		bootstrap.connect(address).addListener((future) -> {
+			recordConnect(link, Optional.ofNullable(future.cause()));
+			onReady.accept((future.isSuccess()) ? Try.success(connection) : Try.failure(future.cause()));
+		});
+	}
+
+	private static void recordConnect(EndpointLink link, Optional<Throwable> failure) {
+		long now = System.nanoTime();
+		if (failure.isEmpty()) {
+			link.alive(now);
+		}
+		else {
+			link.lost((isRefused(failure.get())) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
+		}
+	}
+
+	/**
+	 * Return whether a connection was refused, as no process listens. A timeout may also
+	 * be due to a lost packet. Netty's exception for timeouts extends ConnectException.
+	 * @param failure why there is no connection
+	 * @return whether it was refused
+	 */
+	static boolean isRefused(Throwable failure) {
+		return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
 	}
 
 	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint) {
@@ -171,6 +200,10 @@
 		return connections != null && !connections.isEmpty();
 	}
 
+	PathLinks directLinks() {
+		return this.directLinks;
+	}
+
 	int idleCount() {
 		return this.idleConnections.values().stream().mapToInt(Deque::size).sum();
 	}
@@ -189,6 +222,7 @@
 	 */
 	void sweep(Predicate<String> isInFleet) {
 		long now = System.nanoTime();
+		this.directLinks.retain(isInFleet);
 		this.idleTimeoutNanos.keySet().removeIf((instance) -> !isInFleet.test(instance));
 		this.idleConnections.entrySet().removeIf((entry) -> {
 			boolean inFleet = isInFleet.test(entry.getKey());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -226,6 +226,14 @@
 		return stalled;
 	}
 
+	/**
+	 * Return whether data that arrived a while ago may not have been read yet.
+	 * @return whether the event loop has only just resumed after a stall
+	 */
+	boolean isCatchingUp() {
+		return this.stallDetector.isCatchingUp(System.nanoTime(), System.currentTimeMillis());
+	}
+
 	/**
 	 * Return the number of VMs among which the retry budgets are divided.
 	 * @return the number, the age of the count and the uptime
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -202,6 +202,9 @@
 			DecisionLog.write(LogEvent.LOOP_STALLED, millis);
 			this.metrics.loopStalled(millis);
 		});
+		if (!this.pools.isCatchingUp()) {
+			this.openExchanges.forEach(RoutedExchange::checkLink);
+		}
 		this.loop.schedule(this::tick, StallDetector.TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -217,8 +220,9 @@
 		long now = System.nanoTime();
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(this.openExchanges.size(), this.callerServer.connections(),
-					this.connections.idleCount(), this.pools.tableNumber(), (now - this.configuredAt) / 1e9,
-					this.pools.sharing().vms(), this.pools.gauges(now), this.pools.policy()));
+					this.connections.idleCount(), this.connections.directLinks().lostCount(), this.pools.tableNumber(),
+					(now - this.configuredAt) / 1e9, this.pools.sharing().vms(), this.pools.gauges(now),
+					this.pools.policy()));
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -18,13 +18,14 @@
  */
 final class RouteGauges {
 
-	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
+	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
 
 	RouteGauges(PrometheusRegistry registry) {
 		gauge(registry, "acaciacourse_routed_open_requests", "Routed requests without an end", Snapshot::openRequests);
 		gauge(registry, "acaciacourse_caller_connections", "Open connections of callers", Snapshot::callerConnections);
 		gauge(registry, "acaciacourse_endpoint_connections_idle", "Kept connections to endpoints",
 				Snapshot::idleConnections);
+		gauge(registry, "acaciacourse_endpoint_links_lost", "Endpoints that this VM cannot reach", Snapshot::lostLinks);
 		gauge(registry, "acaciacourse_configuration_number", "Number of the configuration in force",
 				Snapshot::configurationNumber);
 		gauge(registry, "acaciacourse_configuration_age_seconds", "Time since the configuration came into force",
@@ -79,14 +80,16 @@
 	 * @param openRequests requests that have not ended
 	 * @param callerConnections open connections of callers
 	 * @param idleConnections idle connections to endpoints
+	 * @param lostLinks endpoints that this VM cannot reach
 	 * @param configurationNumber the number of the configuration in force, 0 for none
 	 * @param configurationAge seconds since it came into force
 	 * @param sharers entry VMs among which the retry budgets are divided
 	 * @param pools the pools by name
 	 * @param policy the routing policy in force
 	 */
-	record Snapshot(int openRequests, int callerConnections, int idleConnections, long configurationNumber,
-			double configurationAge, int sharers, Map<String, Pool> pools, RoutingPolicy policy) {
+	record Snapshot(int openRequests, int callerConnections, int idleConnections, int lostLinks,
+			long configurationNumber, double configurationAge, int sharers, Map<String, Pool> pools,
+			RoutingPolicy policy) {
 
 		Snapshot {
 			pools = Map.copyOf(pools);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -1,13 +1,11 @@
 package org.acaciacourse.daemon.route;
 
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -229,11 +227,8 @@
 		}
 	}
 
-	// A refused connection means that no process listens; a connect timeout may also be
-	// due to a lost packet. Netty's exception for timeouts extends ConnectException.
 	private static Outcome outcomeOf(Throwable failure) {
-		boolean refused = failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
-		return (refused) ? Outcome.GONE : Outcome.LOST;
+		return (EndpointConnections.isRefused(failure)) ? Outcome.GONE : Outcome.LOST;
 	}
 
 	private void send(Attempt attempt, FleetEndpoint endpoint, EndpointConnection connection) {
@@ -314,6 +309,11 @@
 				&& this.pool.balancer().choose(placement(), System.nanoTime()).isPresent();
 	}
 
+	/** Check whether the link to the endpoint has gone silent; called periodically. */
+	void checkLink() {
+		this.current.ifPresent(Attempt::checkLink);
+	}
+
 	// Keeps an endpoint's error response, which is forwarded if no attempt succeeds.
 	void keepFailureResponse(BufferedResponse failure) {
 		this.failureResponse = Optional.of(failure);
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -63,6 +63,21 @@
 	 */
 	LOOP_STALLED("loop-stalled", "late_ms"),
 
+	/**
+	 * An endpoint can't be reached from this VM: the sign, how many endpoints can't be
+	 * reached now out of those that were, and how many such lines were not logged.
+	 */
+	LINK_LOST("link-lost", "endpoint", "sign", "lost", "known", "untold"),
+
+	/** An endpoint can be reached from this VM again. */
+	LINK_REGAINED("link-regained", "endpoint", "lost_ms", "untold"),
+
+	/**
+	 * Several endpoints were lost together: the links of this VM are checked before they
+	 * are used again.
+	 */
+	LINKS_DOUBTED("links-doubted", "lost", "known"),
+
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
 
