Tests that fail: callers of entries without links to the endpoints

Three entries with endpoints of their own links, which TcpProxy cuts silently, one way, by resets or for new connections only; one pool, all entries but one, and from entry to entry.

--- a/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
@@ -6,9 +6,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -21,12 +24,21 @@
 
 	private static final int BUFFER = 16_384;
 
+	private static final int BACKLOG = 512;
+
+	private static final int FILL_MILLIS = 50;
+
 	private final List<Link> links = new CopyOnWriteArrayList<>();
 
-	private final ServerSocket listener;
+	private final int port;
 
 	private final int targetPort;
 
+	/** Fill the queue of a listener that accepts nothing. */
+	private final List<Socket> fillers = new ArrayList<>();
+
+	private volatile ServerSocket listener;
+
 	private volatile long delayNanos;
 
 	/**
@@ -36,8 +48,9 @@
 	 */
 	public TcpProxy(int targetPort) throws IOException {
 		this.targetPort = targetPort;
-		this.listener = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
-		start(this::accept);
+		this.listener = new ServerSocket(FreePorts.next(), BACKLOG, InetAddress.getLoopbackAddress());
+		this.port = this.listener.getLocalPort();
+		start(() -> accept(this.listener));
 	}
 
 	/**
@@ -45,7 +58,7 @@
 	 * @return the port
 	 */
 	public int port() {
-		return this.listener.getLocalPort();
+		return this.port;
 	}
 
 	/** Close every open connection. */
@@ -64,6 +77,59 @@
 		return open.size();
 	}
 
+	/**
+	 * Cut the callers off from the target until {@link #restore()}.
+	 * @param cut what the callers see of it
+	 * @throws IOException if the port can't be used
+	 */
+	public synchronized void isolate(Cut cut) throws IOException {
+		this.listener.close();
+		if (cut.hangs) {
+			fillQueue();
+		}
+		cut.apply(this.links);
+	}
+
+	// With a full queue of connections the kernel drops the packets that open one.
+	private void fillQueue() throws IOException {
+		this.listener = listen(1);
+		for (boolean full = false; !full;) {
+			Socket filler = new Socket();
+			this.fillers.add(filler);
+			try {
+				filler.connect(this.listener.getLocalSocketAddress(), FILL_MILLIS);
+			}
+			catch (SocketTimeoutException ex) {
+				full = true;
+			}
+		}
+	}
+
+	// The port is free once the thread that accepted on it has noticed the close.
+	private ServerSocket listen(int backlog) {
+		AtomicReference<ServerSocket> bound = new AtomicReference<>();
+		Waiting.until("port " + this.port + " free", () -> {
+			bound.set(new ServerSocket(this.port, backlog, InetAddress.getLoopbackAddress()));
+			return true;
+		});
+		return bound.get();
+	}
+
+	/**
+	 * Let new connections pass again.
+	 * @throws IOException if the port can't be used
+	 */
+	public synchronized void restore() throws IOException {
+		this.listener.close();
+		for (Socket filler : this.fillers) {
+			filler.close();
+		}
+		this.fillers.clear();
+		ServerSocket next = listen(BACKLOG);
+		this.listener = next;
+		start(() -> accept(next));
+	}
+
 	/**
 	 * Delay what is passed on from now on.
 	 * @param millis the delay of each piece of data
@@ -73,15 +139,18 @@
 	}
 
 	@Override
-	public void close() throws IOException {
+	public synchronized void close() throws IOException {
 		this.listener.close();
+		for (Socket filler : this.fillers) {
+			filler.close();
+		}
 		cut();
 	}
 
-	private void accept() {
+	private void accept(ServerSocket socket) {
 		try {
 			while (true) {
-				Socket caller = this.listener.accept();
+				Socket caller = socket.accept();
 				Link link = new Link(caller, connect(caller));
 				this.links.add(link);
 				start(() -> link.pump(link.caller, link.target));
@@ -89,7 +158,8 @@
 			}
 		}
 		catch (IOException ex) {
-			cut();
+			// The listener was closed, by an end or by a cut that leaves open
+			// connections.
 		}
 	}
 
@@ -112,6 +182,50 @@
 		thread.start();
 	}
 
+	/** What callers see of a cut. */
+	public enum Cut {
+
+		/** Nothing passes any more, and new connections hang. */
+		SILENT(true) {
+			@Override
+			void apply(List<Link> links) {
+				links.forEach((link) -> link.silent = true);
+			}
+		},
+
+		/** Only what goes to the target passes, and new connections hang. */
+		ONE_WAY(true) {
+			@Override
+			void apply(List<Link> links) {
+				links.forEach((link) -> link.silentToCaller = true);
+			}
+		},
+
+		/** Open connections are reset, and new ones are refused. */
+		RESET(false) {
+			@Override
+			void apply(List<Link> links) {
+				links.forEach(Link::reset);
+			}
+		},
+
+		/** Open connections live on, and new ones are refused. */
+		NEW_REFUSED(false) {
+			@Override
+			void apply(List<Link> links) {
+			}
+		};
+
+		private final boolean hangs;
+
+		Cut(boolean hangs) {
+			this.hangs = hangs;
+		}
+
+		abstract void apply(List<Link> links);
+
+	}
+
 	/** A pair of connections. */
 	private final class Link {
 
@@ -121,6 +235,8 @@
 
 		private volatile boolean silent;
 
+		private volatile boolean silentToCaller;
+
 		private Link(Socket caller, Socket target) {
 			this.caller = caller;
 			this.target = target;
@@ -133,7 +249,7 @@
 				OutputStream out = to.getOutputStream();
 				int count = in.read(buffer);
 				while (count >= 0) {
-					passOn(out, buffer, count);
+					passOn(out, to == this.caller, buffer, count);
 					count = in.read(buffer);
 				}
 			}
@@ -145,14 +261,24 @@
 			}
 		}
 
-		private void passOn(OutputStream out, byte[] buffer, int count) throws IOException {
+		private void passOn(OutputStream out, boolean toCaller, byte[] buffer, int count) throws IOException {
 			LockSupport.parkNanos(TcpProxy.this.delayNanos);
-			if (!this.silent) {
+			if (!this.silent && !(toCaller && this.silentToCaller)) {
 				out.write(buffer, 0, count);
 				out.flush();
 			}
 		}
 
+		private void reset() {
+			try {
+				this.caller.setSoLinger(true, 0);
+			}
+			catch (IOException ex) {
+				// Closed already.
+			}
+			close();
+		}
+
 		private void close() {
 			TcpProxy.this.links.remove(this);
 			try (this.caller; this.target) {
