--- a/core/src/main/java/org/acaciacourse/core/path/EndpointLink.java
+++ b/core/src/main/java/org/acaciacourse/core/path/EndpointLink.java
@@ -8,6 +8,12 @@
  */
 public final class EndpointLink {
 
+	/**
+	 * How long no new connection is tried after one failed, unless nothing else is left.
+	 * Bounds how long a link that is back remains unused.
+	 */
+	private static final long CONNECT_INTERVAL_NANOS = 1_000_000_000L;
+
 	private static final long NEVER = Long.MIN_VALUE / 2;
 
 	private final PathLinks path;
@@ -20,6 +26,8 @@
 
 	private long aliveAt = NEVER;
 
+	private long connectFailedAt = NEVER;
+
 	/** The doubts about the path when the link last carried data. */
 	private int answeredDoubts;
 
@@ -30,7 +38,36 @@
 	}
 
 	/**
-	 * Record that data arrived or a connection was established.
+	 * Record that a connection was established.
+	 * @param now the time
+	 */
+	public void connected(long now) {
+		this.connectFailedAt = NEVER;
+		alive(now);
+	}
+
+	/**
+	 * Record that no connection could be established. Connections that are open may live
+	 * on.
+	 * @param sign the sign of the loss
+	 * @param now the time
+	 */
+	public void connectFailed(LinkSign sign, long now) {
+		this.connectFailedAt = now;
+		lost(sign, now);
+	}
+
+	/**
+	 * Return whether a new connection should be tried over this link.
+	 * @param now the time
+	 * @return whether none failed lately
+	 */
+	public boolean mayConnect(long now) {
+		return now - this.connectFailedAt >= CONNECT_INTERVAL_NANOS;
+	}
+
+	/**
+	 * Record that data arrived.
 	 * @param now the time
 	 */
 	public void alive(long now) {
@@ -39,6 +76,7 @@
 			this.path.regained(this, now);
 		}
 		this.aliveAt = now;
+		this.path.alive(now);
 		this.answeredDoubts = this.path.doubts();
 	}
 
@@ -63,6 +101,16 @@
 		return !this.lost && this.answeredDoubts == this.path.doubts();
 	}
 
+	/**
+	 * Return whether a loss of the link is more likely due to its path than to the
+	 * endpoint.
+	 * @param now the time
+	 * @return whether several links were lost together lately
+	 */
+	public boolean isPathDoubted(long now) {
+		return this.path.isDoubted(now);
+	}
+
 	/**
 	 * Return the instance of the endpoint.
 	 * @return the instance
@@ -83,6 +131,10 @@
 		return this.lost;
 	}
 
+	boolean wasLostWithin(long nanos, long now) {
+		return this.lost && now - this.lostAt < nanos;
+	}
+
 	long lostAt() {
 		return this.lostAt;
 	}
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
@@ -0,0 +1,167 @@
+package org.acaciacourse.core.path;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.balance.LoadPeer;
+import org.acaciacourse.core.balance.PeerLoads;
+import org.acaciacourse.core.route.FleetEndpoint;
+
+/**
+ * Selects the paths over which a connection to an endpoint is tried: directly, or through
+ * another entry VM that relays it. A VM that has lost its link to an endpoint can't tell
+ * whether the endpoint or the link is at fault, but another VM may still reach it. A
+ * needless relay costs little, a request that finds no path is lost. So a relay is tried
+ * at the first doubt, and the direct path again every second.
+ * <p>
+ * Invariant: a relay connects directly only, so that no connection passes more than one.
+ * <p>
+ * Not thread safe: belongs to one event loop.
+ */
+public final class EndpointPaths {
+
+	/** Bounds the connections that are opened for one request. */
+	private static final int MAX_RELAYS = 5;
+
+	/** How long a relay that can't help is not asked again. */
+	private static final long EXCLUSION_NANOS = 1_000_000_000L;
+
+	/** How long a relay that works is preferred to those that were not tried. */
+	private static final long PROVEN_NANOS = 10_000_000_000L;
+
+	private final LoadPeer self;
+
+	private final Function<Optional<String>, PathLinks.Listener> listeners;
+
+	private final PathLinks direct;
+
+	private final Map<String, PathLinks> relayed = new HashMap<>();
+
+	private final Map<String, Long> excludedUntil = new HashMap<>();
+
+	private List<LoadPeer> peers = List.of();
+
+	/**
+	 * Create the paths of a VM.
+	 * @param self the VM
+	 * @param listeners returns the listener of a path, by its relay
+	 */
+	public EndpointPaths(LoadPeer self, Function<Optional<String>, PathLinks.Listener> listeners) {
+		this.self = self;
+		this.listeners = listeners;
+		this.direct = new PathLinks(listeners.apply(Optional.empty()));
+	}
+
+	/**
+	 * Set the VMs that may relay.
+	 * @param next the live entry VMs, with or without this one
+	 */
+	public void peers(List<LoadPeer> next) {
+		this.peers = next.stream().filter((peer) -> !peer.address().equals(this.self.address())).toList();
+		Set<String> addresses = this.peers.stream().map(LoadPeer::address).collect(Collectors.toSet());
+		this.relayed.keySet().retainAll(addresses);
+		this.excludedUntil.keySet().retainAll(addresses);
+	}
+
+	/**
+	 * Return whether a VM may relay.
+	 * @param relay its address
+	 * @return whether it is one of the other entry VMs
+	 */
+	public boolean isPeer(String relay) {
+		return this.peers.stream().anyMatch((peer) -> peer.address().equals(relay));
+	}
+
+	/**
+	 * Return the direct links.
+	 * @return the links
+	 */
+	public PathLinks direct() {
+		return this.direct;
+	}
+
+	/**
+	 * Return the links through a relay.
+	 * @param relay its address
+	 * @return the links
+	 */
+	public PathLinks through(String relay) {
+		return this.relayed.computeIfAbsent(relay,
+				(address) -> new PathLinks(this.listeners.apply(Optional.of(address))));
+	}
+
+	/**
+	 * Record that a relay can't be reached or accepts no connections.
+	 * @param relay its address
+	 * @param now the time
+	 */
+	public void exclude(String relay, long now) {
+		this.excludedUntil.put(relay, now + EXCLUSION_NANOS);
+	}
+
+	/**
+	 * Forget the links to all other endpoints.
+	 * @param isInFleet returns whether an instance is still listed
+	 */
+	public void retain(Predicate<String> isInFleet) {
+		this.direct.retain(isInFleet);
+		this.relayed.values().forEach((links) -> links.retain(isInFleet));
+	}
+
+	/**
+	 * Return the relays for a connection to an endpoint, the best one first: those that
+	 * worked lately, those that add no traffic between data centres, then the others.
+	 * Each endpoint has an order of its own, so that relays share the work. Relays that
+	 * were not tried come from this and other data centres by turns, as most VMs of a
+	 * data centre may be cut off together.
+	 * @param endpoint the endpoint
+	 * @param now the time
+	 * @return the addresses of the relays, not more than a request should try
+	 */
+	public List<String> relays(FleetEndpoint endpoint, long now) {
+		List<LoadPeer> usable = this.peers.stream()
+			.filter((peer) -> isUsable(peer.address(), endpoint.instance(), now))
+			.sorted(Comparator.comparingInt((peer) -> PeerLoads.idOf(endpoint.instance() + "/" + peer.address())))
+			.toList();
+		List<String> result = new ArrayList<>();
+		Deque<String> near = new ArrayDeque<>();
+		Deque<String> far = new ArrayDeque<>();
+		usable.stream().filter((peer) -> isNear(peer, endpoint)).forEach((peer) -> add(peer, result, near, now));
+		usable.stream().filter((peer) -> !isNear(peer, endpoint)).forEach((peer) -> add(peer, result, far, now));
+		while (!near.isEmpty() || !far.isEmpty()) {
+			Optional.ofNullable(near.poll()).ifPresent(result::add);
+			Optional.ofNullable(far.poll()).ifPresent(result::add);
+		}
+		return List.copyOf(result.subList(0, Math.min(MAX_RELAYS, result.size())));
+	}
+
+	private boolean isUsable(String relay, String endpoint, long now) {
+		boolean excluded = this.excludedUntil.getOrDefault(relay, now) > now;
+		return !excluded
+				&& known(relay).map((links) -> !links.wasLostWithin(endpoint, EXCLUSION_NANOS, now)).orElse(true);
+	}
+
+	private boolean isNear(LoadPeer peer, FleetEndpoint endpoint) {
+		return peer.dataCentre().equals(this.self.dataCentre()) || peer.dataCentre().equals(endpoint.dataCentre());
+	}
+
+	private void add(LoadPeer peer, List<String> proven, Deque<String> untried, long now) {
+		boolean worked = known(peer.address()).map((links) -> links.isProven(PROVEN_NANOS, now)).orElse(false);
+		((worked) ? proven : untried).add(peer.address());
+	}
+
+	private Optional<PathLinks> known(String relay) {
+		return Optional.ofNullable(this.relayed.get(relay));
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/path/PathLinks.java
+++ b/core/src/main/java/org/acaciacourse/core/path/PathLinks.java
@@ -35,6 +35,8 @@
 
 	private long doubtedAt = NEVER;
 
+	private long aliveAt = NEVER;
+
 	/**
 	 * Create the links of a path.
 	 * @param listener is told when links are lost and regained
@@ -78,6 +80,25 @@
 		return now - this.doubtedAt < DOUBT_NANOS && lostCount() > 1;
 	}
 
+	/**
+	 * Return whether the path has carried data lately.
+	 * @param nanos what counts as lately
+	 * @param now the time
+	 * @return whether it has, and was not doubted since
+	 */
+	boolean isProven(long nanos, long now) {
+		return now - this.aliveAt < nanos && this.aliveAt > this.doubtedAt;
+	}
+
+	boolean wasLostWithin(String endpoint, long nanos, long now) {
+		EndpointLink link = this.links.get(endpoint);
+		return link != null && link.wasLostWithin(nanos, now);
+	}
+
+	void alive(long now) {
+		this.aliveAt = now;
+	}
+
 	int doubts() {
 		return this.doubts;
 	}
@@ -94,7 +115,7 @@
 	private boolean isOtherLost(EndpointLink link, long now) {
 		return this.links.values()
 			.stream()
-			.anyMatch((other) -> other != link && other.isLost() && now - other.lostAt() < CORRELATION_NANOS);
+			.anyMatch((other) -> other != link && other.wasLostWithin(CORRELATION_NANOS, now));
 	}
 
 	void regained(EndpointLink link, long now) {
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/path/EndpointPathsTests.java
@@ -0,0 +1,167 @@
+package org.acaciacourse.core.path;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.acaciacourse.core.balance.LoadPeer;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class EndpointPathsTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final LoadPeer SELF = new LoadPeer("self:1", "a");
+
+	private static final FleetEndpoint ENDPOINT = endpoint("i-1", "b");
+
+	private static final FleetEndpoint OTHER = endpoint("i-2", "b");
+
+	private final EndpointPaths paths = new EndpointPaths(SELF, (relay) -> new SilentListener());
+
+	private static FleetEndpoint endpoint(String instance, String dataCentre) {
+		return new FleetEndpoint(instance, "pool", "10.0.0.1:80", dataCentre, 8, false);
+	}
+
+	private List<String> relays(long now) {
+		return this.paths.relays(ENDPOINT, now);
+	}
+
+	private void peers(String... dataCentres) {
+		List<LoadPeer> peers = new ArrayList<>(List.of(SELF));
+		for (int i = 0; i < dataCentres.length; i++) {
+			peers.add(new LoadPeer(dataCentres[i] + i + ":1", dataCentres[i]));
+		}
+		this.paths.peers(peers);
+	}
+
+	@Nested
+	class Order {
+
+		@Test
+		void ownVmRelaysNothing() {
+			peers("a");
+			assertThat(relays(0)).containsExactly("a0:1");
+		}
+
+		// Guards against a search for help among VMs that are cut off together.
+		@Test
+		void untriedRelaysComeFromAllDataCentresByTurns() {
+			peers("a", "a", "a", "a", "a", "a", "c", "c");
+			assertThat(relays(0).subList(0, 4).stream().filter((relay) -> relay.startsWith("c")).count()).isEqualTo(2);
+		}
+
+		@Test
+		void relayThatWorkedIsPreferred() {
+			peers("a", "a", "a", "c", "c", "c");
+			EndpointPathsTests.this.paths.through("c4:1").link("i-2").connected(SECOND);
+			assertThat(relays(2 * SECOND).get(0)).isEqualTo("c4:1");
+		}
+
+		@Test
+		void ofRelaysThatWorkedOneWithoutTrafficBetweenDataCentresIsPreferred() {
+			peers("a", "b", "c");
+			List.of("a0:1", "b1:1", "c2:1")
+				.forEach((relay) -> EndpointPathsTests.this.paths.through(relay).link("i-2").connected(SECOND));
+			assertThat(relays(2 * SECOND).get(2)).isEqualTo("c2:1");
+		}
+
+		@Test
+		void endpointsSpreadOverTheRelays() {
+			peers("a", "a", "a", "a", "a", "a", "a", "a");
+			long first = IntStream.range(0, 50)
+				.mapToObj((i) -> EndpointPathsTests.this.paths.relays(endpoint("i-" + i, "a"), 0).get(0))
+				.distinct()
+				.count();
+			assertThat(first).isAtLeast(6);
+		}
+
+	}
+
+	@Nested
+	class Exclusion {
+
+		@Test
+		void relayThatDoesNotAnswerIsNotAskedForASecond() {
+			peers("a", "a");
+			EndpointPathsTests.this.paths.exclude("a0:1", SECOND);
+			assertThat(relays(SECOND + 1)).containsExactly("a1:1");
+			assertThat(relays(2 * SECOND)).hasSize(2);
+		}
+
+		@Test
+		void relayThatCannotReachOneEndpointIsAskedForOthers() {
+			peers("a");
+			EndpointPathsTests.this.paths.through("a0:1").link("i-1").connectFailed(LinkSign.TIMEOUT, SECOND);
+			assertThat(relays(SECOND + 1)).isEmpty();
+			assertThat(EndpointPathsTests.this.paths.relays(OTHER, SECOND + 1)).containsExactly("a0:1");
+		}
+
+		// Guards against a relay that is cut next and goes on being preferred.
+		@Test
+		void relayWhoseLinksAreLostTogetherIsNoLongerPreferred() {
+			peers("a", "c");
+			PathLinks links = EndpointPathsTests.this.paths.through("c1:1");
+			links.link("i-2").connected(SECOND);
+			links.link("i-3").connected(SECOND);
+			links.link("i-2").lost(LinkSign.SILENT, 2 * SECOND);
+			links.link("i-3").lost(LinkSign.SILENT, 2 * SECOND);
+			EndpointPathsTests.this.paths.through("a0:1").link("i-2").connected(SECOND);
+			assertThat(relays(2 * SECOND).get(0)).isEqualTo("a0:1");
+		}
+
+		@Test
+		void vmThatIsGoneRelaysNothing() {
+			peers("a", "c");
+			EndpointPathsTests.this.paths.peers(List.of(SELF));
+			assertThat(relays(0)).isEmpty();
+			assertThat(EndpointPathsTests.this.paths.isPeer("a0:1")).isFalse();
+		}
+
+	}
+
+	@Nested
+	class Probing {
+
+		// Guards against connects that hang one after the other while a link is cut.
+		@Test
+		void newConnectionsAreTriedAgainAfterASecond() {
+			EndpointLink link = EndpointPathsTests.this.paths.direct().link("i-1");
+			link.connectFailed(LinkSign.TIMEOUT, SECOND);
+			assertThat(link.mayConnect(SECOND + 1)).isFalse();
+			assertThat(link.mayConnect(2 * SECOND)).isTrue();
+		}
+
+		@Test
+		void openConnectionThatLivesOnDoesNotMakeNewOnesPossible() {
+			EndpointLink link = EndpointPathsTests.this.paths.direct().link("i-1");
+			link.connectFailed(LinkSign.REFUSED, SECOND);
+			link.alive(SECOND + 1);
+			assertThat(link.isTrusted()).isTrue();
+			assertThat(link.mayConnect(SECOND + 2)).isFalse();
+		}
+
+	}
+
+	/** Ignores what it is told. */
+	private static final class SilentListener implements PathLinks.Listener {
+
+		@Override
+		public void linkLost(String endpoint, LinkSign sign, int lost, int known) {
+		}
+
+		@Override
+		public void linkRegained(String endpoint, long lostNanos) {
+		}
+
+		@Override
+		public void pathDoubted(int lost, int known) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/relay/RelayFrame.java
@@ -0,0 +1,73 @@
+package org.acaciacourse.daemon.relay;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+
+/**
+ * The frames of a relayed connection: four bytes with the length, one with the type, and
+ * the content. The client sends one {@link #OPEN} frame and then the bytes for the
+ * endpoint without frames. The relay sends frames only, so that the client can tell an
+ * orderly end of the endpoint's connection from the loss of the relay.
+ * <p>
+ * Immutable and thread safe.
+ */
+enum RelayFrame {
+
+	/** From the client: the endpoint that it wants. */
+	OPEN,
+
+	/** The result of opening. */
+	OPENED,
+
+	/** Bytes from the endpoint. */
+	DATA,
+
+	/** The endpoint has closed its connection in order. */
+	END,
+
+	/** The relay stops: the connection must not carry another request. */
+	STOPPING;
+
+	/** Longer than any read from a socket. */
+	private static final int MAX_FRAME_BYTES = 1 << 20;
+
+	private static final int LENGTH_BYTES = 4;
+
+	private static final RelayFrame[] ALL = values();
+
+	static LengthFieldBasedFrameDecoder decoder() {
+		return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+	}
+
+	/**
+	 * Read the type of a frame; the content follows.
+	 * @param frame the frame without its length
+	 * @return the type, if it is a known one
+	 */
+	static Optional<RelayFrame> read(ByteBuf frame) {
+		int type = (frame.isReadable()) ? frame.readByte() : -1;
+		return (type >= 0 && type < ALL.length) ? Optional.of(ALL[type]) : Optional.empty();
+	}
+
+	/**
+	 * Return the bytes that precede the content of a frame.
+	 * @param contentBytes the size of the content
+	 * @return length and type
+	 */
+	ByteBuf header(int contentBytes) {
+		return Unpooled.buffer(LENGTH_BYTES + 1).writeInt(contentBytes + 1).writeByte(ordinal());
+	}
+
+	/**
+	 * Return a frame.
+	 * @param content the content
+	 * @return its bytes
+	 */
+	ByteBuf of(byte... content) {
+		return Unpooled.wrappedBuffer(header(content.length), Unpooled.wrappedBuffer(content));
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/relay/RelaySession.java
@@ -0,0 +1,226 @@
+package org.acaciacourse.daemon.relay;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+import io.vavr.control.Try;
+import org.acaciacourse.core.path.EndpointLink;
+import org.acaciacourse.core.path.LinkSign;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.codec.ThriftBytes;
+import org.acaciacourse.daemon.inner.InternalConnection;
+import org.acaciacourse.protocol.generated.RelayOpenRecord;
+import org.acaciacourse.protocol.generated.RelayOpenedRecord;
+
+/**
+ * A relayed connection on the relay, between another entry VM, the client, and an
+ * endpoint. Each side is read only while the other one accepts data, so that a slow
+ * reader bounds the memory used.
+ * <p>
+ * Not thread safe: belongs to the event loop of its server.
+ */
+final class RelaySession extends ChannelInboundHandlerAdapter {
+
+	/**
+	 * Less than clients wait, so that they learn why there is no connection.
+	 */
+	private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+	private static final String DECODER = "decoder";
+
+	private final RelayServer server;
+
+	private final Channel client;
+
+	private Optional<Channel> endpoint = Optional.empty();
+
+	private boolean openReceived;
+
+	RelaySession(RelayServer server, Channel client) {
+		this.server = server;
+		this.client = client;
+	}
+
+	void start() {
+		this.client.pipeline().addLast(DECODER, RelayFrame.decoder());
+		this.client.pipeline().addLast(this);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext ctx, Object message) {
+		if (this.endpoint.isPresent()) {
+			this.endpoint.get().write(message);
+			return;
+		}
+		try {
+			readOpen((ByteBuf) message);
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void readOpen(ByteBuf frame) {
+		boolean isOpen = RelayFrame.read(frame).equals(Optional.of(RelayFrame.OPEN));
+		byte[] content = new byte[frame.readableBytes()];
+		frame.readBytes(content);
+		Try<RelayOpenRecord> record = ThriftBytes.decode(content, new RelayOpenRecord());
+		boolean authorized = isOpen && !this.openReceived && record.isSuccess()
+				&& this.server.key().matches(record.get().getSharedKey());
+		this.openReceived = true;
+		if (authorized) {
+			open(record.get().getInstance());
+		}
+		else {
+			this.client.close();
+		}
+	}
+
+	private void open(String instance) {
+		Optional<FleetEndpoint> target = this.server.targets().find(instance);
+		Optional<RelayResult> refusal = this.server.refusal();
+		if (refusal.isPresent()) {
+			refuse(refusal.get());
+		}
+		else if (target.isEmpty()) {
+			refuse(RelayResult.UNKNOWN_ENDPOINT);
+		}
+		else {
+			EndpointLink link = this.server.targets().link(instance);
+			if (link.mayConnect(System.nanoTime())) {
+				connect(target.get(), link);
+			}
+			else {
+				refuse(RelayResult.UNREACHABLE);
+			}
+		}
+	}
+
+	private void connect(FleetEndpoint target, EndpointLink link) {
+		TcpSockets.bootstrap(this.server.loop(), CONNECT_TIMEOUT_MILLIS)
+			.handler(new EndpointSide(link))
+			.connect(InternalConnection.parse(target.address()))
+			.addListener((ChannelFutureListener) (future) -> {
+				if (future.isSuccess()) {
+					link.connected(System.nanoTime());
+					connected(future.channel());
+				}
+				else {
+					connectFailed(link, TcpSockets.isRefused(future.cause()));
+				}
+			});
+	}
+
+	// While this VM doubts its own links, a refusal says nothing about the endpoint.
+	private void connectFailed(EndpointLink link, boolean refused) {
+		long now = System.nanoTime();
+		link.connectFailed((refused) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
+		refuse((refused && !link.isPathDoubted(now)) ? RelayResult.REFUSED : RelayResult.UNREACHABLE);
+	}
+
+	private void connected(Channel channel) {
+		if (!this.client.isActive()) {
+			channel.close();
+			return;
+		}
+		this.endpoint = Optional.of(channel);
+		this.server.opened(this);
+		this.client.pipeline().remove(DECODER);
+		this.client.writeAndFlush(opened(RelayResult.OPENED));
+	}
+
+	private static ByteBuf opened(RelayResult result) {
+		return RelayFrame.OPENED.of(ThriftBytes.encode(new RelayOpenedRecord(result.number())));
+	}
+
+	private void refuse(RelayResult result) {
+		this.client.writeAndFlush(opened(result)).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	void announceStop() {
+		this.client.writeAndFlush(RelayFrame.STOPPING.of());
+	}
+
+	void close() {
+		this.client.close();
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		this.endpoint.ifPresent((channel) -> {
+			channel.flush();
+			this.client.config().setAutoRead(channel.isWritable());
+		});
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+		this.endpoint.ifPresent((channel) -> channel.config().setAutoRead(this.client.isWritable()));
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext ctx) {
+		this.endpoint.ifPresent(Channel::close);
+		this.server.closed(this);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		ctx.close();
+	}
+
+	/** The connection to the endpoint. */
+	private final class EndpointSide extends ChannelInboundHandlerAdapter {
+
+		private final EndpointLink link;
+
+		private boolean failed;
+
+		private EndpointSide(EndpointLink link) {
+			this.link = link;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) {
+			this.link.alive(System.nanoTime());
+			ByteBuf data = (ByteBuf) message;
+			RelaySession.this.client.write(RelayFrame.DATA.header(data.readableBytes()));
+			RelaySession.this.client.write(data);
+		}
+
+		@Override
+		public void channelReadComplete(ChannelHandlerContext ctx) {
+			RelaySession.this.client.flush();
+			ctx.channel().config().setAutoRead(RelaySession.this.client.isWritable());
+		}
+
+		@Override
+		public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+			RelaySession.this.client.config().setAutoRead(ctx.channel().isWritable());
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			this.failed = true;
+			this.link.lost(LinkSign.RESET, System.nanoTime());
+			ctx.close();
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext ctx) {
+			if (this.failed) {
+				RelaySession.this.client.close();
+			}
+			else {
+				RelaySession.this.client.writeAndFlush(RelayFrame.END.of()).addListener(ChannelFutureListener.CLOSE);
+			}
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -163,7 +164,8 @@
 		String instance = this.endpoint.instance();
 		long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - this.lastActivityAt);
 		PlacedRequest.Estimate estimate = this.placed.estimate(now);
-		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, end.name(),
+		String relay = Optional.ofNullable(this.connection).flatMap(EndpointConnection::relay).orElse(null);
+		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, relay, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0);
 	}
@@ -338,7 +340,7 @@
 				.connections()
 				.requestLost(this.endpoint, this.connection, System.nanoTime() - this.sentAt);
 		}
-		end(AttemptEnd.BROKEN, Outcome.LOST);
+		end(AttemptEnd.BROKEN, lossOutcome());
 	}
 
 	/**
@@ -354,6 +356,15 @@
 		if (silentNanos > linkSilenceNanos()) {
 			this.connection.link().lost(LinkSign.SILENT, now);
 		}
+		if (silentNanos > STREAM_PAUSE_NANOS && this.silenceCheck != null && this.connection.link().isPathDoubted(now)
+				&& this.exchange.mayReplaceAttempt()) {
+			abandon(AttemptEnd.SILENT, lossOutcome());
+		}
+	}
+
+	// An endpoint that is lost together with others is reached over another path.
+	private Outcome lossOutcome() {
+		return (this.connection.link().isPathDoubted(System.nanoTime())) ? Outcome.UNKNOWN : Outcome.LOST;
 	}
 
 	private long linkSilenceNanos() {
@@ -385,7 +396,7 @@
 			scheduleSilenceCheck(timeout - silentNanos);
 		}
 		else if (this.exchange.mayReplaceAttempt()) {
-			abandon(AttemptEnd.SILENT, Outcome.LOST);
+			abandon(AttemptEnd.SILENT, lossOutcome());
 		}
 		else {
 			scheduleSilenceCheck(timeout / 2);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.route;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -17,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.acaciacourse.core.path.EndpointLink;
 import org.acaciacourse.core.path.LinkSign;
+import org.acaciacourse.core.route.FleetEndpoint;
 
 /**
  * One connection to an endpoint, which carries one request at a time. A connection is
@@ -31,8 +33,12 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+	private final FleetEndpoint endpoint;
+
 	private final EndpointLink link;
 
+	private final Optional<String> relay;
+
 	private final Consumer<EndpointConnection> onClosed;
 
 	private Channel channel;
@@ -49,6 +55,8 @@
 
 	private boolean connectionReset;
 
+	private boolean stopping;
+
 	private long usableUntil = Long.MAX_VALUE;
 
 	private long idleSince = System.nanoTime();
@@ -57,11 +65,16 @@
 
 	/**
 	 * Create a connection handler.
+	 * @param endpoint the endpoint
 	 * @param link the link that the connection runs over
+	 * @param relay the VM that relays the connection; empty if it is direct
 	 * @param onClosed called when the connection is closed
 	 */
-	EndpointConnection(EndpointLink link, Consumer<EndpointConnection> onClosed) {
+	EndpointConnection(FleetEndpoint endpoint, EndpointLink link, Optional<String> relay,
+			Consumer<EndpointConnection> onClosed) {
+		this.endpoint = endpoint;
 		this.link = link;
+		this.relay = relay;
 		this.onClosed = onClosed;
 	}
 
@@ -70,6 +83,18 @@
 		this.channel = ctx.channel();
 	}
 
+	FleetEndpoint endpoint() {
+		return this.endpoint;
+	}
+
+	/**
+	 * Return the VM that relays the connection.
+	 * @return its address, empty if the connection is direct
+	 */
+	Optional<String> relay() {
+		return this.relay;
+	}
+
 	EndpointLink link() {
 		return this.link;
 	}
@@ -80,7 +105,7 @@
 	 * @return whether it is open, idle, and not about to be closed by its endpoint
 	 */
 	boolean isUsable(long now) {
-		return this.channel.isActive() && this.listener == null && now < this.usableUntil;
+		return this.channel.isActive() && this.listener == null && !this.stopping && now < this.usableUntil;
 	}
 
 	/**
@@ -122,7 +147,17 @@
 	 */
 	void abandon() {
 		this.listener = null;
-		this.channel.close();
+		if (this.channel != null) {
+			this.channel.close();
+		}
+	}
+
+	/** Close the connection, after the response if it carries a request. */
+	void closeAfterResponse() {
+		this.stopping = true;
+		if (this.listener == null) {
+			this.channel.close();
+		}
 	}
 
 	@Override
@@ -191,7 +226,8 @@
 		this.listener = null;
 		// An endpoint may respond before it has read the whole request. The next request
 		// would then be written behind the rest of this one, which is still being sent.
-		boolean reusable = !this.closeAfterResponse && this.requestWritten.isSuccess() && this.channel.isActive();
+		boolean reusable = !this.closeAfterResponse && !this.stopping && this.requestWritten.isSuccess()
+				&& this.channel.isActive();
 		if (!reusable) {
 			this.channel.close();
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -1,33 +1,24 @@
 package org.acaciacourse.daemon.route;
 
-import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.vavr.control.Try;
-import jdk.net.ExtendedSocketOptions;
 import org.acaciacourse.core.balance.IdleLimit;
-import org.acaciacourse.core.path.EndpointLink;
-import org.acaciacourse.core.path.LinkSign;
-import org.acaciacourse.core.path.PathLinks;
+import org.acaciacourse.core.path.EndpointPaths;
 import org.acaciacourse.core.route.FleetEndpoint;
-import org.acaciacourse.daemon.inner.InternalConnection;
+import org.acaciacourse.daemon.inner.SharedKey;
 
 /**
  * The connections to the endpoints, kept by instance: an address may be reassigned to
@@ -38,9 +29,6 @@
  */
 final class EndpointConnections {
 
-	/** A SYN and its reply take milliseconds; a lost SYN is sent again after a second. */
-	private static final int CONNECT_TIMEOUT_MILLIS = 600;
-
 	/**
 	 * How long an idle connection is used if its endpoint does not state for how long it
 	 * keeps it. Shorter than the idle timeouts of common servers.
@@ -53,109 +41,94 @@
 	 */
 	private static final double IDLE_TIMEOUT_SHARE = 0.8;
 
-	/** With three probes a second apart, a dead peer is detected within four seconds. */
-	private static final int KEEPALIVE_SECONDS = 1;
-
-	private static final int KEEPALIVE_PROBES = 3;
-
-	private static final int MAX_INITIAL_LINE_BYTES = 4 * 1024;
-
-	private static final int MAX_HEADER_BYTES = 32 * 1024;
+	private final EndpointPaths paths;
 
-	private static final int MAX_CHUNK_BYTES = 64 * 1024;
-
-	private final EventLoop loop;
+	private final EndpointConnector connector;
 
 	private final Map<String, Deque<EndpointConnection>> idleConnections = new HashMap<>();
 
+	/** The endpoints to which the direct path is being probed. */
+	private final Set<String> probing = new HashSet<>();
+
 	private final Map<String, Long> idleTimeoutNanos = new HashMap<>();
 
 	private final Map<String, IdleLimit> idleLimits = new HashMap<>();
 
-	private final PathLinks directLinks = new PathLinks(new LinkLog());
-
-	EndpointConnections(EventLoop loop) {
-		this.loop = loop;
+	/**
+	 * Create the connections of a VM.
+	 * @param loop their event loop
+	 * @param paths the paths to the endpoints
+	 * @param relayKey the key that relays ask for, if connections may be relayed at all
+	 * @param relaysAllowed returns whether the policy permits relays
+	 */
+	EndpointConnections(EventLoop loop, EndpointPaths paths, Optional<SharedKey> relayKey,
+			BooleanSupplier relaysAllowed) {
+		this.paths = paths;
+		this.connector = new EndpointConnector(loop, paths, relayKey, relaysAllowed, this::remove);
 	}
 
 	/**
-	 * Get a connection: the most recently used idle one, or else a new one.
+	 * Get a connection: the most recently used idle one over a path that works, or else a
+	 * new one.
 	 * @param endpoint the endpoint
 	 * @param onReady receives the connection, or the reason why there is none; possibly
 	 * called before this method returns
 	 */
 	void acquire(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
 		Optional<EndpointConnection> idle = takeIdle(endpoint);
-		if (idle.isPresent()) {
-			onReady.accept(Try.success(idle.get()));
+		if (idle.isEmpty()) {
+			this.connector.connect(endpoint, onReady, (spare) -> release(endpoint, spare));
+			return;
 		}
-		else {
-			connect(endpoint, onReady);
+		if (idle.get().relay().isPresent()) {
+			probe(endpoint);
 		}
+		onReady.accept(Try.success(idle.get()));
 	}
 
-	private void connect(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
-		EndpointLink link = this.directLinks.link(endpoint.instance());
-		EndpointConnection connection = new EndpointConnection(link, (closed) -> remove(endpoint.instance(), closed));
-		Bootstrap bootstrap = new Bootstrap().group(this.loop)
-			.channel(NioSocketChannel.class)
-			.option(ChannelOption.TCP_NODELAY, true)
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.option(ChannelOption.SO_KEEPALIVE, true)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
-			.option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-			.handler(new ChannelInitializer<Channel>() {
-
-				@Override
-				protected void initChannel(Channel channel) {
-					channel.pipeline()
-						.addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
-					channel.pipeline().addLast(connection);
-				}
-
+	// Finds out whether the direct path is back; the connection serves a later request.
+	private void probe(FleetEndpoint endpoint) {
+		if (this.paths.direct().link(endpoint.instance()).mayConnect(System.nanoTime())
+				&& this.probing.add(endpoint.instance())) {
+			this.connector.connectDirectly(endpoint, (result) -> {
+				this.probing.remove(endpoint.instance());
+				result.forEach((connection) -> release(endpoint, connection));
 			});
-		InetSocketAddress address = InternalConnection.parse(endpoint.address());
-		bootstrap.connect(address).addListener((future) -> {
-			recordConnect(link, Optional.ofNullable(future.cause()));
-			onReady.accept((future.isSuccess()) ? Try.success(connection) : Try.failure(future.cause()));
-		});
-	}
-
-	private static void recordConnect(EndpointLink link, Optional<Throwable> failure) {
-		long now = System.nanoTime();
-		if (failure.isEmpty()) {
-			link.alive(now);
-		}
-		else {
-			link.lost((isRefused(failure.get())) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
 		}
 	}
 
-	/**
-	 * Return whether a connection was refused, as no process listens. A timeout may also
-	 * be due to a lost packet. Netty's exception for timeouts extends ConnectException.
-	 * @param failure why there is no connection
-	 * @return whether it was refused
-	 */
-	static boolean isRefused(Throwable failure) {
-		return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
-	}
-
 	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint) {
-		Deque<EndpointConnection> connections = this.idleConnections.get(endpoint.instance());
+		Deque<EndpointConnection> connections = this.idleConnections.getOrDefault(endpoint.instance(),
+				new ArrayDeque<>());
 		long now = System.nanoTime();
 		long maxIdleNanos = idleLimit(endpoint.pool()).limit(now);
-		while (connections != null && !connections.isEmpty()) {
-			EndpointConnection connection = connections.pollLast();
-			if (connection.isUsable(now) && connection.idleNanos(now) < maxIdleNanos) {
+		connections.removeIf((connection) -> {
+			boolean drop = !isWorthKeeping(connection, now) || connection.idleNanos(now) >= maxIdleNanos;
+			if (drop) {
+				connection.abandon();
+			}
+			return drop;
+		});
+		Iterator<EndpointConnection> latestFirst = connections.descendingIterator();
+		while (latestFirst.hasNext()) {
+			EndpointConnection connection = latestFirst.next();
+			if (connection.link().isTrusted()) {
+				latestFirst.remove();
 				return Optional.of(connection);
 			}
-			connection.abandon();
 		}
 		return Optional.empty();
 	}
 
+	// A relayed connection is only used while the direct path does not work.
+	private boolean isWorthKeeping(EndpointConnection connection, long now) {
+		boolean needed = connection.relay()
+			.map((relay) -> this.paths.isPeer(relay)
+					&& !this.paths.direct().link(connection.endpoint().instance()).isTrusted())
+			.orElse(true);
+		return needed && connection.isUsable(now);
+	}
+
 	/**
 	 * Take back a connection after a complete response.
 	 * @param endpoint its endpoint
@@ -200,16 +173,12 @@
 		return connections != null && !connections.isEmpty();
 	}
 
-	PathLinks directLinks() {
-		return this.directLinks;
-	}
-
 	int idleCount() {
 		return this.idleConnections.values().stream().mapToInt(Deque::size).sum();
 	}
 
-	private void remove(String instance, EndpointConnection connection) {
-		Deque<EndpointConnection> connections = this.idleConnections.get(instance);
+	private void remove(EndpointConnection connection) {
+		Deque<EndpointConnection> connections = this.idleConnections.get(connection.endpoint().instance());
 		if (connections != null) {
 			connections.remove(connection);
 		}
@@ -222,12 +191,12 @@
 	 */
 	void sweep(Predicate<String> isInFleet) {
 		long now = System.nanoTime();
-		this.directLinks.retain(isInFleet);
+		this.paths.retain(isInFleet);
 		this.idleTimeoutNanos.keySet().removeIf((instance) -> !isInFleet.test(instance));
 		this.idleConnections.entrySet().removeIf((entry) -> {
 			boolean inFleet = isInFleet.test(entry.getKey());
 			entry.getValue().removeIf((connection) -> {
-				boolean drop = !inFleet || !connection.isUsable(now);
+				boolean drop = !inFleet || !isWorthKeeping(connection, now);
 				if (drop) {
 					connection.abandon();
 				}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LinkLog.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LinkLog.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.route;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -19,25 +20,35 @@
 	/** An endpoint that fails now and then is lost and regained many times. */
 	private static final int MAX_LINES_PER_SECOND = 20;
 
+	private final String relay;
+
 	private final LogRateLimiter limiter = new LogRateLimiter(MAX_LINES_PER_SECOND, System.nanoTime());
 
+	/**
+	 * Create a log of the links over one path.
+	 * @param relay the relay of the path, empty for the direct one
+	 */
+	LinkLog(Optional<String> relay) {
+		this.relay = relay.orElse(null);
+	}
+
 	@Override
 	public void linkLost(String endpoint, LinkSign sign, int lost, int known) {
 		this.limiter.tryAcquire(System.nanoTime())
-			.ifPresent((suppressed) -> DecisionLog.write(LogEvent.LINK_LOST, endpoint, sign.name(), lost, known,
-					suppressed));
+			.ifPresent((suppressed) -> DecisionLog.write(LogEvent.LINK_LOST, endpoint, this.relay, sign.name(), lost,
+					known, suppressed));
 	}
 
 	@Override
 	public void linkRegained(String endpoint, long lostNanos) {
 		OptionalLong suppressed = this.limiter.tryAcquire(System.nanoTime());
-		suppressed.ifPresent((count) -> DecisionLog.write(LogEvent.LINK_REGAINED, endpoint,
+		suppressed.ifPresent((count) -> DecisionLog.write(LogEvent.LINK_REGAINED, endpoint, this.relay,
 				TimeUnit.NANOSECONDS.toMillis(lostNanos), count));
 	}
 
 	@Override
 	public void pathDoubted(int lost, int known) {
-		DecisionLog.write(LogEvent.LINKS_DOUBTED, lost, known);
+		DecisionLog.write(LogEvent.LINKS_DOUBTED, this.relay, lost, known);
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -54,7 +52,7 @@
 
 	private Fleet fleet = Fleet.NONE;
 
-	private Set<String> instances = Set.of();
+	private Map<String, FleetEndpoint> endpoints = Map.of();
 
 	private List<Pool> declaredPools = List.of();
 
@@ -121,12 +119,12 @@
 	void fleet(Fleet next) {
 		this.fleet = next;
 		Map<String, List<FleetEndpoint>> byPool = new HashMap<>();
-		Set<String> present = new HashSet<>();
+		Map<String, FleetEndpoint> present = new HashMap<>();
 		next.endpoints().forEach((endpoint) -> {
 			byPool.computeIfAbsent(endpoint.pool(), (pool) -> new ArrayList<>()).add(endpoint);
-			present.add(endpoint.instance());
+			present.put(endpoint.instance(), endpoint);
 		});
-		this.instances = present;
+		this.endpoints = present;
 		byPool.keySet().forEach(this::state);
 		this.states.forEach((pool, state) -> state.balancer().endpoints(byPool.getOrDefault(pool, List.of())));
 		applySharers();
@@ -295,8 +293,12 @@
 		return this.declaredPools.stream().filter((p) -> p.name().equals(pool)).findFirst();
 	}
 
+	Optional<FleetEndpoint> endpoint(String instance) {
+		return Optional.ofNullable(this.endpoints.get(instance));
+	}
+
 	boolean isInFleet(String instance) {
-		return this.instances.contains(instance);
+		return this.endpoints.containsKey(instance);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -25,6 +25,8 @@
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.path.EndpointLink;
+import org.acaciacourse.core.path.EndpointPaths;
 import org.acaciacourse.core.route.CallerLimits;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -35,7 +37,9 @@
 import org.acaciacourse.daemon.http.HttpLimits;
 import org.acaciacourse.daemon.http.NettyHttpServer;
 import org.acaciacourse.daemon.http.RequestHandler;
+import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.relay.RelayServer;
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -65,6 +69,9 @@
 	/** About the usual number of requests per second on an entry VM. */
 	private static final int MAX_LATE_LINES_PER_SECOND = 10;
 
+	/** Stands for this VM if it knows no others. */
+	private static final LoadPeer NO_PEER = new LoadPeer("", "");
+
 	private static final Duration READ_TIMEOUT = Duration.ofSeconds(20);
 
 	private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("io"),
@@ -80,6 +87,8 @@
 
 	private final PoolStates pools;
 
+	private final EndpointPaths paths;
+
 	private final EndpointConnections connections;
 
 	private final RouteMetrics metrics = new RouteMetrics();
@@ -94,6 +103,8 @@
 
 	private final Optional<LoadGossip> gossip;
 
+	private final Optional<RelayServer> relays;
+
 	private Optional<AdminServer> admin = Optional.empty();
 
 	private boolean closed;
@@ -120,7 +131,10 @@
 		this.controlLink = controlLink;
 		this.limits = new HttpLimits(CallerLimits.DEFAULT.maxBodyBytes(), options.maxConnections(), READ_TIMEOUT,
 				CallerLimits.DEFAULT.maxHeaderBytes(), CallerLimits.DEFAULT.idleTimeout());
-		this.connections = new EndpointConnections(this.loop);
+		LoadPeer self = options.loadPeer().orElse(NO_PEER);
+		this.paths = new EndpointPaths(self, LinkLog::new);
+		this.connections = new EndpointConnections(this.loop, this.paths,
+				options.loadPeer().map((peer) -> options.relayKey()), this::areRelaysAllowed);
 		this.pools = new PoolStates(this.loop, options.retryBudget(), this.connections::hasIdle);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.metrics,
 				this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
@@ -128,7 +142,10 @@
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
 		this.fallback = new FleetFallback(options.fleetSource(), (fleet) -> applyFleet(fleet, "list"));
-		this.gossip = options.loadPeer().map((self) -> new LoadGossip(this.loop, this.pools, self));
+		this.gossip = options.loadPeer().map((peer) -> new LoadGossip(this.loop, this.pools, peer));
+		this.relays = options.loadPeer()
+			.map((peer) -> new RelayServer(this.loop, InternalConnection.parse(peer.address()), options.relayKey(),
+					new RelayTargets()));
 	}
 
 	/**
@@ -165,6 +182,7 @@
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.execute(this::tick);
 		this.gossip.ifPresent((loadGossip) -> this.loop.execute(loadGossip::start));
+		this.relays.ifPresent((server) -> this.loop.execute(server::start));
 		this.fallback.start();
 		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
 	}
@@ -220,9 +238,9 @@
 		long now = System.nanoTime();
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(this.openExchanges.size(), this.callerServer.connections(),
-					this.connections.idleCount(), this.connections.directLinks().lostCount(), this.pools.tableNumber(),
-					(now - this.configuredAt) / 1e9, this.pools.sharing().vms(), this.pools.gauges(now),
-					this.pools.policy()));
+					this.connections.idleCount(), this.paths.direct().lostCount(), openRelays(),
+					this.pools.tableNumber(), (now - this.configuredAt) / 1e9, this.pools.sharing().vms(),
+					this.pools.gauges(now), this.pools.policy()));
 	}
 
 	/**
@@ -262,6 +280,7 @@
 		DecisionLog.write(LogEvent.STOPPING,
 				this.loop.submit(this.openExchanges::size).awaitUninterruptibly().getNow());
 		this.controlLink.announceLeaving();
+		this.relays.ifPresent((server) -> this.loop.execute(server::stopAccepting));
 		this.callerServer.closeAfterResponses();
 		StopWait.until(immediate, this.options.stopDelay(), () -> false);
 		this.callerServer.stopAccepting();
@@ -279,10 +298,15 @@
 	private boolean isIdle() {
 		boolean none = Boolean.TRUE
 			.equals(this.loop.submit(this.openExchanges::isEmpty).awaitUninterruptibly().getNow());
-		return none && this.callerServer.isFlushed();
+		return none && this.callerServer.isFlushed() && openRelays() == 0;
+	}
+
+	private int openRelays() {
+		return this.relays.map(RelayServer::open).orElse(0);
 	}
 
 	private void close() {
+		this.relays.ifPresent((server) -> this.loop.execute(server::close));
 		this.gossip.ifPresent((loadGossip) -> this.loop.execute(loadGossip::stop));
 		this.fallback.close();
 		this.callerServer.close();
@@ -292,6 +316,10 @@
 		this.eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
+	private boolean areRelaysAllowed() {
+		return this.pools.policy().isOn(RoutingMechanism.RELAYED_CONNECTIONS);
+	}
+
 	private static void logFleet(Fleet fleet, String source) {
 		long leaving = fleet.endpoints().stream().filter(FleetEndpoint::leaving).count();
 		DecisionLog.write(LogEvent.FLEET, Long.toHexString(fleet.revision()), fleet.endpoints().size(), leaving,
@@ -335,8 +363,10 @@
 
 		@Override
 		public void peersReceived(List<LoadPeer> peers) {
-			RouteDaemon.this.gossip
-				.ifPresent((loadGossip) -> RouteDaemon.this.loop.execute(() -> loadGossip.peers(peers)));
+			RouteDaemon.this.loop.execute(() -> {
+				RouteDaemon.this.paths.peers(peers);
+				RouteDaemon.this.gossip.ifPresent((loadGossip) -> loadGossip.peers(peers));
+			});
 		}
 
 		@Override
@@ -366,6 +396,21 @@
 
 	}
 
+	/** The endpoints that this VM relays connections to. */
+	private final class RelayTargets implements RelayServer.Targets {
+
+		@Override
+		public Optional<FleetEndpoint> find(String instance) {
+			return RouteDaemon.this.pools.endpoint(instance);
+		}
+
+		@Override
+		public EndpointLink link(String instance) {
+			return RouteDaemon.this.paths.direct().link(instance);
+		}
+
+	}
+
 	/** Responds to every request at its address with whether the VM is ready. */
 	private final class ReadinessHandler implements RequestHandler {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -18,7 +18,7 @@
  */
 final class RouteGauges {
 
-	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
+	private volatile Snapshot latest = new Snapshot(0, 0, 0, 0, 0, 0, 0, 0, Map.of(), RoutingPolicy.DEFAULT);
 
 	RouteGauges(PrometheusRegistry registry) {
 		gauge(registry, "acaciacourse_routed_open_requests", "Routed requests without an end", Snapshot::openRequests);
@@ -32,6 +32,8 @@
 				Snapshot::configurationAge);
 		gauge(registry, "acaciacourse_retry_sharers", "Entry VMs that the retry budgets are divided by",
 				Snapshot::sharers);
+		gauge(registry, "acaciacourse_relayed_connections", "Connections that this VM relays for others",
+				Snapshot::relayedConnections);
 		perMechanism(registry);
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
@@ -81,13 +83,14 @@
 	 * @param callerConnections open connections of callers
 	 * @param idleConnections idle connections to endpoints
 	 * @param lostLinks endpoints that this VM cannot reach
+	 * @param relayedConnections connections that this VM relays for others
 	 * @param configurationNumber the number of the configuration in force, 0 for none
 	 * @param configurationAge seconds since it came into force
 	 * @param sharers entry VMs among which the retry budgets are divided
 	 * @param pools the pools by name
 	 * @param policy the routing policy in force
 	 */
-	record Snapshot(int openRequests, int callerConnections, int idleConnections, int lostLinks,
+	record Snapshot(int openRequests, int callerConnections, int idleConnections, int lostLinks, int relayedConnections,
 			long configurationNumber, double configurationAge, int sharers, Map<String, Pool> pools,
 			RoutingPolicy policy) {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -8,6 +8,7 @@
 import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.control.FleetSource;
+import org.acaciacourse.daemon.inner.SharedKey;
 
 /**
  * Options of the entry daemon for routed requests.
@@ -18,6 +19,7 @@
  * @param ready the address of the readiness server
  * @param metrics the address for health and metrics, if there is one
  * @param loadPeer the identity of this VM in the exchange of loads, if it takes part
+ * @param relayKey the key with which entry VMs ask each other to relay connections
  * @param retryBudget the retry budget
  * @param maxConnections the maximum number of caller connections
  * @param stopDelay how long callers are still accepted after a stop was requested, so
@@ -28,14 +30,15 @@
  * @param policy the initial routing policy
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
-		Optional<LoadPeer> loadPeer, RetryBudgetOptions retryBudget, int maxConnections, Duration stopDelay,
-		Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy) {
+		Optional<LoadPeer> loadPeer, SharedKey relayKey, RetryBudgetOptions retryBudget, int maxConnections,
+		Duration stopDelay, Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
 		Objects.requireNonNull(ready, "ready");
 		Objects.requireNonNull(metrics, "metrics");
 		Objects.requireNonNull(loadPeer, "loadPeer");
+		Objects.requireNonNull(relayKey, "relayKey");
 		Objects.requireNonNull(retryBudget, "retryBudget");
 		Objects.requireNonNull(fleetSource, "fleetSource");
 		Objects.requireNonNull(policy, "policy");
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -29,6 +29,7 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
+import org.acaciacourse.daemon.relay.TcpSockets;
 
 /**
  * One routed request from its arrival to its end: makes the attempts that
@@ -228,7 +229,7 @@
 	}
 
 	private static Outcome outcomeOf(Throwable failure) {
-		return (EndpointConnections.isRefused(failure)) ? Outcome.GONE : Outcome.LOST;
+		return (TcpSockets.isRefused(failure)) ? Outcome.GONE : Outcome.LOST;
 	}
 
 	private void send(Attempt attempt, FleetEndpoint endpoint, EndpointConnection connection) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -54,14 +54,15 @@
 	@Test
 	void snapshotIsExposedAsGauges() throws IOException {
 		this.metrics.gauges()
-			.publish(
-					new RouteGauges.Snapshot(3, 5, 7, 9, 12, 1.5, 6, Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
-							new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
+			.publish(new RouteGauges.Snapshot(3, 5, 7, 9, 8, 12, 1.5, 6,
+					Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
+					new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
 		String page = page();
 		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
 		assertThat(page).contains("acaciacourse_configuration_number 12.0");
 		assertThat(page).contains("acaciacourse_retry_sharers 6.0");
 		assertThat(page).contains("acaciacourse_endpoint_links_lost 9.0");
+		assertThat(page).contains("acaciacourse_relayed_connections 8.0");
 		assertThat(page).contains("acaciacourse_pool_waiting_requests{pool=\"engines\"} 2.0");
 		assertThat(page).contains("acaciacourse_pool_retries_left{pool=\"engines\"} 6.5");
 	}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -342,6 +342,17 @@
   4: i32 brief,
 }
 
+/* Asks an entry to connect to an endpoint and to pass on what both sides send. */
+struct RelayOpenRecord {
+  1: string sharedKey,
+  2: string instance,
+}
+
+/* The answer, with the number of a result. */
+struct RelayOpenedRecord {
+  1: i32 result,
+}
+
 /* An endpoint that the platform lists. */
 struct FleetRecord {
   1: string instance,
--- a/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
@@ -254,7 +254,9 @@
 				}
 			}
 			catch (IOException ex) {
-				// Either end closed.
+				// Either end was reset or closed. A reset must not look like an end.
+				reset();
+				return;
 			}
 			if (!this.silent) {
 				close();
@@ -270,8 +272,12 @@
 		}
 
 		private void reset() {
+			if (this.silent) {
+				return;
+			}
 			try {
 				this.caller.setSoLinger(true, 0);
+				this.target.setSoLinger(true, 0);
 			}
 			catch (IOException ex) {
 				// Closed already.
