A request is moved off a cut link only when another path leads to its endpoint

A sound endpoint may be silent for a second and go on. When several were, the doubt about the links had streams that may be resumed moved after 0.4 s; the streams went on where they were.

--- a/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
+++ b/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
@@ -100,6 +100,20 @@
 				(address) -> new PathLinks(this.listeners.apply(Optional.of(address))));
 	}
 
+	/**
+	 * Return whether an endpoint is known to be reachable, but not directly. Silence
+	 * alone does not tell: an endpoint that is sound may send nothing for a second.
+	 * @param endpoint its instance
+	 * @param now the time
+	 * @return whether a direct connection failed lately and a relay has reached the
+	 * endpoint since the direct link was lost
+	 */
+	public boolean isDirectLinkAtFault(String endpoint, long now) {
+		EndpointLink link = this.direct.link(endpoint);
+		return !link.mayConnect(now)
+				&& this.relayed.values().stream().anyMatch((links) -> links.isAliveSince(endpoint, link.lostAt()));
+	}
+
 	/**
 	 * Record that a relay can't be reached or accepts no connections.
 	 * @param relay its address
--- a/core/src/main/java/org/acaciacourse/core/path/PathLinks.java
+++ b/core/src/main/java/org/acaciacourse/core/path/PathLinks.java
@@ -95,6 +95,11 @@
 		return link != null && link.wasLostWithin(nanos, now);
 	}
 
+	boolean isAliveSince(String endpoint, long time) {
+		EndpointLink link = this.links.get(endpoint);
+		return link != null && link.aliveAt() > time;
+	}
+
 	void alive(long now) {
 		this.aliveAt = now;
 	}
--- a/core/src/test/java/org/acaciacourse/core/path/EndpointPathsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/path/EndpointPathsTests.java
@@ -124,6 +124,38 @@
 
 	}
 
+	@Nested
+	class Fault {
+
+		private EndpointLink direct() {
+			return EndpointPathsTests.this.paths.direct().link("i-1");
+		}
+
+		private boolean isLinkAtFault(long now) {
+			return EndpointPathsTests.this.paths.isDirectLinkAtFault("i-1", now);
+		}
+
+		// Guards against requests that are moved away from an endpoint which is only
+		// slow.
+		@Test
+		void silenceAloneIsNotBlamedOnTheLink() {
+			peers("a");
+			EndpointPathsTests.this.paths.through("a0:1").link("i-1").connected(2 * SECOND);
+			direct().lost(LinkSign.SILENT, SECOND);
+			assertThat(isLinkAtFault(2 * SECOND)).isFalse();
+		}
+
+		@Test
+		void linkIsAtFaultIfOnlyARelayReachesTheEndpoint() {
+			peers("a");
+			direct().connectFailed(LinkSign.TIMEOUT, SECOND);
+			assertThat(isLinkAtFault(SECOND + 1)).isFalse();
+			EndpointPathsTests.this.paths.through("a0:1").link("i-1").connected(SECOND + 1);
+			assertThat(isLinkAtFault(SECOND + 2)).isTrue();
+		}
+
+	}
+
 	@Nested
 	class Probing {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -356,7 +356,8 @@
 		if (silentNanos > linkSilenceNanos()) {
 			this.connection.link().lost(LinkSign.SILENT, now);
 		}
-		if (silentNanos > STREAM_PAUSE_NANOS && this.silenceCheck != null && this.connection.link().isPathDoubted(now)
+		if (silentNanos > STREAM_PAUSE_NANOS && this.silenceCheck != null
+				&& this.exchange.context().connections().isKnownToBeCut(this.connection)
 				&& this.exchange.mayReplaceAttempt()) {
 			abandon(AttemptEnd.SILENT, lossOutcome());
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -140,6 +140,17 @@
 		this.idleConnections.computeIfAbsent(endpoint.instance(), (instance) -> new ArrayDeque<>()).addLast(connection);
 	}
 
+	/**
+	 * Return whether a connection is direct and known to be cut, while another path leads
+	 * to its endpoint.
+	 * @param connection the connection
+	 * @return whether requests on it are better sent over that path
+	 */
+	boolean isKnownToBeCut(EndpointConnection connection) {
+		return connection.relay().isEmpty()
+				&& this.paths.isDirectLinkAtFault(connection.endpoint().instance(), System.nanoTime());
+	}
+
 	/**
 	 * Set how long an endpoint keeps idle connections.
 	 * @param endpoint the endpoint
