--- a/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/TcpProxy.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -39,6 +38,8 @@
 
 	private volatile ServerSocket listener;
 
+	private volatile Thread acceptor;
+
 	private volatile long delayNanos;
 
 	/**
@@ -50,7 +51,7 @@
 		this.targetPort = targetPort;
 		this.listener = new ServerSocket(FreePorts.next(), BACKLOG, InetAddress.getLoopbackAddress());
 		this.port = this.listener.getLocalPort();
-		start(() -> accept(this.listener));
+		this.acceptor = start(() -> accept(this.listener));
 	}
 
 	/**
@@ -83,16 +84,22 @@
 	 * @throws IOException if the port can't be used
 	 */
 	public synchronized void isolate(Cut cut) throws IOException {
-		this.listener.close();
+		closeListener();
 		if (cut.hangs) {
 			fillQueue();
 		}
 		cut.apply(this.links);
 	}
 
+	// Until its thread has noticed the close, a listener goes on accepting.
+	private void closeListener() throws IOException {
+		this.listener.close();
+		Waiting.until("listener closed", () -> !this.acceptor.isAlive());
+	}
+
 	// With a full queue of connections the kernel drops the packets that open one.
 	private void fillQueue() throws IOException {
-		this.listener = listen(1);
+		this.listener = new ServerSocket(this.port, 1, InetAddress.getLoopbackAddress());
 		for (boolean full = false; !full;) {
 			Socket filler = new Socket();
 			this.fillers.add(filler);
@@ -105,29 +112,19 @@
 		}
 	}
 
-	// The port is free once the thread that accepted on it has noticed the close.
-	private ServerSocket listen(int backlog) {
-		AtomicReference<ServerSocket> bound = new AtomicReference<>();
-		Waiting.until("port " + this.port + " free", () -> {
-			bound.set(new ServerSocket(this.port, backlog, InetAddress.getLoopbackAddress()));
-			return true;
-		});
-		return bound.get();
-	}
-
 	/**
 	 * Let new connections pass again.
 	 * @throws IOException if the port can't be used
 	 */
 	public synchronized void restore() throws IOException {
-		this.listener.close();
+		closeListener();
 		for (Socket filler : this.fillers) {
 			filler.close();
 		}
 		this.fillers.clear();
-		ServerSocket next = listen(BACKLOG);
+		ServerSocket next = new ServerSocket(this.port, BACKLOG, InetAddress.getLoopbackAddress());
 		this.listener = next;
-		start(() -> accept(next));
+		this.acceptor = start(() -> accept(next));
 	}
 
 	/**
@@ -176,10 +173,11 @@
 		}
 	}
 
-	private static void start(Runnable duty) {
+	private static Thread start(Runnable duty) {
 		Thread thread = new Thread(duty, "proxy");
 		thread.setDaemon(true);
 		thread.start();
+		return thread;
 	}
 
 	/** What callers see of a cut. */
