Endpoints that state a limit on refusals are not pushed beyond it

Endpoints may state that they fail if they have to refuse more than N requests within a second; nothing read it, and entries went on sending to full endpoints every 0.1 s. While the limit is stated an entry sends only what fits into an endpoint's slots by what is known of all entries, and after a refusal nothing for so long that all entries stay within half of the limit. The line refusal-limit tells when it applies.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -45,8 +45,25 @@
 	 */
 	private static final long SUSPECT_AFTER_NANOS = 400_000_000L;
 
+	/**
+	 * The room that an endpoint is assumed to have beyond its slots while it must not
+	 * refuse requests.
+	 */
+	private static final double MAX_ROOM_FACTOR = 1.25;
+
+	/** By how much a refusal reduces the room that an endpoint is assumed to have. */
+	private static final double ROOM_AFTER_REFUSAL = 0.8;
+
+	/** How much a response adds to it. */
+	private static final double ROOM_PER_RESPONSE = 0.05;
+
+	/** The time over which the rate of requests to the endpoint is averaged. */
+	private static final long RECENT_NANOS = 300_000_000L;
+
 	private final PeerLoads peers;
 
+	private final RefusalLimit refusalLimit;
+
 	private final int id;
 
 	private final long hash;
@@ -81,9 +98,18 @@
 
 	private long pausedUntil = Long.MIN_VALUE / 2;
 
-	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers) {
+	private double room;
+
+	/** Requests of this VM, each of which counts less as time passes. */
+	private double recentRequests;
+
+	private long recentAt;
+
+	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit) {
 		this.endpoint = endpoint;
 		this.peers = peers;
+		this.refusalLimit = refusalLimit;
+		this.room = endpoint.slots();
 		this.id = PeerLoads.idOf(endpoint.instance());
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
 	}
@@ -188,6 +214,7 @@
 	}
 
 	void succeeded() {
+		this.room = Math.min(this.endpoint.slots() * MAX_ROOM_FACTOR, this.room + ROOM_PER_RESPONSE);
 		this.failureRate *= 1 - FAILURE_WEIGHT;
 		this.consecutiveLosses = 0;
 		this.pausedUntil = Long.MIN_VALUE / 2;
@@ -206,7 +233,42 @@
 		this.pausedUntil = now + pause;
 	}
 
-	// The endpoint reported that it is full or leaving.
+	// The endpoint refused a request for want of room.
+	void full(long now, long pause) {
+		this.room = Math.max(1, ROOM_AFTER_REFUSAL * Math.min(this.room, running(now)));
+		refused(now, this.refusalLimit.pauseNanos(pause, now));
+	}
+
+	void refusalLimitStated(int refusalsPerSecond, long now) {
+		this.refusalLimit.stated(refusalsPerSecond, now);
+	}
+
+	// Whether it may get another request; without a limit on refusals it may be asked.
+	boolean hasRoom(long now) {
+		return !this.refusalLimit.applies(now) || running(now) + untoldRequests(now) < this.room;
+	}
+
+	// Requests that the other VMs have sent since their last digests, if they send as
+	// many as this one.
+	private double untoldRequests(long now) {
+		double perNano = recentRequests(now) / RECENT_NANOS;
+		return perNano * this.peers.intervalNanos() / 2 * this.peers.peerCount();
+	}
+
+	private double recentRequests(long now) {
+		return this.recentRequests * Math.exp(-(double) (now - this.recentAt) / RECENT_NANOS);
+	}
+
+	/**
+	 * Record that a request is sent.
+	 * @param now the time
+	 */
+	void requestSent(long now) {
+		this.recentRequests = recentRequests(now) + 1;
+		this.recentAt = now;
+	}
+
+	// The endpoint reported that it is leaving, or was full.
 	void refused(long now, long pause) {
 		this.pausedUntil = Math.max(this.pausedUntil, now + pause);
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/Outcome.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/Outcome.java
@@ -44,7 +44,7 @@
 	FULL {
 		@Override
 		void apply(EndpointLoad load, long now) {
-			load.refused(now, Pause.FULL_NANOS);
+			load.full(now, Pause.FULL_NANOS);
 		}
 	},
 
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -83,6 +83,15 @@
 		this.load.report(running, waiting, now);
 	}
 
+	/**
+	 * Record that the endpoint fails if it has to refuse more requests than it stated.
+	 * @param perSecond the refusals within a second that it endures
+	 * @param now the time
+	 */
+	public void reportRefusalLimit(int perSecond, long now) {
+		this.load.refusalLimitStated(perSecond, now);
+	}
+
 	/**
 	 * Record the first event of the response, which shows that the prompt is prefilled.
 	 * Later events have no effect.
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -45,6 +46,8 @@
 
 	private final Predicate<String> connected;
 
+	private final RefusalLimit refusalLimit;
+
 	private int maxConnectionsPerEndpoint = Integer.MAX_VALUE;
 
 	private long engineCacheTokens;
@@ -75,6 +78,7 @@
 	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
 		this.peers = peers;
 		this.connected = connected;
+		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
 	}
@@ -143,7 +147,7 @@
 	}
 
 	private EndpointLoad newLoad(FleetEndpoint endpoint) {
-		EndpointLoad load = new EndpointLoad(endpoint, this.peers);
+		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit);
 		if (this.engineCacheTokens > 0) {
 			load.prefixCache().engineCacheTokens(this.engineCacheTokens);
 		}
@@ -268,7 +272,7 @@
 	}
 
 	private boolean isUsable(EndpointLoad load, Set<String> excluded, long now) {
-		boolean paused = load.isPaused(now) && this.policy.isOn(RoutingMechanism.PAUSES);
+		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
 		return !load.endpoint().leaving() && !paused && load.inFlight() < this.maxConnectionsPerEndpoint
 				&& !excluded.contains(load.endpoint().instance());
 	}
@@ -284,6 +288,7 @@
 	public PlacedRequest begin(String instance, Placement request, QueuePosition queuePosition, long now) {
 		samplerFor(request).requestSent(now);
 		EndpointLoad load = find(instance).orElseThrow();
+		load.requestSent(now);
 		PlacedRequest placed = new PlacedRequest(load, this.prefillRate, request, queuePosition);
 		request.shape().sharedParts().forEach((part) -> {
 			load.prefixCache().recordUse(part);
@@ -337,6 +342,15 @@
 		}).orElse(false);
 	}
 
+	/**
+	 * Return how many refusals within a second an endpoint endures, for the log.
+	 * @param now the time
+	 * @return the number, if the endpoints state a limit now
+	 */
+	public OptionalInt refusalLimit(long now) {
+		return this.refusalLimit.current(now);
+	}
+
 	/**
 	 * Return how the pool is divided, for the log.
 	 * @return the division, if there are enough endpoints
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -197,6 +197,7 @@
 		confirmArrival();
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		metadata.load().ifPresent((load) -> this.placed.report(load.running(), load.waiting(), this.lastActivityAt));
+		metadata.refusalLimit().ifPresent((limit) -> this.placed.reportRefusalLimit(limit, this.lastActivityAt));
 		metadata.idleTimeoutSeconds()
 			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -252,6 +252,18 @@
 		}));
 	}
 
+	/** Log the pools whose limit on refusals has changed; called periodically. */
+	void logRefusalLimits() {
+		long now = System.nanoTime();
+		this.states.forEach((pool, state) -> {
+			OptionalInt next = state.balancer().refusalLimit(now);
+			if (!next.equals(state.loggedRefusalLimit)) {
+				state.loggedRefusalLimit = next;
+				DecisionLog.write(LogEvent.REFUSAL_LIMIT, pool, next.orElse(0));
+			}
+		});
+	}
+
 	private void applySharers() {
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		int entries = Math.max(1, this.sharerCount.highest());
@@ -329,6 +341,8 @@
 
 		private int loggedEngines;
 
+		private OptionalInt loggedRefusalLimit = OptionalInt.empty();
+
 		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
 			this.balancer = balancer;
 			this.allowance = allowance;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -87,11 +87,13 @@
 	 * @param sealed whether it carries the endpoint's seal
 	 * @param notRun whether it states that the request was not run
 	 * @param load the load, if it is reported
+	 * @param refusalLimit how many refusals within a second the endpoint endures, if
+	 * there is a limit now
 	 * @param idleTimeoutSeconds how long the endpoint keeps an idle connection, if it is
 	 * stated
 	 */
 	record ResponseMetadata(String requestId, boolean sealed, boolean notRun, Optional<ReportedLoad> load,
-			OptionalInt idleTimeoutSeconds) {
+			OptionalInt refusalLimit, OptionalInt idleTimeoutSeconds) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -231,6 +231,7 @@
 		this.handler.logRefusalSummaries();
 		this.pools.refreshSharers();
 		this.pools.logDivisions();
+		this.pools.logRefusalLimits();
 		publishGauges();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -96,6 +96,12 @@
 	 */
 	DIVISION("division", "pool", "engines", "brief_running", "waiting_work"),
 
+	/**
+	 * The number of refusals within a second after which an endpoint of the pool fails; 0
+	 * once no endpoint states one any longer.
+	 */
+	REFUSAL_LIMIT("refusal-limit", "pool", "per_second"),
+
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
