--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingMechanism.java
@@ -51,8 +51,8 @@
 	/** An attempt from which nothing arrives is replaced by one at another endpoint. */
 	REPLACED_ATTEMPTS("replaced-attempts"),
 
-	/** Another entry VM relays connections to endpoints that this VM can't reach. */
-	RELAYED_CONNECTIONS("relayed-connections"),
+	/** Endpoints that this VM can't reach are reached through another entry VM. */
+	TUNNELS("tunnels"),
 
 	/** Some engines are reserved for requests with the tightest latency target. */
 	BRIEF_ENGINES("brief-engines"),
--- a/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
+++ b/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
@@ -19,24 +19,24 @@
 
 /**
  * Selects the paths over which a connection to an endpoint is tried: directly, or through
- * another entry VM that relays it. A VM that has lost its link to an endpoint can't tell
- * whether the endpoint or the link is at fault, but another VM may still reach it. A
- * needless relay costs little, a request that finds no path is lost. So a relay is tried
- * at the first doubt, and the direct path again every second.
+ * a tunnel of another entry VM, its peer. A VM that has lost its link to an endpoint
+ * can't tell whether the endpoint or the link is at fault, but another VM may still reach
+ * it. A needless tunnel costs little, a request that finds no path is lost. So a peer is
+ * tried at the first doubt, and the direct path again every second.
  * <p>
- * Invariant: a relay connects directly only, so that no connection passes more than one.
+ * Invariant: a peer connects directly only, so that no connection passes more than one.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class EndpointPaths {
 
 	/** Bounds the connections that are opened for one request. */
-	private static final int MAX_RELAYS = 5;
+	private static final int MAX_PEERS = 5;
 
-	/** How long a relay that can't help is not asked again. */
+	/** How long a peer that can't help is not asked again. */
 	private static final long EXCLUSION_NANOS = 1_000_000_000L;
 
-	/** How long a relay that works is preferred to those that were not tried. */
+	/** How long a peer that works is preferred to those that were not tried. */
 	private static final long PROVEN_NANOS = 10_000_000_000L;
 
 	private final LoadPeer self;
@@ -45,7 +45,7 @@
 
 	private final PathLinks direct;
 
-	private final Map<String, PathLinks> relayed = new HashMap<>();
+	private final Map<String, PathLinks> tunnels = new HashMap<>();
 
 	private final Map<String, Long> excludedUntil = new HashMap<>();
 
@@ -54,7 +54,7 @@
 	/**
 	 * Create the paths of a VM.
 	 * @param self the VM
-	 * @param listeners returns the listener of a path, by its relay
+	 * @param listeners returns the listener of a path, by its peer
 	 */
 	public EndpointPaths(LoadPeer self, Function<Optional<String>, PathLinks.Listener> listeners) {
 		this.self = self;
@@ -63,23 +63,23 @@
 	}
 
 	/**
-	 * Set the VMs that may relay.
+	 * Set the VMs that may carry tunnels.
 	 * @param next the live entry VMs, with or without this one
 	 */
 	public void peers(List<LoadPeer> next) {
 		this.peers = next.stream().filter((peer) -> !peer.address().equals(this.self.address())).toList();
 		Set<String> addresses = this.peers.stream().map(LoadPeer::address).collect(Collectors.toSet());
-		this.relayed.keySet().retainAll(addresses);
+		this.tunnels.keySet().retainAll(addresses);
 		this.excludedUntil.keySet().retainAll(addresses);
 	}
 
 	/**
-	 * Return whether a VM may relay.
-	 * @param relay its address
+	 * Return whether a VM may carry tunnels.
+	 * @param address its address
 	 * @return whether it is one of the other entry VMs
 	 */
-	public boolean isPeer(String relay) {
-		return this.peers.stream().anyMatch((peer) -> peer.address().equals(relay));
+	public boolean isPeer(String address) {
+		return this.peers.stream().anyMatch((peer) -> peer.address().equals(address));
 	}
 
 	/**
@@ -91,12 +91,12 @@
 	}
 
 	/**
-	 * Return the links through a relay.
-	 * @param relay its address
+	 * Return the links through a peer.
+	 * @param peer its address
 	 * @return the links
 	 */
-	public PathLinks through(String relay) {
-		return this.relayed.computeIfAbsent(relay,
+	public PathLinks through(String peer) {
+		return this.tunnels.computeIfAbsent(peer,
 				(address) -> new PathLinks(this.listeners.apply(Optional.of(address))));
 	}
 
@@ -105,22 +105,22 @@
 	 * alone does not tell: an endpoint that is sound may send nothing for a second.
 	 * @param endpoint its instance
 	 * @param now the time
-	 * @return whether a direct connection failed lately and a relay has reached the
+	 * @return whether a direct connection failed lately and a peer has reached the
 	 * endpoint since the direct link was lost
 	 */
 	public boolean isDirectLinkAtFault(String endpoint, long now) {
 		EndpointLink link = this.direct.link(endpoint);
 		return !link.mayConnect(now)
-				&& this.relayed.values().stream().anyMatch((links) -> links.isAliveSince(endpoint, link.lostAt()));
+				&& this.tunnels.values().stream().anyMatch((links) -> links.isAliveSince(endpoint, link.lostAt()));
 	}
 
 	/**
-	 * Record that a relay can't be reached or accepts no connections.
-	 * @param relay its address
+	 * Record that a peer can't be reached or accepts no tunnels.
+	 * @param peer its address
 	 * @param now the time
 	 */
-	public void exclude(String relay, long now) {
-		this.excludedUntil.put(relay, now + EXCLUSION_NANOS);
+	public void exclude(String peer, long now) {
+		this.excludedUntil.put(peer, now + EXCLUSION_NANOS);
 	}
 
 	/**
@@ -129,20 +129,20 @@
 	 */
 	public void retain(Predicate<String> isInFleet) {
 		this.direct.retain(isInFleet);
-		this.relayed.values().forEach((links) -> links.retain(isInFleet));
+		this.tunnels.values().forEach((links) -> links.retain(isInFleet));
 	}
 
 	/**
-	 * Return the relays for a connection to an endpoint, the best one first: those that
-	 * worked lately, those that add no traffic between data centres, then the others.
-	 * Each endpoint has an order of its own, so that relays share the work. Relays that
-	 * were not tried come from this and other data centres by turns, as most VMs of a
-	 * data centre may be cut off together.
+	 * Return the peers for a tunnel to an endpoint, the best one first: those that worked
+	 * lately, those that add no traffic between data centres, then the others. Each
+	 * endpoint has an order of its own, so that peers share the work. Peers that were not
+	 * tried come from this and other data centres by turns, as most VMs of a data centre
+	 * may be cut off together.
 	 * @param endpoint the endpoint
 	 * @param now the time
-	 * @return the addresses of the relays, not more than a request should try
+	 * @return the addresses of the peers, not more than a request should try
 	 */
-	public List<String> relays(FleetEndpoint endpoint, long now) {
+	public List<String> peersFor(FleetEndpoint endpoint, long now) {
 		List<LoadPeer> usable = this.peers.stream()
 			.filter((peer) -> isUsable(peer.address(), endpoint.instance(), now))
 			.sorted(Comparator.comparingInt((peer) -> PeerLoads.idOf(endpoint.instance() + "/" + peer.address())))
@@ -156,13 +156,13 @@
 			Optional.ofNullable(near.poll()).ifPresent(result::add);
 			Optional.ofNullable(far.poll()).ifPresent(result::add);
 		}
-		return List.copyOf(result.subList(0, Math.min(MAX_RELAYS, result.size())));
+		return List.copyOf(result.subList(0, Math.min(MAX_PEERS, result.size())));
 	}
 
-	private boolean isUsable(String relay, String endpoint, long now) {
-		boolean excluded = this.excludedUntil.getOrDefault(relay, now) > now;
+	private boolean isUsable(String peer, String endpoint, long now) {
+		boolean excluded = this.excludedUntil.getOrDefault(peer, now) > now;
 		return !excluded
-				&& known(relay).map((links) -> !links.wasLostWithin(endpoint, EXCLUSION_NANOS, now)).orElse(true);
+				&& known(peer).map((links) -> !links.wasLostWithin(endpoint, EXCLUSION_NANOS, now)).orElse(true);
 	}
 
 	private boolean isNear(LoadPeer peer, FleetEndpoint endpoint) {
@@ -174,8 +174,8 @@
 		((worked) ? proven : untried).add(peer.address());
 	}
 
-	private Optional<PathLinks> known(String relay) {
-		return Optional.ofNullable(this.relayed.get(relay));
+	private Optional<PathLinks> known(String peer) {
+		return Optional.ofNullable(this.tunnels.get(peer));
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/path/package-info.java
+++ b/core/src/main/java/org/acaciacourse/core/path/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The paths from an entry VM to the endpoints, direct or through another entry VM: which
- * of them work, and which one a connection takes.
+ * The paths from an entry VM to the endpoints, directly or through another entry VM:
+ * which of them work, and which one a connection takes.
  */
 package org.acaciacourse.core.path;
--- a/core/src/test/java/org/acaciacourse/core/path/EndpointPathsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/path/EndpointPathsTests.java
@@ -21,14 +21,14 @@
 
 	private static final FleetEndpoint OTHER = endpoint("i-2", "b");
 
-	private final EndpointPaths paths = new EndpointPaths(SELF, (relay) -> new SilentListener());
+	private final EndpointPaths paths = new EndpointPaths(SELF, (peer) -> new SilentListener());
 
 	private static FleetEndpoint endpoint(String instance, String dataCentre) {
 		return new FleetEndpoint(instance, "pool", "10.0.0.1:80", dataCentre, 8, false);
 	}
 
-	private List<String> relays(long now) {
-		return this.paths.relays(ENDPOINT, now);
+	private List<String> peersFor(long now) {
+		return this.paths.peersFor(ENDPOINT, now);
 	}
 
 	private void peers(String... dataCentres) {
@@ -43,38 +43,38 @@
 	class Order {
 
 		@Test
-		void ownVmRelaysNothing() {
+		void ownVmIsNoPeer() {
 			peers("a");
-			assertThat(relays(0)).containsExactly("a0:1");
+			assertThat(peersFor(0)).containsExactly("a0:1");
 		}
 
 		// Guards against a search for help among VMs that are cut off together.
 		@Test
-		void untriedRelaysComeFromAllDataCentresByTurns() {
+		void untriedPeersComeFromAllDataCentresByTurns() {
 			peers("a", "a", "a", "a", "a", "a", "c", "c");
-			assertThat(relays(0).subList(0, 4).stream().filter((relay) -> relay.startsWith("c")).count()).isEqualTo(2);
+			assertThat(peersFor(0).subList(0, 4).stream().filter((peer) -> peer.startsWith("c")).count()).isEqualTo(2);
 		}
 
 		@Test
-		void relayThatWorkedIsPreferred() {
+		void peerThatWorkedIsPreferred() {
 			peers("a", "a", "a", "c", "c", "c");
 			EndpointPathsTests.this.paths.through("c4:1").link("i-2").connected(SECOND);
-			assertThat(relays(2 * SECOND).get(0)).isEqualTo("c4:1");
+			assertThat(peersFor(2 * SECOND).get(0)).isEqualTo("c4:1");
 		}
 
 		@Test
-		void ofRelaysThatWorkedOneWithoutTrafficBetweenDataCentresIsPreferred() {
+		void ofPeersThatWorkedOneWithoutTrafficBetweenDataCentresIsPreferred() {
 			peers("a", "b", "c");
 			List.of("a0:1", "b1:1", "c2:1")
-				.forEach((relay) -> EndpointPathsTests.this.paths.through(relay).link("i-2").connected(SECOND));
-			assertThat(relays(2 * SECOND).get(2)).isEqualTo("c2:1");
+				.forEach((peer) -> EndpointPathsTests.this.paths.through(peer).link("i-2").connected(SECOND));
+			assertThat(peersFor(2 * SECOND).get(2)).isEqualTo("c2:1");
 		}
 
 		@Test
-		void endpointsSpreadOverTheRelays() {
+		void endpointsSpreadOverThePeers() {
 			peers("a", "a", "a", "a", "a", "a", "a", "a");
 			long first = IntStream.range(0, 50)
-				.mapToObj((i) -> EndpointPathsTests.this.paths.relays(endpoint("i-" + i, "a"), 0).get(0))
+				.mapToObj((i) -> EndpointPathsTests.this.paths.peersFor(endpoint("i-" + i, "a"), 0).get(0))
 				.distinct()
 				.count();
 			assertThat(first).isAtLeast(6);
@@ -86,24 +86,24 @@
 	class Exclusion {
 
 		@Test
-		void relayThatDoesNotAnswerIsNotAskedForASecond() {
+		void peerThatDoesNotAnswerIsNotAskedForASecond() {
 			peers("a", "a");
 			EndpointPathsTests.this.paths.exclude("a0:1", SECOND);
-			assertThat(relays(SECOND + 1)).containsExactly("a1:1");
-			assertThat(relays(2 * SECOND)).hasSize(2);
+			assertThat(peersFor(SECOND + 1)).containsExactly("a1:1");
+			assertThat(peersFor(2 * SECOND)).hasSize(2);
 		}
 
 		@Test
-		void relayThatCannotReachOneEndpointIsAskedForOthers() {
+		void peerThatCannotReachOneEndpointIsAskedForOthers() {
 			peers("a");
 			EndpointPathsTests.this.paths.through("a0:1").link("i-1").connectFailed(LinkSign.TIMEOUT, SECOND);
-			assertThat(relays(SECOND + 1)).isEmpty();
-			assertThat(EndpointPathsTests.this.paths.relays(OTHER, SECOND + 1)).containsExactly("a0:1");
+			assertThat(peersFor(SECOND + 1)).isEmpty();
+			assertThat(EndpointPathsTests.this.paths.peersFor(OTHER, SECOND + 1)).containsExactly("a0:1");
 		}
 
-		// Guards against a relay that is cut next and goes on being preferred.
+		// Guards against a peer that is cut next and goes on being preferred.
 		@Test
-		void relayWhoseLinksAreLostTogetherIsNoLongerPreferred() {
+		void peerWhoseLinksAreLostTogetherIsNoLongerPreferred() {
 			peers("a", "c");
 			PathLinks links = EndpointPathsTests.this.paths.through("c1:1");
 			links.link("i-2").connected(SECOND);
@@ -111,14 +111,14 @@
 			links.link("i-2").lost(LinkSign.SILENT, 2 * SECOND);
 			links.link("i-3").lost(LinkSign.SILENT, 2 * SECOND);
 			EndpointPathsTests.this.paths.through("a0:1").link("i-2").connected(SECOND);
-			assertThat(relays(2 * SECOND).get(0)).isEqualTo("a0:1");
+			assertThat(peersFor(2 * SECOND).get(0)).isEqualTo("a0:1");
 		}
 
 		@Test
-		void vmThatIsGoneRelaysNothing() {
+		void vmThatIsGoneIsNoPeer() {
 			peers("a", "c");
 			EndpointPathsTests.this.paths.peers(List.of(SELF));
-			assertThat(relays(0)).isEmpty();
+			assertThat(peersFor(0)).isEmpty();
 			assertThat(EndpointPathsTests.this.paths.isPeer("a0:1")).isFalse();
 		}
 
@@ -146,7 +146,7 @@
 		}
 
 		@Test
-		void linkIsAtFaultIfOnlyARelayReachesTheEndpoint() {
+		void linkIsAtFaultIfOnlyAPeerReachesTheEndpoint() {
 			peers("a");
 			direct().connectFailed(LinkSign.TIMEOUT, SECOND);
 			assertThat(isLinkAtFault(SECOND + 1)).isFalse();
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/**
- * Connections to endpoints that another entry VM relays: the server that relays them, and
- * the client that opens them.
- */
-package org.acaciacourse.daemon.relay;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -164,8 +164,8 @@
 		String instance = this.endpoint.instance();
 		long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - this.lastActivityAt);
 		PlacedRequest.Estimate estimate = this.placed.estimate(now);
-		String relay = Optional.ofNullable(this.connection).flatMap(EndpointConnection::relay).orElse(null);
-		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, relay, end.name(),
+		String via = Optional.ofNullable(this.connection).flatMap(EndpointConnection::via).orElse(null);
+		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, via, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -37,7 +37,7 @@
 
 	private final EndpointLink link;
 
-	private final Optional<String> relay;
+	private final Optional<String> via;
 
 	private final Consumer<EndpointConnection> onClosed;
 
@@ -67,14 +67,14 @@
 	 * Create a connection handler.
 	 * @param endpoint the endpoint
 	 * @param link the link that the connection runs over
-	 * @param relay the VM that relays the connection; empty if it is direct
+	 * @param via the VM that the connection is tunnelled through; empty if it is direct
 	 * @param onClosed called when the connection is closed
 	 */
-	EndpointConnection(FleetEndpoint endpoint, EndpointLink link, Optional<String> relay,
+	EndpointConnection(FleetEndpoint endpoint, EndpointLink link, Optional<String> via,
 			Consumer<EndpointConnection> onClosed) {
 		this.endpoint = endpoint;
 		this.link = link;
-		this.relay = relay;
+		this.via = via;
 		this.onClosed = onClosed;
 	}
 
@@ -88,11 +88,11 @@
 	}
 
 	/**
-	 * Return the VM that relays the connection.
+	 * Return the VM that the connection is tunnelled through.
 	 * @return its address, empty if the connection is direct
 	 */
-	Optional<String> relay() {
-		return this.relay;
+	Optional<String> via() {
+		return this.via;
 	}
 
 	EndpointLink link() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -58,13 +58,13 @@
 	 * Create the connections of a VM.
 	 * @param loop their event loop
 	 * @param paths the paths to the endpoints
-	 * @param relayKey the key that relays ask for, if connections may be relayed at all
-	 * @param relaysAllowed returns whether the policy permits relays
+	 * @param tunnelKey the key that peers ask for, if this VM has any
+	 * @param tunnelsAllowed returns whether the policy permits tunnels
 	 */
-	EndpointConnections(EventLoop loop, EndpointPaths paths, Optional<SharedKey> relayKey,
-			BooleanSupplier relaysAllowed) {
+	EndpointConnections(EventLoop loop, EndpointPaths paths, Optional<SharedKey> tunnelKey,
+			BooleanSupplier tunnelsAllowed) {
 		this.paths = paths;
-		this.connector = new EndpointConnector(loop, paths, relayKey, relaysAllowed, this::remove);
+		this.connector = new EndpointConnector(loop, paths, tunnelKey, tunnelsAllowed, this::remove);
 	}
 
 	/**
@@ -80,7 +80,7 @@
 			this.connector.connect(endpoint, onReady, (spare) -> release(endpoint, spare));
 			return;
 		}
-		if (idle.get().relay().isPresent()) {
+		if (idle.get().via().isPresent()) {
 			probe(endpoint);
 		}
 		onReady.accept(Try.success(idle.get()));
@@ -120,10 +120,10 @@
 		return Optional.empty();
 	}
 
-	// A relayed connection is only used while the direct path does not work.
+	// A tunnel is only used while the direct path does not work.
 	private boolean isWorthKeeping(EndpointConnection connection, long now) {
-		boolean needed = connection.relay()
-			.map((relay) -> this.paths.isPeer(relay)
+		boolean needed = connection.via()
+			.map((peer) -> this.paths.isPeer(peer)
 					&& !this.paths.direct().link(connection.endpoint().instance()).isTrusted())
 			.orElse(true);
 		return needed && connection.isUsable(now);
@@ -147,7 +147,7 @@
 	 * @return whether requests on it are better sent over that path
 	 */
 	boolean isKnownToBeCut(EndpointConnection connection) {
-		return connection.relay().isEmpty()
+		return connection.via().isEmpty()
 				&& this.paths.isDirectLinkAtFault(connection.endpoint().instance(), System.nanoTime());
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -22,9 +22,9 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.SharedKey;
-import org.acaciacourse.daemon.relay.RelayClientHandler;
-import org.acaciacourse.daemon.relay.RelayResult;
-import org.acaciacourse.daemon.relay.TcpSockets;
+import org.acaciacourse.daemon.tunnel.TcpSockets;
+import org.acaciacourse.daemon.tunnel.TunnelClientHandler;
+import org.acaciacourse.daemon.tunnel.TunnelResult;
 
 /**
  * Establishes connections to endpoints. The paths to an endpoint are tried one after the
@@ -39,7 +39,7 @@
 	private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
 	/** Several round trips between data centres. */
-	private static final int RELAY_TIMEOUT_MILLIS = 500;
+	private static final int TUNNEL_TIMEOUT_MILLIS = 500;
 
 	/**
 	 * How long a direct connection is waited for alone: longer than a round trip and the
@@ -50,8 +50,8 @@
 	/** The same while something speaks against the link. */
 	private static final long DELAY_IN_DOUBT_MILLIS = 20;
 
-	/** How long a relay is waited for alone, which connects to the endpoint in turn. */
-	private static final long RELAY_DELAY_MILLIS = 100;
+	/** How long a peer is waited for alone, which connects to the endpoint in turn. */
+	private static final long TUNNEL_DELAY_MILLIS = 100;
 
 	private static final int MAX_INITIAL_LINE_BYTES = 4 * 1024;
 
@@ -63,9 +63,9 @@
 
 	private final EndpointPaths paths;
 
-	private final Optional<SharedKey> relayKey;
+	private final Optional<SharedKey> tunnelKey;
 
-	private final BooleanSupplier relaysAllowed;
+	private final BooleanSupplier tunnelsAllowed;
 
 	private final Consumer<EndpointConnection> onClosed;
 
@@ -73,16 +73,16 @@
 	 * Create a connector.
 	 * @param loop the event loop of the connections
 	 * @param paths the paths to the endpoints
-	 * @param relayKey the key that relays ask for, if connections may be relayed at all
-	 * @param relaysAllowed returns whether the policy permits relays
+	 * @param tunnelKey the key that peers ask for, if this VM has any
+	 * @param tunnelsAllowed returns whether the policy permits tunnels
 	 * @param onClosed receives each connection that was closed
 	 */
-	EndpointConnector(EventLoop loop, EndpointPaths paths, Optional<SharedKey> relayKey, BooleanSupplier relaysAllowed,
-			Consumer<EndpointConnection> onClosed) {
+	EndpointConnector(EventLoop loop, EndpointPaths paths, Optional<SharedKey> tunnelKey,
+			BooleanSupplier tunnelsAllowed, Consumer<EndpointConnection> onClosed) {
 		this.loop = loop;
 		this.paths = paths;
-		this.relayKey = relayKey;
-		this.relaysAllowed = relaysAllowed;
+		this.tunnelKey = tunnelKey;
+		this.tunnelsAllowed = tunnelsAllowed;
 		this.onClosed = onClosed;
 	}
 
@@ -133,31 +133,31 @@
 		}
 	}
 
-	private void connectThrough(String relay, FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
-		EndpointLink link = this.paths.through(relay).link(endpoint.instance());
-		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.of(relay), this.onClosed);
-		RelayedOpening opening = new RelayedOpening(relay, link, connection, onReady);
-		opening.timeout = this.loop.schedule(opening::timedOut, RELAY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-		TcpSockets.bootstrap(this.loop, RELAY_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+	private void connectThrough(String peer, FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
+		EndpointLink link = this.paths.through(peer).link(endpoint.instance());
+		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.of(peer), this.onClosed);
+		TunnelOpening opening = new TunnelOpening(peer, link, connection, onReady);
+		opening.timeout = this.loop.schedule(opening::timedOut, TUNNEL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		TcpSockets.bootstrap(this.loop, TUNNEL_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
-				RelayClientHandler.add(channel.pipeline(), EndpointConnector.this.relayKey.orElseThrow(),
+				TunnelClientHandler.add(channel.pipeline(), EndpointConnector.this.tunnelKey.orElseThrow(),
 						endpoint.instance(), opening::ended, connection::closeAfterResponse);
 				addHttp(channel, connection);
 			}
 
-		}).connect(InternalConnection.parse(relay)).addListener((ChannelFutureListener) (future) -> {
+		}).connect(InternalConnection.parse(peer)).addListener((ChannelFutureListener) (future) -> {
 			if (!future.isSuccess()) {
-				opening.ended(RelayResult.NO_ANSWER);
+				opening.ended(TunnelResult.NO_ANSWER);
 			}
 		});
 	}
 
-	/** A relayed connection that is being opened. */
-	private final class RelayedOpening {
+	/** A tunnel that is being opened. */
+	private final class TunnelOpening {
 
-		private final String relay;
+		private final String peer;
 
 		private final EndpointLink link;
 
@@ -169,9 +169,9 @@
 
 		private boolean done;
 
-		private RelayedOpening(String relay, EndpointLink link, EndpointConnection connection,
+		private TunnelOpening(String peer, EndpointLink link, EndpointConnection connection,
 				Consumer<Try<EndpointConnection>> onReady) {
-			this.relay = relay;
+			this.peer = peer;
 			this.link = link;
 			this.connection = connection;
 			this.onReady = onReady;
@@ -179,30 +179,30 @@
 
 		private void timedOut() {
 			if (!this.done) {
-				ended(RelayResult.NO_ANSWER);
+				ended(TunnelResult.NO_ANSWER);
 				this.connection.abandon();
 			}
 		}
 
-		private void ended(RelayResult result) {
+		private void ended(TunnelResult result) {
 			if (this.done) {
 				return;
 			}
 			this.done = true;
 			this.timeout.cancel(false);
 			long now = System.nanoTime();
-			if (result == RelayResult.OPENED) {
+			if (result == TunnelResult.OPENED) {
 				this.link.connected(now);
 				this.onReady.accept(Try.success(this.connection));
 				return;
 			}
-			if (result.isRelayUnusable()) {
-				EndpointConnector.this.paths.exclude(this.relay, now);
+			if (result.isPeerUnusable()) {
+				EndpointConnector.this.paths.exclude(this.peer, now);
 			}
-			this.link.connectFailed((result == RelayResult.REFUSED) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
-			this.onReady.accept(Try.failure((result == RelayResult.REFUSED)
-					? new ConnectException("endpoint refused the connection of relay " + this.relay)
-					: new ConnectTimeoutException("relay " + this.relay + " has no connection: " + result)));
+			this.link.connectFailed((result == TunnelResult.REFUSED) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
+			this.onReady.accept(Try.failure((result == TunnelResult.REFUSED)
+					? new ConnectException("endpoint refused the connection of peer " + this.peer)
+					: new ConnectTimeoutException("peer " + this.peer + " has no connection: " + result)));
 		}
 
 	}
@@ -216,7 +216,7 @@
 
 		private final Consumer<EndpointConnection> onSpare;
 
-		/** The paths that were not tried yet, by their relays; direct without one. */
+		/** The paths that were not tried yet, by their peers; direct without one. */
 		private final Deque<Optional<String>> untried = new ArrayDeque<>();
 
 		private Optional<Throwable> failure = Optional.empty();
@@ -241,9 +241,9 @@
 		private void start() {
 			long now = System.nanoTime();
 			EndpointLink direct = EndpointConnector.this.paths.direct().link(this.endpoint.instance());
-			if (EndpointConnector.this.relayKey.isPresent() && EndpointConnector.this.relaysAllowed.getAsBoolean()) {
-				EndpointConnector.this.paths.relays(this.endpoint, now)
-					.forEach((relay) -> this.untried.add(Optional.of(relay)));
+			if (EndpointConnector.this.tunnelKey.isPresent() && EndpointConnector.this.tunnelsAllowed.getAsBoolean()) {
+				EndpointConnector.this.paths.peersFor(this.endpoint, now)
+					.forEach((peer) -> this.untried.add(Optional.of(peer)));
 			}
 			if (direct.mayConnect(now)) {
 				this.untried.addFirst(Optional.empty());
@@ -260,27 +260,27 @@
 		}
 
 		private void tryNext() {
-			Optional<String> relay = this.untried.remove();
+			Optional<String> peer = this.untried.remove();
 			this.pending++;
 			if (!this.untried.isEmpty()) {
 				this.delay = EndpointConnector.this.loop.schedule(this::tryNext,
-						(relay.isPresent()) ? RELAY_DELAY_MILLIS : this.directDelayMillis, TimeUnit.MILLISECONDS);
+						(peer.isPresent()) ? TUNNEL_DELAY_MILLIS : this.directDelayMillis, TimeUnit.MILLISECONDS);
 			}
-			if (relay.isPresent()) {
-				connectThrough(relay.get(), this.endpoint, (result) -> ended(result, true));
+			if (peer.isPresent()) {
+				connectThrough(peer.get(), this.endpoint, (result) -> ended(result, true));
 			}
 			else {
 				connectDirectly(this.endpoint, (result) -> ended(result, false));
 			}
 		}
 
-		private void ended(Try<EndpointConnection> result, boolean relayed) {
+		private void ended(Try<EndpointConnection> result, boolean tunnelled) {
 			this.pending--;
 			if (result.isSuccess()) {
 				succeeded(result.get());
 			}
 			else if (!this.decided) {
-				failed(result.getCause(), relayed);
+				failed(result.getCause(), tunnelled);
 			}
 		}
 
@@ -288,7 +288,7 @@
 			if (!this.decided) {
 				decide(Try.success(connection));
 			}
-			else if (connection.relay().isEmpty()) {
+			else if (connection.via().isEmpty()) {
 				this.onSpare.accept(connection);
 			}
 			else {
@@ -296,10 +296,10 @@
 			}
 		}
 
-		// An endpoint that refuses a relay's connection as well is at fault itself.
-		private void failed(Throwable cause, boolean relayed) {
-			this.failure = Optional.of(this.failure.filter((first) -> !relayed).orElse(cause));
-			boolean conclusive = relayed && TcpSockets.isRefused(cause) && !isDirectPathDoubted();
+		// An endpoint that refuses a peer's connection as well is at fault itself.
+		private void failed(Throwable cause, boolean tunnelled) {
+			this.failure = Optional.of(this.failure.filter((first) -> !tunnelled).orElse(cause));
+			boolean conclusive = tunnelled && TcpSockets.isRefused(cause) && !isDirectPathDoubted();
 			if (conclusive || (this.untried.isEmpty() && this.pending == 0)) {
 				decide(Try.failure(this.failure.get()));
 			}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LinkLog.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LinkLog.java
@@ -20,35 +20,35 @@
 	/** An endpoint that fails now and then is lost and regained many times. */
 	private static final int MAX_LINES_PER_SECOND = 20;
 
-	private final String relay;
+	private final String via;
 
 	private final LogRateLimiter limiter = new LogRateLimiter(MAX_LINES_PER_SECOND, System.nanoTime());
 
 	/**
 	 * Create a log of the links over one path.
-	 * @param relay the relay of the path, empty for the direct one
+	 * @param via the VM that the path leads through, empty for the direct one
 	 */
-	LinkLog(Optional<String> relay) {
-		this.relay = relay.orElse(null);
+	LinkLog(Optional<String> via) {
+		this.via = via.orElse(null);
 	}
 
 	@Override
 	public void linkLost(String endpoint, LinkSign sign, int lost, int known) {
 		this.limiter.tryAcquire(System.nanoTime())
-			.ifPresent((suppressed) -> DecisionLog.write(LogEvent.LINK_LOST, endpoint, this.relay, sign.name(), lost,
+			.ifPresent((suppressed) -> DecisionLog.write(LogEvent.LINK_LOST, endpoint, this.via, sign.name(), lost,
 					known, suppressed));
 	}
 
 	@Override
 	public void linkRegained(String endpoint, long lostNanos) {
 		OptionalLong suppressed = this.limiter.tryAcquire(System.nanoTime());
-		suppressed.ifPresent((count) -> DecisionLog.write(LogEvent.LINK_REGAINED, endpoint, this.relay,
+		suppressed.ifPresent((count) -> DecisionLog.write(LogEvent.LINK_REGAINED, endpoint, this.via,
 				TimeUnit.NANOSECONDS.toMillis(lostNanos), count));
 	}
 
 	@Override
 	public void pathDoubted(int lost, int known) {
-		DecisionLog.write(LogEvent.LINKS_DOUBTED, this.relay, lost, known);
+		DecisionLog.write(LogEvent.LINKS_DOUBTED, this.via, lost, known);
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -39,10 +39,10 @@
 import org.acaciacourse.daemon.http.RequestHandler;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.link.ControlLink;
-import org.acaciacourse.daemon.relay.RelayServer;
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
+import org.acaciacourse.daemon.tunnel.TunnelServer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -103,7 +103,7 @@
 
 	private final Optional<LoadGossip> gossip;
 
-	private final Optional<RelayServer> relays;
+	private final Optional<TunnelServer> tunnels;
 
 	private Optional<AdminServer> admin = Optional.empty();
 
@@ -134,7 +134,7 @@
 		LoadPeer self = options.loadPeer().orElse(NO_PEER);
 		this.paths = new EndpointPaths(self, LinkLog::new);
 		this.connections = new EndpointConnections(this.loop, this.paths,
-				options.loadPeer().map((peer) -> options.relayKey()), this::areRelaysAllowed);
+				options.loadPeer().map((peer) -> options.tunnelKey()), this::areTunnelsAllowed);
 		this.pools = new PoolStates(this.loop, options.retryBudget(), this.connections::hasIdle);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.metrics,
 				this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
@@ -143,9 +143,9 @@
 				new ReadinessHandler());
 		this.fallback = new FleetFallback(options.fleetSource(), (fleet) -> applyFleet(fleet, "list"));
 		this.gossip = options.loadPeer().map((peer) -> new LoadGossip(this.loop, this.pools, peer));
-		this.relays = options.loadPeer()
-			.map((peer) -> new RelayServer(this.loop, InternalConnection.parse(peer.address()), options.relayKey(),
-					new RelayTargets()));
+		this.tunnels = options.loadPeer()
+			.map((peer) -> new TunnelServer(this.loop, InternalConnection.parse(peer.address()), options.tunnelKey(),
+					new TunnelTargets()));
 	}
 
 	/**
@@ -182,7 +182,7 @@
 		this.loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 		this.loop.execute(this::tick);
 		this.gossip.ifPresent((loadGossip) -> this.loop.execute(loadGossip::start));
-		this.relays.ifPresent((server) -> this.loop.execute(server::start));
+		this.tunnels.ifPresent((server) -> this.loop.execute(server::start));
 		this.fallback.start();
 		DecisionLog.write(LogEvent.STARTED, this.options.listen().toString());
 	}
@@ -239,7 +239,7 @@
 		long now = System.nanoTime();
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(this.openExchanges.size(), this.callerServer.connections(),
-					this.connections.idleCount(), this.paths.direct().lostCount(), openRelays(),
+					this.connections.idleCount(), this.paths.direct().lostCount(), openTunnels(),
 					this.pools.tableNumber(), (now - this.configuredAt) / 1e9, this.pools.sharing().vms(),
 					this.pools.gauges(now), this.pools.policy()));
 	}
@@ -281,7 +281,7 @@
 		DecisionLog.write(LogEvent.STOPPING,
 				this.loop.submit(this.openExchanges::size).awaitUninterruptibly().getNow());
 		this.controlLink.announceLeaving();
-		this.relays.ifPresent((server) -> this.loop.execute(server::stopAccepting));
+		this.tunnels.ifPresent((server) -> this.loop.execute(server::stopAccepting));
 		this.callerServer.closeAfterResponses();
 		StopWait.until(immediate, this.options.stopDelay(), () -> false);
 		this.callerServer.stopAccepting();
@@ -299,15 +299,15 @@
 	private boolean isIdle() {
 		boolean none = Boolean.TRUE
 			.equals(this.loop.submit(this.openExchanges::isEmpty).awaitUninterruptibly().getNow());
-		return none && this.callerServer.isFlushed() && openRelays() == 0;
+		return none && this.callerServer.isFlushed() && openTunnels() == 0;
 	}
 
-	private int openRelays() {
-		return this.relays.map(RelayServer::open).orElse(0);
+	private int openTunnels() {
+		return this.tunnels.map(TunnelServer::open).orElse(0);
 	}
 
 	private void close() {
-		this.relays.ifPresent((server) -> this.loop.execute(server::close));
+		this.tunnels.ifPresent((server) -> this.loop.execute(server::close));
 		this.gossip.ifPresent((loadGossip) -> this.loop.execute(loadGossip::stop));
 		this.fallback.close();
 		this.callerServer.close();
@@ -317,8 +317,8 @@
 		this.eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
-	private boolean areRelaysAllowed() {
-		return this.pools.policy().isOn(RoutingMechanism.RELAYED_CONNECTIONS);
+	private boolean areTunnelsAllowed() {
+		return this.pools.policy().isOn(RoutingMechanism.TUNNELS);
 	}
 
 	private static void logFleet(Fleet fleet, String source) {
@@ -397,8 +397,8 @@
 
 	}
 
-	/** The endpoints that this VM relays connections to. */
-	private final class RelayTargets implements RelayServer.Targets {
+	/** The endpoints that this VM carries tunnels to. */
+	private final class TunnelTargets implements TunnelServer.Targets {
 
 		@Override
 		public Optional<FleetEndpoint> find(String instance) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -32,8 +32,7 @@
 				Snapshot::configurationAge);
 		gauge(registry, "acaciacourse_retry_sharers", "Entry VMs that the retry budgets are divided by",
 				Snapshot::sharers);
-		gauge(registry, "acaciacourse_relayed_connections", "Connections that this VM relays for others",
-				Snapshot::relayedConnections);
+		gauge(registry, "acaciacourse_tunnels_open", "Tunnels that this VM carries for others", Snapshot::openTunnels);
 		perMechanism(registry);
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
@@ -83,14 +82,14 @@
 	 * @param callerConnections open connections of callers
 	 * @param idleConnections idle connections to endpoints
 	 * @param lostLinks endpoints that this VM cannot reach
-	 * @param relayedConnections connections that this VM relays for others
+	 * @param openTunnels tunnels that this VM carries for others
 	 * @param configurationNumber the number of the configuration in force, 0 for none
 	 * @param configurationAge seconds since it came into force
 	 * @param sharers entry VMs among which the retry budgets are divided
 	 * @param pools the pools by name
 	 * @param policy the routing policy in force
 	 */
-	record Snapshot(int openRequests, int callerConnections, int idleConnections, int lostLinks, int relayedConnections,
+	record Snapshot(int openRequests, int callerConnections, int idleConnections, int lostLinks, int openTunnels,
 			long configurationNumber, double configurationAge, int sharers, Map<String, Pool> pools,
 			RoutingPolicy policy) {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -19,7 +19,7 @@
  * @param ready the address of the readiness server
  * @param metrics the address for health and metrics, if there is one
  * @param loadPeer the identity of this VM in the exchange of loads, if it takes part
- * @param relayKey the key with which entry VMs ask each other to relay connections
+ * @param tunnelKey the key with which entry VMs ask each other for tunnels
  * @param retryBudget the retry budget
  * @param maxConnections the maximum number of caller connections
  * @param stopDelay how long callers are still accepted after a stop was requested, so
@@ -30,7 +30,7 @@
  * @param policy the initial routing policy
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
-		Optional<LoadPeer> loadPeer, SharedKey relayKey, RetryBudgetOptions retryBudget, int maxConnections,
+		Optional<LoadPeer> loadPeer, SharedKey tunnelKey, RetryBudgetOptions retryBudget, int maxConnections,
 		Duration stopDelay, Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy) {
 
 	public RouteOptions {
@@ -38,7 +38,7 @@
 		Objects.requireNonNull(ready, "ready");
 		Objects.requireNonNull(metrics, "metrics");
 		Objects.requireNonNull(loadPeer, "loadPeer");
-		Objects.requireNonNull(relayKey, "relayKey");
+		Objects.requireNonNull(tunnelKey, "tunnelKey");
 		Objects.requireNonNull(retryBudget, "retryBudget");
 		Objects.requireNonNull(fleetSource, "fleetSource");
 		Objects.requireNonNull(policy, "policy");
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -29,7 +29,7 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
-import org.acaciacourse.daemon.relay.TcpSockets;
+import org.acaciacourse.daemon.tunnel.TcpSockets;
 
 /**
  * One routed request from its arrival to its end: makes the attempts that
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -46,7 +46,7 @@
 	REFUSALS_MERGED("refusals-merged", "code", "count", "requests"),
 
 	/** An attempt ended without a complete response. */
-	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "relay", "end", "age_ms", "silent_ms", "running",
+	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
 			"waiting_work", "failure_rate"),
 
 	/**
@@ -64,20 +64,20 @@
 	LOOP_STALLED("loop-stalled", "late_ms"),
 
 	/**
-	 * An endpoint can't be reached from this VM, directly or through a relay: the sign,
-	 * how many endpoints can't be reached now out of those that were, and how many such
-	 * lines were not logged.
+	 * An endpoint can't be reached from this VM, directly or through another entry VM:
+	 * the sign, how many endpoints can't be reached now out of those that were, and how
+	 * many such lines were not logged.
 	 */
-	LINK_LOST("link-lost", "endpoint", "relay", "sign", "lost", "known", "untold"),
+	LINK_LOST("link-lost", "endpoint", "via", "sign", "lost", "known", "untold"),
 
 	/** An endpoint can be reached from this VM again. */
-	LINK_REGAINED("link-regained", "endpoint", "relay", "lost_ms", "untold"),
+	LINK_REGAINED("link-regained", "endpoint", "via", "lost_ms", "untold"),
 
 	/**
 	 * Several endpoints were lost together: the links of this VM are checked before they
 	 * are used again.
 	 */
-	LINKS_DOUBTED("links-doubted", "relay", "lost", "known"),
+	LINKS_DOUBTED("links-doubted", "via", "lost", "known"),
 
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/TcpSockets.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TcpSockets.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.daemon.relay;
+package org.acaciacourse.daemon.tunnel;
 
 import java.net.ConnectException;
 import java.util.HashMap;
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/RelayClientHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelClientHandler.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.daemon.relay;
+package org.acaciacourse.daemon.tunnel;
 
 import java.io.IOException;
 import java.util.function.Consumer;
@@ -10,23 +10,23 @@
 import io.netty.util.ReferenceCountUtil;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.SharedKey;
-import org.acaciacourse.protocol.generated.RelayOpenRecord;
-import org.acaciacourse.protocol.generated.RelayOpenedRecord;
+import org.acaciacourse.protocol.generated.TunnelOpenRecord;
+import org.acaciacourse.protocol.generated.TunnelOpenedRecord;
 
 /**
- * The client's end of a relayed connection. Handlers behind it see the connection as if
- * it led to the endpoint: they read the endpoint's bytes, a close if the endpoint closed,
- * and a failure if the endpoint or the relay was lost.
+ * The client's end of a tunnel. Handlers behind it see the connection as if it led to the
+ * endpoint: they read the endpoint's bytes, a close if the endpoint closed, and a failure
+ * if the endpoint or the server was lost.
  * <p>
  * Not thread safe: belongs to the event loop of its connection.
  */
-public final class RelayClientHandler extends ChannelInboundHandlerAdapter {
+public final class TunnelClientHandler extends ChannelInboundHandlerAdapter {
 
 	private final SharedKey key;
 
 	private final String instance;
 
-	private final Consumer<RelayResult> onResult;
+	private final Consumer<TunnelResult> onResult;
 
 	private final Runnable onStopping;
 
@@ -34,7 +34,7 @@
 
 	private boolean ended;
 
-	private RelayClientHandler(SharedKey key, String instance, Consumer<RelayResult> onResult, Runnable onStopping) {
+	private TunnelClientHandler(SharedKey key, String instance, Consumer<TunnelResult> onResult, Runnable onStopping) {
 		this.key = key;
 		this.instance = instance;
 		this.onResult = onResult;
@@ -42,30 +42,30 @@
 	}
 
 	/**
-	 * Add the handlers of a relayed connection.
-	 * @param pipeline the pipeline of a connection to a relay
+	 * Add the handlers of a tunnel.
+	 * @param pipeline the pipeline of a connection to a tunnel server
 	 * @param key the key of the inner connections
 	 * @param instance the endpoint to connect to
 	 * @param onResult is told once whether the endpoint is connected
 	 * @param onStopping is told that the connection must not carry another request
 	 */
-	public static void add(ChannelPipeline pipeline, SharedKey key, String instance, Consumer<RelayResult> onResult,
+	public static void add(ChannelPipeline pipeline, SharedKey key, String instance, Consumer<TunnelResult> onResult,
 			Runnable onStopping) {
-		pipeline.addLast(RelayFrame.decoder());
-		pipeline.addLast(new RelayClientHandler(key, instance, onResult, onStopping));
+		pipeline.addLast(TunnelFrame.decoder());
+		pipeline.addLast(new TunnelClientHandler(key, instance, onResult, onStopping));
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
-		byte[] open = ThriftBytes.encode(new RelayOpenRecord(this.key.text(), this.instance));
-		ctx.writeAndFlush(RelayFrame.OPEN.of(open));
+		byte[] open = ThriftBytes.encode(new TunnelOpenRecord(this.key.text(), this.instance));
+		ctx.writeAndFlush(TunnelFrame.OPEN.of(open));
 		ctx.fireChannelActive();
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		ByteBuf frame = (ByteBuf) message;
-		switch (RelayFrame.read(frame).orElse(RelayFrame.OPEN)) {
+		switch (TunnelFrame.read(frame).orElse(TunnelFrame.OPEN)) {
 			case DATA -> {
 				ctx.fireChannelRead(frame);
 				return;
@@ -84,28 +84,28 @@
 	private void resultReceived(ByteBuf content) {
 		byte[] bytes = new byte[content.readableBytes()];
 		content.readBytes(bytes);
-		tell(ThriftBytes.decode(bytes, new RelayOpenedRecord())
+		tell(ThriftBytes.decode(bytes, new TunnelOpenedRecord())
 			.toJavaOptional()
-			.flatMap((record) -> RelayResult.ofNumber(record.getResult()))
-			.orElse(RelayResult.NO_ANSWER));
+			.flatMap((record) -> TunnelResult.ofNumber(record.getResult()))
+			.orElse(TunnelResult.NO_ANSWER));
 	}
 
-	private void tell(RelayResult result) {
+	private void tell(TunnelResult result) {
 		if (!this.resultKnown) {
 			this.resultKnown = true;
 			this.onResult.accept(result);
 		}
 	}
 
-	// The end of the relay's process closes the connection like an orderly end; only the
+	// The end of the server's process closes the connection like an orderly end; only the
 	// frame tells them apart.
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		if (!this.resultKnown) {
-			tell(RelayResult.NO_ANSWER);
+			tell(TunnelResult.NO_ANSWER);
 		}
 		else if (!this.ended) {
-			ctx.fireExceptionCaught(new IOException("relayed connection to " + this.instance + " was lost"));
+			ctx.fireExceptionCaught(new IOException("tunnel to " + this.instance + " was lost"));
 		}
 		ctx.fireChannelInactive();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/RelayFrame.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelFrame.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.daemon.relay;
+package org.acaciacourse.daemon.tunnel;
 
 import java.util.Optional;
 
@@ -7,14 +7,14 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 
 /**
- * The frames of a relayed connection: four bytes with the length, one with the type, and
- * the content. The client sends one {@link #OPEN} frame and then the bytes for the
- * endpoint without frames. The relay sends frames only, so that the client can tell an
- * orderly end of the endpoint's connection from the loss of the relay.
+ * The frames of a tunnel: four bytes with the length, one with the type, and the content.
+ * The client sends one {@link #OPEN} frame and then the bytes for the endpoint without
+ * frames. The server sends frames only, so that the client can tell an orderly end of the
+ * endpoint's connection from the loss of the server.
  * <p>
  * Immutable and thread safe.
  */
-enum RelayFrame {
+enum TunnelFrame {
 
 	/** From the client: the endpoint that it wants. */
 	OPEN,
@@ -28,7 +28,7 @@
 	/** The endpoint has closed its connection in order. */
 	END,
 
-	/** The relay stops: the connection must not carry another request. */
+	/** The server stops: the connection must not carry another request. */
 	STOPPING;
 
 	/** Longer than any read from a socket. */
@@ -36,7 +36,7 @@
 
 	private static final int LENGTH_BYTES = 4;
 
-	private static final RelayFrame[] ALL = values();
+	private static final TunnelFrame[] ALL = values();
 
 	static LengthFieldBasedFrameDecoder decoder() {
 		return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
@@ -47,7 +47,7 @@
 	 * @param frame the frame without its length
 	 * @return the type, if it is a known one
 	 */
-	static Optional<RelayFrame> read(ByteBuf frame) {
+	static Optional<TunnelFrame> read(ByteBuf frame) {
 		int type = (frame.isReadable()) ? frame.readByte() : -1;
 		return (type >= 0 && type < ALL.length) ? Optional.of(ALL[type]) : Optional.empty();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/RelayServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelServer.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.daemon.relay;
+package org.acaciacourse.daemon.tunnel;
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -19,16 +19,16 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Relays connections of other entry VMs to endpoints: each connection that it accepts
+ * Carries connections of other entry VMs to endpoints: each connection that it accepts
  * names an endpoint, and from then on what either side sends is passed on unread. Only
  * holders of the inner key may open one, and only to listed endpoints. Invariant: both
- * sides of a relayed connection are closed together.
+ * sides of a tunnel are closed together.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
-public final class RelayServer {
+public final class TunnelServer {
 
-	private static final Logger logger = LogManager.getLogger(RelayServer.class);
+	private static final Logger logger = LogManager.getLogger(TunnelServer.class);
 
 	/**
 	 * Bounds descriptors and memory: more than all requests of an entry VM at its peak.
@@ -45,7 +45,7 @@
 
 	private final Targets targets;
 
-	private final Set<RelaySession> sessions = ConcurrentHashMap.newKeySet();
+	private final Set<TunnelSession> sessions = ConcurrentHashMap.newKeySet();
 
 	private Optional<Channel> listener = Optional.empty();
 
@@ -58,7 +58,7 @@
 	 * @param key the key of the inner connections
 	 * @param targets the endpoints
 	 */
-	public RelayServer(EventLoop loop, InetSocketAddress address, SharedKey key, Targets targets) {
+	public TunnelServer(EventLoop loop, InetSocketAddress address, SharedKey key, Targets targets) {
 		this.loop = loop;
 		this.address = address;
 		this.key = key;
@@ -75,7 +75,7 @@
 
 				@Override
 				protected void initChannel(Channel channel) {
-					new RelaySession(RelayServer.this, channel).start();
+					new TunnelSession(TunnelServer.this, channel).start();
 				}
 
 			});
@@ -84,7 +84,7 @@
 		this.listener = Optional.of(bound.channel());
 		bound.addListener((future) -> {
 			if (!future.isSuccess()) {
-				logger.error("cannot listen on {} to relay connections of other entry VMs: {}", this.address,
+				logger.error("cannot listen on {} for tunnels of other entry VMs: {}", this.address,
 						String.valueOf(future.cause()));
 			}
 		});
@@ -93,12 +93,12 @@
 	/** Accept no more connections, and have each open one closed after its request. */
 	public void stopAccepting() {
 		this.stopping = true;
-		this.sessions.forEach(RelaySession::announceStop);
+		this.sessions.forEach(TunnelSession::announceStop);
 	}
 
 	/**
-	 * Return the number of connections that are relayed.
-	 * @return the number of connections
+	 * Return the number of open tunnels.
+	 * @return the number of tunnels
 	 */
 	public int open() {
 		return this.sessions.size();
@@ -107,7 +107,7 @@
 	/** Close all connections. */
 	public void close() {
 		this.listener.ifPresent(Channel::close);
-		Set.copyOf(this.sessions).forEach(RelaySession::close);
+		Set.copyOf(this.sessions).forEach(TunnelSession::close);
 	}
 
 	EventLoop loop() {
@@ -122,22 +122,22 @@
 		return this.targets;
 	}
 
-	Optional<RelayResult> refusal() {
+	Optional<TunnelResult> refusal() {
 		if (this.stopping) {
-			return Optional.of(RelayResult.STOPPING);
+			return Optional.of(TunnelResult.STOPPING);
 		}
-		return (this.sessions.size() >= MAX_CONNECTIONS) ? Optional.of(RelayResult.BUSY) : Optional.empty();
+		return (this.sessions.size() >= MAX_CONNECTIONS) ? Optional.of(TunnelResult.BUSY) : Optional.empty();
 	}
 
-	void opened(RelaySession session) {
+	void opened(TunnelSession session) {
 		this.sessions.add(session);
 	}
 
-	void closed(RelaySession session) {
+	void closed(TunnelSession session) {
 		this.sessions.remove(session);
 	}
 
-	/** The endpoints that connections may be relayed to. */
+	/** The endpoints that tunnels may lead to. */
 	public interface Targets {
 
 		/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/relay/RelaySession.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
@@ -1,4 +1,4 @@
-package org.acaciacourse.daemon.relay;
+package org.acaciacourse.daemon.tunnel;
 
 import java.util.Optional;
 
@@ -14,17 +14,17 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.InternalConnection;
-import org.acaciacourse.protocol.generated.RelayOpenRecord;
-import org.acaciacourse.protocol.generated.RelayOpenedRecord;
+import org.acaciacourse.protocol.generated.TunnelOpenRecord;
+import org.acaciacourse.protocol.generated.TunnelOpenedRecord;
 
 /**
- * A relayed connection on the relay, between another entry VM, the client, and an
- * endpoint. Each side is read only while the other one accepts data, so that a slow
- * reader bounds the memory used.
+ * A tunnel on its server, between another entry VM, the client, and an endpoint. Each
+ * side is read only while the other one accepts data, so that a slow reader bounds the
+ * memory used.
  * <p>
  * Not thread safe: belongs to the event loop of its server.
  */
-final class RelaySession extends ChannelInboundHandlerAdapter {
+final class TunnelSession extends ChannelInboundHandlerAdapter {
 
 	/**
 	 * Less than clients wait, so that they learn why there is no connection.
@@ -33,7 +33,7 @@
 
 	private static final String DECODER = "decoder";
 
-	private final RelayServer server;
+	private final TunnelServer server;
 
 	private final Channel client;
 
@@ -41,13 +41,13 @@
 
 	private boolean openReceived;
 
-	RelaySession(RelayServer server, Channel client) {
+	TunnelSession(TunnelServer server, Channel client) {
 		this.server = server;
 		this.client = client;
 	}
 
 	void start() {
-		this.client.pipeline().addLast(DECODER, RelayFrame.decoder());
+		this.client.pipeline().addLast(DECODER, TunnelFrame.decoder());
 		this.client.pipeline().addLast(this);
 	}
 
@@ -66,10 +66,10 @@
 	}
 
 	private void readOpen(ByteBuf frame) {
-		boolean isOpen = RelayFrame.read(frame).equals(Optional.of(RelayFrame.OPEN));
+		boolean isOpen = TunnelFrame.read(frame).equals(Optional.of(TunnelFrame.OPEN));
 		byte[] content = new byte[frame.readableBytes()];
 		frame.readBytes(content);
-		Try<RelayOpenRecord> record = ThriftBytes.decode(content, new RelayOpenRecord());
+		Try<TunnelOpenRecord> record = ThriftBytes.decode(content, new TunnelOpenRecord());
 		boolean authorized = isOpen && !this.openReceived && record.isSuccess()
 				&& this.server.key().matches(record.get().getSharedKey());
 		this.openReceived = true;
@@ -83,12 +83,12 @@
 
 	private void open(String instance) {
 		Optional<FleetEndpoint> target = this.server.targets().find(instance);
-		Optional<RelayResult> refusal = this.server.refusal();
+		Optional<TunnelResult> refusal = this.server.refusal();
 		if (refusal.isPresent()) {
 			refuse(refusal.get());
 		}
 		else if (target.isEmpty()) {
-			refuse(RelayResult.UNKNOWN_ENDPOINT);
+			refuse(TunnelResult.UNKNOWN_ENDPOINT);
 		}
 		else {
 			EndpointLink link = this.server.targets().link(instance);
@@ -96,7 +96,7 @@
 				connect(target.get(), link);
 			}
 			else {
-				refuse(RelayResult.UNREACHABLE);
+				refuse(TunnelResult.UNREACHABLE);
 			}
 		}
 	}
@@ -120,7 +120,7 @@
 	private void connectFailed(EndpointLink link, boolean refused) {
 		long now = System.nanoTime();
 		link.connectFailed((refused) ? LinkSign.REFUSED : LinkSign.TIMEOUT, now);
-		refuse((refused && !link.isPathDoubted(now)) ? RelayResult.REFUSED : RelayResult.UNREACHABLE);
+		refuse((refused && !link.isPathDoubted(now)) ? TunnelResult.REFUSED : TunnelResult.UNREACHABLE);
 	}
 
 	private void connected(Channel channel) {
@@ -131,19 +131,19 @@
 		this.endpoint = Optional.of(channel);
 		this.server.opened(this);
 		this.client.pipeline().remove(DECODER);
-		this.client.writeAndFlush(opened(RelayResult.OPENED));
+		this.client.writeAndFlush(opened(TunnelResult.OPENED));
 	}
 
-	private static ByteBuf opened(RelayResult result) {
-		return RelayFrame.OPENED.of(ThriftBytes.encode(new RelayOpenedRecord(result.number())));
+	private static ByteBuf opened(TunnelResult result) {
+		return TunnelFrame.OPENED.of(ThriftBytes.encode(new TunnelOpenedRecord(result.number())));
 	}
 
-	private void refuse(RelayResult result) {
+	private void refuse(TunnelResult result) {
 		this.client.writeAndFlush(opened(result)).addListener(ChannelFutureListener.CLOSE);
 	}
 
 	void announceStop() {
-		this.client.writeAndFlush(RelayFrame.STOPPING.of());
+		this.client.writeAndFlush(TunnelFrame.STOPPING.of());
 	}
 
 	void close() {
@@ -189,19 +189,19 @@
 		public void channelRead(ChannelHandlerContext ctx, Object message) {
 			this.link.alive(System.nanoTime());
 			ByteBuf data = (ByteBuf) message;
-			RelaySession.this.client.write(RelayFrame.DATA.header(data.readableBytes()));
-			RelaySession.this.client.write(data);
+			TunnelSession.this.client.write(TunnelFrame.DATA.header(data.readableBytes()));
+			TunnelSession.this.client.write(data);
 		}
 
 		@Override
 		public void channelReadComplete(ChannelHandlerContext ctx) {
-			RelaySession.this.client.flush();
-			ctx.channel().config().setAutoRead(RelaySession.this.client.isWritable());
+			TunnelSession.this.client.flush();
+			ctx.channel().config().setAutoRead(TunnelSession.this.client.isWritable());
 		}
 
 		@Override
 		public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-			RelaySession.this.client.config().setAutoRead(ctx.channel().isWritable());
+			TunnelSession.this.client.config().setAutoRead(ctx.channel().isWritable());
 		}
 
 		@Override
@@ -214,10 +214,10 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext ctx) {
 			if (this.failed) {
-				RelaySession.this.client.close();
+				TunnelSession.this.client.close();
 			}
 			else {
-				RelaySession.this.client.writeAndFlush(RelayFrame.END.of()).addListener(ChannelFutureListener.CLOSE);
+				TunnelSession.this.client.writeAndFlush(TunnelFrame.END.of()).addListener(ChannelFutureListener.CLOSE);
 			}
 		}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -62,7 +62,7 @@
 		assertThat(page).contains("acaciacourse_configuration_number 12.0");
 		assertThat(page).contains("acaciacourse_retry_sharers 6.0");
 		assertThat(page).contains("acaciacourse_endpoint_links_lost 9.0");
-		assertThat(page).contains("acaciacourse_relayed_connections 8.0");
+		assertThat(page).contains("acaciacourse_tunnels_open 8.0");
 		assertThat(page).contains("acaciacourse_pool_waiting_requests{pool=\"engines\"} 2.0");
 		assertThat(page).contains("acaciacourse_pool_retries_left{pool=\"engines\"} 6.5");
 	}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -343,13 +343,13 @@
 }
 
 /* Asks an entry to connect to an endpoint and to pass on what both sides send. */
-struct RelayOpenRecord {
+struct TunnelOpenRecord {
   1: string sharedKey,
   2: string instance,
 }
 
 /* The answer, with the number of a result. */
-struct RelayOpenedRecord {
+struct TunnelOpenedRecord {
   1: i32 result,
 }
 
