A link counts as silent after 0.4 s at the earliest; a tunnel must be asked for in time

Twice a target of 120 ms is less than a busy service takes between two responses to one VM, and two links that look silent have all others checked by new connections. Tunnel connections that name no endpoint within 2 s are closed, so that they hold no descriptors.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -57,10 +57,12 @@
 	private static final long MAX_TRANSIT_NANOS = TimeUnit.SECONDS.toNanos(6);
 
 	/**
-	 * An engine sends events of its running responses every few batch steps. A step takes
-	 * 35 ms with a full batch and a concurrent prefill.
+	 * The shortest time without data after which a link with requests in flight counts as
+	 * silent. An engine sends events of its running responses every few batch steps, of
+	 * 35 ms each with a full batch and a concurrent prefill; a service with a short
+	 * target may take several times as long when it is busy.
 	 */
-	private static final long STREAM_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+	private static final long MIN_LINK_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
 	/** HTTP 421: the address belongs to another instance now. */
 	private static final int MISDIRECTED_REQUEST = 421;
@@ -357,7 +359,7 @@
 		if (silentNanos > linkSilenceNanos()) {
 			this.connection.link().lost(LinkSign.SILENT, now);
 		}
-		if (silentNanos > STREAM_PAUSE_NANOS && this.silenceCheck != null
+		if (silentNanos > MIN_LINK_SILENCE_NANOS && this.silenceCheck != null
 				&& this.exchange.context().connections().isKnownToBeCut(this.connection)
 				&& this.exchange.mayReplaceAttempt()) {
 			abandon(AttemptEnd.SILENT, lossOutcome());
@@ -370,7 +372,8 @@
 	}
 
 	private long linkSilenceNanos() {
-		return (this.placed.isStreaming()) ? STREAM_PAUSE_NANOS : silenceTimeoutNanos();
+		return (this.placed.isStreaming()) ? MIN_LINK_SILENCE_NANOS
+				: Math.max(MIN_LINK_SILENCE_NANOS, silenceTimeoutNanos());
 	}
 
 	// A connection can stall for good and an endpoint can be cut off without TCP
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.tunnel;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -31,6 +32,9 @@
 	 */
 	private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
+	/** A client asks for its endpoint as soon as it is connected. */
+	private static final long OPEN_TIMEOUT_MILLIS = 2_000;
+
 	private static final String DECODER = "decoder";
 
 	private final TunnelServer server;
@@ -49,6 +53,13 @@
 	void start() {
 		this.client.pipeline().addLast(DECODER, TunnelFrame.decoder());
 		this.client.pipeline().addLast(this);
+		this.server.loop().schedule(this::closeUnlessOpened, OPEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void closeUnlessOpened() {
+		if (!this.openReceived) {
+			this.client.close();
+		}
 	}
 
 	@Override
