Cut VMs spread their tunnels over the others

All VMs had the same order of peers for an endpoint, so that all that were cut went to the same one: at 77 VMs, 26 of them cut, the busiest peer carried 500 tunnels at a mean of 51 (CutFleetTests, red before, in virtual time). The order follows from the VM too now. The same tests show that a peer is found while a whole data centre, 86 of 95 VMs or others in turn are cut.

--- a/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
+++ b/core/src/main/java/org/acaciacourse/core/path/EndpointPaths.java
@@ -134,18 +134,19 @@
 
 	/**
 	 * Return the peers for a tunnel to an endpoint, the best one first: those that worked
-	 * lately, those that add no traffic between data centres, then the others. Each
-	 * endpoint has an order of its own, so that peers share the work. Peers that were not
-	 * tried come from this and other data centres by turns, as most VMs of a data centre
-	 * may be cut off together.
+	 * lately, those that add no traffic between data centres, then the others. Each VM
+	 * has an order of its own for each endpoint, so that peers share the work. Peers that
+	 * were not tried come from this and other data centres by turns, as most VMs of a
+	 * data centre may be cut off together.
 	 * @param endpoint the endpoint
 	 * @param now the time
 	 * @return the addresses of the peers, not more than a request should try
 	 */
 	public List<String> peersFor(FleetEndpoint endpoint, long now) {
+		String prefix = this.self.address() + "/" + endpoint.instance() + "/";
 		List<LoadPeer> usable = this.peers.stream()
 			.filter((peer) -> isUsable(peer.address(), endpoint.instance(), now))
-			.sorted(Comparator.comparingInt((peer) -> PeerLoads.idOf(endpoint.instance() + "/" + peer.address())))
+			.sorted(Comparator.comparingInt((peer) -> PeerLoads.idOf(prefix + peer.address())))
 			.toList();
 		List<String> result = new ArrayList<>();
 		Deque<String> near = new ArrayDeque<>();
