The check of links goes over a copy of the open requests

A check may end a request, which leaves the set that was gone over: the exception would have ended the tick of the event loop for good, and with it the detection of stalls. It takes a request that is given up while another one is being moved off a cut link.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -221,7 +221,8 @@
 			this.metrics.loopStalled(millis);
 		});
 		if (!this.pools.isCatchingUp()) {
-			this.openExchanges.forEach(RoutedExchange::checkLink);
+			// A check may end exchanges.
+			List.copyOf(this.openExchanges).forEach(RoutedExchange::checkLink);
 		}
 		this.loop.schedule(this::tick, StallDetector.TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
