Observability of crashes: which endpoints crash, and with what content

attempt-ended tells the content of a request by a hash, and endpoint-crashed which contents ran on an endpoint that crashed. A crash is told from a broken connection by a check: all connections of the endpoint ended, and it refuses a new one, directly and through another entry. No decision depends on it.

--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -359,6 +359,15 @@
 		return Optional.of(this.briefEngines.division()).filter((told) -> told.engines() > 0);
 	}
 
+	/**
+	 * Return how many requests of this VM are at an endpoint.
+	 * @param instance its instance
+	 * @return the number of requests
+	 */
+	public int inFlight(String instance) {
+		return find(instance).map(EndpointLoad::inFlight).orElse(0);
+	}
+
 	private Optional<EndpointLoad> find(String instance) {
 		return Optional.ofNullable(this.loads.get(instance));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -169,7 +169,8 @@
 		String via = Optional.ofNullable(this.connection).flatMap(EndpointConnection::via).orElse(null);
 		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, via, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
-				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0);
+				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
+				Long.toHexString(this.exchange.request().contentHash()));
 	}
 
 	private void finish(Outcome outcome) {
@@ -343,6 +344,13 @@
 				.connections()
 				.requestLost(this.endpoint, this.connection, System.nanoTime() - this.sentAt);
 		}
+		if (this.connection.isClosedByEndpoint()) {
+			this.exchange.context()
+				.crashes()
+				.connectionLost(this.endpoint, this.exchange.request().contentHash(), System.nanoTime() - this.sentAt,
+						() -> {
+						});
+		}
 		end(AttemptEnd.BROKEN, lossOutcome());
 	}
 
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
@@ -0,0 +1,149 @@
+package org.acaciacourse.daemon.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
+
+/**
+ * Tells endpoints that crash from connections that break for another reason. An endpoint
+ * has crashed if all its connections end at once and it refuses new ones. One that
+ * accepts a connection, directly or through another entry VM, has only lost the others;
+ * one that does not respond may be out of reach; one that is leaving has stopped as
+ * planned.
+ * <p>
+ * Invariant: at most one check of an endpoint is in progress, and it ends within
+ * {@value #MAX_CHECK_MILLIS} ms for the requests that wait for it.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class CrashDetector {
+
+	/** The connections of a process that ends are closed within less time. */
+	private static final long CLOSING_MILLIS = 5;
+
+	/** A refusal takes a round trip, also through another entry VM. */
+	private static final long MAX_CHECK_MILLIS = 100;
+
+	/** Bounds the contents that are kept for a crash; an engine runs many requests. */
+	private static final int MAX_CONTENTS = 16;
+
+	private final EventLoop loop;
+
+	private final EndpointConnections connections;
+
+	private final PoolStates pools;
+
+	private final Map<String, Check> checks = new HashMap<>();
+
+	CrashDetector(EventLoop loop, EndpointConnections connections, PoolStates pools) {
+		this.loop = loop;
+		this.connections = connections;
+		this.pools = pools;
+	}
+
+	/**
+	 * Check whether an endpoint has crashed, as the connection of a request broke.
+	 * @param endpoint the endpoint
+	 * @param content a hash of the content of the request
+	 * @param tookNanos nanoseconds since the request was sent
+	 * @param onChecked called once the result is known or takes too long
+	 */
+	void connectionLost(FleetEndpoint endpoint, long content, long tookNanos, Runnable onChecked) {
+		Check check = this.checks.computeIfAbsent(endpoint.instance(), (instance) -> schedule(endpoint));
+		check.lost.add(new LostRequest(content, tookNanos));
+		if (check.released) {
+			onChecked.run();
+		}
+		else {
+			check.waiting.add(onChecked);
+		}
+	}
+
+	private Check schedule(FleetEndpoint endpoint) {
+		Check check = new Check(endpoint);
+		this.loop.schedule(() -> start(check), CLOSING_MILLIS, TimeUnit.MILLISECONDS);
+		this.loop.schedule(check::release, MAX_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+		return check;
+	}
+
+	private void start(Check check) {
+		boolean otherOpen = this.connections.hasIdle(check.endpoint.instance())
+				|| this.pools.state(check.endpoint.pool()).balancer().inFlight(check.endpoint.instance()) > 0;
+		if (otherOpen) {
+			ended(check, false);
+		}
+		else {
+			this.connections.checkRefusal(check.endpoint, (refused) -> ended(check, refused));
+		}
+	}
+
+	private void ended(Check check, boolean refused) {
+		this.checks.remove(check.endpoint.instance());
+		if (refused && isStaying(check.endpoint)) {
+			logCrash(check);
+		}
+		check.release();
+	}
+
+	private boolean isStaying(FleetEndpoint endpoint) {
+		Optional<FleetEndpoint> listed = this.pools.endpoint(endpoint.instance());
+		return listed.isPresent() && !listed.get().leaving();
+	}
+
+	private static void logCrash(Check check) {
+		List<LostRequest> latest = check.latest();
+		DecisionLog.write(LogEvent.ENDPOINT_CRASHED, check.endpoint.instance(), check.endpoint.pool(),
+				check.lost.size(), TimeUnit.NANOSECONDS.toMillis(latest.get(0).tookNanos()),
+				latest.stream().map((request) -> Long.toHexString(request.content())).toList());
+	}
+
+	/** A check that is in progress, and the requests that the endpoint has lost. */
+	private static final class Check {
+
+		private final FleetEndpoint endpoint;
+
+		private final List<LostRequest> lost = new ArrayList<>();
+
+		private final List<Runnable> waiting = new ArrayList<>();
+
+		private boolean released;
+
+		private Check(FleetEndpoint endpoint) {
+			this.endpoint = endpoint;
+		}
+
+		private List<LostRequest> latest() {
+			return this.lost.stream()
+				.sorted(Comparator.comparingLong(LostRequest::tookNanos))
+				.limit(MAX_CONTENTS)
+				.toList();
+		}
+
+		private void release() {
+			this.released = true;
+			List<Runnable> all = List.copyOf(this.waiting);
+			this.waiting.clear();
+			all.forEach(Runnable::run);
+		}
+
+	}
+
+	/**
+	 * A request that was at an endpoint when its connection broke.
+	 *
+	 * @param content a hash of its content
+	 * @param tookNanos nanoseconds since it was sent
+	 */
+	private record LostRequest(long content, long tookNanos) {
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -55,6 +55,8 @@
 
 	private boolean connectionReset;
 
+	private boolean closedByEndpoint;
+
 	private boolean stopping;
 
 	private long usableUntil = Long.MAX_VALUE;
@@ -152,6 +154,15 @@
 		}
 	}
 
+	/**
+	 * Return whether the connection ended although nothing that was received on it is
+	 * invalid.
+	 * @return whether its other end closed or reset it
+	 */
+	boolean isClosedByEndpoint() {
+		return this.closedByEndpoint;
+	}
+
 	/** Close the connection, after the response if it carries a request. */
 	void closeAfterResponse() {
 		this.stopping = true;
@@ -253,12 +264,14 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		this.connectionReset = true;
+		this.closedByEndpoint = true;
 		this.link.lost(LinkSign.RESET, System.nanoTime());
 		fail();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
+		this.closedByEndpoint = true;
 		fail();
 		this.onClosed.accept(this);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.path.EndpointPaths;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.tunnel.TcpSockets;
 
 /**
  * The connections to the endpoints, kept by instance: an address may be reassigned to
@@ -97,6 +98,19 @@
 		}
 	}
 
+	/**
+	 * Check whether an endpoint refuses connections. A connection that it accepts serves
+	 * a later request.
+	 * @param endpoint the endpoint
+	 * @param onChecked receives whether it refused one, false if there was no response
+	 */
+	void checkRefusal(FleetEndpoint endpoint, Consumer<Boolean> onChecked) {
+		this.connector.connect(endpoint, (result) -> {
+			result.forEach((connection) -> release(endpoint, connection));
+			onChecked.accept(result.isFailure() && TcpSockets.isRefused(result.getCause()));
+		}, (spare) -> release(endpoint, spare));
+	}
+
 	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint) {
 		Deque<EndpointConnection> connections = this.idleConnections.getOrDefault(endpoint.instance(),
 				new ArrayDeque<>());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -136,8 +136,9 @@
 		this.connections = new EndpointConnections(this.loop, this.paths,
 				options.loadPeer().map((peer) -> options.tunnelKey()), this::areTunnelsAllowed);
 		this.pools = new PoolStates(this.loop, options.retryBudget(), this.connections::hasIdle);
-		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.metrics,
-				this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
+		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
+				new CrashDetector(this.loop, this.connections, this.pools), this.metrics, this.openExchanges,
+				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -52,6 +52,17 @@
 		return this.route.pool(this.idHash);
 	}
 
+	/**
+	 * Return a hash of what identifies the same request when it is sent again: the
+	 * customer, the host, the method, the path and the body. Its id is another one then.
+	 * @return the hash
+	 */
+	long contentHash() {
+		String line = String.join(" ", customer().orElse(""), this.headers.get("host", ""), this.method,
+				this.requestTarget);
+		return LongHashFunction.xx3(HASH.hashChars(line)).hashBytes(this.body);
+	}
+
 	Optional<String> customer() {
 		return this.owner.map(KeyOwner::customer);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -47,7 +47,7 @@
 
 	/** An attempt ended without a complete response. */
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
-			"waiting_work", "failure_rate"),
+			"waiting_work", "failure_rate", "content"),
 
 	/**
 	 * A request is retried, which is charged to the retry budget: what is left of this
@@ -79,6 +79,12 @@
 	 */
 	LINKS_DOUBTED("links-doubted", "via", "lost", "known"),
 
+	/**
+	 * An endpoint crashed while requests of this VM were there: their number, the time
+	 * since the latest of them was sent, and the contents of the latest ones.
+	 */
+	ENDPOINT_CRASHED("endpoint-crashed", "endpoint", "pool", "requests", "youngest_ms", "contents"),
+
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
 
