--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -99,15 +99,28 @@
 	}
 
 	/**
-	 * Check whether an endpoint refuses connections. A connection that it accepts serves
-	 * a later request.
+	 * Check whether an endpoint refuses connections, to this VM or to others, and accepts
+	 * none. A connection that it accepts serves a later request. Other VMs that have lost
+	 * the endpoint as well do not tell why, so that one refusal is enough.
 	 * @param endpoint the endpoint
-	 * @param onChecked receives whether it refused one, false if there was no response
+	 * @param onChecked receives whether it refuses connections
 	 */
 	void checkRefusal(FleetEndpoint endpoint, Consumer<Boolean> onChecked) {
+		this.connector.connectDirectly(endpoint, (direct) -> {
+			if (direct.isSuccess()) {
+				release(endpoint, direct.get());
+				onChecked.accept(false);
+			}
+			else {
+				checkOtherPaths(endpoint, TcpSockets.isRefused(direct.getCause()), onChecked);
+			}
+		});
+	}
+
+	private void checkOtherPaths(FleetEndpoint endpoint, boolean refused, Consumer<Boolean> onChecked) {
 		this.connector.connect(endpoint, (result) -> {
 			result.forEach((connection) -> release(endpoint, connection));
-			onChecked.accept(result.isFailure() && TcpSockets.isRefused(result.getCause()));
+			onChecked.accept(result.isFailure() && (refused || TcpSockets.isRefused(result.getCause())));
 		}, (spare) -> release(endpoint, spare));
 	}
 
