Observability of limits on requests: which endpoints state one

The header is read, and rate-limit lines tell of limits that begin, change and end, with the requests that the entry has sent there. No decision depends on it.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.core.balance;
 
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalDouble;
 
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -64,6 +65,8 @@
 
 	private final RefusalLimit refusalLimit;
 
+	private final RateLimits rateLimits;
+
 	private final int id;
 
 	private final long hash;
@@ -105,10 +108,11 @@
 
 	private long recentAt;
 
-	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit) {
+	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits) {
 		this.endpoint = endpoint;
 		this.peers = peers;
 		this.refusalLimit = refusalLimit;
+		this.rateLimits = rateLimits;
 		this.room = endpoint.slots();
 		this.id = PeerLoads.idOf(endpoint.instance());
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
@@ -243,6 +247,10 @@
 		this.refusalLimit.stated(refusalsPerSecond, now);
 	}
 
+	void rateLimitStated(OptionalDouble perSecond, long now) {
+		this.rateLimits.record(this.id, perSecond, now);
+	}
+
 	// Whether it may get another request; without a limit on refusals it may be asked.
 	boolean hasRoom(long now) {
 		return !this.refusalLimit.applies(now) || running(now) + untoldRequests(now) < this.room;
@@ -266,6 +274,7 @@
 	void requestSent(long now) {
 		this.recentRequests = recentRequests(now) + 1;
 		this.recentAt = now;
+		this.rateLimits.requestSent(this.id, now);
 	}
 
 	// The endpoint reported that it is leaving, or was full.
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.balance;
 
+import java.util.OptionalDouble;
+
 /**
  * A request at an endpoint, from its placement to its end: what it adds to the endpoint's
  * load and what it shows of the endpoint's health. Invariant: each step counts once, so
@@ -92,6 +94,15 @@
 		this.load.refusalLimitStated(perSecond, now);
 	}
 
+	/**
+	 * Record the limit on its requests that the endpoint stated, or that it stated none.
+	 * @param perSecond the requests per second of all VMs
+	 * @param now the time
+	 */
+	public void reportRateLimit(OptionalDouble perSecond, long now) {
+		this.load.rateLimitStated(perSecond, now);
+	}
+
 	/**
 	 * Record the first event of the response, which shows that the prompt is prefilled.
 	 * Later events have no effect.
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -48,6 +48,8 @@
 
 	private final RefusalLimit refusalLimit;
 
+	private final RateLimits rateLimits;
+
 	private int maxConnectionsPerEndpoint = Integer.MAX_VALUE;
 
 	private long engineCacheTokens;
@@ -76,7 +78,18 @@
 	 * @param connected tells whether there is an idle connection to an instance
 	 */
 	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
+		this(peers, new RateLimits(), connected);
+	}
+
+	/**
+	 * Make a balancer of a VM with several pools.
+	 * @param peers the load of the other entry VMs
+	 * @param rateLimits the limits that endpoints state
+	 * @param connected tells whether there is an idle connection to an instance
+	 */
+	public PoolBalancer(PeerLoads peers, RateLimits rateLimits, Predicate<String> connected) {
 		this.peers = peers;
+		this.rateLimits = rateLimits;
 		this.connected = connected;
 		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
@@ -147,7 +160,7 @@
 	}
 
 	private EndpointLoad newLoad(FleetEndpoint endpoint) {
-		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit);
+		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit, this.rateLimits);
 		if (this.engineCacheTokens > 0) {
 			load.prefixCache().engineCacheTokens(this.engineCacheTokens);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -205,6 +205,7 @@
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		metadata.load().ifPresent((load) -> this.placed.report(load.running(), load.waiting(), this.lastActivityAt));
 		metadata.refusalLimit().ifPresent((limit) -> this.placed.reportRefusalLimit(limit, this.lastActivityAt));
+		this.placed.reportRateLimit(metadata.rateLimit(), this.lastActivityAt);
 		metadata.idleTimeoutSeconds()
 			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -15,6 +17,7 @@
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
+import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.balance.RetryAllowance;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.balance.SharerCount;
@@ -50,10 +53,18 @@
 
 	private final PeerLoads peers = new PeerLoads();
 
+	private final RateLimits rateLimits = new RateLimits();
+
+	/** The limits that are in the log, by the ids of their endpoints. */
+	private final Map<Integer, RateLimits.Status> loggedRateLimits = new HashMap<>();
+
 	private Fleet fleet = Fleet.NONE;
 
 	private Map<String, FleetEndpoint> endpoints = Map.of();
 
+	/** The instances by their ids in digests. */
+	private Map<Integer, String> instances = Map.of();
+
 	private List<Pool> declaredPools = List.of();
 
 	private final long startedAt = System.nanoTime();
@@ -120,11 +131,14 @@
 		this.fleet = next;
 		Map<String, List<FleetEndpoint>> byPool = new HashMap<>();
 		Map<String, FleetEndpoint> present = new HashMap<>();
+		Map<Integer, String> ids = new HashMap<>();
 		next.endpoints().forEach((endpoint) -> {
 			byPool.computeIfAbsent(endpoint.pool(), (pool) -> new ArrayList<>()).add(endpoint);
 			present.put(endpoint.instance(), endpoint);
+			ids.put(PeerLoads.idOf(endpoint.instance()), endpoint.instance());
 		});
 		this.endpoints = present;
+		this.instances = ids;
 		byPool.keySet().forEach(this::state);
 		this.states.forEach((pool, state) -> state.balancer().endpoints(byPool.getOrDefault(pool, List.of())));
 		applySharers();
@@ -264,6 +278,28 @@
 		});
 	}
 
+	/** Log the endpoints that state a limit on their requests; called periodically. */
+	void logRateLimits() {
+		Map<Integer, RateLimits.Status> limits = this.rateLimits.statuses(System.nanoTime());
+		Set<Integer> ended = new HashSet<>(this.loggedRateLimits.keySet());
+		ended.removeAll(limits.keySet());
+		ended.forEach((endpoint) -> {
+			this.loggedRateLimits.remove(endpoint);
+			DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), null, null);
+		});
+		limits.forEach((endpoint, limit) -> {
+			RateLimits.Status logged = this.loggedRateLimits.get(endpoint);
+			if (logged == null || logged.perSecond() != limit.perSecond()) {
+				this.loggedRateLimits.put(endpoint, limit);
+				DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), limit.perSecond(), limit.sent());
+			}
+		});
+	}
+
+	private String instanceOf(int endpoint) {
+		return this.instances.getOrDefault(endpoint, Integer.toHexString(endpoint));
+	}
+
 	private void applySharers() {
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		int entries = Math.max(1, this.sharerCount.highest());
@@ -281,7 +317,7 @@
 			RetryAllowance allowance = new RetryAllowance(this.startedAt, this.retryBudget.window().toNanos(),
 					this.retryBudget.ratio(), this.retryBudget.minimum());
 			allowance.sharers(this.sharers);
-			PoolBalancer balancer = new PoolBalancer(this.peers, this.hasIdleConnection);
+			PoolBalancer balancer = new PoolBalancer(this.peers, this.rateLimits, this.hasIdleConnection);
 			balancer.policy(this.policy);
 			return new State(balancer, allowance, new PoolQueue(this.loop));
 		});
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -89,11 +90,13 @@
 	 * @param load the load, if it is reported
 	 * @param refusalLimit how many refusals within a second the endpoint endures, if
 	 * there is a limit now
+	 * @param rateLimit how many requests per second the endpoint takes from all VMs
+	 * together, if there is a limit now
 	 * @param idleTimeoutSeconds how long the endpoint keeps an idle connection, if it is
 	 * stated
 	 */
 	record ResponseMetadata(String requestId, boolean sealed, boolean notRun, Optional<ReportedLoad> load,
-			OptionalInt refusalLimit, OptionalInt idleTimeoutSeconds) {
+			OptionalInt refusalLimit, OptionalDouble rateLimit, OptionalInt idleTimeoutSeconds) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -237,6 +237,7 @@
 		this.pools.refreshSharers();
 		this.pools.logDivisions();
 		this.pools.logRefusalLimits();
+		this.pools.logRateLimits();
 		this.crashes.sweep();
 		publishGauges();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -114,6 +114,13 @@
 	 */
 	REFUSAL_LIMIT("refusal-limit", "pool", "per_second"),
 
+	/**
+	 * An endpoint states how many requests per second it takes from all VMs together: the
+	 * limit, empty once it does not apply any longer, and how many requests this VM has
+	 * sent to it since it first did.
+	 */
+	RATE_LIMIT("rate-limit", "endpoint", "per_second", "sent"),
+
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
