An endpoint gets no more requests than it takes from all entries together

An endpoint that stated a limit on its requests got as many as before: 31 in four seconds at 3.8 a second, where 28 were allowed. Endpoints in need stayed in need although others had room.

Cause: the limit was not read, and no entry could have kept it alone, as it is for all of them together. The class: a bound that the whole system has to keep, with no share of it for each part.

Without any that has permits left a request waits in its queue, and a refusal tells when the queue will have moved on.

--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.ContentFact;
 
@@ -22,9 +23,11 @@
  * @param acknowledged the sequence numbers of the included reports, by the ids of their
  * senders
  * @param facts what VMs have lately seen of contents that may crash endpoints
+ * @param limits the limits on their requests that endpoints have lately stated
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
-		List<PartUse> uses, Map<Integer, Long> acknowledged, List<ContentFact> facts) {
+		List<PartUse> uses, Map<Integer, Long> acknowledged, List<ContentFact> facts,
+		List<RateLimits.Statement> limits) {
 
 	/** Endpoints in a part, which together with the rest fit into a packet. */
 	private static final int MAX_LOADS_PER_PART = 60;
@@ -32,6 +35,9 @@
 	/** Uses in a part. */
 	static final int MAX_USES_PER_PART = 30;
 
+	/** Limits in a part. */
+	private static final int MAX_LIMITS_PER_PART = 20;
+
 	/** Facts in a part. */
 	private static final int MAX_FACTS_PER_PART = 16;
 
@@ -50,6 +56,7 @@
 		uses = List.copyOf(uses);
 		acknowledged = Map.copyOf(acknowledged);
 		facts = List.copyOf(facts);
+		limits = List.copyOf(limits);
 	}
 
 	/**
@@ -62,17 +69,22 @@
 	 * @return the digest
 	 */
 	static LoadDigest of(Kind kind, long sequence, int vms, List<PeerLoads.Load> loads, List<PartUse> uses) {
-		return new LoadDigest(kind, sequence, 0, 1, vms, loads, uses, Map.of(), List.of());
+		return new LoadDigest(kind, sequence, 0, 1, vms, loads, uses, Map.of(), List.of(), List.of());
 	}
 
 	LoadDigest withAcknowledged(Map<Integer, Long> reports) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses, reports,
-				this.facts);
+				this.facts, this.limits);
 	}
 
 	LoadDigest withFacts(List<ContentFact> contentFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, contentFacts);
+				this.acknowledged, contentFacts, this.limits);
+	}
+
+	LoadDigest withLimits(List<RateLimits.Statement> statements) {
+		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
+				this.acknowledged, this.facts, statements);
 	}
 
 	/**
@@ -80,14 +92,18 @@
 	 * @return the parts, at least one
 	 */
 	List<LoadDigest> split() {
-		int needed = Math.max(chunkCount(this.loads.size(), MAX_LOADS_PER_PART), Math
-			.max(chunkCount(this.uses.size(), MAX_USES_PER_PART), chunkCount(this.facts.size(), MAX_FACTS_PER_PART)));
+		int needed = IntStream
+			.of(chunkCount(this.loads.size(), MAX_LOADS_PER_PART), chunkCount(this.uses.size(), MAX_USES_PER_PART),
+					chunkCount(this.facts.size(), MAX_FACTS_PER_PART),
+					chunkCount(this.limits.size(), MAX_LIMITS_PER_PART))
+			.max()
+			.getAsInt();
 		int count = Math.max(1, Math.min(MAX_PARTS, needed));
 		List<LoadDigest> all = new ArrayList<>(count);
 		for (int i = 0; i < count; i++) {
 			all.add(new LoadDigest(this.kind, this.sequence, i, count, this.vms,
 					chunk(this.loads, i, MAX_LOADS_PER_PART), chunk(this.uses, i, MAX_USES_PER_PART), this.acknowledged,
-					chunk(this.facts, i, MAX_FACTS_PER_PART)));
+					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART)));
 		}
 		return all;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.ContentFact;
 
@@ -95,6 +96,10 @@
 
 	private List<PeerLoads.Load> lastSent = List.of();
 
+	private List<RateLimits.Statement> limits = List.of();
+
+	private List<RateLimits.Statement> sentLimits = List.of();
+
 	private long lastSentAt;
 
 	private long sequence;
@@ -166,6 +171,14 @@
 		}
 	}
 
+	/**
+	 * Set the limits that endpoints state; call before each {@link #tick}.
+	 * @param statements the recent statements that this VM knows
+	 */
+	public void limits(List<RateLimits.Statement> statements) {
+		this.limits = List.copyOf(statements);
+	}
+
 	/**
 	 * Determine the digests to send now.
 	 * @param own the load of this VM
@@ -207,15 +220,21 @@
 
 	private boolean isDue(List<PeerLoads.Load> next, long maxInterval, long now) {
 		boolean factsLeft = this.groupFacts.isAnyLeft() || this.allFacts.isAnyLeft();
-		if (!factsLeft && next.equals(this.lastSent) && now - this.lastSentAt < maxInterval) {
+		if (!factsLeft && !isLimitChanged() && next.equals(this.lastSent) && now - this.lastSentAt < maxInterval) {
 			return false;
 		}
 		this.lastSent = next;
+		this.sentLimits = this.limits;
 		this.lastSentAt = now;
 		this.sequence++;
 		return true;
 	}
 
+	private boolean isLimitChanged() {
+		return this.limits.size() != this.sentLimits.size() || IntStream.range(0, this.limits.size())
+			.anyMatch((i) -> !this.limits.get(i).isSameLimit(this.sentLimits.get(i)));
+	}
+
 	private List<Outgoing> broadcast(List<PeerLoads.Load> own, long now) {
 		if (!isDue(own, MAX_INTERVAL_NANOS, now)) {
 			return List.of();
@@ -263,11 +282,11 @@
 		return messages;
 	}
 
-	private static List<Outgoing> send(LoadDigest digest, List<String> receivers) {
+	private List<Outgoing> send(LoadDigest digest, List<String> receivers) {
 		if (receivers.isEmpty()) {
 			return List.of();
 		}
-		return digest.split().stream().map((part) -> new Outgoing(part, receivers)).toList();
+		return digest.withLimits(this.limits).split().stream().map((part) -> new Outgoing(part, receivers)).toList();
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -78,7 +79,7 @@
 	 * @param connected tells whether there is an idle connection to an instance
 	 */
 	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
-		this(peers, new RateLimits(), connected);
+		this(peers, RateLimits.ofSingleVm(), connected);
 	}
 
 	/**
@@ -287,7 +288,7 @@
 	private boolean isUsable(EndpointLoad load, Set<String> excluded, long now) {
 		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
 		return !load.endpoint().leaving() && !paused && load.inFlight() < this.maxConnectionsPerEndpoint
-				&& !excluded.contains(load.endpoint().instance());
+				&& this.rateLimits.maySend(load.id(), now) && !excluded.contains(load.endpoint().instance());
 	}
 
 	/**
@@ -372,6 +373,23 @@
 		return Optional.of(this.briefEngines.division()).filter((told) -> told.engines() > 0);
 	}
 
+	/**
+	 * Return how many requests per second this VM may send if all endpoints state limits.
+	 * @param now the time
+	 * @return the sum of its shares, empty if an endpoint takes as many as it can run
+	 */
+	public OptionalDouble permittedRate(long now) {
+		double sum = 0;
+		for (EndpointLoad load : this.loads.values()) {
+			OptionalDouble share = this.rateLimits.shareOf(load.id(), now);
+			if (share.isEmpty() && !load.endpoint().leaving()) {
+				return OptionalDouble.empty();
+			}
+			sum += share.orElse(0);
+		}
+		return OptionalDouble.of(sum);
+	}
+
 	/**
 	 * Return how many requests of this VM are at an endpoint.
 	 * @param instance its instance
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -2,17 +2,20 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 import io.vavr.control.Try;
 import org.acaciacourse.core.balance.LoadDigest;
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.ContentFact;
 import org.acaciacourse.protocol.generated.ContentFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
+import org.acaciacourse.protocol.generated.RateLimitRecord;
 
 /**
  * Converts load digests to and from the content of datagrams.
@@ -50,6 +53,9 @@
 		if (!digest.facts().isEmpty()) {
 			record.setFacts(digest.facts().stream().map(LoadDigestCodec::factRecord).toList());
 		}
+		if (!digest.limits().isEmpty()) {
+			record.setLimits(digest.limits().stream().map(LoadDigestCodec::limitRecord).toList());
+		}
 		return ThriftBytes.encode(record);
 	}
 
@@ -70,7 +76,20 @@
 		return new LoadDigest(KINDS[record.getKind()], record.getSequence(), record.getPart(),
 				(record.isSetParts()) ? record.getParts() : 1, (record.isSetVms()) ? record.getVms() : 1, loads, uses,
 				(record.isSetHeard()) ? record.getHeard() : Map.of(),
-				(record.isSetFacts()) ? record.getFacts().stream().map(LoadDigestCodec::fact).toList() : List.of());
+				(record.isSetFacts()) ? record.getFacts().stream().map(LoadDigestCodec::fact).toList() : List.of(),
+				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of());
+	}
+
+	private static RateLimitRecord limitRecord(RateLimits.Statement limit) {
+		RateLimitRecord record = new RateLimitRecord().setInstance(limit.endpoint()).setAgeMillis(limit.ageMillis());
+		limit.perSecond().ifPresent(record::setPerSecond);
+		return record;
+	}
+
+	private static RateLimits.Statement limit(RateLimitRecord record) {
+		OptionalDouble perSecond = (record.isSetPerSecond()) ? OptionalDouble.of(record.getPerSecond())
+				: OptionalDouble.empty();
+		return new RateLimits.Statement(record.getInstance(), perSecond, record.getAgeMillis());
 	}
 
 	private static ContentFactRecord factRecord(ContentFact fact) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -142,6 +142,7 @@
 		this.tickedAt = now;
 		if (isEnabled()) {
 			this.exchange.maxDirectPeers((int) this.pools.policy().value(RoutingParameter.MOST_DIRECT_PEERS));
+			this.exchange.limits(this.pools.rateLimits().statements(now));
 			this.exchange.tick(this.pools.localLoads(), this.pools.drainUnreportedUses(), now).forEach(this::send);
 			this.channel.flush();
 			logRelayChange();
@@ -189,6 +190,7 @@
 			digest.uses().forEach(this.pools::recordPeerUse);
 		}
 		digest.facts().forEach(this.crashes::receive);
+		digest.limits().forEach((limit) -> this.pools.rateLimits().receive(limit, System.nanoTime()));
 	}
 
 	private void logDropped(InetSocketAddress sender, Throwable cause) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -53,7 +53,7 @@
 
 	private final PeerLoads peers = new PeerLoads();
 
-	private final RateLimits rateLimits = new RateLimits();
+	private final RateLimits rateLimits;
 
 	/** The limits that are in the log, by the ids of their endpoints. */
 	private final Map<Integer, RateLimits.Status> loggedRateLimits = new HashMap<>();
@@ -85,11 +85,14 @@
 	 * Create the states.
 	 * @param loop the event loop
 	 * @param retryBudget the retry budget
+	 * @param rateLimits the limits that endpoints state
 	 * @param hasIdleConnection returns whether there is an idle connection to an instance
 	 */
-	PoolStates(EventLoop loop, RetryBudgetOptions retryBudget, Predicate<String> hasIdleConnection) {
+	PoolStates(EventLoop loop, RetryBudgetOptions retryBudget, RateLimits rateLimits,
+			Predicate<String> hasIdleConnection) {
 		this.loop = loop;
 		this.retryBudget = retryBudget;
+		this.rateLimits = rateLimits;
 		this.hasIdleConnection = hasIdleConnection;
 	}
 
@@ -153,6 +156,10 @@
 		return this.tableNumber;
 	}
 
+	RateLimits rateLimits() {
+		return this.rateLimits;
+	}
+
 	PeerLoads peers() {
 		return this.peers;
 	}
@@ -285,13 +292,14 @@
 		ended.removeAll(limits.keySet());
 		ended.forEach((endpoint) -> {
 			this.loggedRateLimits.remove(endpoint);
-			DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), null, null);
+			DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), null, null, null);
 		});
 		limits.forEach((endpoint, limit) -> {
 			RateLimits.Status logged = this.loggedRateLimits.get(endpoint);
-			if (logged == null || logged.perSecond() != limit.perSecond()) {
+			if (logged == null || logged.perSecond() != limit.perSecond() || logged.share() != limit.share()) {
 				this.loggedRateLimits.put(endpoint, limit);
-				DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), limit.perSecond(), limit.sent());
+				DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), limit.perSecond(),
+						Math.round(limit.share() * 100) / 100.0, limit.sent());
 			}
 		});
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -18,6 +18,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.acaciacourse.core.balance.LoadPeer;
+import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.balance.StallDetector;
@@ -137,7 +138,9 @@
 		this.paths = new EndpointPaths(self, LinkLog::new);
 		this.connections = new EndpointConnections(this.loop, this.paths,
 				options.loadPeer().map((peer) -> options.tunnelKey()), this::areTunnelsAllowed);
-		this.pools = new PoolStates(this.loop, options.retryBudget(), this.connections::hasIdle);
+		this.pools = new PoolStates(this.loop, options.retryBudget(),
+				options.loadPeer().map((peer) -> RateLimits.of(peer.address())).orElseGet(RateLimits::ofSingleVm),
+				this.connections::hasIdle);
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, controlLink::reportCrash);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
 				this.metrics, this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
@@ -373,6 +376,7 @@
 		public void peersReceived(List<LoadPeer> peers) {
 			RouteDaemon.this.loop.execute(() -> {
 				RouteDaemon.this.paths.peers(peers);
+				RouteDaemon.this.pools.rateLimits().peers(peers);
 				RouteDaemon.this.gossip.ifPresent((loadGossip) -> loadGossip.peers(peers));
 			});
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +49,9 @@
 	 */
 	private static final long RETRY_AFTER_MILLIS = 300;
 
+	/** Limits that endpoints state may end at any time. */
+	private static final double MAX_RETRY_AFTER_SECONDS = 10;
+
 	/** With less time left, no response can arrive before the deadline. */
 	private static final long MIN_REMAINING_MILLIS = 5;
 
@@ -227,8 +231,9 @@
 		if (!exhausted && !tooLong) {
 			return false;
 		}
+		Duration retryAfter = retryAfterQueue(now);
 		this.pool.queue().remove(this);
-		fail("no endpoint takes it");
+		fail("no endpoint takes it", retryAfter);
 		return true;
 	}
 
@@ -451,7 +456,22 @@
 		}
 	}
 
+	// While all endpoints state limits, the caller would meet the same queue again.
+	private Duration retryAfterQueue(long now) {
+		Duration usual = retryAfter();
+		OptionalDouble rate = this.pool.balancer().permittedRate(now);
+		if (rate.isEmpty()) {
+			return usual;
+		}
+		double seconds = Math.min(MAX_RETRY_AFTER_SECONDS, this.pool.queue().size() / rate.getAsDouble());
+		return usual.plusMillis(Math.round(seconds * 1_000));
+	}
+
 	private void fail(String detail) {
+		fail(detail, retryAfter());
+	}
+
+	private void fail(String detail, Duration retryAfter) {
 		if (this.failureResponse.isPresent() && !this.response.isStarted()) {
 			BufferedResponse kept = this.failureResponse.get();
 			if (close()) {
@@ -461,7 +481,7 @@
 			}
 			return;
 		}
-		finish(this.progress.failure(false), detail);
+		finish(this.progress.failure(false), detail, retryAfter);
 	}
 
 	private void timedOut() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -116,10 +116,10 @@
 
 	/**
 	 * An endpoint states how many requests per second it takes from all VMs together: the
-	 * limit, empty once it does not apply any longer, and how many requests this VM has
-	 * sent to it since it first did.
+	 * limit, empty once it does not apply any longer, the share of this VM, and how many
+	 * requests this VM has sent to it since it first did.
 	 */
-	RATE_LIMIT("rate-limit", "endpoint", "per_second", "sent"),
+	RATE_LIMIT("rate-limit", "endpoint", "per_second", "share", "sent"),
 
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -3,16 +3,19 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 
 import org.acaciacourse.core.balance.LoadDigest;
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PromptShape;
+import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.ContentFact;
 import org.acaciacourse.protocol.generated.ContentFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.RateLimitRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -25,10 +28,14 @@
 	private static final List<ContentFact> FACTS = List.of(ContentFact.crashed(-3, new ContentFact.Run(-7, 12, 13, 85)),
 			ContentFact.answered(1L << 60), ContentFact.blocked(4));
 
+	private static final List<RateLimits.Statement> LIMITS = List.of(
+			new RateLimits.Statement(-7, OptionalDouble.of(1.1), 60),
+			new RateLimits.Statement(8, OptionalDouble.empty(), 0));
+
 	@Test
 	void digestSurvivesARoundTrip() {
 		LoadDigest view = new LoadDigest(LoadDigest.Kind.VIEW, 1L << 50, 1, 3, 95, LOADS,
-				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS);
+				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS);
 		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get()).isEqualTo(view);
 	}
 
@@ -36,8 +43,8 @@
 	@Test
 	void digestOfThePreviousReleaseHoldsOnlyTheSendersLoad() {
 		byte[] bytes = ThriftBytes.encode(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(-7, 2, 17_000, 1))));
-		assertThat(LoadDigestCodec.decode(bytes).get())
-			.isEqualTo(new LoadDigest(LoadDigest.Kind.SUMMARY, 3, 0, 1, 1, LOADS, List.of(), Map.of(), List.of()));
+		assertThat(LoadDigestCodec.decode(bytes).get()).isEqualTo(
+				new LoadDigest(LoadDigest.Kind.SUMMARY, 3, 0, 1, 1, LOADS, List.of(), Map.of(), List.of(), List.of()));
 	}
 
 	@Nested
@@ -63,6 +70,9 @@
 			assertDecodingFails(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, -1, 1, 0))));
 			assertDecodingFails(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, 1, -1, 0))));
 			assertDecodingFails(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(1, 1, 1, -1))));
+			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, -1))));
+			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(-1))));
+			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(Double.NaN))));
 			assertDecodingFails(validRecord().setFacts(List.of(new ContentFactRecord(3, 1))));
 			assertDecodingFails(validRecord().setFacts(List.of(new ContentFactRecord(0, 1).setPoolSize(0))));
 			assertDecodingFails(
@@ -74,7 +84,7 @@
 		void damagedBytesNeverThrow() {
 			Random random = new Random(11);
 			byte[] bytes = LoadDigestCodec.encode(new LoadDigest(LoadDigest.Kind.VIEW, 7, 0, 1, 9, LOADS,
-					List.of(new PartUse(5, new PromptShape.Part(1, 13_300))), Map.of(4, 9L), FACTS));
+					List.of(new PartUse(5, new PromptShape.Part(1, 13_300))), Map.of(4, 9L), FACTS, LIMITS));
 			for (int i = 0; i < 20_000; i++) {
 				byte[] damaged = Arrays.copyOf(bytes, random.nextInt(bytes.length + 1));
 				for (int j = 0; j < 3 && damaged.length > 0; j++) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.QueuePosition;
+import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.path.EndpointPaths;
@@ -50,7 +51,7 @@
 
 	private PoolStates pools() throws Exception {
 		PoolStates pools = new PoolStates(this.loop, new RetryBudgetOptions(Duration.ofSeconds(10), 0.2, 10),
-				(instance) -> true);
+				RateLimits.ofSingleVm(), (instance) -> true);
 		onLoop(() -> {
 			pools.fleet(FLEET);
 			return null;
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -326,6 +326,17 @@
   8: optional map<i32, i64> heard,
   /* What was seen of contents that may crash endpoints. */
   9: optional list<ContentFactRecord> facts,
+  /* The limits on their requests that endpoints have stated lately. */
+  10: optional list<RateLimitRecord> limits,
+}
+
+struct RateLimitRecord {
+  /* A hash of the endpoint's instance. */
+  1: i32 instance,
+  /* In requests a second of all entries; none if the endpoint states none any longer. */
+  2: optional double perSecond,
+  /* Since the answer that stated it. */
+  3: i32 ageMillis,
 }
 
 struct ContentFactRecord {
