--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingContents.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingContents.java
@@ -238,15 +238,6 @@
 		return (suspect != null) ? suspect.runs.size() : 0;
 	}
 
-	/**
-	 * Return how many contents are refused now, for the gauge.
-	 * @param now the time
-	 * @return the number of contents
-	 */
-	public int blockedCount(long now) {
-		return (int) this.suspects.values().stream().filter((suspect) -> suspect.isBlocked(now)).count();
-	}
-
 	/**
 	 * Forget what is too old to count.
 	 * @param now the time
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -158,10 +158,6 @@
 		this.contents.expire(System.nanoTime());
 	}
 
-	int blockedCount() {
-		return this.contents.blockedCount(System.nanoTime());
-	}
-
 	/** Receives the contents that this VM blocks. */
 	@FunctionalInterface
 	interface Reports {
