--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -55,8 +53,7 @@
 
 	private final RateLimits rateLimits;
 
-	/** The limits that are in the log, by the ids of their endpoints. */
-	private final Map<Integer, RateLimits.Status> loggedRateLimits = new HashMap<>();
+	private final RateLimitLog rateLimitLog = new RateLimitLog();
 
 	private Fleet fleet = Fleet.NONE;
 
@@ -285,27 +282,9 @@
 		});
 	}
 
-	/** Log the endpoints that state a limit on their requests; called periodically. */
+	/** Log the limits on requests that have changed; called periodically. */
 	void logRateLimits() {
-		Map<Integer, RateLimits.Status> limits = this.rateLimits.statuses(System.nanoTime());
-		Set<Integer> ended = new HashSet<>(this.loggedRateLimits.keySet());
-		ended.removeAll(limits.keySet());
-		ended.forEach((endpoint) -> {
-			this.loggedRateLimits.remove(endpoint);
-			DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), null, null, null);
-		});
-		limits.forEach((endpoint, limit) -> {
-			RateLimits.Status logged = this.loggedRateLimits.get(endpoint);
-			if (logged == null || logged.perSecond() != limit.perSecond() || logged.share() != limit.share()) {
-				this.loggedRateLimits.put(endpoint, limit);
-				DecisionLog.write(LogEvent.RATE_LIMIT, instanceOf(endpoint), limit.perSecond(),
-						Math.round(limit.share() * 100) / 100.0, limit.sent());
-			}
-		});
-	}
-
-	private String instanceOf(int endpoint) {
-		return this.instances.getOrDefault(endpoint, Integer.toHexString(endpoint));
+		this.rateLimitLog.update(this.rateLimits.statuses(System.nanoTime()), this.instances);
 	}
 
 	private void applySharers() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -3,19 +3,14 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
 import org.acaciacourse.core.attempt.AttemptEnd;
@@ -43,15 +38,6 @@
  */
 final class RoutedExchange {
 
-	/**
-	 * Shortest delay for a retry if no endpoint accepted the request; the actual delay is
-	 * up to twice as long.
-	 */
-	private static final long RETRY_AFTER_MILLIS = 300;
-
-	/** Limits that endpoints state may end at any time. */
-	private static final double MAX_RETRY_AFTER_SECONDS = 10;
-
 	/** With less time left, no response can arrive before the deadline. */
 	private static final long MIN_REMAINING_MILLIS = 5;
 
@@ -218,12 +204,6 @@
 			.or(() -> this.pool.balancer().choose(placement, now));
 	}
 
-	// Spread evenly by the hash of the request id, so that callers do not all retry at
-	// once.
-	private Duration retryAfter() {
-		return Duration.ofMillis(RETRY_AFTER_MILLIS + Math.floorMod(this.request.idHash(), RETRY_AFTER_MILLIS));
-	}
-
 	private boolean failIfWaitedTooLong(long now) {
 		boolean tooLong = this.placementWait.isTooLong(now, this.request.route().target(),
 				this.context.pools().fleet().revision() != 0);
@@ -231,7 +211,8 @@
 		if (!exhausted && !tooLong) {
 			return false;
 		}
-		Duration retryAfter = retryAfterQueue(now);
+		Duration retryAfter = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
+				this.pool.balancer().permittedRate(now));
 		this.pool.queue().remove(this);
 		fail("no endpoint takes it", retryAfter);
 		return true;
@@ -307,19 +288,9 @@
 	}
 
 	private FullHttpRequest httpRequest(FleetEndpoint endpoint, long remainingMillis) {
-		byte[] body = this.request.body();
-		FullHttpRequest httpRequest = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-				HttpMethod.valueOf(this.request.method()), this.request.requestTarget(), Unpooled.wrappedBuffer(body));
-		HttpHeaders headers = httpRequest.headers();
-		headers.add(this.request.headers());
-		if (body.length > 0 || this.request.hasBody()) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-		}
 		boolean engine = this.context.pools().declaredPool(this.request.pool()).map(Pool::isEngine).orElse(false);
-		this.context.dialect()
-			.writeRequest(new RequestDialect.ForwardMetadata(endpoint.instance(), this.request.customer(),
-					remainingMillis, urgency(), this.lastEventId, engine), headers);
-		return httpRequest;
+		return this.request.httpRequest(this.context.dialect(), new RequestDialect.ForwardMetadata(endpoint.instance(),
+				this.request.customer(), remainingMillis, urgency(), this.lastEventId, engine));
 	}
 
 	private int urgency() {
@@ -456,19 +427,8 @@
 		}
 	}
 
-	// While all endpoints state limits, the caller would meet the same queue again.
-	private Duration retryAfterQueue(long now) {
-		Duration usual = retryAfter();
-		OptionalDouble rate = this.pool.balancer().permittedRate(now);
-		if (rate.isEmpty()) {
-			return usual;
-		}
-		double seconds = Math.min(MAX_RETRY_AFTER_SECONDS, this.pool.queue().size() / rate.getAsDouble());
-		return usual.plusMillis(Math.round(seconds * 1_000));
-	}
-
 	private void fail(String detail) {
-		fail(detail, retryAfter());
+		fail(detail, RetryDelay.usual(this.request.idHash()));
 	}
 
 	private void fail(String detail, Duration retryAfter) {
@@ -491,7 +451,7 @@
 	}
 
 	private void finish(ResultCode code, String detail) {
-		finish(code, detail, retryAfter());
+		finish(code, detail, RetryDelay.usual(this.request.idHash()));
 	}
 
 	private void finish(ResultCode code, String detail, Duration retryAfter) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -4,7 +4,13 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.KeyOwner;
 import org.acaciacourse.core.route.Route;
@@ -52,6 +58,24 @@
 		return this.route.pool(this.idHash);
 	}
 
+	/**
+	 * Return the request that an endpoint receives.
+	 * @param dialect writes the system's headers
+	 * @param forwarded what they tell the endpoint
+	 * @return the request
+	 */
+	FullHttpRequest httpRequest(RequestDialect dialect, RequestDialect.ForwardMetadata forwarded) {
+		FullHttpRequest httpRequest = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(this.method),
+				this.requestTarget, Unpooled.wrappedBuffer(this.body));
+		HttpHeaders endpointHeaders = httpRequest.headers();
+		endpointHeaders.add(this.headers);
+		if (this.body.length > 0 || this.hasBody) {
+			endpointHeaders.set(HttpHeaderNames.CONTENT_LENGTH, this.body.length);
+		}
+		dialect.writeRequest(forwarded, endpointHeaders);
+		return httpRequest;
+	}
+
 	/**
 	 * Return a hash of what identifies the same request when it is sent again: the
 	 * customer, the host, the method, the path and the body. Its id is another one then.
