A request on its way to a crashed endpoint does not hide the crash

Found by reading, without a test that failed before: whether an endpoint still has open connections was told from the number of requests placed there, among them those that are only connecting. While the links of a VM are doubted, as after two crashes within two seconds, a crashed endpoint is not paused, and such a request hid the crash from the check. Now a request counts once it is on an open connection.

--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -390,15 +390,6 @@
 		return OptionalDouble.of(sum);
 	}
 
-	/**
-	 * Return how many requests of this VM are at an endpoint.
-	 * @param instance its instance
-	 * @return the number of requests
-	 */
-	public int inFlight(String instance) {
-		return find(instance).map(EndpointLoad::inFlight).orElse(0);
-	}
-
 	private Optional<EndpointLoad> find(String instance) {
 		return Optional.ofNullable(this.loads.get(instance));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -99,6 +99,11 @@
 		return this.endpoint.instance();
 	}
 
+	// Whether the request was sent and its connection is open.
+	boolean isConnected() {
+		return !this.done && this.connection != null;
+	}
+
 	/**
 	 * Return the estimated work that was waiting at the endpoint when it was chosen.
 	 * @return the work in prompt tokens, that of this request included unless all other
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -43,6 +44,8 @@
 
 	private final PoolStates pools;
 
+	private final Predicate<String> carriesRequest;
+
 	private final BiConsumer<FleetEndpoint, List<LostRequest>> onCrash;
 
 	private final Map<String, Check> checks = new HashMap<>();
@@ -52,14 +55,17 @@
 	 * @param loop the event loop
 	 * @param connections the connections to the endpoints
 	 * @param pools the pools of the endpoints
+	 * @param carriesRequest returns whether a request is on an open connection to an
+	 * instance
 	 * @param onCrash receives each endpoint that has crashed with the latest of the
 	 * requests that were there, the last one first
 	 */
-	CrashDetector(EventLoop loop, EndpointConnections connections, PoolStates pools,
+	CrashDetector(EventLoop loop, EndpointConnections connections, PoolStates pools, Predicate<String> carriesRequest,
 			BiConsumer<FleetEndpoint, List<LostRequest>> onCrash) {
 		this.loop = loop;
 		this.connections = connections;
 		this.pools = pools;
+		this.carriesRequest = carriesRequest;
 		this.onCrash = onCrash;
 	}
 
@@ -89,9 +95,8 @@
 	}
 
 	private void start(Check check) {
-		boolean otherOpen = this.connections.hasIdle(check.endpoint.instance())
-				|| this.pools.state(check.endpoint.pool()).balancer().inFlight(check.endpoint.instance()) > 0;
-		if (otherOpen) {
+		String instance = check.endpoint.instance();
+		if (this.connections.hasIdle(instance) || this.carriesRequest.test(instance)) {
 			ended(check, false);
 		}
 		else {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.PeerLoads;
@@ -46,13 +47,16 @@
 	 * @param loop the event loop
 	 * @param connections the connections to the endpoints
 	 * @param pools the pools of the endpoints
+	 * @param carriesRequest returns whether a request is on an open connection to an
+	 * instance
 	 * @param reports receives the contents that are blocked
 	 */
-	CrashGuard(EventLoop loop, EndpointConnections connections, PoolStates pools, Reports reports) {
+	CrashGuard(EventLoop loop, EndpointConnections connections, PoolStates pools, Predicate<String> carriesRequest,
+			Reports reports) {
 		this.loop = loop;
 		this.pools = pools;
 		this.reports = reports;
-		this.detector = new CrashDetector(loop, connections, pools, this::crashed);
+		this.detector = new CrashDetector(loop, connections, pools, carriesRequest, this::crashed);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -141,7 +141,8 @@
 		this.pools = new PoolStates(this.loop, options.retryBudget(),
 				options.loadPeer().map((peer) -> RateLimits.of(peer.address())).orElseGet(RateLimits::ofSingleVm),
 				this.connections::hasIdle);
-		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, controlLink::reportCrash);
+		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
+				controlLink::reportCrash);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
 				this.metrics, this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
@@ -327,6 +328,10 @@
 		this.eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 	}
 
+	private boolean carriesRequest(String instance) {
+		return this.openExchanges.stream().anyMatch((exchange) -> exchange.isConnectedTo(instance));
+	}
+
 	private boolean areTunnelsAllowed() {
 		return this.pools.policy().isOn(RoutingMechanism.TUNNELS);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -359,6 +359,16 @@
 				&& this.pool.balancer().choose(placement(), System.nanoTime()).isPresent();
 	}
 
+	/**
+	 * Return whether the request is on an open connection to an endpoint.
+	 * @param instance the endpoint
+	 * @return whether it waits for a response from there
+	 */
+	boolean isConnectedTo(String instance) {
+		return this.current.filter((attempt) -> attempt.isConnected() && attempt.instance().equals(instance))
+			.isPresent();
+	}
+
 	/** Check whether the link to the endpoint has gone silent; called periodically. */
 	void checkLink() {
 		this.current.ifPresent(Attempt::checkLink);
