--- a/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
@@ -18,8 +18,8 @@
  * <p>
  * A share is spent in whole requests, and a VM may save up one of them. Many VMs that
  * each save one up would exceed a low limit together. So only some of them send to an
- * endpoint, the first ones in the order of rendezvous hashing, as many as the users'
- * margin allows; the others use other endpoints.
+ * endpoint, the first ones in the order of rendezvous hashing, so few that what they have
+ * saved up is within what an endpoint tolerates; the others use other endpoints.
  * <p>
  * Invariant: in any time t the requests of all VMs to an endpoint are at most its limit
  * times t, plus one for each VM that may send, as long as all know the same VMs.
