--- a/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
@@ -31,7 +31,7 @@
 	/** An endpoint that is not asked for so long may have no limit any longer. */
 	static final long VALIDITY_NANOS = 20_000_000_000L;
 
-	/** A statement that is older reaches no VM that does not know it. */
+	/** How long a statement is repeated in digests. */
 	private static final long ANNOUNCED_NANOS = 3_000_000_000L;
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingContents.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingContents.java
@@ -45,18 +45,22 @@
 	static final long BLOCK_NANOS = 600_000_000_000L;
 
 	/**
-	 * The chance of having met its crashes without being the cause, from which on a
-	 * content is blocked. Some hundred requests are at endpoints at a time.
+	 * A content is blocked if its chance of having met its crashes without being the
+	 * cause is lower. Bounds how often sound content is blocked: some hundred requests
+	 * are at endpoints at a time.
 	 */
 	private static final double MAX_CHANCE = 3e-6;
 
 	/** Crashes within this time tell how often endpoints of a pool crash. */
 	private static final long RATE_WINDOW_NANOS = 20_000_000_000L;
 
-	/** Two crashes with one cause are seldom closer to each other. */
+	/**
+	 * Bounds the weight of a crash right after the request was sent: several endpoints
+	 * may crash within this time for one reason.
+	 */
 	private static final int MIN_RUN_MILLIS = 50;
 
-	/** A crash that other VMs tell of this long after a response came before it. */
+	/** A crash that is told within this time after a response came before it. */
 	private static final long LATE_FACT_NANOS = 2_000_000_000L;
 
 	/** How long the crashes of a content are kept after the last one. */
