--- a/core/src/test/java/org/acaciacourse/core/balance/RateLimitFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RateLimitFleet.java
@@ -54,8 +54,6 @@
 
 	private long limitedAt;
 
-	private int sent;
-
 	RateLimitFleet(int entryCount, int endpointCount, int maxDirectPeers, long seed) {
 		this.random = new Random(seed);
 		List<LoadPeer> peers = IntStream.range(0, entryCount)
@@ -230,7 +228,6 @@
 				if (this.limits.maySend(endpoint.id, now)) {
 					this.waiting.remove();
 					this.limits.requestSent(endpoint.id, now);
-					RateLimitFleet.this.sent++;
 					schedule(MILLI, () -> endpoint.arrivals.add(RateLimitFleet.this.now));
 					schedule(RESPONSE_NANOS,
 							() -> this.limits.record(endpoint.id, endpoint.limit, RateLimitFleet.this.now));
