--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -85,6 +85,8 @@
 
 	private long lastActivityAt;
 
+	private long answerBeganAt;
+
 	private boolean done;
 
 	private boolean arrived;
@@ -179,7 +181,9 @@
 		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, via, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
-				Long.toHexString(this.exchange.contentHash()));
+				Long.toHexString(this.exchange.contentHash()),
+				this.exchange.request().sharedPartIds().stream().map(Long::toHexString).toList(),
+				(this.answerBeganAt != 0) ? TimeUnit.NANOSECONDS.toMillis(now - this.answerBeganAt) : null);
 	}
 
 	private void finish(Outcome outcome) {
@@ -265,6 +269,9 @@
 	}
 
 	private void forward(ServerSentEventParser.Event event) {
+		if (this.answerBeganAt == 0) {
+			this.answerBeganAt = this.lastActivityAt;
+		}
 		OptionalLong lastForwarded = this.exchange.lastEventId();
 		if (lastForwarded.isPresent() && event.id().isPresent()
 				&& event.id().getAsLong() <= lastForwarded.getAsLong()) {
@@ -360,7 +367,12 @@
 		}
 		finish(lossOutcome());
 		logEnd(AttemptEnd.BROKEN);
-		this.exchange.connectionLost(this, this.endpoint, System.nanoTime() - this.sentAt);
+		this.exchange.connectionLost(this, this.endpoint, lostRequest(System.nanoTime()));
+	}
+
+	private LostRequest lostRequest(long now) {
+		return new LostRequest(this.exchange.contentHash(), this.exchange.request().sharedPartIds(), now - this.sentAt,
+				(this.answerBeganAt != 0) ? OptionalLong.of(now - this.answerBeganAt) : OptionalLong.empty());
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
@@ -72,13 +72,12 @@
 	/**
 	 * Check whether an endpoint has crashed, as the connection of a request broke.
 	 * @param endpoint the endpoint
-	 * @param content a hash of the content of the request
-	 * @param tookNanos nanoseconds since the request was sent
+	 * @param request the request
 	 * @param onChecked called once the result is known or takes too long
 	 */
-	void connectionLost(FleetEndpoint endpoint, long content, long tookNanos, Runnable onChecked) {
+	void connectionLost(FleetEndpoint endpoint, LostRequest request, Runnable onChecked) {
 		Check check = this.checks.computeIfAbsent(endpoint.instance(), (instance) -> schedule(endpoint));
-		check.lost.add(new LostRequest(content, tookNanos));
+		check.lost.add(request);
 		if (check.released) {
 			onChecked.run();
 		}
@@ -120,9 +119,15 @@
 
 	private static void logCrash(Check check) {
 		List<LostRequest> latest = check.latest();
+		List<LostRequest> unanswered = check.lost.stream().filter((request) -> !request.isAnswered()).toList();
 		DecisionLog.write(LogEvent.ENDPOINT_CRASHED, check.endpoint.instance(), check.endpoint.pool(),
-				check.lost.size(), TimeUnit.NANOSECONDS.toMillis(latest.get(0).tookNanos()),
-				latest.stream().map((request) -> Long.toHexString(request.content())).toList());
+				check.lost.size(), unanswered.size(), TimeUnit.NANOSECONDS.toMillis(latest.get(0).tookNanos()),
+				latest.stream().map((request) -> Long.toHexString(request.content())).toList(),
+				unanswered.stream()
+					.flatMap((request) -> request.parts().stream())
+					.distinct()
+					.map(Long::toHexString)
+					.toList());
 	}
 
 	/** A check that is in progress, and the requests that the endpoint has lost. */
@@ -156,13 +161,4 @@
 
 	}
 
-	/**
-	 * A request that was at an endpoint when its connection broke.
-	 *
-	 * @param content a hash of its content
-	 * @param tookNanos nanoseconds since it was sent
-	 */
-	record LostRequest(long content, long tookNanos) {
-	}
-
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -92,15 +92,14 @@
 	/**
 	 * Check whether the endpoint of a request has crashed, as its connection broke.
 	 * @param endpoint the endpoint
-	 * @param content a hash of the content of the request
-	 * @param tookNanos nanoseconds since the request was sent
+	 * @param request the request
 	 * @param onChecked called once the result is known or takes too long
 	 */
-	void connectionLost(FleetEndpoint endpoint, long content, long tookNanos, Runnable onChecked) {
-		this.detector.connectionLost(endpoint, content, tookNanos, onChecked);
+	void connectionLost(FleetEndpoint endpoint, LostRequest request, Runnable onChecked) {
+		this.detector.connectionLost(endpoint, request, onChecked);
 	}
 
-	private void crashed(FleetEndpoint endpoint, List<CrashDetector.LostRequest> requests) {
+	private void crashed(FleetEndpoint endpoint, List<LostRequest> requests) {
 		int poolSize = Math.max(1, this.pools.size(endpoint.pool()));
 		List<ContentFact> facts = requests.stream()
 			.map((request) -> ContentFact.crashed(request.content(),
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -331,15 +331,15 @@
 	 * the endpoint has crashed before the request is retried.
 	 * @param attempt the attempt
 	 * @param endpoint its endpoint
-	 * @param tookNanos nanoseconds since the request was sent
+	 * @param lost what was known of the attempt when its connection broke
 	 */
-	void connectionLost(Attempt attempt, FleetEndpoint endpoint, long tookNanos) {
+	void connectionLost(Attempt attempt, FleetEndpoint endpoint, LostRequest lost) {
 		if (!isCurrent(attempt)) {
 			return;
 		}
 		recordEnd(AttemptEnd.BROKEN);
 		boolean mayRetry = this.progress.mayRetry();
-		this.context.crashes().connectionLost(endpoint, contentHash(), tookNanos, () -> {
+		this.context.crashes().connectionLost(endpoint, lost, () -> {
 			if (mayRetry) {
 				enqueue();
 			}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import net.openhft.hashing.LongHashFunction;
+import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.route.KeyOwner;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.daemon.http.CallerRequest;
@@ -87,6 +89,14 @@
 		return LongHashFunction.xx3(HASH.hashChars(line)).hashBytes(this.body);
 	}
 
+	/**
+	 * Return the parts of the prompt that other requests may have, too.
+	 * @return their ids, each once, in the order of the prompt
+	 */
+	List<Long> sharedPartIds() {
+		return this.metadata.prompt().sharedParts().stream().map(PromptShape.Part::id).distinct().toList();
+	}
+
 	Optional<String> customer() {
 		return this.owner.map(KeyOwner::customer);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -47,7 +47,7 @@
 
 	/** An attempt ended without a complete response. */
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
-			"waiting_work", "failure_rate", "content"),
+			"waiting_work", "failure_rate", "content", "parts", "answering_ms"),
 
 	/**
 	 * A request is retried, which is charged to the retry budget: what is left of this
@@ -80,10 +80,12 @@
 	LINKS_DOUBTED("links-doubted", "via", "lost", "known"),
 
 	/**
-	 * An endpoint crashed while requests of this VM were there: their number, the time
-	 * since the latest of them was sent, and the contents of the latest ones.
+	 * An endpoint crashed while requests of this VM were there: their number, how many of
+	 * them had no part of their answers yet, the time since the latest of them was sent,
+	 * the contents of the latest ones, and the shared parts of those without an answer.
 	 */
-	ENDPOINT_CRASHED("endpoint-crashed", "endpoint", "pool", "requests", "youngest_ms", "contents"),
+	ENDPOINT_CRASHED("endpoint-crashed", "endpoint", "pool", "requests", "unanswered", "youngest_ms", "contents",
+			"parts"),
 
 	/**
 	 * A content is refused from now on, as it has crashed so many endpoints as are known
