Names: what is known of crashes is of a feature of requests, not of their content

ContentFact -> FeatureFact, ContentFactRecord -> FeatureFactRecord, CrashingContents -> CrashingFeatures (and its tests). The compiler's symbols only; the wire has numbers.

--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 
-import org.acaciacourse.core.crash.ContentFact;
+import org.acaciacourse.core.crash.FeatureFact;
 
 /**
  * A summary of the load at the endpoints that one entry VM sends to others. A digest that
@@ -26,7 +26,7 @@
  * @param limits the limits on their requests that endpoints have lately stated
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
-		List<PartUse> uses, Map<Integer, Long> acknowledged, List<ContentFact> facts,
+		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
 		List<RateLimits.Statement> limits) {
 
 	/** Endpoints in a part, which together with the rest fit into a packet. */
@@ -77,7 +77,7 @@
 				this.facts, this.limits);
 	}
 
-	LoadDigest withFacts(List<ContentFact> contentFacts) {
+	LoadDigest withFacts(List<FeatureFact> contentFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
 				this.acknowledged, contentFacts, this.limits);
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 
-import org.acaciacourse.core.crash.ContentFact;
+import org.acaciacourse.core.crash.FeatureFact;
 
 /**
  * Decides which load digests an entry VM sends to the others. A few VMs send digests to
@@ -84,9 +84,9 @@
 
 	private final Announcements<PartUse> allUses = new Announcements<>(USE_DIGESTS, MAX_PENDING_USES);
 
-	private final Announcements<ContentFact> groupFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
+	private final Announcements<FeatureFact> groupFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
 
-	private final Announcements<ContentFact> allFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
+	private final Announcements<FeatureFact> allFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
 
 	private int maxDirectPeers = (int) RoutingParameter.MOST_DIRECT_PEERS.defaultValue();
 
@@ -164,7 +164,7 @@
 	 * Have facts about contents sent with the next digests.
 	 * @param facts the facts that this VM has seen
 	 */
-	public void announce(List<ContentFact> facts) {
+	public void announce(List<FeatureFact> facts) {
 		this.groupFacts.add(facts);
 		if (isRelayed()) {
 			this.allFacts.add(facts);
--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingContents.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
@@ -27,7 +27,7 @@
  * <p>
  * Not thread safe: belongs to one event loop.
  */
-public final class CrashingContents {
+public final class CrashingFeatures {
 
 	/** The facts that other VMs have seen of a crash arrive within this time. */
 	static final long SETTLE_NANOS = 500_000_000L;
@@ -93,7 +93,7 @@
 	 * @param now the time
 	 * @return whether it was not known before
 	 */
-	public boolean record(ContentFact fact, long now) {
+	public boolean record(FeatureFact fact, long now) {
 		return switch (fact.kind()) {
 			case CRASHED -> recordCrash(fact.content(), fact.run(), now);
 			case ANSWERED -> clear(fact.content(), now);
@@ -101,7 +101,7 @@
 		};
 	}
 
-	private boolean recordCrash(long content, ContentFact.Run run, long now) {
+	private boolean recordCrash(long content, FeatureFact.Run run, long now) {
 		Suspect suspect = this.suspects.get(content);
 		boolean known = suspect != null && suspect.runs.containsKey(run.endpoint());
 		Long answeredAt = this.answered.get(content);
@@ -262,7 +262,7 @@
 		if (suspect.everBlocked) {
 			return suspect.lastCrashAt - suspect.blockedUntil >= 0;
 		}
-		List<ContentFact.Run> runs = unexplained(content, suspect);
+		List<FeatureFact.Run> runs = unexplained(content, suspect);
 		if (runs.size() >= PROVEN_CRASHES) {
 			return true;
 		}
@@ -271,11 +271,11 @@
 	}
 
 	private boolean isUnlikelyByChance(long content, Suspect suspect) {
-		List<ContentFact.Run> runs = unexplained(content, suspect);
+		List<FeatureFact.Run> runs = unexplained(content, suspect);
 		return runs.size() >= MIN_CRASHES && chance(content, runs) <= MAX_CHANCE;
 	}
 
-	private List<ContentFact.Run> unexplained(long content, Suspect suspect) {
+	private List<FeatureFact.Run> unexplained(long content, Suspect suspect) {
 		return suspect.runs.values()
 			.stream()
 			.filter((run) -> !this.crashes.containsKey(run.endpoint())
@@ -285,9 +285,9 @@
 
 	// The chance that a content which crashes no endpoint meets crashes during these
 	// runs.
-	private double chance(long content, List<ContentFact.Run> runs) {
+	private double chance(long content, List<FeatureFact.Run> runs) {
 		double chance = 1;
-		for (ContentFact.Run run : runs) {
+		for (FeatureFact.Run run : runs) {
 			double perEndpoint = (1.0 + otherCrashes(content, run)) / run.poolSize();
 			double share = Math.max(MIN_RUN_MILLIS, run.millis()) * 1e6 / RATE_WINDOW_NANOS;
 			chance *= Math.min(1, perEndpoint * share);
@@ -295,7 +295,7 @@
 		return chance;
 	}
 
-	private long otherCrashes(long content, ContentFact.Run run) {
+	private long otherCrashes(long content, FeatureFact.Run run) {
 		EndpointCrash own = this.crashes.get(run.endpoint());
 		if (own == null) {
 			return 0;
@@ -308,7 +308,7 @@
 	}
 
 	// Whether no other suspect was at all of these endpoints.
-	private boolean isOnlyOne(long content, List<ContentFact.Run> runs) {
+	private boolean isOnlyOne(long content, List<FeatureFact.Run> runs) {
 		EndpointCrash first = this.crashes.get(runs.get(0).endpoint());
 		if (first == null) {
 			return true;
@@ -320,7 +320,7 @@
 			.noneMatch((other) -> other != null && wasAtAll(other.runs.keySet(), runs));
 	}
 
-	private static boolean wasAtAll(Set<Integer> endpoints, List<ContentFact.Run> runs) {
+	private static boolean wasAtAll(Set<Integer> endpoints, List<FeatureFact.Run> runs) {
 		return runs.stream().allMatch((run) -> endpoints.contains(run.endpoint()));
 	}
 
@@ -328,7 +328,7 @@
 	private static final class Suspect {
 
 		/** By endpoint. */
-		private final Map<Integer, ContentFact.Run> runs = new HashMap<>();
+		private final Map<Integer, FeatureFact.Run> runs = new HashMap<>();
 
 		private long lastCrashAt;
 
--- a/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
@@ -7,7 +7,7 @@
  * A crash of an endpoint: the contents that were there, and which of them are known to
  * crash endpoints.
  * <p>
- * Not thread safe: belongs to one {@link CrashingContents}.
+ * Not thread safe: belongs to one {@link CrashingFeatures}.
  */
 final class EndpointCrash {
 
--- a/core/src/main/java/org/acaciacourse/core/crash/ContentFact.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/FeatureFact.java
@@ -12,9 +12,9 @@
  * @param run where and for how long it ran, {@link Run#NONE} unless it was at an endpoint
  * that crashed
  */
-public record ContentFact(Kind kind, long content, Run run) {
+public record FeatureFact(Kind kind, long content, Run run) {
 
-	public ContentFact {
+	public FeatureFact {
 		Objects.requireNonNull(kind, "kind");
 		Objects.requireNonNull(run, "run");
 	}
@@ -25,8 +25,8 @@
 	 * @param run its run
 	 * @return the fact
 	 */
-	public static ContentFact crashed(long content, Run run) {
-		return new ContentFact(Kind.CRASHED, content, run);
+	public static FeatureFact crashed(long content, Run run) {
+		return new FeatureFact(Kind.CRASHED, content, run);
 	}
 
 	/**
@@ -34,8 +34,8 @@
 	 * @param content a hash of the content
 	 * @return the fact
 	 */
-	public static ContentFact answered(long content) {
-		return new ContentFact(Kind.ANSWERED, content, Run.NONE);
+	public static FeatureFact answered(long content) {
+		return new FeatureFact(Kind.ANSWERED, content, Run.NONE);
 	}
 
 	/**
@@ -43,15 +43,15 @@
 	 * @param content a hash of the content
 	 * @return the fact
 	 */
-	public static ContentFact blocked(long content) {
-		return new ContentFact(Kind.BLOCKED, content, Run.NONE);
+	public static FeatureFact blocked(long content) {
+		return new FeatureFact(Kind.BLOCKED, content, Run.NONE);
 	}
 
 	// Written by hand: the generated methods are linked at their first use, which takes
 	// some tens of milliseconds while an endpoint has just crashed.
 	@Override
 	public boolean equals(Object other) {
-		return this == other || (other instanceof ContentFact that && this.kind == that.kind
+		return this == other || (other instanceof FeatureFact that && this.kind == that.kind
 				&& this.content == that.content && this.run.equals(that.run));
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashFleet.java
@@ -306,7 +306,7 @@
 
 		private final LoadPeer self;
 
-		private final CrashingContents contents = new CrashingContents();
+		private final CrashingFeatures contents = new CrashingFeatures();
 
 		private final LoadExchange exchange;
 
@@ -344,31 +344,31 @@
 			tickLater(this.exchange.intervalMillis() * MILLI);
 		}
 
-		private void announce(List<ContentFact> facts) {
+		private void announce(List<FeatureFact> facts) {
 			this.exchange.announce(facts);
 			tickLater(Math.max(0, MIN_FACT_INTERVAL - (CrashFleet.this.now - this.tickedAt)));
 		}
 
 		private void crashed(Endpoint endpoint, List<Request> requests, long now) {
-			List<ContentFact> facts = requests.stream()
+			List<FeatureFact> facts = requests.stream()
 				.sorted(Comparator.comparingLong((request) -> now - request.sentAt))
 				.limit(MAX_FACTS_PER_CRASH)
-				.map((request) -> ContentFact.crashed(request.content,
-						new ContentFact.Run(endpoint.id, POOL, CrashFleet.this.poolSize,
+				.map((request) -> FeatureFact.crashed(request.content,
+						new FeatureFact.Run(endpoint.id, POOL, CrashFleet.this.poolSize,
 								(int) ((now - request.sentAt) / MILLI))))
 				.toList();
 			facts.forEach((fact) -> this.contents.record(fact, now));
 			announce(facts);
 			schedule(600 * MILLI, () -> facts.forEach((fact) -> {
 				if (this.contents.isBlocked(fact.content(), CrashFleet.this.now)) {
-					announce(List.of(ContentFact.blocked(fact.content())));
+					announce(List.of(FeatureFact.blocked(fact.content())));
 				}
 			}));
 		}
 
 		private void answered(long content, long now) {
 			if (this.contents.isSuspect(content)) {
-				ContentFact fact = ContentFact.answered(content);
+				FeatureFact fact = FeatureFact.answered(content);
 				this.contents.record(fact, now);
 				announce(List.of(fact));
 			}
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashingContentsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
@@ -5,7 +5,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-class CrashingContentsTests {
+class CrashingFeaturesTests {
 
 	private static final long SECOND = 1_000_000_000L;
 
@@ -17,13 +17,13 @@
 
 	private static final long OTHER = 2;
 
-	private final CrashingContents contents = new CrashingContents();
+	private final CrashingFeatures contents = new CrashingFeatures();
 
 	private long now = -7 * SECOND;
 
 	private void crash(int endpoint, int millis, long... present) {
 		for (long content : present) {
-			this.contents.record(ContentFact.crashed(content, new ContentFact.Run(endpoint, POOL, POOL_SIZE, millis)),
+			this.contents.record(FeatureFact.crashed(content, new FeatureFact.Run(endpoint, POOL, POOL_SIZE, millis)),
 					this.now);
 		}
 		this.now += SECOND;
@@ -63,17 +63,17 @@
 		void contentIsHeldUntilTheFactsOfOtherVmsHaveArrived() {
 			crash(1, 150, CULPRIT);
 			crash(2, 150, CULPRIT);
-			long atCrash = CrashingContentsTests.this.now - SECOND;
-			assertThat(CrashingContentsTests.this.contents.refusedFor(CULPRIT, atCrash).getAsLong())
-				.isEqualTo(CrashingContents.SETTLE_NANOS);
+			long atCrash = CrashingFeaturesTests.this.now - SECOND;
+			assertThat(CrashingFeaturesTests.this.contents.refusedFor(CULPRIT, atCrash).getAsLong())
+				.isEqualTo(CrashingFeatures.SETTLE_NANOS);
 		}
 
 		// Guards against a VM that has met no crash itself.
 		@Test
 		void contentThatAnotherVmBlocksIsRefused() {
-			assertThat(CrashingContentsTests.this.contents.record(ContentFact.blocked(CULPRIT), 0)).isTrue();
-			assertThat(CrashingContentsTests.this.contents.record(ContentFact.blocked(CULPRIT), 1)).isFalse();
-			CrashingContentsTests.this.now = SECOND;
+			assertThat(CrashingFeaturesTests.this.contents.record(FeatureFact.blocked(CULPRIT), 0)).isTrue();
+			assertThat(CrashingFeaturesTests.this.contents.record(FeatureFact.blocked(CULPRIT), 1)).isFalse();
+			CrashingFeaturesTests.this.now = SECOND;
 			assertThat(isRefused(CULPRIT)).isTrue();
 		}
 
@@ -84,11 +84,11 @@
 			crash(1, 150, CULPRIT);
 			crash(2, 150, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
-			CrashingContentsTests.this.now += CrashingContents.FIRST_BLOCK_NANOS;
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS;
 			assertThat(isRefused(CULPRIT)).isFalse();
 			crash(3, 5_000, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
-			CrashingContentsTests.this.now += CrashingContents.FIRST_BLOCK_NANOS;
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS;
 			assertThat(isRefused(CULPRIT)).isTrue();
 		}
 
@@ -137,12 +137,12 @@
 		@Test
 		void completeResponseClearsTheContent() {
 			crash(1, 150, OTHER);
-			CrashingContentsTests.this.contents.record(ContentFact.answered(OTHER), CrashingContentsTests.this.now);
+			CrashingFeaturesTests.this.contents.record(FeatureFact.answered(OTHER), CrashingFeaturesTests.this.now);
 			crash(2, 150, OTHER);
-			assertThat(CrashingContentsTests.this.contents.crashes(OTHER)).isEqualTo(0);
-			CrashingContentsTests.this.now += 2 * SECOND;
+			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(0);
+			CrashingFeaturesTests.this.now += 2 * SECOND;
 			crash(3, 150, OTHER);
-			assertThat(CrashingContentsTests.this.contents.crashes(OTHER)).isEqualTo(1);
+			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(1);
 			assertThat(isRefused(OTHER)).isFalse();
 		}
 
@@ -152,7 +152,7 @@
 			crash(1, 150, OTHER);
 			crash(1, 150, OTHER);
 			crash(1, 100, OTHER);
-			assertThat(CrashingContentsTests.this.contents.crashes(OTHER)).isEqualTo(1);
+			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(1);
 			assertThat(isRefused(OTHER)).isFalse();
 		}
 
@@ -169,12 +169,12 @@
 			}
 			int suspects = 0;
 			for (int i = 0; i < 20_000; i++) {
-				suspects += (CrashingContentsTests.this.contents.crashes(i) > 0) ? 1 : 0;
+				suspects += (CrashingFeaturesTests.this.contents.crashes(i) > 0) ? 1 : 0;
 			}
 			assertThat(suspects).isAtMost(4_096);
-			CrashingContentsTests.this.now += 7_200 * SECOND;
-			CrashingContentsTests.this.contents.expire(CrashingContentsTests.this.now);
-			assertThat(CrashingContentsTests.this.contents.isEmpty()).isTrue();
+			CrashingFeaturesTests.this.now += 7_200 * SECOND;
+			CrashingFeaturesTests.this.contents.expire(CrashingFeaturesTests.this.now);
+			assertThat(CrashingFeaturesTests.this.contents.isEmpty()).isTrue();
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -10,8 +10,8 @@
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
-import org.acaciacourse.core.crash.ContentFact;
-import org.acaciacourse.protocol.generated.ContentFactRecord;
+import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
@@ -26,7 +26,7 @@
 
 	private static final LoadDigest.Kind[] KINDS = LoadDigest.Kind.values();
 
-	private static final ContentFact.Kind[] FACT_KINDS = ContentFact.Kind.values();
+	private static final FeatureFact.Kind[] FACT_KINDS = FeatureFact.Kind.values();
 
 	private LoadDigestCodec() {
 	}
@@ -92,9 +92,9 @@
 		return new RateLimits.Statement(record.getInstance(), perSecond, record.getAgeMillis());
 	}
 
-	private static ContentFactRecord factRecord(ContentFact fact) {
-		ContentFactRecord record = new ContentFactRecord(fact.kind().ordinal(), fact.content());
-		if (fact.kind() == ContentFact.Kind.CRASHED) {
+	private static FeatureFactRecord factRecord(FeatureFact fact) {
+		FeatureFactRecord record = new FeatureFactRecord(fact.kind().ordinal(), fact.content());
+		if (fact.kind() == FeatureFact.Kind.CRASHED) {
 			record.setInstance(fact.run().endpoint())
 				.setPool(fact.run().pool())
 				.setPoolSize(fact.run().poolSize())
@@ -103,12 +103,12 @@
 		return record;
 	}
 
-	private static ContentFact fact(ContentFactRecord record) {
-		ContentFact.Kind kind = FACT_KINDS[record.getKind()];
-		ContentFact.Run run = (kind == ContentFact.Kind.CRASHED)
-				? new ContentFact.Run(record.getInstance(), record.getPool(), record.getPoolSize(), record.getMillis())
-				: ContentFact.Run.NONE;
-		return new ContentFact(kind, record.getContent(), run);
+	private static FeatureFact fact(FeatureFactRecord record) {
+		FeatureFact.Kind kind = FACT_KINDS[record.getKind()];
+		FeatureFact.Run run = (kind == FeatureFact.Kind.CRASHED)
+				? new FeatureFact.Run(record.getInstance(), record.getPool(), record.getPoolSize(), record.getMillis())
+				: FeatureFact.Run.NONE;
+		return new FeatureFact(kind, record.getContent(), run);
 	}
 
 	private static PeerLoads.Load load(EndpointLoadRecord load) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -11,8 +11,8 @@
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.PeerLoads;
-import org.acaciacourse.core.crash.ContentFact;
-import org.acaciacourse.core.crash.CrashingContents;
+import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.crash.CrashingFeatures;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -35,11 +35,11 @@
 
 	private final CrashDetector detector;
 
-	private final CrashingContents contents = new CrashingContents();
+	private final CrashingFeatures contents = new CrashingFeatures();
 
 	private final Reports reports;
 
-	private Consumer<List<ContentFact>> announcer = (facts) -> {
+	private Consumer<List<FeatureFact>> announcer = (facts) -> {
 	};
 
 	/**
@@ -63,7 +63,7 @@
 	 * Set what sends facts to the other VMs.
 	 * @param next receives the facts
 	 */
-	void announcer(Consumer<List<ContentFact>> next) {
+	void announcer(Consumer<List<FeatureFact>> next) {
 		this.announcer = next;
 	}
 
@@ -101,9 +101,9 @@
 
 	private void crashed(FleetEndpoint endpoint, List<LostRequest> requests) {
 		int poolSize = Math.max(1, this.pools.size(endpoint.pool()));
-		List<ContentFact> facts = requests.stream()
-			.map((request) -> ContentFact.crashed(request.content(),
-					new ContentFact.Run(PeerLoads.idOf(endpoint.instance()), PeerLoads.idOf(endpoint.pool()), poolSize,
+		List<FeatureFact> facts = requests.stream()
+			.map((request) -> FeatureFact.crashed(request.content(),
+					new FeatureFact.Run(PeerLoads.idOf(endpoint.instance()), PeerLoads.idOf(endpoint.pool()), poolSize,
 							(int) TimeUnit.NANOSECONDS.toMillis(request.tookNanos()))))
 			.toList();
 		facts.forEach((fact) -> this.contents.record(fact, System.nanoTime()));
@@ -116,7 +116,7 @@
 		if (this.contents.isBlocked(content, System.nanoTime())) {
 			int crashes = this.contents.crashes(content);
 			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(content), crashes, "own");
-			this.announcer.accept(List.of(ContentFact.blocked(content)));
+			this.announcer.accept(List.of(FeatureFact.blocked(content)));
 			this.reports.contentBlocked(content, crashes);
 		}
 	}
@@ -127,7 +127,7 @@
 	 */
 	void answered(LongSupplier content) {
 		if (isSuspect(content)) {
-			ContentFact fact = ContentFact.answered(content.getAsLong());
+			FeatureFact fact = FeatureFact.answered(content.getAsLong());
 			this.contents.record(fact, System.nanoTime());
 			this.announcer.accept(List.of(fact));
 		}
@@ -137,9 +137,9 @@
 	 * Record what another entry VM has seen.
 	 * @param fact the fact
 	 */
-	void receive(ContentFact fact) {
+	void receive(FeatureFact fact) {
 		boolean news = this.contents.record(fact, System.nanoTime());
-		if (news && fact.kind() == ContentFact.Kind.BLOCKED) {
+		if (news && fact.kind() == FeatureFact.Kind.BLOCKED) {
 			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(fact.content()),
 					this.contents.crashes(fact.content()), "entry");
 		}
@@ -151,7 +151,7 @@
 	 * @param crashes the number of endpoints that it has crashed
 	 */
 	void reported(long content, int crashes) {
-		if (crashes > 1 && this.contents.record(ContentFact.blocked(content), System.nanoTime())) {
+		if (crashes > 1 && this.contents.record(FeatureFact.blocked(content), System.nanoTime())) {
 			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(content), crashes, "control");
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -24,7 +24,7 @@
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.LogRateLimiter;
-import org.acaciacourse.core.crash.ContentFact;
+import org.acaciacourse.core.crash.FeatureFact;
 import org.acaciacourse.daemon.codec.LoadDigestCodec;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
@@ -125,7 +125,7 @@
 	 * about once a second with many VMs.
 	 * @param facts what this VM has seen
 	 */
-	void announce(List<ContentFact> facts) {
+	void announce(List<FeatureFact> facts) {
 		this.exchange.announce(facts);
 		long sinceTick = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.tickedAt);
 		if (this.nextTick != null && this.nextTick.cancel(false)) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -11,8 +11,8 @@
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
-import org.acaciacourse.core.crash.ContentFact;
-import org.acaciacourse.protocol.generated.ContentFactRecord;
+import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
@@ -25,8 +25,8 @@
 
 	private static final List<PeerLoads.Load> LOADS = List.of(new PeerLoads.Load(-7, 2, 17_000, 1));
 
-	private static final List<ContentFact> FACTS = List.of(ContentFact.crashed(-3, new ContentFact.Run(-7, 12, 13, 85)),
-			ContentFact.answered(1L << 60), ContentFact.blocked(4));
+	private static final List<FeatureFact> FACTS = List.of(FeatureFact.crashed(-3, new FeatureFact.Run(-7, 12, 13, 85)),
+			FeatureFact.answered(1L << 60), FeatureFact.blocked(4));
 
 	private static final List<RateLimits.Statement> LIMITS = List.of(
 			new RateLimits.Statement(-7, OptionalDouble.of(1.1), 60),
@@ -73,10 +73,10 @@
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, -1))));
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(-1))));
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(Double.NaN))));
-			assertDecodingFails(validRecord().setFacts(List.of(new ContentFactRecord(3, 1))));
-			assertDecodingFails(validRecord().setFacts(List.of(new ContentFactRecord(0, 1).setPoolSize(0))));
+			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(3, 1))));
+			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(0, 1).setPoolSize(0))));
 			assertDecodingFails(
-					validRecord().setFacts(List.of(new ContentFactRecord(0, 1).setPoolSize(1).setMillis(-1))));
+					validRecord().setFacts(List.of(new FeatureFactRecord(0, 1).setPoolSize(1).setMillis(-1))));
 		}
 
 		// Decoding arbitrary bytes returns a digest or a failure and never throws.
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -325,7 +325,7 @@
   /* The numbers of the reports in a view, by hashes of the addresses of their senders. */
   8: optional map<i32, i64> heard,
   /* What was seen of contents that may crash endpoints. */
-  9: optional list<ContentFactRecord> facts,
+  9: optional list<FeatureFactRecord> facts,
   /* The limits on their requests that endpoints have stated lately. */
   10: optional list<RateLimitRecord> limits,
 }
@@ -339,7 +339,7 @@
   3: i32 ageMillis,
 }
 
-struct ContentFactRecord {
+struct FeatureFactRecord {
   /* 0: was at an endpoint that crashed, 1: was run to its end, 2: is refused. */
   1: i32 kind,
   /* A hash of customer, host, method, path and body. */
