--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -22,7 +22,7 @@
  * @param uses the shared parts of prompts that were recently sent to endpoints
  * @param acknowledged the sequence numbers of the included reports, by the ids of their
  * senders
- * @param facts what VMs have lately seen of contents that may crash endpoints
+ * @param facts what VMs have lately seen of features of requests that may crash endpoints
  * @param limits the limits on their requests that endpoints have lately stated
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
@@ -77,9 +77,9 @@
 				this.facts, this.limits);
 	}
 
-	LoadDigest withFacts(List<FeatureFact> contentFacts) {
+	LoadDigest withFacts(List<FeatureFact> featureFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, contentFacts, this.limits);
+				this.acknowledged, featureFacts, this.limits);
 	}
 
 	LoadDigest withLimits(List<RateLimits.Statement> statements) {
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -58,7 +58,7 @@
 	/** With one datagram in ten lost, one fact in ten thousand is. */
 	private static final int FACT_DIGESTS = 4;
 
-	/** More contents than run on some ten endpoints that crash together. */
+	/** More features than requests have on some ten endpoints that crash together. */
 	private static final int MAX_PENDING_FACTS = 300;
 
 	private final LoadPeer self;
@@ -84,9 +84,9 @@
 
 	private final Announcements<PartUse> allUses = new Announcements<>(USE_DIGESTS, MAX_PENDING_USES);
 
-	private final Announcements<FeatureFact> groupFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
+	private final Announcements<SeenFact> groupFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
 
-	private final Announcements<FeatureFact> allFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
+	private final Announcements<SeenFact> allFacts = new Announcements<>(FACT_DIGESTS, MAX_PENDING_FACTS);
 
 	private int maxDirectPeers = (int) RoutingParameter.MOST_DIRECT_PEERS.defaultValue();
 
@@ -161,16 +161,26 @@
 	}
 
 	/**
-	 * Have facts about contents sent with the next digests.
+	 * Have facts about features of requests sent with the next digests.
 	 * @param facts the facts that this VM has seen
+	 * @param now the time
 	 */
-	public void announce(List<FeatureFact> facts) {
-		this.groupFacts.add(facts);
+	public void announce(List<FeatureFact> facts, long now) {
+		List<SeenFact> seen = seen(facts, now);
+		this.groupFacts.add(seen);
 		if (isRelayed()) {
-			this.allFacts.add(facts);
+			this.allFacts.add(seen);
 		}
 	}
 
+	private static List<SeenFact> seen(List<FeatureFact> facts, long now) {
+		return facts.stream().map((fact) -> new SeenFact(fact, now)).toList();
+	}
+
+	private static List<FeatureFact> forNextDigest(Announcements<SeenFact> facts, long now) {
+		return facts.forNextDigest().stream().map((seen) -> seen.aged(now)).toList();
+	}
+
 	/**
 	 * Set the limits that endpoints state; call before each {@link #tick}.
 	 * @param statements the recent statements that this VM knows
@@ -242,7 +252,7 @@
 		// A single datagram, as it goes to all peers.
 		List<PartUse> uses = this.groupUses.forNextDigest().stream().limit(LoadDigest.MAX_USES_PER_PART).toList();
 		return send(LoadDigest.of(LoadDigest.Kind.SUMMARY, this.sequence, 1, own, uses)
-			.withFacts(this.groupFacts.forNextDigest()), this.peers);
+			.withFacts(forNextDigest(this.groupFacts, now)), this.peers);
 	}
 
 	private List<Outgoing> report(List<PeerLoads.Load> own, String relay, long now) {
@@ -251,7 +261,7 @@
 		}
 		this.sentReports.put(this.sequence, own);
 		return send(LoadDigest.of(LoadDigest.Kind.REPORT, this.sequence, 1, own, this.groupUses.forNextDigest())
-			.withFacts(this.groupFacts.forNextDigest()), List.of(relay));
+			.withFacts(forNextDigest(this.groupFacts, now)), List.of(relay));
 	}
 
 	private List<Outgoing> aggregate(List<PeerLoads.Load> own, long now) {
@@ -273,11 +283,11 @@
 		int vms = this.groupReports.size() + 1;
 		LoadDigest summary = LoadDigest
 			.of(LoadDigest.Kind.SUMMARY, this.sequence, vms, groupSums.all(), this.groupUses.forNextDigest())
-			.withFacts(this.groupFacts.forNextDigest());
+			.withFacts(forNextDigest(this.groupFacts, now));
 		List<Outgoing> messages = new ArrayList<>(send(summary, this.relaySelector.summaryReceivers(now)));
 		LoadDigest view = LoadDigest.of(LoadDigest.Kind.VIEW, this.sequence, this.loads.peerCount() + 1, all,
 				this.allUses.forNextDigest());
-		messages.addAll(send(view.withAcknowledged(acknowledged).withFacts(this.allFacts.forNextDigest()),
+		messages.addAll(send(view.withAcknowledged(acknowledged).withFacts(forNextDigest(this.allFacts, now)),
 				List.copyOf(this.groupReports.keySet())));
 		return messages;
 	}
@@ -309,7 +319,7 @@
 		this.relaySelector.summaryReceived(sender, now);
 		this.allUses.add(digest.uses());
 		if (isRelayed()) {
-			this.allFacts.add(digest.facts());
+			this.allFacts.add(seen(digest.facts(), now));
 		}
 		return this.loads.receive(sender, digest, now);
 	}
@@ -320,8 +330,8 @@
 		}
 		this.groupUses.add(digest.uses());
 		this.allUses.add(digest.uses());
-		this.groupFacts.add(digest.facts());
-		this.allFacts.add(digest.facts());
+		this.groupFacts.add(seen(digest.facts(), now));
+		this.allFacts.add(seen(digest.facts(), now));
 		this.groupReports.put(sender, new Report(digest.sequence(), digest.loads(), now));
 		return true;
 	}
@@ -352,4 +362,23 @@
 	private record Report(long sequence, List<PeerLoads.Load> loads, long at) {
 	}
 
+	/** A fact and when this VM learnt it. Two are equal if they tell the same. */
+	private record SeenFact(FeatureFact fact, long at) {
+
+		private FeatureFact aged(long now) {
+			return this.fact.aged((now - this.at) / 1_000_000L);
+		}
+
+		@Override
+		public boolean equals(Object other) {
+			return this == other || (other instanceof SeenFact that && this.fact.isSameAs(that.fact));
+		}
+
+		@Override
+		public int hashCode() {
+			return this.fact.hashCode();
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
@@ -8,22 +8,26 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.crash.CrashEvidence.LostRun;
 
 /**
- * Finds the contents that crash each endpoint which runs them, from the crashes that all
- * entry VMs see. A crash puts all contents on the endpoint under suspicion, most of them
- * wrongly, and endpoints also crash for other reasons. So the crashes of a content are
- * weighed by how likely it is that it was there by chance: the rate of the other crashes
- * in the pool times the time that it had been at the endpoint. A content that meets a
- * second crash shortly after it was sent is hardly there by chance, a response that had
- * been streaming for seconds may well be.
+ * Finds the features of requests that crash each endpoint which runs them, from the
+ * crashes that all entry VMs see. A crash puts all features on the endpoint under
+ * suspicion, most of them wrongly, and endpoints also crash for other reasons. So the
+ * crashes of a feature are weighed by how likely it is that it met them by chance
+ * ({@link CrashEvidence}). A feature that meets a second crash shortly after its request
+ * was sent is hardly there by chance, a response that had been streaming for seconds may
+ * well be.
  * <p>
- * Invariants: a crash does not count against a content if another content that was there
- * is known to crash endpoints. Of several contents that were at the same endpoints none
- * is blocked until a further crash tells them apart, or until it has met
- * {@value #PROVEN_CRASHES} crashes. A complete response clears a content. A block
- * expires, so that a wrong one is not permanent; after it the next crash blocks the
- * content again.
+ * Invariants: a crash does not count against a feature if another feature that was there
+ * is known to crash endpoints. Of several features that were at the same endpoints none
+ * is blocked until a further crash or an answer tells them apart; until then only
+ * requests that have all of them are refused, so that no request is refused for a part
+ * that it does not have. An answer that began after a crash clears its features of that
+ * crash. A block expires, so that a wrong one is not permanent; after it one request at a
+ * time is let through until the feature is cleared or crashes another endpoint.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
@@ -33,60 +37,85 @@
 	static final long SETTLE_NANOS = 500_000_000L;
 
 	/** Contents with fewer crashes are never refused. */
-	static final int MIN_CRASHES = 2;
+	static final int MIN_CONTENT_CRASHES = 2;
+
+	/**
+	 * Parts with fewer crashes are never refused: many sound requests may have the same
+	 * part, so that more of them are lost if it is refused wrongly.
+	 */
+	static final int MIN_PART_CRASHES = 3;
 
 	/** Contents with so many crashes are refused in any case. */
 	static final int PROVEN_CRASHES = 4;
 
-	/** How long a content is blocked after its second crash. */
-	static final long FIRST_BLOCK_NANOS = 120_000_000_000L;
+	/** How long a feature is blocked at first. */
+	static final long FIRST_BLOCK_NANOS = 30_000_000_000L;
 
-	/** How long it is blocked after any further crash. */
-	static final long BLOCK_NANOS = 600_000_000_000L;
+	/** By how much a block is longer than the one before. */
+	private static final int BLOCK_FACTOR = 5;
 
-	/**
-	 * A content is blocked if its chance of having met its crashes without being the
-	 * cause is lower. Bounds how often sound content is blocked: some hundred requests
-	 * are at endpoints at a time.
-	 */
-	private static final double MAX_CHANCE = 3e-6;
+	private static final long MAX_BLOCK_NANOS = 6 * 3_600_000_000_000L;
 
-	/** Crashes within this time tell how often endpoints of a pool crash. */
-	private static final long RATE_WINDOW_NANOS = 20_000_000_000L;
+	/** The VMs begin a block within this time. */
+	private static final long SAME_BLOCK_NANOS = 1_000_000_000L;
 
 	/**
-	 * Bounds the weight of a crash right after the request was sent: several endpoints
-	 * may crash within this time for one reason.
+	 * The blocks of the VMs end at different times within this one, so that a feature
+	 * which still crashes endpoints is not let through by all of them at once.
 	 */
-	private static final int MIN_RUN_MILLIS = 50;
+	static final long MAX_STAGGER_NANOS = 10_000_000_000L;
 
-	/** A crash that is told within this time after a response came before it. */
-	private static final long LATE_FACT_NANOS = 2_000_000_000L;
+	/** A request that is let through after a block shows its effect within this time. */
+	static final long TRIAL_NANOS = 3_000_000_000L;
 
-	/** How long the crashes of a content are kept after the last one. */
+	/** How long answers are kept: facts of earlier crashes arrive within this time. */
+	private static final long ANSWER_RETENTION_NANOS = 10_000_000_000L;
+
+	/** How long the crashes of a feature are kept after the last one. */
 	private static final long RETENTION_NANOS = 3_600_000_000_000L;
 
-	private static final int MAX_CONTENTS = 4_096;
+	private static final int MAX_SUSPECTS = 4_096;
 
 	private static final int MAX_CRASHES = 1_024;
 
+	private final long staggerSeed;
+
 	/** In the order of their latest crashes. */
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
 	/** By the ids of the endpoints, in their order. */
 	private final Map<Integer, EndpointCrash> crashes = new LinkedHashMap<>();
 
-	/** When the contents that were suspected were answered. */
+	/** When the latest answers on features that were suspected began. */
 	private final Map<Long, Long> answered = new LinkedHashMap<>();
 
+	private final List<Long> newlyBlocked = new ArrayList<>();
+
 	/**
-	 * Return whether no content is suspected.
+	 * Create an empty set.
+	 * @param staggerSeed differs between the VMs
+	 */
+	public CrashingFeatures(long staggerSeed) {
+		this.staggerSeed = staggerSeed;
+	}
+
+	/**
+	 * Return whether no feature is suspected.
 	 * @return whether all requests may be sent
 	 */
 	public boolean isEmpty() {
 		return this.suspects.isEmpty();
 	}
 
+	/**
+	 * Return whether a feature was at an endpoint that crashed, or is blocked.
+	 * @param feature the feature
+	 * @return whether an answer on it is worth telling
+	 */
+	public boolean isKnown(long feature) {
+		return this.suspects.containsKey(feature);
+	}
+
 	/**
 	 * Record a fact that this or another VM has seen.
 	 * @param fact the fact
@@ -94,38 +123,46 @@
 	 * @return whether it was not known before
 	 */
 	public boolean record(FeatureFact fact, long now) {
+		long at = now - fact.ageMillis() * 1_000_000L;
 		return switch (fact.kind()) {
-			case CRASHED -> recordCrash(fact.content(), fact.run(), now);
-			case ANSWERED -> clear(fact.content(), now);
-			case BLOCKED -> recordBlock(fact.content(), now);
+			case CRASHED -> recordCrash(fact.feature(), new LostRun(fact.run(), at), now);
+			case ANSWERED -> clear(fact.feature(), at, now);
+			case BLOCKED -> recordBlock(fact.feature(), at, now);
 		};
 	}
 
-	private boolean recordCrash(long content, FeatureFact.Run run, long now) {
-		Suspect suspect = this.suspects.get(content);
-		boolean known = suspect != null && suspect.runs.containsKey(run.endpoint());
-		Long answeredAt = this.answered.get(content);
-		if (known || (answeredAt != null && now - answeredAt < LATE_FACT_NANOS)) {
+	private boolean recordCrash(long feature, LostRun lost, long now) {
+		int endpoint = lost.run().endpoint();
+		Suspect suspect = this.suspects.get(feature);
+		Long answeredAt = this.answered.get(feature);
+		if ((suspect != null && suspect.runs.containsKey(endpoint))
+				|| (answeredAt != null && answeredAt - lost.lostAt() >= 0)) {
 			return false;
 		}
-		Suspect next = (suspect != null) ? suspect : new Suspect();
-		next.runs.put(run.endpoint(), run);
-		next.lastCrashAt = now;
-		put(content, next);
-		EndpointCrash crash = this.crashes.computeIfAbsent(run.endpoint(), (id) -> new EndpointCrash(run.pool(), now));
-		crash.add(content, false);
-		if (next.isBlocked(now)) {
-			block(content, next, now);
+		Suspect next = (suspect != null) ? suspect : new Suspect(lost.lostAt());
+		next.crashed(lost);
+		put(feature, next, now);
+		EndpointCrash crash = this.crashes.computeIfAbsent(endpoint,
+				(id) -> new EndpointCrash(lost.run().pool(), lost.lostAt()));
+		crash.seen(lost.lostAt());
+		crash.add(feature, false);
+		if (next.isBlockedBefore(lost.sentAt())) {
+			block(feature, next, now);
 		}
 		trimCrashes();
 		return true;
 	}
 
-	private void put(long content, Suspect suspect) {
-		this.suspects.remove(content);
-		this.suspects.put(content, suspect);
-		if (this.suspects.size() > MAX_CONTENTS) {
-			forget(this.suspects.keySet().iterator().next());
+	private void put(long feature, Suspect suspect, long now) {
+		this.suspects.remove(feature);
+		this.suspects.put(feature, suspect);
+		if (this.suspects.size() > MAX_SUSPECTS) {
+			this.suspects.entrySet()
+				.stream()
+				.filter((entry) -> !entry.getValue().isBlocked(now))
+				.findFirst()
+				.or(() -> this.suspects.entrySet().stream().findFirst())
+				.ifPresent((oldest) -> forget(oldest.getKey()));
 		}
 	}
 
@@ -134,111 +171,192 @@
 			Iterator<Map.Entry<Integer, EndpointCrash>> oldest = this.crashes.entrySet().iterator();
 			Map.Entry<Integer, EndpointCrash> crash = oldest.next();
 			oldest.remove();
-			crash.getValue().contents().forEach((content) -> {
-				Suspect suspect = this.suspects.get(content);
-				if (suspect != null && !suspect.everBlocked) {
+			crash.getValue().features().forEach((feature) -> {
+				Suspect suspect = this.suspects.get(feature);
+				if (suspect != null && !suspect.wasBlocked()) {
 					suspect.runs.remove(crash.getKey());
 				}
 			});
 		}
 	}
 
-	private void forget(long content) {
-		Suspect suspect = this.suspects.remove(content);
+	private void forget(long feature) {
+		Suspect suspect = this.suspects.remove(feature);
 		if (suspect != null) {
-			suspect.runs.keySet().forEach((endpoint) -> {
-				EndpointCrash crash = this.crashes.get(endpoint);
-				if (crash != null) {
-					crash.remove(content);
-				}
-			});
+			suspect.runs.keySet().forEach((endpoint) -> removeFromCrash(endpoint, feature));
 		}
 	}
 
-	private boolean clear(long content, long now) {
-		boolean known = this.suspects.containsKey(content);
-		forget(content);
-		this.answered.remove(content);
-		this.answered.put(content, now);
-		this.answered.values().removeIf((at) -> now - at >= LATE_FACT_NANOS);
-		return known;
+	private void removeFromCrash(int endpoint, long feature) {
+		EndpointCrash crash = this.crashes.get(endpoint);
+		if (crash != null) {
+			crash.remove(feature);
+		}
 	}
 
-	private boolean recordBlock(long content, long now) {
-		Suspect suspect = this.suspects.getOrDefault(content, new Suspect());
-		if (suspect.isBlocked(now)) {
+	private boolean clear(long feature, long answeredAt, long now) {
+		this.answered.merge(feature, answeredAt, (a, b) -> (a - b >= 0) ? a : b);
+		this.answered.values().removeIf((at) -> now - at >= ANSWER_RETENTION_NANOS);
+		Suspect suspect = this.suspects.get(feature);
+		if (suspect == null) {
 			return false;
 		}
-		if (suspect.runs.isEmpty()) {
-			suspect.lastCrashAt = now;
+		if (answeredAt - suspect.lastCrashAt >= 0) {
+			forget(feature);
+			return true;
 		}
-		put(content, suspect);
-		block(content, suspect, now);
+		List<Integer> survived = suspect.runs.entrySet()
+			.stream()
+			.filter((lost) -> answeredAt - lost.getValue().lostAt() >= 0)
+			.map(Map.Entry::getKey)
+			.toList();
+		survived.forEach((endpoint) -> {
+			suspect.runs.remove(endpoint);
+			removeFromCrash(endpoint, feature);
+		});
+		if (!survived.isEmpty() && suspect.runs.size() < MIN_PART_CRASHES) {
+			unblock(feature, suspect);
+		}
+		return !survived.isEmpty();
+	}
+
+	private boolean recordBlock(long feature, long at, long now) {
+		Suspect suspect = this.suspects.getOrDefault(feature, new Suspect(at));
+		Long answeredAt = this.answered.get(feature);
+		if (suspect.isBlocked(now) || (answeredAt != null && answeredAt - at >= 0)) {
+			return false;
+		}
+		put(feature, suspect, now);
+		block(feature, suspect, now);
 		return true;
 	}
 
-	private void block(long content, Suspect suspect, long now) {
-		boolean again = suspect.everBlocked || suspect.runs.size() > MIN_CRASHES;
-		suspect.blockedUntil = now + ((again) ? BLOCK_NANOS : FIRST_BLOCK_NANOS);
-		suspect.everBlocked = true;
+	private void block(long feature, Suspect suspect, long now) {
+		suspect.block(now, stagger(feature));
+		suspect.runs.keySet().forEach((endpoint) -> {
+			EndpointCrash crash = this.crashes.get(endpoint);
+			if (crash != null) {
+				crash.add(feature, true);
+			}
+		});
+	}
+
+	private void unblock(long feature, Suspect suspect) {
+		suspect.blocks = 0;
 		suspect.runs.keySet().forEach((endpoint) -> {
 			EndpointCrash crash = this.crashes.get(endpoint);
 			if (crash != null) {
-				crash.add(content, true);
+				crash.remove(feature);
+				crash.add(feature, false);
 			}
 		});
 	}
 
+	private long stagger(long feature) {
+		long hash = (feature ^ this.staggerSeed) * 0x9E3779B97F4A7C15L;
+		return Math.floorMod(hash ^ (hash >>> 32), MAX_STAGGER_NANOS);
+	}
+
 	/**
-	 * Return whether a content is refused.
-	 * @param content a hash of the content
+	 * Return whether a request is refused.
+	 * @param request its features
 	 * @param now the time
 	 * @return for how long in nanoseconds, empty if it may be sent
 	 */
-	public OptionalLong refusedFor(long content, long now) {
-		Suspect suspect = this.suspects.get(content);
+	public OptionalLong refusedFor(RequestFeatures request, long now) {
+		return request.stream()
+			.map((feature) -> refusedFor(feature, request, now))
+			.flatMapToLong(OptionalLong::stream)
+			.max();
+	}
+
+	private OptionalLong refusedFor(long feature, RequestFeatures request, long now) {
+		Suspect suspect = this.suspects.get(feature);
 		if (suspect == null) {
 			return OptionalLong.empty();
 		}
-		if (!suspect.isBlocked(now) && isCulprit(content, suspect, now)) {
-			block(content, suspect, now);
+		if (suspect.wasBlocked()) {
+			return suspect.blockedFor(now);
 		}
-		if (suspect.isBlocked(now)) {
-			return OptionalLong.of(suspect.blockedUntil - now);
+		CrashEvidence evidence = evidence(feature, suspect);
+		boolean isContent = feature == request.content();
+		boolean proven = isContent && evidence.crashes() >= PROVEN_CRASHES;
+		boolean enough = evidence.crashes() >= ((isContent) ? MIN_CONTENT_CRASHES : MIN_PART_CRASHES);
+		if (!proven && !(enough && evidence.isUnlikelyByChance(feature, this.crashes.values()))) {
+			return OptionalLong.empty();
+		}
+		Set<Long> alike = featuresAtAll(evidence.endpoints());
+		if (!proven && !request.containsAll(alike)) {
+			return OptionalLong.empty();
 		}
 		long settled = suspect.lastCrashAt + SETTLE_NANOS;
-		boolean undecided = now - settled < 0 && !suspect.everBlocked && isUnlikelyByChance(content, suspect);
-		return (undecided) ? OptionalLong.of(settled - now) : OptionalLong.empty();
+		if (!proven && now - settled < 0) {
+			return OptionalLong.of(settled - now);
+		}
+		if (proven || alike.size() <= 1) {
+			block(feature, suspect, now);
+			this.newlyBlocked.add(feature);
+			return suspect.blockedFor(now);
+		}
+		long until = suspect.lastCrashAt + FIRST_BLOCK_NANOS;
+		return (until - now > 0) ? OptionalLong.of(until - now) : OptionalLong.empty();
+	}
+
+	/**
+	 * Remove and return the features that {@link #refusedFor} has found to crash
+	 * endpoints, each of which may be worth telling the other VMs.
+	 * @return the features since the last call
+	 */
+	public List<Long> drainNewlyBlocked() {
+		List<Long> features = List.copyOf(this.newlyBlocked);
+		this.newlyBlocked.clear();
+		return features;
 	}
 
 	/**
-	 * Return whether a content is blocked; it is no more than undecided right after a
-	 * crash.
-	 * @param content a hash of the content
+	 * Return whether all requests with a feature are refused; it is no more than
+	 * undecided right after a crash.
+	 * @param feature the feature
 	 * @param now the time
-	 * @return whether it is refused for longer than it takes to decide
+	 * @return whether the feature is blocked
 	 */
-	public boolean isBlocked(long content, long now) {
-		return refusedFor(content, now).isPresent() && this.suspects.get(content).isBlocked(now);
+	public boolean isBlocked(long feature, long now) {
+		Suspect suspect = this.suspects.get(feature);
+		return suspect != null && suspect.isBlocked(now);
+	}
+
+	/**
+	 * Record that a request is sent. If one of its features was blocked before, no other
+	 * request with it is let through until the effect of this one is known.
+	 * @param request its features
+	 * @param now the time
+	 */
+	public void sent(RequestFeatures request, long now) {
+		request.stream().forEach((feature) -> {
+			Suspect suspect = this.suspects.get(feature);
+			if (suspect != null && suspect.wasBlocked()) {
+				suspect.blockedUntil = now + TRIAL_NANOS;
+			}
+		});
 	}
 
 	/**
-	 * Return whether a content was at an endpoint that crashed for no known reason.
-	 * @param content a hash of the content
+	 * Return whether a feature was at an endpoint that crashed for no known reason.
+	 * @param feature the feature
 	 * @return whether it is under suspicion
 	 */
-	public boolean isSuspect(long content) {
-		Suspect suspect = this.suspects.get(content);
-		return suspect != null && !unexplained(content, suspect).isEmpty();
+	public boolean isSuspect(long feature) {
+		Suspect suspect = this.suspects.get(feature);
+		return suspect != null && !unexplained(feature, suspect).isEmpty();
 	}
 
 	/**
-	 * Return the number of crashes of a content, those that others explain included.
-	 * @param content a hash of the content
+	 * Return the number of crashes of a feature, those that others explain included.
+	 * @param feature the feature
 	 * @return the number of endpoints
 	 */
-	public int crashes(long content) {
-		Suspect suspect = this.suspects.get(content);
+	public int crashes(long feature) {
+		Suspect suspect = this.suspects.get(feature);
 		return (suspect != null) ? suspect.runs.size() : 0;
 	}
 
@@ -248,96 +366,93 @@
 	 */
 	public void expire(long now) {
 		List<Long> expired = new ArrayList<>();
-		this.suspects.forEach((content, suspect) -> {
+		this.suspects.forEach((feature, suspect) -> {
 			if (now - suspect.lastCrashAt > RETENTION_NANOS && !suspect.isBlocked(now)) {
-				expired.add(content);
+				expired.add(feature);
 			}
 		});
 		expired.forEach(this::forget);
 		this.crashes.values()
-			.removeIf((crash) -> crash.contents().isEmpty() && now - crash.at() > 2 * RATE_WINDOW_NANOS);
-	}
-
-	private boolean isCulprit(long content, Suspect suspect, long now) {
-		if (suspect.everBlocked) {
-			return suspect.lastCrashAt - suspect.blockedUntil >= 0;
-		}
-		List<FeatureFact.Run> runs = unexplained(content, suspect);
-		if (runs.size() >= PROVEN_CRASHES) {
-			return true;
-		}
-		boolean settled = now - suspect.lastCrashAt >= SETTLE_NANOS;
-		return settled && isUnlikelyByChance(content, suspect) && isOnlyOne(content, runs);
+			.removeIf((crash) -> crash.features().isEmpty() && now - crash.at() > 2 * CrashEvidence.RATE_WINDOW_NANOS);
 	}
 
-	private boolean isUnlikelyByChance(long content, Suspect suspect) {
-		List<FeatureFact.Run> runs = unexplained(content, suspect);
-		return runs.size() >= MIN_CRASHES && chance(content, runs) <= MAX_CHANCE;
+	private CrashEvidence evidence(long feature, Suspect suspect) {
+		return CrashEvidence.of(unexplained(feature, suspect));
 	}
 
-	private List<FeatureFact.Run> unexplained(long content, Suspect suspect) {
-		return suspect.runs.values()
+	private List<LostRun> unexplained(long feature, Suspect suspect) {
+		return suspect.runs.entrySet()
 			.stream()
-			.filter((run) -> !this.crashes.containsKey(run.endpoint())
-					|| !this.crashes.get(run.endpoint()).isExplainedWithout(content))
+			.filter((lost) -> !this.crashes.containsKey(lost.getKey())
+					|| !this.crashes.get(lost.getKey()).isExplainedWithout(feature))
+			.map(Map.Entry::getValue)
 			.toList();
 	}
 
-	// The chance that a content which crashes no endpoint meets crashes during these
-	// runs.
-	private double chance(long content, List<FeatureFact.Run> runs) {
-		double chance = 1;
-		for (FeatureFact.Run run : runs) {
-			double perEndpoint = (1.0 + otherCrashes(content, run)) / run.poolSize();
-			double share = Math.max(MIN_RUN_MILLIS, run.millis()) * 1e6 / RATE_WINDOW_NANOS;
-			chance *= Math.min(1, perEndpoint * share);
-		}
-		return chance;
-	}
-
-	private long otherCrashes(long content, FeatureFact.Run run) {
-		EndpointCrash own = this.crashes.get(run.endpoint());
-		if (own == null) {
-			return 0;
-		}
-		return this.crashes.values()
-			.stream()
-			.filter((crash) -> crash.pool() == run.pool() && Math.abs(crash.at() - own.at()) < RATE_WINDOW_NANOS)
-			.filter((crash) -> !crash.contents().contains(content) && !crash.isExplainedWithout(content))
-			.count();
-	}
-
-	// Whether no other suspect was at all of these endpoints.
-	private boolean isOnlyOne(long content, List<FeatureFact.Run> runs) {
-		EndpointCrash first = this.crashes.get(runs.get(0).endpoint());
-		if (first == null) {
-			return true;
-		}
-		return first.contents()
-			.stream()
-			.filter((other) -> other != content)
-			.map(this.suspects::get)
-			.noneMatch((other) -> other != null && wasAtAll(other.runs.keySet(), runs));
+	// The features that were at all of these endpoints, which can't be told apart.
+	private Set<Long> featuresAtAll(Set<Integer> endpoints) {
+		return endpoints.stream()
+			.map(this.crashes::get)
+			.filter((crash) -> crash != null)
+			.findFirst()
+			.map((crash) -> crash.features()
+				.stream()
+				.filter((feature) -> this.suspects.containsKey(feature)
+						&& this.suspects.get(feature).runs.keySet().containsAll(endpoints))
+				.collect(Collectors.toSet()))
+			.orElse(Set.of());
 	}
 
-	private static boolean wasAtAll(Set<Integer> endpoints, List<FeatureFact.Run> runs) {
-		return runs.stream().allMatch((run) -> endpoints.contains(run.endpoint()));
-	}
-
-	/** A content that was at an endpoint that crashed, or that another VM has blocked. */
+	/** A feature that was at an endpoint that crashed, or that another VM has blocked. */
 	private static final class Suspect {
 
 		/** By endpoint. */
-		private final Map<Integer, FeatureFact.Run> runs = new HashMap<>();
+		private final Map<Integer, LostRun> runs = new HashMap<>();
 
 		private long lastCrashAt;
 
+		private long blockedAt;
+
 		private long blockedUntil;
 
-		private boolean everBlocked;
+		private int blocks;
+
+		private Suspect(long lastCrashAt) {
+			this.lastCrashAt = lastCrashAt;
+		}
+
+		private void crashed(LostRun lost) {
+			this.runs.put(lost.run().endpoint(), lost);
+			if (lost.lostAt() - this.lastCrashAt > 0) {
+				this.lastCrashAt = lost.lostAt();
+			}
+		}
+
+		private void block(long now, long stagger) {
+			long nanos = FIRST_BLOCK_NANOS;
+			for (int i = 0; i < this.blocks && nanos < MAX_BLOCK_NANOS; i++) {
+				nanos *= BLOCK_FACTOR;
+			}
+			this.blocks++;
+			this.blockedAt = now;
+			this.blockedUntil = now + Math.min(nanos, MAX_BLOCK_NANOS) + stagger;
+		}
+
+		private boolean wasBlocked() {
+			return this.blocks > 0;
+		}
+
+		// Whether a request that was sent at the time was let through after a block.
+		private boolean isBlockedBefore(long time) {
+			return wasBlocked() && time - this.blockedAt >= SAME_BLOCK_NANOS;
+		}
 
 		private boolean isBlocked(long now) {
-			return this.everBlocked && now - this.blockedUntil < 0;
+			return wasBlocked() && now - this.blockedUntil < 0;
+		}
+
+		private OptionalLong blockedFor(long now) {
+			return (isBlocked(now)) ? OptionalLong.of(this.blockedUntil - now) : OptionalLong.empty();
 		}
 
 	}
--- a/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * A crash of an endpoint: the contents that were there, and which of them are known to
- * crash endpoints.
+ * A crash of an endpoint: the features of the requests that were there, and which of them
+ * are known to crash endpoints.
  * <p>
  * Not thread safe: belongs to one {@link CrashingFeatures}.
  */
@@ -13,9 +13,9 @@
 
 	private final int pool;
 
-	private final long at;
+	private long at;
 
-	private final Set<Long> contents = new HashSet<>();
+	private final Set<Long> features = new HashSet<>();
 
 	private final Set<Long> culprits = new HashSet<>();
 
@@ -32,25 +32,30 @@
 		return this.at;
 	}
 
-	Set<Long> contents() {
-		return this.contents;
+	Set<Long> features() {
+		return this.features;
 	}
 
-	void add(long content, boolean culprit) {
-		this.contents.add(content);
+	// The entries notice a crash one after the other.
+	void seen(long time) {
+		this.at = (time - this.at < 0) ? time : this.at;
+	}
+
+	void add(long feature, boolean culprit) {
+		this.features.add(feature);
 		if (culprit) {
-			this.culprits.add(content);
+			this.culprits.add(feature);
 		}
 	}
 
-	void remove(long content) {
-		this.contents.remove(content);
-		this.culprits.remove(content);
+	void remove(long feature) {
+		this.features.remove(feature);
+		this.culprits.remove(feature);
 	}
 
-	// Whether it is due to another content that is known to crash endpoints.
-	boolean isExplainedWithout(long content) {
-		return this.culprits.size() > ((this.culprits.contains(content)) ? 1 : 0);
+	// Whether it is due to another feature that is known to crash endpoints.
+	boolean isExplainedWithout(long feature) {
+		return this.culprits.size() > ((this.culprits.contains(feature)) ? 1 : 0);
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashFleet.java
@@ -4,11 +4,15 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.balance.LoadExchange;
@@ -17,8 +21,9 @@
 
 /**
  * Entry VMs and endpoints in simulated time: sound requests, contents that crash each
- * endpoint that runs them and come again at random entries, and endpoints that crash for
- * other reasons. Entries exchange what they see by datagrams, some of which are lost.
+ * endpoint that runs them and come again at random entries, parts of prompts that crash
+ * each endpoint that begins an answer on them, and endpoints that crash for other
+ * reasons. Entries exchange what they see by datagrams, some of which are lost.
  * <p>
  * Not thread safe: belongs to one test.
  */
@@ -26,13 +31,28 @@
 
 	static final long MILLI = 1_000_000;
 
-	/** From the third crash of a content until it must not be sent on. */
+	/** From the last crash that is free until the culprit must not be sent on. */
 	static final long CONTACT_NANOS = 3_000 * MILLI;
 
 	private static final int POOL = 7;
 
 	private static final int MAX_FACTS_PER_CRASH = 16;
 
+	private static final int MAX_PARTS_PER_CRASH = 32;
+
+	/** An endpoint that goes on with an answer for so long has survived its parts. */
+	private static final long SURVIVAL = 300 * MILLI;
+
+	/** A prompt is prefilled within this time at most. */
+	private static final long MAX_PREFILL = 400 * MILLI;
+
+	/** The chance that a request goes to the home of the first part of its prompt. */
+	private static final double AT_HOME = 0.7;
+
+	private static final int FIRST_PARTS = 1;
+
+	private static final int OTHER_PARTS = 100;
+
 	private static final long MIN_FACT_INTERVAL = 60 * MILLI;
 
 	private static final double LOSS = 0.05;
@@ -66,6 +86,9 @@
 
 	private final double meanRunMillis;
 
+	/** The number of different first parts, and of second ones; 0 without prompts. */
+	private final int partCount;
+
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
 
@@ -78,7 +101,12 @@
 	private long now = -5_000_000_000L;
 
 	CrashFleet(int entryCount, int poolSize, double soundPerSecond, double meanRunMillis, long seed) {
+		this(entryCount, poolSize, soundPerSecond, meanRunMillis, 0, seed);
+	}
+
+	CrashFleet(int entryCount, int poolSize, double soundPerSecond, double meanRunMillis, int partCount, long seed) {
 		this.random = new Random(seed);
+		this.partCount = partCount;
 		this.poolSize = poolSize;
 		this.soundPerSecond = soundPerSecond;
 		this.meanRunMillis = meanRunMillis;
@@ -118,24 +146,44 @@
 		schedule((long) (-Math.log(1 - this.random.nextDouble()) / this.soundPerSecond * 1_000 * MILLI), () -> {
 			this.soundRequests++;
 			long runs = (long) (-Math.log(1 - this.random.nextDouble()) * this.meanRunMillis * MILLI);
-			new Request(this.nextContent++, runs, false).arrive();
+			new Request(new RequestFeatures(this.nextContent++, soundParts()), runs, OptionalLong.empty()).arrive();
 			soundArrival();
 		});
 	}
 
+	private List<Long> soundParts() {
+		return (this.partCount > 0) ? List.of(FIRST_PARTS + anyPart(), OTHER_PARTS + anyPart()) : List.of();
+	}
+
+	// The n-th part is asked for 1 / n times as often as the first one.
+	private long anyPart() {
+		double drawn = Math.exp(this.random.nextDouble() * Math.log(this.partCount + 1));
+		return Math.min(this.partCount, (long) drawn) - 1;
+	}
+
 	/** A content that crashes endpoints arrives again and again. */
 	void addCulprit(long meanPauseMillis, long crashAfterMillis, long forMillis) {
 		long content = this.nextContent++;
-		this.culprits.put(content, new Culprit());
-		repeat(content, meanPauseMillis, crashAfterMillis, this.now + forMillis * MILLI);
+		this.culprits.put(content, new Culprit(3));
+		repeat(content, () -> new RequestFeatures(content, List.of()), meanPauseMillis, crashAfterMillis,
+				this.now + forMillis * MILLI);
+	}
+
+	/** A part that crashes endpoints arrives in ever other requests. */
+	void addCulpritPart(long meanPauseMillis, long crashAfterMillis, long forMillis) {
+		long part = this.nextContent++;
+		this.culprits.put(part, new Culprit(5));
+		repeat(part, () -> new RequestFeatures(this.nextContent++, List.of(FIRST_PARTS + anyPart(), part)),
+				meanPauseMillis, crashAfterMillis, this.now + forMillis * MILLI);
 	}
 
-	private void repeat(long content, long meanPauseMillis, long crashAfterMillis, long until) {
+	private void repeat(long culprit, Supplier<RequestFeatures> features, long meanPauseMillis, long crashAfterMillis,
+			long until) {
 		if (this.now < until) {
 			long runs = crashAfterMillis * MILLI / 2 + (long) (this.random.nextDouble() * crashAfterMillis * MILLI);
-			new Request(content, runs, true).arrive();
+			new Request(features.get(), runs, OptionalLong.of(culprit)).arrive();
 			schedule((meanPauseMillis / 2 + this.random.nextInt((int) meanPauseMillis)) * MILLI,
-					() -> repeat(content, meanPauseMillis, crashAfterMillis, until));
+					() -> repeat(culprit, features, meanPauseMillis, crashAfterMillis, until));
 		}
 	}
 
@@ -153,11 +201,11 @@
 		if (this.endpoints.remove(endpoint.id) == null) {
 			return;
 		}
-		endpoint.running.stream().filter((request) -> request.crashes).forEach((request) -> {
-			Culprit culprit = this.culprits.get(request.content);
-			culprit.crashes++;
-			culprit.thirdAt = (culprit.crashes == 3) ? this.now : culprit.thirdAt;
-		});
+		endpoint.running.stream()
+			.flatMapToLong((request) -> request.culprit.stream())
+			.distinct()
+			.mapToObj(this.culprits::get)
+			.forEach((culprit) -> culprit.crashed(this.now));
 		schedule((4_000 + this.random.nextInt(2_000)) * MILLI, this::startEndpoint);
 		Map<Entry, List<Request>> lost = new HashMap<>();
 		endpoint.running.forEach((request) -> {
@@ -181,12 +229,27 @@
 	/** What happened under a content that crashes endpoints. */
 	static final class Culprit {
 
+		private final int freeCrashes;
+
 		int crashes;
 
-		/** Runs that began longer than the contact time after the third crash. */
+		/** Runs that began longer than the contact time after the last free crash. */
 		int lateRuns;
 
-		private long thirdAt;
+		private long lastFreeAt;
+
+		Culprit(int freeCrashes) {
+			this.freeCrashes = freeCrashes;
+		}
+
+		private void crashed(long now) {
+			this.crashes++;
+			this.lastFreeAt = (this.crashes == this.freeCrashes) ? now : this.lastFreeAt;
+		}
+
+		private void runs(long now) {
+			this.lateRuns += (this.crashes >= this.freeCrashes && now - this.lastFreeAt > CONTACT_NANOS) ? 1 : 0;
+		}
 
 	}
 
@@ -208,11 +271,13 @@
 	/** A request of a caller, who tries it twice if it may be run again. */
 	private final class Request {
 
-		private final long content;
+		private final RequestFeatures features;
 
 		private final long runNanos;
 
-		private final boolean crashes;
+		private final OptionalLong culprit;
+
+		private final long beginsAfter;
 
 		private final boolean idempotent;
 
@@ -228,10 +293,12 @@
 
 		private boolean ended;
 
-		Request(long content, long runNanos, boolean crashes) {
-			this.content = content;
+		Request(RequestFeatures features, long runNanos, OptionalLong culprit) {
+			this.features = features;
 			this.runNanos = runNanos;
-			this.crashes = crashes;
+			this.culprit = culprit;
+			this.beginsAfter = (culprit.isPresent()) ? runNanos
+					: Math.min(runNanos, (long) (CrashFleet.this.random.nextDouble() * MAX_PREFILL));
 			this.idempotent = CrashFleet.this.random.nextDouble() < IDEMPOTENT;
 		}
 
@@ -244,21 +311,31 @@
 		}
 
 		private void send() {
-			boolean refused = this.entry.contents.refusedFor(this.content, CrashFleet.this.now).isPresent();
-			if (refused && !this.crashes) {
+			long now = CrashFleet.this.now;
+			boolean refused = this.entry.features.refusedFor(this.features, now).isPresent();
+			if (refused && this.culprit.isEmpty()) {
 				CrashFleet.this.soundRefused++;
-				CrashFleet.this.soundBlocked += (this.entry.contents.isBlocked(this.content, CrashFleet.this.now)) ? 1
-						: 0;
+				boolean blocked = this.features.stream()
+					.anyMatch((feature) -> this.entry.features.isBlocked(feature, now));
+				CrashFleet.this.soundBlocked += (blocked) ? 1 : 0;
+			}
+			if (!refused) {
+				choose().ifPresent(this::runAt);
 			}
+		}
+
+		private Optional<Endpoint> choose() {
 			List<Endpoint> choice = CrashFleet.this.endpoints.values()
 				.stream()
 				.filter((endpoint) -> !this.tried.contains(endpoint.id))
 				.sorted(Comparator.comparingInt((endpoint) -> endpoint.id))
 				.toList();
-			if (refused || choice.isEmpty()) {
-				return;
+			if (choice.isEmpty()) {
+				return Optional.empty();
 			}
-			runAt(choice.get(CrashFleet.this.random.nextInt(choice.size())));
+			boolean home = !this.features.parts().isEmpty() && CrashFleet.this.random.nextDouble() < AT_HOME;
+			return Optional.of((home) ? choice.get((int) (this.features.parts().get(0) % choice.size()))
+					: choice.get(CrashFleet.this.random.nextInt(choice.size())));
 		}
 
 		private void runAt(Endpoint endpoint) {
@@ -266,39 +343,48 @@
 			this.tried.add(endpoint.id);
 			this.ended = false;
 			this.sentAt = CrashFleet.this.now;
-			Culprit culprit = CrashFleet.this.culprits.get(this.content);
-			if (culprit != null && culprit.crashes >= 3 && this.sentAt - culprit.thirdAt > CONTACT_NANOS) {
-				culprit.lateRuns++;
-			}
+			this.entry.features.sent(this.features, this.sentAt);
+			this.culprit.ifPresent((feature) -> CrashFleet.this.culprits.get(feature).runs(this.sentAt));
 			endpoint.running.add(this);
+			afterSent(this.runNanos, () -> end(endpoint));
+			afterSent(this.beginsAfter + SURVIVAL,
+					() -> this.entry.answered(this.features.parts(), SURVIVAL / MILLI, CrashFleet.this.now));
+		}
+
+		// Unless the run has ended by then.
+		private void afterSent(long delay, Runnable action) {
 			long sent = this.sentAt;
-			schedule(this.runNanos, () -> {
+			schedule(delay, () -> {
 				if (!this.ended && this.sentAt == sent) {
-					end(endpoint);
+					action.run();
 				}
 			});
 		}
 
 		private void end(Endpoint endpoint) {
-			if (this.crashes) {
+			if (this.culprit.isPresent()) {
 				crash(endpoint);
 				return;
 			}
 			this.ended = true;
 			endpoint.running.remove(this);
 			CrashFleet.this.soundServed++;
-			this.entry.answered(this.content, CrashFleet.this.now);
+			this.entry.answered(this.features.stream().toList(), 0, CrashFleet.this.now);
 		}
 
 		private void lost() {
 			if (this.idempotent && this.attempts < MAX_ATTEMPTS) {
 				send();
 			}
-			else if (this.idempotent && this.callerTries < 2 && !this.crashes) {
+			else if (this.idempotent && this.callerTries < 2 && this.culprit.isEmpty()) {
 				schedule((100 + CrashFleet.this.random.nextInt(900)) * MILLI, this::arrive);
 			}
 		}
 
+		private boolean hasSurvived(long now) {
+			return now - this.sentAt >= this.beginsAfter + SURVIVAL;
+		}
+
 	}
 
 	/** An entry VM. */
@@ -306,7 +392,7 @@
 
 		private final LoadPeer self;
 
-		private final CrashingFeatures contents = new CrashingFeatures();
+		private final CrashingFeatures features;
 
 		private final LoadExchange exchange;
 
@@ -316,6 +402,7 @@
 
 		Entry(LoadPeer self, long now) {
 			this.self = self;
+			this.features = new CrashingFeatures(self.address().hashCode());
 			this.exchange = new LoadExchange(self, new PeerLoads(), 1, now);
 		}
 
@@ -336,7 +423,7 @@
 						Entry to = CrashFleet.this.byAddress.get(receiver);
 						schedule((1 + CrashFleet.this.random.nextInt(3)) * MILLI, () -> {
 							to.exchange.receive(this.self.address(), message.digest(), CrashFleet.this.now);
-							message.digest().facts().forEach((fact) -> to.contents.record(fact, CrashFleet.this.now));
+							message.digest().facts().forEach((fact) -> to.features.record(fact, CrashFleet.this.now));
 						});
 					}
 				}
@@ -345,32 +432,53 @@
 		}
 
 		private void announce(List<FeatureFact> facts) {
-			this.exchange.announce(facts);
+			this.exchange.announce(facts, CrashFleet.this.now);
 			tickLater(Math.max(0, MIN_FACT_INTERVAL - (CrashFleet.this.now - this.tickedAt)));
 		}
 
 		private void crashed(Endpoint endpoint, List<Request> requests, long now) {
-			List<FeatureFact> facts = requests.stream()
-				.sorted(Comparator.comparingLong((request) -> now - request.sentAt))
+			Map<Long, Integer> millis = new LinkedHashMap<>();
+			List<Request> latest = requests.stream()
+				.sorted(Comparator.comparing((Request request) -> request.hasSurvived(now))
+					.thenComparing((request) -> now - request.sentAt))
+				.toList();
+			latest.stream()
+				.filter((request) -> !request.hasSurvived(now))
+				.forEach((request) -> request.features.parts()
+					.forEach((part) -> millis.putIfAbsent(part, (int) ((now - request.sentAt) / MILLI))));
+			Map<Long, Integer> lost = new LinkedHashMap<>();
+			millis.entrySet()
+				.stream()
+				.limit(MAX_PARTS_PER_CRASH)
+				.forEach((part) -> lost.put(part.getKey(), part.getValue()));
+			latest.stream()
 				.limit(MAX_FACTS_PER_CRASH)
-				.map((request) -> FeatureFact.crashed(request.content,
-						new FeatureFact.Run(endpoint.id, POOL, CrashFleet.this.poolSize,
-								(int) ((now - request.sentAt) / MILLI))))
+				.forEach((request) -> lost.put(request.features.content(), (int) ((now - request.sentAt) / MILLI)));
+			List<FeatureFact> facts = lost.entrySet()
+				.stream()
+				.map((feature) -> FeatureFact.crashed(feature.getKey(),
+						new FeatureFact.Run(endpoint.id, POOL, CrashFleet.this.poolSize, feature.getValue())))
 				.toList();
-			facts.forEach((fact) -> this.contents.record(fact, now));
+			facts.forEach((fact) -> this.features.record(fact, now));
 			announce(facts);
-			schedule(600 * MILLI, () -> facts.forEach((fact) -> {
-				if (this.contents.isBlocked(fact.content(), CrashFleet.this.now)) {
-					announce(List.of(FeatureFact.blocked(fact.content())));
-				}
-			}));
+			schedule(600 * MILLI, () -> {
+				requests.forEach((request) -> this.features.refusedFor(request.features, CrashFleet.this.now));
+				announce(lost.keySet()
+					.stream()
+					.filter((feature) -> this.features.isBlocked(feature, CrashFleet.this.now))
+					.map(FeatureFact::blocked)
+					.toList());
+			});
 		}
 
-		private void answered(long content, long now) {
-			if (this.contents.isSuspect(content)) {
-				FeatureFact fact = FeatureFact.answered(content);
-				this.contents.record(fact, now);
-				announce(List.of(fact));
+		private void answered(List<Long> answered, long ageMillis, long now) {
+			List<FeatureFact> facts = answered.stream()
+				.filter(this.features::isKnown)
+				.map((feature) -> FeatureFact.answered(feature).aged(ageMillis))
+				.toList();
+			facts.forEach((fact) -> this.features.record(fact, now));
+			if (!facts.isEmpty()) {
+				announce(facts);
 			}
 		}
 
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.crash;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -17,20 +19,24 @@
 
 	private static final long OTHER = 2;
 
-	private final CrashingFeatures contents = new CrashingFeatures();
+	private final CrashingFeatures features = new CrashingFeatures(0);
 
 	private long now = -7 * SECOND;
 
 	private void crash(int endpoint, int millis, long... present) {
 		for (long content : present) {
-			this.contents.record(FeatureFact.crashed(content, new FeatureFact.Run(endpoint, POOL, POOL_SIZE, millis)),
+			this.features.record(FeatureFact.crashed(content, new FeatureFact.Run(endpoint, POOL, POOL_SIZE, millis)),
 					this.now);
 		}
 		this.now += SECOND;
 	}
 
+	private static RequestFeatures request(long content, Long... parts) {
+		return new RequestFeatures(content, List.of(parts));
+	}
+
 	private boolean isRefused(long content) {
-		return this.contents.refusedFor(content, this.now).isPresent();
+		return this.features.refusedFor(request(content), this.now).isPresent();
 	}
 
 	@Nested
@@ -64,15 +70,15 @@
 			crash(1, 150, CULPRIT);
 			crash(2, 150, CULPRIT);
 			long atCrash = CrashingFeaturesTests.this.now - SECOND;
-			assertThat(CrashingFeaturesTests.this.contents.refusedFor(CULPRIT, atCrash).getAsLong())
+			assertThat(CrashingFeaturesTests.this.features.refusedFor(request(CULPRIT), atCrash).getAsLong())
 				.isEqualTo(CrashingFeatures.SETTLE_NANOS);
 		}
 
 		// Guards against a VM that has met no crash itself.
 		@Test
 		void contentThatAnotherVmBlocksIsRefused() {
-			assertThat(CrashingFeaturesTests.this.contents.record(FeatureFact.blocked(CULPRIT), 0)).isTrue();
-			assertThat(CrashingFeaturesTests.this.contents.record(FeatureFact.blocked(CULPRIT), 1)).isFalse();
+			assertThat(CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CULPRIT), 0)).isTrue();
+			assertThat(CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CULPRIT), 1)).isFalse();
 			CrashingFeaturesTests.this.now = SECOND;
 			assertThat(isRefused(CULPRIT)).isTrue();
 		}
@@ -84,7 +90,9 @@
 			crash(1, 150, CULPRIT);
 			crash(2, 150, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS;
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS - 1;
+			assertThat(isRefused(CULPRIT)).isTrue();
+			CrashingFeaturesTests.this.now += CrashingFeatures.MAX_STAGGER_NANOS;
 			assertThat(isRefused(CULPRIT)).isFalse();
 			crash(3, 5_000, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
@@ -137,12 +145,12 @@
 		@Test
 		void completeResponseClearsTheContent() {
 			crash(1, 150, OTHER);
-			CrashingFeaturesTests.this.contents.record(FeatureFact.answered(OTHER), CrashingFeaturesTests.this.now);
+			CrashingFeaturesTests.this.features.record(FeatureFact.answered(OTHER), CrashingFeaturesTests.this.now);
 			crash(2, 150, OTHER);
-			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(0);
+			assertThat(CrashingFeaturesTests.this.features.crashes(OTHER)).isEqualTo(0);
 			CrashingFeaturesTests.this.now += 2 * SECOND;
 			crash(3, 150, OTHER);
-			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(1);
+			assertThat(CrashingFeaturesTests.this.features.crashes(OTHER)).isEqualTo(1);
 			assertThat(isRefused(OTHER)).isFalse();
 		}
 
@@ -152,7 +160,7 @@
 			crash(1, 150, OTHER);
 			crash(1, 150, OTHER);
 			crash(1, 100, OTHER);
-			assertThat(CrashingFeaturesTests.this.contents.crashes(OTHER)).isEqualTo(1);
+			assertThat(CrashingFeaturesTests.this.features.crashes(OTHER)).isEqualTo(1);
 			assertThat(isRefused(OTHER)).isFalse();
 		}
 
@@ -169,12 +177,12 @@
 			}
 			int suspects = 0;
 			for (int i = 0; i < 20_000; i++) {
-				suspects += (CrashingFeaturesTests.this.contents.crashes(i) > 0) ? 1 : 0;
+				suspects += (CrashingFeaturesTests.this.features.crashes(i) > 0) ? 1 : 0;
 			}
 			assertThat(suspects).isAtMost(4_096);
 			CrashingFeaturesTests.this.now += 7_200 * SECOND;
-			CrashingFeaturesTests.this.contents.expire(CrashingFeaturesTests.this.now);
-			assertThat(CrashingFeaturesTests.this.contents.isEmpty()).isTrue();
+			CrashingFeaturesTests.this.features.expire(CrashingFeaturesTests.this.now);
+			assertThat(CrashingFeaturesTests.this.features.isEmpty()).isTrue();
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -11,8 +11,8 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
-import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
+import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
@@ -93,13 +93,16 @@
 	}
 
 	private static FeatureFactRecord factRecord(FeatureFact fact) {
-		FeatureFactRecord record = new FeatureFactRecord(fact.kind().ordinal(), fact.content());
+		FeatureFactRecord record = new FeatureFactRecord(fact.kind().ordinal(), fact.feature());
 		if (fact.kind() == FeatureFact.Kind.CRASHED) {
 			record.setInstance(fact.run().endpoint())
 				.setPool(fact.run().pool())
 				.setPoolSize(fact.run().poolSize())
 				.setMillis(fact.run().millis());
 		}
+		if (fact.ageMillis() > 0) {
+			record.setAgeMillis((int) Math.min(Integer.MAX_VALUE, fact.ageMillis()));
+		}
 		return record;
 	}
 
@@ -108,7 +111,7 @@
 		FeatureFact.Run run = (kind == FeatureFact.Kind.CRASHED)
 				? new FeatureFact.Run(record.getInstance(), record.getPool(), record.getPoolSize(), record.getMillis())
 				: FeatureFact.Run.NONE;
-		return new FeatureFact(kind, record.getContent(), run);
+		return new FeatureFact(kind, record.getFeature(), run, record.getAgeMillis());
 	}
 
 	private static PeerLoads.Load load(EndpointLoadRecord load) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -87,6 +87,10 @@
 
 	private long answerBeganAt;
 
+	private boolean resumed;
+
+	private boolean survivalTold;
+
 	private boolean done;
 
 	private boolean arrived;
@@ -122,6 +126,7 @@
 	 */
 	void send(EndpointConnection endpointConnection, FullHttpRequest httpRequest) {
 		this.connection = endpointConnection;
+		this.resumed = this.exchange.lastEventId().isPresent();
 		this.sentAt = System.nanoTime();
 		this.lastActivityAt = this.sentAt;
 		scheduleSilenceCheck(silenceTimeoutNanos());
@@ -181,8 +186,8 @@
 		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, via, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
-				Long.toHexString(this.exchange.contentHash()),
-				this.exchange.request().sharedPartIds().stream().map(Long::toHexString).toList(),
+				Long.toHexString(this.exchange.features().content()),
+				this.exchange.features().parts().stream().map(Long::toHexString).toList(),
 				(this.answerBeganAt != 0) ? TimeUnit.NANOSECONDS.toMillis(now - this.answerBeganAt) : null);
 	}
 
@@ -272,6 +277,9 @@
 		if (this.answerBeganAt == 0) {
 			this.answerBeganAt = this.lastActivityAt;
 		}
+		if (this.lastActivityAt - this.answerBeganAt >= LostRequest.SURVIVAL_NANOS) {
+			tellSurvival();
+		}
 		OptionalLong lastForwarded = this.exchange.lastEventId();
 		if (lastForwarded.isPresent() && event.id().isPresent()
 				&& event.id().getAsLong() <= lastForwarded.getAsLong()) {
@@ -285,6 +293,14 @@
 		this.exchange.eventForwarded(event.id());
 	}
 
+	// The rest of a resumed stream does not show that an endpoint survives its beginning.
+	private void tellSurvival() {
+		if (!this.survivalTold && !this.resumed && this.answerBeganAt != 0) {
+			this.survivalTold = true;
+			this.exchange.partsSurvived(System.nanoTime() - this.answerBeganAt);
+		}
+	}
+
 	@Override
 	public void readComplete() {
 		if (this.partial.mode == PartialResponse.Mode.STREAM && this.exchange.response().isStarted()) {
@@ -322,6 +338,7 @@
 			this.exchange.response().startStream(this.partial.status, this.partial.headers);
 		}
 		finish(Outcome.GOOD);
+		tellSurvival();
 		this.exchange.endStream();
 	}
 
@@ -371,7 +388,7 @@
 	}
 
 	private LostRequest lostRequest(long now) {
-		return new LostRequest(this.exchange.contentHash(), this.exchange.request().sharedPartIds(), now - this.sentAt,
+		return new LostRequest(this.exchange.features(), now - this.sentAt,
 				(this.answerBeganAt != 0) ? OptionalLong.of(now - this.answerBeganAt) : OptionalLong.empty());
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/BufferedResponse.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/BufferedResponse.java
@@ -12,4 +12,9 @@
  * @param body the body
  */
 record BufferedResponse(int status, HttpHeaders headers, byte[] body) {
+
+	boolean isSuccess() {
+		return this.status / 100 == 2;
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashDetector.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
@@ -35,8 +35,8 @@
 	/** A refusal takes a round trip, also through another entry VM. */
 	private static final long MAX_CHECK_MILLIS = 100;
 
-	/** Bounds the contents that are kept for a crash; an engine runs many requests. */
-	private static final int MAX_CONTENTS = 16;
+	/** Bounds the contents in a log line; an engine runs many requests. */
+	private static final int MAX_LOGGED_CONTENTS = 16;
 
 	private final EventLoop loop;
 
@@ -46,7 +46,7 @@
 
 	private final Predicate<String> carriesRequest;
 
-	private final BiConsumer<FleetEndpoint, List<LostRequest>> onCrash;
+	private final Consumer<Crash> onCrash;
 
 	private final Map<String, Check> checks = new HashMap<>();
 
@@ -57,11 +57,10 @@
 	 * @param pools the pools of the endpoints
 	 * @param carriesRequest returns whether a request is on an open connection to an
 	 * instance
-	 * @param onCrash receives each endpoint that has crashed with the latest of the
-	 * requests that were there, the last one first
+	 * @param onCrash receives each endpoint that has crashed
 	 */
 	CrashDetector(EventLoop loop, EndpointConnections connections, PoolStates pools, Predicate<String> carriesRequest,
-			BiConsumer<FleetEndpoint, List<LostRequest>> onCrash) {
+			Consumer<Crash> onCrash) {
 		this.loop = loop;
 		this.connections = connections;
 		this.pools = pools;
@@ -107,7 +106,7 @@
 		this.checks.remove(check.endpoint.instance());
 		if (refused && isStaying(check.endpoint)) {
 			logCrash(check);
-			this.onCrash.accept(check.endpoint, check.latest());
+			this.onCrash.accept(new Crash(check.endpoint, check.latestFirst(), System.nanoTime() - check.startedAt));
 		}
 		check.release();
 	}
@@ -118,13 +117,16 @@
 	}
 
 	private static void logCrash(Check check) {
-		List<LostRequest> latest = check.latest();
-		List<LostRequest> unanswered = check.lost.stream().filter((request) -> !request.isAnswered()).toList();
-		DecisionLog.write(LogEvent.ENDPOINT_CRASHED, check.endpoint.instance(), check.endpoint.pool(),
-				check.lost.size(), unanswered.size(), TimeUnit.NANOSECONDS.toMillis(latest.get(0).tookNanos()),
-				latest.stream().map((request) -> Long.toHexString(request.content())).toList(),
-				unanswered.stream()
-					.flatMap((request) -> request.parts().stream())
+		List<LostRequest> lost = check.latestFirst();
+		List<LostRequest> suspects = lost.stream().filter((request) -> !request.hasSurvivedParts()).toList();
+		DecisionLog.write(LogEvent.ENDPOINT_CRASHED, check.endpoint.instance(), check.endpoint.pool(), lost.size(),
+				suspects.size(), lost.get(0).tookMillis(),
+				lost.stream()
+					.limit(MAX_LOGGED_CONTENTS)
+					.map((request) -> Long.toHexString(request.features().content()))
+					.toList(),
+				suspects.stream()
+					.flatMap((request) -> request.features().parts().stream())
 					.distinct()
 					.map(Long::toHexString)
 					.toList());
@@ -139,17 +141,16 @@
 
 		private final List<Runnable> waiting = new ArrayList<>();
 
+		private final long startedAt = System.nanoTime();
+
 		private boolean released;
 
 		private Check(FleetEndpoint endpoint) {
 			this.endpoint = endpoint;
 		}
 
-		private List<LostRequest> latest() {
-			return this.lost.stream()
-				.sorted(Comparator.comparingLong(LostRequest::tookNanos))
-				.limit(MAX_CONTENTS)
-				.toList();
+		private List<LostRequest> latestFirst() {
+			return this.lost.stream().sorted(Comparator.comparingLong(LostRequest::tookNanos)).toList();
 		}
 
 		private void release() {
@@ -161,4 +162,19 @@
 
 	}
 
+	/**
+	 * An endpoint that has crashed.
+	 *
+	 * @param endpoint the endpoint
+	 * @param lost the requests of this VM that were there, the latest one first
+	 * @param ageNanos nanoseconds since its connections broke
+	 */
+	record Crash(FleetEndpoint endpoint, List<LostRequest> lost, long ageNanos) {
+
+		Crash {
+			lost = List.copyOf(lost);
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -1,41 +1,52 @@
 package org.acaciacourse.daemon.route;
 
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.PeerLoads;
-import org.acaciacourse.core.crash.FeatureFact;
 import org.acaciacourse.core.crash.CrashingFeatures;
+import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.crash.RequestFeatures;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
- * Keeps contents that crash endpoints from being sent on. What this VM sees of them goes
- * to the other entry VMs with the load digests, so that they decide alike within a
- * second; what is blocked also goes to control, for VMs that start later.
+ * Keeps requests that crash endpoints from being sent on, whether for their content or
+ * for a part of their prompt. What this VM sees of the features of requests goes to the
+ * other entry VMs with the load digests, so that they decide alike within a second; what
+ * is blocked also goes to control, for VMs that start later.
  * <p>
  * Not thread safe: belongs to the event loop.
  */
 final class CrashGuard {
 
-	/** By then the facts of the other VMs have arrived and the content is judged. */
+	/** By then the facts of the other VMs have arrived and the features are judged. */
 	private static final long JUDGE_DELAY_MILLIS = 600;
 
+	/** Bounds the contents that are told of a crash; an engine runs many requests. */
+	private static final int MAX_CONTENTS = 16;
+
+	/** Bounds the parts of prompts that are told of a crash. */
+	private static final int MAX_PARTS = 32;
+
 	private final EventLoop loop;
 
 	private final PoolStates pools;
 
 	private final CrashDetector detector;
 
-	private final CrashingFeatures contents = new CrashingFeatures();
+	private final CrashingFeatures features;
 
 	private final Reports reports;
 
@@ -49,13 +60,16 @@
 	 * @param pools the pools of the endpoints
 	 * @param carriesRequest returns whether a request is on an open connection to an
 	 * instance
-	 * @param reports receives the contents that are blocked
+	 * @param staggerSeed differs between the VMs, so that their blocks end one after the
+	 * other
+	 * @param reports receives the features that are blocked
 	 */
 	CrashGuard(EventLoop loop, EndpointConnections connections, PoolStates pools, Predicate<String> carriesRequest,
-			Reports reports) {
+			long staggerSeed, Reports reports) {
 		this.loop = loop;
 		this.pools = pools;
 		this.reports = reports;
+		this.features = new CrashingFeatures(staggerSeed);
 		this.detector = new CrashDetector(loop, connections, pools, carriesRequest, this::crashed);
 	}
 
@@ -68,25 +82,36 @@
 	}
 
 	/**
-	 * Return whether a content must not be sent.
-	 * @param content returns a hash of the content, called only if any is suspected
+	 * Return whether a request must not be sent.
+	 * @param request returns its features, called only if any are suspected
 	 * @return for how long it is refused, empty if it may be sent
 	 */
-	Optional<Duration> refusal(LongSupplier content) {
-		if (this.contents.isEmpty()) {
+	Optional<Duration> refusal(Supplier<RequestFeatures> request) {
+		if (this.features.isEmpty()) {
 			return Optional.empty();
 		}
-		OptionalLong nanos = this.contents.refusedFor(content.getAsLong(), System.nanoTime());
+		OptionalLong nanos = this.features.refusedFor(request.get(), System.nanoTime());
+		this.features.drainNewlyBlocked().forEach(this::tellBlocked);
 		return (nanos.isPresent()) ? Optional.of(Duration.ofNanos(nanos.getAsLong())) : Optional.empty();
 	}
 
 	/**
-	 * Return whether a content may have crashed an endpoint.
-	 * @param content returns a hash of the content, called only if any is suspected
+	 * Record that a request is sent.
+	 * @param request returns its features, called only if any are suspected
+	 */
+	void sent(Supplier<RequestFeatures> request) {
+		if (!this.features.isEmpty()) {
+			this.features.sent(request.get(), System.nanoTime());
+		}
+	}
+
+	/**
+	 * Return whether the content of a request may have crashed an endpoint.
+	 * @param request returns its features, called only if any are suspected
 	 * @return whether it is better run apart from others under suspicion
 	 */
-	boolean isSuspect(LongSupplier content) {
-		return !this.contents.isEmpty() && this.contents.isSuspect(content.getAsLong());
+	boolean isSuspect(Supplier<RequestFeatures> request) {
+		return !this.features.isEmpty() && this.features.isSuspect(request.get().content());
 	}
 
 	/**
@@ -99,37 +124,90 @@
 		this.detector.connectionLost(endpoint, request, onChecked);
 	}
 
-	private void crashed(FleetEndpoint endpoint, List<LostRequest> requests) {
+	private void crashed(CrashDetector.Crash crash) {
+		FleetEndpoint endpoint = crash.endpoint();
 		int poolSize = Math.max(1, this.pools.size(endpoint.pool()));
-		List<FeatureFact> facts = requests.stream()
-			.map((request) -> FeatureFact.crashed(request.content(),
-					new FeatureFact.Run(PeerLoads.idOf(endpoint.instance()), PeerLoads.idOf(endpoint.pool()), poolSize,
-							(int) TimeUnit.NANOSECONDS.toMillis(request.tookNanos()))))
+		long ageMillis = TimeUnit.NANOSECONDS.toMillis(crash.ageNanos());
+		Map<Long, Integer> suspects = suspects(crash.lost());
+		List<FeatureFact> facts = suspects.entrySet()
+			.stream()
+			.map((suspect) -> FeatureFact
+				.crashed(suspect.getKey(),
+						new FeatureFact.Run(PeerLoads.idOf(endpoint.instance()), PeerLoads.idOf(endpoint.pool()),
+								poolSize, suspect.getValue()))
+				.aged(ageMillis))
 			.toList();
-		facts.forEach((fact) -> this.contents.record(fact, System.nanoTime()));
+		facts.forEach((fact) -> this.features.record(fact, System.nanoTime()));
 		this.announcer.accept(facts);
-		this.loop.schedule(() -> requests.forEach((request) -> judge(request.content())), JUDGE_DELAY_MILLIS,
+		this.loop.schedule(() -> judge(crash.lost(), List.copyOf(suspects.keySet())), JUDGE_DELAY_MILLIS,
 				TimeUnit.MILLISECONDS);
 	}
 
-	private void judge(long content) {
-		if (this.contents.isBlocked(content, System.nanoTime())) {
-			int crashes = this.contents.crashes(content);
-			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(content), crashes, "own");
-			this.announcer.accept(List.of(FeatureFact.blocked(content)));
-			this.reports.contentBlocked(content, crashes);
-		}
+	// The features of the requests that may have crashed their endpoint, with the
+	// milliseconds since the latest request that had them was sent. Those of requests
+	// without an answer come first: most endpoints crash as they begin to run a request
+	// or to answer it.
+	private static Map<Long, Integer> suspects(List<LostRequest> lost) {
+		List<LostRequest> likelyFirst = lost.stream()
+			.sorted(Comparator.comparing(LostRequest::hasSurvivedParts))
+			.toList();
+		Map<Long, Integer> parts = new LinkedHashMap<>();
+		likelyFirst.stream()
+			.filter((request) -> !request.hasSurvivedParts())
+			.forEach((request) -> request.features()
+				.parts()
+				.forEach((part) -> parts.putIfAbsent(part, request.tookMillis())));
+		Map<Long, Integer> suspects = new LinkedHashMap<>();
+		parts.entrySet().stream().limit(MAX_PARTS).forEach((part) -> suspects.put(part.getKey(), part.getValue()));
+		likelyFirst.stream()
+			.limit(MAX_CONTENTS)
+			.forEach((request) -> suspects.putIfAbsent(request.features().content(), request.tookMillis()));
+		return suspects;
+	}
+
+	private void judge(List<LostRequest> lost, List<Long> suspects) {
+		long now = System.nanoTime();
+		lost.forEach((request) -> this.features.refusedFor(request.features(), now));
+		this.features.drainNewlyBlocked();
+		suspects.stream().filter((feature) -> this.features.isBlocked(feature, now)).forEach(this::tellBlocked);
+	}
+
+	private void tellBlocked(long feature) {
+		int crashes = this.features.crashes(feature);
+		DecisionLog.write(LogEvent.FEATURE_BLOCKED, Long.toHexString(feature), crashes, "own");
+		this.announcer.accept(List.of(FeatureFact.blocked(feature)));
+		this.reports.featureBlocked(feature, crashes);
 	}
 
 	/**
 	 * Record that an endpoint has run a request to its end.
-	 * @param content returns a hash of the content, called only if any is suspected
+	 * @param request returns its features, called only if any are suspected
+	 */
+	void answered(Supplier<RequestFeatures> request) {
+		if (!this.features.isEmpty()) {
+			tellAnswered(List.of(request.get().content()), Duration.ZERO);
+		}
+	}
+
+	/**
+	 * Record that an endpoint has survived the parts of a prompt.
+	 * @param request returns the features, called only if any are suspected
+	 * @param sinceBegin the time since the answer began
 	 */
-	void answered(LongSupplier content) {
-		if (isSuspect(content)) {
-			FeatureFact fact = FeatureFact.answered(content.getAsLong());
-			this.contents.record(fact, System.nanoTime());
-			this.announcer.accept(List.of(fact));
+	void partsSurvived(Supplier<RequestFeatures> request, Duration sinceBegin) {
+		if (!this.features.isEmpty()) {
+			tellAnswered(request.get().parts(), sinceBegin);
+		}
+	}
+
+	private void tellAnswered(List<Long> answered, Duration age) {
+		List<FeatureFact> facts = answered.stream()
+			.filter(this.features::isKnown)
+			.map((feature) -> FeatureFact.answered(feature).aged(age.toMillis()))
+			.toList();
+		if (!facts.isEmpty()) {
+			facts.forEach((fact) -> this.features.record(fact, System.nanoTime()));
+			this.announcer.accept(facts);
 		}
 	}
 
@@ -138,39 +216,39 @@
 	 * @param fact the fact
 	 */
 	void receive(FeatureFact fact) {
-		boolean news = this.contents.record(fact, System.nanoTime());
+		boolean news = this.features.record(fact, System.nanoTime());
 		if (news && fact.kind() == FeatureFact.Kind.BLOCKED) {
-			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(fact.content()),
-					this.contents.crashes(fact.content()), "entry");
+			DecisionLog.write(LogEvent.FEATURE_BLOCKED, Long.toHexString(fact.feature()),
+					this.features.crashes(fact.feature()), "entry");
 		}
 	}
 
 	/**
-	 * Record that control keeps a content as one that crashes endpoints.
-	 * @param content a hash of the content
+	 * Record that control keeps a feature as one that crashes endpoints.
+	 * @param feature the feature
 	 * @param crashes the number of endpoints that it has crashed
 	 */
-	void reported(long content, int crashes) {
-		if (crashes > 1 && this.contents.record(FeatureFact.blocked(content), System.nanoTime())) {
-			DecisionLog.write(LogEvent.CONTENT_BLOCKED, Long.toHexString(content), crashes, "control");
+	void reported(long feature, int crashes) {
+		if (crashes > 1 && this.features.record(FeatureFact.blocked(feature), System.nanoTime())) {
+			DecisionLog.write(LogEvent.FEATURE_BLOCKED, Long.toHexString(feature), crashes, "control");
 		}
 	}
 
 	/** Forget what is too old to count; called periodically. */
 	void sweep() {
-		this.contents.expire(System.nanoTime());
+		this.features.expire(System.nanoTime());
 	}
 
-	/** Receives the contents that this VM blocks. */
+	/** Receives the features that this VM blocks. */
 	@FunctionalInterface
 	interface Reports {
 
 		/**
-		 * A content that was sent by this VM is blocked.
-		 * @param content a hash of the content
+		 * A feature of requests that were sent by this VM is blocked.
+		 * @param feature the feature
 		 * @param crashes the number of endpoints that it has crashed
 		 */
-		void contentBlocked(long content, int crashes);
+		void featureBlocked(long feature, int crashes);
 
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -126,7 +126,7 @@
 	 * @param facts what this VM has seen
 	 */
 	void announce(List<FeatureFact> facts) {
-		this.exchange.announce(facts);
+		this.exchange.announce(facts, System.nanoTime());
 		long sinceTick = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.tickedAt);
 		if (this.nextTick != null && this.nextTick.cancel(false)) {
 			this.nextTick = this.loop.schedule(this::tick, Math.max(0, MIN_FACT_INTERVAL_MILLIS - sinceTick),
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -14,7 +14,7 @@
  * @param dialect reads and writes headers
  * @param connections the connections to the endpoints
  * @param pools the states of the pools
- * @param crashes keeps contents that crash endpoints from being sent on
+ * @param crashes keeps requests that crash endpoints from being sent on
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
  * @param lateLogLimiter limits the rate of log lines on late responses
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -142,7 +142,7 @@
 				options.loadPeer().map((peer) -> RateLimits.of(peer.address())).orElseGet(RateLimits::ofSingleVm),
 				this.connections::hasIdle);
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
-				controlLink::reportCrash);
+				self.address().hashCode(), controlLink::reportCrash);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
 				this.metrics, this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -23,6 +23,7 @@
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
+import org.acaciacourse.core.crash.RequestFeatures;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
@@ -43,6 +44,8 @@
 
 	private static final String RETRY_BUDGET_EXHAUSTED = "retry budget exhausted";
 
+	private static final String CRASHED_ENDPOINTS = "the content or a part of the prompt crashed endpoints";
+
 	private final RouteContext context;
 
 	private final RoutedRequest request;
@@ -73,7 +76,7 @@
 
 	private OptionalLong lastEventId;
 
-	private OptionalLong contentHash = OptionalLong.empty();
+	private Optional<RequestFeatures> features = Optional.empty();
 
 	private QueuePosition queuePosition = QueuePosition.OVERTAKES_OTHERS;
 
@@ -124,11 +127,12 @@
 		return this.lastEventId;
 	}
 
-	long contentHash() {
-		if (this.contentHash.isEmpty()) {
-			this.contentHash = OptionalLong.of(this.request.contentHash());
+	// Determined when needed: hashing a content takes time.
+	RequestFeatures features() {
+		if (this.features.isEmpty()) {
+			this.features = Optional.of(new RequestFeatures(this.request.contentHash(), this.request.sharedPartIds()));
 		}
-		return this.contentHash.getAsLong();
+		return this.features.get();
 	}
 
 	/** Start to process the request. */
@@ -139,7 +143,7 @@
 	}
 
 	private void enqueue() {
-		if (this.done || withholdCrashingContent()) {
+		if (this.done || withholdCrashingRequest()) {
 			return;
 		}
 		if (this.progress.isRetry() && !this.retries.reserve(System.nanoTime())) {
@@ -155,14 +159,14 @@
 		}
 	}
 
-	private boolean withholdCrashingContent() {
-		Optional<Duration> refusal = this.context.crashes().refusal(this::contentHash);
+	private boolean withholdCrashingRequest() {
+		Optional<Duration> refusal = this.context.crashes().refusal(this::features);
 		refusal.ifPresent((remaining) -> {
 			if (this.progress.runState() == RunState.NOT_RUN) {
-				finish(ResultCode.CONTENT_WITHHELD, "the content crashed endpoints", remaining);
+				finish(ResultCode.CONTENT_WITHHELD, CRASHED_ENDPOINTS, remaining);
 			}
 			else {
-				fail("the content crashed endpoints");
+				fail(CRASHED_ENDPOINTS);
 			}
 		});
 		return refusal.isPresent();
@@ -174,7 +178,7 @@
 	 */
 	boolean tryPlace() {
 		long now = System.nanoTime();
-		if (withholdCrashingContent()) {
+		if (withholdCrashingRequest()) {
 			return true;
 		}
 		Placement placement = placement();
@@ -191,13 +195,13 @@
 
 	// Two contents under suspicion that meet the same crash again can't be told apart.
 	private Optional<FleetEndpoint> choose(Placement placement, long now) {
-		if (!this.context.crashes().isSuspect(this::contentHash)) {
+		if (!this.context.crashes().isSuspect(this::features)) {
 			return this.pool.balancer().choose(placement, now);
 		}
 		Set<String> excluded = new HashSet<>(placement.excluded());
 		this.context.openExchanges()
 			.stream()
-			.filter((other) -> other != this && this.context.crashes().isSuspect(other::contentHash))
+			.filter((other) -> other != this && this.context.crashes().isSuspect(other::features))
 			.forEach((other) -> other.current.ifPresent((attempt) -> excluded.add(attempt.instance())));
 		return this.pool.balancer()
 			.choose(placement.excluding(excluded), now)
@@ -273,6 +277,7 @@
 			return;
 		}
 		this.progress.beforeSend();
+		this.context.crashes().sent(this::features);
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
@@ -398,6 +403,14 @@
 		this.pool.addUnconfirmed(attempt);
 	}
 
+	/**
+	 * An endpoint has begun a stream and gone on with it.
+	 * @param nanos nanoseconds since it began
+	 */
+	void partsSurvived(long nanos) {
+		this.context.crashes().partsSurvived(this::features, Duration.ofNanos(nanos));
+	}
+
 	/** The first part of the response is forwarded. */
 	void responseStarted() {
 		this.telemetry.responseStarted(System.nanoTime());
@@ -421,7 +434,10 @@
 	 */
 	void respond(BufferedResponse buffered) {
 		if (close()) {
-			this.context.crashes().answered(this::contentHash);
+			if (buffered.isSuccess()) {
+				this.context.crashes().answered(this::features);
+				this.context.crashes().partsSurvived(this::features, Duration.ZERO);
+			}
 			responseStarted();
 			this.response.send(buffered.status(), buffered.headers(), buffered.body());
 			this.telemetry.responseComplete(this.progress);
@@ -431,7 +447,7 @@
 	/** The stream is complete. */
 	void endStream() {
 		if (close()) {
-			this.context.crashes().answered(this::contentHash);
+			this.context.crashes().answered(this::features);
 			this.response.endStream();
 			this.telemetry.responseComplete(this.progress);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -81,17 +81,19 @@
 
 	/**
 	 * An endpoint crashed while requests of this VM were there: their number, how many of
-	 * them had no part of their answers yet, the time since the latest of them was sent,
-	 * the contents of the latest ones, and the shared parts of those without an answer.
+	 * them had no answer that had been in progress for some time, the time since the
+	 * latest of them was sent, the contents of the latest ones, and the shared parts of
+	 * those without such an answer.
 	 */
 	ENDPOINT_CRASHED("endpoint-crashed", "endpoint", "pool", "requests", "unanswered", "youngest_ms", "contents",
 			"parts"),
 
 	/**
-	 * A content is refused from now on, as it has crashed so many endpoints as are known
-	 * here; and who decided: this VM, another entry or control.
+	 * Requests with a feature, a content or a part of their prompts, are refused from now
+	 * on, as it has crashed so many endpoints as are known here; and who decided: this
+	 * VM, another entry or control.
 	 */
-	CONTENT_BLOCKED("content-blocked", "content", "crashes", "source"),
+	FEATURE_BLOCKED("feature-blocked", "feature", "crashes", "source"),
 
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -12,8 +12,8 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
-import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
+import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
 import org.junit.jupiter.api.Nested;
@@ -26,7 +26,7 @@
 	private static final List<PeerLoads.Load> LOADS = List.of(new PeerLoads.Load(-7, 2, 17_000, 1));
 
 	private static final List<FeatureFact> FACTS = List.of(FeatureFact.crashed(-3, new FeatureFact.Run(-7, 12, 13, 85)),
-			FeatureFact.answered(1L << 60), FeatureFact.blocked(4));
+			FeatureFact.answered(1L << 60).aged(340), FeatureFact.blocked(4));
 
 	private static final List<RateLimits.Statement> LIMITS = List.of(
 			new RateLimits.Statement(-7, OptionalDouble.of(1.1), 60),
@@ -77,6 +77,7 @@
 			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(0, 1).setPoolSize(0))));
 			assertDecodingFails(
 					validRecord().setFacts(List.of(new FeatureFactRecord(0, 1).setPoolSize(1).setMillis(-1))));
+			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(1, 1).setAgeMillis(-1))));
 		}
 
 		// Decoding arbitrary bytes returns a digest or a failure and never throws.
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -66,7 +66,7 @@
 	private CrashGuard guard(PoolStates pools) {
 		EndpointPaths paths = new EndpointPaths(new LoadPeer("", ""), LinkLog::new);
 		EndpointConnections connections = new EndpointConnections(this.loop, paths, Optional.empty(), () -> false);
-		return new CrashGuard(this.loop, connections, pools, (instance) -> false, (content, crashes) -> {
+		return new CrashGuard(this.loop, connections, pools, (instance) -> false, 0, (feature, crashes) -> {
 		});
 	}
 
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -324,7 +324,7 @@
   7: optional i32 vms,
   /* The numbers of the reports in a view, by hashes of the addresses of their senders. */
   8: optional map<i32, i64> heard,
-  /* What was seen of contents that may crash endpoints. */
+  /* What was seen of features of requests that may crash endpoints. */
   9: optional list<FeatureFactRecord> facts,
   /* The limits on their requests that endpoints have stated lately. */
   10: optional list<RateLimitRecord> limits,
@@ -340,17 +340,19 @@
 }
 
 struct FeatureFactRecord {
-  /* 0: was at an endpoint that crashed, 1: was run to its end, 2: is refused. */
+  /* 0: was at an endpoint that crashed, 1: an endpoint has survived it, 2: is refused. */
   1: i32 kind,
-  /* A hash of customer, host, method, path and body. */
-  2: i64 content,
-  /* Only of a content that was at an endpoint that crashed, the instance and the pool as hashes. */
+  /* A hash of customer, host, method, path and body, or the id of a part of prompts. */
+  2: i64 feature,
+  /* Only of a feature that was at an endpoint that crashed, the instance and the pool as hashes. */
   3: optional i32 instance,
   4: optional i32 pool,
   /* The number of endpoints in the pool. */
   5: optional i32 poolSize,
   /* From the sending of the request to the crash. */
   6: optional i32 millis,
+  /* Since it was seen. */
+  7: optional i32 ageMillis,
 }
 
 struct PartUseRecord {
