A crashing part is not hidden by sound requests, and sound parts are not taken for it

Causes: a sound content that was sent again at four crashes was taken for their cause and explained them, so that the part went on (13 sends after the fifth crash); that no answer clears a part was held against it also while the pool answered nothing at all; a sound part that met three crashes within a second was blocked before an answer could clear it.

Mend: a content explains nothing to a part, and nothing that was at fewer crashes explains the others; a part is blocked only if other requests of the pool were answered since, and 0.75 s after its third crash, before that its requests are held only if others are answered or they were at a crash themselves; in a pool that answers nothing, suspected parts are sent once a second by each entry.

--- a/core/src/main/java/org/acaciacourse/core/crash/CrashEvidence.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashEvidence.java
@@ -68,6 +68,10 @@
 		return this.counted.size();
 	}
 
+	LostRun last() {
+		return this.counted.get(this.counted.size() - 1);
+	}
+
 	Set<Integer> endpoints() {
 		return this.counted.stream().map((lost) -> lost.run().endpoint()).collect(Collectors.toSet());
 	}
@@ -92,7 +96,7 @@
 		return crashes.stream()
 			.filter((crash) -> crash.pool() == lost.run().pool()
 					&& Math.abs(crash.at() - lost.lostAt()) < RATE_WINDOW_NANOS)
-			.filter((crash) -> !crash.features().contains(feature) && !crash.isExplainedWithout(feature))
+			.filter((crash) -> !crash.features().contains(feature) && !crash.isExplained())
 			.count();
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.acaciacourse.core.crash.CrashEvidence.LostRun;
 
@@ -36,6 +38,12 @@
 	/** The facts that other VMs have seen of a crash arrive within this time. */
 	static final long SETTLE_NANOS = 500_000_000L;
 
+	/**
+	 * A request that is sent after a crash is answered within this time, so that the
+	 * parts of its prompt are cleared.
+	 */
+	private static final long PART_SETTLE_NANOS = 750_000_000L;
+
 	/** Contents with fewer crashes are never refused. */
 	static final int MIN_CONTENT_CRASHES = 2;
 
@@ -48,6 +56,12 @@
 	/** Contents with so many crashes are refused in any case. */
 	static final int PROVEN_CRASHES = 4;
 
+	/**
+	 * The time between two requests with a suspected part while no request of the pool is
+	 * answered, and after its last crash. A prompt is prefilled within less time.
+	 */
+	private static final long HOLD_NANOS = 1_000_000_000L;
+
 	/** How long a feature is blocked at first. */
 	static final long FIRST_BLOCK_NANOS = 30_000_000_000L;
 
@@ -89,6 +103,9 @@
 	/** When the latest answers on features that were suspected began. */
 	private final Map<Long, Long> answered = new LinkedHashMap<>();
 
+	/** When the latest answer of each pool began, which this VM has seen. */
+	private final Map<Integer, Long> poolAnsweredAt = new HashMap<>();
+
 	private final List<Long> newlyBlocked = new ArrayList<>();
 
 	/**
@@ -131,6 +148,15 @@
 		};
 	}
 
+	/**
+	 * Record that an endpoint of a pool has begun an answer and gone on with it.
+	 * @param pool the id of the pool
+	 * @param at when the answer began
+	 */
+	public void poolAnswered(int pool, long at) {
+		this.poolAnsweredAt.merge(pool, at, (a, b) -> (a - b >= 0) ? a : b);
+	}
+
 	private boolean recordCrash(long feature, LostRun lost, long now) {
 		int endpoint = lost.run().endpoint();
 		Suspect suspect = this.suspects.get(feature);
@@ -145,7 +171,7 @@
 		EndpointCrash crash = this.crashes.computeIfAbsent(endpoint,
 				(id) -> new EndpointCrash(lost.run().pool(), lost.lostAt()));
 		crash.seen(lost.lostAt());
-		crash.add(feature, false);
+		crash.add(feature);
 		if (next.isBlockedBefore(lost.sentAt())) {
 			block(feature, next, now);
 		}
@@ -227,29 +253,40 @@
 			return false;
 		}
 		put(feature, suspect, now);
+		suspect.isToldApart = true;
 		block(feature, suspect, now);
 		return true;
 	}
 
 	private void block(long feature, Suspect suspect, long now) {
 		suspect.block(now, stagger(feature));
-		suspect.runs.keySet().forEach((endpoint) -> {
-			EndpointCrash crash = this.crashes.get(endpoint);
-			if (crash != null) {
-				crash.add(feature, true);
-			}
+		if (!suspect.isToldApart) {
+			return;
+		}
+		Set<Long> others = new HashSet<>();
+		crashesOf(suspect).forEach((crash) -> {
+			crash.addCulprit(feature, suspect.isPart);
+			others.addAll(crash.culprits(false));
 		});
+		others.remove(feature);
+		others.forEach(this::unblockIfExplained);
+	}
+
+	// A feature that met the crashes of others may have been blocked before these.
+	private void unblockIfExplained(long feature) {
+		Suspect suspect = this.suspects.get(feature);
+		if (suspect != null && !suspect.runs.isEmpty() && unexplained(feature, suspect).isEmpty()) {
+			unblock(feature, suspect);
+		}
 	}
 
 	private void unblock(long feature, Suspect suspect) {
 		suspect.blocks = 0;
-		suspect.runs.keySet().forEach((endpoint) -> {
-			EndpointCrash crash = this.crashes.get(endpoint);
-			if (crash != null) {
-				crash.remove(feature);
-				crash.add(feature, false);
-			}
-		});
+		crashesOf(suspect).forEach((crash) -> crash.clearCulprit(feature));
+	}
+
+	private Stream<EndpointCrash> crashesOf(Suspect suspect) {
+		return suspect.runs.keySet().stream().map(this.crashes::get).filter((crash) -> crash != null);
 	}
 
 	private long stagger(long feature) {
@@ -278,22 +315,70 @@
 		if (suspect.wasBlocked()) {
 			return suspect.blockedFor(now);
 		}
-		CrashEvidence evidence = evidence(feature, suspect);
-		boolean isContent = feature == request.content();
-		boolean proven = isContent && evidence.crashes() >= PROVEN_CRASHES;
-		boolean enough = evidence.crashes() >= ((isContent) ? MIN_CONTENT_CRASHES : MIN_PART_CRASHES);
-		if (!proven && !(enough && evidence.isUnlikelyByChance(feature, this.crashes.values()))) {
+		suspect.isPart = feature != request.content();
+		return (!suspect.isPart) ? contentRefusedFor(feature, suspect, request, now)
+				: partRefusedFor(feature, suspect, request, now);
+	}
+
+	// A content is also refused while it is not settled whether it is the cause: nobody
+	// else loses by it.
+	private OptionalLong contentRefusedFor(long content, Suspect suspect, RequestFeatures request, long now) {
+		CrashEvidence evidence = CrashEvidence.of(unexplained(content, suspect));
+		boolean proven = evidence.crashes() >= PROVEN_CRASHES;
+		if (!proven && (!isCause(content, evidence, MIN_CONTENT_CRASHES)
+				|| !request.containsAll(featuresAtAll(evidence.endpoints())))) {
 			return OptionalLong.empty();
 		}
-		Set<Long> alike = featuresAtAll(evidence.endpoints());
-		if (!proven && !request.containsAll(alike)) {
-			return OptionalLong.empty();
+		long settledAt = suspect.lastCrashAt + SETTLE_NANOS;
+		if (!proven && now - settledAt < 0) {
+			return OptionalLong.of(settledAt - now);
 		}
-		long settled = suspect.lastCrashAt + SETTLE_NANOS;
-		if (!proven && now - settled < 0) {
-			return OptionalLong.of(settled - now);
+		suspect.isToldApart = isAlone(evidence);
+		return block(content, suspect, proven || suspect.isToldApart, now);
+	}
+
+	// That no answer clears the part says nothing unless other requests of the pool are
+	// answered. A request that was at a crash itself is not sent again until it is
+	// settled.
+	private OptionalLong partRefusedFor(long part, Suspect suspect, RequestFeatures request, long now) {
+		List<LostRun> runs = unexplained(part, suspect);
+		CrashEvidence settled = CrashEvidence
+			.of(runs.stream().filter((lost) -> now - lost.lostAt() >= PART_SETTLE_NANOS).toList());
+		if (isCauseOfAll(part, settled, request)) {
+			if (hasPoolAnswered(settled.last())) {
+				suspect.isToldApart = isAlone(settled);
+				return block(part, suspect, suspect.isToldApart, now);
+			}
+			long until = Math.max(settled.last().lostAt(), suspect.sentAt) + HOLD_NANOS;
+			return (settled.crashes() > MIN_PART_CRASHES && until - now > 0) ? OptionalLong.of(until - now)
+					: OptionalLong.empty();
 		}
-		if (proven || alike.size() <= 1) {
+		CrashEvidence latest = CrashEvidence.of(runs);
+		boolean held = isCauseOfAll(part, latest, request)
+				&& (hasPoolAnswered(latest.last()) || this.suspects.containsKey(request.content()));
+		long until = (held) ? latest.last().lostAt() + PART_SETTLE_NANOS : now;
+		return (until - now > 0) ? OptionalLong.of(until - now) : OptionalLong.empty();
+	}
+
+	private boolean isCauseOfAll(long part, CrashEvidence evidence, RequestFeatures request) {
+		return isCause(part, evidence, MIN_PART_CRASHES) && request.containsAll(featuresAtAll(evidence.endpoints()));
+	}
+
+	private boolean hasPoolAnswered(LostRun last) {
+		Long answeredAt = this.poolAnsweredAt.get(last.run().pool());
+		return answeredAt != null && answeredAt - last.lostAt() >= 0;
+	}
+
+	private boolean isCause(long feature, CrashEvidence evidence, int minCrashes) {
+		return evidence.crashes() >= minCrashes && evidence.isUnlikelyByChance(feature, this.crashes.values());
+	}
+
+	private boolean isAlone(CrashEvidence evidence) {
+		return featuresAtAll(evidence.endpoints()).size() <= 1;
+	}
+
+	private OptionalLong block(long feature, Suspect suspect, boolean certain, long now) {
+		if (certain) {
 			block(feature, suspect, now);
 			this.newlyBlocked.add(feature);
 			return suspect.blockedFor(now);
@@ -334,8 +419,8 @@
 	public void sent(RequestFeatures request, long now) {
 		request.stream().forEach((feature) -> {
 			Suspect suspect = this.suspects.get(feature);
-			if (suspect != null && suspect.wasBlocked()) {
-				suspect.blockedUntil = now + TRIAL_NANOS;
+			if (suspect != null) {
+				suspect.sent(now);
 			}
 		});
 	}
@@ -376,19 +461,21 @@
 			.removeIf((crash) -> crash.features().isEmpty() && now - crash.at() > 2 * CrashEvidence.RATE_WINDOW_NANOS);
 	}
 
-	private CrashEvidence evidence(long feature, Suspect suspect) {
-		return CrashEvidence.of(unexplained(feature, suspect));
-	}
-
 	private List<LostRun> unexplained(long feature, Suspect suspect) {
 		return suspect.runs.entrySet()
 			.stream()
-			.filter((lost) -> !this.crashes.containsKey(lost.getKey())
-					|| !this.crashes.get(lost.getKey()).isExplainedWithout(feature))
+			.filter((lost) -> !isExplained(this.crashes.get(lost.getKey()), feature, suspect))
 			.map(Map.Entry::getValue)
 			.toList();
 	}
 
+	// One that was at fewer crashes may itself have been there by chance.
+	private boolean isExplained(EndpointCrash crash, long feature, Suspect suspect) {
+		return crash != null && crash.culprits(suspect.isPart)
+			.stream()
+			.anyMatch((other) -> other != feature && crashes(other) >= suspect.runs.size());
+	}
+
 	// The features that were at all of these endpoints, which can't be told apart.
 	private Set<Long> featuresAtAll(Set<Integer> endpoints) {
 		return endpoints.stream()
@@ -411,12 +498,23 @@
 
 		private long lastCrashAt;
 
+		private long sentAt = Long.MIN_VALUE / 2;
+
 		private long blockedAt;
 
 		private long blockedUntil;
 
 		private int blocks;
 
+		/** Whether a request has shown that it is a part of prompts. */
+		private boolean isPart;
+
+		/**
+		 * Whether no other feature was at the same crashes, so that this one explains
+		 * them.
+		 */
+		private boolean isToldApart;
+
 		private Suspect(long lastCrashAt) {
 			this.lastCrashAt = lastCrashAt;
 		}
@@ -438,6 +536,13 @@
 			this.blockedUntil = now + Math.min(nanos, MAX_BLOCK_NANOS) + stagger;
 		}
 
+		private void sent(long now) {
+			this.sentAt = now;
+			if (wasBlocked()) {
+				this.blockedUntil = now + TRIAL_NANOS;
+			}
+		}
+
 		private boolean wasBlocked() {
 			return this.blocks > 0;
 		}
--- a/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/EndpointCrash.java
@@ -19,6 +19,8 @@
 
 	private final Set<Long> culprits = new HashSet<>();
 
+	private final Set<Long> culpritParts = new HashSet<>();
+
 	EndpointCrash(int pool, long at) {
 		this.pool = pool;
 		this.at = at;
@@ -41,21 +43,42 @@
 		this.at = (time - this.at < 0) ? time : this.at;
 	}
 
-	void add(long feature, boolean culprit) {
+	void add(long feature) {
 		this.features.add(feature);
-		if (culprit) {
-			this.culprits.add(feature);
+	}
+
+	void addCulprit(long feature, boolean part) {
+		this.features.add(feature);
+		this.culprits.add(feature);
+		if (part) {
+			this.culpritParts.add(feature);
 		}
 	}
 
+	void clearCulprit(long feature) {
+		this.culprits.remove(feature);
+		this.culpritParts.remove(feature);
+	}
+
 	void remove(long feature) {
 		this.features.remove(feature);
-		this.culprits.remove(feature);
+		clearCulprit(feature);
+	}
+
+	// Whether any feature is known to have caused it.
+	boolean isExplained() {
+		return !this.culprits.isEmpty();
 	}
 
-	// Whether it is due to another feature that is known to crash endpoints.
-	boolean isExplainedWithout(long feature) {
-		return this.culprits.size() > ((this.culprits.contains(feature)) ? 1 : 0);
+	/**
+	 * Return the features that are known to crash endpoints and may explain this crash to
+	 * another one.
+	 * @param part whether the other one is a part of prompts: a sound content that was
+	 * sent again several times while a part crashed endpoints may be taken for the cause
+	 * @return the features, parts only if the other one is a part
+	 */
+	Set<Long> culprits(boolean part) {
+		return (part) ? this.culpritParts : this.culprits;
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
@@ -166,6 +166,157 @@
 
 	}
 
+	@Nested
+	class Parts {
+
+		private static final long FIRST = 10;
+
+		private static final long CRASHING = 11;
+
+		private static final long SOUND = 12;
+
+		private int content = 100;
+
+		private int endpoint = 100;
+
+		/** A request of its own content crashes an endpoint of its own. */
+		private void crashes(Long... parts) {
+			this.content++;
+			this.endpoint++;
+			crash(this.endpoint, 150, this.content);
+			CrashingFeaturesTests.this.now -= SECOND;
+			for (long part : parts) {
+				crash(this.endpoint, 150, part);
+				CrashingFeaturesTests.this.now -= SECOND;
+			}
+			CrashingFeaturesTests.this.now += SECOND;
+		}
+
+		private void answered(long part) {
+			CrashingFeaturesTests.this.features.record(FeatureFact.answered(part), CrashingFeaturesTests.this.now);
+		}
+
+		private boolean isSent(Long... parts) {
+			this.content++;
+			return CrashingFeaturesTests.this.features
+				.refusedFor(request(this.content, parts), CrashingFeaturesTests.this.now)
+				.isEmpty();
+		}
+
+		private void othersAreAnswered() {
+			CrashingFeaturesTests.this.features.poolAnswered(POOL, CrashingFeaturesTests.this.now);
+			CrashingFeaturesTests.this.now += SECOND;
+		}
+
+		// Guards against requests that are sent on as no two of them are alike.
+		@Test
+		void requestsWithThePartAreRefusedAfterThreeCrashes() {
+			crashes(CRASHING);
+			crashes(CRASHING);
+			othersAreAnswered();
+			assertThat(isSent(CRASHING)).isTrue();
+			crashes(CRASHING);
+			othersAreAnswered();
+			assertThat(isSent(CRASHING)).isFalse();
+			assertThat(isSent(SOUND)).isTrue();
+		}
+
+		// Guards against sound requests that are refused for the part of another one.
+		@Test
+		void onlyRequestsWithAllPartsAreRefusedUntilTheyAreToldApart() {
+			for (int i = 0; i < 3; i++) {
+				crashes(FIRST, CRASHING);
+			}
+			othersAreAnswered();
+			assertThat(isSent(FIRST, CRASHING)).isFalse();
+			assertThat(isSent(FIRST, SOUND)).isTrue();
+			assertThat(isSent(SOUND, CRASHING)).isTrue();
+			answered(FIRST);
+			assertThat(isSent(SOUND, CRASHING)).isFalse();
+			assertThat(isSent(FIRST)).isTrue();
+		}
+
+		// Guards against a part that is taken for sound as it was before it turned bad.
+		@Test
+		void answerThatBeganBeforeTheCrashesDoesNotClearThePart() {
+			answered(CRASHING);
+			CrashingFeaturesTests.this.now += SECOND;
+			for (int i = 0; i < 3; i++) {
+				crashes(CRASHING);
+			}
+			long sinceBegin = CrashingFeaturesTests.this.now;
+			CrashingFeaturesTests.this.features.record(FeatureFact.answered(CRASHING).aged(5_000), sinceBegin);
+			othersAreAnswered();
+			assertThat(isSent(CRASHING)).isFalse();
+		}
+
+		// Guards against a part of many requests that is refused as several endpoints
+		// crash at the same moment.
+		@Test
+		void crashesAtTheSameMomentCountOnce() {
+			for (int i = 0; i < 5; i++) {
+				crashes(SOUND);
+				CrashingFeaturesTests.this.now -= SECOND;
+			}
+			CrashingFeaturesTests.this.now += SECOND;
+			othersAreAnswered();
+			assertThat(isSent(SOUND)).isTrue();
+		}
+
+		// Guards against a part of all requests that is refused as nothing is answered at
+		// all.
+		@Test
+		void partIsNotBlockedWhileThePoolAnswersNothing() {
+			for (int i = 0; i < 3; i++) {
+				crashes(SOUND);
+			}
+			CrashingFeaturesTests.this.now += 2 * SECOND;
+			assertThat(isSent(SOUND)).isTrue();
+		}
+
+		// Guards against a block of a sound part that outlives the proof.
+		@Test
+		void answerEndsABlock() {
+			CrashingFeaturesTests.this.features.record(FeatureFact.blocked(SOUND), CrashingFeaturesTests.this.now);
+			assertThat(isSent(SOUND)).isFalse();
+			CrashingFeaturesTests.this.now += SECOND;
+			answered(SOUND);
+			assertThat(isSent(SOUND)).isTrue();
+			FeatureFact late = FeatureFact.blocked(SOUND).aged(1_500);
+			CrashingFeaturesTests.this.features.record(late, CrashingFeaturesTests.this.now);
+			assertThat(isSent(SOUND)).isTrue();
+		}
+
+		// Guards against as many crashes after a block as requests are waiting.
+		@Test
+		void oneRequestAtATimeIsLetThroughAfterABlock() {
+			CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CRASHING), CrashingFeaturesTests.this.now);
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
+			assertThat(isSent(CRASHING)).isTrue();
+			CrashingFeaturesTests.this.features.sent(request(1, CRASHING), CrashingFeaturesTests.this.now);
+			assertThat(isSent(CRASHING)).isFalse();
+			crashes(CRASHING);
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
+			assertThat(isSent(CRASHING)).isFalse();
+		}
+
+		// Guards against a sound request that was sent again at several crashes and is
+		// taken for their cause in place of a part.
+		@Test
+		void contentDoesNotExplainTheCrashesOfAPart() {
+			for (int i = 0; i < 4; i++) {
+				crashes(CRASHING);
+				crash(this.endpoint, 600, OTHER);
+				CrashingFeaturesTests.this.now -= SECOND;
+			}
+			isRefused(OTHER);
+			crashes(CRASHING);
+			othersAreAnswered();
+			assertThat(isSent(CRASHING)).isFalse();
+		}
+
+	}
+
 	@Nested
 	class Bounds {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -32,7 +32,7 @@
 final class CrashGuard {
 
 	/** By then the facts of the other VMs have arrived and the features are judged. */
-	private static final long JUDGE_DELAY_MILLIS = 600;
+	private static final long JUDGE_DELAY_MILLIS = 1_000;
 
 	/** Bounds the contents that are told of a crash; an engine runs many requests. */
 	private static final int MAX_CONTENTS = 16;
@@ -191,11 +191,13 @@
 
 	/**
 	 * Record that an endpoint has survived the parts of a prompt.
+	 * @param pool the pool of the endpoint
 	 * @param request returns the features, called only if any are suspected
 	 * @param sinceBegin the time since the answer began
 	 */
-	void partsSurvived(Supplier<RequestFeatures> request, Duration sinceBegin) {
+	void partsSurvived(String pool, Supplier<RequestFeatures> request, Duration sinceBegin) {
 		if (!this.features.isEmpty()) {
+			this.features.poolAnswered(PeerLoads.idOf(pool), System.nanoTime() - sinceBegin.toNanos());
 			tellAnswered(request.get().parts(), sinceBegin);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -408,7 +408,7 @@
 	 * @param nanos nanoseconds since it began
 	 */
 	void partsSurvived(long nanos) {
-		this.context.crashes().partsSurvived(this::features, Duration.ofNanos(nanos));
+		this.context.crashes().partsSurvived(this.request.pool(), this::features, Duration.ofNanos(nanos));
 	}
 
 	/** The first part of the response is forwarded. */
@@ -436,7 +436,7 @@
 		if (close()) {
 			if (buffered.isSuccess()) {
 				this.context.crashes().answered(this::features);
-				this.context.crashes().partsSurvived(this::features, Duration.ZERO);
+				partsSurvived(0);
 			}
 			responseStarted();
 			this.response.send(buffered.status(), buffered.headers(), buffered.body());
