An entry with nearly all callers uses the connections that others do not need

Callers of one of six entries were refused with 503 (8 of 12 at once, ConcentratedCallersTests) while the endpoint had 26 of 30 connections free: they are divided evenly among the entries, and at 95 entries before endpoints with 630 each has five of an endpoint's.

Cause: a bound on the whole system was divided by number only, whoever needs it. Mend: a VM may use more, up to half of what the endpoint accepts for all together, in proportion to its part of the requests known there; if all press at once this adds up to no more than there is.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -290,6 +290,11 @@
 		return this.inFlight;
 	}
 
+	// Without reports all others may use their shares.
+	boolean hasConnectionLeft(ConnectionShare share) {
+		return share.hasLeft(this.inFlight, (this.peers.hasReports()) ? this.peers.inFlight(this.id) : share.shared());
+	}
+
 	// The work that waits there for all VMs, including what other VMs reported.
 	long waitingWork() {
 		return this.waitingWork + this.peers.waitingWork(this.id);
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -51,7 +51,7 @@
 
 	private final RateLimits rateLimits;
 
-	private int maxConnectionsPerEndpoint = Integer.MAX_VALUE;
+	private ConnectionShare connectionShare = ConnectionShare.UNLIMITED;
 
 	private long engineCacheTokens;
 
@@ -171,10 +171,10 @@
 	/**
 	 * Bound the concurrent requests of this VM at one endpoint, each of which takes a
 	 * connection.
-	 * @param max the maximum number of requests
+	 * @param next the connections that it may use
 	 */
-	public void maxConnectionsPerEndpoint(int max) {
-		this.maxConnectionsPerEndpoint = Math.max(1, max);
+	public void connectionShare(ConnectionShare next) {
+		this.connectionShare = next;
 	}
 
 	/**
@@ -287,7 +287,7 @@
 
 	private boolean isUsable(EndpointLoad load, Set<String> excluded, long now) {
 		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
-		return !load.endpoint().leaving() && !paused && load.inFlight() < this.maxConnectionsPerEndpoint
+		return !load.endpoint().leaving() && !paused && load.hasConnectionLeft(this.connectionShare)
 				&& this.rateLimits.maySend(load.id(), now) && !excluded.contains(load.endpoint().instance());
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
+import org.acaciacourse.core.balance.ConnectionShare;
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
@@ -35,12 +36,6 @@
  */
 final class PoolStates {
 
-	/**
-	 * The share of an endpoint's connections that all entry VMs together use. The rest is
-	 * for entry VMs that are not counted yet.
-	 */
-	private static final double CONNECTION_SHARE = 0.8;
-
 	private final EventLoop loop;
 
 	private final RetryBudgetOptions retryBudget;
@@ -291,7 +286,7 @@
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		int entries = Math.max(1, this.sharerCount.highest());
 		this.declaredPools.forEach((pool) -> state(pool.name()).balancer()
-			.maxConnectionsPerEndpoint((int) (pool.maxConnections() * CONNECTION_SHARE / entries)));
+			.connectionShare(ConnectionShare.of(pool.maxConnections(), entries)));
 	}
 
 	/**
