A stream that ends with its connection is not complete without any event, and its break tells a crash

Callers got an empty stream with 200 as if it were complete when an endpoint stopped after the head of a stream that has neither a length nor chunks. And such a stream that broke off within an event was sent again at once as if only its response were damaged: the end of its endpoint was not looked for, so that the crash counted against no request.

UnframedStreamTests: streamWithoutAnyEventIsNotWhole and streamWithoutAnyEventIsSentAgainIfItMayBe failed before (200 with an empty body), endOfTheEndpointIsNoticed waited for endpoint-crashed without end (150 s). What held before and holds: streams that end between events are whole, those that end within one are resumed or broken for the caller, resets are never whole; buffered and tunnelled responses (DeliveryTests, TunnelTests).

Not decided by it: an endpoint that stops exactly between two events of such a stream looks as if it had finished.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -330,8 +330,8 @@
 	}
 
 	private void endStream() {
-		if (this.partial.parser.isWithinEvent()) {
-			end(AttemptEnd.BROKEN, Outcome.LOST);
+		if (isStreamBrokenOff()) {
+			connectionBroke();
 			return;
 		}
 		if (!this.exchange.response().isStarted()) {
@@ -342,6 +342,13 @@
 		this.exchange.endStream();
 	}
 
+	// A stream that ends with its connection looks the same whether it is complete or its
+	// endpoint has stopped. The rest of a resumed one may have no event.
+	private boolean isStreamBrokenOff() {
+		boolean empty = this.answerBeganAt == 0 && !this.resumed;
+		return this.partial.parser.isWithinEvent() || (empty && this.connection.isClosedByEndpoint());
+	}
+
 	private void endBuffered() {
 		BufferedResponse buffered = new BufferedResponse(this.partial.status, this.partial.headers,
 				this.partial.body.toByteArray());
@@ -378,6 +385,10 @@
 				.connections()
 				.requestLost(this.endpoint, this.connection, System.nanoTime() - this.sentAt);
 		}
+		connectionBroke();
+	}
+
+	private void connectionBroke() {
 		if (this.done || !this.connection.isClosedByEndpoint()) {
 			end(AttemptEnd.BROKEN, lossOutcome());
 			return;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -49,6 +49,8 @@
 
 	private boolean headReceived;
 
+	private boolean framed;
+
 	private boolean informational;
 
 	private boolean closeAfterResponse;
@@ -208,9 +210,9 @@
 			return;
 		}
 		this.headReceived = true;
-		boolean framed = HttpUtil.isTransferEncodingChunked(head)
+		this.framed = HttpUtil.isTransferEncodingChunked(head)
 				|| head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-		this.closeAfterResponse = !framed || !HttpUtil.isKeepAlive(head);
+		this.closeAfterResponse = !this.framed || !HttpUtil.isKeepAlive(head);
 		this.listener.headReceived(head);
 	}
 
@@ -230,6 +232,7 @@
 
 	private void finish() {
 		Listener completed = this.listener;
+		this.closedByEndpoint |= !this.framed;
 		if (this.connectionReset) {
 			fail();
 			return;
