A request that is sent just after a block began does not shorten it

Read in the diff: a request with a crashing part that had been let through and was still connecting when the part was blocked made the block end three seconds later, as if it were the one request that is let through after a block. CrashingFeaturesTests.Parts.requestThatIsSentDuringABlockDoesNotShortenIt failed before.

--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
@@ -316,8 +316,8 @@
 			return suspect.blockedFor(now);
 		}
 		suspect.isPart = feature != request.content();
-		return (!suspect.isPart) ? contentRefusedFor(feature, suspect, request, now)
-				: partRefusedFor(feature, suspect, request, now);
+		return (suspect.isPart) ? partRefusedFor(feature, suspect, request, now)
+				: contentRefusedFor(feature, suspect, request, now);
 	}
 
 	// A content is also refused while it is not settled whether it is the cause: nobody
@@ -334,7 +334,7 @@
 			return OptionalLong.of(settledAt - now);
 		}
 		suspect.isToldApart = isAlone(evidence);
-		return block(content, suspect, proven || suspect.isToldApart, now);
+		return refuse(content, suspect, proven || suspect.isToldApart, now);
 	}
 
 	// That no answer clears the part says nothing unless other requests of the pool are
@@ -347,7 +347,7 @@
 		if (isCauseOfAll(part, settled, request)) {
 			if (hasPoolAnswered(settled.last())) {
 				suspect.isToldApart = isAlone(settled);
-				return block(part, suspect, suspect.isToldApart, now);
+				return refuse(part, suspect, suspect.isToldApart, now);
 			}
 			long until = Math.max(settled.last().lostAt(), suspect.sentAt) + HOLD_NANOS;
 			return (settled.crashes() > MIN_PART_CRASHES && until - now > 0) ? OptionalLong.of(until - now)
@@ -377,7 +377,9 @@
 		return featuresAtAll(evidence.endpoints()).size() <= 1;
 	}
 
-	private OptionalLong block(long feature, Suspect suspect, boolean certain, long now) {
+	// While other features were at the same crashes, requests that have all of them are
+	// refused for a time, and none of the features is blocked.
+	private OptionalLong refuse(long feature, Suspect suspect, boolean certain, long now) {
 		if (certain) {
 			block(feature, suspect, now);
 			this.newlyBlocked.add(feature);
@@ -538,7 +540,7 @@
 
 		private void sent(long now) {
 			this.sentAt = now;
-			if (wasBlocked()) {
+			if (wasBlocked() && !isBlocked(now)) {
 				this.blockedUntil = now + TRIAL_NANOS;
 			}
 		}
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
@@ -300,6 +300,16 @@
 			assertThat(isSent(CRASHING)).isFalse();
 		}
 
+		// Guards against a block that ends early as a request is sent which was let
+		// through before it.
+		@Test
+		void requestThatIsSentDuringABlockDoesNotShortenIt() {
+			CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CRASHING), CrashingFeaturesTests.this.now);
+			CrashingFeaturesTests.this.features.sent(request(1, CRASHING), CrashingFeaturesTests.this.now);
+			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS - 1;
+			assertThat(isSent(CRASHING)).isFalse();
+		}
+
 		// Guards against a sound request that was sent again at several crashes and is
 		// taken for their cause in place of a part.
 		@Test
