--- a/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
+++ b/core/src/main/java/org/acaciacourse/core/crash/CrashingFeatures.java
@@ -62,26 +62,12 @@
 	 */
 	private static final long HOLD_NANOS = 1_000_000_000L;
 
-	/** How long a feature is blocked at first. */
-	static final long FIRST_BLOCK_NANOS = 30_000_000_000L;
-
-	/** By how much a block is longer than the one before. */
-	private static final int BLOCK_FACTOR = 5;
-
-	private static final long MAX_BLOCK_NANOS = 6 * 3_600_000_000_000L;
-
-	/** The VMs begin a block within this time. */
-	private static final long SAME_BLOCK_NANOS = 1_000_000_000L;
-
 	/**
 	 * The blocks of the VMs end at different times within this one, so that a feature
 	 * which still crashes endpoints is not let through by all of them at once.
 	 */
 	static final long MAX_STAGGER_NANOS = 10_000_000_000L;
 
-	/** A request that is let through after a block shows its effect within this time. */
-	static final long TRIAL_NANOS = 3_000_000_000L;
-
 	/** How long answers are kept: facts of earlier crashes arrive within this time. */
 	private static final long ANSWER_RETENTION_NANOS = 10_000_000_000L;
 
@@ -161,7 +147,7 @@
 		int endpoint = lost.run().endpoint();
 		Suspect suspect = this.suspects.get(feature);
 		Long answeredAt = this.answered.get(feature);
-		if ((suspect != null && suspect.runs.containsKey(endpoint))
+		if ((suspect != null && suspect.runs().containsKey(endpoint))
 				|| (answeredAt != null && answeredAt - lost.lostAt() >= 0)) {
 			return false;
 		}
@@ -200,7 +186,7 @@
 			crash.getValue().features().forEach((feature) -> {
 				Suspect suspect = this.suspects.get(feature);
 				if (suspect != null && !suspect.wasBlocked()) {
-					suspect.runs.remove(crash.getKey());
+					suspect.runs().remove(crash.getKey());
 				}
 			});
 		}
@@ -209,7 +195,7 @@
 	private void forget(long feature) {
 		Suspect suspect = this.suspects.remove(feature);
 		if (suspect != null) {
-			suspect.runs.keySet().forEach((endpoint) -> removeFromCrash(endpoint, feature));
+			suspect.runs().keySet().forEach((endpoint) -> removeFromCrash(endpoint, feature));
 		}
 	}
 
@@ -227,20 +213,21 @@
 		if (suspect == null) {
 			return false;
 		}
-		if (answeredAt - suspect.lastCrashAt >= 0) {
+		if (answeredAt - suspect.lastCrashAt() >= 0) {
 			forget(feature);
 			return true;
 		}
-		List<Integer> survived = suspect.runs.entrySet()
+		List<Integer> survived = suspect.runs()
+			.entrySet()
 			.stream()
 			.filter((lost) -> answeredAt - lost.getValue().lostAt() >= 0)
 			.map(Map.Entry::getKey)
 			.toList();
 		survived.forEach((endpoint) -> {
-			suspect.runs.remove(endpoint);
+			suspect.runs().remove(endpoint);
 			removeFromCrash(endpoint, feature);
 		});
-		if (!survived.isEmpty() && suspect.runs.size() < MIN_PART_CRASHES) {
+		if (!survived.isEmpty() && suspect.runs().size() < MIN_PART_CRASHES) {
 			unblock(feature, suspect);
 		}
 		return !survived.isEmpty();
@@ -253,19 +240,19 @@
 			return false;
 		}
 		put(feature, suspect, now);
-		suspect.isToldApart = true;
+		suspect.toldApart(true);
 		block(feature, suspect, now);
 		return true;
 	}
 
 	private void block(long feature, Suspect suspect, long now) {
 		suspect.block(now, stagger(feature));
-		if (!suspect.isToldApart) {
+		if (!suspect.isToldApart()) {
 			return;
 		}
 		Set<Long> others = new HashSet<>();
 		crashesOf(suspect).forEach((crash) -> {
-			crash.addCulprit(feature, suspect.isPart);
+			crash.addCulprit(feature, suspect.isPart());
 			others.addAll(crash.culprits(false));
 		});
 		others.remove(feature);
@@ -275,18 +262,18 @@
 	// A feature that met the crashes of others may have been blocked before these.
 	private void unblockIfExplained(long feature) {
 		Suspect suspect = this.suspects.get(feature);
-		if (suspect != null && !suspect.runs.isEmpty() && unexplained(feature, suspect).isEmpty()) {
+		if (suspect != null && !suspect.runs().isEmpty() && unexplained(feature, suspect).isEmpty()) {
 			unblock(feature, suspect);
 		}
 	}
 
 	private void unblock(long feature, Suspect suspect) {
-		suspect.blocks = 0;
+		suspect.unblock();
 		crashesOf(suspect).forEach((crash) -> crash.clearCulprit(feature));
 	}
 
 	private Stream<EndpointCrash> crashesOf(Suspect suspect) {
-		return suspect.runs.keySet().stream().map(this.crashes::get).filter((crash) -> crash != null);
+		return suspect.runs().keySet().stream().map(this.crashes::get).filter((crash) -> crash != null);
 	}
 
 	private long stagger(long feature) {
@@ -315,8 +302,8 @@
 		if (suspect.wasBlocked()) {
 			return suspect.blockedFor(now);
 		}
-		suspect.isPart = feature != request.content();
-		return (suspect.isPart) ? partRefusedFor(feature, suspect, request, now)
+		suspect.seenAsPart(feature != request.content());
+		return (suspect.isPart()) ? partRefusedFor(feature, suspect, request, now)
 				: contentRefusedFor(feature, suspect, request, now);
 	}
 
@@ -329,12 +316,12 @@
 				|| !request.containsAll(featuresAtAll(evidence.endpoints())))) {
 			return OptionalLong.empty();
 		}
-		long settledAt = suspect.lastCrashAt + SETTLE_NANOS;
+		long settledAt = suspect.lastCrashAt() + SETTLE_NANOS;
 		if (!proven && now - settledAt < 0) {
 			return OptionalLong.of(settledAt - now);
 		}
-		suspect.isToldApart = isAlone(evidence);
-		return refuse(content, suspect, proven || suspect.isToldApart, now);
+		suspect.toldApart(isAlone(evidence));
+		return refuse(content, suspect, proven || suspect.isToldApart(), now);
 	}
 
 	// That no answer clears the part says nothing unless other requests of the pool are
@@ -346,10 +333,10 @@
 			.of(runs.stream().filter((lost) -> now - lost.lostAt() >= PART_SETTLE_NANOS).toList());
 		if (isCauseOfAll(part, settled, request)) {
 			if (hasPoolAnswered(settled.last())) {
-				suspect.isToldApart = isAlone(settled);
-				return refuse(part, suspect, suspect.isToldApart, now);
+				suspect.toldApart(isAlone(settled));
+				return refuse(part, suspect, suspect.isToldApart(), now);
 			}
-			long until = Math.max(settled.last().lostAt(), suspect.sentAt) + HOLD_NANOS;
+			long until = Math.max(settled.last().lostAt(), suspect.sentAt()) + HOLD_NANOS;
 			return (settled.crashes() > MIN_PART_CRASHES && until - now > 0) ? OptionalLong.of(until - now)
 					: OptionalLong.empty();
 		}
@@ -385,7 +372,7 @@
 			this.newlyBlocked.add(feature);
 			return suspect.blockedFor(now);
 		}
-		long until = suspect.lastCrashAt + FIRST_BLOCK_NANOS;
+		long until = suspect.lastCrashAt() + Suspect.FIRST_BLOCK_NANOS;
 		return (until - now > 0) ? OptionalLong.of(until - now) : OptionalLong.empty();
 	}
 
@@ -444,7 +431,7 @@
 	 */
 	public int crashes(long feature) {
 		Suspect suspect = this.suspects.get(feature);
-		return (suspect != null) ? suspect.runs.size() : 0;
+		return (suspect != null) ? suspect.runs().size() : 0;
 	}
 
 	/**
@@ -454,7 +441,7 @@
 	public void expire(long now) {
 		List<Long> expired = new ArrayList<>();
 		this.suspects.forEach((feature, suspect) -> {
-			if (now - suspect.lastCrashAt > RETENTION_NANOS && !suspect.isBlocked(now)) {
+			if (now - suspect.lastCrashAt() > RETENTION_NANOS && !suspect.isBlocked(now)) {
 				expired.add(feature);
 			}
 		});
@@ -464,7 +451,8 @@
 	}
 
 	private List<LostRun> unexplained(long feature, Suspect suspect) {
-		return suspect.runs.entrySet()
+		return suspect.runs()
+			.entrySet()
 			.stream()
 			.filter((lost) -> !isExplained(this.crashes.get(lost.getKey()), feature, suspect))
 			.map(Map.Entry::getValue)
@@ -473,9 +461,9 @@
 
 	// One that was at fewer crashes may itself have been there by chance.
 	private boolean isExplained(EndpointCrash crash, long feature, Suspect suspect) {
-		return crash != null && crash.culprits(suspect.isPart)
+		return crash != null && crash.culprits(suspect.isPart())
 			.stream()
-			.anyMatch((other) -> other != feature && crashes(other) >= suspect.runs.size());
+			.anyMatch((other) -> other != feature && crashes(other) >= suspect.runs().size());
 	}
 
 	// The features that were at all of these endpoints, which can't be told apart.
@@ -487,81 +475,9 @@
 			.map((crash) -> crash.features()
 				.stream()
 				.filter((feature) -> this.suspects.containsKey(feature)
-						&& this.suspects.get(feature).runs.keySet().containsAll(endpoints))
+						&& this.suspects.get(feature).runs().keySet().containsAll(endpoints))
 				.collect(Collectors.toSet()))
 			.orElse(Set.of());
 	}
 
-	/** A feature that was at an endpoint that crashed, or that another VM has blocked. */
-	private static final class Suspect {
-
-		/** By endpoint. */
-		private final Map<Integer, LostRun> runs = new HashMap<>();
-
-		private long lastCrashAt;
-
-		private long sentAt = Long.MIN_VALUE / 2;
-
-		private long blockedAt;
-
-		private long blockedUntil;
-
-		private int blocks;
-
-		/** Whether a request has shown that it is a part of prompts. */
-		private boolean isPart;
-
-		/**
-		 * Whether no other feature was at the same crashes, so that this one explains
-		 * them.
-		 */
-		private boolean isToldApart;
-
-		private Suspect(long lastCrashAt) {
-			this.lastCrashAt = lastCrashAt;
-		}
-
-		private void crashed(LostRun lost) {
-			this.runs.put(lost.run().endpoint(), lost);
-			if (lost.lostAt() - this.lastCrashAt > 0) {
-				this.lastCrashAt = lost.lostAt();
-			}
-		}
-
-		private void block(long now, long stagger) {
-			long nanos = FIRST_BLOCK_NANOS;
-			for (int i = 0; i < this.blocks && nanos < MAX_BLOCK_NANOS; i++) {
-				nanos *= BLOCK_FACTOR;
-			}
-			this.blocks++;
-			this.blockedAt = now;
-			this.blockedUntil = now + Math.min(nanos, MAX_BLOCK_NANOS) + stagger;
-		}
-
-		private void sent(long now) {
-			this.sentAt = now;
-			if (wasBlocked() && !isBlocked(now)) {
-				this.blockedUntil = now + TRIAL_NANOS;
-			}
-		}
-
-		private boolean wasBlocked() {
-			return this.blocks > 0;
-		}
-
-		// Whether a request that was sent at the time was let through after a block.
-		private boolean isBlockedBefore(long time) {
-			return wasBlocked() && time - this.blockedAt >= SAME_BLOCK_NANOS;
-		}
-
-		private boolean isBlocked(long now) {
-			return wasBlocked() && now - this.blockedUntil < 0;
-		}
-
-		private OptionalLong blockedFor(long now) {
-			return (isBlocked(now)) ? OptionalLong.of(this.blockedUntil - now) : OptionalLong.empty();
-		}
-
-	}
-
 }
--- a/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/crash/CrashingFeaturesTests.java
@@ -90,13 +90,13 @@
 			crash(1, 150, CULPRIT);
 			crash(2, 150, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS - 1;
+			CrashingFeaturesTests.this.now += Suspect.FIRST_BLOCK_NANOS - 1;
 			assertThat(isRefused(CULPRIT)).isTrue();
 			CrashingFeaturesTests.this.now += CrashingFeatures.MAX_STAGGER_NANOS;
 			assertThat(isRefused(CULPRIT)).isFalse();
 			crash(3, 5_000, CULPRIT);
 			assertThat(isRefused(CULPRIT)).isTrue();
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS;
+			CrashingFeaturesTests.this.now += Suspect.FIRST_BLOCK_NANOS;
 			assertThat(isRefused(CULPRIT)).isTrue();
 		}
 
@@ -291,12 +291,12 @@
 		@Test
 		void oneRequestAtATimeIsLetThroughAfterABlock() {
 			CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CRASHING), CrashingFeaturesTests.this.now);
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
+			CrashingFeaturesTests.this.now += Suspect.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
 			assertThat(isSent(CRASHING)).isTrue();
 			CrashingFeaturesTests.this.features.sent(request(1, CRASHING), CrashingFeaturesTests.this.now);
 			assertThat(isSent(CRASHING)).isFalse();
 			crashes(CRASHING);
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
+			CrashingFeaturesTests.this.now += Suspect.FIRST_BLOCK_NANOS + CrashingFeatures.MAX_STAGGER_NANOS;
 			assertThat(isSent(CRASHING)).isFalse();
 		}
 
@@ -306,7 +306,7 @@
 		void requestThatIsSentDuringABlockDoesNotShortenIt() {
 			CrashingFeaturesTests.this.features.record(FeatureFact.blocked(CRASHING), CrashingFeaturesTests.this.now);
 			CrashingFeaturesTests.this.features.sent(request(1, CRASHING), CrashingFeaturesTests.this.now);
-			CrashingFeaturesTests.this.now += CrashingFeatures.FIRST_BLOCK_NANOS - 1;
+			CrashingFeaturesTests.this.now += Suspect.FIRST_BLOCK_NANOS - 1;
 			assertThat(isSent(CRASHING)).isFalse();
 		}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -85,11 +85,7 @@
 
 	private long lastActivityAt;
 
-	private long answerBeganAt;
-
-	private boolean resumed;
-
-	private boolean survivalTold;
+	private AnswerProgress answer = new AnswerProgress(false);
 
 	private boolean done;
 
@@ -126,7 +122,7 @@
 	 */
 	void send(EndpointConnection endpointConnection, FullHttpRequest httpRequest) {
 		this.connection = endpointConnection;
-		this.resumed = this.exchange.lastEventId().isPresent();
+		this.answer = new AnswerProgress(this.exchange.lastEventId().isPresent());
 		this.sentAt = System.nanoTime();
 		this.lastActivityAt = this.sentAt;
 		scheduleSilenceCheck(silenceTimeoutNanos());
@@ -187,8 +183,12 @@
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
 				Long.toHexString(this.exchange.features().content()),
-				this.exchange.features().parts().stream().map(Long::toHexString).toList(),
-				(this.answerBeganAt != 0) ? TimeUnit.NANOSECONDS.toMillis(now - this.answerBeganAt) : null);
+				this.exchange.features().parts().stream().map(Long::toHexString).toList(), answeringMillis(now));
+	}
+
+	private Long answeringMillis(long now) {
+		OptionalLong nanos = this.answer.nanos(now);
+		return (nanos.isPresent()) ? TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong()) : null;
 	}
 
 	private void finish(Outcome outcome) {
@@ -274,12 +274,8 @@
 	}
 
 	private void forward(ServerSentEventParser.Event event) {
-		if (this.answerBeganAt == 0) {
-			this.answerBeganAt = this.lastActivityAt;
-		}
-		if (this.lastActivityAt - this.answerBeganAt >= LostRequest.SURVIVAL_NANOS) {
-			tellSurvival();
-		}
+		this.answer.eventReceived(this.lastActivityAt);
+		reportSurvival(false);
 		OptionalLong lastForwarded = this.exchange.lastEventId();
 		if (lastForwarded.isPresent() && event.id().isPresent()
 				&& event.id().getAsLong() <= lastForwarded.getAsLong()) {
@@ -293,11 +289,10 @@
 		this.exchange.eventForwarded(event.id());
 	}
 
-	// The rest of a resumed stream does not show that an endpoint survives its beginning.
-	private void tellSurvival() {
-		if (!this.survivalTold && !this.resumed && this.answerBeganAt != 0) {
-			this.survivalTold = true;
-			this.exchange.partsSurvived(System.nanoTime() - this.answerBeganAt);
+	private void reportSurvival(boolean complete) {
+		long now = System.nanoTime();
+		if (this.answer.reportsSurvival(now, complete)) {
+			this.answer.nanos(now).ifPresent(this.exchange::partsSurvived);
 		}
 	}
 
@@ -338,15 +333,15 @@
 			this.exchange.response().startStream(this.partial.status, this.partial.headers);
 		}
 		finish(Outcome.GOOD);
-		tellSurvival();
+		reportSurvival(true);
 		this.exchange.endStream();
 	}
 
 	// A stream that ends with its connection looks the same whether it is complete or its
 	// endpoint has stopped. The rest of a resumed one may have no event.
 	private boolean isStreamBrokenOff() {
-		boolean empty = this.answerBeganAt == 0 && !this.resumed;
-		return this.partial.parser.isWithinEvent() || (empty && this.connection.isClosedByEndpoint());
+		return this.partial.parser.isWithinEvent()
+				|| (!this.answer.mayBeEmpty() && this.connection.isClosedByEndpoint());
 	}
 
 	private void endBuffered() {
@@ -399,8 +394,7 @@
 	}
 
 	private LostRequest lostRequest(long now) {
-		return new LostRequest(this.exchange.features(), now - this.sentAt,
-				(this.answerBeganAt != 0) ? OptionalLong.of(now - this.answerBeganAt) : OptionalLong.empty());
+		return new LostRequest(this.exchange.features(), now - this.sentAt, this.answer.nanos(now));
 	}
 
 	/**
