Entries read the versions of endpoints and log where streams go on

The platform's list names the version of each endpoint's software; it was not read, so that no log could tell whether a stream went on at another version. FleetEndpoint and FleetRecord hold it (optional on the wire), attempt-ended and fleet tell it, stream-resumed tells where a stream goes on and where it began, and acaciacourse_resumed_streams_total counts streams that go on by same, other and unknown version. No decision depends on it yet.

Old control VMs beside new entries tell no versions.

--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/FleetCodec.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.codec;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -22,11 +23,14 @@
 	 * @return a struct for each endpoint
 	 */
 	public static List<FleetRecord> encode(Fleet fleet) {
-		return fleet.endpoints()
-			.stream()
-			.map((endpoint) -> new FleetRecord(endpoint.instance(), endpoint.pool(), endpoint.address(),
-					endpoint.dataCentre(), endpoint.slots(), endpoint.leaving()))
-			.toList();
+		return fleet.endpoints().stream().map(FleetCodec::record).toList();
+	}
+
+	private static FleetRecord record(FleetEndpoint endpoint) {
+		FleetRecord struct = new FleetRecord(endpoint.instance(), endpoint.pool(), endpoint.address(),
+				endpoint.dataCentre(), endpoint.slots(), endpoint.leaving());
+		endpoint.version().ifPresent(struct::setVersion);
+		return struct;
 	}
 
 	/**
@@ -37,7 +41,8 @@
 	public static List<FleetEndpoint> decode(List<FleetRecord> records) {
 		return records.stream()
 			.map((struct) -> new FleetEndpoint(struct.getInstance(), struct.getPool(), struct.getAddress(),
-					struct.getDataCentre(), struct.getSlots(), struct.isLeaving()))
+					struct.getDataCentre(), struct.getSlots(), struct.isLeaving(),
+					Optional.ofNullable(struct.getVersion())))
 			.toList();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -101,6 +101,10 @@
 		return this.endpoint.instance();
 	}
 
+	FleetEndpoint endpoint() {
+		return this.endpoint;
+	}
+
 	// Whether the request was sent and its connection is open.
 	boolean isConnected() {
 		return !this.done && this.connection != null;
@@ -183,7 +187,8 @@
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
 				Long.toHexString(this.exchange.features().content()),
-				this.exchange.features().parts().stream().map(Long::toHexString).toList(), answeringMillis(now));
+				this.exchange.features().parts().stream().map(Long::toHexString).toList(), answeringMillis(now),
+				this.endpoint.version().orElse(null));
 	}
 
 	private Long answeringMillis(long now) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -1,11 +1,13 @@
 package org.acaciacourse.daemon.route;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.attempt.RequestProgress;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -80,6 +82,23 @@
 		this.context.metrics().retried(this.request.pool());
 	}
 
+	/**
+	 * A stream of which the caller has a part is sent on.
+	 * @param endpoint the endpoint that is to go on with it
+	 * @param first the endpoint that began it, if that is known
+	 * @param lastEvent the last event that the caller has
+	 */
+	void resumed(FleetEndpoint endpoint, Optional<FleetEndpoint> first, long lastEvent) {
+		Optional<String> began = first.flatMap(FleetEndpoint::version);
+		DecisionLog.write(LogEvent.STREAM_RESUMED, this.request.metadata().id(),
+				this.request.metadata().resumedRequest().orElse(null), lastEvent, this.request.pool(),
+				endpoint.instance(), endpoint.version().orElse(null), first.map(FleetEndpoint::instance).orElse(null),
+				began.orElse(null));
+		boolean known = began.isPresent() && endpoint.version().isPresent();
+		this.context.metrics()
+			.streamResumed((!known) ? "unknown" : (began.equals(endpoint.version())) ? "same" : "other");
+	}
+
 	// The first part of the response is forwarded.
 	void responseStarted(long now) {
 		this.responseStartedAt = now;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -60,10 +60,12 @@
 	 * @param callerTimeoutMillis how long the caller waits, in milliseconds
 	 * @param lastEventId the id of the last event that the caller has received, if it
 	 * resumes a stream
+	 * @param resumedRequest the id of the request that brought the caller the first event
+	 * of the stream, if it resumes one
 	 * @param prompt the prompt
 	 */
 	record RequestMetadata(String id, Optional<String> key, OptionalLong callerTimeoutMillis, OptionalLong lastEventId,
-			PromptShape prompt) {
+			Optional<String> resumedRequest, PromptShape prompt) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -338,8 +340,20 @@
 
 	private static void logFleet(Fleet fleet, String source) {
 		long leaving = fleet.endpoints().stream().filter(FleetEndpoint::leaving).count();
-		DecisionLog.write(LogEvent.FLEET, Long.toHexString(fleet.revision()), fleet.endpoints().size(), leaving,
-				source);
+		DecisionLog.write(LogEvent.FLEET, Long.toHexString(fleet.revision()), fleet.endpoints().size(), leaving, source,
+				versions(fleet));
+	}
+
+	private static List<String> versions(Fleet fleet) {
+		Map<String, Map<String, Long>> pools = fleet.endpoints()
+			.stream()
+			.collect(Collectors.groupingBy(FleetEndpoint::pool, TreeMap::new, Collectors
+				.groupingBy((endpoint) -> endpoint.version().orElse("unknown"), TreeMap::new, Collectors.counting())));
+		return pools.entrySet()
+			.stream()
+			.filter((pool) -> pool.getValue().size() > 1)
+			.map((pool) -> pool.getKey() + " " + pool.getValue())
+			.toList();
 	}
 
 	private void applyFleet(Fleet fleet, String source) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -49,6 +49,12 @@
 		.classicUpperBounds(SECONDS_BOUNDS)
 		.register(this.registry);
 
+	private final Counter resumedStreams = Counter.builder()
+		.name("acaciacourse_resumed_streams_total")
+		.help("Streams that were sent on after their first event, by the version of the endpoint that began them")
+		.labelNames("version")
+		.register(this.registry);
+
 	private final Histogram loopStalls = Histogram.builder()
 		.name("acaciacourse_loop_stall_seconds")
 		.help("Times for which the event loop did not run")
@@ -117,6 +123,15 @@
 		this.retryTransit.labelValues(pool).observe(nanos / 1e9);
 	}
 
+	/**
+	 * A stream is sent on after its first event.
+	 * @param version whether its endpoint has the same version as the one that began it,
+	 * another one, or an unknown one
+	 */
+	void streamResumed(String version) {
+		this.resumedStreams.labelValues(version).inc();
+	}
+
 	void loopStalled(long millis) {
 		this.loopStalls.observe(millis / 1e3);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -76,6 +76,9 @@
 
 	private OptionalLong lastEventId;
 
+	/** The endpoint whose event the caller received first. */
+	private Optional<FleetEndpoint> firstEndpoint = Optional.empty();
+
 	private Optional<RequestFeatures> features = Optional.empty();
 
 	private QueuePosition queuePosition = QueuePosition.OVERTAKES_OTHERS;
@@ -279,6 +282,9 @@
 		this.progress.beforeSend();
 		this.context.crashes().sent(this::features);
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
+		if (this.lastEventId.isPresent()) {
+			this.telemetry.resumed(endpoint, this.firstEndpoint, this.lastEventId.getAsLong());
+		}
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
 
@@ -423,6 +429,9 @@
 	void eventForwarded(OptionalLong id) {
 		this.progress.responseForwarded();
 		this.telemetry.eventForwarded(System.nanoTime());
+		if (this.firstEndpoint.isEmpty()) {
+			this.firstEndpoint = this.current.map(Attempt::endpoint);
+		}
 		if (id.isPresent()) {
 			this.lastEventId = id;
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -47,7 +47,7 @@
 
 	/** An attempt ended without a complete response. */
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
-			"waiting_work", "failure_rate", "content", "parts", "answering_ms"),
+			"waiting_work", "failure_rate", "content", "parts", "answering_ms", "version"),
 
 	/**
 	 * A request is retried, which is charged to the retry budget: what is left of this
@@ -57,6 +57,15 @@
 	 */
 	RETRY("retry", "request", "pool", "endpoint", "left", "sharers", "count_age_ms", "running_ms", "age_ms"),
 
+	/**
+	 * A stream of which the caller has a part is sent to an endpoint that shall go on
+	 * with it: the request that brought its first event if that is another one, the last
+	 * event of the caller, the endpoint and the version of its software, and those that
+	 * began the stream as far as they are known here.
+	 */
+	STREAM_RESUMED("stream-resumed", "request", "resumes", "last_event", "pool", "endpoint", "version", "from_endpoint",
+			"from_version"),
+
 	/**
 	 * The event loop did not run for a while: what it reads now may have been sent during
 	 * that time.
@@ -98,8 +107,12 @@
 	/** A configuration became active on this VM. */
 	CONFIGURATION("configuration", "table", "pools"),
 
-	/** The list of endpoints changed. */
-	FLEET("fleet", "fleet", "endpoints", "leaving", "source"),
+	/**
+	 * The list of endpoints changed: its revision, how many endpoints it has and how many
+	 * of them are leaving, who reported it, and how many endpoints of each version the
+	 * pools have that are of several versions.
+	 */
+	FLEET("fleet", "fleet", "endpoints", "leaving", "source", "versions"),
 
 	/**
 	 * The relay that aggregates the load of this VM changed: another VM, none, or this VM
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -390,6 +390,8 @@
   4: string dataCentre,
   5: i32 slots,
   6: bool leaving,
+  /* Of its software; missing if the platform states none. */
+  7: optional string version,
 }
 
 /* The fleet as a control VM knows it; records only if the revision is another than asked with. */
