Streams go on only at the version of the endpoints' software that began them

Cause: all endpoints of a pool were taken for one. No entry knew a version, a broken stream went to any endpoint that had not been tried, and a stream that was taken up was a new request, placed in a pool by the hash of its own id. The class: an answer is bound to what wrote its beginning, and nothing said so.

Change: the first event that is forwarded binds a stream to its origin, pool and version. Within an answer the balancer chooses among the endpoints of that version. The entry tells the origin to four others with the first event and each second while it serves the stream; the entry at which it is taken up asks. What nobody knows is refused as not run (212), unless the pool has had one version for longer than streams live; what no endpoint can go on with is refused (213) or broken off at once. A version that the list has changed, or of an endpoint that has just crashed, counts as unknown.

PoolBalancerTests asks with a request in place of a set of instances, for the same verdicts; LoadDigestCodecTests unpacks what decode() now returns, a digest or a message of origins.

--- a/core/src/main/java/org/acaciacourse/core/balance/Placement.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/Placement.java
@@ -1,8 +1,11 @@
 package org.acaciacourse.core.balance;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
+import org.acaciacourse.core.route.FleetEndpoint;
+
 /**
  * A request that the {@link PoolBalancer} is asked to place.
  * <p>
@@ -15,21 +18,43 @@
  * targets of the pool
  * @param salt a hash of the request, which breaks ties between endpoints
  * @param excluded the instances that were tried already
+ * @param version the software version of the endpoints that may be chosen, empty for any
  */
-public record Placement(PromptShape shape, boolean affinity, boolean brief, long salt, Set<String> excluded) {
+public record Placement(PromptShape shape, boolean affinity, boolean brief, long salt, Set<String> excluded,
+		Optional<String> version) {
 
 	public Placement {
 		Objects.requireNonNull(shape, "shape");
+		Objects.requireNonNull(version, "version");
 		excluded = Set.copyOf(excluded);
 	}
 
+	/**
+	 * Create a request that endpoints of any version can serve.
+	 * @param shape the request's prompt
+	 * @param affinity whether requests with the same shared parts should go to the same
+	 * endpoint
+	 * @param brief whether the request is brief
+	 * @param salt a hash of the request
+	 * @param excluded the instances that were tried already
+	 */
+	public Placement(PromptShape shape, boolean affinity, boolean brief, long salt, Set<String> excluded) {
+		this(shape, affinity, brief, salt, excluded, Optional.empty());
+	}
+
+	// Whether an endpoint can serve the request, though it may be busy or leaving.
+	boolean isServedBy(FleetEndpoint endpoint) {
+		boolean versionFits = this.version.isEmpty() || this.version.equals(endpoint.version());
+		return versionFits && !this.excluded.contains(endpoint.instance());
+	}
+
 	/**
 	 * Return the same request for other endpoints.
 	 * @param instances the instances that must not be chosen
 	 * @return the request
 	 */
 	public Placement excluding(Set<String> instances) {
-		return new Placement(this.shape, this.affinity, this.brief, this.salt, instances);
+		return new Placement(this.shape, this.affinity, this.brief, this.salt, instances, this.version);
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -185,7 +185,7 @@
 	 */
 	public Optional<FleetEndpoint> choose(Placement request, long now) {
 		this.briefEngines.update(now);
-		List<EndpointLoad> usable = usableEndpoints(request.excluded(), now);
+		List<EndpointLoad> usable = usableEndpoints(request, now);
 		HomeEndpoints homes = homes(request, usable);
 		boolean divided = isDivisionApplied(request);
 		int briefCount = (divided) ? (int) usable.stream().filter(this.briefEngines::contains).count() : 0;
@@ -213,10 +213,10 @@
 		return Optional.ofNullable(best).map(EndpointLoad::endpoint);
 	}
 
-	private List<EndpointLoad> usableEndpoints(Set<String> excluded, long now) {
+	private List<EndpointLoad> usableEndpoints(Placement request, long now) {
 		List<EndpointLoad> usable = new ArrayList<>(this.loads.size());
 		for (EndpointLoad load : this.loads.values()) {
-			if (isUsable(load, excluded, now)) {
+			if (isUsable(load, request, now)) {
 				usable.add(load);
 			}
 		}
@@ -276,19 +276,25 @@
 	}
 
 	/**
-	 * Return whether all endpoints were tried, so that waiting for one is useless.
-	 * @param excluded the instances that were tried already
-	 * @return whether there are staying endpoints and all of them were tried
+	 * Return whether no endpoint is left for a request, so that waiting for one is
+	 * useless.
+	 * @param request the request
+	 * @return whether there are staying endpoints and none of them can serve it: all were
+	 * tried or are of another version
 	 */
-	public boolean isExhausted(Set<String> excluded) {
-		List<EndpointLoad> staying = this.loads.values().stream().filter((load) -> !load.endpoint().leaving()).toList();
-		return !staying.isEmpty() && staying.stream().allMatch((load) -> excluded.contains(load.endpoint().instance()));
+	public boolean isExhausted(Placement request) {
+		List<FleetEndpoint> staying = this.loads.values()
+			.stream()
+			.map(EndpointLoad::endpoint)
+			.filter((endpoint) -> !endpoint.leaving())
+			.toList();
+		return !staying.isEmpty() && staying.stream().noneMatch(request::isServedBy);
 	}
 
-	private boolean isUsable(EndpointLoad load, Set<String> excluded, long now) {
+	private boolean isUsable(EndpointLoad load, Placement request, long now) {
 		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
 		return !load.endpoint().leaving() && !paused && load.hasConnectionLeft(this.connectionShare)
-				&& this.rateLimits.maySend(load.id(), now) && !excluded.contains(load.endpoint().instance());
+				&& this.rateLimits.maySend(load.id(), now) && request.isServedBy(load.endpoint());
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -74,6 +74,12 @@
 	/** The content crashed endpoints and is not run for some time. */
 	CONTENT_WITHHELD(211, 503, 75, true, "this content crashed endpoints and is not run for some time"),
 
+	/** It is not known which endpoints can go on with a stream. */
+	STREAM_ORIGIN_UNKNOWN(212, 503, 75, true, "it is not known where the stream began"),
+
+	/** No endpoint of the version that began a stream can go on with it. */
+	STREAM_VERSION_GONE(213, 503, 75, true, "no endpoint of the version that began the stream can go on with it"),
+
 	/** The endpoint responded with an error. */
 	ENDPOINT_ERROR(300, 502, 69, true, "the endpoint answered with an error"),
 
--- a/core/src/main/java/org/acaciacourse/core/route/Route.java
+++ b/core/src/main/java/org/acaciacourse/core/route/Route.java
@@ -51,6 +51,14 @@
 		return this.kind.isIdempotent(this.resumable);
 	}
 
+	/**
+	 * Return the pools that serve the route.
+	 * @return the names of those with a positive weight
+	 */
+	public List<String> pools() {
+		return this.shares.stream().filter((share) -> share.weight() > 0).map(PoolShare::pool).distinct().toList();
+	}
+
 	/**
 	 * Select the pool of a request according to the weights.
 	 * @param hash a hash of the request, uniformly distributed
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/stream/PoolVersions.java
@@ -0,0 +1,134 @@
+package org.acaciacourse.core.stream;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.core.route.FleetEndpoint;
+
+/**
+ * Which software versions the endpoints of each pool have had, as far as this VM knows:
+ * if a pool has had one for longer than streams live, a stream of unknown origin began at
+ * that version. Nothing is known of the time before the first list of endpoints, or while
+ * the list was not confirmed.
+ * <p>
+ * Not thread safe: belongs to one event loop.
+ */
+public final class PoolVersions {
+
+	/** The list is confirmed about once a second. */
+	private static final long MAX_CONFIRMATION_GAP_NANOS = 3_000_000_000L;
+
+	/**
+	 * How long the listed version of an endpoint is not relied on after it crashed: it
+	 * may have started again under the same id with another version, which the list tells
+	 * late.
+	 */
+	private static final long RESTART_DOUBT_NANOS = 6_000_000_000L;
+
+	private Fleet fleet = Fleet.NONE;
+
+	/** The versions of each pool that are listed. */
+	private Map<String, Set<Optional<String>>> listed = Map.of();
+
+	private Map<String, FleetEndpoint> endpoints = Map.of();
+
+	/** When a version that is no longer listed last was, by pool. */
+	private final Map<String, Map<Optional<String>, Long>> delistedAt = new HashMap<>();
+
+	private final Map<String, Long> crashedAt = new HashMap<>();
+
+	private long knownSince;
+
+	private long confirmedAt;
+
+	/**
+	 * Record that the list of endpoints was read or confirmed.
+	 * @param next the list
+	 * @param now the time
+	 */
+	public void confirmed(Fleet next, long now) {
+		if (this.fleet == Fleet.NONE || now - this.confirmedAt > MAX_CONFIRMATION_GAP_NANOS) {
+			this.knownSince = now;
+		}
+		this.confirmedAt = now;
+		if (next.revision() == this.fleet.revision()) {
+			return;
+		}
+		this.fleet = next;
+		Map<String, Set<Optional<String>>> before = this.listed;
+		this.listed = next.endpoints()
+			.stream()
+			.collect(Collectors.groupingBy(FleetEndpoint::pool,
+					Collectors.mapping(FleetEndpoint::version, Collectors.toSet())));
+		this.endpoints = next.endpoints()
+			.stream()
+			.collect(Collectors.toMap(FleetEndpoint::instance, (endpoint) -> endpoint, (first, second) -> second));
+		before.forEach((pool, versions) -> versions.stream()
+			.filter((version) -> !this.listed.getOrDefault(pool, Set.of()).contains(version))
+			.forEach((version) -> this.delistedAt.computeIfAbsent(pool, (name) -> new HashMap<>()).put(version, now)));
+	}
+
+	/**
+	 * Record that an endpoint crashed.
+	 * @param instance the endpoint
+	 * @param now the time
+	 */
+	public void crashed(String instance, long now) {
+		this.crashedAt.put(instance, now);
+	}
+
+	/**
+	 * Return the endpoints that crashed a short while ago: their listed version may be
+	 * that of the process before a restart.
+	 * @param now the time
+	 * @return the instances
+	 */
+	public Set<String> doubtfulInstances(long now) {
+		this.crashedAt.values().removeIf((at) -> now - at > RESTART_DOUBT_NANOS);
+		return Set.copyOf(this.crashedAt.keySet());
+	}
+
+	/**
+	 * Return the version of an endpoint that has written an event.
+	 * @param endpoint the endpoint as it was listed when the request was sent
+	 * @param now the time
+	 * @return its version; empty if the list states none or has stated another one since,
+	 * or if the endpoint may have been started again
+	 */
+	public Optional<String> versionOf(FleetEndpoint endpoint, long now) {
+		FleetEndpoint latest = this.endpoints.getOrDefault(endpoint.instance(), endpoint);
+		boolean reliable = latest.version().equals(endpoint.version())
+				&& !doubtfulInstances(now).contains(endpoint.instance());
+		return endpoint.version().filter((version) -> reliable);
+	}
+
+	/**
+	 * Return the only version that a pool has had.
+	 * @param pool the name of the pool
+	 * @param duration the time up to now
+	 * @param now the time
+	 * @return the version of all endpoints that were listed within that time; empty if
+	 * there were several, or if the list is not known for all of it
+	 */
+	public Optional<String> onlyVersion(String pool, Duration duration, long now) {
+		long nanos = duration.toNanos();
+		boolean known = this.fleet != Fleet.NONE && now - this.confirmedAt <= MAX_CONFIRMATION_GAP_NANOS
+				&& now - this.knownSince >= nanos;
+		Set<Optional<String>> versions = this.listed.getOrDefault(pool, Set.of());
+		if (!known || versions.size() != 1) {
+			return Optional.empty();
+		}
+		Optional<String> version = versions.iterator().next();
+		boolean others = this.delistedAt.getOrDefault(pool, Map.of())
+			.entrySet()
+			.stream()
+			.anyMatch((delisted) -> !delisted.getKey().equals(version) && now - delisted.getValue() < nanos);
+		return version.filter((text) -> !others);
+	}
+
+}
--- a/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PoolBalancerTests.java
@@ -150,13 +150,37 @@
 			assertThat(choose(PromptShape.NONE, 1, Set.of("b"), 0)).isEqualTo(Optional.empty());
 		}
 
+		// Guards against a stream that goes on at another version, or waits for endpoints
+		// that cannot go on with it.
+		@Test
+		void onlyEndpointsOfTheVersionAreChosen() {
+			PoolBalancer pool = PoolBalancerTests.this.balancer;
+			pool.endpoints(
+					List.of(versioned("a", "v1"), versioned("b", "v2"), versioned("c", "v2"), endpoint("d", false)));
+			for (int salt = 0; salt < 50; salt++) {
+				Placement request = new Placement(PromptShape.NONE, true, false, salt, Set.of(), Optional.of("v1"));
+				assertThat(pool.choose(request, 0).map(FleetEndpoint::instance)).isEqualTo(Optional.of("a"));
+				assertThat(pool.isExhausted(request)).isFalse();
+				assertThat(pool.isExhausted(request.excluding(Set.of("a")))).isTrue();
+				assertThat(pool.choose(request.excluding(Set.of("a")), 0)).isEqualTo(Optional.empty());
+			}
+		}
+
+		private static FleetEndpoint versioned(String instance, String version) {
+			return new FleetEndpoint(instance, "pool", "127.0.0.1:1", "dc", 64, false, Optional.of(version));
+		}
+
+		private static Placement excluding(String... instances) {
+			return new Placement(PromptShape.NONE, true, false, 0, Set.of(instances));
+		}
+
 		@Test
 		void poolIsExhaustedOnceAllEndpointsWereTried() {
 			PoolBalancer pool = PoolBalancerTests.this.balancer;
-			assertThat(pool.isExhausted(Set.of("a"))).isFalse();
+			assertThat(pool.isExhausted(excluding("a"))).isFalse();
 			pool.endpoints(List.of(endpoint("a", true), endpoint("b", false), endpoint("c", false)));
-			assertThat(pool.isExhausted(Set.of("b"))).isFalse();
-			assertThat(pool.isExhausted(Set.of("b", "c"))).isTrue();
+			assertThat(pool.isExhausted(excluding("b"))).isFalse();
+			assertThat(pool.isExhausted(excluding("b", "c"))).isTrue();
 		}
 
 		@Test
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 
+import io.vavr.control.Either;
 import io.vavr.control.Try;
 import org.acaciacourse.core.balance.LoadDigest;
 import org.acaciacourse.core.balance.PartUse;
@@ -11,6 +12,7 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.stream.OriginMessage;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
@@ -60,12 +62,15 @@
 	}
 
 	/**
-	 * Decode a digest.
-	 * @param bytes the content of a datagram
-	 * @return the digest, or a failure if the content is not a valid digest
+	 * Decode a datagram of another entry VM.
+	 * @param bytes the content of the datagram
+	 * @return a digest, or a message about the origins of streams; a failure if the
+	 * content is neither
 	 */
-	public static Try<LoadDigest> decode(byte[] bytes) {
-		return ThriftBytes.decode(bytes, new LoadDigestRecord()).mapTry(LoadDigestCodec::digest);
+	public static Try<Either<OriginMessage, LoadDigest>> decode(byte[] bytes) {
+		return ThriftBytes.decode(bytes, new LoadDigestRecord())
+			.mapTry((record) -> (record.isSetOrigins()) ? Either.left(OriginMessageCodec.decode(record))
+					: Either.right(digest(record)));
 	}
 
 	// A VM of an older release sends only its own load, as a single part.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -101,10 +101,6 @@
 		return this.endpoint.instance();
 	}
 
-	FleetEndpoint endpoint() {
-		return this.endpoint;
-	}
-
 	// Whether the request was sent and its connection is open.
 	boolean isConnected() {
 		return !this.done && this.connection != null;
@@ -290,6 +286,7 @@
 			this.exchange.responseStarted();
 			this.exchange.response().startStream(this.partial.status, this.partial.headers);
 		}
+		this.exchange.beforeEvent(this.endpoint);
 		this.exchange.response().write(Unpooled.wrappedBuffer(event.bytes()));
 		this.exchange.eventForwarded(event.id());
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -126,6 +126,7 @@
 
 	private void crashed(CrashDetector.Crash crash) {
 		FleetEndpoint endpoint = crash.endpoint();
+		this.pools.versions().crashed(endpoint.instance(), System.nanoTime());
 		int poolSize = Math.max(1, this.pools.size(endpoint.pool()));
 		long ageMillis = TimeUnit.NANOSECONDS.toMillis(crash.ageNanos());
 		Map<Long, Integer> suspects = suspects(crash.lost());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -9,6 +9,7 @@
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.core.stream.StreamOrigin;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
@@ -85,15 +86,14 @@
 	/**
 	 * A stream of which the caller has a part is sent on.
 	 * @param endpoint the endpoint that is to go on with it
-	 * @param first the endpoint that began it, if that is known
+	 * @param origin where it began, if that is known
 	 * @param lastEvent the last event that the caller has
 	 */
-	void resumed(FleetEndpoint endpoint, Optional<FleetEndpoint> first, long lastEvent) {
-		Optional<String> began = first.flatMap(FleetEndpoint::version);
+	void resumed(FleetEndpoint endpoint, Optional<StreamOrigin> origin, long lastEvent) {
+		Optional<String> began = origin.flatMap(StreamOrigin::version);
 		DecisionLog.write(LogEvent.STREAM_RESUMED, this.request.metadata().id(),
 				this.request.metadata().resumedRequest().orElse(null), lastEvent, this.request.pool(),
-				endpoint.instance(), endpoint.version().orElse(null), first.map(FleetEndpoint::instance).orElse(null),
-				began.orElse(null));
+				endpoint.instance(), endpoint.version().orElse(null), began.orElse(null));
 		boolean known = began.isPresent() && endpoint.version().isPresent();
 		this.context.metrics()
 			.streamResumed((!known) ? "unknown" : (began.equals(endpoint.version())) ? "same" : "other");
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -25,7 +26,10 @@
 import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.stream.OriginMessage;
+import org.acaciacourse.core.stream.StreamOrigins;
 import org.acaciacourse.daemon.codec.LoadDigestCodec;
+import org.acaciacourse.daemon.codec.OriginMessageCodec;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -34,7 +38,8 @@
 
 /**
  * Transports the load digests of {@link LoadExchange} between entry VMs as UDP datagrams.
- * A late digest is of no use, so that lost ones are not sent again.
+ * A late digest is of no use, so that lost ones are not sent again. The same socket
+ * carries the messages of {@link StreamOrigins}.
  * <p>
  * Not thread safe: belongs to the event loop.
  */
@@ -62,6 +67,9 @@
 
 	private final LogRateLimiter dropLogLimiter = new LogRateLimiter(MAX_DROP_LINES_PER_SECOND, System.nanoTime());
 
+	private BiConsumer<String, OriginMessage> originReceiver = (sender, message) -> {
+	};
+
 	private Optional<String> relay = Optional.empty();
 
 	private Channel channel;
@@ -106,6 +114,25 @@
 		this.addresses.keySet().retainAll(peers.stream().map(LoadPeer::address).toList());
 	}
 
+	/**
+	 * Set what receives the messages about the origins of streams.
+	 * @param next receives each message with the address of its sender
+	 */
+	void originReceiver(BiConsumer<String, OriginMessage> next) {
+		this.originReceiver = next;
+	}
+
+	/**
+	 * Send a message about the origins of streams.
+	 * @param message the message with its receivers
+	 */
+	void send(StreamOrigins.Outgoing message) {
+		if (this.channel != null) {
+			send(OriginMessageCodec.encode(message.message()), message.receivers());
+			this.channel.flush();
+		}
+	}
+
 	// Returns the bound address, to which peers send their digests.
 	InetSocketAddress boundAddress() {
 		return (InetSocketAddress) this.channel.localAddress();
@@ -162,8 +189,11 @@
 	}
 
 	private void send(LoadExchange.Outgoing message) {
-		byte[] bytes = LoadDigestCodec.encode(message.digest());
-		message.receivers()
+		send(LoadDigestCodec.encode(message.digest()), message.receivers());
+	}
+
+	private void send(byte[] bytes, List<String> receivers) {
+		receivers
 			.forEach((peer) -> this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), resolve(peer))));
 	}
 
@@ -173,11 +203,10 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-		if (!isEnabled()) {
-			return;
-		}
+		String sender = InternalConnection.format(packet.sender());
 		LoadDigestCodec.decode(ByteBufUtil.getBytes(packet.content()))
-			.andThen((digest) -> receive(InternalConnection.format(packet.sender()), digest))
+			.andThen((datagram) -> datagram.peek((digest) -> receive(sender, digest))
+				.peekLeft((message) -> this.originReceiver.accept(sender, message)))
 			.onFailure((ex) -> logDropped(packet.sender(), ex));
 	}
 
@@ -186,6 +215,9 @@
 	}
 
 	private void receive(String sender, LoadDigest digest) {
+		if (!isEnabled()) {
+			return;
+		}
 		if (this.exchange.receive(sender, digest, System.nanoTime())) {
 			digest.uses().forEach(this.pools::recordPeerUse);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
@@ -21,7 +21,8 @@
 
 	/**
 	 * A run stops after this number of requests that could not be placed: the remaining
-	 * ones are less urgent, and choosing an endpoint takes processor time.
+	 * ones are less urgent, and choosing an endpoint takes processor time. Requests that
+	 * only some endpoints can serve say nothing of the others.
 	 */
 	private static final int MAX_MISSES = 6;
 
@@ -54,7 +55,7 @@
 			if (misses >= MAX_MISSES) {
 				break;
 			}
-			misses += (exchange.tryPlace()) ? 0 : 1;
+			misses += (exchange.tryPlace() || exchange.isBoundToVersion()) ? 0 : 1;
 		}
 		if (this.waiting.size() > 0 && !this.scheduled) {
 			this.scheduled = true;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -25,6 +25,7 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTable;
+import org.acaciacourse.core.stream.PoolVersions;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
@@ -48,6 +49,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final PoolVersions versions = new PoolVersions();
+
 	private final RateLimitLog rateLimitLog = new RateLimitLog();
 
 	private Fleet fleet = Fleet.NONE;
@@ -143,6 +146,11 @@
 		return this.fleet;
 	}
 
+	// The software versions of the endpoints.
+	PoolVersions versions() {
+		return this.versions;
+	}
+
 	// Returns the number of the table in force, 0 before the first one.
 	long tableNumber() {
 		return this.tableNumber;
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
@@ -0,0 +1,129 @@
+package org.acaciacourse.daemon.route;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.route.Route;
+import org.acaciacourse.core.stream.StreamKey;
+import org.acaciacourse.core.stream.StreamOrigin;
+import org.acaciacourse.daemon.http.CallerResponse;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
+
+/**
+ * Binds a request that takes up a stream to the pool and the software version that began
+ * it. The origin is what this VM knows, else what another one knows, else the version of
+ * the pool if it has had only one for longer than streams live. A request whose origin
+ * remains unknown is refused: at a wrong version, the caller would get events that do not
+ * fit together.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class ResumedStreams {
+
+	/**
+	 * A stream may live for as long as its route permits, and be taken up for as long
+	 * once more.
+	 */
+	private static final int STREAM_LIFE_TIMEOUTS = 2;
+
+	private final StreamOriginService origins;
+
+	private final PoolStates pools;
+
+	/**
+	 * Create the component.
+	 * @param origins what the VMs know of streams
+	 * @param pools the pools, with the versions of their endpoints
+	 */
+	ResumedStreams(StreamOriginService origins, PoolStates pools) {
+		this.origins = origins;
+		this.pools = pools;
+	}
+
+	/**
+	 * Bind a request to the origin of its stream.
+	 * @param request the request, which takes up a stream
+	 * @param response takes its response
+	 * @param arrivedAt when the request was read
+	 * @param onBound receives the request once its origin is known, unless the caller has
+	 * gone
+	 * @param onRefused receives the reason if it can't be served
+	 */
+	void bind(RoutedRequest request, CallerResponse response, long arrivedAt, Consumer<RoutedRequest> onBound,
+			Consumer<ResultCode> onRefused) {
+		Optional<StreamKey> key = request.metadata().resumedRequest().map(request::streamKey);
+		Optional<StreamOrigin> known = key.flatMap(this.origins::known);
+		if (known.isPresent() || key.isEmpty()) {
+			end(request, arrivedAt, known, Source.KNOWN, onBound, onRefused);
+			return;
+		}
+		Waiting waiting = new Waiting();
+		response.onDisconnect(() -> waiting.callerGone = true);
+		this.origins.ask(key.get(), (told) -> {
+			if (!waiting.callerGone) {
+				end(request, arrivedAt, told, Source.TOLD, onBound, onRefused);
+			}
+		});
+	}
+
+	private void end(RoutedRequest request, long arrivedAt, Optional<StreamOrigin> origin, Source source,
+			Consumer<RoutedRequest> onBound, Consumer<ResultCode> onRefused) {
+		Optional<StreamOrigin> derived = (origin.isPresent()) ? origin : onlyOrigin(request.route());
+		Source used = (origin.isPresent()) ? source : (derived.isPresent()) ? Source.ONLY_VERSION : Source.UNKNOWN;
+		DecisionLog.write(LogEvent.STREAM_ORIGIN, request.metadata().id(),
+				request.metadata().resumedRequest().orElse(null), used.name(),
+				derived.map(StreamOrigin::pool).orElse(null), derived.flatMap(StreamOrigin::version).orElse(null),
+				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedAt));
+		if (derived.isEmpty()) {
+			onRefused.accept(ResultCode.STREAM_ORIGIN_UNKNOWN);
+		}
+		else if (!request.route().pools().contains(derived.get().pool())) {
+			onRefused.accept(ResultCode.STREAM_VERSION_GONE);
+		}
+		else {
+			onBound.accept(request.resumedAt(derived.get()));
+		}
+	}
+
+	// With several pools it would remain open which one began the stream.
+	private Optional<StreamOrigin> onlyOrigin(Route route) {
+		List<String> pools = route.pools();
+		if (pools.size() != 1) {
+			return Optional.empty();
+		}
+		Duration streamLife = route.timeout().multipliedBy(STREAM_LIFE_TIMEOUTS);
+		return this.pools.versions()
+			.onlyVersion(pools.get(0), streamLife, System.nanoTime())
+			.map((version) -> new StreamOrigin(pools.get(0), Optional.of(version)));
+	}
+
+	/** How the origin of a stream was found. */
+	private enum Source {
+
+		/** This VM knew it. */
+		KNOWN,
+
+		/** Another VM told it when asked. */
+		TOLD,
+
+		/** The pool has had no other version for longer than streams live. */
+		ONLY_VERSION,
+
+		/** It was not found. */
+		UNKNOWN
+
+	}
+
+	/** A request whose origin is asked for. */
+	private static final class Waiting {
+
+		private boolean callerGone;
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -15,10 +15,12 @@
  * @param connections the connections to the endpoints
  * @param pools the states of the pools
  * @param crashes keeps requests that crash endpoints from being sent on
+ * @param origins where streams began that callers may take up
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
  * @param lateLogLimiter limits the rate of log lines on late responses
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
-		CrashGuard crashes, RouteMetrics metrics, Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter) {
+		CrashGuard crashes, StreamOriginService origins, RouteMetrics metrics, Set<RoutedExchange> openExchanges,
+		LogRateLimiter lateLogLimiter) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -96,6 +96,8 @@
 
 	private final CrashGuard crashes;
 
+	private final StreamOriginService origins;
+
 	private final RouteMetrics metrics = new RouteMetrics();
 
 	private final RouteHandler handler;
@@ -145,14 +147,20 @@
 				this.connections::hasIdle);
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
 				self.address().hashCode(), controlLink::reportCrash);
+		this.origins = new StreamOriginService(this.loop, self.address());
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
-				this.metrics, this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
+				this.origins, this.metrics, this.openExchanges,
+				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
 		this.fallback = new FleetFallback(options.fleetSource(), (fleet) -> applyFleet(fleet, "list"));
 		this.gossip = options.loadPeer().map((peer) -> new LoadGossip(this.loop, this.pools, this.crashes, peer));
-		this.gossip.ifPresent((loadGossip) -> this.crashes.announcer(loadGossip::announce));
+		this.gossip.ifPresent((loadGossip) -> {
+			this.crashes.announcer(loadGossip::announce);
+			this.origins.sender(loadGossip::send);
+			loadGossip.originReceiver(this.origins::receive);
+		});
 		this.tunnels = options.loadPeer()
 			.map((peer) -> new TunnelServer(this.loop, InternalConnection.parse(peer.address()), options.tunnelKey(),
 					new TunnelTargets()));
@@ -245,6 +253,7 @@
 		this.pools.logRefusalLimits();
 		this.pools.logRateLimits();
 		this.crashes.sweep();
+		this.origins.sweep();
 		publishGauges();
 	}
 
@@ -311,7 +320,9 @@
 
 	private boolean isIdle() {
 		boolean none = Boolean.TRUE
-			.equals(this.loop.submit(this.openExchanges::isEmpty).awaitUninterruptibly().getNow());
+			.equals(this.loop.submit(() -> this.openExchanges.isEmpty() && !this.origins.isAsking())
+				.awaitUninterruptibly()
+				.getNow());
 		return none && this.callerServer.isFlushed() && openTunnels() == 0;
 	}
 
@@ -362,6 +373,7 @@
 				this.pools.fleet(fleet);
 				logFleet(fleet, source);
 			}
+			this.pools.versions().confirmed(fleet, System.nanoTime());
 			this.fleetKnown = true;
 		});
 	}
@@ -395,6 +407,7 @@
 		public void peersReceived(List<LoadPeer> peers) {
 			RouteDaemon.this.loop.execute(() -> {
 				RouteDaemon.this.paths.peers(peers);
+				RouteDaemon.this.origins.peers(peers.stream().map(LoadPeer::address).toList());
 				RouteDaemon.this.pools.rateLimits().peers(peers);
 				RouteDaemon.this.gossip.ifPresent((loadGossip) -> loadGossip.peers(peers));
 			});
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -46,11 +46,14 @@
 
 	private final HeldRequests heldRequests;
 
+	private final ResumedStreams resumedStreams;
+
 	private Optional<RouteTable> table = Optional.empty();
 
 	RouteHandler(RouteContext context) {
 		this.context = context;
 		this.heldRequests = new HeldRequests(context.loop());
+		this.resumedStreams = new ResumedStreams(context.origins(), context.pools());
 	}
 
 	/**
@@ -101,7 +104,17 @@
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), metadata, route.get(), owner,
 				(ranked) ? activeTable.urgency(route.get(), owner) : RouteTable.priority(route.get(), owner),
 				(ranked) ? activeTable.deferredUrgency(route.get(), owner) : OptionalInt.empty());
-		new RoutedExchange(this.context, routed, response, arrivedAt).start();
+		if (routed.isResumption()) {
+			this.resumedStreams.bind(routed, response, arrivedAt, (bound) -> begin(bound, response, arrivedAt),
+					(code) -> refuse(request, response, code, metadata));
+		}
+		else {
+			begin(routed, response, arrivedAt);
+		}
+	}
+
+	private void begin(RoutedRequest request, CallerResponse response, long arrivedAt) {
+		new RoutedExchange(this.context, request, response, arrivedAt).start();
 	}
 
 	private void refuse(CallerRequest request, CallerResponse response, ResultCode code,
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -26,6 +26,8 @@
 import org.acaciacourse.core.crash.RequestFeatures;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
+import org.acaciacourse.core.stream.StreamKey;
+import org.acaciacourse.core.stream.StreamOrigin;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
 import org.acaciacourse.daemon.tunnel.TcpSockets;
@@ -76,8 +78,8 @@
 
 	private OptionalLong lastEventId;
 
-	/** The endpoint whose event the caller received first. */
-	private Optional<FleetEndpoint> firstEndpoint = Optional.empty();
+	/** Where the stream began, once the caller has a part of it. */
+	private Optional<StreamOrigin> origin;
 
 	private Optional<RequestFeatures> features = Optional.empty();
 
@@ -103,6 +105,7 @@
 		this.progress = new RequestProgress(request.route());
 		this.retries = new RequestRetries(this.pool.allowance());
 		this.lastEventId = request.metadata().lastEventId();
+		this.origin = request.origin();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
 			millis = Math.min(millis, request.metadata().callerTimeoutMillis().getAsLong());
@@ -146,7 +149,7 @@
 	}
 
 	private void enqueue() {
-		if (this.done || withholdCrashingRequest()) {
+		if (this.done || withholdCrashingRequest() || failWithoutVersion()) {
 			return;
 		}
 		if (this.progress.isRetry() && !this.retries.reserve(System.nanoTime())) {
@@ -162,6 +165,25 @@
 		}
 	}
 
+	// Nothing tells which endpoints could go on with the stream.
+	private boolean failWithoutVersion() {
+		boolean unknown = this.origin.isPresent() && this.origin.get().version().isEmpty();
+		if (unknown) {
+			failAsVersionGone();
+		}
+		return unknown;
+	}
+
+	private void failAsVersionGone() {
+		String detail = "no endpoint can go on with the stream: " + this.origin.get();
+		if (this.progress.runState() == RunState.NOT_RUN) {
+			finish(ResultCode.STREAM_VERSION_GONE, detail);
+		}
+		else {
+			fail(detail);
+		}
+	}
+
 	private boolean withholdCrashingRequest() {
 		Optional<Duration> refusal = this.context.crashes().refusal(this::features);
 		refusal.ifPresent((remaining) -> {
@@ -214,10 +236,15 @@
 	private boolean failIfWaitedTooLong(long now) {
 		boolean tooLong = this.placementWait.isTooLong(now, this.request.route().target(),
 				this.context.pools().fleet().revision() != 0);
-		boolean exhausted = this.pool.balancer().isExhausted(this.progress.triedInstances());
+		boolean exhausted = this.pool.balancer().isExhausted(placement());
 		if (!exhausted && !tooLong) {
 			return false;
 		}
+		if (exhausted && this.origin.isPresent()) {
+			this.pool.queue().remove(this);
+			failAsVersionGone();
+			return true;
+		}
 		Duration retryAfter = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
 				this.pool.balancer().permittedRate(now));
 		this.pool.queue().remove(this);
@@ -226,8 +253,21 @@
 	}
 
 	private Placement placement() {
+		Set<String> excluded = new HashSet<>(this.progress.triedInstances());
+		Optional<String> version = this.origin.flatMap(StreamOrigin::version);
+		if (version.isPresent()) {
+			excluded.addAll(this.context.pools().versions().doubtfulInstances(System.nanoTime()));
+		}
 		return new Placement(this.request.metadata().prompt(), this.request.route().affinity(), this.brief,
-				this.request.idHash(), this.progress.triedInstances());
+				this.request.idHash(), excluded, version);
+	}
+
+	/**
+	 * Return whether only some endpoints of the pool can serve the request.
+	 * @return whether the caller has a part of its stream
+	 */
+	boolean isBoundToVersion() {
+		return this.origin.isPresent();
 	}
 
 	private void startAttempt(FleetEndpoint endpoint, Placement placement) {
@@ -283,7 +323,7 @@
 		this.context.crashes().sent(this::features);
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		if (this.lastEventId.isPresent()) {
-			this.telemetry.resumed(endpoint, this.firstEndpoint, this.lastEventId.getAsLong());
+			this.telemetry.resumed(endpoint, this.origin, this.lastEventId.getAsLong());
 		}
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
@@ -422,6 +462,27 @@
 		this.telemetry.responseStarted(System.nanoTime());
 	}
 
+	/**
+	 * An event is about to be forwarded. The first one binds the stream to the version of
+	 * its endpoint.
+	 * @param endpoint the endpoint that wrote it
+	 */
+	void beforeEvent(FleetEndpoint endpoint) {
+		if (this.origin.isPresent()) {
+			return;
+		}
+		StreamOrigin began = new StreamOrigin(this.request.pool(),
+				this.context.pools().versions().versionOf(endpoint, System.nanoTime()));
+		this.origin = Optional.of(began);
+		if (this.request.route().resumable()) {
+			this.context.origins().began(streamKey(), began);
+		}
+	}
+
+	private StreamKey streamKey() {
+		return this.request.streamKey(this.request.metadata().id());
+	}
+
 	/**
 	 * An event was forwarded.
 	 * @param id its id, if it has one
@@ -429,9 +490,6 @@
 	void eventForwarded(OptionalLong id) {
 		this.progress.responseForwarded();
 		this.telemetry.eventForwarded(System.nanoTime());
-		if (this.firstEndpoint.isEmpty()) {
-			this.firstEndpoint = this.current.map(Attempt::endpoint);
-		}
 		if (id.isPresent()) {
 			this.lastEventId = id;
 		}
@@ -537,6 +595,7 @@
 		this.done = true;
 		this.deadlineTimer.cancel(false);
 		this.context.openExchanges().remove(this);
+		this.context.origins().ended(streamKey());
 		this.pool.queue().remove(this);
 		this.retries.release();
 		this.current.ifPresent(Attempt::cancel);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -15,7 +15,10 @@
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.route.KeyOwner;
+import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.core.stream.StreamKey;
+import org.acaciacourse.core.stream.StreamOrigin;
 import org.acaciacourse.daemon.http.CallerRequest;
 
 /**
@@ -34,10 +37,11 @@
  * @param urgency the rank of the request, 0 is the highest
  * @param deferredUrgency its rank if it would be late in any case, if it can be deferred
  * @param idHash a hash of the request's id
+ * @param origin where its stream began, if the caller takes one up
  */
 record RoutedRequest(String method, String requestTarget, HttpHeaders headers, byte[] body, boolean hasBody,
 		RequestDialect.RequestMetadata metadata, Route route, Optional<KeyOwner> owner, int urgency,
-		OptionalInt deferredUrgency, long idHash) {
+		OptionalInt deferredUrgency, long idHash, Optional<StreamOrigin> origin) {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
@@ -49,7 +53,7 @@
 		dialect.removeReservedHeaders(headers);
 		long hash = HASH.hashBytes(metadata.id().getBytes(StandardCharsets.UTF_8));
 		return new RoutedRequest(request.method(), request.target(), headers, request.body(), hasBody, metadata, route,
-				owner, urgency, deferredUrgency, hash);
+				owner, urgency, deferredUrgency, hash, Optional.empty());
 	}
 
 	/**
@@ -57,7 +61,35 @@
 	 * @return the name
 	 */
 	String pool() {
-		return this.route.pool(this.idHash);
+		return this.origin.map(StreamOrigin::pool).orElseGet(() -> this.route.pool(this.idHash));
+	}
+
+	/**
+	 * Return whether the caller takes up a stream of which it has a part.
+	 * @return whether only endpoints that can go on with the stream may get the request
+	 */
+	boolean isResumption() {
+		return this.route.kind() == RequestKind.STREAM
+				&& (this.metadata.lastEventId().isPresent() || this.metadata.resumedRequest().isPresent());
+	}
+
+	/**
+	 * Return the same request for the endpoints that can go on with its stream.
+	 * @param where where the stream began
+	 * @return the request
+	 */
+	RoutedRequest resumedAt(StreamOrigin where) {
+		return new RoutedRequest(this.method, this.requestTarget, this.headers, this.body, this.hasBody, this.metadata,
+				this.route, this.owner, this.urgency, this.deferredUrgency, this.idHash, Optional.of(where));
+	}
+
+	/**
+	 * Name a stream of the caller.
+	 * @param requestId the id of the request that brought its first event
+	 * @return the name
+	 */
+	StreamKey streamKey(String requestId) {
+		return new StreamKey(customer().orElse(""), requestId);
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
@@ -0,0 +1,154 @@
+package org.acaciacourse.daemon.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.acaciacourse.core.stream.OriginMessage;
+import org.acaciacourse.core.stream.StreamKey;
+import org.acaciacourse.core.stream.StreamOrigin;
+import org.acaciacourse.core.stream.StreamOrigins;
+
+/**
+ * Runs the {@link StreamOrigins} of an entry VM: its timers, its messages and the
+ * requests that wait for an origin. Invariant: each of these is called back once, within
+ * some tenths of a second.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class StreamOriginService {
+
+	private static final long LOOKUP_TICK_MILLIS = 25;
+
+	private final EventLoop loop;
+
+	private final StreamOrigins origins;
+
+	private final Map<StreamKey, List<Consumer<Optional<StreamOrigin>>>> waiting = new HashMap<>();
+
+	private Consumer<StreamOrigins.Outgoing> sender = (message) -> {
+	};
+
+	private boolean ticking;
+
+	/**
+	 * Create a service.
+	 * @param loop the event loop
+	 * @param self the address at which the other VMs reach this one
+	 */
+	StreamOriginService(EventLoop loop, String self) {
+		this.loop = loop;
+		this.origins = new StreamOrigins(self);
+	}
+
+	/**
+	 * Set what sends messages to other VMs.
+	 * @param next receives each message with its receivers
+	 */
+	void sender(Consumer<StreamOrigins.Outgoing> next) {
+		this.sender = next;
+	}
+
+	/**
+	 * Set the VMs that keep origins.
+	 * @param vms the addresses of the live VMs
+	 */
+	void peers(List<String> vms) {
+		this.origins.peers(vms);
+	}
+
+	/**
+	 * Record that the first event of a stream is forwarded.
+	 * @param key the name of the stream
+	 * @param origin where it began
+	 */
+	void began(StreamKey key, StreamOrigin origin) {
+		send(this.origins.began(key, origin, System.nanoTime()));
+	}
+
+	/**
+	 * Record that a stream is no longer served here.
+	 * @param key the name of the stream
+	 */
+	void ended(StreamKey key) {
+		this.origins.ended(key);
+	}
+
+	/**
+	 * Return the origin of a stream if this VM knows it.
+	 * @param key the name of the stream
+	 * @return the origin
+	 */
+	Optional<StreamOrigin> known(StreamKey key) {
+		return this.origins.known(key, System.nanoTime());
+	}
+
+	/**
+	 * Ask the other VMs for the origin of a stream.
+	 * @param key the name of the stream
+	 * @param onResult receives the origin, empty if it is not known to those that answer
+	 */
+	void ask(StreamKey key, Consumer<Optional<StreamOrigin>> onResult) {
+		this.waiting.computeIfAbsent(key, (name) -> new ArrayList<>()).add(onResult);
+		send(this.origins.ask(key, System.nanoTime()));
+		callBack();
+		scheduleTick();
+	}
+
+	// Whether any request waits for an origin.
+	boolean isAsking() {
+		return this.origins.isAsking();
+	}
+
+	/**
+	 * Process a message of another VM.
+	 * @param vm its address
+	 * @param message the message
+	 */
+	void receive(String vm, OriginMessage message) {
+		send(this.origins.receive(vm, message, System.nanoTime()));
+		callBack();
+	}
+
+	/**
+	 * Tell the origins of the streams that are served here again; called once a second.
+	 */
+	void sweep() {
+		tick();
+	}
+
+	private void scheduleTick() {
+		if (!this.ticking && this.origins.isAsking()) {
+			this.ticking = true;
+			this.loop.schedule(() -> {
+				this.ticking = false;
+				tick();
+				scheduleTick();
+			}, LOOKUP_TICK_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void tick() {
+		send(this.origins.tick(System.nanoTime()));
+		callBack();
+	}
+
+	private void send(List<StreamOrigins.Outgoing> messages) {
+		messages.forEach(this.sender);
+	}
+
+	private void callBack() {
+		this.origins.drainFound().forEach((found) -> {
+			List<Consumer<Optional<StreamOrigin>>> all = this.waiting.remove(found.key());
+			if (all != null) {
+				all.forEach((onResult) -> onResult.accept(found.origin()));
+			}
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -60,11 +60,18 @@
 	/**
 	 * A stream of which the caller has a part is sent to an endpoint that shall go on
 	 * with it: the request that brought its first event if that is another one, the last
-	 * event of the caller, the endpoint and the version of its software, and those that
-	 * began the stream as far as they are known here.
+	 * event of the caller, the endpoint and the version of its software, and the one that
+	 * began the stream as far as it is known here.
 	 */
-	STREAM_RESUMED("stream-resumed", "request", "resumes", "last_event", "pool", "endpoint", "version", "from_endpoint",
-			"from_version"),
+	STREAM_RESUMED("stream-resumed", "request", "resumes", "last_event", "pool", "endpoint", "version", "from_version"),
+
+	/**
+	 * A caller takes a stream up: by which request it began, how its origin was found
+	 * here (known, told by another VM when asked, derived from the only version of the
+	 * pool, or not at all), the pool and the version that it is bound to, and the time
+	 * since the request was read.
+	 */
+	STREAM_ORIGIN("stream-origin", "request", "resumes", "source", "pool", "version", "age_ms"),
 
 	/**
 	 * The event loop did not run for a while: what it reads now may have been sent during
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -36,14 +36,14 @@
 	void digestSurvivesARoundTrip() {
 		LoadDigest view = new LoadDigest(LoadDigest.Kind.VIEW, 1L << 50, 1, 3, 95, LOADS,
 				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS);
-		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get()).isEqualTo(view);
+		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get().get()).isEqualTo(view);
 	}
 
 	// Entry VMs are upgraded one by one; those of the previous release send fewer fields.
 	@Test
 	void digestOfThePreviousReleaseHoldsOnlyTheSendersLoad() {
 		byte[] bytes = ThriftBytes.encode(new LoadDigestRecord(3, List.of(new EndpointLoadRecord(-7, 2, 17_000, 1))));
-		assertThat(LoadDigestCodec.decode(bytes).get()).isEqualTo(
+		assertThat(LoadDigestCodec.decode(bytes).get().get()).isEqualTo(
 				new LoadDigest(LoadDigest.Kind.SUMMARY, 3, 0, 1, 1, LOADS, List.of(), Map.of(), List.of(), List.of()));
 	}
 
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -328,6 +328,24 @@
   9: optional list<FeatureFactRecord> facts,
   /* The limits on their requests that endpoints have stated lately. */
   10: optional list<RateLimitRecord> limits,
+  /* What entries tell and ask each other of streams; such a datagram tells no load. */
+  11: optional StreamOriginsRecord origins,
+}
+
+struct StreamOriginsRecord {
+  /* 0: to be kept, 1: asked for, 2: the answer. */
+  1: i32 kind,
+  2: list<StreamOriginRecord> streams,
+}
+
+struct StreamOriginRecord {
+  1: string customer,
+  /* The id of the request that brought the first event. */
+  2: string request,
+  /* Missing if the sender does not know the stream. */
+  3: optional string pool,
+  /* Missing if it is not known which version wrote the first event. */
+  4: optional string version,
 }
 
 struct RateLimitRecord {
