A stream goes on at the endpoint that broke it off if no other one of its version is left

Callers saw an answer broken off although the only endpoint of its version was still there: each attempt excluded the endpoints that were tried. With two versions side by side that is soon all of them. If no untried endpoint of the version is left, one that was tried and has not crashed goes on; the attempts of the route bound it. StreamVersionTests .streamGoesOnAtTheOnlyEndpointOfItsVersion failed before (answer not whole); an endpoint that has ended is still not taken (streamOfTheOnlyEndpointOfItsVersionIsBrokenOffOnceThatHasEnded, which replaces the test with a cut connection: there the stream now goes on).

--- a/core/src/main/java/org/acaciacourse/core/balance/Placement.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/Placement.java
@@ -48,6 +48,15 @@
 		return versionFits && !this.excluded.contains(endpoint.instance());
 	}
 
+	/**
+	 * Return the same request for the endpoints of one version.
+	 * @param required the version
+	 * @return the request
+	 */
+	public Placement atVersion(String required) {
+		return new Placement(this.shape, this.affinity, this.brief, this.salt, this.excluded, Optional.of(required));
+	}
+
 	/**
 	 * Return the same request for other endpoints.
 	 * @param instances the instances that must not be chosen
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -253,13 +253,21 @@
 	}
 
 	private Placement placement() {
-		Set<String> excluded = new HashSet<>(this.progress.triedInstances());
-		Optional<String> version = this.origin.flatMap(StreamOrigin::version);
-		if (version.isPresent()) {
-			excluded.addAll(this.context.pools().versions().doubtfulInstances(System.nanoTime()));
-		}
-		return new Placement(this.request.metadata().prompt(), this.request.route().affinity(), this.brief,
-				this.request.idHash(), excluded, version);
+		Placement placement = new Placement(this.request.metadata().prompt(), this.request.route().affinity(),
+				this.brief, this.request.idHash(), this.progress.triedInstances());
+		return this.origin.flatMap(StreamOrigin::version)
+			.map((version) -> placementAt(version, placement))
+			.orElse(placement);
+	}
+
+	// If no other endpoint of its version is left, one that broke a stream off goes on
+	// with it.
+	private Placement placementAt(String version, Placement placement) {
+		Set<String> crashed = this.context.pools().versions().doubtfulInstances(System.nanoTime());
+		Set<String> excluded = new HashSet<>(placement.excluded());
+		excluded.addAll(crashed);
+		Placement untried = placement.atVersion(version).excluding(excluded);
+		return (this.pool.balancer().isExhausted(untried)) ? untried.excluding(crashed) : untried;
 	}
 
 	/**
