A silent stream is not sent once more to the only endpoint of its version

Found by reading: an attempt without activity is replaced if another endpoint can take it, and since the endpoint that serves it counted as another one when no other of its version is left. The stream was run twice at a sound endpoint that fell silent for 1.5 s. Whether an attempt is replaced now looks at untried endpoints only. StreamVersionTests .streamOfTheOnlyEndpointOfItsVersionIsNotSentThereAgainWhileItIsSilent failed before (two arrivals in place of one).

What a stream is bound to moves from RoutedExchange into StreamBinding.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -26,8 +26,6 @@
 import org.acaciacourse.core.crash.RequestFeatures;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
-import org.acaciacourse.core.stream.StreamKey;
-import org.acaciacourse.core.stream.StreamOrigin;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
 import org.acaciacourse.daemon.tunnel.TcpSockets;
@@ -62,6 +60,8 @@
 
 	private final RequestRetries retries;
 
+	private final StreamBinding binding;
+
 	private final PlacementWait placementWait = new PlacementWait();
 
 	private final ExchangeTelemetry telemetry;
@@ -78,9 +78,6 @@
 
 	private OptionalLong lastEventId;
 
-	/** Where the stream began, once the caller has a part of it. */
-	private Optional<StreamOrigin> origin;
-
 	private Optional<RequestFeatures> features = Optional.empty();
 
 	private QueuePosition queuePosition = QueuePosition.OVERTAKES_OTHERS;
@@ -104,8 +101,8 @@
 				context.pools().policy().value(RoutingParameter.NEARLY_SHORTEST));
 		this.progress = new RequestProgress(request.route());
 		this.retries = new RequestRetries(this.pool.allowance());
+		this.binding = new StreamBinding(request, this.pool.balancer(), context.pools().versions(), context.origins());
 		this.lastEventId = request.metadata().lastEventId();
-		this.origin = request.origin();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
 			millis = Math.min(millis, request.metadata().callerTimeoutMillis().getAsLong());
@@ -167,15 +164,15 @@
 
 	// Nothing tells which endpoints could go on with the stream.
 	private boolean failWithoutVersion() {
-		boolean unknown = this.origin.isPresent() && this.origin.get().version().isEmpty();
-		if (unknown) {
+		if (this.binding.isVersionUnknown()) {
 			failAsVersionGone();
+			return true;
 		}
-		return unknown;
+		return false;
 	}
 
 	private void failAsVersionGone() {
-		String detail = "no endpoint can go on with the stream: " + this.origin.get();
+		String detail = "no endpoint can go on with the stream: " + this.binding.origin().orElseThrow();
 		if (this.progress.runState() == RunState.NOT_RUN) {
 			finish(ResultCode.STREAM_VERSION_GONE, detail);
 		}
@@ -240,7 +237,7 @@
 		if (!exhausted && !tooLong) {
 			return false;
 		}
-		if (exhausted && this.origin.isPresent()) {
+		if (exhausted && this.binding.isBound()) {
 			this.pool.queue().remove(this);
 			failAsVersionGone();
 			return true;
@@ -253,29 +250,18 @@
 	}
 
 	private Placement placement() {
-		Placement placement = new Placement(this.request.metadata().prompt(), this.request.route().affinity(),
-				this.brief, this.request.idHash(), this.progress.triedInstances());
-		return this.origin.flatMap(StreamOrigin::version)
-			.map((version) -> placementAt(version, placement))
-			.orElse(placement);
+		return this.binding.restrict(unrestrictedPlacement());
 	}
 
-	// If no other endpoint of its version is left, one that broke a stream off goes on
-	// with it.
-	private Placement placementAt(String version, Placement placement) {
-		Set<String> crashed = this.context.pools().versions().doubtfulInstances(System.nanoTime());
-		Set<String> excluded = new HashSet<>(placement.excluded());
-		excluded.addAll(crashed);
-		Placement untried = placement.atVersion(version).excluding(excluded);
-		return (this.pool.balancer().isExhausted(untried)) ? untried.excluding(crashed) : untried;
+	private Placement unrestrictedPlacement() {
+		return new Placement(this.request.metadata().prompt(), this.request.route().affinity(), this.brief,
+				this.request.idHash(), this.progress.triedInstances());
 	}
 
-	/**
-	 * Return whether only some endpoints of the pool can serve the request.
-	 * @return whether the caller has a part of its stream
-	 */
+	// Whether the caller has a part of its stream, with which only some endpoints can go
+	// on.
 	boolean isBoundToVersion() {
-		return this.origin.isPresent();
+		return this.binding.isBound();
 	}
 
 	private void startAttempt(FleetEndpoint endpoint, Placement placement) {
@@ -331,7 +317,7 @@
 		this.context.crashes().sent(this::features);
 		this.telemetry.sent(endpoint.instance(), urgency(), attempt.workAhead(), System.nanoTime());
 		if (this.lastEventId.isPresent()) {
-			this.telemetry.resumed(endpoint, this.origin, this.lastEventId.getAsLong());
+			this.telemetry.resumed(endpoint, this.binding.origin(), this.lastEventId.getAsLong());
 		}
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
@@ -415,7 +401,9 @@
 	boolean mayReplaceAttempt() {
 		return this.request.route().isIdempotent() && this.progress.mayRetry()
 				&& this.pool.allowance().mayRetry(System.nanoTime())
-				&& this.pool.balancer().choose(placement(), System.nanoTime()).isPresent();
+				&& this.pool.balancer()
+					.choose(this.binding.untried(unrestrictedPlacement()), System.nanoTime())
+					.isPresent();
 	}
 
 	/**
@@ -471,24 +459,11 @@
 	}
 
 	/**
-	 * An event is about to be forwarded. The first one binds the stream to the version of
-	 * its endpoint.
+	 * An event is about to be forwarded.
 	 * @param endpoint the endpoint that wrote it
 	 */
 	void beforeEvent(FleetEndpoint endpoint) {
-		if (this.origin.isPresent()) {
-			return;
-		}
-		StreamOrigin began = new StreamOrigin(this.request.pool(),
-				this.context.pools().versions().versionOf(endpoint, System.nanoTime()));
-		this.origin = Optional.of(began);
-		if (this.request.route().resumable()) {
-			this.context.origins().began(streamKey(), began);
-		}
-	}
-
-	private StreamKey streamKey() {
-		return this.request.streamKey(this.request.metadata().id());
+		this.binding.bind(endpoint);
 	}
 
 	/**
@@ -603,7 +578,7 @@
 		this.done = true;
 		this.deadlineTimer.cancel(false);
 		this.context.openExchanges().remove(this);
-		this.context.origins().ended(streamKey());
+		this.binding.end();
 		this.pool.queue().remove(this);
 		this.retries.release();
 		this.current.ifPresent(Attempt::cancel);
