Tests that notice when a stream's origin is not told again or not asked for again

Both safeguards could be taken out and no test failed. In originIsToldAgainWhileItsStreamIsServed the first VM was started again before any message was delivered, so that the first telling reached it afterwards; now all have it before the first restart. originIsFoundThoughTheFirstQuestionIsLost is new: the datagrams of the first 20 ms of each look-up are lost.

--- a/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
@@ -42,6 +42,8 @@
 
 	private long now = TimeUnit.SECONDS.toNanos(100);
 
+	private long lostUntil;
+
 	private int sent;
 
 	OriginNetwork(int size, double lossRate, long seed) {
@@ -84,6 +86,11 @@
 		return this.now;
 	}
 
+	/** Lose all datagrams that are sent within a time from now on. */
+	void loseAllFor(long nanos) {
+		this.lostUntil = this.now + nanos;
+	}
+
 	/** A VM begins to serve a stream. */
 	void begin(String vm, StreamKey key, StreamOrigin origin) {
 		send(vm, this.running.get(vm).began(key, origin, this.now));
@@ -145,7 +152,7 @@
 		List<StreamOrigins.Outgoing> all = new ArrayList<>(messages);
 		all.forEach((outgoing) -> outgoing.receivers().forEach((receiver) -> {
 			this.sent++;
-			if (this.random.nextDouble() >= this.lossRate) {
+			if (this.now >= this.lostUntil && this.random.nextDouble() >= this.lossRate) {
 				long delay = MIN_DELAY_NANOS + (long) (this.random.nextDouble() * MAX_EXTRA_DELAY_NANOS);
 				this.inFlight.add(new Datagram(sender, receiver, outgoing.message(), this.now + delay));
 			}
--- a/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
@@ -73,6 +73,20 @@
 			}
 		}
 
+		// Guards against a lookup that ends without result as its only question was lost.
+		@Test
+		void originIsFoundThoughTheFirstQuestionIsLost() {
+			OriginNetwork network = new OriginNetwork(12, 0, 1);
+			String server = network.addresses().get(0);
+			network.begin(server, key(1), V1);
+			network.run(20 * OriginNetwork.MILLI);
+			network.end(server);
+			for (String vm : network.vms()) {
+				network.loseAllFor(20 * OriginNetwork.MILLI);
+				assertWithMessage(vm).that(network.find(vm, key(1))).isEqualTo(Optional.of(V1));
+			}
+		}
+
 		// Guards against callers whose streams don't go on because many VMs ended at
 		// once.
 		@ParameterizedTest
@@ -102,6 +116,8 @@
 			OriginNetwork network = new OriginNetwork(6, 0.1, 1);
 			String server = network.addresses().get(0);
 			network.begin(server, key(1), V1);
+			// The first telling has arrived everywhere before a VM is started again.
+			network.run(20 * OriginNetwork.MILLI);
 			for (String vm : network.addresses().subList(1, 6)) {
 				network.end(vm);
 				network.start(vm);
