--- a/core/src/main/java/org/acaciacourse/core/state/Command.java
+++ b/core/src/main/java/org/acaciacourse/core/state/Command.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import org.acaciacourse.core.manifest.ManifestDelta;
+import org.acaciacourse.core.usage.UsageReport;
 
 /**
  * The commands of the replicated state machine {@link ControlState}. Each command carries
@@ -49,8 +50,32 @@
 	 * @param lease the name of the lease
 	 * @param holder the id of the requesting process, unique to each run of it
 	 * @param durationMillis the requested duration
+	 * @param vm the name of the VM that the process runs on
+	 * @param returnMillis how long a VM that lost or released the lease to another one
+	 * must wait before it can acquire it again, so that it does not go back and forth
+	 * @param timedNumber whether a new fencing number is at least the proposal time in
+	 * seconds, so that it exceeds all numbers of a log that no longer exists
 	 */
-	record AcquireLease(long proposedAt, String lease, String holder, long durationMillis) implements Command {
+	record AcquireLease(long proposedAt, String lease, String holder, long durationMillis, String vm, long returnMillis,
+			boolean timedNumber) implements Command {
+
+		public AcquireLease {
+			Objects.requireNonNull(lease, "lease");
+			Objects.requireNonNull(holder, "holder");
+			Objects.requireNonNull(vm, "vm");
+		}
+
+		/**
+		 * Create a command for a lease that any VM may acquire as soon as it is free.
+		 * @param proposedAt the time of the proposal in milliseconds since the epoch
+		 * @param lease the name of the lease
+		 * @param holder the id of the requesting process, unique to each run of it
+		 * @param durationMillis the requested duration
+		 */
+		public AcquireLease(long proposedAt, String lease, String holder, long durationMillis) {
+			this(proposedAt, lease, holder, durationMillis, holder, 0, false);
+		}
+
 	}
 
 	/**
@@ -110,4 +135,21 @@
 	record ReportCrash(long proposedAt, long contentHash, int crashes) implements Command {
 	}
 
+	/**
+	 * Fix the usage of a window, before it is reported for the first time. The first
+	 * command for a window decides.
+	 *
+	 * @param proposedAt the time of the proposal in milliseconds since the epoch
+	 * @param report the window and the requests of each customer in it
+	 * @param reportedThrough the latest window up to which all usage has been reported, 0
+	 * if none is known
+	 */
+	record FreezeUsage(long proposedAt, UsageReport report, long reportedThrough) implements Command {
+
+		public FreezeUsage {
+			Objects.requireNonNull(report, "report");
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/state/CommandResult.java
+++ b/core/src/main/java/org/acaciacourse/core/state/CommandResult.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.usage.UsageReport;
 
 /**
  * The result of applying a command. Every replica computes the same result; the leader
@@ -73,6 +74,21 @@
 
 	}
 
+	/**
+	 * The result of fixing the usage of a window.
+	 *
+	 * @param code {@link ResultCode#OK}
+	 * @param report the usage that is to be reported, whichever command fixed it; empty
+	 * if the window was reported before or is too old to be kept
+	 */
+	record UsageResult(ResultCode code, Optional<UsageReport> report) implements CommandResult {
+
+		public UsageResult {
+			Objects.requireNonNull(report, "report");
+		}
+
+	}
+
 	/**
 	 * The result of a command that is never refused.
 	 *
--- a/core/src/main/java/org/acaciacourse/core/state/ControlState.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ControlState.java
@@ -12,6 +12,7 @@
 import org.acaciacourse.core.state.ControlStateSnapshot.ClaimRecord;
 import org.acaciacourse.core.state.ControlStateSnapshot.CrashRecord;
 import org.acaciacourse.core.state.ControlStateSnapshot.Lease;
+import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
 
 /**
  * The replicated state machine, after Schneider, "Implementing Fault-Tolerant Services
@@ -33,6 +34,8 @@
 
 	private final CrashTable crashes;
 
+	private final UsageTable usage;
+
 	private long appliedIndex;
 
 	private long time;
@@ -43,16 +46,17 @@
 	public ControlState() {
 		this(new ControlStateSnapshot(0, 0,
 				new ActiveManifest(0, ManifestDocument.empty().digest(), ManifestDocument.empty()), List.of(),
-				List.of(), 0, List.of(), List.of(), 0, List.of()));
+				List.of(), 0, List.of(), List.of(), 0, List.of(), List.of(), UsageState.EMPTY));
 	}
 
 	private ControlState(ControlStateSnapshot snapshot) {
 		this.appliedIndex = snapshot.appliedIndex();
 		this.time = snapshot.time();
 		this.manifests = new ManifestStore(snapshot.manifest(), snapshot.history(), snapshot.audit());
-		this.leases = new LeaseTable(snapshot.fencingNumber(), snapshot.leases());
+		this.leases = new LeaseTable(snapshot.fencingNumber(), snapshot.leases(), snapshot.formerHolders());
 		this.claims = new ClaimTable(snapshot.claims());
 		this.crashes = new CrashTable(snapshot.crashRevision(), snapshot.crashes());
+		this.usage = new UsageTable(snapshot.usage());
 	}
 
 	/**
@@ -71,7 +75,7 @@
 	public ControlStateSnapshot snapshot() {
 		return new ControlStateSnapshot(this.appliedIndex, this.time, this.manifests.active(), this.manifests.history(),
 				this.manifests.audit(), this.leases.fencingNumber(), this.leases.leases(), this.claims.claims(),
-				this.crashes.revision(), this.crashes.since(0));
+				this.crashes.revision(), this.crashes.since(0), this.leases.formerHolders(), this.usage.state());
 	}
 
 	/**
@@ -103,6 +107,9 @@
 		if (command instanceof Command.CompleteClaim complete) {
 			return this.claims.complete(complete, this.time);
 		}
+		if (command instanceof Command.FreezeUsage freeze) {
+			return this.usage.freeze(freeze);
+		}
 		if (command instanceof Command.EndOwner end) {
 			this.claims.endOwner(end.owner(), this.time);
 		}
@@ -172,11 +179,30 @@
 	}
 
 	/**
-	 * Return whether any lease is held at the current logical time.
-	 * @return whether a jump of the logical time could expire a lease
+	 * Return the latest grant of a lease, which may have expired.
+	 * @param name the name of the lease
+	 * @return the lease, empty if it was released or never held
+	 */
+	public Optional<Lease> latestLease(String name) {
+		return this.leases.latest(name);
+	}
+
+	/**
+	 * Return whether any lease is held at the current logical time, or was until a short
+	 * while ago.
+	 * @return whether a jump of the logical time could expire a lease, or let a VM that
+	 * lost one return to it too early
 	 */
 	public boolean isAnyLeaseHeld() {
-		return this.leases.leases().stream().anyMatch((lease) -> lease.expiresAt() > this.time);
+		return this.leases.isAnyHeldOrRemembered(this.time);
+	}
+
+	/**
+	 * Return the usage of customers that is fixed.
+	 * @return the usage
+	 */
+	public UsageState usage() {
+		return this.usage.state();
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/state/ControlStateSnapshot.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ControlStateSnapshot.java
@@ -6,6 +6,7 @@
 
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.usage.UsageReport;
 
 /**
  * A snapshot of a {@link ControlState}, for serialization. The order of each list depends
@@ -24,10 +25,13 @@
  * @param claims the claims, in the order of their last change
  * @param crashRevision the revision of the latest crash report
  * @param crashes the crash reports, ordered by revision
+ * @param formerHolders the VMs that held a lease lately, ordered by the name of the lease
+ * and the end of their time
+ * @param usage the usage that is fixed
  */
 public record ControlStateSnapshot(long appliedIndex, long time, ActiveManifest manifest, List<ManifestChange> history,
 		List<AuditEntry> audit, long fencingNumber, List<Lease> leases, List<ClaimRecord> claims, long crashRevision,
-		List<CrashRecord> crashes) {
+		List<CrashRecord> crashes, List<FormerHolder> formerHolders, UsageState usage) {
 
 	public ControlStateSnapshot {
 		Objects.requireNonNull(manifest, "manifest");
@@ -36,6 +40,8 @@
 		leases = List.copyOf(leases);
 		claims = List.copyOf(claims);
 		crashes = List.copyOf(crashes);
+		formerHolders = List.copyOf(formerHolders);
+		Objects.requireNonNull(usage, "usage");
 	}
 
 	/**
@@ -79,8 +85,37 @@
 	 * @param holder the id of the holder
 	 * @param fencingNumber the fencing number that it was acquired with
 	 * @param expiresAt the logical time at which it expires
+	 * @param vm the name of the holder's VM
 	 */
-	public record Lease(String name, String holder, long fencingNumber, long expiresAt) {
+	public record Lease(String name, String holder, long fencingNumber, long expiresAt, String vm) {
+	}
+
+	/**
+	 * A VM that held a lease.
+	 *
+	 * @param lease the name of the lease
+	 * @param vm the name of the VM
+	 * @param endedAt the logical time from which on it could not use the lease
+	 */
+	public record FormerHolder(String lease, String vm, long endedAt) {
+	}
+
+	/**
+	 * The usage of customers that is fixed.
+	 *
+	 * @param frozenThrough the latest window that is fixed, 0 if none is
+	 * @param reportedThrough the latest window up to which all have been reported
+	 * @param unreported the fixed windows after that, in their order
+	 */
+	public record UsageState(long frozenThrough, long reportedThrough, List<UsageReport> unreported) {
+
+		/** Before the first window. */
+		public static final UsageState EMPTY = new UsageState(0, 0, List.of());
+
+		public UsageState {
+			unreported = List.copyOf(unreported);
+		}
+
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/consensus/History.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/History.java
@@ -32,6 +32,8 @@
 
 	private final Set<ClaimKey> running = new HashSet<>();
 
+	private final Map<String, Long> highestOfLease = new HashMap<>();
+
 	private long highestFencing;
 
 	private long highestFencingIndex;
@@ -61,16 +63,8 @@
 	}
 
 	void result(long index, Command command, CommandResult result, ControlState state) {
-		if (result instanceof LeaseResult lease && lease.code() == ResultCode.OK && !lease.holder().isEmpty()) {
-			String holder = this.fencing.putIfAbsent(lease.fencingNumber(), lease.holder());
-			check(holder == null || holder.equals(lease.holder()),
-					"fencing number " + lease.fencingNumber() + " issued to two holders");
-			if (index > this.highestFencingIndex) {
-				check(lease.fencingNumber() >= this.highestFencing,
-						"fencing number decreased to " + lease.fencingNumber());
-				this.highestFencing = lease.fencingNumber();
-				this.highestFencingIndex = index;
-			}
+		if (command instanceof Command.AcquireLease acquire && result.code() == ResultCode.OK) {
+			checkFencing(index, acquire.lease(), (LeaseResult) result);
 		}
 		String content = result.code() + " " + state.manifestNumber() + " " + state.manifestDigest() + " "
 				+ state.time();
@@ -81,6 +75,21 @@
 		}
 	}
 
+	// Numbers increase with each lease that is granted anew, and never decrease for one.
+	private void checkFencing(long index, String name, LeaseResult lease) {
+		long number = lease.fencingNumber();
+		String holder = this.fencing.putIfAbsent(number, lease.holder());
+		check(holder == null || holder.equals(lease.holder()), "fencing number " + number + " issued to two holders");
+		if (index <= this.highestFencingIndex) {
+			return;
+		}
+		this.highestFencingIndex = index;
+		check(holder != null || number > this.highestFencing, "fencing number decreased to " + number);
+		check(number >= this.highestOfLease.getOrDefault(name, 0L), "fencing number decreased to " + number);
+		this.highestFencing = Math.max(this.highestFencing, number);
+		this.highestOfLease.put(name, number);
+	}
+
 	private void checkClaim(Command command, ClaimResult result) {
 		if (command instanceof Command.Claim claim && result.granted()) {
 			check(this.running.add(claim.key()), "claim granted twice: " + claim.key());
--- a/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
+++ b/core/src/test/java/org/acaciacourse/core/consensus/SimulatedCluster.java
@@ -44,6 +44,8 @@
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>();
 
+	private final PriorityQueue<Event> outside = new PriorityQueue<>();
+
 	private final Map<ReplicaId, SimulatedNode> nodesById = new HashMap<>();
 
 	private final List<Object> registry = new ArrayList<>();
@@ -110,6 +112,15 @@
 
 	/** Runs the events up to a time. Faults and operations are injected by the caller. */
 	void runUntil(long end) {
+		while (!this.outside.isEmpty() && this.outside.peek().at <= end) {
+			Event event = this.outside.poll();
+			runEventsUntil(event.at);
+			event.action.run();
+		}
+		runEventsUntil(end);
+	}
+
+	private void runEventsUntil(long end) {
 		while (!this.events.isEmpty() && this.events.peek().at <= end) {
 			Event event = this.events.poll();
 			this.now = Math.max(this.now, event.at);
@@ -129,10 +140,15 @@
 				node.flush();
 			}
 			checkLeaseHolders();
+			eventProcessed();
 		}
 		this.now = end;
 	}
 
+	/** Called after each event, for what runs beside the replicas. */
+	void eventProcessed() {
+	}
+
 	void runFor(long millis) {
 		runUntil(this.now + millis * MILLISECOND);
 	}
@@ -426,6 +442,15 @@
 		return node.replica.membership().members().stream().allMatch(Member::voter);
 	}
 
+	/** Schedules an action that belongs to no VM. */
+	void runAfter(long millis, Runnable action) {
+		this.outside.add(new Event(this.now + millis * MILLISECOND, nextNumber(), "", action));
+	}
+
+	void scheduleAt(long time, String vm, Runnable action) {
+		schedule(time, vm, action);
+	}
+
 	private void schedule(long time, String vm, Runnable action) {
 		this.events.add(new Event(time, nextNumber(), vm, action));
 	}
--- a/core/src/test/java/org/acaciacourse/core/state/ControlStateTests.java
+++ b/core/src/test/java/org/acaciacourse/core/state/ControlStateTests.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.state;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -9,6 +11,9 @@
 import org.acaciacourse.core.state.CommandResult.ClaimResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
 import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.acaciacourse.core.state.CommandResult.UsageResult;
+import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
+import org.acaciacourse.core.usage.UsageReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -102,6 +107,102 @@
 			assertThat(ControlStateTests.this.state.time()).isEqualTo(1_000);
 		}
 
+		private LeaseResult acquireDuty(long at, String vm, String run) {
+			return (LeaseResult) apply(new Command.AcquireLease(at, "duty", vm + "/" + run, 100, vm, 300, true));
+		}
+
+		private void releaseDuty(long at, String holder, long number) {
+			apply(new Command.ReleaseLease(at, "duty", holder, number));
+		}
+
+		// Guards against a duty that goes from one VM to another and back at once.
+		@Test
+		void vmThatAnotherOneFollowedMustWait() {
+			LeaseResult first = acquireDuty(0, "a", "1");
+			releaseDuty(50, "a/1", first.fencingNumber());
+			LeaseResult second = acquireDuty(60, "b", "1");
+			releaseDuty(70, "b/1", second.fencingNumber());
+			assertThat(acquireDuty(80, "a", "2").code()).isEqualTo(ResultCode.LEASE_HELD);
+			assertThat(acquireDuty(349, "a", "2").code()).isEqualTo(ResultCode.LEASE_HELD);
+			assertThat(acquireDuty(350, "a", "2").code()).isEqualTo(ResultCode.OK);
+		}
+
+		@Test
+		void timeCountsFromTheExpiryOfALeaseThatWasNotReleased() {
+			acquireDuty(0, "a", "1");
+			acquireDuty(500, "b", "1");
+			assertThat(acquireDuty(600, "a", "1").code()).isEqualTo(ResultCode.OK);
+			assertThat(acquireDuty(700, "b", "1").code()).isEqualTo(ResultCode.LEASE_HELD);
+			assertThat(acquireDuty(900, "b", "1").code()).isEqualTo(ResultCode.OK);
+		}
+
+		@Test
+		void vmThatNobodyFollowedMayComeBackAtOnce() {
+			LeaseResult first = acquireDuty(0, "a", "1");
+			releaseDuty(50, "a/1", first.fencingNumber());
+			LeaseResult second = acquireDuty(51, "a", "2");
+			assertThat(second.code()).isEqualTo(ResultCode.OK);
+			assertThat(second.fencingNumber()).isGreaterThan(first.fencingNumber());
+		}
+
+		// Guards against numbers that a new log issues once more, which the platform
+		// refuses.
+		@Test
+		void numberOfADutyExceedsThoseOfAnEarlierLog() {
+			long noon = 1_790_000_000_000L;
+			assertThat(acquireDuty(noon, "a", "1").fencingNumber()).isEqualTo(noon / 1_000);
+			assertThat(acquireDuty(noon + 101, "b", "1").fencingNumber()).isEqualTo(noon / 1_000 + 1);
+		}
+
+		@Test
+		void clockDoesNotJumpWhileAVmMustWait() {
+			acquireDuty(1_000, "a", "1");
+			acquireDuty(1_200, "b", "1");
+			assertThat(new ProposalClock(ControlStateTests.this.state, 90_000, 0).proposedAt(90_000, 0))
+				.isEqualTo(1_200);
+		}
+
+	}
+
+	@Nested
+	class Usage {
+
+		private UsageReport report(long window, long count) {
+			return new UsageReport(window, Map.of("a", count));
+		}
+
+		private Optional<UsageReport> freeze(long window, long count, long reportedThrough) {
+			Command command = new Command.FreezeUsage(0, report(window, count), reportedThrough);
+			return ((UsageResult) apply(command)).report();
+		}
+
+		// Guards against two reports of a window with different counts.
+		@Test
+		void firstCountsOfAWindowHold() {
+			assertThat(freeze(7, 5, 0)).isEqualTo(Optional.of(report(7, 5)));
+			assertThat(freeze(7, 6, 0)).isEqualTo(Optional.of(report(7, 5)));
+			assertThat(freeze(8, 1, 0)).isEqualTo(Optional.of(report(8, 1)));
+			assertThat(freeze(7, 6, 0)).isEqualTo(Optional.of(report(7, 5)));
+		}
+
+		@Test
+		void reportedWindowsAreForgottenAndNotFixedAgain() {
+			freeze(7, 5, 0);
+			freeze(8, 5, 7);
+			assertThat(ControlStateTests.this.state.usage()).isEqualTo(new UsageState(8, 7, List.of(report(8, 5))));
+			assertThat(freeze(7, 6, 0)).isEqualTo(Optional.empty());
+		}
+
+		@Test
+		void windowsThatAreNotReportedAreBounded() {
+			for (int i = 1; i <= UsageTable.MAX_UNREPORTED + 10; i++) {
+				freeze(i, 1, 0);
+			}
+			UsageState usage = ControlStateTests.this.state.usage();
+			assertThat(usage.unreported()).hasSize(UsageTable.MAX_UNREPORTED);
+			assertThat(usage.unreported().get(0).window()).isEqualTo(11);
+		}
+
 	}
 
 	@Nested
@@ -216,6 +317,8 @@
 			apply(new Command.AcquireLease(5, "writer", "a", 100));
 			apply(new Command.Claim(6, new ClaimKey("c", "k"), "hash", "vm1#1"));
 			apply(new Command.ReportCrash(7, 9, 2));
+			apply(new Command.AcquireLease(200, "writer", "b", 100));
+			apply(new Command.FreezeUsage(201, new UsageReport(7, Map.of("a", 1L)), 0));
 			ControlStateSnapshot snapshot = ControlStateTests.this.state.snapshot();
 			assertThat(ControlState.restore(snapshot).snapshot()).isEqualTo(snapshot);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/CommandCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/CommandCodec.java
@@ -8,6 +8,7 @@
 import org.acaciacourse.core.state.Command.Claim;
 import org.acaciacourse.core.state.Command.CompleteClaim;
 import org.acaciacourse.core.state.Command.EndOwner;
+import org.acaciacourse.core.state.Command.FreezeUsage;
 import org.acaciacourse.core.state.Command.PutManifest;
 import org.acaciacourse.core.state.Command.ReleaseLease;
 import org.acaciacourse.core.state.Command.ReportCrash;
@@ -17,6 +18,7 @@
 import org.acaciacourse.protocol.generated.CommandRecord;
 import org.acaciacourse.protocol.generated.CompleteClaimCommand;
 import org.acaciacourse.protocol.generated.EndOwnerCommand;
+import org.acaciacourse.protocol.generated.FreezeUsageCommand;
 import org.acaciacourse.protocol.generated.PutManifestCommand;
 import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
 import org.acaciacourse.protocol.generated.ReportCrashCommand;
@@ -47,7 +49,7 @@
 					ManifestCodec.encode(c.delta()), c.operator()));
 		}
 		if (command instanceof AcquireLease c) {
-			return CommandBody.acquireLease(new AcquireLeaseCommand(c.lease(), c.holder(), c.durationMillis()));
+			return CommandBody.acquireLease(encode(c));
 		}
 		if (command instanceof ReleaseLease c) {
 			return CommandBody.releaseLease(new ReleaseLeaseCommand(c.lease(), c.holder(), c.fencingNumber()));
@@ -64,6 +66,9 @@
 		if (command instanceof EndOwner c) {
 			return CommandBody.endOwner(new EndOwnerCommand(c.owner()));
 		}
+		if (command instanceof FreezeUsage c) {
+			return CommandBody.freezeUsage(new FreezeUsageCommand(UsageCodec.encode(c.report()), c.reportedThrough()));
+		}
 		ReportCrash c = (ReportCrash) command;
 		return CommandBody.reportCrash(new ReportCrashCommand(c.contentHash(), c.crashes()));
 	}
@@ -91,9 +96,21 @@
 			case COMPLETE_CLAIM -> completeClaim(proposedAt, body.getCompleteClaim());
 			case END_OWNER -> new EndOwner(proposedAt, body.getEndOwner().getOwner());
 			case REPORT_CRASH -> reportCrash(proposedAt, body.getReportCrash());
+			case FREEZE_USAGE -> freezeUsage(proposedAt, body.getFreezeUsage());
 		};
 	}
 
+	/**
+	 * Encode a request to acquire a lease.
+	 * @param command the command, whose time is left out
+	 * @return the struct
+	 */
+	public static AcquireLeaseCommand encode(AcquireLease command) {
+		return new AcquireLeaseCommand(command.lease(), command.holder(), command.durationMillis()).setVm(command.vm())
+			.setReturnMillis(command.returnMillis())
+			.setTimedNumber(command.timedNumber());
+	}
+
 	/**
 	 * Decode a request to acquire a lease.
 	 * @param proposedAt the proposer's wall-clock time
@@ -101,7 +118,9 @@
 	 * @return the command
 	 */
 	public static AcquireLease acquireLease(long proposedAt, AcquireLeaseCommand struct) {
-		return new AcquireLease(proposedAt, struct.getLease(), struct.getHolder(), struct.getDurationMillis());
+		String vm = (struct.isSetVm()) ? struct.getVm() : struct.getHolder();
+		return new AcquireLease(proposedAt, struct.getLease(), struct.getHolder(), struct.getDurationMillis(), vm,
+				struct.getReturnMillis(), struct.isTimedNumber());
 	}
 
 	/**
@@ -146,6 +165,16 @@
 		return new ReportCrash(proposedAt, struct.getContentHash(), struct.getCrashes());
 	}
 
+	/**
+	 * Decode a request to fix the usage of a window.
+	 * @param proposedAt the proposer's wall-clock time
+	 * @param struct the struct
+	 * @return the command
+	 */
+	public static FreezeUsage freezeUsage(long proposedAt, FreezeUsageCommand struct) {
+		return new FreezeUsage(proposedAt, UsageCodec.decode(struct.getUsage()), struct.getReportedThrough());
+	}
+
 	/**
 	 * Decode an outcome.
 	 * @param ordinal its ordinal
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/StateCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/StateCodec.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.codec;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.vavr.control.Try;
@@ -8,14 +9,18 @@
 import org.acaciacourse.core.state.ControlStateSnapshot.ActiveManifest;
 import org.acaciacourse.core.state.ControlStateSnapshot.AuditEntry;
 import org.acaciacourse.core.state.ControlStateSnapshot.ClaimRecord;
+import org.acaciacourse.core.state.ControlStateSnapshot.FormerHolder;
 import org.acaciacourse.core.state.ControlStateSnapshot.Lease;
 import org.acaciacourse.core.state.ControlStateSnapshot.ManifestChange;
+import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
 import org.acaciacourse.protocol.generated.AuditRecord;
 import org.acaciacourse.protocol.generated.ClaimEntryRecord;
 import org.acaciacourse.protocol.generated.CrashRecord;
+import org.acaciacourse.protocol.generated.FormerHolderRecord;
 import org.acaciacourse.protocol.generated.LeaseRecord;
 import org.acaciacourse.protocol.generated.ManifestChangeRecord;
 import org.acaciacourse.protocol.generated.StateRecord;
+import org.acaciacourse.protocol.generated.UsageStateRecord;
 
 /**
  * Converts the state of the state machine to and from the content of a snapshot.
@@ -44,6 +49,8 @@
 		struct.setClaims(state.claims().stream().map(StateCodec::encode).toList());
 		struct.setCrashRevision(state.crashRevision());
 		struct.setCrashes(state.crashes().stream().map(StateCodec::encode).toList());
+		struct.setFormerHolders(state.formerHolders().stream().map(StateCodec::encode).toList());
+		struct.setUsage(encode(state.usage()));
 		return ThriftBytes.encode(struct);
 	}
 
@@ -64,7 +71,17 @@
 				struct.getAudit().stream().map(StateCodec::decode).toList(), struct.getFencingNumber(),
 				struct.getLeases().stream().map(StateCodec::decode).toList(),
 				struct.getClaims().stream().map(StateCodec::decode).toList(), struct.getCrashRevision(),
-				struct.getCrashes().stream().map(StateCodec::decode).toList());
+				struct.getCrashes().stream().map(StateCodec::decode).toList(), formerHolders(struct), usage(struct));
+	}
+
+	// A snapshot of an older release has neither former holders nor usage.
+	private static List<FormerHolder> formerHolders(StateRecord struct) {
+		return (struct.isSetFormerHolders()) ? struct.getFormerHolders().stream().map(StateCodec::decode).toList()
+				: List.of();
+	}
+
+	private static UsageState usage(StateRecord struct) {
+		return (struct.isSetUsage()) ? decode(struct.getUsage()) : UsageState.EMPTY;
 	}
 
 	private static ManifestChangeRecord encode(ManifestChange change) {
@@ -92,11 +109,31 @@
 	}
 
 	private static LeaseRecord encode(Lease lease) {
-		return new LeaseRecord(lease.name(), lease.holder(), lease.fencingNumber(), lease.expiresAt());
+		return new LeaseRecord(lease.name(), lease.holder(), lease.fencingNumber(), lease.expiresAt())
+			.setVm(lease.vm());
 	}
 
 	private static Lease decode(LeaseRecord lease) {
-		return new Lease(lease.getName(), lease.getHolder(), lease.getFencingNumber(), lease.getExpiresAt());
+		String vm = (lease.isSetVm()) ? lease.getVm() : lease.getHolder();
+		return new Lease(lease.getName(), lease.getHolder(), lease.getFencingNumber(), lease.getExpiresAt(), vm);
+	}
+
+	private static FormerHolderRecord encode(FormerHolder former) {
+		return new FormerHolderRecord(former.lease(), former.vm(), former.endedAt());
+	}
+
+	private static FormerHolder decode(FormerHolderRecord former) {
+		return new FormerHolder(former.getLease(), former.getVm(), former.getEndedAt());
+	}
+
+	private static UsageStateRecord encode(UsageState usage) {
+		return new UsageStateRecord(usage.frozenThrough(), usage.reportedThrough(),
+				UsageCodec.encode(usage.unreported()));
+	}
+
+	private static UsageState decode(UsageStateRecord usage) {
+		return new UsageState(usage.getFrozenThrough(), usage.getReportedThrough(),
+				UsageCodec.decode(usage.getUnreported()));
 	}
 
 	private static ClaimEntryRecord encode(ClaimRecord claim) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -83,6 +83,8 @@
 
 	private Optional<OrderWriterLoop> orderLoop = Optional.empty();
 
+	private Optional<UsageDuty> usageDuty = Optional.empty();
+
 	/**
 	 * Create a daemon.
 	 * @param options its options
@@ -204,9 +206,12 @@
 		PlatformList platform = new PlatformList(this.options.platformList());
 		FleetKeeper fleet = new FleetKeeper(next, this.self, this.options.innerKey(), this.options.fleet());
 		ApplyService applyService = new ApplyService(next);
+		Optional<UsageDuty> usage = this.options.duties()
+			.map((duties) -> new UsageDuty(duties, next, this.self, this.options.innerKey()));
+		Optional<UsageService> usageService = usage.map(UsageDuty::service);
 		this.controlHandler.start(new ControlHandler.Services(next, applyService,
-				new PollService(next, read, this.registry, platform, fleet),
-				new StatusService(next, this.self, exchange), this.registry, fleet));
+				new PollService(next, read, this.registry, platform, fleet, usageService),
+				new StatusService(next, this.self, exchange), this.registry, fleet, usageService));
 		exchange.start();
 		platform.start(next.views()::signalChange);
 		fleet.start();
@@ -220,6 +225,8 @@
 		if (this.options.orders()) {
 			startOrderLoop(next);
 		}
+		usage.ifPresent((duty) -> duty.start(this.metrics));
+		this.usageDuty = usage;
 		commitSeconds.get();
 		ControlMetrics.register(this.metrics, () -> next.views().latest(), this.registry);
 	}
@@ -284,9 +291,7 @@
 	 */
 	public synchronized void stop() {
 		this.stopping = true;
-		// Closed while this VM still leads, so that the lease can be released.
-		this.orderLoop.ifPresent(OrderWriterLoop::close);
-		this.orderLoop = Optional.empty();
+		closeHolders();
 		try {
 			if (this.loop.isPresent()) {
 				transferLeadership(this.loop.get());
@@ -324,8 +329,16 @@
 		}
 	}
 
-	private void closeAll() {
+	// Closed while this VM still leads, so that the leases can be released.
+	private void closeHolders() {
 		this.orderLoop.ifPresent(OrderWriterLoop::close);
+		this.orderLoop = Optional.empty();
+		this.usageDuty.ifPresent(UsageDuty::close);
+		this.usageDuty = Optional.empty();
+	}
+
+	private void closeAll() {
+		closeHolders();
 		while (!this.resources.isEmpty()) {
 			try {
 				this.resources.pop().close();
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -10,8 +10,10 @@
 import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.CommandResult.ClaimResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.core.state.CommandResult.UsageResult;
 import org.acaciacourse.daemon.codec.CommandCodec;
 import org.acaciacourse.daemon.codec.FleetCodec;
+import org.acaciacourse.daemon.codec.UsageCodec;
 import org.acaciacourse.daemon.inner.SharedKey;
 import org.acaciacourse.protocol.generated.AcquireLeaseCommand;
 import org.acaciacourse.protocol.generated.ApplyReply;
@@ -22,6 +24,8 @@
 import org.acaciacourse.protocol.generated.ControlService;
 import org.acaciacourse.protocol.generated.EntryStatus;
 import org.acaciacourse.protocol.generated.FleetReply;
+import org.acaciacourse.protocol.generated.FreezeUsageCommand;
+import org.acaciacourse.protocol.generated.FreezeUsageReply;
 import org.acaciacourse.protocol.generated.LeaseReply;
 import org.acaciacourse.protocol.generated.PollReply;
 import org.acaciacourse.protocol.generated.PollRequest;
@@ -29,6 +33,7 @@
 import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
 import org.acaciacourse.protocol.generated.ReportCrashCommand;
 import org.acaciacourse.protocol.generated.Result;
+import org.acaciacourse.protocol.generated.RunUsageRecord;
 import org.acaciacourse.protocol.generated.StatusReply;
 import org.acaciacourse.protocol.generated.TraceContext;
 import org.apache.thrift.TException;
@@ -197,6 +202,22 @@
 		}
 	}
 
+	@Override
+	public FreezeUsageReply freezeUsage(String sharedKey, FreezeUsageCommand command) throws TException {
+		ReplicaLoop loop = servicesFor(sharedKey).loop();
+		return Replies.await(loop.propose((state, now) -> CommandCodec.freezeUsage(now, command)))
+			.fold((failure) -> new FreezeUsageReply(Replies.result(failure)), (result) -> {
+				FreezeUsageReply reply = new FreezeUsageReply(Replies.result(result.code()));
+				((UsageResult) result).report().map(UsageCodec::encode).ifPresent(reply::setUsage);
+				return reply;
+			});
+	}
+
+	@Override
+	public List<RunUsageRecord> usage(String sharedKey) throws TException {
+		return servicesFor(sharedKey).usage().map(UsageService::known).orElse(List.of());
+	}
+
 	private Services servicesFor(String sharedKey) throws TException {
 		checkKey(sharedKey);
 		return this.services.orElseThrow(() -> new TException("not founded"));
@@ -217,9 +238,10 @@
 	 * @param status reports the status
 	 * @param registry the entry VMs that poll
 	 * @param fleet the endpoints that the platform lists
+	 * @param usage the usage that entry VMs have told, if it is reported
 	 */
 	record Services(ReplicaLoop loop, ApplyService apply, PollService poll, StatusService status,
-			EntryRegistry registry, FleetKeeper fleet) {
+			EntryRegistry registry, FleetKeeper fleet, Optional<UsageService> usage) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlOptions.java
@@ -8,6 +8,7 @@
 import org.acaciacourse.core.consensus.ReplicaTiming;
 import org.acaciacourse.core.settings.SettingKey;
 import org.acaciacourse.core.settings.Settings;
+import org.acaciacourse.daemon.duty.DutyOptions;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.SharedKey;
 
@@ -32,10 +33,12 @@
  * @param fleet reads the platform's list of endpoints, present if entry VMs serve routes
  * @param seeds supplies the addresses of the control VMs that the settings list at
  * present
+ * @param duties the duties that one control VM at a time carries out, if there are any
  */
 public record ControlOptions(String vm, String address, String admin, List<String> initial, Path data,
 		SharedKey innerKey, SharedKey operatorKey, Optional<String> platformList, boolean orders, ReplicaTiming timing,
-		long snapshotEntries, boolean mayBootstrap, Optional<FleetSource> fleet, Supplier<List<String>> seeds) {
+		long snapshotEntries, boolean mayBootstrap, Optional<FleetSource> fleet, Supplier<List<String>> seeds,
+		Optional<DutyOptions> duties) {
 
 	/** The default number of log entries between two snapshots. */
 	public static final long SNAPSHOT_ENTRIES = 20_000;
@@ -63,7 +66,7 @@
 			SharedKey operatorKey, Optional<String> platformList, boolean orders, ReplicaTiming timing,
 			long snapshotEntries) {
 		this(vm, address, admin, initial, data, innerKey, operatorKey, platformList, orders, timing, snapshotEntries,
-				true, Optional.empty(), () -> initial);
+				true, Optional.empty(), () -> initial, Optional.empty());
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/OrderLease.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/OrderLease.java
@@ -6,11 +6,12 @@
 import org.acaciacourse.core.state.Command;
 import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
-import org.acaciacourse.daemon.order.LeaseCalls;
+import org.acaciacourse.daemon.lease.LeaseCalls;
 import org.acaciacourse.daemon.order.OrderWriterLoop;
 
 /**
- * Acquires the lease for writing engine orders through this VM's own replica.
+ * Acquires the lease for writing engine orders through this VM's own replica. Only the
+ * leader does, so that the lease moves with the leadership.
  * <p>
  * Thread safe.
  */
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -42,6 +42,8 @@
 
 	private final FleetKeeper fleet;
 
+	private final Optional<UsageService> usage;
+
 	/** The revision of {@link ReplicaViewMonitor} at the last reply to each run. */
 	private final Map<String, Long> lastRevisions = new LinkedHashMap<>() {
 
@@ -55,16 +57,18 @@
 	};
 
 	PollService(ReplicaLoop loop, LinearizableRead read, EntryRegistry registry, PlatformList platform,
-			FleetKeeper fleet) {
+			FleetKeeper fleet, Optional<UsageService> usage) {
 		this.loop = loop;
 		this.read = read;
 		this.registry = registry;
 		this.platform = platform;
 		this.fleet = fleet;
+		this.usage = usage;
 	}
 
 	PollReply poll(PollRequest request) {
 		this.registry.recordPoll(request, System.currentTimeMillis());
+		this.usage.ifPresent((service) -> service.recordPoll(request));
 		try {
 			if (request.isLatest() && !this.read.await()) {
 				return emptyReply(Replies.result(ResultCode.NO_QUORUM));
@@ -117,6 +121,7 @@
 			.stream()
 			.map((crash) -> new ReportCrashCommand(crash.contentHash(), crash.crashes()))
 			.toList());
+		this.usage.ifPresent((service) -> service.writeTo(reply, state.usage().frozenThrough()));
 		Fleet known = this.fleet.current();
 		reply.setFleetRevision(known.revision());
 		if (known.revision() != 0 && known.revision() != request.getFleetRevision()) {
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/UsageLoop.java
@@ -0,0 +1,267 @@
+package org.acaciacourse.daemon.duty;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.duty.CallBackoff;
+import org.acaciacourse.core.duty.DutyAnswer;
+import org.acaciacourse.core.lease.LeaseTiming;
+import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.core.usage.UsageActions;
+import org.acaciacourse.core.usage.UsageReport;
+import org.acaciacourse.core.usage.UsageReporter;
+import org.acaciacourse.daemon.lease.LeaseGate;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Reports the usage of customers to the platform while this control VM holds the lease
+ * for it. It runs a {@link UsageReporter}, which only its thread accesses; all results
+ * are handled on that thread.
+ * <p>
+ * Thread safe: start and close are called once each, by any thread.
+ */
+public final class UsageLoop implements AutoCloseable {
+
+	/** The name of the duty and of its lease. */
+	public static final String DUTY = "usage-reports";
+
+	private static final Logger logger = LogManager.getLogger(UsageLoop.class);
+
+	private static final long TICK_MILLIS = 100;
+
+	private static final long RELEASE_SECONDS = 2;
+
+	private final String vm;
+
+	private final String holder;
+
+	private final DutyOptions options;
+
+	private final DutyLeaseCalls calls;
+
+	private final UsageStore store;
+
+	private final DutyMetrics metrics;
+
+	private final LeaseTiming leaseTiming;
+
+	private final LeaseGate lease;
+
+	private final UsageReporter reporter;
+
+	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread made = new Thread(task, "usage");
+		made.setDaemon(true);
+		return made;
+	});
+
+	private long loggedNumber;
+
+	/** The highest fencing number that must not be used any more. */
+	private long givenUpNumber;
+
+	/**
+	 * Create a loop.
+	 * @param vm the name of the VM
+	 * @param holder the id of this process as a holder of leases
+	 * @param options the options
+	 * @param calls acquires and releases the lease
+	 * @param store the usage that the control VMs know
+	 * @param metrics takes the results
+	 */
+	public UsageLoop(String vm, String holder, DutyOptions options, DutyLeaseCalls calls, UsageStore store,
+			DutyMetrics metrics) {
+		this.vm = vm;
+		this.holder = holder;
+		this.options = options;
+		this.calls = calls;
+		this.store = store;
+		this.metrics = metrics;
+		this.leaseTiming = options.leaseTiming();
+		this.lease = new LeaseGate(this.leaseTiming);
+		this.reporter = new UsageReporter(options.usage(), new CallBackoff(options.callsPerSecond(), new Random()),
+				new Steps());
+	}
+
+	/** Start the loop. */
+	public void start() {
+		this.executor.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// An exception that left this method would silently cancel the scheduled task.
+	private void tickSafely() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			logger.error("usage loop failed; continuing with the next tick", ex);
+		}
+	}
+
+	private void tick() {
+		this.lease.requestIfDue().ifPresent(this::askForLease);
+		OptionalLong number = this.lease.fencingNumber();
+		logHolder(number);
+		this.reporter.tick(number, this.store.timeMillis(), System.nanoTime());
+		this.metrics.usage(number.orElse(0), this.reporter.frozenThrough(), this.reporter.reportedThrough(),
+				this.reporter.unreported().size());
+	}
+
+	private void logHolder(OptionalLong number) {
+		if (number.orElse(0) != this.loggedNumber) {
+			DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, (number.isPresent()) ? "acquired" : "ended",
+					(number.isPresent()) ? number.getAsLong() : this.loggedNumber);
+			this.loggedNumber = number.orElse(0);
+		}
+	}
+
+	private void askForLease(long request) {
+		if (!this.calls.isCandidate()) {
+			this.lease.refused(request, false);
+			return;
+		}
+		long millis = TimeUnit.NANOSECONDS.toMillis(this.leaseTiming.durationNanos());
+		this.calls.acquire(this.holder, millis).whenCompleteAsync((result, failure) -> {
+			if (failure != null) {
+				this.lease.refused(request, false);
+			}
+			else {
+				handleLeaseResult(request, result);
+			}
+		}, this.executor);
+	}
+
+	private void handleLeaseResult(long request, LeaseResult result) {
+		if (result.code() != ResultCode.OK) {
+			this.lease.refused(request, result.code() == ResultCode.LEASE_HELD);
+		}
+		else if (result.fencingNumber() <= this.givenUpNumber) {
+			// Its release did not reach the replicated state.
+			this.lease.refused(request, true);
+			this.calls.release(this.holder, result.fencingNumber());
+		}
+		else {
+			this.lease.granted(request, result.fencingNumber());
+		}
+	}
+
+	/**
+	 * Stop and release the lease, so that the next holder need not wait until it expires.
+	 */
+	@Override
+	public void close() {
+		this.executor.shutdownNow();
+		this.lease.release().ifPresent((number) -> {
+			try {
+				this.calls.release(this.holder, number).toCompletableFuture().get(RELEASE_SECONDS, TimeUnit.SECONDS);
+				DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, "released", number);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			catch (ExecutionException | TimeoutException ex) {
+				logger.info("cannot release the lease for usage reports: {}", ex.toString());
+			}
+		});
+	}
+
+	/** Carries out the steps of the reporter. */
+	private final class Steps implements UsageActions {
+
+		@Override
+		public void readState() {
+			long number = UsageLoop.this.loggedNumber;
+			handle(UsageLoop.this.store.state(), number, (state) -> UsageLoop.this.reporter.stateRead(number, state));
+		}
+
+		@Override
+		public void collect(long window) {
+			long number = UsageLoop.this.loggedNumber;
+			handle(UsageLoop.this.store.collect(window), number,
+					(collected) -> handleCollected(number, collected.report(), collected.missing()));
+		}
+
+		private void handleCollected(long number, UsageReport report, List<String> missing) {
+			long now = UsageLoop.this.store.timeMillis();
+			UsageLoop.this.reporter.collected(number, report, missing.isEmpty(), now);
+			if (!missing.isEmpty()) {
+				logger.info(
+						"usage of window {} is not complete {} ms after its end: {} entry VMs are missing, among"
+								+ " them {}",
+						report.window(), now - end(report.window()), missing.size(), missing.get(0));
+			}
+		}
+
+		@Override
+		public void fixed(UsageReport report, boolean complete) {
+			UsageLoop.this.metrics.windowFixed(complete);
+			DecisionLog.write(LogEvent.USAGE_FIXED, report.window(), report.total(), report.counts().size(), complete,
+					UsageLoop.this.store.timeMillis() - end(report.window()));
+		}
+
+		@Override
+		public void freeze(UsageReport report, long reportedThrough) {
+			long number = UsageLoop.this.loggedNumber;
+			handle(UsageLoop.this.store.freeze(report, reportedThrough), number,
+					(result) -> UsageLoop.this.reporter.frozen(number, report.window(), result.report()));
+		}
+
+		@Override
+		public void send(UsageReport report, long fencingNumber) {
+			long startedAt = System.nanoTime();
+			FencedCall call = new FencedCall(UsageLoop.this.vm, fencingNumber,
+					() -> UsageLoop.this.lease.holds(fencingNumber));
+			handle(UsageLoop.this.options.platform().report(report, call), fencingNumber,
+					(answer) -> handleAnswer(report, fencingNumber, answer, startedAt));
+		}
+
+		private void handleAnswer(UsageReport report, long fencingNumber, DutyAnswer answer, long startedAt) {
+			long now = System.nanoTime();
+			long lateMillis = UsageLoop.this.store.timeMillis() - end(report.window())
+					- UsageLoop.this.options.due().toMillis();
+			DecisionLog.write(LogEvent.DUTY_CALL, DUTY, report.window(), fencingNumber, answer.label(),
+					TimeUnit.NANOSECONDS.toMillis(now - startedAt), (lateMillis > 0) ? lateMillis : null);
+			UsageLoop.this.metrics.called(DUTY, answer, lateMillis > 0);
+			UsageLoop.this.reporter.answered(fencingNumber, report.window(), answer, now);
+		}
+
+		@Override
+		public void release(long fencingNumber, long abstainNanos) {
+			UsageLoop.this.calls.abstain(abstainNanos);
+			UsageLoop.this.lease.release();
+			UsageLoop.this.givenUpNumber = fencingNumber;
+			DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, "given-up", fencingNumber);
+			UsageLoop.this.calls.release(UsageLoop.this.holder, fencingNumber);
+		}
+
+		private <T> void handle(CompletionStage<T> step, long number, Consumer<T> next) {
+			step.whenCompleteAsync((result, failure) -> {
+				if (failure != null) {
+					logger.info("a step of the usage reports failed and is repeated: {}", failure.toString());
+					UsageLoop.this.reporter.stepFailed(number, System.nanoTime());
+				}
+				else {
+					next.accept(result);
+				}
+			}, UsageLoop.this.executor);
+		}
+
+		private long end(long window) {
+			return UsageLoop.this.options.usage().windows().end(window);
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -153,14 +154,17 @@
 	 * Send a short POST request over a new connection, unless sending is no longer
 	 * permitted once the connection is open.
 	 * @param url the complete URL
+	 * @param headers headers beside the content type
 	 * @param body the JSON body
 	 * @param timeout the time after which the connection is closed
 	 * @param maySend evaluated immediately before the first byte is sent
 	 * @return the response; fails if none is received in time or the request was not sent
 	 */
-	public CompletionStage<Response> post(String url, byte[] body, Duration timeout, BooleanSupplier maySend) {
-		return this.unpooledClient.preparePost(url)
-			.setHeader("content-type", "application/json")
+	public CompletionStage<Response> post(String url, Map<String, String> headers, byte[] body, Duration timeout,
+			BooleanSupplier maySend) {
+		BoundRequestBuilder builder = this.unpooledClient.preparePost(url);
+		headers.forEach(builder::setHeader);
+		return builder.setHeader("content-type", "application/json")
 			.setBody(body)
 			.setRequestTimeout(timeout)
 			.execute(new AsyncCompletionHandlerBase() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/order/LeaseCalls.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/lease/LeaseCalls.java
@@ -1,20 +1,19 @@
-package org.acaciacourse.daemon.order;
+package org.acaciacourse.daemon.lease;
 
 import java.util.concurrent.CompletionStage;
 
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
 
 /**
- * Acquires and releases the lease for writing engine orders in the replicated state.
+ * Acquires and releases a lease in the replicated state.
  * <p>
  * Thread safe.
  */
 public interface LeaseCalls {
 
 	/**
-	 * Return whether this VM should request the lease. Only the leader does, so that the
-	 * lease moves with the leadership and the other VMs do not fill the log with refused
-	 * requests.
+	 * Return whether this VM should request the lease. Few VMs do at any time, so that
+	 * they do not fill the log with refused requests.
 	 * @return whether to request the lease
 	 */
 	boolean isCandidate();
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -45,6 +45,11 @@
 	 */
 	private static final long RETRY_DELAY_MILLIS = 50;
 
+	/** Keeps the end of a stop within the time that it may take. */
+	private static final Duration LAST_CALL_TIMEOUT = Duration.ofMillis(250);
+
+	private static final int MAX_LAST_TRIES = 2;
+
 	private final LinkOptions options;
 
 	private final String runId;
@@ -57,6 +62,8 @@
 
 	private final Supplier<List<String>> seeds;
 
+	private final Optional<UsageMeter> usage;
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	private final Thread thread;
@@ -68,16 +75,20 @@
 
 	private int controlIndex;
 
+	/** The position up to which the connected control VM has the counts of usage. */
+	private long usagePosition;
+
 	private boolean latestConfirmed;
 
 	private volatile boolean leaving;
 
 	ConfigurationPoller(LinkOptions options, String runId, ControlLink.Listener listener,
-			Supplier<List<ClassReport>> reports) {
+			Supplier<List<ClassReport>> reports, Optional<UsageMeter> usage) {
 		this.options = options;
 		this.runId = runId;
 		this.listener = listener;
 		this.reports = reports;
+		this.usage = usage;
 		this.seeds = options.seeds();
 		this.follower = new ConfigurationFollower(listener);
 		this.controls = options.controls();
@@ -102,19 +113,35 @@
 	}
 
 	private void sendLeaving() {
-		for (String address : this.controls) {
-			try (InternalConnection direct = InternalConnection.open(address, CALL_TIMEOUT)) {
-				PollRequest request = new PollRequest(this.options.vm(), this.runId, this.options.dataCentre(), 0, "",
-						0, 0, List.of(), false, true, 0, "");
-				direct.control().poll(this.options.key().text(), request);
-				return;
-			}
-			catch (TException | RuntimeException ex) {
-				LOGGER.debug("cannot notify control VM {} that this VM is leaving", address, ex);
-			}
+		this.controls.stream().anyMatch((address) -> sendAtOnce(address, leavingRequest(), CALL_TIMEOUT));
+	}
+
+	private PollRequest leavingRequest() {
+		return new PollRequest(this.options.vm(), this.runId, this.options.dataCentre(), 0, "", 0, 0, List.of(), false,
+				true, 0, "");
+	}
+
+	private boolean sendAtOnce(String address, PollRequest request, Duration timeout) {
+		try (InternalConnection direct = InternalConnection.open(address, timeout)) {
+			direct.control().poll(this.options.key().text(), request);
+			return true;
+		}
+		catch (TException | RuntimeException ex) {
+			LOGGER.debug("cannot notify control VM {} that this VM is leaving", address, ex);
+			return false;
 		}
 	}
 
+	private void sendLastUsage() {
+		PollRequest request = leavingRequest();
+		this.usage.ifPresent((meter) -> {
+			meter.writeLastTo(request);
+			this.controls.stream()
+				.limit(MAX_LAST_TRIES)
+				.anyMatch((address) -> sendAtOnce(address, request, LAST_CALL_TIMEOUT));
+		});
+	}
+
 	private void run() {
 		try {
 			while (this.closed.getCount() > 0) {
@@ -138,10 +165,14 @@
 					.of(InternalConnection.open(this.controls.get(this.controlIndex), CALL_TIMEOUT));
 			}
 			boolean latestRequested = !this.latestConfirmed;
-			PollReply reply = this.connection.get().control().poll(this.options.key().text(), request(latestRequested));
+			PollRequest request = request(latestRequested);
+			long nextPosition = this.usage.map((meter) -> meter.writeTo(request, this.usagePosition)).orElse(0L);
+			PollReply reply = this.connection.get().control().poll(this.options.key().text(), request);
 			if (reply.getResult().getCode() != ResultCode.OK.number()) {
 				return false;
 			}
+			this.usagePosition = nextPosition;
+			this.usage.ifPresent((meter) -> meter.replied(reply));
 			boolean current = this.follower.apply(reply);
 			updateControls(reply.getControls());
 			confirmLatest(latestRequested && current && reply.getNumber() > 0);
@@ -188,11 +219,13 @@
 	private void disconnect() {
 		this.connection.ifPresent(InternalConnection::close);
 		this.connection = Optional.empty();
+		this.usagePosition = 0;
 	}
 
 	@Override
 	public void close() {
 		this.closed.countDown();
+		sendLastUsage();
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -1,7 +1,6 @@
 package org.acaciacourse.daemon.link;
 
 import java.time.Duration;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +15,7 @@
 import org.acaciacourse.core.state.ClaimKey;
 import org.acaciacourse.core.state.ClaimOutcome;
 import org.acaciacourse.daemon.codec.CommandCodec;
+import org.acaciacourse.daemon.inner.RunId;
 import org.acaciacourse.protocol.generated.ClaimCommand;
 import org.acaciacourse.protocol.generated.ClaimReply;
 import org.acaciacourse.protocol.generated.ClassReport;
@@ -45,6 +45,8 @@
 
 	private final LinkOptions options;
 
+	private final Optional<UsageMeter> usage;
+
 	private final String runId;
 
 	private final AtomicLong claimNumber = new AtomicLong();
@@ -62,23 +64,25 @@
 	 * @param options the options of the link
 	 */
 	public ThriftControlLink(LinkOptions options) {
+		this(options, Optional.empty());
+	}
+
+	/**
+	 * Create a link that also tells control the usage of customers.
+	 * @param options the options of the link
+	 * @param usage counts the usage, if it is reported
+	 */
+	public ThriftControlLink(LinkOptions options, Optional<UsageMeter> usage) {
 		this.options = options;
-		this.runId = options.vm() + "/" + newRunId();
+		this.usage = usage;
+		this.runId = RunId.next(options.vm());
 		this.claimExecutor = new LeaderCallExecutor("control-claim", options.controls(), CLAIM_THREADS);
 		this.completionExecutor = new LeaderCallExecutor("control-complete", options.controls(), COMPLETE_THREADS);
 	}
 
-	// Two starts of a VM differ in at least one of the two clocks. The identifier need
-	// not be unpredictable, and the first secure random number of a process would add 25
-	// ms to the start.
-	private static String newRunId() {
-		HexFormat hex = HexFormat.of();
-		return hex.toHexDigits(System.currentTimeMillis()) + hex.toHexDigits(System.nanoTime());
-	}
-
 	@Override
 	public synchronized void start(Listener listener, Supplier<List<ClassReport>> reports) {
-		this.poller = Optional.of(new ConfigurationPoller(this.options, this.runId, listener, reports));
+		this.poller = Optional.of(new ConfigurationPoller(this.options, this.runId, listener, reports, this.usage));
 		this.poller.get().start();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/EngineOrderClient.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
@@ -71,7 +72,7 @@
 		ObjectNode body = JSON.createObjectNode();
 		body.put("fencing", order.fencingNumber()).put("order", order.kind().label()).put("subject", order.subject());
 		byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-		return this.client.post(base + PATH, bytes, timeout, maySend).thenApply(EngineOrderClient::isDone);
+		return this.client.post(base + PATH, Map.of(), bytes, timeout, maySend).thenApply(EngineOrderClient::isDone);
 	}
 
 	private static boolean isDone(Response response) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/order/OrderWriterLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/OrderWriterLoop.java
@@ -23,6 +23,8 @@
 import org.acaciacourse.core.order.OrderTiming;
 import org.acaciacourse.core.order.OrderWriter;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.daemon.lease.LeaseCalls;
+import org.acaciacourse.daemon.lease.LeaseGate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -239,6 +239,7 @@
 			this.partial.start(PartialResponse.Mode.STREAM, head);
 		}
 		else {
+			this.exchange.endpointBegan();
 			this.partial.start(PartialResponse.Mode.BUFFERED, head);
 		}
 	}
@@ -275,6 +276,9 @@
 	}
 
 	private void forward(ServerSentEventParser.Event event) {
+		if (!this.answer.hasBegun()) {
+			this.exchange.endpointBegan();
+		}
 		this.answer.eventReceived(this.lastActivityAt);
 		reportSurvival(false);
 		OptionalLong lastForwarded = this.exchange.lastEventId();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -1,9 +1,11 @@
 package org.acaciacourse.daemon.route;
 
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.code.LogRateLimiter;
+import org.acaciacourse.daemon.link.UsageMeter;
 
 /**
  * Objects that all routed requests of an entry VM share.
@@ -19,8 +21,9 @@
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
  * @param lateLogLimiter limits the rate of log lines on late responses
+ * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
 		CrashGuard crashes, StreamOriginService origins, RouteMetrics metrics, Set<RoutedExchange> openExchanges,
-		LogRateLimiter lateLogLimiter) {
+		LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -150,7 +150,7 @@
 		this.origins = new StreamOriginService(this.loop, self.address());
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
 				this.origins, this.metrics, this.openExchanges,
-				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime())));
+				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
@@ -222,6 +222,7 @@
 
 	private synchronized void openAdmin() {
 		if (!this.closed) {
+			this.options.usage().ifPresent(this.metrics::registerUsage);
 			this.admin = this.options.metrics()
 				.flatMap((address) -> AdminServer.open(address, this.metrics.registry(), this::isReady));
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -9,6 +9,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.daemon.link.UsageMeter;
+import org.acaciacourse.daemon.telemetry.Gauges;
 import org.acaciacourse.daemon.telemetry.ProcessMetrics;
 
 /**
@@ -148,4 +150,15 @@
 		this.longestGap.labelValues(route.kind().label()).observe(nanos / 1e9);
 	}
 
+	/**
+	 * Register the metrics of the usage of customers.
+	 * @param usage counts it
+	 */
+	void registerUsage(UsageMeter usage) {
+		Gauges.register(this.registry, "acaciacourse_usage_requests",
+				"Requests that endpoints began and that were counted as usage since the start", usage::requests);
+		Gauges.register(this.registry, "acaciacourse_usage_late_requests",
+				"Of these, requests in a window whose report was fixed before they were counted", usage::lateRequests);
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -9,6 +9,7 @@
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.control.FleetSource;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.link.UsageMeter;
 
 /**
  * Options of the entry daemon for routed requests.
@@ -28,10 +29,12 @@
  * @param fleetSource reads the platform's endpoint list while no control VM reports the
  * fleet
  * @param policy the initial routing policy
+ * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
 		Optional<LoadPeer> loadPeer, SharedKey tunnelKey, RetryBudgetOptions retryBudget, int maxConnections,
-		Duration stopDelay, Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy) {
+		Duration stopDelay, Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy,
+		Optional<UsageMeter> usage) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
@@ -42,6 +45,7 @@
 		Objects.requireNonNull(retryBudget, "retryBudget");
 		Objects.requireNonNull(fleetSource, "fleetSource");
 		Objects.requireNonNull(policy, "policy");
+		Objects.requireNonNull(usage, "usage");
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -453,6 +453,11 @@
 		this.context.crashes().partsSurvived(this.request.pool(), this::features, Duration.ofNanos(nanos));
 	}
 
+	/** An endpoint has begun to run the request. */
+	void endpointBegan() {
+		this.context.usage().ifPresent((meter) -> this.request.customer().ifPresent(meter::began));
+	}
+
 	/** The first part of the response is forwarded. */
 	void responseStarted() {
 		this.telemetry.responseStarted(System.nanoTime());
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -190,6 +190,26 @@
 	 */
 	JOIN_ASKED("join-asked", "replica", "listed", "asked", "answers"),
 
+	/**
+	 * The lease of a duty was acquired, has ended, was released at a stop or given up in
+	 * favour of another VM: the duty, what happened and the fencing number.
+	 */
+	DUTY_HOLDER("duty-holder", "duty", "state", "number"),
+
+	/**
+	 * A call to the platform ended: the duty, what it was about (the window of a usage
+	 * report), the fencing number, the answer, the time it took, and how late it was if
+	 * it was due before.
+	 */
+	DUTY_CALL("duty-call", "duty", "subject", "number", "answer", "took_ms", "late_ms"),
+
+	/**
+	 * The usage of a window is about to be fixed: the window, the requests, the customers
+	 * that they are of, whether all live entry VMs have told their counts, and the time
+	 * since the end of the window.
+	 */
+	USAGE_FIXED("usage-fixed", "window", "requests", "customers", "complete", "after_ms"),
+
 	/**
 	 * The active routing policy: its name, the mechanisms that are off and the values
 	 * that differ from the defaults.
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.SortedMap;
@@ -25,7 +26,10 @@
 import org.acaciacourse.core.state.ClaimOutcome;
 import org.acaciacourse.core.state.Command;
 import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
+import org.acaciacourse.core.usage.UsageReport;
 import org.acaciacourse.protocol.generated.ReplicaEnvelope;
+import org.acaciacourse.protocol.generated.StateRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -54,7 +58,9 @@
 				new Command.Claim(7, key, "hash", "run-1#1"),
 				new Command.CompleteClaim(8, key, "run-1#1", ClaimOutcome.ANSWERED, new byte[] { 1, 2 }),
 				new Command.ReportCrash(9, -4, 2), new Command.EndOwner(10, "run-1"),
-				new Command.ReleaseLease(11, "orders", "run-1", 1));
+				new Command.ReleaseLease(11, "orders", "run-1", 1),
+				new Command.AcquireLease(12, "usage", "run-2", 3000, "vm-2", 3300, true),
+				new Command.FreezeUsage(13, new UsageReport(353_445_120, Map.of("kumasi", 412L, "tema", 3L)), 7));
 	}
 
 	@Nested
@@ -131,6 +137,24 @@
 			assertThat(restored.claim(new ClaimKey("kumasi", "case-7")).flatMap((claim) -> claim.response()))
 				.isEqualTo(Optional.of(restored.claim(new ClaimKey("kumasi", "case-7")).get().response().get()));
 			assertThat(restored.statistics()).isEqualTo(state.statistics());
+			assertThat(restored.snapshot().formerHolders()).isEqualTo(state.snapshot().formerHolders());
+			assertThat(restored.snapshot().leases()).isEqualTo(state.snapshot().leases());
+			assertThat(restored.usage()).isEqualTo(state.usage());
+		}
+
+		// Guards against a control VM that cannot start from the snapshot of an older
+		// release.
+		@Test
+		void snapshotWithoutUsageAndFormerHoldersIsRead() {
+			ControlState state = new ControlState();
+			state.apply(1, new Command.AcquireLease(6, "orders", "run-1", 9000));
+			StateRecord struct = ThriftBytes.decode(StateCodec.encode(state.snapshot()), new StateRecord()).get();
+			struct.unsetUsage();
+			struct.unsetFormerHolders();
+			struct.getLeases().forEach((lease) -> lease.unsetVm());
+			ControlState restored = ControlState.restore(StateCodec.decode(ThriftBytes.encode(struct)).get());
+			assertThat(restored.usage()).isEqualTo(UsageState.EMPTY);
+			assertThat(restored.lease("orders").get().vm()).isEqualTo("run-1");
 		}
 
 	}
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/ControlCluster.java
@@ -16,6 +16,7 @@
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.ReplicaTiming;
+import org.acaciacourse.daemon.duty.DutyOptions;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.SharedKey;
 import org.acaciacourse.daemon.link.LeaderClient;
@@ -53,6 +54,8 @@
 
 	private Optional<IntFunction<FleetSource>> fleet = Optional.empty();
 
+	private Optional<IntFunction<DutyOptions>> duties = Optional.empty();
+
 	public ControlCluster(Path folder, int size) throws IOException {
 		this.folder = folder;
 		this.addresses = freeAddresses(size);
@@ -94,12 +97,18 @@
 		return this;
 	}
 
+	ControlCluster duties(IntFunction<DutyOptions> options) {
+		this.duties = Optional.of(options);
+		return this;
+	}
+
 	ControlDaemon start(int i) {
 		ReplicaTiming timing = new ReplicaTiming(Duration.ofMillis(50).toNanos(), Duration.ofMillis(500).toNanos(),
 				256 * 1024, 4 * 1024 * 1024);
 		ControlOptions options = new ControlOptions("control-" + i, this.addresses.get(i), "127.0.0.1:0",
 				initialAddresses(), data(i), INNER, OPERATOR, this.platformList, false, timing, this.snapshotEntries,
-				true, this.fleet.map((source) -> source.apply(i)), this::initialAddresses);
+				true, this.fleet.map((source) -> source.apply(i)), this::initialAddresses,
+				this.duties.map((duty) -> duty.apply(i)));
 		this.daemons[i] = new ControlDaemon(options);
 		ResultCode code = this.daemons[i].start();
 		if (code != ResultCode.OK) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/EntryViewTests.java
@@ -136,7 +136,7 @@
 	}
 
 	/** Records the latest status. */
-	private static final class StatusRecorder implements ControlLink.Listener {
+	static final class StatusRecorder implements ControlLink.Listener {
 
 		private volatile EndpointStatus last;
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/order/OrderWriterLoopTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/order/OrderWriterLoopTests.java
@@ -23,6 +23,7 @@
 import org.acaciacourse.core.order.EngineOrder;
 import org.acaciacourse.core.order.OrderTiming;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.daemon.lease.LeaseCalls;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -128,6 +128,12 @@
   1: string lease,
   2: string holder,
   3: i64 durationMillis,
+  /* Of the holder's VM; the holder if it is missing. */
+  4: optional string vm,
+  /* How long a VM that another one has followed may not return to the lease. */
+  5: optional i64 returnMillis,
+  /* Whether a new fencing number is at least the time of the proposal in seconds. */
+  6: optional bool timedNumber,
 }
 
 struct ReleaseLeaseCommand {
@@ -160,6 +166,17 @@
   2: i32 crashes,
 }
 
+/* The requests of each customer that endpoints began in a window. */
+struct UsageWindowRecord {
+  1: i64 window,
+  2: map<string, i64> counts,
+}
+
+struct FreezeUsageCommand {
+  1: UsageWindowRecord usage,
+  2: i64 reportedThrough,
+}
+
 union CommandBody {
   1: PutManifestCommand putManifest,
   2: AcquireLeaseCommand acquireLease,
@@ -168,6 +185,7 @@
   5: CompleteClaimCommand completeClaim,
   6: EndOwnerCommand endOwner,
   7: ReportCrashCommand reportCrash,
+  8: FreezeUsageCommand freezeUsage,
 }
 
 struct CommandRecord {
@@ -190,6 +208,20 @@
   2: string holder,
   3: i64 fencingNumber,
   4: i64 expiresAt,
+  /* Of the holder's VM; the holder if it is missing. */
+  5: optional string vm,
+}
+
+struct FormerHolderRecord {
+  1: string lease,
+  2: string vm,
+  3: i64 endedAt,
+}
+
+struct UsageStateRecord {
+  1: i64 frozenThrough,
+  2: i64 reportedThrough,
+  3: list<UsageWindowRecord> unreported,
 }
 
 struct ClaimEntryRecord {
@@ -229,6 +261,8 @@
   10: list<ClaimEntryRecord> claims,
   11: i64 crashRevision,
   12: list<CrashRecord> crashes,
+  13: optional list<FormerHolderRecord> formerHolders,
+  14: optional UsageStateRecord usage,
 }
 
 /* ---- answers ---- */
@@ -280,6 +314,12 @@
   12: string loadAddress,
   /* Of the peers that the entry knows. */
   13: optional i64 peersRevision,
+  /* The entry's time of day. */
+  14: optional i64 wallMillis,
+  /* The time up to which the counts of usage are complete. */
+  15: optional i64 usageCompleteUntil,
+  /* The counts of usage that have changed since the previous poll over this connection. */
+  16: optional list<UsageWindowRecord> usage,
 }
 
 struct PollReply {
@@ -307,6 +347,10 @@
   17: optional i64 peersRevision,
   /* XXH3 over the whole document that a snapshot holds; cheaper to check than the digest. */
   15: optional i64 checksum,
+  /* The time of day as the clocks of several VMs tell it. */
+  18: optional i64 timeMillis,
+  /* The latest window whose usage is fixed. */
+  19: optional i64 usageFrozenThrough,
 }
 
 /* A datagram between entries: what the sender has under way at endpoints. */
@@ -505,6 +549,21 @@
 }
 
 /* For entries and operators. */
+/* What one run of an entry has counted, as a control VM knows it. */
+struct RunUsageRecord {
+  1: string run,
+  2: i64 completeUntil,
+  /* Since the run was last heard of. */
+  3: i64 ageMillis,
+  4: list<UsageWindowRecord> windows,
+}
+
+struct FreezeUsageReply {
+  1: Result result,
+  /* The counts that hold; missing if they were reported before. */
+  2: optional UsageWindowRecord usage,
+}
+
 service ControlService {
   ApplyReply apply(1: ApplyRequest request),
   PollReply poll(1: string sharedKey, 2: PollRequest request),
@@ -520,4 +579,8 @@
   FleetReply fleet(1: string sharedKey, 2: i64 revision, 3: i64 waitMillis),
   /* The entries that poll here, for the other control VMs. */
   list<EntryStatus> entries(1: string sharedKey, 2: bool withReports),
+  /* Fixes the usage of a window; only the leader does. */
+  FreezeUsageReply freezeUsage(1: string sharedKey, 2: FreezeUsageCommand command),
+  /* The usage that entries have told here, for the other control VMs. */
+  list<RunUsageRecord> usage(1: string sharedKey),
 }
