Endpoints ordered from the platform: reclaimable ones in place of permanent ones, with a reserve

The provision of a pool is what serves before the first order, recorded in the log, so that no later holder takes the endpoints that a reclaim has left for it. Permanent endpoints are ordered away only once their replacements serve. An order without an answer is followed by a new fencing number before anything else is ordered; 409 has two meanings and neither is looped on. The lease of UsageLoop moved to DutyHolder, which both duties use.

--- a/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
@@ -93,6 +93,18 @@
 		return Either.right(new RouteTable(number, limits, routes, pools, owners));
 	}
 
+	/**
+	 * Read only the pools of a valid document.
+	 * @param document the document
+	 * @return the pools
+	 */
+	public static List<Pool> pools(ManifestDocument document) {
+		RouteTableParser parser = new RouteTableParser();
+		parser.problems = new ArrayList<>();
+		return parser.parseSections(POOL_PREFIX, document, document.sections(), parser::parsePool, new HashMap<>(),
+				Pool.class);
+	}
+
 	private <T> List<T> parseSections(String prefix, ManifestDocument document,
 			SortedMap<String, SortedMap<String, String>> sections, BiFunction<String, SectionReader, T> parser,
 			Map<String, Object> elements, Class<T> type) {
@@ -116,7 +128,21 @@
 
 	private Pool parsePool(String name, SectionReader section) {
 		return new Pool(name, (int) section.number("max-connections", 1, 1_000_000, 100),
-				section.number("engine-tokens", 0, Long.MAX_VALUE, 0));
+				section.number("engine-tokens", 0, Long.MAX_VALUE, 0), parseScaling(section));
+	}
+
+	private static Optional<PoolScaling> parseScaling(SectionReader section) {
+		if (section.text("endpoints-max").isEmpty()) {
+			return Optional.empty();
+		}
+		int min = (int) section.number("endpoints-min", 0, 1_000_000, 0);
+		int max = (int) section.number("endpoints-max", 0, 1_000_000, 0);
+		if (min > max) {
+			section.addProblem("endpoints-min", min + " is above endpoints-max " + max);
+			return Optional.empty();
+		}
+		double price = section.decimal("reclaimable-price", 1);
+		return Optional.of(new PoolScaling(min, max, section.duration("boot", Duration.ZERO), price));
 	}
 
 	private KeyOwner parseOwner(String name, SectionReader section) {
@@ -257,6 +283,16 @@
 			return duration.orElse(defaultValue);
 		}
 
+		private double decimal(String key, double defaultValue) {
+			Optional<String> value = text(key);
+			boolean valid = value.isEmpty() || Units.isDecimal(value.get());
+			if (!valid || value.map(Double::parseDouble).orElse(defaultValue) < 0) {
+				addProblem(key, "expected a number of at least 0");
+				return defaultValue;
+			}
+			return value.map(Double::parseDouble).orElse(defaultValue);
+		}
+
 		private long number(String key, long min, long max, long defaultValue) {
 			Optional<String> value = text(key);
 			if (value.isEmpty()) {
--- /dev/null
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -0,0 +1,358 @@
+package org.acaciacourse.core.scaling;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.acaciacourse.core.duty.CallBackoff;
+import org.acaciacourse.core.duty.DutyAnswer;
+import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.route.Pool;
+import org.acaciacourse.core.route.PoolScaling;
+import org.acaciacourse.core.scaling.EndpointOrder.Subject;
+
+/**
+ * Replaces the permanent endpoints of pools by reclaimable ones where these cost less,
+ * and a reserve of them in each data centre, so that the others bear the loss of one. The
+ * number is that of the endpoints that stood there before the first order. Permanent
+ * endpoints are ordered away only once their replacements serve. When the platform takes
+ * endpoints back, the order is repeated until they are to be had again.
+ * <p>
+ * An order without an answer may be carried out after later ones. Before anything else is
+ * ordered the lease is acquired anew, so that the platform refuses it then. A refusal of
+ * reclaimable endpoints has two meanings, that there are none or that a higher fencing
+ * number was seen: after some of them the lease is acquired anew, too.
+ * <p>
+ * Invariants: at most one action is outstanding; an order is sent only with the fencing
+ * number of a lease that is held at that moment; pools without a price for reclaimable
+ * endpoints, or of which no endpoint is known, are left alone.
+ * <p>
+ * Not thread safe: all methods must be called by one thread.
+ */
+public final class EndpointOrders {
+
+	/** Endpoints that are listed one after the other at a start are counted together. */
+	private static final long STABLE_NANOS = Duration.ofMillis(2_500).toNanos();
+
+	/** Steps have shorter timeouts of their own; one whose end was lost is repeated. */
+	private static final long STEP_TIMEOUT_NANOS = Duration.ofSeconds(10).toNanos();
+
+	/** The delay between two orders while no reclaimable endpoints are to be had. */
+	private static final long UNAVAILABLE_NANOS = Duration.ofSeconds(3).toNanos();
+
+	/** Beyond the time to boot: the list of endpoints lags. */
+	private static final long LIST_LAG_NANOS = Duration.ofSeconds(2).toNanos();
+
+	/** How long a call may stay without answer until another VM is to try. */
+	private static final long ABSTAIN_NANOS = Duration.ofSeconds(10).toNanos();
+
+	/** Calls without an answer in a row after which another VM is to try. */
+	private static final int MAX_UNANSWERED = 3;
+
+	/** Refusals in a row after which a higher number is tried. */
+	private static final int MAX_REFUSALS = 3;
+
+	/** The part of the ordered endpoints that must serve before others are taken away. */
+	private static final double SERVING_PART = 0.9;
+
+	/** Below that part of the ordered endpoints they have been taken back. */
+	private static final double LACKING_PART = 0.5;
+
+	private final double reserve;
+
+	private final CallBackoff backoff;
+
+	private final EndpointOrderActions actions;
+
+	private final Map<Subject, OrderRecord> records = new HashMap<>();
+
+	private Map<String, PoolProvision> provisions = new TreeMap<>();
+
+	private long currentFencingNumber;
+
+	private boolean outstanding;
+
+	private long outstandingSince;
+
+	private boolean givenUp;
+
+	private boolean stateKnown;
+
+	private int unanswered;
+
+	private long fleetRevision;
+
+	private long fleetSince;
+
+	/**
+	 * Create the orders.
+	 * @param reserve the number of reclaimable endpoints for each permanent one that they
+	 * replace
+	 * @param backoff times the calls to the platform
+	 * @param actions carries out the actions
+	 */
+	public EndpointOrders(double reserve, CallBackoff backoff, EndpointOrderActions actions) {
+		if (!(reserve >= 1)) {
+			throw new IllegalArgumentException("reserve must be at least 1: " + reserve);
+		}
+		this.reserve = reserve;
+		this.backoff = backoff;
+		this.actions = actions;
+	}
+
+	/**
+	 * Carry out the next step if one is due. Must be called regularly.
+	 * @param fencingNumber the fencing number of the lease, if it is held now
+	 * @param fleet the endpoints, {@link Fleet#NONE} if they are not known
+	 * @param pools the pools of the configuration
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void tick(OptionalLong fencingNumber, Fleet fleet, List<Pool> pools, long now) {
+		if (fleet.revision() != this.fleetRevision) {
+			this.fleetRevision = fleet.revision();
+			this.fleetSince = now;
+		}
+		if (fencingNumber.isEmpty()) {
+			return;
+		}
+		if (fencingNumber.getAsLong() != this.currentFencingNumber) {
+			begin(fencingNumber.getAsLong());
+		}
+		boolean waits = this.outstanding && now - this.outstandingSince < STEP_TIMEOUT_NANOS;
+		if (waits || this.givenUp || !this.backoff.mayCall(now)) {
+			return;
+		}
+		this.outstandingSince = now;
+		if (!this.stateKnown) {
+			this.outstanding = true;
+			this.actions.readState();
+		}
+		else if (fleet.revision() != 0) {
+			pools.stream().filter(EndpointOrders::isOrdered).anyMatch((pool) -> step(pool, fleet, now));
+		}
+	}
+
+	private static boolean isOrdered(Pool pool) {
+		return pool.scaling().filter((scaling) -> scaling.reclaimablePrice() < 1 && scaling.max() > 0).isPresent();
+	}
+
+	// Orders of this VM that were answered hold until another VM has the lease.
+	private void begin(long fencingNumber) {
+		if (fencingNumber != this.currentFencingNumber + 1) {
+			this.records.clear();
+		}
+		this.currentFencingNumber = fencingNumber;
+		this.outstanding = false;
+		this.givenUp = false;
+		this.stateKnown = false;
+	}
+
+	private boolean step(Pool pool, Fleet fleet, long now) {
+		Map<String, Integer> serving = serving(pool, fleet);
+		PoolProvision provision = this.provisions.get(pool.name());
+		if (provision == null) {
+			boolean stable = !serving.isEmpty() && now - this.fleetSince >= STABLE_NANOS;
+			if (stable) {
+				record(pool, new PoolProvision(serving, Set.of()));
+			}
+			return stable;
+		}
+		return provision.counts()
+			.keySet()
+			.stream()
+			.anyMatch((dataCentre) -> step(pool, provision, dataCentre, serving.getOrDefault(dataCentre, 0), now));
+	}
+
+	private static Map<String, Integer> serving(Pool pool, Fleet fleet) {
+		Map<String, Integer> counts = new TreeMap<>();
+		fleet.endpoints()
+			.stream()
+			.filter((endpoint) -> endpoint.pool().equals(pool.name()) && !endpoint.leaving())
+			.map(FleetEndpoint::dataCentre)
+			.forEach((dataCentre) -> counts.merge(dataCentre, 1, Integer::sum));
+		return counts;
+	}
+
+	private void record(Pool pool, PoolProvision provision) {
+		this.outstanding = true;
+		this.actions.record(pool.name(), provision);
+	}
+
+	private boolean step(Pool pool, PoolProvision provision, String dataCentre, int serving, long now) {
+		PoolScaling scaling = pool.scaling().orElseThrow();
+		int base = provision.counts().get(dataCentre);
+		int target = Math.min(scaling.max(), (int) Math.ceil(base * this.reserve));
+		Subject reclaimable = new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE);
+		if (provision.replaced().contains(dataCentre)) {
+			Subject permanent = new Subject(pool.name(), dataCentre, EndpointKind.PERMANENT);
+			return orderIfNew(permanent, 0, now) || orderIfNew(reclaimable, target, now)
+					|| orderIfLacking(reclaimable, target, serving, scaling, now);
+		}
+		int first = Math.min(target, scaling.max() - base);
+		if (first <= 0) {
+			return false;
+		}
+		if (orderIfNew(reclaimable, first, now)) {
+			return true;
+		}
+		boolean replaced = isOrdered(reclaimable, first) && serving >= base + Math.ceil(first * SERVING_PART);
+		if (replaced) {
+			record(pool, new PoolProvision(provision.counts(), Set.of(dataCentre)));
+		}
+		return replaced;
+	}
+
+	private boolean isOrdered(Subject subject, int count) {
+		return this.records.containsKey(subject) && this.records.get(subject).confirmed.equals(Optional.of(count));
+	}
+
+	private boolean orderIfNew(Subject subject, int count, long now) {
+		OrderRecord record = this.records.computeIfAbsent(subject, (s) -> new OrderRecord(now));
+		return !record.confirmed.equals(Optional.of(count)) && order(subject, count, record, now);
+	}
+
+	private boolean orderIfLacking(Subject subject, int count, int serving, PoolScaling scaling, long now) {
+		OrderRecord record = this.records.get(subject);
+		boolean lacking = serving < count * LACKING_PART
+				&& now - record.orderedAt >= scaling.boot().toNanos() + LIST_LAG_NANOS;
+		return lacking && order(subject, count, record, now);
+	}
+
+	private boolean order(Subject subject, int count, OrderRecord record, long now) {
+		if (now - record.notBefore < 0) {
+			return false;
+		}
+		record.orderedAt = now;
+		record.confirmed = Optional.empty();
+		this.outstanding = true;
+		this.backoff.called(now);
+		this.actions.send(new EndpointOrder(subject, count), this.currentFencingNumber);
+		return true;
+	}
+
+	/**
+	 * Handle the provisions of all pools.
+	 * @param fencingNumber the fencing number of the lease when they were asked for
+	 * @param recorded the provisions by the names of the pools
+	 */
+	public void stateRead(long fencingNumber, Map<String, PoolProvision> recorded) {
+		if (isCurrent(fencingNumber)) {
+			this.outstanding = false;
+			this.stateKnown = true;
+			this.provisions = new TreeMap<>(recorded);
+		}
+	}
+
+	/**
+	 * Handle a provision that was recorded.
+	 * @param fencingNumber the fencing number of the lease when that was asked for
+	 * @param pool the name of the pool
+	 * @param provision what holds for it
+	 */
+	public void provisionRecorded(long fencingNumber, String pool, PoolProvision provision) {
+		if (isCurrent(fencingNumber)) {
+			this.outstanding = false;
+			this.provisions.put(pool, provision);
+		}
+	}
+
+	/**
+	 * Handle the platform's answer to an order.
+	 * @param fencingNumber the fencing number that was sent
+	 * @param order the order
+	 * @param answer the answer
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void answered(long fencingNumber, EndpointOrder order, DutyAnswer answer, long now) {
+		if (!isCurrent(fencingNumber)) {
+			return;
+		}
+		this.outstanding = false;
+		OrderRecord record = this.records.computeIfAbsent(order.subject(), (subject) -> new OrderRecord(now));
+		switch (answer) {
+			case ACCEPTED -> accepted(order, record);
+			case FENCED -> refused(order, record, now);
+			case REFUSED -> record.delay(now + STEP_TIMEOUT_NANOS);
+			case BUSY, UNAVAILABLE, NOT_SENT -> this.backoff.failed(now);
+			case UNANSWERED -> unanswered(now);
+		}
+	}
+
+	private void accepted(EndpointOrder order, OrderRecord record) {
+		record.confirmed = Optional.of(order.count());
+		record.refusals = 0;
+		this.unanswered = 0;
+		this.backoff.succeeded();
+	}
+
+	private void refused(EndpointOrder order, OrderRecord record, long now) {
+		record.refusals++;
+		record.delay(now + UNAVAILABLE_NANOS);
+		if (order.subject().kind() == EndpointKind.PERMANENT || record.refusals >= MAX_REFUSALS) {
+			record.refusals = 0;
+			release(0);
+		}
+	}
+
+	private void unanswered(long now) {
+		this.backoff.failed(now);
+		this.unanswered++;
+		if (this.unanswered < MAX_UNANSWERED) {
+			release(0);
+		}
+		else {
+			this.unanswered = 0;
+			release(ABSTAIN_NANOS);
+		}
+	}
+
+	private void release(long abstainNanos) {
+		this.givenUp = true;
+		this.actions.release(this.currentFencingNumber, abstainNanos);
+	}
+
+	/**
+	 * Handle a step other than an order that failed. It is repeated.
+	 * @param fencingNumber the fencing number of the lease when it was begun
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void stepFailed(long fencingNumber, long now) {
+		if (isCurrent(fencingNumber)) {
+			this.outstanding = false;
+			this.backoff.failed(now);
+		}
+	}
+
+	private boolean isCurrent(long fencingNumber) {
+		return fencingNumber == this.currentFencingNumber;
+	}
+
+	private static final class OrderRecord {
+
+		/** The number that the platform has accepted last, empty if that is not known. */
+		private Optional<Integer> confirmed = Optional.empty();
+
+		private long orderedAt;
+
+		private long notBefore;
+
+		private int refusals;
+
+		private OrderRecord(long now) {
+			this.orderedAt = now;
+			this.notBefore = now;
+		}
+
+		private void delay(long until) {
+			this.notBefore = until;
+		}
+
+	}
+
+}
--- a/core/src/main/java/org/acaciacourse/core/state/Command.java
+++ b/core/src/main/java/org/acaciacourse/core/state/Command.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import org.acaciacourse.core.manifest.ManifestDelta;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.usage.UsageReport;
 
 /**
@@ -152,4 +153,22 @@
 
 	}
 
+	/**
+	 * Record how many endpoints of a pool there were before the first order, and in which
+	 * data centres the permanent ones are replaced. The first counts of a pool hold; data
+	 * centres are only added.
+	 *
+	 * @param proposedAt the time of the proposal in milliseconds since the epoch
+	 * @param pool the name of the pool
+	 * @param provision the counts and the data centres
+	 */
+	record RecordProvision(long proposedAt, String pool, PoolProvision provision) implements Command {
+
+		public RecordProvision {
+			Objects.requireNonNull(pool, "pool");
+			Objects.requireNonNull(provision, "provision");
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/state/CommandResult.java
+++ b/core/src/main/java/org/acaciacourse/core/state/CommandResult.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.usage.UsageReport;
 
 /**
@@ -89,6 +90,15 @@
 
 	}
 
+	/**
+	 * The result of recording the provision of a pool.
+	 *
+	 * @param code {@link ResultCode#OK}
+	 * @param provision what holds for the pool now
+	 */
+	record ProvisionResult(ResultCode code, PoolProvision provision) implements CommandResult {
+	}
+
 	/**
 	 * The result of a command that is never refused.
 	 *
--- a/core/src/main/java/org/acaciacourse/core/state/ControlState.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ControlState.java
@@ -1,12 +1,17 @@
 package org.acaciacourse.core.state;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.CommandResult.Done;
+import org.acaciacourse.core.state.CommandResult.ProvisionResult;
 import org.acaciacourse.core.state.ControlStateSnapshot.ActiveManifest;
 import org.acaciacourse.core.state.ControlStateSnapshot.AuditEntry;
 import org.acaciacourse.core.state.ControlStateSnapshot.ClaimRecord;
@@ -36,6 +41,8 @@
 
 	private final UsageTable usage;
 
+	private final SortedMap<String, PoolProvision> provisions;
+
 	private long appliedIndex;
 
 	private long time;
@@ -46,7 +53,7 @@
 	public ControlState() {
 		this(new ControlStateSnapshot(0, 0,
 				new ActiveManifest(0, ManifestDocument.empty().digest(), ManifestDocument.empty()), List.of(),
-				List.of(), 0, List.of(), List.of(), 0, List.of(), List.of(), UsageState.EMPTY));
+				List.of(), 0, List.of(), List.of(), 0, List.of(), List.of(), UsageState.EMPTY, new TreeMap<>()));
 	}
 
 	private ControlState(ControlStateSnapshot snapshot) {
@@ -57,6 +64,7 @@
 		this.claims = new ClaimTable(snapshot.claims());
 		this.crashes = new CrashTable(snapshot.crashRevision(), snapshot.crashes());
 		this.usage = new UsageTable(snapshot.usage());
+		this.provisions = new TreeMap<>(snapshot.provisions());
 	}
 
 	/**
@@ -75,7 +83,8 @@
 	public ControlStateSnapshot snapshot() {
 		return new ControlStateSnapshot(this.appliedIndex, this.time, this.manifests.active(), this.manifests.history(),
 				this.manifests.audit(), this.leases.fencingNumber(), this.leases.leases(), this.claims.claims(),
-				this.crashes.revision(), this.crashes.since(0), this.leases.formerHolders(), this.usage.state());
+				this.crashes.revision(), this.crashes.since(0), this.leases.formerHolders(), this.usage.state(),
+				this.provisions);
 	}
 
 	/**
@@ -110,6 +119,10 @@
 		if (command instanceof Command.FreezeUsage freeze) {
 			return this.usage.freeze(freeze);
 		}
+		if (command instanceof Command.RecordProvision record) {
+			PoolProvision held = this.provisions.merge(record.pool(), record.provision(), PoolProvision::extendedBy);
+			return new ProvisionResult(ResultCode.OK, held);
+		}
 		if (command instanceof Command.EndOwner end) {
 			this.claims.endOwner(end.owner(), this.time);
 		}
@@ -223,6 +236,14 @@
 		return this.crashes.since(revision);
 	}
 
+	/**
+	 * Return the provision of the pools with ordered endpoints.
+	 * @return the provisions by the names of the pools
+	 */
+	public Map<String, PoolProvision> provisions() {
+		return Map.copyOf(this.provisions);
+	}
+
 	/**
 	 * Return the latest entries of the audit log.
 	 * @return the entries, oldest first
--- a/core/src/main/java/org/acaciacourse/core/state/ControlStateSnapshot.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ControlStateSnapshot.java
@@ -1,11 +1,15 @@
 package org.acaciacourse.core.state;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.usage.UsageReport;
 
 /**
@@ -28,10 +32,12 @@
  * @param formerHolders the VMs that held a lease lately, ordered by the name of the lease
  * and the end of their time
  * @param usage the usage that is fixed
+ * @param provisions the provision of pools with ordered endpoints, by their names
  */
 public record ControlStateSnapshot(long appliedIndex, long time, ActiveManifest manifest, List<ManifestChange> history,
 		List<AuditEntry> audit, long fencingNumber, List<Lease> leases, List<ClaimRecord> claims, long crashRevision,
-		List<CrashRecord> crashes, List<FormerHolder> formerHolders, UsageState usage) {
+		List<CrashRecord> crashes, List<FormerHolder> formerHolders, UsageState usage,
+		SortedMap<String, PoolProvision> provisions) {
 
 	public ControlStateSnapshot {
 		Objects.requireNonNull(manifest, "manifest");
@@ -42,6 +48,7 @@
 		crashes = List.copyOf(crashes);
 		formerHolders = List.copyOf(formerHolders);
 		Objects.requireNonNull(usage, "usage");
+		provisions = Collections.unmodifiableSortedMap(new TreeMap<>(provisions));
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/state/ControlStateTests.java
+++ b/core/src/test/java/org/acaciacourse/core/state/ControlStateTests.java
@@ -3,14 +3,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.CommandResult.ClaimResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
 import org.acaciacourse.core.state.CommandResult.ManifestResult;
+import org.acaciacourse.core.state.CommandResult.ProvisionResult;
 import org.acaciacourse.core.state.CommandResult.UsageResult;
 import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
 import org.acaciacourse.core.usage.UsageReport;
@@ -164,6 +167,21 @@
 
 	}
 
+	@Nested
+	class Provisions {
+
+		// Guards against a pool whose provision shrinks with the endpoints that are left.
+		@Test
+		void firstCountsHoldAndDataCentresAreAdded() {
+			apply(new Command.RecordProvision(0, "pool", new PoolProvision(Map.of("a", 21, "b", 3), Set.of())));
+			apply(new Command.RecordProvision(0, "pool", new PoolProvision(Map.of("a", 2), Set.of("b"))));
+			ProvisionResult result = (ProvisionResult) apply(
+					new Command.RecordProvision(0, "pool", new PoolProvision(Map.of(), Set.of("a"))));
+			assertThat(result.provision()).isEqualTo(new PoolProvision(Map.of("a", 21, "b", 3), Set.of("a", "b")));
+		}
+
+	}
+
 	@Nested
 	class Usage {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/CommandCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/CommandCodec.java
@@ -10,6 +10,7 @@
 import org.acaciacourse.core.state.Command.EndOwner;
 import org.acaciacourse.core.state.Command.FreezeUsage;
 import org.acaciacourse.core.state.Command.PutManifest;
+import org.acaciacourse.core.state.Command.RecordProvision;
 import org.acaciacourse.core.state.Command.ReleaseLease;
 import org.acaciacourse.core.state.Command.ReportCrash;
 import org.acaciacourse.protocol.generated.AcquireLeaseCommand;
@@ -19,6 +20,7 @@
 import org.acaciacourse.protocol.generated.CompleteClaimCommand;
 import org.acaciacourse.protocol.generated.EndOwnerCommand;
 import org.acaciacourse.protocol.generated.FreezeUsageCommand;
+import org.acaciacourse.protocol.generated.ProvisionRecord;
 import org.acaciacourse.protocol.generated.PutManifestCommand;
 import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
 import org.acaciacourse.protocol.generated.ReportCrashCommand;
@@ -69,6 +71,9 @@
 		if (command instanceof FreezeUsage c) {
 			return CommandBody.freezeUsage(new FreezeUsageCommand(UsageCodec.encode(c.report()), c.reportedThrough()));
 		}
+		if (command instanceof RecordProvision c) {
+			return CommandBody.recordProvision(ProvisionCodec.encode(c.pool(), c.provision()));
+		}
 		ReportCrash c = (ReportCrash) command;
 		return CommandBody.reportCrash(new ReportCrashCommand(c.contentHash(), c.crashes()));
 	}
@@ -96,6 +101,7 @@
 			case COMPLETE_CLAIM -> completeClaim(proposedAt, body.getCompleteClaim());
 			case END_OWNER -> new EndOwner(proposedAt, body.getEndOwner().getOwner());
 			case REPORT_CRASH -> reportCrash(proposedAt, body.getReportCrash());
+			case RECORD_PROVISION -> recordProvision(proposedAt, body.getRecordProvision());
 			case FREEZE_USAGE -> freezeUsage(proposedAt, body.getFreezeUsage());
 		};
 	}
@@ -175,6 +181,16 @@
 		return new FreezeUsage(proposedAt, UsageCodec.decode(struct.getUsage()), struct.getReportedThrough());
 	}
 
+	/**
+	 * Decode a request to record the provision of a pool.
+	 * @param proposedAt the proposer's wall-clock time
+	 * @param struct the struct
+	 * @return the command
+	 */
+	public static RecordProvision recordProvision(long proposedAt, ProvisionRecord struct) {
+		return new RecordProvision(proposedAt, struct.getPool(), ProvisionCodec.decode(struct));
+	}
+
 	/**
 	 * Decode an outcome.
 	 * @param ordinal its ordinal
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/StateCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/StateCodec.java
@@ -1,9 +1,13 @@
 package org.acaciacourse.daemon.codec;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 import io.vavr.control.Try;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.ClaimKey;
 import org.acaciacourse.core.state.ControlStateSnapshot;
 import org.acaciacourse.core.state.ControlStateSnapshot.ActiveManifest;
@@ -19,6 +23,7 @@
 import org.acaciacourse.protocol.generated.FormerHolderRecord;
 import org.acaciacourse.protocol.generated.LeaseRecord;
 import org.acaciacourse.protocol.generated.ManifestChangeRecord;
+import org.acaciacourse.protocol.generated.ProvisionRecord;
 import org.acaciacourse.protocol.generated.StateRecord;
 import org.acaciacourse.protocol.generated.UsageStateRecord;
 
@@ -51,6 +56,9 @@
 		struct.setCrashes(state.crashes().stream().map(StateCodec::encode).toList());
 		struct.setFormerHolders(state.formerHolders().stream().map(StateCodec::encode).toList());
 		struct.setUsage(encode(state.usage()));
+		List<ProvisionRecord> provisions = new ArrayList<>();
+		state.provisions().forEach((pool, provision) -> provisions.add(ProvisionCodec.encode(pool, provision)));
+		struct.setProvisions(provisions);
 		return ThriftBytes.encode(struct);
 	}
 
@@ -71,10 +79,20 @@
 				struct.getAudit().stream().map(StateCodec::decode).toList(), struct.getFencingNumber(),
 				struct.getLeases().stream().map(StateCodec::decode).toList(),
 				struct.getClaims().stream().map(StateCodec::decode).toList(), struct.getCrashRevision(),
-				struct.getCrashes().stream().map(StateCodec::decode).toList(), formerHolders(struct), usage(struct));
+				struct.getCrashes().stream().map(StateCodec::decode).toList(), formerHolders(struct), usage(struct),
+				provisions(struct));
 	}
 
-	// A snapshot of an older release has neither former holders nor usage.
+	private static SortedMap<String, PoolProvision> provisions(StateRecord struct) {
+		SortedMap<String, PoolProvision> provisions = new TreeMap<>();
+		if (struct.isSetProvisions()) {
+			struct.getProvisions()
+				.forEach((provision) -> provisions.put(provision.getPool(), ProvisionCodec.decode(provision)));
+		}
+		return provisions;
+	}
+
+	// A snapshot of an older release has neither former holders, usage nor provisions.
 	private static List<FormerHolder> formerHolders(StateRecord struct) {
 		return (struct.isSetFormerHolders()) ? struct.getFormerHolders().stream().map(StateCodec::decode).toList()
 				: List.of();
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -83,7 +83,7 @@
 
 	private Optional<OrderWriterLoop> orderLoop = Optional.empty();
 
-	private Optional<UsageDuty> usageDuty = Optional.empty();
+	private Optional<Duties> duties = Optional.empty();
 
 	/**
 	 * Create a daemon.
@@ -206,12 +206,12 @@
 		PlatformList platform = new PlatformList(this.options.platformList());
 		FleetKeeper fleet = new FleetKeeper(next, this.self, this.options.innerKey(), this.options.fleet());
 		ApplyService applyService = new ApplyService(next);
-		Optional<UsageDuty> usage = this.options.duties()
-			.map((duties) -> new UsageDuty(duties, next, this.self, this.options.innerKey()));
-		Optional<UsageService> usageService = usage.map(UsageDuty::service);
+		this.duties = this.options.duties()
+			.map((duties) -> new Duties(duties, next, this.self, this.options.innerKey()));
+		Optional<UsageService> usage = this.duties.flatMap(Duties::usage);
 		this.controlHandler.start(new ControlHandler.Services(next, applyService,
-				new PollService(next, read, this.registry, platform, fleet, usageService),
-				new StatusService(next, this.self, exchange), this.registry, fleet, usageService));
+				new PollService(next, read, this.registry, platform, fleet, usage),
+				new StatusService(next, this.self, exchange), this.registry, fleet, usage));
 		exchange.start();
 		platform.start(next.views()::signalChange);
 		fleet.start();
@@ -225,8 +225,7 @@
 		if (this.options.orders()) {
 			startOrderLoop(next);
 		}
-		usage.ifPresent((duty) -> duty.start(this.metrics));
-		this.usageDuty = usage;
+		this.duties.ifPresent((started) -> started.start(fleet, this.metrics));
 		commitSeconds.get();
 		ControlMetrics.register(this.metrics, () -> next.views().latest(), this.registry);
 	}
@@ -333,8 +332,8 @@
 	private void closeHolders() {
 		this.orderLoop.ifPresent(OrderWriterLoop::close);
 		this.orderLoop = Optional.empty();
-		this.usageDuty.ifPresent(UsageDuty::close);
-		this.usageDuty = Optional.empty();
+		this.duties.ifPresent(Duties::close);
+		this.duties = Optional.empty();
 	}
 
 	private void closeAll() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -10,9 +10,11 @@
 import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.CommandResult.ClaimResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
+import org.acaciacourse.core.state.CommandResult.ProvisionResult;
 import org.acaciacourse.core.state.CommandResult.UsageResult;
 import org.acaciacourse.daemon.codec.CommandCodec;
 import org.acaciacourse.daemon.codec.FleetCodec;
+import org.acaciacourse.daemon.codec.ProvisionCodec;
 import org.acaciacourse.daemon.codec.UsageCodec;
 import org.acaciacourse.daemon.inner.SharedKey;
 import org.acaciacourse.protocol.generated.AcquireLeaseCommand;
@@ -29,6 +31,8 @@
 import org.acaciacourse.protocol.generated.LeaseReply;
 import org.acaciacourse.protocol.generated.PollReply;
 import org.acaciacourse.protocol.generated.PollRequest;
+import org.acaciacourse.protocol.generated.ProvisionRecord;
+import org.acaciacourse.protocol.generated.ProvisionReply;
 import org.acaciacourse.protocol.generated.ReadIndexReply;
 import org.acaciacourse.protocol.generated.ReleaseLeaseCommand;
 import org.acaciacourse.protocol.generated.ReportCrashCommand;
@@ -213,6 +217,15 @@
 			});
 	}
 
+	@Override
+	public ProvisionReply recordProvision(String sharedKey, ProvisionRecord provision) throws TException {
+		ReplicaLoop loop = servicesFor(sharedKey).loop();
+		return Replies.await(loop.propose((state, now) -> CommandCodec.recordProvision(now, provision)))
+			.fold((failure) -> new ProvisionReply(Replies.result(failure)),
+					(result) -> new ProvisionReply(Replies.result(result.code())).setProvision(
+							ProvisionCodec.encode(provision.getPool(), ((ProvisionResult) result).provision())));
+	}
+
 	@Override
 	public List<RunUsageRecord> usage(String sharedKey) throws TException {
 		return servicesFor(sharedKey).usage().map(UsageService::known).orElse(List.of());
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ProvisionService.java
@@ -0,0 +1,106 @@
+package org.acaciacourse.daemon.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.core.consensus.ReplicaStatus.Role;
+import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.core.route.Pool;
+import org.acaciacourse.core.route.RouteTableParser;
+import org.acaciacourse.core.scaling.PoolProvision;
+import org.acaciacourse.core.state.Command;
+import org.acaciacourse.core.state.CommandResult.ProvisionResult;
+import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.codec.ProvisionCodec;
+import org.acaciacourse.daemon.duty.ProvisionStore;
+import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.protocol.generated.ProvisionReply;
+
+/**
+ * The fleet, the pools and their provisions as a control VM knows them.
+ * <p>
+ * Thread safe.
+ */
+final class ProvisionService implements ProvisionStore {
+
+	private static final long STEP_TIMEOUT_SECONDS = 5;
+
+	private final ReplicaLoop loop;
+
+	private final FleetKeeper fleet;
+
+	private final SharedKey key;
+
+	private final Executor peerCalls;
+
+	private final AtomicBoolean reading = new AtomicBoolean();
+
+	private volatile PoolsOfTable pools = new PoolsOfTable(0, List.of());
+
+	ProvisionService(ReplicaLoop loop, FleetKeeper fleet, SharedKey key, Executor peerCalls) {
+		this.loop = loop;
+		this.fleet = fleet;
+		this.key = key;
+		this.peerCalls = peerCalls;
+	}
+
+	@Override
+	public Fleet fleet() {
+		return this.fleet.current();
+	}
+
+	// The pools of a new table are there at one of the next calls.
+	@Override
+	public List<Pool> pools() {
+		long number = this.loop.views().latest().number();
+		if (number > this.pools.number() && this.reading.compareAndSet(false, true)) {
+			this.loop.query(ControlState::manifestDocument).whenComplete((document, failure) -> {
+				if (failure == null) {
+					this.pools = new PoolsOfTable(number, RouteTableParser.pools(document));
+				}
+				this.reading.set(false);
+			});
+		}
+		return this.pools.pools();
+	}
+
+	@Override
+	public CompletionStage<Map<String, PoolProvision>> provisions() {
+		return this.loop.query(ControlState::provisions);
+	}
+
+	@Override
+	public CompletionStage<ProvisionResult> record(String pool, PoolProvision provision) {
+		ReplicaView view = this.loop.views().latest();
+		CompletableFuture<ProvisionResult> result;
+		if (view.status().role() == Role.LEADER) {
+			result = this.loop.propose((state, now) -> new Command.RecordProvision(now, pool, provision))
+				.thenApply((done) -> (ProvisionResult) done);
+		}
+		else {
+			result = CompletableFuture.supplyAsync(() -> askLeader(view, pool, provision), this.peerCalls);
+		}
+		return result.orTimeout(STEP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private ProvisionResult askLeader(ReplicaView view, String pool, PoolProvision provision) {
+		return view.status()
+			.leader()
+			.flatMap((leader) -> PeerCalls.call(leader.address(),
+					(c) -> c.control().recordProvision(this.key.text(), ProvisionCodec.encode(pool, provision))))
+			.filter(ProvisionReply::isSetProvision)
+			.map((reply) -> new ProvisionResult(ResultCode.OK, ProvisionCodec.decode(reply.getProvision())))
+			.orElseThrow(() -> new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
+	}
+
+	private record PoolsOfTable(long number, List<Pool> pools) {
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.acaciacourse.core.lease.LeaseTiming;
 import org.acaciacourse.core.usage.UsageTiming;
@@ -11,14 +12,13 @@
  * <p>
  * Immutable and thread safe.
  *
- * @param usage the timing of the usage reports
- * @param due how long after the end of a window its report is due
+ * @param usage the usage reports, if they are a duty
+ * @param orders the orders of endpoints, if they are a duty
  * @param lease how soon after a VM has acted another VM and then this one again must not
  * act
  * @param callsPerSecond how many calls per second the platform takes from all VMs
- * @param platform carries the reports to the platform
  */
-public record DutyOptions(UsageTiming usage, Duration due, Duration lease, double callsPerSecond, UsageSink platform) {
+public record DutyOptions(Optional<Usage> usage, Optional<Orders> orders, Duration lease, double callsPerSecond) {
 
 	/** Renewals take a few tens of milliseconds, more on a slow disk. */
 	private static final Duration SHORTEST_LEASE = Duration.ofSeconds(2);
@@ -35,7 +35,7 @@
 
 	public DutyOptions {
 		Objects.requireNonNull(usage, "usage");
-		Objects.requireNonNull(platform, "platform");
+		Objects.requireNonNull(orders, "orders");
 	}
 
 	/**
@@ -55,4 +55,24 @@
 		return this.lease.toMillis() + this.lease.toMillis() / MARGIN_DIVISOR;
 	}
 
+	/**
+	 * The options of usage reports.
+	 *
+	 * @param timing the timing
+	 * @param due how long after the end of a window its report is due
+	 * @param platform carries the reports to the platform
+	 */
+	public record Usage(UsageTiming timing, Duration due, UsageSink platform) {
+	}
+
+	/**
+	 * The options of orders of endpoints.
+	 *
+	 * @param reserve the number of reclaimable endpoints for each permanent one that they
+	 * replace
+	 * @param platform carries the orders to the platform
+	 */
+	public record Orders(double reserve, EndpointOrderSink platform) {
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/UsageLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/UsageLoop.java
@@ -4,22 +4,16 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
-import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.duty.CallBackoff;
 import org.acaciacourse.core.duty.DutyAnswer;
-import org.acaciacourse.core.lease.LeaseTiming;
-import org.acaciacourse.core.state.CommandResult.LeaseResult;
 import org.acaciacourse.core.usage.UsageActions;
 import org.acaciacourse.core.usage.UsageReport;
 import org.acaciacourse.core.usage.UsageReporter;
-import org.acaciacourse.daemon.lease.LeaseGate;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
@@ -41,23 +35,13 @@
 
 	private static final long TICK_MILLIS = 100;
 
-	private static final long RELEASE_SECONDS = 2;
-
-	private final String vm;
-
-	private final String holder;
-
-	private final DutyOptions options;
-
-	private final DutyLeaseCalls calls;
+	private final DutyOptions.Usage options;
 
 	private final UsageStore store;
 
 	private final DutyMetrics metrics;
 
-	private final LeaseTiming leaseTiming;
-
-	private final LeaseGate lease;
+	private final DutyHolder holder;
 
 	private final UsageReporter reporter;
 
@@ -67,32 +51,23 @@
 		return made;
 	});
 
-	private long loggedNumber;
-
-	/** The highest fencing number that must not be used any more. */
-	private long givenUpNumber;
-
 	/**
 	 * Create a loop.
 	 * @param vm the name of the VM
 	 * @param holder the id of this process as a holder of leases
-	 * @param options the options
+	 * @param options the options of the duties, with those of usage reports
 	 * @param calls acquires and releases the lease
 	 * @param store the usage that the control VMs know
 	 * @param metrics takes the results
 	 */
 	public UsageLoop(String vm, String holder, DutyOptions options, DutyLeaseCalls calls, UsageStore store,
 			DutyMetrics metrics) {
-		this.vm = vm;
-		this.holder = holder;
-		this.options = options;
-		this.calls = calls;
+		this.options = options.usage().orElseThrow();
 		this.store = store;
 		this.metrics = metrics;
-		this.leaseTiming = options.leaseTiming();
-		this.lease = new LeaseGate(this.leaseTiming);
-		this.reporter = new UsageReporter(options.usage(), new CallBackoff(options.callsPerSecond(), new Random()),
-				new Steps());
+		this.holder = new DutyHolder(DUTY, vm, holder, options.leaseTiming(), calls, this.executor);
+		this.reporter = new UsageReporter(this.options.timing(),
+				new CallBackoff(options.callsPerSecond(), new Random()), new Steps());
 	}
 
 	/** Start the loop. */
@@ -111,70 +86,19 @@
 	}
 
 	private void tick() {
-		this.lease.requestIfDue().ifPresent(this::askForLease);
-		OptionalLong number = this.lease.fencingNumber();
-		logHolder(number);
+		OptionalLong number = this.holder.tick();
 		this.reporter.tick(number, this.store.timeMillis(), System.nanoTime());
 		this.metrics.usage(number.orElse(0), this.reporter.frozenThrough(), this.reporter.reportedThrough(),
 				this.reporter.unreported().size());
 	}
 
-	private void logHolder(OptionalLong number) {
-		if (number.orElse(0) != this.loggedNumber) {
-			DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, (number.isPresent()) ? "acquired" : "ended",
-					(number.isPresent()) ? number.getAsLong() : this.loggedNumber);
-			this.loggedNumber = number.orElse(0);
-		}
-	}
-
-	private void askForLease(long request) {
-		if (!this.calls.isCandidate()) {
-			this.lease.refused(request, false);
-			return;
-		}
-		long millis = TimeUnit.NANOSECONDS.toMillis(this.leaseTiming.durationNanos());
-		this.calls.acquire(this.holder, millis).whenCompleteAsync((result, failure) -> {
-			if (failure != null) {
-				this.lease.refused(request, false);
-			}
-			else {
-				handleLeaseResult(request, result);
-			}
-		}, this.executor);
-	}
-
-	private void handleLeaseResult(long request, LeaseResult result) {
-		if (result.code() != ResultCode.OK) {
-			this.lease.refused(request, result.code() == ResultCode.LEASE_HELD);
-		}
-		else if (result.fencingNumber() <= this.givenUpNumber) {
-			// Its release did not reach the replicated state.
-			this.lease.refused(request, true);
-			this.calls.release(this.holder, result.fencingNumber());
-		}
-		else {
-			this.lease.granted(request, result.fencingNumber());
-		}
-	}
-
 	/**
 	 * Stop and release the lease, so that the next holder need not wait until it expires.
 	 */
 	@Override
 	public void close() {
 		this.executor.shutdownNow();
-		this.lease.release().ifPresent((number) -> {
-			try {
-				this.calls.release(this.holder, number).toCompletableFuture().get(RELEASE_SECONDS, TimeUnit.SECONDS);
-				DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, "released", number);
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
-			catch (ExecutionException | TimeoutException ex) {
-				logger.info("cannot release the lease for usage reports: {}", ex.toString());
-			}
-		});
+		this.holder.close();
 	}
 
 	/** Carries out the steps of the reporter. */
@@ -182,13 +106,13 @@
 
 		@Override
 		public void readState() {
-			long number = UsageLoop.this.loggedNumber;
+			long number = UsageLoop.this.holder.number();
 			handle(UsageLoop.this.store.state(), number, (state) -> UsageLoop.this.reporter.stateRead(number, state));
 		}
 
 		@Override
 		public void collect(long window) {
-			long number = UsageLoop.this.loggedNumber;
+			long number = UsageLoop.this.holder.number();
 			handle(UsageLoop.this.store.collect(window), number,
 					(collected) -> handleCollected(number, collected.report(), collected.missing()));
 		}
@@ -213,7 +137,7 @@
 
 		@Override
 		public void freeze(UsageReport report, long reportedThrough) {
-			long number = UsageLoop.this.loggedNumber;
+			long number = UsageLoop.this.holder.number();
 			handle(UsageLoop.this.store.freeze(report, reportedThrough), number,
 					(result) -> UsageLoop.this.reporter.frozen(number, report.window(), result.report()));
 		}
@@ -221,8 +145,7 @@
 		@Override
 		public void send(UsageReport report, long fencingNumber) {
 			long startedAt = System.nanoTime();
-			FencedCall call = new FencedCall(UsageLoop.this.vm, fencingNumber,
-					() -> UsageLoop.this.lease.holds(fencingNumber));
+			FencedCall call = UsageLoop.this.holder.call(fencingNumber);
 			handle(UsageLoop.this.options.platform().report(report, call), fencingNumber,
 					(answer) -> handleAnswer(report, fencingNumber, answer, startedAt));
 		}
@@ -239,11 +162,7 @@
 
 		@Override
 		public void release(long fencingNumber, long abstainNanos) {
-			UsageLoop.this.calls.abstain(abstainNanos);
-			UsageLoop.this.lease.release();
-			UsageLoop.this.givenUpNumber = fencingNumber;
-			DecisionLog.write(LogEvent.DUTY_HOLDER, DUTY, "given-up", fencingNumber);
-			UsageLoop.this.calls.release(UsageLoop.this.holder, fencingNumber);
+			UsageLoop.this.holder.giveUp(fencingNumber, abstainNanos);
 		}
 
 		private <T> void handle(CompletionStage<T> step, long number, Consumer<T> next) {
@@ -259,7 +178,7 @@
 		}
 
 		private long end(long window) {
-			return UsageLoop.this.options.usage().windows().end(window);
+			return UsageLoop.this.options.timing().windows().end(window);
 		}
 
 	}
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/CodecTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -22,6 +23,7 @@
 import org.acaciacourse.core.consensus.ReplicaMessage.VoteRequest;
 import org.acaciacourse.core.consensus.Snapshot;
 import org.acaciacourse.core.manifest.ManifestDocument;
+import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.ClaimKey;
 import org.acaciacourse.core.state.ClaimOutcome;
 import org.acaciacourse.core.state.Command;
@@ -60,7 +62,8 @@
 				new Command.ReportCrash(9, -4, 2), new Command.EndOwner(10, "run-1"),
 				new Command.ReleaseLease(11, "orders", "run-1", 1),
 				new Command.AcquireLease(12, "usage", "run-2", 3000, "vm-2", 3300, true),
-				new Command.FreezeUsage(13, new UsageReport(353_445_120, Map.of("kumasi", 412L, "tema", 3L)), 7));
+				new Command.FreezeUsage(13, new UsageReport(353_445_120, Map.of("kumasi", 412L, "tema", 3L)), 7),
+				new Command.RecordProvision(14, "pool", new PoolProvision(Map.of("a", 21, "b", 3), Set.of("b"))));
 	}
 
 	@Nested
@@ -140,6 +143,7 @@
 			assertThat(restored.snapshot().formerHolders()).isEqualTo(state.snapshot().formerHolders());
 			assertThat(restored.snapshot().leases()).isEqualTo(state.snapshot().leases());
 			assertThat(restored.usage()).isEqualTo(state.usage());
+			assertThat(restored.provisions()).isEqualTo(state.provisions());
 		}
 
 		// Guards against a control VM that cannot start from the snapshot of an older
@@ -150,6 +154,7 @@
 			state.apply(1, new Command.AcquireLease(6, "orders", "run-1", 9000));
 			StateRecord struct = ThriftBytes.decode(StateCodec.encode(state.snapshot()), new StateRecord()).get();
 			struct.unsetUsage();
+			struct.unsetProvisions();
 			struct.unsetFormerHolders();
 			struct.getLeases().forEach((lease) -> lease.unsetVm());
 			ControlState restored = ControlState.restore(StateCodec.decode(ThriftBytes.encode(struct)).get());
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/UsageDutyTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/UsageDutyTests.java
@@ -54,7 +54,8 @@
 	@BeforeEach
 	void start() throws Exception {
 		this.cluster = new ControlCluster(this.folder, 3)
-			.duties((i) -> new DutyOptions(TIMING, DUE, Duration.ofSeconds(2), 50, new Platform()))
+			.duties((i) -> new DutyOptions(Optional.of(new DutyOptions.Usage(TIMING, DUE, new Platform())),
+					Optional.empty(), Duration.ofSeconds(2), 50))
 			.startAll();
 		this.cluster.apply(ControlCluster.manifest(1, "urgent"));
 	}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -177,6 +177,14 @@
   2: i64 reportedThrough,
 }
 
+/* How many endpoints a pool had before the first order, by data centre. */
+struct ProvisionRecord {
+  1: string pool,
+  2: map<string, i32> counts,
+  /* The data centres in which the permanent endpoints are no longer needed. */
+  3: set<string> replaced,
+}
+
 union CommandBody {
   1: PutManifestCommand putManifest,
   2: AcquireLeaseCommand acquireLease,
@@ -186,6 +194,7 @@
   6: EndOwnerCommand endOwner,
   7: ReportCrashCommand reportCrash,
   8: FreezeUsageCommand freezeUsage,
+  9: ProvisionRecord recordProvision,
 }
 
 struct CommandRecord {
@@ -263,6 +272,7 @@
   12: list<CrashRecord> crashes,
   13: optional list<FormerHolderRecord> formerHolders,
   14: optional UsageStateRecord usage,
+  15: optional list<ProvisionRecord> provisions,
 }
 
 /* ---- answers ---- */
@@ -564,6 +574,12 @@
   2: optional UsageWindowRecord usage,
 }
 
+struct ProvisionReply {
+  1: Result result,
+  /* What holds for the pool. */
+  2: optional ProvisionRecord provision,
+}
+
 service ControlService {
   ApplyReply apply(1: ApplyRequest request),
   PollReply poll(1: string sharedKey, 2: PollRequest request),
@@ -583,4 +599,6 @@
   FreezeUsageReply freezeUsage(1: string sharedKey, 2: FreezeUsageCommand command),
   /* The usage that entries have told here, for the other control VMs. */
   list<RunUsageRecord> usage(1: string sharedKey),
+  /* Records the provision of a pool; only the leader does. */
+  ProvisionReply recordProvision(1: string sharedKey, 2: ProvisionRecord provision),
 }
