Orders of endpoints: reclaims in the midst of a replacement, and holders that end between two orders

Found by reading, each with a test that fails on the code before. replacementGoesOnAfterAReclaimInItsMidst: reclaimable endpoints that were taken back before the permanent ones were ordered away were never ordered again, so that the permanent ones stayed. nextHolderChecksThatReplacementsServe: a holder that had recorded a data centre as replaced could end before it ordered the permanent ones away; the next one did so without a look at whether the reclaimable ones still serve, and the data centre would have had none for the time to boot.

--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -188,24 +188,30 @@
 		PoolScaling scaling = pool.scaling().orElseThrow();
 		int base = provision.counts().get(dataCentre);
 		int target = Math.min(scaling.max(), (int) Math.ceil(base * this.reserve));
-		Subject reclaimable = new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE);
-		if (provision.replaced().contains(dataCentre)) {
-			Subject permanent = new Subject(pool.name(), dataCentre, EndpointKind.PERMANENT);
-			return orderIfNew(permanent, 0, now) || orderIfNew(reclaimable, target, now)
-					|| orderIfLacking(reclaimable, target, serving, scaling, now);
-		}
+		// What there is room for beside the permanent endpoints.
 		int first = Math.min(target, scaling.max() - base);
 		if (first <= 0) {
 			return false;
 		}
-		if (orderIfNew(reclaimable, first, now)) {
-			return true;
+		Subject reclaimable = new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE);
+		Subject permanent = new Subject(pool.name(), dataCentre, EndpointKind.PERMANENT);
+		if (isOrdered(permanent, 0)) {
+			return orderIfNew(reclaimable, target, now) || orderIfLacking(reclaimable, target, serving, scaling, now);
 		}
-		boolean replaced = isOrdered(reclaimable, first) && serving >= base + Math.ceil(first * SERVING_PART);
-		if (replaced) {
+		if (provision.replaced().contains(dataCentre)) {
+			// Another holder may have ended before it ordered the permanent ones away,
+			// and the reclaimable ones may be gone since.
+			boolean booted = isOrdered(reclaimable, first) && hasBooted(reclaimable, scaling, now)
+					&& serving >= first * SERVING_PART;
+			boolean sufficient = booted || serving >= Math.min(target, base + first) * SERVING_PART;
+			return (sufficient) ? orderIfNew(permanent, 0, now)
+					: orderIfNew(reclaimable, first, now) || orderIfLacking(reclaimable, first, serving, scaling, now);
+		}
+		if (isOrdered(reclaimable, first) && serving >= base + first * SERVING_PART) {
 			record(pool, new PoolProvision(provision.counts(), Set.of(dataCentre)));
+			return true;
 		}
-		return replaced;
+		return orderIfNew(reclaimable, first, now) || orderIfLacking(reclaimable, first, serving - base, scaling, now);
 	}
 
 	private boolean isOrdered(Subject subject, int count) {
@@ -218,10 +224,12 @@
 	}
 
 	private boolean orderIfLacking(Subject subject, int count, int serving, PoolScaling scaling, long now) {
-		OrderRecord record = this.records.get(subject);
-		boolean lacking = serving < count * LACKING_PART
-				&& now - record.orderedAt >= scaling.boot().toNanos() + LIST_LAG_NANOS;
-		return lacking && order(subject, count, record, now);
+		boolean lacking = serving < count * LACKING_PART && hasBooted(subject, scaling, now);
+		return lacking && order(subject, count, this.records.get(subject), now);
+	}
+
+	private boolean hasBooted(Subject subject, PoolScaling scaling, long now) {
+		return now - this.records.get(subject).orderedAt >= scaling.boot().toNanos() + LIST_LAG_NANOS;
 	}
 
 	private boolean order(Subject subject, int count, OrderRecord record, long now) {
--- a/core/src/test/java/org/acaciacourse/core/scaling/EndpointOrdersTests.java
+++ b/core/src/test/java/org/acaciacourse/core/scaling/EndpointOrdersTests.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.acaciacourse.core.duty.DutyAnswer;
 import org.junit.jupiter.api.Nested;
@@ -112,6 +113,38 @@
 			checkReplaced(fleet);
 		}
 
+		// Guards against permanent endpoints that stay for good as the first replacements
+		// were
+		// taken back before they served.
+		@Test
+		void replacementGoesOnAfterAReclaimInItsMidst() {
+			SimulatedFleet fleet = fleet();
+			fleet.run(5);
+			fleet.reclaim("a");
+			fleet.run(10);
+			assertThat(fleet.serving("a", EndpointKind.PERMANENT)).isEqualTo(21);
+			fleet.unavailable.clear();
+			fleet.run(30);
+			checkReplaced(fleet);
+		}
+
+		// Guards against a holder that orders permanent endpoints away whose replacements
+		// are
+		// gone since the one before recorded them.
+		@Test
+		void nextHolderChecksThatReplacementsServe() {
+			SimulatedFleet fleet = fleet();
+			fleet.run(5);
+			fleet.record("pool", new PoolProvision(Map.of(), Set.of("a")));
+			fleet.reclaim("a");
+			fleet.takeOver();
+			fleet.run(10);
+			assertThat(fleet.serving("a", EndpointKind.PERMANENT)).isEqualTo(21);
+			fleet.unavailable.clear();
+			fleet.run(30);
+			checkReplaced(fleet);
+		}
+
 		// Guards against a holder that ended between the order and the replacement.
 		@Test
 		void nextHolderGoesOnWithTheReplacement() {
