One class for proposals by way of the leader, one for the threads of duties

The leases, the usage and the provisions each told apart whether this VM leads; both loops had the same thread, close and handling of results.

--- a/daemon/src/main/java/org/acaciacourse/daemon/control/Duties.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/Duties.java
@@ -46,6 +46,8 @@
 
 	private final ThreadPoolExecutor peerCalls;
 
+	private final LeaderProposals proposals;
+
 	private final Optional<UsageService> usage;
 
 	private final List<AutoCloseable> loops = new ArrayList<>();
@@ -58,6 +60,7 @@
 		this.peerCalls = new ThreadPoolExecutor(PEER_THREADS, PEER_THREADS, IDLE_SECONDS, TimeUnit.SECONDS,
 				new LinkedBlockingQueue<>(MAX_WAITING_CALLS), new DefaultThreadFactory("duty-peers", true));
 		this.peerCalls.allowCoreThreadTimeOut(true);
+		this.proposals = new LeaderProposals(loop, this.peerCalls);
 		this.usage = options.usage()
 			.map((duty) -> new UsageService(duty.timing().windows(), loop, self, key, this.peerCalls));
 	}
@@ -82,14 +85,14 @@
 		if (this.options.orders().isPresent()) {
 			EndpointOrderLoop started = new EndpointOrderLoop(this.self.vm(), holder, this.options,
 					lease(EndpointOrderLoop.DUTY, holder),
-					new ProvisionService(this.loop, fleet, this.key, this.peerCalls), metrics);
+					new ProvisionService(this.loop, fleet, this.key, this.proposals), metrics);
 			started.start();
 			this.loops.add(started);
 		}
 	}
 
 	private DutyLease lease(String duty, String holder) {
-		return new DutyLease(duty, holder, this.options, this.loop, this.self, this.key, this.peerCalls);
+		return new DutyLease(duty, holder, this.options, this.loop, this.self, this.key, this.proposals);
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/DutyLease.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/DutyLease.java
@@ -1,17 +1,13 @@
 package org.acaciacourse.daemon.control;
 
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.Member;
-import org.acaciacourse.core.consensus.ReplicaStatus.Role;
 import org.acaciacourse.core.duty.DutyCandidacy;
 import org.acaciacourse.core.state.Command;
-import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
 import org.acaciacourse.daemon.codec.CommandCodec;
 import org.acaciacourse.daemon.duty.DutyLeaseCalls;
@@ -44,18 +40,18 @@
 
 	private final SharedKey key;
 
-	private final Executor peerCalls;
+	private final LeaderProposals proposals;
 
 	private final DutyCandidacy candidacy;
 
 	DutyLease(String name, String holder, DutyOptions options, ReplicaLoop loop, Member self, SharedKey key,
-			Executor peerCalls) {
+			LeaderProposals proposals) {
 		this.name = name;
 		this.options = options;
 		this.loop = loop;
 		this.self = self;
 		this.key = key;
-		this.peerCalls = peerCalls;
+		this.proposals = proposals;
 		long spread = Math.floorMod(Long.hashCode(self.id().value()), STANDBY_SPREAD_MILLIS);
 		this.candidacy = new DutyCandidacy(holder, options.leaseTiming().durationNanos(),
 				MIN_STANDBY_NANOS + TimeUnit.MILLISECONDS.toNanos(spread), System.nanoTime());
@@ -70,14 +66,10 @@
 			}
 		});
 		synchronized (this.candidacy) {
-			return this.candidacy.isCandidate(isLeader(), System.nanoTime());
+			return this.candidacy.isCandidate(this.proposals.isLeader(), System.nanoTime());
 		}
 	}
 
-	private boolean isLeader() {
-		return this.loop.views().latest().status().role() == Role.LEADER;
-	}
-
 	@Override
 	public void abstain(long nanos) {
 		synchronized (this.candidacy) {
@@ -87,12 +79,10 @@
 
 	@Override
 	public CompletionStage<LeaseResult> acquire(String holder, long durationMillis) {
-		if (isLeader()) {
-			return this.loop.propose((state, now) -> command(now, holder, durationMillis))
-				.thenApply((result) -> (LeaseResult) result);
-		}
-		return askLeader((leader) -> leader.control()
-			.acquireLease(this.key.text(), CommandCodec.encode(command(0, holder, durationMillis))));
+		return this.proposals.propose((state, now) -> command(now, holder, durationMillis), LeaseResult.class,
+				(leader) -> leader.control()
+					.acquireLease(this.key.text(), CommandCodec.encode(command(0, holder, durationMillis))),
+				DutyLease::result);
 	}
 
 	private Command.AcquireLease command(long now, String holder, long durationMillis) {
@@ -101,24 +91,12 @@
 	}
 
 	@Override
-	public CompletionStage<? extends CommandResult> release(String holder, long fencingNumber) {
-		if (isLeader()) {
-			return this.loop.propose((state, now) -> new Command.ReleaseLease(now, this.name, holder, fencingNumber));
-		}
-		return askLeader((leader) -> leader.control()
-			.releaseLease(this.key.text(), new ReleaseLeaseCommand(this.name, holder, fencingNumber)));
-	}
-
-	private CompletableFuture<LeaseResult> askLeader(PeerCalls.Call<LeaseReply> call) {
-		Optional<Member> leader = this.loop.views().latest().status().leader();
-		if (leader.isEmpty()) {
-			return CompletableFuture.failedFuture(new ControlException(ResultCode.NO_QUORUM, Optional.empty()));
-		}
-		return CompletableFuture.supplyAsync(
-				() -> PeerCalls.call(leader.get().address(), call)
-					.flatMap(DutyLease::result)
-					.orElseThrow(() -> new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty())),
-				this.peerCalls);
+	public CompletionStage<LeaseResult> release(String holder, long fencingNumber) {
+		return this.proposals.propose((state, now) -> new Command.ReleaseLease(now, this.name, holder, fencingNumber),
+				LeaseResult.class,
+				(leader) -> leader.control()
+					.releaseLease(this.key.text(), new ReleaseLeaseCommand(this.name, holder, fencingNumber)),
+				DutyLease::result);
 	}
 
 	private static Optional<LeaseResult> result(LeaseReply reply) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ProvisionService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ProvisionService.java
@@ -3,14 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.acaciacourse.core.code.ResultCode;
-import org.acaciacourse.core.consensus.ReplicaStatus.Role;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTableParser;
@@ -21,7 +17,6 @@
 import org.acaciacourse.daemon.codec.ProvisionCodec;
 import org.acaciacourse.daemon.duty.ProvisionStore;
 import org.acaciacourse.daemon.inner.SharedKey;
-import org.acaciacourse.protocol.generated.ProvisionReply;
 
 /**
  * The fleet, the pools and their provisions as a control VM knows them.
@@ -30,25 +25,23 @@
  */
 final class ProvisionService implements ProvisionStore {
 
-	private static final long STEP_TIMEOUT_SECONDS = 5;
-
 	private final ReplicaLoop loop;
 
 	private final FleetKeeper fleet;
 
 	private final SharedKey key;
 
-	private final Executor peerCalls;
+	private final LeaderProposals proposals;
 
 	private final AtomicBoolean reading = new AtomicBoolean();
 
 	private volatile PoolsOfTable pools = new PoolsOfTable(0, List.of());
 
-	ProvisionService(ReplicaLoop loop, FleetKeeper fleet, SharedKey key, Executor peerCalls) {
+	ProvisionService(ReplicaLoop loop, FleetKeeper fleet, SharedKey key, LeaderProposals proposals) {
 		this.loop = loop;
 		this.fleet = fleet;
 		this.key = key;
-		this.peerCalls = peerCalls;
+		this.proposals = proposals;
 	}
 
 	@Override
@@ -78,26 +71,11 @@
 
 	@Override
 	public CompletionStage<ProvisionResult> record(String pool, PoolProvision provision) {
-		ReplicaView view = this.loop.views().latest();
-		CompletableFuture<ProvisionResult> result;
-		if (view.status().role() == Role.LEADER) {
-			result = this.loop.propose((state, now) -> new Command.RecordProvision(now, pool, provision))
-				.thenApply((done) -> (ProvisionResult) done);
-		}
-		else {
-			result = CompletableFuture.supplyAsync(() -> askLeader(view, pool, provision), this.peerCalls);
-		}
-		return result.orTimeout(STEP_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-	}
-
-	private ProvisionResult askLeader(ReplicaView view, String pool, PoolProvision provision) {
-		return view.status()
-			.leader()
-			.flatMap((leader) -> PeerCalls.call(leader.address(),
-					(c) -> c.control().recordProvision(this.key.text(), ProvisionCodec.encode(pool, provision))))
-			.filter(ProvisionReply::isSetProvision)
-			.map((reply) -> new ProvisionResult(ResultCode.OK, ProvisionCodec.decode(reply.getProvision())))
-			.orElseThrow(() -> new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
+		return this.proposals.propose((state, now) -> new Command.RecordProvision(now, pool, provision),
+				ProvisionResult.class,
+				(leader) -> leader.control().recordProvision(this.key.text(), ProvisionCodec.encode(pool, provision)),
+				(reply) -> Optional.ofNullable(reply.getProvision())
+					.map((held) -> new ProvisionResult(ResultCode.OK, ProvisionCodec.decode(held))));
 	}
 
 	private record PoolsOfTable(long number, List<Pool> pools) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/UsageService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/UsageService.java
@@ -5,12 +5,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.clock.MedianClock;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.Member;
-import org.acaciacourse.core.consensus.ReplicaStatus.Role;
 import org.acaciacourse.core.state.Command;
 import org.acaciacourse.core.state.CommandResult.UsageResult;
 import org.acaciacourse.core.state.ControlStateSnapshot.UsageState;
@@ -41,8 +39,6 @@
 	/** Clocks of VMs may differ by that much. */
 	private static final long CLOCK_TOLERANCE_MILLIS = 50;
 
-	private static final long STEP_TIMEOUT_SECONDS = 5;
-
 	private final UsageCollector collector = new UsageCollector();
 
 	private final MedianClock clock = new MedianClock();
@@ -57,12 +53,15 @@
 
 	private final Executor peerCalls;
 
+	private final LeaderProposals proposals;
+
 	UsageService(UsageWindows windows, ReplicaLoop loop, Member self, SharedKey key, Executor peerCalls) {
 		this.windows = windows;
 		this.loop = loop;
 		this.self = self;
 		this.key = key;
 		this.peerCalls = peerCalls;
+		this.proposals = new LeaderProposals(loop, peerCalls);
 	}
 
 	/**
@@ -136,31 +135,20 @@
 
 	@Override
 	public CompletionStage<UsageResult> freeze(UsageReport report, long reportedThrough) {
-		ReplicaView view = this.loop.views().latest();
-		CompletableFuture<UsageResult> result;
-		if (view.status().role() == Role.LEADER) {
-			result = this.loop.propose((state, now) -> new Command.FreezeUsage(now, report, reportedThrough))
-				.thenApply((done) -> (UsageResult) done);
-		}
-		else {
-			result = CompletableFuture.supplyAsync(() -> askLeader(view, report, reportedThrough), this.peerCalls);
-		}
-		return result.orTimeout(STEP_TIMEOUT_SECONDS, TimeUnit.SECONDS).thenApply((frozen) -> {
-			this.collector.frozen(report.window());
-			return frozen;
-		});
+		FreezeUsageCommand command = new FreezeUsageCommand(UsageCodec.encode(report), reportedThrough);
+		return this.proposals
+			.propose((state, now) -> new Command.FreezeUsage(now, report, reportedThrough), UsageResult.class,
+					(leader) -> leader.control().freezeUsage(this.key.text(), command), UsageService::result)
+			.thenApply((frozen) -> {
+				this.collector.frozen(report.window());
+				return frozen;
+			});
 	}
 
-	private UsageResult askLeader(ReplicaView view, UsageReport report, long reportedThrough) {
-		FreezeUsageCommand command = new FreezeUsageCommand(UsageCodec.encode(report), reportedThrough);
-		FreezeUsageReply reply = view.status()
-			.leader()
-			.flatMap((leader) -> PeerCalls.call(leader.address(),
-					(c) -> c.control().freezeUsage(this.key.text(), command)))
-			.filter((r) -> r.getResult().getCode() == ResultCode.OK.number())
-			.orElseThrow(() -> new ControlException(ResultCode.OUTCOME_UNKNOWN, Optional.empty()));
-		return new UsageResult(ResultCode.OK,
-				(reply.isSetUsage()) ? Optional.of(UsageCodec.decode(reply.getUsage())) : Optional.empty());
+	private static Optional<UsageResult> result(FreezeUsageReply reply) {
+		Optional<UsageReport> fixed = Optional.ofNullable(reply.getUsage()).map(UsageCodec::decode);
+		return Optional.of(new UsageResult(ResultCode.OK, fixed))
+			.filter((result) -> reply.getResult().getCode() == ResultCode.OK.number());
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/UsageLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/UsageLoop.java
@@ -3,11 +3,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import org.acaciacourse.core.duty.CallBackoff;
 import org.acaciacourse.core.duty.DutyAnswer;
@@ -26,31 +22,21 @@
  * <p>
  * Thread safe: start and close are called once each, by any thread.
  */
-public final class UsageLoop implements AutoCloseable {
+public final class UsageLoop extends DutyLoop {
 
 	/** The name of the duty and of its lease. */
 	public static final String DUTY = "usage-reports";
 
 	private static final Logger logger = LogManager.getLogger(UsageLoop.class);
 
-	private static final long TICK_MILLIS = 100;
-
 	private final DutyOptions.Usage options;
 
 	private final UsageStore store;
 
 	private final DutyMetrics metrics;
 
-	private final DutyHolder holder;
-
 	private final UsageReporter reporter;
 
-	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
-		Thread made = new Thread(task, "usage");
-		made.setDaemon(true);
-		return made;
-	});
-
 	/**
 	 * Create a loop.
 	 * @param vm the name of the VM
@@ -62,43 +48,25 @@
 	 */
 	public UsageLoop(String vm, String holder, DutyOptions options, DutyLeaseCalls calls, UsageStore store,
 			DutyMetrics metrics) {
+		super(DUTY, vm, holder, options, calls);
 		this.options = options.usage().orElseThrow();
 		this.store = store;
 		this.metrics = metrics;
-		this.holder = new DutyHolder(DUTY, vm, holder, options.leaseTiming(), calls, this.executor);
 		this.reporter = new UsageReporter(this.options.timing(),
 				new CallBackoff(options.callsPerSecond(), new Random()), new Steps());
 	}
 
-	/** Start the loop. */
-	public void start() {
-		this.executor.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-	}
-
-	// An exception that left this method would silently cancel the scheduled task.
-	private void tickSafely() {
-		try {
-			tick();
-		}
-		catch (RuntimeException ex) {
-			logger.error("usage loop failed; continuing with the next tick", ex);
-		}
-	}
-
-	private void tick() {
-		OptionalLong number = this.holder.tick();
+	@Override
+	void tick() {
+		OptionalLong number = holder().tick();
 		this.reporter.tick(number, this.store.timeMillis(), System.nanoTime());
 		this.metrics.usage(number.orElse(0), this.reporter.frozenThrough(), this.reporter.reportedThrough(),
 				this.reporter.unreported().size());
 	}
 
-	/**
-	 * Stop and release the lease, so that the next holder need not wait until it expires.
-	 */
 	@Override
-	public void close() {
-		this.executor.shutdownNow();
-		this.holder.close();
+	void stepFailed(long fencingNumber) {
+		this.reporter.stepFailed(fencingNumber, System.nanoTime());
 	}
 
 	/** Carries out the steps of the reporter. */
@@ -106,13 +74,13 @@
 
 		@Override
 		public void readState() {
-			long number = UsageLoop.this.holder.number();
+			long number = holder().number();
 			handle(UsageLoop.this.store.state(), number, (state) -> UsageLoop.this.reporter.stateRead(number, state));
 		}
 
 		@Override
 		public void collect(long window) {
-			long number = UsageLoop.this.holder.number();
+			long number = holder().number();
 			handle(UsageLoop.this.store.collect(window), number,
 					(collected) -> handleCollected(number, collected.report(), collected.missing()));
 		}
@@ -137,7 +105,7 @@
 
 		@Override
 		public void freeze(UsageReport report, long reportedThrough) {
-			long number = UsageLoop.this.holder.number();
+			long number = holder().number();
 			handle(UsageLoop.this.store.freeze(report, reportedThrough), number,
 					(result) -> UsageLoop.this.reporter.frozen(number, report.window(), result.report()));
 		}
@@ -145,7 +113,7 @@
 		@Override
 		public void send(UsageReport report, long fencingNumber) {
 			long startedAt = System.nanoTime();
-			FencedCall call = UsageLoop.this.holder.call(fencingNumber);
+			FencedCall call = holder().call(fencingNumber);
 			handle(UsageLoop.this.options.platform().report(report, call), fencingNumber,
 					(answer) -> handleAnswer(report, fencingNumber, answer, startedAt));
 		}
@@ -162,19 +130,7 @@
 
 		@Override
 		public void release(long fencingNumber, long abstainNanos) {
-			UsageLoop.this.holder.giveUp(fencingNumber, abstainNanos);
-		}
-
-		private <T> void handle(CompletionStage<T> step, long number, Consumer<T> next) {
-			step.whenCompleteAsync((result, failure) -> {
-				if (failure != null) {
-					logger.info("a step of the usage reports failed and is repeated: {}", failure.toString());
-					UsageLoop.this.reporter.stepFailed(number, System.nanoTime());
-				}
-				else {
-					next.accept(result);
-				}
-			}, UsageLoop.this.executor);
+			holder().giveUp(fencingNumber, abstainNanos);
 		}
 
 		private long end(long window) {
