--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -171,6 +171,14 @@
 		return this.load.waitingWork() + this.load.deferredWork();
 	}
 
+	/**
+	 * Return how many requests of this VM are at the endpoint, for the log.
+	 * @return the number
+	 */
+	public int inFlight() {
+		return this.load.inFlight();
+	}
+
 	/**
 	 * Return the estimated state of the endpoint, for the log.
 	 * @param now the time
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -13,6 +13,7 @@
 
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.balance.ConnectionShare;
+import org.acaciacourse.core.balance.EndpointRests;
 import org.acaciacourse.core.balance.PartUse;
 import org.acaciacourse.core.balance.PeerLoads;
 import org.acaciacourse.core.balance.PoolBalancer;
@@ -49,6 +50,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final EndpointRests rests = new EndpointRests();
+
 	private final PoolVersions versions = new PoolVersions();
 
 	private final RateLimitLog rateLimitLog = new RateLimitLog();
@@ -160,6 +163,11 @@
 		return this.rateLimits;
 	}
 
+	// For how long endpoints want no requests of this VM.
+	EndpointRests rests() {
+		return this.rests;
+	}
+
 	PeerLoads peers() {
 		return this.peers;
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -96,9 +96,12 @@
 	 * together, if there is a limit now
 	 * @param idleTimeoutSeconds how long the endpoint keeps an idle connection, if it is
 	 * stated
+	 * @param retryAfter for how long the endpoint wants no requests from this VM, if it
+	 * states that
 	 */
 	record ResponseMetadata(String requestId, boolean sealed, boolean notRun, Optional<ReportedLoad> load,
-			OptionalInt refusalLimit, OptionalDouble rateLimit, OptionalInt idleTimeoutSeconds) {
+			OptionalInt refusalLimit, OptionalDouble rateLimit, OptionalInt idleTimeoutSeconds,
+			Optional<Duration> retryAfter) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -253,6 +253,7 @@
 		this.pools.logDivisions();
 		this.pools.logRefusalLimits();
 		this.pools.logRateLimits();
+		this.pools.rests().sweep(System.nanoTime());
 		this.crashes.sweep();
 		this.origins.sweep();
 		publishGauges();
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -145,6 +145,14 @@
 	 */
 	RATE_LIMIT("rate-limit", "endpoint", "per_second", "share", "sent"),
 
+	/**
+	 * An endpoint refused a request and asked this VM to send nothing for a while: the
+	 * request, the entry VM that it was sent through, the time asked for, what was left
+	 * of the time that the endpoint had asked for before, and how many requests of this
+	 * VM are there.
+	 */
+	ENDPOINT_REST("endpoint-rest", "endpoint", "pool", "request", "via", "rest_ms", "left_ms", "in_flight"),
+
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
