Endpoints that ask for rest get none of this VM's requests until it ends

Cause: Retry-After of an endpoint was read nowhere; a 503 was a pause of 100 ms, a guess of this VM that responses, the policy and the list may end. Class: a word of an endpoint that holds for a time is handled as the outcome of one attempt.

Ruled out: a rest that is kept and undone (nothing kept it), requests under way (those of the record were read seconds after the 503), and other ways round (no attempt has a via, the requests are ordinary ones).

EndpointRests keeps what each endpoint asked for, apart from pauses, where all choices look (PoolBalancer.isUsable): no response, policy, shorter rest or gap in the list ends it. A request that was chosen before the 503 and would be sent after it goes back to the queue.

--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -95,7 +95,8 @@
 		}
 	}
 
-	// Replaces lost engines by the next ones in hash order: brief requests would
+	// Replaces lost and resting engines by the next ones in hash order: brief requests
+	// would
 	// otherwise be spread over all engines that serve long prompts, and be late there.
 	private void selectReserved(long now) {
 		boolean useStandIns = this.policy.isOn(RoutingMechanism.BRIEF_STAND_INS);
@@ -111,7 +112,8 @@
 	}
 
 	private boolean isHealthy(EndpointLoad load, long now) {
-		return !load.isLost() && !(this.policy.isOn(RoutingMechanism.SUSPECTS) && load.isSuspect(now));
+		return !load.isLost() && !load.isResting(now)
+				&& !(this.policy.isOn(RoutingMechanism.SUSPECTS) && load.isSuspect(now));
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -67,6 +67,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final EndpointRests rests;
+
 	private final int id;
 
 	private final long hash;
@@ -108,11 +110,13 @@
 
 	private long recentAt;
 
-	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits) {
+	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits,
+			EndpointRests rests) {
 		this.endpoint = endpoint;
 		this.peers = peers;
 		this.refusalLimit = refusalLimit;
 		this.rateLimits = rateLimits;
+		this.rests = rests;
 		this.room = endpoint.slots();
 		this.id = PeerLoads.idOf(endpoint.instance());
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
@@ -286,6 +290,11 @@
 		return now < this.pausedUntil;
 	}
 
+	// Whether it has asked this VM to send nothing now.
+	boolean isResting(long now) {
+		return this.rests.isResting(this.endpoint.instance(), now);
+	}
+
 	int inFlight() {
 		return this.inFlight;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -1,6 +1,8 @@
 package org.acaciacourse.core.balance;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -51,6 +53,8 @@
 
 	private final RateLimits rateLimits;
 
+	private final EndpointRests rests;
+
 	private ConnectionShare connectionShare = ConnectionShare.UNLIMITED;
 
 	private long engineCacheTokens;
@@ -79,18 +83,20 @@
 	 * @param connected tells whether there is an idle connection to an instance
 	 */
 	public PoolBalancer(PeerLoads peers, Predicate<String> connected) {
-		this(peers, RateLimits.ofSingleVm(), connected);
+		this(peers, RateLimits.ofSingleVm(), new EndpointRests(""), connected);
 	}
 
 	/**
 	 * Make a balancer of a VM with several pools.
 	 * @param peers the load of the other entry VMs
 	 * @param rateLimits the limits that endpoints state
+	 * @param rests the rests that endpoints ask for
 	 * @param connected tells whether there is an idle connection to an instance
 	 */
-	public PoolBalancer(PeerLoads peers, RateLimits rateLimits, Predicate<String> connected) {
+	public PoolBalancer(PeerLoads peers, RateLimits rateLimits, EndpointRests rests, Predicate<String> connected) {
 		this.peers = peers;
 		this.rateLimits = rateLimits;
+		this.rests = rests;
 		this.connected = connected;
 		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
@@ -161,7 +167,7 @@
 	}
 
 	private EndpointLoad newLoad(FleetEndpoint endpoint) {
-		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit, this.rateLimits);
+		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit, this.rateLimits, this.rests);
 		if (this.engineCacheTokens > 0) {
 			load.prefixCache().engineCacheTokens(this.engineCacheTokens);
 		}
@@ -291,10 +297,28 @@
 		return !staying.isEmpty() && staying.stream().noneMatch(request::isServedBy);
 	}
 
+	/**
+	 * Return how long all endpoints that can serve a request rest.
+	 * @param request the request
+	 * @param now the time
+	 * @return the time until the first rest ends, zero if an endpoint does not rest or
+	 * none can serve the request
+	 */
+	public Duration restOfAll(Placement request, long now) {
+		return this.loads.values()
+			.stream()
+			.map(EndpointLoad::endpoint)
+			.filter((endpoint) -> !endpoint.leaving() && request.isServedBy(endpoint))
+			.map((endpoint) -> this.rests.remaining(endpoint.instance(), now))
+			.min(Comparator.naturalOrder())
+			.orElse(Duration.ZERO);
+	}
+
 	private boolean isUsable(EndpointLoad load, Placement request, long now) {
 		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
-		return !load.endpoint().leaving() && !paused && load.hasConnectionLeft(this.connectionShare)
-				&& this.rateLimits.maySend(load.id(), now) && request.isServedBy(load.endpoint());
+		return !load.endpoint().leaving() && !load.isResting(now) && !paused
+				&& load.hasConnectionLeft(this.connectionShare) && this.rateLimits.maySend(load.id(), now)
+				&& request.isServedBy(load.endpoint());
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
@@ -29,7 +29,7 @@
 		PeerLoads peers = new PeerLoads();
 		this.loads = IntStream.range(0, count)
 			.mapToObj((i) -> new EndpointLoad(new FleetEndpoint("i" + i, "pool", "127.0.0.1:1", "dc", slots, false),
-					peers, new RefusalLimit(peers), RateLimits.ofSingleVm()))
+					peers, new RefusalLimit(peers), RateLimits.ofSingleVm(), new EndpointRests("")))
 			.toList();
 		this.engines.divide(this.loads);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PlacementWait.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PlacementWait.java
@@ -38,8 +38,21 @@
 		if (this.since == 0) {
 			this.since = now;
 		}
-		long maxNanos = (fleetKnown) ? Math.max(MIN_WAIT_NANOS, target.toNanos() / TARGET_DIVISOR) : FLEET_WAIT_NANOS;
-		return now - this.since >= maxNanos;
+		return now - this.since >= maxNanos(target, fleetKnown);
+	}
+
+	/**
+	 * Return whether a request is to be refused at once as no endpoint takes it in time.
+	 * @param rest how long all endpoints rest
+	 * @param target the target of the request
+	 * @return whether they rest for longer than a request waits
+	 */
+	boolean isTooLong(Duration rest, Duration target) {
+		return rest.toNanos() > maxNanos(target, true);
+	}
+
+	private static long maxNanos(Duration target, boolean fleetKnown) {
+		return (fleetKnown) ? Math.max(MIN_WAIT_NANOS, target.toNanos() / TARGET_DIVISOR) : FLEET_WAIT_NANOS;
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -50,7 +50,7 @@
 
 	private final RateLimits rateLimits;
 
-	private final EndpointRests rests = new EndpointRests();
+	private final EndpointRests rests;
 
 	private final PoolVersions versions = new PoolVersions();
 
@@ -84,13 +84,15 @@
 	 * @param loop the event loop
 	 * @param retryBudget the retry budget
 	 * @param rateLimits the limits that endpoints state
+	 * @param rests the rests that endpoints ask for
 	 * @param hasIdleConnection returns whether there is an idle connection to an instance
 	 */
-	PoolStates(EventLoop loop, RetryBudgetOptions retryBudget, RateLimits rateLimits,
+	PoolStates(EventLoop loop, RetryBudgetOptions retryBudget, RateLimits rateLimits, EndpointRests rests,
 			Predicate<String> hasIdleConnection) {
 		this.loop = loop;
 		this.retryBudget = retryBudget;
 		this.rateLimits = rateLimits;
+		this.rests = rests;
 		this.hasIdleConnection = hasIdleConnection;
 	}
 
@@ -315,7 +317,7 @@
 			RetryAllowance allowance = new RetryAllowance(this.startedAt, this.retryBudget.window().toNanos(),
 					this.retryBudget.ratio(), this.retryBudget.minimum());
 			allowance.sharers(this.sharers);
-			PoolBalancer balancer = new PoolBalancer(this.peers, this.rateLimits, this.hasIdleConnection);
+			PoolBalancer balancer = new PoolBalancer(this.peers, this.rateLimits, this.rests, this.hasIdleConnection);
 			balancer.policy(this.policy);
 			return new State(balancer, allowance, new PoolQueue(this.loop));
 		});
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RetryDelay.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RetryDelay.java
@@ -31,6 +31,16 @@
 		return Duration.ofMillis(MIN_MILLIS + Math.floorMod(idHash, MIN_MILLIS));
 	}
 
+	/**
+	 * Return the delay after which an endpoint takes requests again.
+	 * @param idHash a hash of the request's id
+	 * @param rest how long all endpoints rest
+	 * @return the delay, spread like the usual one
+	 */
+	static Duration afterRest(long idHash, Duration rest) {
+		return usual(idHash).plus(rest);
+	}
+
 	/**
 	 * Return the delay after which the requests that wait now have been sent. While all
 	 * endpoints state limits, a caller that retried sooner would meet the same queue.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -19,6 +19,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.acaciacourse.core.balance.EndpointRests;
 import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.balance.RoutingMechanism;
@@ -144,7 +145,7 @@
 				options.loadPeer().map((peer) -> options.tunnelKey()), this::areTunnelsAllowed);
 		this.pools = new PoolStates(this.loop, options.retryBudget(),
 				options.loadPeer().map((peer) -> RateLimits.of(peer.address())).orElseGet(RateLimits::ofSingleVm),
-				this.connections::hasIdle);
+				new EndpointRests(self.address()), this.connections::hasIdle);
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
 				self.address().hashCode(), controlLink::reportCrash);
 		this.origins = new StreamOriginService(this.loop, self.address());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -234,7 +234,9 @@
 		boolean tooLong = this.placementWait.isTooLong(now, this.request.route().target(),
 				this.context.pools().fleet().revision() != 0);
 		boolean exhausted = this.pool.balancer().isExhausted(placement);
-		if (!exhausted && !tooLong) {
+		boolean restTooLong = this.placementWait.isTooLong(this.pool.balancer().restOfAll(placement, now),
+				this.request.route().target());
+		if (!exhausted && !tooLong && !restTooLong) {
 			return false;
 		}
 		if (exhausted && this.binding.isBound()) {
@@ -242,13 +244,20 @@
 			failAsVersionGone();
 			return true;
 		}
-		Duration retryAfter = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
+		Duration behindQueue = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
 				this.pool.balancer().permittedRate(now));
+		Duration afterRest = retryDelay();
 		this.pool.queue().remove(this);
-		fail("no endpoint takes it", retryAfter);
+		fail("no endpoint takes it", (behindQueue.compareTo(afterRest) > 0) ? behindQueue : afterRest);
 		return true;
 	}
 
+	// A retry of the caller may use the endpoints that this request has tried.
+	private Duration retryDelay() {
+		Placement retry = this.binding.restrict(unrestrictedPlacement().excluding(Set.of()));
+		return RetryDelay.afterRest(this.request.idHash(), this.pool.balancer().restOfAll(retry, System.nanoTime()));
+	}
+
 	private Placement placement() {
 		return this.binding.restrict(unrestrictedPlacement());
 	}
@@ -292,6 +301,11 @@
 		else if (result.isFailure()) {
 			attempt.end(AttemptEnd.NOT_SENT, outcomeOf(result.getCause()));
 		}
+		else if (this.context.pools().rests().isResting(endpoint.instance(), System.nanoTime())) {
+			// It has refused another request since it was chosen for this one.
+			this.context.connections().release(endpoint, result.get());
+			attempt.end(AttemptEnd.NOT_SENT, Outcome.UNKNOWN);
+		}
 		else {
 			send(attempt, endpoint, result.get());
 		}
@@ -509,7 +523,7 @@
 	}
 
 	private void fail(String detail) {
-		fail(detail, RetryDelay.usual(this.request.idHash()));
+		fail(detail, retryDelay());
 	}
 
 	private void fail(String detail, Duration retryAfter) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/LoadGossipTests.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import org.acaciacourse.core.balance.EndpointRests;
 import org.acaciacourse.core.balance.LoadPeer;
 import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.balance.Placement;
@@ -51,7 +52,7 @@
 
 	private PoolStates pools() throws Exception {
 		PoolStates pools = new PoolStates(this.loop, new RetryBudgetOptions(Duration.ofSeconds(10), 0.2, 10),
-				RateLimits.ofSingleVm(), (instance) -> true);
+				RateLimits.ofSingleVm(), new EndpointRests(""), (instance) -> true);
 		onLoop(() -> {
 			pools.fleet(FLEET);
 			return null;
