Endpoints that state that they are leaving get none of this VM's new requests

What callers would see: a request that is sent to an endpoint which has said that it leaves, and that ends with it.

Cause: Server-Leaving was read nowhere. A refusal while leaving was a pause of 3 s, a 200 nothing at all; only the list made an endpoint a leaving one, which it shows later, and not at all to an entry that is cut from it. Class: a word of an endpoint that holds for its run is handled as the outcome of one attempt.

The statement now marks the endpoint as leaving in the list as this VM sees it (LeavingEndpoints), so that all that looks at a leaving endpoint does: choices, the division of engines, the check for crashes. It is read in every response, also in one that is not passed on; a 421 speaks of the endpoint that has the address now. A request that was chosen before goes back to the queue.

--- a/core/src/main/java/org/acaciacourse/core/route/FleetEndpoint.java
+++ b/core/src/main/java/org/acaciacourse/core/route/FleetEndpoint.java
@@ -45,4 +45,13 @@
 		this(instance, pool, address, dataCentre, slots, leaving, Optional.empty());
 	}
 
+	/**
+	 * Return the same endpoint as one that accepts no new requests.
+	 * @return the endpoint
+	 */
+	public FleetEndpoint asLeaving() {
+		return new FleetEndpoint(this.instance, this.pool, this.address, this.dataCentre, this.slots, true,
+				this.version);
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -232,6 +232,9 @@
 		if (status == SERVICE_UNAVAILABLE) {
 			metadata.retryAfter().ifPresent(this::restAsked);
 		}
+		if (metadata.leaving() && status != MISDIRECTED_REQUEST) {
+			leavingStated();
+		}
 		boolean notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
 		boolean ownResponse = metadata.requestId().equals(this.exchange.request().metadata().id());
 		if (!ownResponse && !notRun) {
@@ -261,6 +264,14 @@
 		rests.ask(instance, rest, this.lastActivityAt);
 	}
 
+	private void leavingStated() {
+		if (this.exchange.context().pools().leavingStated(this.endpoint.instance(), this.lastActivityAt)) {
+			DecisionLog.write(LogEvent.ENDPOINT_LEAVING, this.endpoint.instance(), this.endpoint.pool(),
+					this.exchange.request().metadata().id(), this.connection.via().orElse(null),
+					this.placed.inFlight());
+		}
+	}
+
 	private boolean isStream(HttpResponse head) {
 		return this.exchange.request().route().kind() == RequestKind.STREAM
 				&& head.headers().get("content-type", "").startsWith("text/event-stream");
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -24,6 +24,7 @@
 import org.acaciacourse.core.balance.StallDetector;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.route.LeavingEndpoints;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTable;
 import org.acaciacourse.core.stream.PoolVersions;
@@ -56,7 +57,9 @@
 
 	private final RateLimitLog rateLimitLog = new RateLimitLog();
 
-	private Fleet fleet = Fleet.NONE;
+	private final LeavingEndpoints leaving = new LeavingEndpoints();
+
+	private Fleet listed = Fleet.NONE;
 
 	private Map<String, FleetEndpoint> endpoints = Map.of();
 
@@ -128,10 +131,38 @@
 
 	/**
 	 * Set the fleet.
-	 * @param next the fleet
+	 * @param next the fleet as it is listed
 	 */
 	void fleet(Fleet next) {
-		this.fleet = next;
+		this.listed = next;
+		applyFleet(this.leaving.mark(next, System.nanoTime()));
+	}
+
+	/**
+	 * Record that an endpoint stated that it is leaving.
+	 * @param instance the endpoint
+	 * @param now the time
+	 * @return whether it was not known from the endpoint itself
+	 */
+	boolean leavingStated(String instance, long now) {
+		boolean first = this.leaving.stated(instance);
+		if (first) {
+			applyFleet(this.leaving.mark(this.listed, now));
+		}
+		return first;
+	}
+
+	/**
+	 * Return whether an endpoint may still get the request that it was chosen for.
+	 * @param instance the endpoint
+	 * @param now the time
+	 * @return whether it neither rests nor is leaving
+	 */
+	boolean mayGetRequests(String instance, long now) {
+		return !this.rests.isResting(instance, now) && endpoint(instance).filter(FleetEndpoint::leaving).isEmpty();
+	}
+
+	private void applyFleet(Fleet next) {
 		Map<String, List<FleetEndpoint>> byPool = new HashMap<>();
 		Map<String, FleetEndpoint> present = new HashMap<>();
 		Map<Integer, String> ids = new HashMap<>();
@@ -147,8 +178,9 @@
 		applySharers();
 	}
 
+	// The fleet as it is listed.
 	Fleet fleet() {
-		return this.fleet;
+		return this.listed;
 	}
 
 	// The software versions of the endpoints.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -98,10 +98,11 @@
 	 * stated
 	 * @param retryAfter for how long the endpoint wants no requests from this VM, if it
 	 * states that
+	 * @param leaving whether the endpoint states that it is leaving
 	 */
 	record ResponseMetadata(String requestId, boolean sealed, boolean notRun, Optional<ReportedLoad> load,
 			OptionalInt refusalLimit, OptionalDouble rateLimit, OptionalInt idleTimeoutSeconds,
-			Optional<Duration> retryAfter) {
+			Optional<Duration> retryAfter, boolean leaving) {
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -301,8 +301,8 @@
 		else if (result.isFailure()) {
 			attempt.end(AttemptEnd.NOT_SENT, outcomeOf(result.getCause()));
 		}
-		else if (this.context.pools().rests().isResting(endpoint.instance(), System.nanoTime())) {
-			// It has refused another request since it was chosen for this one.
+		else if (!this.context.pools().mayGetRequests(endpoint.instance(), System.nanoTime())) {
+			// It has responded to another request since it was chosen for this one.
 			this.context.connections().release(endpoint, result.get());
 			attempt.end(AttemptEnd.NOT_SENT, Outcome.UNKNOWN);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -153,6 +153,13 @@
 	 */
 	ENDPOINT_REST("endpoint-rest", "endpoint", "pool", "request", "via", "rest_ms", "left_ms", "in_flight"),
 
+	/**
+	 * An endpoint stated for the first time that it is leaving: the request that it
+	 * responded to, the entry VM that the request was sent through, and how many requests
+	 * of this VM are there.
+	 */
+	ENDPOINT_LEAVING("endpoint-leaving", "endpoint", "pool", "request", "via", "in_flight"),
+
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
