An entry that carries a tunnel learns what the endpoint stated in a response through it

The same cause elsewhere: an endpoint speaks to the VM that its connection comes from. A response through a tunnel is read only by the entry that asked; the one that carried it passes bytes on unread, so that it went on sending requests to an endpoint which wanted none from it, its own and those of other entries that are cut off.

The reader tells the carrier over a connection to its tunnel server (TunnelOpenRecord with restMillis or leaving, optional on the wire; an older build opens a tunnel that is closed at once). Carriers refuse tunnels to endpoints that rest or leave, and have open ones closed after their requests. EndpointStatements takes over what Attempt did with the heads of responses.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -1,7 +1,6 @@
 package org.acaciacourse.daemon.route;
 
 import java.io.ByteArrayOutputStream;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -14,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.acaciacourse.core.attempt.AttemptEnd;
-import org.acaciacourse.core.balance.EndpointRests;
 import org.acaciacourse.core.balance.Outcome;
 import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.balance.RoutingMechanism;
@@ -69,9 +67,6 @@
 	/** HTTP 421: the address belongs to another instance now. */
 	private static final int MISDIRECTED_REQUEST = 421;
 
-	/** HTTP 503: the endpoint has no room, or its deadline passed in the queue. */
-	private static final int SERVICE_UNAVAILABLE = 503;
-
 	private final RoutedExchange exchange;
 
 	private final FleetEndpoint endpoint;
@@ -229,12 +224,10 @@
 		metadata.idleTimeoutSeconds()
 			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
-		if (status == SERVICE_UNAVAILABLE) {
-			metadata.retryAfter().ifPresent(this::restAsked);
-		}
-		if (metadata.leaving() && status != MISDIRECTED_REQUEST) {
-			leavingStated();
-		}
+		this.exchange.context()
+			.statements()
+			.received(new EndpointStatements.Response(this.endpoint, this.exchange.request().metadata().id(),
+					this.connection.via(), this.placed.inFlight()), status, metadata);
 		boolean notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
 		boolean ownResponse = metadata.requestId().equals(this.exchange.request().metadata().id());
 		if (!ownResponse && !notRun) {
@@ -255,23 +248,6 @@
 		}
 	}
 
-	private void restAsked(Duration rest) {
-		EndpointRests rests = this.exchange.context().pools().rests();
-		String instance = this.endpoint.instance();
-		DecisionLog.write(LogEvent.ENDPOINT_REST, instance, this.endpoint.pool(),
-				this.exchange.request().metadata().id(), this.connection.via().orElse(null), rest.toMillis(),
-				rests.remaining(instance, this.lastActivityAt).toMillis(), this.placed.inFlight());
-		rests.ask(instance, rest, this.lastActivityAt);
-	}
-
-	private void leavingStated() {
-		if (this.exchange.context().pools().leavingStated(this.endpoint.instance(), this.lastActivityAt)) {
-			DecisionLog.write(LogEvent.ENDPOINT_LEAVING, this.endpoint.instance(), this.endpoint.pool(),
-					this.exchange.request().metadata().id(), this.connection.via().orElse(null),
-					this.placed.inFlight());
-		}
-	}
-
 	private boolean isStream(HttpResponse head) {
 		return this.exchange.request().route().kind() == RequestKind.STREAM
 				&& head.headers().get("content-type", "").startsWith("text/event-stream");
@@ -403,7 +379,7 @@
 	}
 
 	private static boolean promisesNotRun(int status) {
-		return status == 408 || status == MISDIRECTED_REQUEST || status == 429 || status == SERVICE_UNAVAILABLE;
+		return status == 408 || status == MISDIRECTED_REQUEST || status == 429 || status == 503;
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.path.EndpointPaths;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.tunnel.EndpointStatement;
 import org.acaciacourse.daemon.tunnel.TcpSockets;
 
 /**
@@ -124,6 +125,15 @@
 		}, (spare) -> release(endpoint, spare));
 	}
 
+	/**
+	 * Tell a peer what an endpoint stated in a response through it.
+	 * @param peer the peer that carried the tunnel
+	 * @param statement the statement
+	 */
+	void tell(String peer, EndpointStatement statement) {
+		this.connector.tell(peer, statement);
+	}
+
 	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint) {
 		Deque<EndpointConnection> connections = this.idleConnections.getOrDefault(endpoint.instance(),
 				new ArrayDeque<>());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -22,9 +22,12 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.tunnel.EndpointStatement;
 import org.acaciacourse.daemon.tunnel.TcpSockets;
 import org.acaciacourse.daemon.tunnel.TunnelClientHandler;
 import org.acaciacourse.daemon.tunnel.TunnelResult;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Establishes connections to endpoints. The paths to an endpoint are tried one after the
@@ -35,6 +38,8 @@
  */
 final class EndpointConnector {
 
+	private static final Logger logger = LogManager.getLogger(EndpointConnector.class);
+
 	/** A SYN and its reply take milliseconds; a lost SYN is sent again after a second. */
 	private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
@@ -154,6 +159,32 @@
 		});
 	}
 
+	/**
+	 * Tell a peer what an endpoint stated in a response through it.
+	 * @param peer the peer that carried the tunnel
+	 * @param statement the statement
+	 */
+	void tell(String peer, EndpointStatement statement) {
+		TcpSockets.bootstrap(this.loop, TUNNEL_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				TunnelClientHandler.addStatement(channel.pipeline(), EndpointConnector.this.tunnelKey.orElseThrow(),
+						statement, (result) -> {
+							logger.debug("peer {} was told {}: {}", peer, statement, result);
+							channel.close();
+						});
+				EndpointConnector.this.loop.schedule((Runnable) channel::close, TUNNEL_TIMEOUT_MILLIS,
+						TimeUnit.MILLISECONDS);
+			}
+
+		}).connect(InternalConnection.parse(peer)).addListener((ChannelFutureListener) (future) -> {
+			if (!future.isSuccess()) {
+				logger.warn("peer {} could not be told {}: {}", peer, statement, String.valueOf(future.cause()));
+			}
+		});
+	}
+
 	/** A tunnel that is being opened. */
 	private final class TunnelOpening {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -16,6 +16,7 @@
  * @param dialect reads and writes headers
  * @param connections the connections to the endpoints
  * @param pools the states of the pools
+ * @param statements takes over what endpoints state about requests to them
  * @param crashes keeps requests that crash endpoints from being sent on
  * @param origins where streams began that callers may take up
  * @param metrics the metrics
@@ -24,6 +25,6 @@
  * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
-		CrashGuard crashes, StreamOriginService origins, RouteMetrics metrics, Set<RoutedExchange> openExchanges,
-		LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
+		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, RouteMetrics metrics,
+		Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -46,6 +46,7 @@
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
+import org.acaciacourse.daemon.tunnel.EndpointStatement;
 import org.acaciacourse.daemon.tunnel.TunnelServer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -95,6 +96,8 @@
 
 	private final EndpointConnections connections;
 
+	private final EndpointStatements statements;
+
 	private final CrashGuard crashes;
 
 	private final StreamOriginService origins;
@@ -146,11 +149,12 @@
 		this.pools = new PoolStates(this.loop, options.retryBudget(),
 				options.loadPeer().map((peer) -> RateLimits.of(peer.address())).orElseGet(RateLimits::ofSingleVm),
 				new EndpointRests(self.address()), this.connections::hasIdle);
+		this.statements = new EndpointStatements(this.pools, this.connections, this::stopTunnelsTo);
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
 				self.address().hashCode(), controlLink::reportCrash);
 		this.origins = new StreamOriginService(this.loop, self.address());
-		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools, this.crashes,
-				this.origins, this.metrics, this.openExchanges,
+		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
+				this.statements, this.crashes, this.origins, this.metrics, this.openExchanges,
 				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
@@ -348,6 +352,10 @@
 		return this.openExchanges.stream().anyMatch((exchange) -> exchange.isConnectedTo(instance));
 	}
 
+	private void stopTunnelsTo(String instance) {
+		this.tunnels.ifPresent((server) -> server.stopTunnelsTo(instance));
+	}
+
 	private boolean areTunnelsAllowed() {
 		return this.pools.policy().isOn(RoutingMechanism.TUNNELS);
 	}
@@ -456,6 +464,16 @@
 			return RouteDaemon.this.paths.direct().link(instance);
 		}
 
+		@Override
+		public boolean mayGetRequests(String instance) {
+			return RouteDaemon.this.pools.mayGetRequests(instance, System.nanoTime());
+		}
+
+		@Override
+		public void stated(EndpointStatement statement) {
+			RouteDaemon.this.statements.apply(statement);
+		}
+
 	}
 
 	/** Responds to every request at its address with whether the VM is ready. */
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelClientHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelClientHandler.java
@@ -22,9 +22,7 @@
  */
 public final class TunnelClientHandler extends ChannelInboundHandlerAdapter {
 
-	private final SharedKey key;
-
-	private final String instance;
+	private final TunnelOpenRecord open;
 
 	private final Consumer<TunnelResult> onResult;
 
@@ -34,9 +32,8 @@
 
 	private boolean ended;
 
-	private TunnelClientHandler(SharedKey key, String instance, Consumer<TunnelResult> onResult, Runnable onStopping) {
-		this.key = key;
-		this.instance = instance;
+	private TunnelClientHandler(TunnelOpenRecord open, Consumer<TunnelResult> onResult, Runnable onStopping) {
+		this.open = open;
 		this.onResult = onResult;
 		this.onStopping = onStopping;
 	}
@@ -51,14 +48,32 @@
 	 */
 	public static void add(ChannelPipeline pipeline, SharedKey key, String instance, Consumer<TunnelResult> onResult,
 			Runnable onStopping) {
+		add(pipeline, new TunnelOpenRecord(key.text(), instance), onResult, onStopping);
+	}
+
+	private static void add(ChannelPipeline pipeline, TunnelOpenRecord open, Consumer<TunnelResult> onResult,
+			Runnable onStopping) {
 		pipeline.addLast(TunnelFrame.decoder());
-		pipeline.addLast(new TunnelClientHandler(key, instance, onResult, onStopping));
+		pipeline.addLast(new TunnelClientHandler(open, onResult, onStopping));
+	}
+
+	/**
+	 * Add the handlers of a connection that only tells the server what an endpoint stated
+	 * in a response through it.
+	 * @param pipeline the pipeline of a connection to a tunnel server
+	 * @param key the key of the inner connections
+	 * @param statement the statement
+	 * @param onResult is told once whether the server keeps it
+	 */
+	public static void addStatement(ChannelPipeline pipeline, SharedKey key, EndpointStatement statement,
+			Consumer<TunnelResult> onResult) {
+		add(pipeline, statement.record(key.text()), onResult, () -> {
+		});
 	}
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
-		byte[] open = ThriftBytes.encode(new TunnelOpenRecord(this.key.text(), this.instance));
-		ctx.writeAndFlush(TunnelFrame.OPEN.of(open));
+		ctx.writeAndFlush(TunnelFrame.OPEN.of(ThriftBytes.encode(this.open)));
 		ctx.fireChannelActive();
 	}
 
@@ -105,7 +120,7 @@
 			tell(TunnelResult.NO_ANSWER);
 		}
 		else if (!this.ended) {
-			ctx.fireExceptionCaught(new IOException("tunnel to " + this.instance + " was lost"));
+			ctx.fireExceptionCaught(new IOException("tunnel to " + this.open.getInstance() + " was lost"));
 		}
 		ctx.fireChannelInactive();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelResult.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelResult.java
@@ -29,7 +29,10 @@
 	BUSY(5, true),
 
 	/** The server did not answer, or expects another key. */
-	NO_ANSWER(6, true);
+	NO_ANSWER(6, true),
+
+	/** The server keeps what its client told it of the endpoint. */
+	NOTED(7, false);
 
 	private final int number;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelServer.java
@@ -96,6 +96,14 @@
 		this.sessions.forEach(TunnelSession::announceStop);
 	}
 
+	/**
+	 * Have the open tunnels to an endpoint closed after their requests.
+	 * @param instance the endpoint
+	 */
+	public void stopTunnelsTo(String instance) {
+		this.sessions.stream().filter((session) -> session.leadsTo(instance)).forEach(TunnelSession::announceStop);
+	}
+
 	/**
 	 * Return the number of open tunnels.
 	 * @return the number of tunnels
@@ -154,6 +162,19 @@
 		 */
 		EndpointLink link(String instance);
 
+		/**
+		 * Return whether an endpoint takes requests of this VM.
+		 * @param instance its instance
+		 * @return whether it neither rests nor is leaving
+		 */
+		boolean mayGetRequests(String instance);
+
+		/**
+		 * Take over what an endpoint stated in a response through a tunnel.
+		 * @param statement the statement
+		 */
+		void stated(EndpointStatement statement);
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
@@ -43,6 +43,8 @@
 
 	private Optional<Channel> endpoint = Optional.empty();
 
+	private String instance = "";
+
 	private boolean openReceived;
 
 	TunnelSession(TunnelServer server, Channel client) {
@@ -84,16 +86,26 @@
 		boolean authorized = isOpen && !this.openReceived && record.isSuccess()
 				&& this.server.key().matches(record.get().getSharedKey());
 		this.openReceived = true;
-		if (authorized) {
-			open(record.get().getInstance());
+		if (!authorized) {
+			this.client.close();
+			return;
+		}
+		EndpointStatement statement = EndpointStatement.of(record.get());
+		if (statement.restricts()) {
+			this.server.targets().stated(statement);
+			refuse(TunnelResult.NOTED);
 		}
 		else {
-			this.client.close();
+			open(statement.instance());
 		}
 	}
 
-	private void open(String instance) {
-		Optional<FleetEndpoint> target = this.server.targets().find(instance);
+	private void open(String target) {
+		this.instance = target;
+		open(this.server.targets().find(target));
+	}
+
+	private void open(Optional<FleetEndpoint> target) {
 		Optional<TunnelResult> refusal = this.server.refusal();
 		if (refusal.isPresent()) {
 			refuse(refusal.get());
@@ -102,8 +114,8 @@
 			refuse(TunnelResult.UNKNOWN_ENDPOINT);
 		}
 		else {
-			EndpointLink link = this.server.targets().link(instance);
-			if (link.mayConnect(System.nanoTime())) {
+			EndpointLink link = this.server.targets().link(this.instance);
+			if (this.server.targets().mayGetRequests(this.instance) && link.mayConnect(System.nanoTime())) {
 				connect(target.get(), link);
 			}
 			else {
@@ -139,6 +151,11 @@
 			channel.close();
 			return;
 		}
+		if (!this.server.targets().mayGetRequests(this.instance)) {
+			channel.close();
+			refuse(TunnelResult.UNREACHABLE);
+			return;
+		}
 		this.endpoint = Optional.of(channel);
 		this.server.opened(this);
 		this.client.pipeline().remove(DECODER);
@@ -153,6 +170,10 @@
 		this.client.writeAndFlush(opened(result)).addListener(ChannelFutureListener.CLOSE);
 	}
 
+	boolean leadsTo(String endpointInstance) {
+		return this.instance.equals(endpointInstance);
+	}
+
 	void announceStop() {
 		this.client.writeAndFlush(TunnelFrame.STOPPING.of());
 	}
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -447,6 +447,11 @@
 struct TunnelOpenRecord {
   1: string sharedKey,
   2: string instance,
+  /* With either of the next two, no connection is wanted: the endpoint has stated this in a response through a tunnel.
+     It wants no requests of the entry that carried the tunnel for so long. */
+  3: optional i64 restMillis,
+  /* It is leaving. */
+  4: optional bool leaving,
 }
 
 /* The answer, with the number of a result. */
