Informational responses without end are an invalid response

An endpoint that writes one 1xx head after the other held the request until its deadline, and the entry read on as fast as it wrote: no bound counted them. After eight the connection is closed and the request judged like one with a damaged response.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -33,6 +33,9 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+	/** More than servers send before one response; bounds those without end. */
+	private static final int MAX_INFORMATIONAL = 8;
+
 	private final FleetEndpoint endpoint;
 
 	private final EndpointLink link;
@@ -53,6 +56,9 @@
 
 	private boolean informational;
 
+	/** The informational responses since the request was sent. */
+	private int informationalCount;
+
 	private boolean closeAfterResponse;
 
 	private boolean connectionReset;
@@ -141,6 +147,7 @@
 		this.listener = responseListener;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
+		this.informationalCount = 0;
 		this.closeAfterResponse = false;
 		this.requestWritten = this.channel.writeAndFlush(request);
 	}
@@ -202,10 +209,10 @@
 
 	private void readHead(HttpResponse head) {
 		this.informational = head.status().code() < 200;
-		if (this.informational) {
+		if (this.informational && ++this.informationalCount <= MAX_INFORMATIONAL) {
 			return;
 		}
-		if (this.headReceived) {
+		if (this.informational || this.headReceived) {
 			fail();
 			return;
 		}
