A refusal is complete with its head: its body is read for a tenth of a second

An endpoint that refuses a request and writes on without end, fast or slowly, held the request until its deadline: the end of the body was waited for before the request was sent elsewhere. The head alone tells that it has not run; the body is read only so that the connection can be used again.

Evidence: EndlessResponseTests, REFUSAL failed before (504 at the deadline), SLOW_REFUSAL writes a byte every 5 ms.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -64,6 +64,12 @@
 	 */
 	private static final long MIN_LINK_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+	/**
+	 * How long the body of a refusal is read, so that its connection can be reused. The
+	 * head alone tells that the request was not run.
+	 */
+	private static final long REFUSAL_BODY_MILLIS = 100;
+
 	/** HTTP 421: the address belongs to another instance now. */
 	private static final int MISDIRECTED_REQUEST = 421;
 
@@ -235,6 +241,9 @@
 		}
 		else if (notRun) {
 			this.partial.start(PartialResponse.Mode.NOT_RUN, head);
+			this.exchange.context()
+				.loop()
+				.schedule(this::endIncompleteRefusal, REFUSAL_BODY_MILLIS, TimeUnit.MILLISECONDS);
 		}
 		else if (status / 100 == 2 && !metadata.sealed()) {
 			abandon(AttemptEnd.BROKEN, Outcome.FAILED);
@@ -329,6 +338,13 @@
 		}
 	}
 
+	private void endIncompleteRefusal() {
+		if (!this.done) {
+			this.connection.abandon();
+			endNotRun();
+		}
+	}
+
 	private void endNotRun() {
 		boolean leaving = this.partial.status == MISDIRECTED_REQUEST;
 		end(AttemptEnd.NOT_RUN, (leaving) ? Outcome.LEAVING : Outcome.FULL);
