Buffered response bodies share a bound of memory, the largest one is discarded

Each body was bounded by 32 MB, all of them together by nothing: an entry has a heap of 72 MB, of which a single body of that size takes more than there is while its buffer grows. Now all bodies together take an eighth of the heap; the largest is discarded, so that one without end does not take the others with it. By reading; a run with a heap of that size was not made.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -81,6 +81,8 @@
 
 	private final PlacedRequest placed;
 
+	private final BodyMemory.Body body = new BodyMemory.Body(() -> abandon(AttemptEnd.BROKEN, Outcome.FAILED));
+
 	private final long startedAt = System.nanoTime();
 
 	private EndpointConnection connection;
@@ -200,6 +202,7 @@
 
 	private void finish(Outcome outcome) {
 		this.done = true;
+		this.exchange.context().bodies().release(this.body);
 		if (this.silenceCheck != null) {
 			this.silenceCheck.cancel(false);
 		}
@@ -271,7 +274,14 @@
 		if (this.partial.mode == PartialResponse.Mode.STREAM) {
 			forwardEvents(ByteBufUtil.getBytes(bytes));
 		}
-		else if (this.partial.mode == PartialResponse.Mode.BUFFERED && !this.partial.collect(bytes)) {
+		else if (this.partial.mode == PartialResponse.Mode.BUFFERED) {
+			collect(bytes);
+		}
+	}
+
+	private void collect(ByteBuf bytes) {
+		this.exchange.context().bodies().add(this.body, bytes.readableBytes());
+		if (!this.done && !this.partial.collect(bytes)) {
 			abandon(AttemptEnd.BROKEN, Outcome.FAILED);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -19,12 +19,14 @@
  * @param statements takes over what endpoints state about requests to them
  * @param crashes keeps requests that crash endpoints from being sent on
  * @param origins where streams began that callers may take up
+ * @param bodies bounds the memory of buffered response bodies
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
  * @param lateLogLimiter limits the rate of log lines on late responses
  * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
-		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, RouteMetrics metrics,
-		Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
+		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, BodyMemory bodies,
+		RouteMetrics metrics, Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter,
+		Optional<UsageMeter> usage) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -154,7 +154,7 @@
 				self.address().hashCode(), controlLink::reportCrash);
 		this.origins = new StreamOriginService(this.loop, self.address());
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
-				this.statements, this.crashes, this.origins, this.metrics, this.openExchanges,
+				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(), this.metrics, this.openExchanges,
 				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
