--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -235,7 +235,7 @@
 		int status = head.status().code();
 		this.exchange.context()
 			.statements()
-			.received(new EndpointStatements.Response(this.endpoint, this.exchange.request().metadata().id(),
+			.received(new EndpointStatements.Response(this.endpoint.instance(), this.exchange.request().metadata().id(),
 					this.connection.via(), this.placed.inFlight()), status, metadata);
 		boolean notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
 		boolean ownResponse = metadata.requestId().equals(this.exchange.request().metadata().id());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-import org.acaciacourse.core.balance.EndpointRests;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -52,51 +51,50 @@
 	void received(Response response, int status, RequestDialect.ResponseMetadata metadata) {
 		boolean leaving = metadata.leaving() && status != MISDIRECTED_REQUEST;
 		Optional<Duration> rest = metadata.retryAfter().filter((time) -> status == SERVICE_UNAVAILABLE);
-		EndpointStatement statement = new EndpointStatement(response.endpoint().instance(), rest, leaving);
+		EndpointStatement statement = new EndpointStatement(response.instance(), rest, leaving);
 		if (statement.restricts()) {
-			rest.ifPresent((time) -> logRest(response, time));
-			if (apply(statement)) {
-				logLeaving(response);
-			}
+			apply(statement, Optional.of(response));
 			response.via().ifPresent((peer) -> this.connections.tell(peer, statement));
 		}
 	}
 
 	/**
-	 * Keep a statement, and have the tunnels to its endpoint closed after their requests.
+	 * Process what a peer has read in a response through this VM.
 	 * @param statement the statement
-	 * @return whether the endpoint was not known to be leaving by its own statement
 	 */
-	boolean apply(EndpointStatement statement) {
-		long now = System.nanoTime();
-		statement.rest().ifPresent((time) -> this.pools.rests().ask(statement.instance(), time, now));
-		boolean firstLeaving = statement.leaving() && this.pools.leavingStated(statement.instance(), now);
-		this.tunnelStopper.accept(statement.instance());
-		return firstLeaving;
-	}
-
-	private void logRest(Response response, Duration rest) {
-		EndpointRests rests = this.pools.rests();
-		String instance = response.endpoint().instance();
-		DecisionLog.write(LogEvent.ENDPOINT_REST, instance, response.endpoint().pool(), response.request(),
-				response.via().orElse(null), rest.toMillis(), rests.remaining(instance, System.nanoTime()).toMillis(),
-				response.inFlight());
+	void told(EndpointStatement statement) {
+		apply(statement, Optional.empty());
 	}
 
-	private static void logLeaving(Response response) {
-		DecisionLog.write(LogEvent.ENDPOINT_LEAVING, response.endpoint().instance(), response.endpoint().pool(),
-				response.request(), response.via().orElse(null), response.inFlight());
+	// The tunnels to the endpoint are closed after their requests.
+	private void apply(EndpointStatement statement, Optional<Response> source) {
+		long now = System.nanoTime();
+		String instance = statement.instance();
+		String pool = this.pools.endpoint(instance).map(FleetEndpoint::pool).orElse(null);
+		String request = source.map(Response::request).orElse(null);
+		String via = source.flatMap(Response::via).orElse(null);
+		Integer inFlight = source.map(Response::inFlight).orElse(null);
+		statement.rest().ifPresent((rest) -> {
+			long leftMillis = this.pools.rests().remaining(instance, now).toMillis();
+			DecisionLog.write(LogEvent.ENDPOINT_REST, instance, pool, request, via, rest.toMillis(), leftMillis,
+					inFlight);
+			this.pools.rests().ask(instance, rest, now);
+		});
+		if (statement.leaving() && this.pools.leavingStated(instance, now)) {
+			DecisionLog.write(LogEvent.ENDPOINT_LEAVING, instance, pool, request, via, inFlight);
+		}
+		this.tunnelStopper.accept(instance);
 	}
 
 	/**
 	 * Where a response comes from.
 	 *
-	 * @param endpoint the endpoint
+	 * @param instance the endpoint
 	 * @param request the id of the request
 	 * @param via the VM that the connection is tunnelled through, if it is
 	 * @param inFlight how many requests of this VM are at the endpoint
 	 */
-	record Response(FleetEndpoint endpoint, String request, Optional<String> via, int inFlight) {
+	record Response(String instance, String request, Optional<String> via, int inFlight) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -471,7 +471,7 @@
 
 		@Override
 		public void stated(EndpointStatement statement) {
-			RouteDaemon.this.statements.apply(statement);
+			RouteDaemon.this.statements.told(statement);
 		}
 
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -149,7 +149,8 @@
 	 * An endpoint refused a request and asked this VM to send nothing for a while: the
 	 * request, the entry VM that it was sent through, the time asked for, what was left
 	 * of the time that the endpoint had asked for before, and how many requests of this
-	 * VM are there.
+	 * VM are there. Without a request if another entry VM read the response, which passed
+	 * this one.
 	 */
 	ENDPOINT_REST("endpoint-rest", "endpoint", "pool", "request", "via", "rest_ms", "left_ms", "in_flight"),
 
