--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -95,9 +95,9 @@
 		}
 	}
 
-	// Replaces lost and resting engines by the next ones in hash order: brief requests
-	// would
-	// otherwise be spread over all engines that serve long prompts, and be late there.
+	// Replaces lost and resting engines by the next ones in hash order. Otherwise, brief
+	// requests would be spread over all engines that serve long prompts, and be late
+	// there.
 	private void selectReserved(long now) {
 		boolean useStandIns = this.policy.isOn(RoutingMechanism.BRIEF_STAND_INS);
 		this.reserved.clear();
--- a/core/src/main/java/org/acaciacourse/core/route/LeavingEndpoints.java
+++ b/core/src/main/java/org/acaciacourse/core/route/LeavingEndpoints.java
@@ -24,7 +24,7 @@
 
 	private final Set<String> stated = new HashSet<>();
 
-	/** Since when those that are not listed have not been. */
+	/** When the latest lists began to lack those that are not listed. */
 	private final Map<String, Long> absentSince = new HashMap<>();
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/BodyMemory.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/BodyMemory.java
@@ -16,8 +16,8 @@
 final class BodyMemory {
 
 	/**
-	 * While it grows, a buffer takes three times its content, and the whole body is
-	 * copied once.
+	 * The part of the heap that the bodies may take. While it grows, a buffer takes three
+	 * times its content, and the whole body is copied once.
 	 */
 	private static final int HEAP_FRACTION = 8;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
@@ -66,7 +66,7 @@
 		apply(statement, Optional.empty());
 	}
 
-	// The tunnels to the endpoint are closed after their requests.
+	// Requests of other VMs would reach the endpoint through open tunnels as well.
 	private void apply(EndpointStatement statement, Optional<Response> source) {
 		long now = System.nanoTime();
 		String instance = statement.instance();
