Placement of a request apart from its life

RoutedExchange decided which endpoints a request may use, how long it waits for one, its position in the queue there and when its caller is to retry. RequestLifeTests, DeliveryTests and EndpointRestTests pass.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -20,7 +20,6 @@
 import org.acaciacourse.core.balance.QueuePosition;
 import org.acaciacourse.core.balance.RequestRetries;
 import org.acaciacourse.core.balance.RoutingMechanism;
-import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.crash.RequestFeatures;
@@ -52,8 +51,6 @@
 
 	private final PoolStates.State pool;
 
-	private final boolean brief;
-
 	private final CallerResponse response;
 
 	private final RequestProgress progress;
@@ -62,7 +59,7 @@
 
 	private final StreamBinding binding;
 
-	private final PlacementWait placementWait = new PlacementWait();
+	private final RequestPlacement placement;
 
 	private final ExchangeTelemetry telemetry;
 
@@ -97,11 +94,10 @@
 		this.request = request;
 		this.pool = context.pools().state(request.pool());
 		this.response = response;
-		this.brief = this.pool.isBrief(request.route().target(),
-				context.pools().policy().value(RoutingParameter.NEARLY_SHORTEST));
 		this.progress = new RequestProgress(request.route());
 		this.retries = new RequestRetries(this.pool.allowance());
 		this.binding = new StreamBinding(request, this.pool.balancer(), context.pools().versions(), context.origins());
+		this.placement = new RequestPlacement(context, request, this.binding, this.startedAt);
 		this.lastEventId = request.metadata().lastEventId();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
@@ -203,40 +199,36 @@
 		if (withholdCrashingRequest()) {
 			return true;
 		}
-		Placement placement = placement();
-		Optional<FleetEndpoint> choice = choose(placement, now);
+		Placement wanted = this.placement.wanted(this.progress.triedInstances());
+		Optional<FleetEndpoint> choice = choose(wanted, now);
 		if (choice.isEmpty()) {
-			return failIfWaitedTooLong(placement, now);
+			return failIfWaitedTooLong(wanted, now);
 		}
 		this.pool.queue().remove(this);
-		this.placementWait.end();
+		this.placement.found();
 		this.telemetry.placed(now);
-		startAttempt(choice.get(), placement);
+		startAttempt(choice.get(), wanted);
 		return true;
 	}
 
 	// Two contents under suspicion that meet the same crash again can't be told apart.
-	private Optional<FleetEndpoint> choose(Placement placement, long now) {
+	private Optional<FleetEndpoint> choose(Placement wanted, long now) {
 		if (!this.context.crashes().isSuspect(this::features)) {
-			return this.pool.balancer().choose(placement, now);
+			return this.pool.balancer().choose(wanted, now);
 		}
-		Set<String> excluded = new HashSet<>(placement.excluded());
+		Set<String> excluded = new HashSet<>(wanted.excluded());
 		this.context.openExchanges()
 			.stream()
 			.filter((other) -> other != this && this.context.crashes().isSuspect(other::features))
 			.forEach((other) -> other.current.ifPresent((attempt) -> excluded.add(attempt.instance())));
 		return this.pool.balancer()
-			.choose(placement.excluding(excluded), now)
-			.or(() -> this.pool.balancer().choose(placement, now));
+			.choose(wanted.excluding(excluded), now)
+			.or(() -> this.pool.balancer().choose(wanted, now));
 	}
 
-	private boolean failIfWaitedTooLong(Placement placement, long now) {
-		boolean tooLong = this.placementWait.isTooLong(now, this.request.route().target(),
-				this.context.pools().fleet().revision() != 0);
-		boolean exhausted = this.pool.balancer().isExhausted(placement);
-		boolean restTooLong = this.placementWait.isTooLong(this.pool.balancer().restOfAll(placement, now),
-				this.request.route().target());
-		if (!exhausted && !tooLong && !restTooLong) {
+	private boolean failIfWaitedTooLong(Placement wanted, long now) {
+		boolean exhausted = this.pool.balancer().isExhausted(wanted);
+		if (!exhausted && !this.placement.isWaitTooLong(wanted, now)) {
 			return false;
 		}
 		if (exhausted && this.binding.isBound()) {
@@ -244,56 +236,27 @@
 			failAsVersionGone();
 			return true;
 		}
-		Duration behindQueue = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
-				this.pool.balancer().permittedRate(now));
-		Duration afterRest = retryDelay();
+		Duration retryAfter = this.placement.retryDelayBehindQueue(now);
 		this.pool.queue().remove(this);
-		fail("no endpoint takes it", (behindQueue.compareTo(afterRest) > 0) ? behindQueue : afterRest);
+		fail("no endpoint takes it", retryAfter);
 		return true;
 	}
 
-	// A retry of the caller may use the endpoints that this request has tried.
-	private Duration retryDelay() {
-		Placement retry = this.binding.restrict(unrestrictedPlacement().excluding(Set.of()));
-		return RetryDelay.afterRest(this.request.idHash(), this.pool.balancer().restOfAll(retry, System.nanoTime()));
-	}
-
-	private Placement placement() {
-		return this.binding.restrict(unrestrictedPlacement());
-	}
-
-	private Placement unrestrictedPlacement() {
-		return new Placement(this.request.metadata().prompt(), this.request.route().affinity(), this.brief,
-				this.request.idHash(), this.progress.triedInstances());
-	}
-
 	// Whether the caller has a part of its stream, with which only some endpoints can go
 	// on.
 	boolean isBoundToVersion() {
 		return this.binding.isBound();
 	}
 
-	private void startAttempt(FleetEndpoint endpoint, Placement placement) {
-		this.queuePosition = queuePosition(endpoint);
+	private void startAttempt(FleetEndpoint endpoint, Placement wanted) {
+		this.queuePosition = this.placement.queuePosition(endpoint, System.nanoTime());
 		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), placement, this.queuePosition, System.nanoTime()));
+				this.pool.balancer().begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime()));
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
 		this.context.connections().acquire(endpoint, (result) -> connected(attempt, endpoint, result));
 	}
 
-	// A request that would be late in any case is deferred at its engine behind those
-	// that can still be in time. Otherwise, all requests would be late in an overload,
-	// each by as much as the callers tolerate.
-	private QueuePosition queuePosition(FleetEndpoint endpoint) {
-		if (this.request.deferredUrgency().isEmpty()) {
-			return QueuePosition.OVERTAKES_OTHERS;
-		}
-		long left = this.startedAt + this.request.route().target().toNanos() - System.nanoTime();
-		boolean late = this.pool.balancer().isLate(endpoint.instance(), this.request.metadata().prompt(), left);
-		return (late) ? QueuePosition.DEFERRED : QueuePosition.BEHIND_OTHERS;
-	}
-
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointConnection> result) {
 		if (!isCurrent(attempt)) {
 			result.forEach((connection) -> this.context.connections().release(endpoint, connection));
@@ -415,9 +378,7 @@
 	boolean mayReplaceAttempt() {
 		return this.request.route().isIdempotent() && this.progress.mayRetry()
 				&& this.pool.allowance().mayRetry(System.nanoTime())
-				&& this.pool.balancer()
-					.choose(this.binding.untried(unrestrictedPlacement()), System.nanoTime())
-					.isPresent();
+				&& this.placement.hasUntriedEndpoint(this.progress.triedInstances(), System.nanoTime());
 	}
 
 	/**
@@ -523,7 +484,7 @@
 	}
 
 	private void fail(String detail) {
-		fail(detail, retryDelay());
+		fail(detail, this.placement.retryDelay(System.nanoTime()));
 	}
 
 	private void fail(String detail, Duration retryAfter) {
