Optional mechanisms of the routing policy

Shares of customers, admission and the speed of endpoints are to work only where a deployment calls for them. A policy switches them on or off; where it does not, the platform's contract on pressure or the statements of a pool's endpoints do.

--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicy.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicy.java
@@ -18,10 +18,15 @@
  * @param name the name of the policy in logs and metrics
  * @param off the mechanisms that are switched off
  * @param values the values of parameters that are not at their defaults
+ * @param optional the optional mechanisms that are switched on or off in all pools
  */
-public record RoutingPolicy(String name, Set<RoutingMechanism> off, Map<RoutingParameter, Double> values) {
+public record RoutingPolicy(String name, Set<RoutingMechanism> off, Map<RoutingParameter, Double> values,
+		Map<OptionalMechanism, Boolean> optional) {
 
-	/** All mechanisms are on and all parameters have their default values. */
+	/**
+	 * All mechanisms that aren't optional are on, and all parameters have their default
+	 * values.
+	 */
 	public static final RoutingPolicy DEFAULT = new RoutingPolicy("default", Set.of(), Map.of());
 
 	public RoutingPolicy {
@@ -32,6 +37,9 @@
 		EnumMap<RoutingParameter, Double> given = new EnumMap<>(RoutingParameter.class);
 		given.putAll(values);
 		values = Collections.unmodifiableMap(given);
+		EnumMap<OptionalMechanism, Boolean> switched = new EnumMap<>(OptionalMechanism.class);
+		switched.putAll(optional);
+		optional = Collections.unmodifiableMap(switched);
 		if (!withUnmetDependency(off).isEmpty()) {
 			throw new IllegalArgumentException(
 					"mechanisms on without the one they depend on: " + withUnmetDependency(off));
@@ -44,6 +52,16 @@
 		});
 	}
 
+	/**
+	 * Create a policy that switches no optional mechanism.
+	 * @param name the name of the policy in logs and metrics
+	 * @param off the mechanisms that are switched off
+	 * @param values the values of parameters that are not at their defaults
+	 */
+	public RoutingPolicy(String name, Set<RoutingMechanism> off, Map<RoutingParameter, Double> values) {
+		this(name, off, values, Map.of());
+	}
+
 	/**
 	 * Find the mechanisms that would be on without the one that they depend on.
 	 * @param off the mechanisms that are off
@@ -66,6 +84,29 @@
 		return !this.off.contains(mechanism);
 	}
 
+	/**
+	 * Return whether an optional mechanism is in use in a pool.
+	 * @param mechanism the mechanism
+	 * @param paceStated whether endpoints of the pool state how long work takes there
+	 * @return whether it is switched on, or is used in such a pool and not switched off
+	 */
+	public boolean isOn(OptionalMechanism mechanism, boolean paceStated) {
+		Boolean switched = this.optional.get(mechanism);
+		return (switched != null) ? switched : paceStated && mechanism.isUsedWithStatedPace();
+	}
+
+	/**
+	 * Return the same policy with optional mechanisms on that it does not switch itself.
+	 * @param mechanisms the mechanisms
+	 * @return the policy
+	 */
+	public RoutingPolicy withDefaultsOn(Set<OptionalMechanism> mechanisms) {
+		Map<OptionalMechanism, Boolean> all = new EnumMap<>(OptionalMechanism.class);
+		mechanisms.forEach((mechanism) -> all.put(mechanism, true));
+		all.putAll(this.optional);
+		return new RoutingPolicy(this.name, this.off, this.values, all);
+	}
+
 	/**
 	 * Return the value of a parameter.
 	 * @param parameter the parameter
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicyParser.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicyParser.java
@@ -54,15 +54,20 @@
 		SortedMap<String, String> keys = this.ini.sections().getOrDefault(SECTION, new TreeMap<>());
 		Set<RoutingMechanism> off = EnumSet.noneOf(RoutingMechanism.class);
 		Map<RoutingParameter, Double> values = new EnumMap<>(RoutingParameter.class);
+		Map<OptionalMechanism, Boolean> switched = new EnumMap<>(OptionalMechanism.class);
 		String name = RoutingPolicy.DEFAULT.name();
 		for (Map.Entry<String, String> entry : keys.entrySet()) {
 			Optional<RoutingMechanism> mechanism = RoutingMechanism.ofLabel(entry.getKey());
+			Optional<OptionalMechanism> optional = OptionalMechanism.ofLabel(entry.getKey());
 			Optional<RoutingParameter> parameter = RoutingParameter.ofLabel(entry.getKey());
 			if (mechanism.isPresent()) {
 				if (isOff(entry)) {
 					off.add(mechanism.get());
 				}
 			}
+			else if (optional.isPresent()) {
+				switched.put(optional.get(), !isOff(entry));
+			}
 			else if (parameter.isPresent()) {
 				number(entry, parameter.get()).ifPresent((value) -> values.put(parameter.get(), value));
 			}
@@ -76,7 +81,7 @@
 		}
 		RoutingPolicy.withUnmetDependency(off)
 			.forEach((m) -> addProblem(m.label(), "needs " + m.dependency().orElseThrow().label() + ", which is off"));
-		return (this.problems.isEmpty()) ? Either.right(new RoutingPolicy(name, off, values))
+		return (this.problems.isEmpty()) ? Either.right(new RoutingPolicy(name, off, values, switched))
 				: Either.left(this.problems);
 	}
 
--- a/core/src/test/java/org/acaciacourse/core/balance/RoutingPolicyParserTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/RoutingPolicyParserTests.java
@@ -9,6 +9,7 @@
 import io.vavr.control.Try;
 import org.acaciacourse.core.ini.IniText;
 import org.acaciacourse.core.ini.Problem;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -90,4 +91,40 @@
 			.isEqualTo(parameter.defaultValue());
 	}
 
+	/**
+	 * An operator who switches an optional mechanism off must not find it on for the
+	 * deployment or the endpoints of a pool.
+	 */
+	@Nested
+	class Optionally {
+
+		@Test
+		void isOffUnlessCalledFor() {
+			RoutingPolicy policy = parse().get();
+			assertThat(policy.isOn(OptionalMechanism.CUSTOMER_SHARES, true)).isFalse();
+			assertThat(policy.isOn(OptionalMechanism.ADMISSION, false)).isFalse();
+			assertThat(policy.isOn(OptionalMechanism.ADMISSION, true)).isTrue();
+			assertThat(policy.isOn(OptionalMechanism.ENDPOINT_SPEED, true)).isTrue();
+		}
+
+		@ParameterizedTest
+		@EnumSource(OptionalMechanism.class)
+		void followsWhatTheFileSays(OptionalMechanism mechanism) {
+			assertThat(parse(mechanism.label() + " = on").get().isOn(mechanism, false)).isTrue();
+			RoutingPolicy off = parse(mechanism.label() + " = off").get();
+			assertThat(off.isOn(mechanism, true)).isFalse();
+			assertThat(off.withDefaultsOn(Set.of(mechanism)).isOn(mechanism, true)).isFalse();
+			assertThat(parse(mechanism.label() + " = maybe").getLeft().toString()).contains(mechanism.label());
+		}
+
+		@Test
+		void isOnWhereTheDeploymentCallsForIt() {
+			RoutingPolicy policy = parse("name = trial").get().withDefaultsOn(Set.of(OptionalMechanism.ADMISSION));
+			assertThat(policy.isOn(OptionalMechanism.ADMISSION, false)).isTrue();
+			assertThat(policy.isOn(OptionalMechanism.CUSTOMER_SHARES, false)).isFalse();
+			assertThat(policy.name()).isEqualTo("trial");
+		}
+
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -221,8 +221,9 @@
 
 	private void applyPolicy(RoutingPolicy next) {
 		this.pools.policy(next);
-		DecisionLog.write(LogEvent.ROUTING_POLICY, next.name(),
-				next.off().stream().map(RoutingMechanism::label).toList(), next.values().toString());
+		List<String> off = next.off().stream().map(RoutingMechanism::label).toList();
+		DecisionLog.write(LogEvent.ROUTING_POLICY, next.name(), off, next.values().toString(),
+				next.optional().toString());
 	}
 
 	private synchronized void openAdmin() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -5,6 +5,7 @@
 
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.balance.OptionalMechanism;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.daemon.telemetry.Gauges;
@@ -63,6 +64,9 @@
 				for (RoutingMechanism mechanism : RoutingMechanism.values()) {
 					callback.call((policy.isOn(mechanism)) ? 1 : 0, policy.name(), mechanism.label());
 				}
+				for (OptionalMechanism mechanism : OptionalMechanism.values()) {
+					callback.call((policy.isOn(mechanism, false)) ? 1 : 0, policy.name(), mechanism.label());
+				}
 			})
 			.register(registry);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -227,10 +227,10 @@
 	USAGE_FIXED("usage-fixed", "window", "requests", "customers", "complete", "after_ms"),
 
 	/**
-	 * The active routing policy: its name, the mechanisms that are off and the values
-	 * that differ from the defaults.
+	 * The active routing policy: its name, the mechanisms that are off, the values that
+	 * differ from the defaults and the optional mechanisms that it switches.
 	 */
-	ROUTING_POLICY("routing-policy", "policy", "off", "values"),
+	ROUTING_POLICY("routing-policy", "policy", "off", "values", "optional"),
 
 	/** Log lines were dropped because the output did not accept them in time. */
 	LINES_DROPPED("lines-dropped", "count");
