Responses that callers do not read are kept within the memory budget

The key memory (from limits.memory_mb) sets the budget and read-limit the time a caller may take nothing; without memory all is as before. What a response takes is read off the connection's outbound buffer after each flush and at the existing tick while bytes wait; nothing else wakes the VM. Beyond its window a response is read on while the budget lasts, else its endpoint's connection is paused; a paused connection does not count as silent. A response that is ended resets the caller's connection, so that an answer without a length does not look complete, and closes the endpoint's.

Two limits follow from it. Endpoints are read 16 KB at a time, so that a pause comes in time. The send buffer of callers' connections is 64 KB: the system enlarges it to 4 MB, which no budget counts, and tells of free space only once a third is free, so that a slow caller seemed to take nothing for seconds.

A pipelined request is not begun any more on a connection that was closed under the response before.

--- a/core/src/main/java/org/acaciacourse/core/memory/UnreadResponses.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/UnreadResponses.java
@@ -162,13 +162,13 @@
 		List<Action<R>> actions = new ArrayList<>();
 		for (R response : List.copyOf(this.waiting)) {
 			if (response.idleNanos(now) >= this.readLimitNanos) {
-				actions.add(end(response, Reason.READ_LIMIT));
+				actions.add(end(response, Reason.READ_LIMIT, now));
 			}
 		}
 		for (Optional<R> next = nextToEnd(now); next.isPresent(); next = nextToEnd(now)) {
-			actions.add(end(next.get(), Reason.NO_MEMORY));
+			actions.add(end(next.get(), Reason.NO_MEMORY, now));
 		}
-		resume(actions);
+		resume(actions, now);
 		return actions;
 	}
 
@@ -182,8 +182,8 @@
 			.max(Comparator.comparingLong(UnreadResponse::unread));
 	}
 
-	private Action<R> end(R response, Reason reason) {
-		Action<R> action = new Action<>(response, Optional.of(reason), response.unread());
+	private Action<R> end(R response, Reason reason, long now) {
+		Action<R> action = new Action<>(response, Optional.of(reason), response.unread(), response.idleNanos(now));
 		this.budget.change(MemoryUse.UNREAD_RESPONSES, -response.unread());
 		response.end();
 		update(response);
@@ -191,7 +191,7 @@
 	}
 
 	// Those that hold the least go on first: they are the ones whose callers read.
-	private void resume(List<Action<R>> actions) {
+	private void resume(List<Action<R>> actions, long now) {
 		List<R> paused = this.waiting.stream()
 			.filter(UnreadResponse::isPaused)
 			.sorted(Comparator.comparingLong(UnreadResponse::unread))
@@ -202,7 +202,7 @@
 			}
 			response.paused(false);
 			update(response);
-			actions.add(new Action<>(response, Optional.empty(), response.unread()));
+			actions.add(new Action<>(response, Optional.empty(), response.unread(), response.idleNanos(now)));
 		}
 	}
 
@@ -254,8 +254,9 @@
 	 * @param response the response
 	 * @param end why it is ended; empty if reading from its endpoint is resumed
 	 * @param unread the bytes that waited for its caller
+	 * @param idleNanos for how many nanoseconds its caller had taken nothing
 	 */
-	public record Action<R>(R response, Optional<Reason> end, long unread) {
+	public record Action<R>(R response, Optional<Reason> end, long unread, long idleNanos) {
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/memory/UnreadResponsesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/memory/UnreadResponsesTests.java
@@ -122,7 +122,7 @@
 			Simulated burst = response();
 			burst.write(BOUND);
 			burst.take(BOUND - 1);
-			assertThat(tick()).containsExactly(new Action<>(burst, Optional.empty(), 1L));
+			assertThat(tick()).containsExactly(new Action<>(burst, Optional.empty(), 1L, 0L));
 			burst.take(1);
 			assertThat(UnreadResponsesTests.this.responses.waiting()).isEmpty();
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -18,6 +19,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2StreamChannel;
 import io.netty.util.concurrent.EventExecutor;
 
 /**
@@ -42,10 +46,20 @@
 	private Runnable writableAction = () -> {
 	};
 
+	private Runnable flushAction = () -> {
+	};
+
+	private ChannelFuture lastWrite;
+
+	/** The bytes that the connection was given, with what it adds to them. */
+	private long given;
+
 	private boolean started;
 
 	private boolean ended;
 
+	private boolean written;
+
 	CallerResponse(Channel channel, HttpVersion version, boolean keepAlive, Runnable completionAction) {
 		this.channel = channel;
 		this.version = version;
@@ -85,6 +99,44 @@
 		return this.channel.isWritable();
 	}
 
+	/**
+	 * Set the action to run whenever data was flushed, which may not all have been sent.
+	 * @param action the action
+	 */
+	public void onFlush(Runnable action) {
+		this.flushAction = action;
+	}
+
+	/**
+	 * Return how much of the response the connection holds as the caller has not read it.
+	 * @return the bytes, with what each part of the data adds in the connection's buffer;
+	 * 0 once the response was sent or the connection is closed
+	 */
+	public long unread() {
+		return (this.written) ? 0 : HeldBytes.of(this.channel);
+	}
+
+	/**
+	 * Return how much of the response was sent. Only a growth has a meaning.
+	 * @return the bytes
+	 */
+	public long taken() {
+		return this.given - HeldBytes.unsent(this.channel);
+	}
+
+	/**
+	 * Run an action once all that was written so far is sent, or can't be sent.
+	 * @param action the action
+	 */
+	public void whenTaken(Runnable action) {
+		if (this.lastWrite == null) {
+			action.run();
+		}
+		else {
+			this.lastWrite.addListener((future) -> action.run());
+		}
+	}
+
 	/**
 	 * Return whether a complete response or the head of a stream has been written.
 	 * @return whether the status and the headers can no longer be changed
@@ -121,7 +173,7 @@
 		response.headers().add(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		setConnectionHeader(response);
-		finish(this.channel.writeAndFlush(response));
+		finish(response);
 	}
 
 	/**
@@ -165,7 +217,7 @@
 			HttpUtil.setTransferEncodingChunked(response, true);
 		}
 		setConnectionHeader(response);
-		this.channel.write(response);
+		give(response);
 	}
 
 	/**
@@ -177,18 +229,25 @@
 			data.release();
 			return;
 		}
-		this.channel.write(new DefaultHttpContent(data));
+		give(new DefaultHttpContent(data));
+	}
+
+	private void give(Object part) {
+		long before = HeldBytes.unsent(this.channel);
+		this.lastWrite = this.channel.write(part);
+		this.given += HeldBytes.unsent(this.channel) - before;
 	}
 
 	/** Flush the data written so far. */
 	public void flush() {
 		this.channel.flush();
+		this.flushAction.run();
 	}
 
 	/** End a stream. */
 	public void endStream() {
 		if (!this.ended) {
-			finish(this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+			finish(LastHttpContent.EMPTY_LAST_CONTENT);
 		}
 	}
 
@@ -197,6 +256,21 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Reset the connection or the HTTP/2 stream and discard what the caller has not read.
+	 * A close alone would look like the end of a response without a length, would leave
+	 * bytes in the socket, and would not reset a stream that was written to its end.
+	 */
+	public void discard() {
+		if (this.channel instanceof Http2StreamChannel) {
+			this.channel.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL));
+		}
+		else if (this.channel instanceof SocketChannel socket) {
+			socket.config().setSoLinger(0);
+		}
+		this.channel.close();
+	}
+
 	void channelClosed() {
 		if (!this.ended) {
 			this.ended = true;
@@ -219,9 +293,14 @@
 		return this.keepAlive && delimited && !ConnectionLimiter.isClosing(this.channel);
 	}
 
-	private void finish(ChannelFuture last) {
+	private void finish(Object last) {
 		this.ended = true;
-		last.addListener((future) -> this.completionAction.run());
+		give(last);
+		this.lastWrite.addListener((future) -> {
+			this.written = true;
+			this.completionAction.run();
+		});
+		flush();
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
@@ -6,6 +6,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -50,6 +51,8 @@
 
 	private final EventLoopGroup workers;
 
+	private OptionalInt sendBuffer = OptionalInt.empty();
+
 	private Channel listener;
 
 	/**
@@ -116,6 +119,14 @@
 		return Optional.of(new ReloadableTlsContext(Path.of(certificate.get()), Path.of(key)));
 	}
 
+	/**
+	 * Bound what the system holds of responses for each caller; called before the start.
+	 * @param bytes the size of the send buffer of a connection
+	 */
+	public void boundSendBuffers(int bytes) {
+		this.sendBuffer = OptionalInt.of(bytes);
+	}
+
 	/**
 	 * Bind and accept connections.
 	 * @throws IOException if the address or the TLS files can't be used
@@ -140,6 +151,7 @@
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childHandler(new ConnectionInitializer(this.limits, this.handler, this.limiter, tls));
+		this.sendBuffer.ifPresent((bytes) -> bootstrap.childOption(ChannelOption.SO_SNDBUF, bytes));
 		ChannelFuture bound = (socket.isPresent()) ? bootstrap.register() : bootstrap.bind(this.address);
 		bound.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -157,7 +157,7 @@
 		if (this.discarding) {
 			closeAfterLinger(ctx);
 		}
-		else if (this.http2Stream) {
+		else if (this.http2Stream || !ctx.channel().isActive()) {
 			return;
 		}
 		else if (closeRequested || ConnectionLimiter.isClosing(ctx.channel())) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -1,6 +1,5 @@
 package org.acaciacourse.daemon.route;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +8,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.acaciacourse.core.attempt.AttemptEnd;
@@ -22,6 +20,7 @@
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.daemon.memory.WatchedResponse;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 
@@ -33,11 +32,6 @@
  */
 final class Attempt implements EndpointConnection.Listener {
 
-	/**
-	 * The largest response body that is buffered; streams are forwarded as they arrive.
-	 */
-	private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
-
 	/**
 	 * A service that has not responded within twice its target is slow or lost: even its
 	 * slowest calls take less time.
@@ -134,6 +128,7 @@
 		this.sentAt = System.nanoTime();
 		this.lastActivityAt = this.sentAt;
 		scheduleSilenceCheck(silenceTimeoutNanos());
+		this.exchange.unread().ifPresent((unread) -> unread.readsFrom(endpointConnection));
 		endpointConnection.send(httpRequest, this);
 	}
 
@@ -203,6 +198,7 @@
 	private void finish(Outcome outcome) {
 		this.done = true;
 		this.exchange.context().bodies().release(this.body);
+		this.exchange.unread().ifPresent(WatchedResponse::readingEnded);
 		if (this.silenceCheck != null) {
 			this.silenceCheck.cancel(false);
 		}
@@ -438,7 +434,7 @@
 	 * replaced only if it may be repeated, a link is doubted for any kind of request.
 	 */
 	void checkLink() {
-		if (this.done || this.connection == null) {
+		if (this.done || this.connection == null || this.connection.isPaused()) {
 			return;
 		}
 		long now = System.nanoTime();
@@ -479,7 +475,7 @@
 			return;
 		}
 		long timeout = silenceTimeoutNanos();
-		long lastActivity = this.lastActivityAt;
+		long lastActivity = (this.connection.isPaused()) ? System.nanoTime() : this.lastActivityAt;
 		if (isStreamRequest()) {
 			lastActivity = Math.max(lastActivity, this.placed.lastActivityAt());
 		}
@@ -518,39 +514,4 @@
 		return TimeUnit.MILLISECONDS.toNanos(millis);
 	}
 
-	/** The kind of the response and the part of it received so far. */
-	private static final class PartialResponse {
-
-		private final ServerSentEventParser parser = new ServerSentEventParser();
-
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-
-		private Mode mode = Mode.NO_HEAD;
-
-		private int status;
-
-		private HttpHeaders headers;
-
-		private void start(Mode next, HttpResponse head) {
-			this.mode = next;
-			this.status = head.status().code();
-			this.headers = HopByHopHeaders.endToEnd(head.headers());
-		}
-
-		private boolean collect(ByteBuf bytes) {
-			if (this.body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
-				return false;
-			}
-			this.body.writeBytes(ByteBufUtil.getBytes(bytes));
-			return true;
-		}
-
-		private enum Mode {
-
-			NO_HEAD, NOT_RUN, STREAM, BUFFERED
-
-		}
-
-	}
-
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -19,6 +19,7 @@
 import org.acaciacourse.core.path.EndpointLink;
 import org.acaciacourse.core.path.LinkSign;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.memory.EndpointReading;
 
 /**
  * One connection to an endpoint, which carries one request at a time. A connection is
@@ -31,7 +32,7 @@
  * <p>
  * Not thread safe: belongs to the event loop of the connection.
  */
-final class EndpointConnection extends ChannelInboundHandlerAdapter {
+final class EndpointConnection extends ChannelInboundHandlerAdapter implements EndpointReading {
 
 	/** More than servers send before one response; bounds those without end. */
 	private static final int MAX_INFORMATIONAL = 8;
@@ -67,6 +68,8 @@
 
 	private boolean stopping;
 
+	private boolean paused;
+
 	private long usableUntil = Long.MAX_VALUE;
 
 	private long idleSince = System.nanoTime();
@@ -172,6 +175,24 @@
 		return this.closedByEndpoint;
 	}
 
+	@Override
+	public void pause() {
+		this.paused = true;
+		this.channel.config().setAutoRead(false);
+	}
+
+	@Override
+	public void resume() {
+		this.paused = false;
+		this.link.alive(System.nanoTime());
+		this.channel.config().setAutoRead(true);
+	}
+
+	// While it is paused, nothing can arrive, which says nothing about the endpoint.
+	boolean isPaused() {
+		return this.paused;
+	}
+
 	/** Close the connection, after the response if it carries a request. */
 	void closeAfterResponse() {
 		this.stopping = true;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -69,6 +69,11 @@
 		this.connector = new EndpointConnector(loop, paths, tunnelKey, tunnelsAllowed, this::remove);
 	}
 
+	/** Bound the reads of all connections that are made from now on. */
+	void boundReads() {
+		this.connector.boundReads();
+	}
+
 	/**
 	 * Get a connection: the most recently used idle one over a path that works, or else a
 	 * new one.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -8,14 +8,19 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
+import org.acaciacourse.core.memory.UnreadResponses;
 import org.acaciacourse.core.path.EndpointLink;
 import org.acaciacourse.core.path.EndpointPaths;
 import org.acaciacourse.core.path.LinkSign;
@@ -64,6 +69,14 @@
 
 	private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
+	/**
+	 * Reads as much at once as the decisions on unread responses count with, one read for
+	 * each turn of the event loop. Connections share it, as it has no state.
+	 */
+	private static final RecvByteBufAllocator BOUNDED_READS = new AdaptiveRecvByteBufAllocator(64, 2048,
+			UnreadResponses.READ_BYTES)
+		.maxMessagesPerRead(1);
+
 	private final EventLoop loop;
 
 	private final EndpointPaths paths;
@@ -74,6 +87,8 @@
 
 	private final Consumer<EndpointConnection> onClosed;
 
+	private boolean readsBounded;
+
 	/**
 	 * Create a connector.
 	 * @param loop the event loop of the connections
@@ -91,6 +106,16 @@
 		this.onClosed = onClosed;
 	}
 
+	/** Bound the reads of all connections that are made from now on. */
+	void boundReads() {
+		this.readsBounded = true;
+	}
+
+	private Bootstrap bootstrap(int timeoutMillis) {
+		Bootstrap bootstrap = TcpSockets.bootstrap(this.loop, timeoutMillis);
+		return (this.readsBounded) ? bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, BOUNDED_READS) : bootstrap;
+	}
+
 	/**
 	 * Establish a connection over the first path that works.
 	 * @param endpoint the endpoint
@@ -110,7 +135,7 @@
 	void connectDirectly(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
 		EndpointLink link = this.paths.direct().link(endpoint.instance());
 		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.empty(), this.onClosed);
-		TcpSockets.bootstrap(this.loop, CONNECT_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+		bootstrap(CONNECT_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
@@ -143,7 +168,7 @@
 		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.of(peer), this.onClosed);
 		TunnelOpening opening = new TunnelOpening(peer, link, connection, onReady);
 		opening.timeout = this.loop.schedule(opening::timedOut, TUNNEL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-		TcpSockets.bootstrap(this.loop, TUNNEL_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+		bootstrap(TUNNEL_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.daemon.link.UsageMeter;
+import org.acaciacourse.daemon.memory.ResponseMemory;
 
 /**
  * Objects that all routed requests of an entry VM share.
@@ -20,6 +21,7 @@
  * @param crashes keeps requests that crash endpoints from being sent on
  * @param origins where streams began that callers may take up
  * @param bodies bounds the memory of buffered response bodies
+ * @param memory bounds the memory of responses that callers do not read, if it is bounded
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
  * @param lateLogLimiter limits the rate of log lines on late responses
@@ -27,6 +29,6 @@
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
 		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, BodyMemory bodies,
-		RouteMetrics metrics, Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter,
-		Optional<UsageMeter> usage) {
+		Optional<ResponseMemory> memory, RouteMetrics metrics, Set<RoutedExchange> openExchanges,
+		LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -8,11 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -28,6 +26,7 @@
 import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
+import org.acaciacourse.core.memory.MemoryBudget;
 import org.acaciacourse.core.model.Manifest;
 import org.acaciacourse.core.path.EndpointLink;
 import org.acaciacourse.core.path.EndpointPaths;
@@ -43,6 +42,9 @@
 import org.acaciacourse.daemon.http.RequestHandler;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.memory.MemoryMetrics;
+import org.acaciacourse.daemon.memory.MemoryOptions;
+import org.acaciacourse.daemon.memory.ResponseMemory;
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -116,6 +118,8 @@
 
 	private final Optional<TunnelServer> tunnels;
 
+	private final Optional<ResponseMemory> memory;
+
 	private Optional<AdminServer> admin = Optional.empty();
 
 	private boolean closed;
@@ -153,10 +157,12 @@
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
 				self.address().hashCode(), controlLink::reportCrash);
 		this.origins = new StreamOriginService(this.loop, self.address());
+		this.memory = options.memory().map(this::responseMemory);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
-				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(), this.metrics, this.openExchanges,
-				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
+				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(), this.memory, this.metrics,
+				this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
+		this.memory.ifPresent((bounded) -> this.callerServer.boundSendBuffers(ResponseMemory.SEND_BUFFER_BYTES));
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
 		this.fallback = new FleetFallback(options.fleetSource(), (fleet) -> applyFleet(fleet, "list"));
@@ -219,6 +225,11 @@
 		this.loop.execute(() -> applyPolicy(next));
 	}
 
+	private ResponseMemory responseMemory(MemoryOptions bounds) {
+		this.connections.boundReads();
+		return new ResponseMemory(new MemoryBudget(bounds.bytes()), bounds, new MemoryMetrics(this.metrics.registry()));
+	}
+
 	private void applyPolicy(RoutingPolicy next) {
 		this.pools.policy(next);
 		List<String> off = next.off().stream().map(RoutingMechanism::label).toList();
@@ -245,6 +256,7 @@
 			DecisionLog.write(LogEvent.LOOP_STALLED, millis);
 			this.metrics.loopStalled(millis);
 		});
+		this.memory.ifPresent(ResponseMemory::tick);
 		if (!this.pools.isCatchingUp()) {
 			// A check may end exchanges.
 			List.copyOf(this.openExchanges).forEach(RoutedExchange::checkLink);
@@ -262,6 +274,7 @@
 		this.pools.rests().sweep(System.nanoTime());
 		this.crashes.sweep();
 		this.origins.sweep();
+		this.memory.ifPresent(ResponseMemory::publish);
 		publishGauges();
 	}
 
@@ -361,29 +374,11 @@
 		return this.pools.policy().isOn(RoutingMechanism.TUNNELS);
 	}
 
-	private static void logFleet(Fleet fleet, String source) {
-		long leaving = fleet.endpoints().stream().filter(FleetEndpoint::leaving).count();
-		DecisionLog.write(LogEvent.FLEET, Long.toHexString(fleet.revision()), fleet.endpoints().size(), leaving, source,
-				versions(fleet));
-	}
-
-	private static List<String> versions(Fleet fleet) {
-		Map<String, Map<String, Long>> pools = fleet.endpoints()
-			.stream()
-			.collect(Collectors.groupingBy(FleetEndpoint::pool, TreeMap::new, Collectors
-				.groupingBy((endpoint) -> endpoint.version().orElse("unknown"), TreeMap::new, Collectors.counting())));
-		return pools.entrySet()
-			.stream()
-			.filter((pool) -> pool.getValue().size() > 1)
-			.map((pool) -> pool.getKey() + " " + pool.getValue())
-			.toList();
-	}
-
 	private void applyFleet(Fleet fleet, String source) {
 		this.loop.execute(() -> {
 			if (fleet.revision() != this.pools.fleet().revision()) {
 				this.pools.fleet(fleet);
-				logFleet(fleet, source);
+				FleetLog.write(fleet, source);
 			}
 			this.pools.versions().confirmed(fleet, System.nanoTime());
 			this.fleetKnown = true;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteOptions.java
@@ -10,6 +10,7 @@
 import org.acaciacourse.daemon.control.FleetSource;
 import org.acaciacourse.daemon.inner.SharedKey;
 import org.acaciacourse.daemon.link.UsageMeter;
+import org.acaciacourse.daemon.memory.MemoryOptions;
 
 /**
  * Options of the entry daemon for routed requests.
@@ -30,11 +31,13 @@
  * fleet
  * @param policy the initial routing policy
  * @param usage counts the requests that endpoints begin, if their usage is reported
+ * @param memory the memory budget, if what callers and endpoints make the VM hold is
+ * bounded
  */
 public record RouteOptions(InetSocketAddress listen, InetSocketAddress ready, Optional<InetSocketAddress> metrics,
 		Optional<LoadPeer> loadPeer, SharedKey tunnelKey, RetryBudgetOptions retryBudget, int maxConnections,
 		Duration stopDelay, Duration drainLimit, FleetSource fleetSource, RoutingPolicy policy,
-		Optional<UsageMeter> usage) {
+		Optional<UsageMeter> usage, Optional<MemoryOptions> memory) {
 
 	public RouteOptions {
 		Objects.requireNonNull(listen, "listen");
@@ -46,6 +49,7 @@
 		Objects.requireNonNull(fleetSource, "fleetSource");
 		Objects.requireNonNull(policy, "policy");
 		Objects.requireNonNull(usage, "usage");
+		Objects.requireNonNull(memory, "memory");
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -27,6 +27,7 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.daemon.http.CallerResponse;
 import org.acaciacourse.daemon.http.Refusal;
+import org.acaciacourse.daemon.memory.WatchedResponse;
 import org.acaciacourse.daemon.tunnel.TcpSockets;
 
 /**
@@ -61,6 +62,8 @@
 
 	private final RequestPlacement placement;
 
+	private final Optional<WatchedResponse> unread;
+
 	private final ExchangeTelemetry telemetry;
 
 	private final long startedAt;
@@ -98,6 +101,7 @@
 		this.retries = new RequestRetries(this.pool.allowance());
 		this.binding = new StreamBinding(request, this.pool.balancer(), context.pools().versions(), context.origins());
 		this.placement = new RequestPlacement(context, request, this.binding, this.startedAt);
+		this.unread = context.memory().map((memory) -> memory.watch(response, request.metadata().id()));
 		this.lastEventId = request.metadata().lastEventId();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
@@ -122,6 +126,11 @@
 		return this.response;
 	}
 
+	// What the caller has not read of the response, if that is bounded.
+	Optional<WatchedResponse> unread() {
+		return this.unread;
+	}
+
 	OptionalLong lastEventId() {
 		return this.lastEventId;
 	}
@@ -540,8 +549,10 @@
 
 	private void callerGone() {
 		if (close()) {
-			this.telemetry.failed(ResultCode.CALLER_GONE, "the caller closed the connection", this.progress,
-					Duration.ZERO);
+			String detail = this.unread.flatMap(WatchedResponse::endReason)
+				.map((reason) -> "the caller did not read the answer: " + reason.label())
+				.orElse("the caller closed the connection");
+			this.telemetry.failed(ResultCode.CALLER_GONE, detail, this.progress, Duration.ZERO);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -32,6 +32,20 @@
 	/** A request was refused before an endpoint was selected. */
 	REQUEST_REFUSED("request-refused", "request", "code", "host", "path", "table", "retry_after_ms"),
 
+	/**
+	 * Reading from an endpoint is paused as the caller does not read and the memory
+	 * budget is used up: the bytes that wait for the caller, how many responses wait, the
+	 * bytes of the budget that are used, all of them, and how many such lines were not
+	 * logged.
+	 */
+	READING_PAUSED("reading-paused", "request", "unread", "responses", "used", "limit", "untold"),
+
+	/**
+	 * A response was ended as its caller did not read it: why, the bytes that waited, for
+	 * how long the caller had taken nothing, and the budget without it.
+	 */
+	RESPONSE_UNREAD("response-unread", "request", "why", "unread", "idle_ms", "used", "limit", "untold"),
+
 	/**
 	 * A request was refused because its target cannot be met: the values that the
 	 * decision was based on, and how many such refusals since the previous line were not
