Buffered responses and request bodies draw on the memory budget

Buffered responses had a bound of their own, an eighth of the heap, whatever else the VM held, and request bodies had none but the size of each: nothing kept many callers from filling the memory with bodies whose requests wait.

BodyMemory charges three bytes for each byte of a body, as its buffers take them, and discards the largest one also if the budget is used up, but none up to 16 KB. RequestReader asks for room before it reads a body and takes memory as the body arrives, until the response was written or the connection closes. An announced length takes nothing: callers that announce and do not send would keep others out. Under the budget the parts of a body are copied, as each part kept the buffer that it was read into.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -38,12 +38,15 @@
 
 	private final Optional<ReloadableTlsContext> tls;
 
+	private final Optional<BodyBudget> budget;
+
 	ConnectionInitializer(Supplier<HttpLimits> limits, RequestHandler handler, ConnectionLimiter limiter,
-			Optional<ReloadableTlsContext> tls) {
+			Optional<ReloadableTlsContext> tls, Optional<BodyBudget> budget) {
 		this.limits = limits;
 		this.handler = handler;
 		this.limiter = limiter;
 		this.tls = tls;
+		this.budget = budget;
 	}
 
 	@Override
@@ -64,7 +67,7 @@
 		HttpLimits currentLimits = this.limits.get();
 		pipeline.addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(HttpLimits.MAX_LINE)
 			.setMaxHeaderSize(currentLimits.maxHeader())));
-		pipeline.addLast(READER, new RequestReader(currentLimits, this.handler, false));
+		pipeline.addLast(READER, new RequestReader(currentLimits, this.handler, this.budget, false));
 	}
 
 	private void configureHttp2(ChannelPipeline pipeline) {
@@ -78,7 +81,9 @@
 			@Override
 			protected void initChannel(Channel stream) {
 				stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true));
-				stream.pipeline().addLast(new RequestReader(currentLimits, ConnectionInitializer.this.handler, true));
+				stream.pipeline()
+					.addLast(new RequestReader(currentLimits, ConnectionInitializer.this.handler,
+							ConnectionInitializer.this.budget, true));
 			}
 
 		}));
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
@@ -53,6 +53,8 @@
 
 	private OptionalInt sendBuffer = OptionalInt.empty();
 
+	private Optional<BodyBudget> budget = Optional.empty();
+
 	private Channel listener;
 
 	/**
@@ -119,6 +121,14 @@
 		return Optional.of(new ReloadableTlsContext(Path.of(certificate.get()), Path.of(key)));
 	}
 
+	/**
+	 * Bound the memory of request bodies; called before the start.
+	 * @param bodies the budget that they draw on, on the event loops of the connections
+	 */
+	public void boundBodies(BodyBudget bodies) {
+		this.budget = Optional.of(bodies);
+	}
+
 	/**
 	 * Bound what the system holds of responses for each caller; called before the start.
 	 * @param bytes the size of the send buffer of a connection
@@ -150,7 +160,7 @@
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
-			.childHandler(new ConnectionInitializer(this.limits, this.handler, this.limiter, tls));
+			.childHandler(new ConnectionInitializer(this.limits, this.handler, this.limiter, tls, this.budget));
 		this.sendBuffer.ifPresent((bytes) -> bootstrap.childOption(ChannelOption.SO_SNDBUF, bytes));
 		ChannelFuture bound = (socket.isPresent()) ? bootstrap.register() : bootstrap.bind(this.address);
 		bound.awaitUninterruptibly();
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -42,11 +43,16 @@
 
 	private final boolean http2Stream;
 
+	private final Optional<BodyBudget> budget;
+
 	private final Deque<HttpObject> pipelined = new ArrayDeque<>();
 
 	private HttpRequest head;
 
-	private CompositeByteBuf body;
+	private ByteBuf body;
+
+	/** What the budget has given for the body of the request. */
+	private long taken;
 
 	private CallerResponse response;
 
@@ -54,9 +60,10 @@
 
 	private boolean discarding;
 
-	RequestReader(HttpLimits limits, RequestHandler handler, boolean http2Stream) {
+	RequestReader(HttpLimits limits, RequestHandler handler, Optional<BodyBudget> budget, boolean http2Stream) {
 		this.limits = limits;
 		this.handler = handler;
+		this.budget = budget;
 		this.http2Stream = http2Stream;
 	}
 
@@ -112,21 +119,61 @@
 		else if (HttpUtil.getContentLength(request, 0L) > this.limits.maxBody()) {
 			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
 		}
+		else if (!hasRoom(HttpUtil.getContentLength(request, 0L))) {
+			refuse(ctx, ResultCode.NO_MEMORY);
+		}
 		else {
 			this.head = request;
-			this.body = ctx.alloc().compositeBuffer(1024);
+			this.body = newBody(ctx);
 			if (HttpUtil.is100ContinueExpected(request)) {
 				ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 			}
 		}
 	}
 
+	// Parts of a body keep the buffers that they were read into, which may be much
+	// larger.
+	// Under a budget they are copied.
+	private ByteBuf newBody(ChannelHandlerContext ctx) {
+		return (this.budget.isPresent()) ? ctx.alloc().heapBuffer() : ctx.alloc().compositeBuffer(1024);
+	}
+
+	private boolean hasRoom(long bytes) {
+		return bytes <= 0 || this.budget.isEmpty() || this.budget.get().hasRoom(bytes);
+	}
+
+	private boolean take(long bytes) {
+		if (this.budget.isEmpty() || bytes <= 0) {
+			return true;
+		}
+		boolean room = this.budget.get().take(bytes);
+		this.taken += (room) ? bytes : 0;
+		return room;
+	}
+
+	private void giveBack() {
+		if (this.taken > 0) {
+			this.budget.get().release(this.taken);
+			this.taken = 0;
+		}
+	}
+
 	private void append(ChannelHandlerContext ctx, HttpContent content) {
-		if (this.body.readableBytes() + content.content().readableBytes() > this.limits.maxBody()) {
+		long size = (long) this.body.readableBytes() + content.content().readableBytes();
+		if (size > this.limits.maxBody()) {
 			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
 			return;
 		}
-		this.body.addComponent(true, content.content().retain());
+		if (!take(size - this.taken)) {
+			refuse(ctx, ResultCode.NO_MEMORY);
+			return;
+		}
+		if (this.body instanceof CompositeByteBuf parts) {
+			parts.addComponent(true, content.content().retain());
+		}
+		else {
+			this.body.writeBytes(content.content());
+		}
 		if (content instanceof LastHttpContent) {
 			complete(ctx);
 		}
@@ -153,6 +200,7 @@
 
 	private void responseWritten(ChannelHandlerContext ctx, boolean keepAlive) {
 		this.response = null;
+		giveBack();
 		boolean closeRequested = !this.http2Stream && !keepAlive;
 		if (this.discarding) {
 			closeAfterLinger(ctx);
@@ -188,6 +236,7 @@
 		stopTimeout();
 		HttpVersion version = HttpVersion.HTTP_1_1;
 		clear();
+		giveBack();
 		if (code == ResultCode.OK) {
 			ctx.close();
 			return;
@@ -219,6 +268,7 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		stopTimeout();
 		clear();
+		giveBack();
 		this.pipelined.forEach(ReferenceCountUtil::release);
 		this.pipelined.clear();
 		if (this.response != null) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/BodyMemory.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/BodyMemory.java
@@ -2,14 +2,20 @@
 
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
+import org.acaciacourse.core.memory.MemoryBudget;
+import org.acaciacourse.core.memory.MemoryUse;
+
 /**
  * Bounds the memory of all response bodies that are buffered until they are complete. If
  * they exceed it, the largest one is discarded: a body without end must neither fill the
- * memory of the VM nor take it from the others.
+ * memory of the VM nor take it from the others. The same holds if the memory budget of
+ * the VM is used up, but for small bodies, which others may have left no room for.
  * <p>
- * Invariant: after each call the bodies take no more than the limit.
+ * Invariant: after each call the bodies take no more than the limit, and those that are
+ * not small no more than the budget has for them.
  * <p>
  * Not thread safe: belongs to the event loop.
  */
@@ -21,8 +27,19 @@
 	 */
 	private static final int HEAP_FRACTION = 8;
 
+	/**
+	 * What a byte of a body takes of the budget, as a buffer that grows takes three times
+	 * its content.
+	 */
+	private static final int BUDGET_FACTOR = 3;
+
+	/** Bodies up to this size are not discarded for the sake of the budget. */
+	private static final int SMALL_BYTES = 16 * 1024;
+
 	private final long limit;
 
+	private final Optional<MemoryBudget> budget;
+
 	private final Set<Body> bodies = new HashSet<>();
 
 	private long used;
@@ -32,11 +49,21 @@
 	 * @param limit the bytes of all bodies
 	 */
 	BodyMemory(long limit) {
+		this(limit, Optional.empty());
+	}
+
+	/**
+	 * Create the bound.
+	 * @param limit the bytes of all bodies
+	 * @param budget the budget that they draw on, if there is one
+	 */
+	BodyMemory(long limit, Optional<MemoryBudget> budget) {
 		this.limit = limit;
+		this.budget = budget;
 	}
 
-	static BodyMemory ofHeap() {
-		return new BodyMemory(Runtime.getRuntime().maxMemory() / HEAP_FRACTION);
+	static BodyMemory ofHeap(Optional<MemoryBudget> budget) {
+		return new BodyMemory(Runtime.getRuntime().maxMemory() / HEAP_FRACTION, budget);
 	}
 
 	/**
@@ -47,12 +74,27 @@
 	void add(Body body, int bytes) {
 		this.bodies.add(body);
 		body.size += bytes;
+		take(bytes);
+		for (Optional<Body> next = nextToDiscard(); next.isPresent(); next = nextToDiscard()) {
+			release(next.get());
+			next.get().onDiscarded.run();
+		}
+	}
+
+	private void take(long bytes) {
 		this.used += bytes;
-		while (this.used > this.limit) {
-			Body largest = this.bodies.stream().max(Comparator.comparingLong((one) -> one.size)).orElseThrow();
-			release(largest);
-			largest.onDiscarded.run();
+		this.budget.ifPresent((shared) -> shared.change(MemoryUse.BUFFERED_RESPONSES, BUDGET_FACTOR * bytes));
+	}
+
+	private Optional<Body> nextToDiscard() {
+		boolean budgetExceeded = this.budget.filter((shared) -> shared.room(MemoryUse.BUFFERED_RESPONSES) < 0)
+			.isPresent();
+		if (this.used <= this.limit && !budgetExceeded) {
+			return Optional.empty();
 		}
+		return this.bodies.stream()
+			.max(Comparator.comparingLong((one) -> one.size))
+			.filter((largest) -> this.used > this.limit || largest.size > SMALL_BYTES);
 	}
 
 	/**
@@ -61,7 +103,7 @@
 	 */
 	void release(Body body) {
 		if (this.bodies.remove(body)) {
-			this.used -= body.size;
+			take(-body.size);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -43,7 +43,7 @@
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.memory.MemoryMetrics;
-import org.acaciacourse.daemon.memory.MemoryOptions;
+import org.acaciacourse.daemon.memory.RequestMemory;
 import org.acaciacourse.daemon.memory.ResponseMemory;
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
@@ -157,11 +157,13 @@
 		this.crashes = new CrashGuard(this.loop, this.connections, this.pools, this::carriesRequest,
 				self.address().hashCode(), controlLink::reportCrash);
 		this.origins = new StreamOriginService(this.loop, self.address());
-		this.memory = options.memory().map(this::responseMemory);
+		Optional<MemoryBudget> budget = options.memory().map((bounds) -> new MemoryBudget(bounds.bytes()));
+		this.memory = budget.map(this::responseMemory);
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
-				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(), this.memory, this.metrics,
+				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(budget), this.memory, this.metrics,
 				this.openExchanges, new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
+		budget.map(RequestMemory::new).ifPresent(this.callerServer::boundBodies);
 		this.memory.ifPresent((bounded) -> this.callerServer.boundSendBuffers(ResponseMemory.SEND_BUFFER_BYTES));
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
@@ -225,9 +227,9 @@
 		this.loop.execute(() -> applyPolicy(next));
 	}
 
-	private ResponseMemory responseMemory(MemoryOptions bounds) {
+	private ResponseMemory responseMemory(MemoryBudget budget) {
 		this.connections.boundReads();
-		return new ResponseMemory(new MemoryBudget(bounds.bytes()), bounds, new MemoryMetrics(this.metrics.registry()));
+		return new ResponseMemory(budget, this.options.memory().get(), new MemoryMetrics(this.metrics.registry()));
 	}
 
 	private void applyPolicy(RoutingPolicy next) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -46,6 +46,13 @@
 	 */
 	RESPONSE_UNREAD("response-unread", "request", "why", "unread", "idle_ms", "used", "limit", "untold"),
 
+	/**
+	 * A request was refused with its body unread, as the memory budget has no room for
+	 * it: the bytes asked for, those of request bodies and all that are used, the budget,
+	 * and how many such lines were not logged.
+	 */
+	BODY_REFUSED("body-refused", "bytes", "bodies", "used", "limit", "untold"),
+
 	/**
 	 * A request was refused because its target cannot be met: the values that the
 	 * decision was based on, and how many such refusals since the previous line were not
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/BodyMemoryTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/BodyMemoryTests.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
+import org.acaciacourse.core.memory.MemoryBudget;
+import org.acaciacourse.core.memory.MemoryUse;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -64,6 +67,41 @@
 
 	}
 
+	/** Under the budget that all uses of a VM share. */
+	@Nested
+	class Shared {
+
+		private static final int MANY = 100_000;
+
+		private final MemoryBudget budget = new MemoryBudget(10 * MANY);
+
+		private final BodyMemory shared = new BodyMemory(Long.MAX_VALUE, Optional.of(this.budget));
+
+		// Guards against buffered bodies that take the memory of what else the VM holds.
+		@Test
+		void largestIsDiscardedIfTheBudgetIsUsedUp() {
+			this.shared.add(body("large"), 2 * MANY);
+			this.shared.add(body("other"), MANY);
+			assertThat(BodyMemoryTests.this.discarded).isEmpty();
+			this.budget.change(MemoryUse.REQUEST_BODIES, 5 * MANY);
+			this.shared.add(body("next"), MANY / 2);
+			assertThat(BodyMemoryTests.this.discarded).containsExactly("large", "other").inOrder();
+			assertThat(this.budget.used(MemoryUse.BUFFERED_RESPONSES)).isEqualTo(3 * MANY / 2);
+		}
+
+		// Guards against short answers that are lost as callers of others do not read.
+		@Test
+		void smallBodyIsNotDiscardedForTheBudget() {
+			this.budget.change(MemoryUse.UNREAD_RESPONSES, 10 * MANY);
+			BodyMemory.Body small = body("small");
+			this.shared.add(small, 1_000);
+			assertThat(BodyMemoryTests.this.discarded).isEmpty();
+			this.shared.release(small);
+			assertThat(this.budget.used(MemoryUse.BUFFERED_RESPONSES)).isEqualTo(0);
+		}
+
+	}
+
 	@Nested
 	class Released {
 
