Choice of an endpoint by the time that its work takes

The cost of an endpoint counted tokens, so that an endpoint at half the speed of the others got as many requests as they did, and its callers waited three times as long. Where endpoint-speed is in use, costs of waiting and prefilling are divided by the speed, a slow endpoint is full with fewer requests, and candidates are drawn in proportion to their speed: with equal chances the better one of two slow candidates gets the request however many fast ones there are. Digests carry the speeds. Where it is not in use, all speeds are 1 and each choice is as before.

CandidateSampler.Draw gets a weight that it ignores; its test and that of BriefEngines pass the new arguments.

--- a/core/src/main/java/org/acaciacourse/core/balance/CandidateSampler.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/CandidateSampler.java
@@ -61,11 +61,27 @@
 		return (unreported <= maxUnreported) ? 1 : maxUnreported / unreported;
 	}
 
+	static int sampleSize(double share, int endpoints) {
+		return Math.max(MIN_CANDIDATES, (int) Math.ceil(share * endpoints));
+	}
+
+	/** A random sample of endpoints that are visited in a fixed order. */
+	interface Sample {
+
+		/**
+		 * Return whether the next endpoint is in the sample.
+		 * @param weight its weight, for a sample that takes account of weights
+		 * @return whether to compare it
+		 */
+		boolean isNextDrawn(double weight);
+
+	}
+
 	/**
 	 * A random sample of endpoints that are visited in a fixed order: a run of
 	 * consecutive ones from a random start, so that each endpoint is equally likely.
 	 */
-	static final class Draw {
+	static final class Draw implements Sample {
 
 		private final int endpoints;
 
@@ -83,15 +99,12 @@
 		 */
 		Draw(double share, int endpoints, long salt) {
 			this.endpoints = Math.max(1, endpoints);
-			this.size = Math.max(MIN_CANDIDATES, (int) Math.ceil(share * endpoints));
+			this.size = sampleSize(share, endpoints);
 			this.start = Math.floorMod(HASH.hashLong(salt), this.endpoints);
 		}
 
-		/**
-		 * Return whether the next endpoint is in the sample.
-		 * @return whether to compare it
-		 */
-		boolean isNextDrawn() {
+		@Override
+		public boolean isNextDrawn(double weight) {
 			int position = Math.floorMod(this.visited - this.start, this.endpoints);
 			this.visited++;
 			return position < this.size;
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -5,6 +5,8 @@
 
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.speed.EndpointSpeed;
+import org.acaciacourse.core.speed.PoolSpeeds;
 
 /**
  * The load and health of one endpoint as seen by an entry VM: its own requests there, and
@@ -73,6 +75,8 @@
 
 	private final long hash;
 
+	private final EndpointSpeed speed;
+
 	private FleetEndpoint endpoint;
 
 	private final PrefixCacheModel prefixCache = new PrefixCacheModel();
@@ -111,7 +115,7 @@
 	private long recentAt;
 
 	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits,
-			EndpointRests rests) {
+			EndpointRests rests, PoolSpeeds speeds) {
 		this.endpoint = endpoint;
 		this.peers = peers;
 		this.refusalLimit = refusalLimit;
@@ -119,6 +123,7 @@
 		this.rests = rests;
 		this.room = endpoint.slots();
 		this.id = PeerLoads.idOf(endpoint.instance());
+		this.speed = speeds.endpoint(this.id);
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
 	}
 
@@ -130,6 +135,10 @@
 		return this.prefixCache;
 	}
 
+	EndpointSpeed speed() {
+		return this.speed;
+	}
+
 	int id() {
 		return this.id;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/HomeEndpoints.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/HomeEndpoints.java
@@ -60,10 +60,15 @@
 
 	/**
 	 * Return by how much the queue of the primary is longer.
-	 * @return the difference in prompt tokens, 0 without a secondary
+	 * @return the difference in prompt tokens of an endpoint of the pool's median speed,
+	 * 0 without a secondary
 	 */
-	long queueDifference() {
-		return this.secondary.map((other) -> this.primary.get().waitingWork() - other.waitingWork()).orElse(0L);
+	double queueDifference() {
+		return this.secondary.map((other) -> queue(this.primary.get()) - queue(other)).orElse(0.0);
+	}
+
+	private static double queue(EndpointLoad load) {
+		return load.waitingWork() / load.speed().learned();
 	}
 
 	HomeEndpoints withoutSecondary() {
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -6,6 +6,8 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.speed.SpeedStatement;
+import org.acaciacourse.core.speed.SpeedTable;
 
 /**
  * A summary of the load at the endpoints that one entry VM sends to others. A digest that
@@ -24,10 +26,11 @@
  * senders
  * @param facts what VMs have lately seen of features of requests that may crash endpoints
  * @param limits the limits on their requests that endpoints have lately stated
+ * @param speeds the speeds of endpoints of which VMs have observed something new
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
-		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
-		List<RateLimits.Statement> limits) {
+		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts, List<RateLimits.Statement> limits,
+		List<SpeedStatement> speeds) {
 
 	/** Endpoints in a part, which together with the rest fit into a packet. */
 	private static final int MAX_LOADS_PER_PART = 60;
@@ -57,6 +60,26 @@
 		acknowledged = Map.copyOf(acknowledged);
 		facts = List.copyOf(facts);
 		limits = List.copyOf(limits);
+		speeds = List.copyOf(speeds);
+	}
+
+	/**
+	 * Make a part of a digest that tells no speeds.
+	 * @param kind what it covers
+	 * @param sequence its sequence number
+	 * @param part the index of this part
+	 * @param parts the number of parts
+	 * @param vms the number of VMs whose load is included
+	 * @param loads the loads
+	 * @param uses the uses
+	 * @param acknowledged the sequence numbers of the included reports
+	 * @param facts the facts
+	 * @param limits the limits
+	 */
+	public LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
+			List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
+			List<RateLimits.Statement> limits) {
+		this(kind, sequence, part, parts, vms, loads, uses, acknowledged, facts, limits, List.of());
 	}
 
 	/**
@@ -74,17 +97,22 @@
 
 	LoadDigest withAcknowledged(Map<Integer, Long> reports) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses, reports,
-				this.facts, this.limits);
+				this.facts, this.limits, this.speeds);
 	}
 
 	LoadDigest withFacts(List<FeatureFact> featureFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, featureFacts, this.limits);
+				this.acknowledged, featureFacts, this.limits, this.speeds);
 	}
 
 	LoadDigest withLimits(List<RateLimits.Statement> statements) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, this.facts, statements);
+				this.acknowledged, this.facts, statements, this.speeds);
+	}
+
+	LoadDigest withSpeeds(List<SpeedStatement> statements) {
+		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
+				this.acknowledged, this.facts, this.limits, statements);
 	}
 
 	/**
@@ -103,7 +131,8 @@
 		for (int i = 0; i < count; i++) {
 			all.add(new LoadDigest(this.kind, this.sequence, i, count, this.vms,
 					chunk(this.loads, i, MAX_LOADS_PER_PART), chunk(this.uses, i, MAX_USES_PER_PART), this.acknowledged,
-					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART)));
+					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART),
+					chunk(this.speeds, i, SpeedTable.MAX_STATEMENTS)));
 		}
 		return all;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -252,7 +252,8 @@
 		// A single datagram, as it goes to all peers.
 		List<PartUse> uses = this.groupUses.forNextDigest().stream().limit(LoadDigest.MAX_USES_PER_PART).toList();
 		return send(LoadDigest.of(LoadDigest.Kind.SUMMARY, this.sequence, 1, own, uses)
-			.withFacts(forNextDigest(this.groupFacts, now)), this.peers);
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withSpeeds(this.loads.speeds().ownNews(now)), this.peers);
 	}
 
 	private List<Outgoing> report(List<PeerLoads.Load> own, String relay, long now) {
@@ -261,7 +262,8 @@
 		}
 		this.sentReports.put(this.sequence, own);
 		return send(LoadDigest.of(LoadDigest.Kind.REPORT, this.sequence, 1, own, this.groupUses.forNextDigest())
-			.withFacts(forNextDigest(this.groupFacts, now)), List.of(relay));
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withSpeeds(this.loads.speeds().ownNews(now)), List.of(relay));
 	}
 
 	private List<Outgoing> aggregate(List<PeerLoads.Load> own, long now) {
@@ -283,10 +285,12 @@
 		int vms = this.groupReports.size() + 1;
 		LoadDigest summary = LoadDigest
 			.of(LoadDigest.Kind.SUMMARY, this.sequence, vms, groupSums.all(), this.groupUses.forNextDigest())
-			.withFacts(forNextDigest(this.groupFacts, now));
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withSpeeds(this.loads.speeds().groupNews(now));
 		List<Outgoing> messages = new ArrayList<>(send(summary, this.relaySelector.summaryReceivers(now)));
-		LoadDigest view = LoadDigest.of(LoadDigest.Kind.VIEW, this.sequence, this.loads.peerCount() + 1, all,
-				this.allUses.forNextDigest());
+		LoadDigest view = LoadDigest
+			.of(LoadDigest.Kind.VIEW, this.sequence, this.loads.peerCount() + 1, all, this.allUses.forNextDigest())
+			.withSpeeds(this.loads.speeds().allNews(now));
 		messages.addAll(send(view.withAcknowledged(acknowledged).withFacts(forNextDigest(this.allFacts, now)),
 				List.copyOf(this.groupReports.keySet())));
 		return messages;
@@ -317,6 +321,7 @@
 
 	private boolean receiveSummary(String sender, LoadDigest digest, long now) {
 		this.relaySelector.summaryReceived(sender, now);
+		this.loads.speeds().receive(sender, digest.sequence(), false, digest.speeds(), now);
 		this.allUses.add(digest.uses());
 		if (isRelayed()) {
 			this.allFacts.add(seen(digest.facts(), now));
@@ -328,6 +333,7 @@
 		if (!this.loads.receive(sender, digest, now)) {
 			return false;
 		}
+		this.loads.speeds().receive(sender, digest.sequence(), true, digest.speeds(), now);
 		this.groupUses.add(digest.uses());
 		this.allUses.add(digest.uses());
 		this.groupFacts.add(seen(digest.facts(), now));
@@ -340,6 +346,7 @@
 		if (!this.relaySelector.viewReceived(sender, now)) {
 			return false;
 		}
+		this.loads.speeds().receiveView(digest.sequence(), digest.speeds(), now);
 		Long acknowledged = digest.acknowledged().get(idOf(this.self.address()));
 		List<PeerLoads.Load> own = (acknowledged != null) ? this.sentReports.getOrDefault(acknowledged, List.of())
 				: List.of();
--- a/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PeerLoads.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 
 import net.openhft.hashing.LongHashFunction;
+import org.acaciacourse.core.speed.SpeedTable;
 
 /**
  * The load that the other entry VMs cause at the endpoints, from the digests that they
@@ -43,6 +44,8 @@
 
 	private final LoadSums sums = new LoadSums();
 
+	private final SpeedTable speeds = new SpeedTable();
+
 	/** The parts of the latest view, which replaces the digests while there is one. */
 	private final Map<Integer, Digest> view = new HashMap<>();
 
@@ -142,6 +145,7 @@
 		this.view.values().forEach((part) -> this.viewSums.remove(part.loads()));
 		this.view.clear();
 		this.viewRelay = "";
+		this.speeds.dropView();
 	}
 
 	/**
@@ -172,6 +176,14 @@
 		return !this.digests.isEmpty() || !this.view.isEmpty();
 	}
 
+	/**
+	 * Return the speeds of endpoints that VMs tell each other with their loads.
+	 * @return the speeds
+	 */
+	public SpeedTable speeds() {
+		return this.speeds;
+	}
+
 	private boolean hasView() {
 		return !this.view.isEmpty();
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -1,6 +1,9 @@
 package org.acaciacourse.core.balance;
 
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
+
+import org.acaciacourse.core.speed.SpeedObservation;
 
 /**
  * A request at an endpoint, from its placement to its end: what it adds to the endpoint's
@@ -26,13 +29,16 @@
 
 	private final long workAhead;
 
+	private final SpeedObservation speedObservation;
+
 	private boolean prefillDone;
 
 	private boolean streaming;
 
 	private boolean ended;
 
-	PlacedRequest(EndpointLoad load, PrefillRate prefillRate, Placement request, QueuePosition queuePosition) {
+	PlacedRequest(EndpointLoad load, PrefillRate prefillRate, Placement request, QueuePosition queuePosition,
+			long now) {
 		this.load = load;
 		this.prefillRate = prefillRate;
 		this.brief = request.brief();
@@ -48,6 +54,9 @@
 			load.briefBegan();
 		}
 		this.workAhead = load.waitingWork();
+		this.speedObservation = load.speed()
+			.observe(new SpeedObservation.Work(this.workAhead, queuePosition.indicatesPrefillRate(),
+					request.shape().promptTokens() == 0, load.running(now), load.endpoint().slots()), now);
 	}
 
 	/**
@@ -85,6 +94,19 @@
 		this.load.report(running, waiting, now);
 	}
 
+	/**
+	 * Record a load report of the endpoint.
+	 * @param running the number of running requests
+	 * @param waiting the number of waiting requests
+	 * @param pace how long work takes there now, in percent of the usual time, if the
+	 * endpoint states it
+	 * @param now the time
+	 */
+	public void report(int running, int waiting, OptionalInt pace, long now) {
+		report(running, waiting, now);
+		pace.ifPresent((percent) -> this.load.speed().paceStated(percent, now));
+	}
+
 	/**
 	 * Record that the endpoint fails if it has to refuse more requests than it stated.
 	 * @param perSecond the refusals within a second that it endures
@@ -104,18 +126,20 @@
 	}
 
 	/**
-	 * Record the first event of the response, which shows that the prompt is prefilled.
-	 * Later events have no effect.
+	 * Record an event of the response. The first one shows that the prompt is prefilled.
 	 * @param elapsed nanoseconds since the request was sent
 	 */
 	public void streamBegan(long elapsed) {
+		if (!this.ended) {
+			this.speedObservation.eventReceived(elapsed);
+		}
 		if (this.streaming || this.ended) {
 			return;
 		}
 		this.streaming = true;
 		this.load.streamBegan();
 		if (this.queuePosition.indicatesPrefillRate()) {
-			this.prefillRate.observe(this.workAhead, elapsed);
+			this.prefillRate.observe(this.workAhead, Math.round(elapsed * this.load.speed().learned()));
 		}
 		markPrefillDone();
 	}
@@ -158,6 +182,9 @@
 		if (this.brief) {
 			this.load.briefEnded();
 		}
+		if (outcome == Outcome.GOOD) {
+			this.speedObservation.completed(now);
+		}
 		this.load.end();
 		outcome.apply(this.load, now);
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacementCost.java
@@ -3,8 +3,10 @@
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * The cost of placing a request at an endpoint under a policy, in prompt tokens: how long
- * the request waits there, and how much it delays the requests that are there.
+ * The cost of placing a request at an endpoint under a policy, in prompt tokens of an
+ * endpoint of the pool's median speed: how long the request waits there, and how much it
+ * delays the requests that are there. Invariant: where the speeds of endpoints are not in
+ * use, all have the speed 1, which changes no cost.
  * <p>
  * Immutable and thread safe.
  */
@@ -73,8 +75,9 @@
 	 * @return the cost
 	 */
 	double of(EndpointLoad load, Placement request, long cached, HomeRole role, long now) {
-		long ahead = load.waitingWork();
-		return ahead + prefillCost(request.shape(), cached, role, ahead) + runningCost(load, now)
+		double speed = load.speed().expected(now);
+		double ahead = load.waitingWork() / speed;
+		return ahead + prefillCost(request.shape(), cached, role, ahead) / speed + runningCost(load, speed, now)
 				+ failureCost(load, now) + tieBreak(load, request.salt());
 	}
 
@@ -82,7 +85,7 @@
 	// other than its home it is prefilled once more. Any prefill delays all requests that
 	// wait there: when all queues are long, prefilling parts in many places makes them
 	// even longer, until engines do little else.
-	private double prefillCost(PromptShape shape, long cached, HomeRole role, long ahead) {
+	private double prefillCost(PromptShape shape, long cached, HomeRole role, double ahead) {
 		double requestsDelayed = ahead / TYPICAL_PROMPT_WORK;
 		return (recomputeFactor(role) + requestsDelayed) * shape.work(cached);
 	}
@@ -96,13 +99,14 @@
 	}
 
 	// An endpoint with few slots is full after few requests, so a running request costs
-	// at least the cost of a waiting one divided by the number of slots.
-	private double runningCost(EndpointLoad load, long now) {
+	// at least the cost of a waiting one divided by the number of slots. One at half the
+	// speed is full with half of the requests.
+	private double runningCost(EndpointLoad load, double speed, long now) {
 		double slots = load.endpoint().slots();
 		int inFlight = load.running(now);
-		double over = Math.max(0, inFlight + 1 - slots);
-		return Math.max(this.runningCost, this.waitingCost / slots) * inFlight
-				+ this.waitingCost * (over + load.waiting(now));
+		double over = Math.max(0, inFlight + 1 - slots * Math.min(1, speed));
+		return (Math.max(this.runningCost, this.waitingCost / slots) * inFlight
+				+ this.waitingCost * (over + load.waiting(now))) / speed;
 	}
 
 	private double failureCost(EndpointLoad load, long now) {
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -4,16 +4,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.speed.PoolSpeeds;
 
 /**
  * Chooses endpoints of one pool. The cost of an endpoint is the estimated wait of a
@@ -29,12 +28,6 @@
  */
 public final class PoolBalancer {
 
-	/**
-	 * Bounds the uses of parts that wait to be reported: more than a VM sends between two
-	 * digests. A VM without peers reports to nobody.
-	 */
-	private static final int MAX_UNREPORTED_USES = 64;
-
 	/**
 	 * The default target gap: the longest gap between events that current routes aim for.
 	 */
@@ -75,7 +68,9 @@
 
 	private final CandidateSampler otherSampler;
 
-	private final Set<PartUse> unreportedUses = new LinkedHashSet<>();
+	private final UnreportedUses unreportedUses = new UnreportedUses();
+
+	private final PoolSpeeds speeds;
 
 	/**
 	 * Make a balancer.
@@ -101,6 +96,7 @@
 		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
+		this.speeds = new PoolSpeeds(peers.speeds());
 	}
 
 	/**
@@ -112,6 +108,7 @@
 		this.cost = new PlacementCost(next);
 		this.harmlessWork = harmlessWork();
 		this.briefEngines.policy(next, this.loads.values());
+		this.speeds.switchedOn((paceStated) -> next.isOn(OptionalMechanism.ENDPOINT_SPEED, paceStated));
 	}
 
 	private long harmlessWork() {
@@ -163,11 +160,13 @@
 		});
 		this.byId.clear();
 		this.loads.values().forEach((load) -> this.byId.put(load.id(), load));
+		this.speeds.retain(this.byId.keySet());
 		this.briefEngines.divide(this.loads.values());
 	}
 
 	private EndpointLoad newLoad(FleetEndpoint endpoint) {
-		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit, this.rateLimits, this.rests);
+		EndpointLoad load = new EndpointLoad(endpoint, this.peers, this.refusalLimit, this.rateLimits, this.rests,
+				this.speeds);
 		if (this.engineCacheTokens > 0) {
 			load.prefixCache().engineCacheTokens(this.engineCacheTokens);
 		}
@@ -190,20 +189,17 @@
 	 * @return the endpoint, or nothing if none may get the request now
 	 */
 	public Optional<FleetEndpoint> choose(Placement request, long now) {
+		this.speeds.update(now);
 		this.briefEngines.update(now);
 		List<EndpointLoad> usable = usableEndpoints(request, now);
 		HomeEndpoints homes = homes(request, usable);
-		boolean divided = isDivisionApplied(request);
-		int briefCount = (divided) ? (int) usable.stream().filter(this.briefEngines::contains).count() : 0;
-		double share = sampleShare(request, now);
-		CandidateSampler.Draw briefDraw = new CandidateSampler.Draw(share, briefCount, request.salt());
-		CandidateSampler.Draw otherDraw = new CandidateSampler.Draw(share, usable.size() - briefCount, request.salt());
+		CandidateDraw draw = new CandidateDraw(usable, this.briefEngines, isDivisionApplied(request),
+				this.speeds.isInUse(), sampleShare(request, now), request.salt(), now);
 		long shared = request.shape().sharedTokens();
 		EndpointLoad best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (EndpointLoad load : usable) {
-			boolean drawn = (divided && this.briefEngines.contains(load)) ? briefDraw.isNextDrawn()
-					: otherDraw.isNextDrawn();
+			boolean drawn = draw.isNextDrawn(load, now);
 			long cached = load.prefixCache().cachedTokens(request.shape());
 			boolean alwaysCompared = cached == shared || homes.contains(load);
 			// Few endpoints have the shared parts in their cache, so these are always
@@ -333,20 +329,16 @@
 		samplerFor(request).requestSent(now);
 		EndpointLoad load = find(instance).orElseThrow();
 		load.requestSent(now);
-		PlacedRequest placed = new PlacedRequest(load, this.prefillRate, request, queuePosition);
+		PlacedRequest placed = new PlacedRequest(load, this.prefillRate, request, queuePosition, now);
 		request.shape().sharedParts().forEach((part) -> {
 			load.prefixCache().recordUse(part);
-			queueUse(new PartUse(load.id(), part));
+			if (this.policy.isOn(RoutingMechanism.PARTS_TOLD)) {
+				this.unreportedUses.add(new PartUse(load.id(), part));
+			}
 		});
 		return placed;
 	}
 
-	private void queueUse(PartUse use) {
-		if (this.policy.isOn(RoutingMechanism.PARTS_TOLD) && this.unreportedUses.size() < MAX_UNREPORTED_USES) {
-			this.unreportedUses.add(use);
-		}
-	}
-
 	/**
 	 * Record a use of a prompt part that another entry VM reported.
 	 * @param use the use
@@ -364,9 +356,7 @@
 	 * @return the uses since the last call
 	 */
 	public List<PartUse> drainUnreportedUses() {
-		List<PartUse> uses = List.copyOf(this.unreportedUses);
-		this.unreportedUses.clear();
-		return uses;
+		return this.unreportedUses.drain();
 	}
 
 	/**
@@ -382,7 +372,7 @@
 		}
 		return find(instance).map((load) -> {
 			long work = load.waitingWork() + shape.work(load.prefixCache().cachedTokens(shape));
-			return this.prefillRate.estimateNanos(work) > remaining;
+			return this.prefillRate.estimateNanos(Math.round(work / load.speed().learned())) > remaining;
 		}).orElse(false);
 	}
 
@@ -420,18 +410,25 @@
 		return OptionalDouble.of(sum);
 	}
 
-	private Optional<EndpointLoad> find(String instance) {
-		return Optional.ofNullable(this.loads.get(instance));
+	/**
+	 * Return whether endpoints of the pool state how long work takes on their machines.
+	 * @param now the time
+	 * @return whether one has in the last ten minutes
+	 */
+	public boolean isPaceStated(long now) {
+		return this.speeds.isPaceStated(now);
 	}
 
 	/**
-	 * The engines that are reserved for brief requests.
-	 *
-	 * @param engines the number of reserved engines
-	 * @param running the number of brief requests that run at all entry VMs
-	 * @param waitingWork the work that waits at each of the other engines
+	 * Return the speeds of the endpoints, for estimates, the log and the metrics.
+	 * @return the speeds
 	 */
-	public record Division(int engines, int running, long waitingWork) {
+	public PoolSpeeds speeds() {
+		return this.speeds;
+	}
+
+	private Optional<EndpointLoad> find(String instance) {
+		return Optional.ofNullable(this.loads.get(instance));
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/speed/EndpointSpeed.java
+++ b/core/src/main/java/org/acaciacourse/core/speed/EndpointSpeed.java
@@ -25,7 +25,11 @@
 
 	private final PoolSpeeds pool;
 
-	private final int id;
+	private final Integer id;
+
+	private double logSpeed;
+
+	private double weight;
 
 	private double speed = 1;
 
@@ -40,10 +44,28 @@
 		this.id = id;
 	}
 
-	int id() {
+	Integer id() {
 		return this.id;
 	}
 
+	/**
+	 * Set what all VMs observed.
+	 * @param nextLogSpeed the logarithm of the observed speed
+	 * @param nextWeight the number of observations, older ones counted in part
+	 */
+	void observed(double nextLogSpeed, double nextWeight) {
+		this.logSpeed = nextLogSpeed;
+		this.weight = nextWeight;
+	}
+
+	double logSpeed() {
+		return this.logSpeed;
+	}
+
+	double weight() {
+		return this.weight;
+	}
+
 	/**
 	 * Record how long work takes on the endpoint's machine at this moment.
 	 * @param percent the time in percent of the usual one
--- a/core/src/main/java/org/acaciacourse/core/speed/PoolSpeeds.java
+++ b/core/src/main/java/org/acaciacourse/core/speed/PoolSpeeds.java
@@ -23,8 +23,8 @@
 	/** An endpoint that no longer states its pace has another release by then. */
 	private static final long STATED_NANOS = 600_000_000_000L;
 
-	/** More often would cost time at each request; digests come at this interval. */
-	private static final long UPDATE_INTERVAL_NANOS = 100_000_000L;
+	/** Speeds change within seconds, and an update takes time for each endpoint. */
+	private static final long UPDATE_INTERVAL_NANOS = 500_000_000L;
 
 	/**
 	 * How many observations at the speed of the median an endpoint starts with: single
@@ -32,6 +32,9 @@
 	 */
 	private static final double FIRST_OBSERVATIONS = 4;
 
+	/** Endpoints with less do not count for the median. */
+	private static final double MIN_WEIGHT = 0.5;
+
 	/** Before there are as many times of a kind, there is nothing to compare with. */
 	private static final double MIN_COMPARED = 4;
 
@@ -51,6 +54,9 @@
 
 	private long updatedAt = Long.MIN_VALUE / 2;
 
+	/** For the median, kept because an update is part of a request. */
+	private double[] observed = {};
+
 	/**
 	 * Create the speeds of a pool.
 	 * @param table what all VMs observed
@@ -126,30 +132,31 @@
 		this.updatedAt = now;
 		this.inUse = this.switchedOn.test(isPaceStated(now));
 		if (this.inUse) {
-			double median = median(now);
-			this.endpoints.values().forEach((endpoint) -> endpoint.update(speed(endpoint, median, now)));
+			this.endpoints.values().forEach((endpoint) -> this.table.readInto(endpoint, now));
+			double median = median();
+			this.endpoints.values().forEach((endpoint) -> endpoint.update(speed(endpoint, median)));
 		}
 	}
 
-	private double speed(EndpointSpeed endpoint, double median, long now) {
-		SpeedEstimate estimate = this.table.estimate(endpoint.id(), now);
-		double certainty = estimate.weight() / (estimate.weight() + FIRST_OBSERVATIONS);
-		return Math.exp(SpeedStatement.bounded((estimate.logSpeed() - median) * certainty));
+	private static double speed(EndpointSpeed endpoint, double median) {
+		double certainty = endpoint.weight() / (endpoint.weight() + FIRST_OBSERVATIONS);
+		return Math.exp(SpeedStatement.bounded((endpoint.logSpeed() - median) * certainty));
 	}
 
 	// The logarithm of the median speed of the endpoints that were observed.
-	private double median(long now) {
-		double[] observed = new double[this.endpoints.size()];
+	private double median() {
+		if (this.observed.length < this.endpoints.size()) {
+			this.observed = new double[this.endpoints.size()];
+		}
 		int count = 0;
 		for (EndpointSpeed endpoint : this.endpoints.values()) {
-			SpeedEstimate estimate = this.table.estimate(endpoint.id(), now);
-			if (estimate.isWorthTelling()) {
-				observed[count] = estimate.logSpeed();
+			if (endpoint.weight() >= MIN_WEIGHT) {
+				this.observed[count] = endpoint.logSpeed();
 				count++;
 			}
 		}
-		Arrays.sort(observed, 0, count);
-		return (count > 0) ? (observed[(count - 1) / 2] + observed[count / 2]) / 2 : 0;
+		Arrays.sort(this.observed, 0, count);
+		return (count > 0) ? (this.observed[(count - 1) / 2] + this.observed[count / 2]) / 2 : 0;
 	}
 
 	void took(EndpointSpeed endpoint, WorkKind kind, double units, double nanos, long now) {
--- a/core/src/main/java/org/acaciacourse/core/speed/SpeedTable.java
+++ b/core/src/main/java/org/acaciacourse/core/speed/SpeedTable.java
@@ -19,7 +19,7 @@
 public final class SpeedTable {
 
 	/** Together with the loads and the rest these fit into a datagram. */
-	static final int MAX_STATEMENTS = 60;
+	public static final int MAX_STATEMENTS = 60;
 
 	/** Bounds what datagrams may have this VM keep. */
 	private static final int MAX_ENDPOINTS = 4_096;
@@ -136,6 +136,21 @@
 		}
 	}
 
+	/**
+	 * Set an endpoint's speed as all VMs observed it; called for each endpoint.
+	 * @param endpoint the endpoint
+	 * @param now the time
+	 */
+	void readInto(EndpointSpeed endpoint, long now) {
+		ToldSpeeds known = this.endpoints.get(endpoint.id());
+		if (known != null) {
+			known.readInto(endpoint, now);
+		}
+		else {
+			endpoint.observed(0, 0);
+		}
+	}
+
 	/**
 	 * Return the speed of an endpoint as all VMs observed it.
 	 * @param id the endpoint
--- a/core/src/main/java/org/acaciacourse/core/speed/ToldSpeeds.java
+++ b/core/src/main/java/org/acaciacourse/core/speed/ToldSpeeds.java
@@ -116,6 +116,21 @@
 		return (viewWeight > told.weight()) ? new SpeedEstimate(this.view.mean(), viewWeight) : told;
 	}
 
+	// The same as ofAll without an allocation.
+	void readInto(EndpointSpeed endpoint, long now) {
+		double ownWeight = this.own.weight(now);
+		double othersWeight = this.others.weight(now);
+		double weight = ownWeight + othersWeight;
+		double viewWeight = this.view.weight(now);
+		if (viewWeight > weight) {
+			endpoint.observed(this.view.mean(), viewWeight);
+		}
+		else {
+			double sum = this.own.mean() * ownWeight + this.others.mean() * othersWeight;
+			endpoint.observed((weight > 0) ? sum / weight : 0, weight);
+		}
+	}
+
 	private static SpeedEstimate merge(DecayingMean one, DecayingMean other, long now) {
 		double weight = one.weight(now) + other.weight(now);
 		double sum = one.mean() * one.weight(now) + other.mean() * other.weight(now);
--- a/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/BriefEnginesTests.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.speed.PoolSpeeds;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -29,7 +30,8 @@
 		PeerLoads peers = new PeerLoads();
 		this.loads = IntStream.range(0, count)
 			.mapToObj((i) -> new EndpointLoad(new FleetEndpoint("i" + i, "pool", "127.0.0.1:1", "dc", slots, false),
-					peers, new RefusalLimit(peers), RateLimits.ofSingleVm(), new EndpointRests("")))
+					peers, new RefusalLimit(peers), RateLimits.ofSingleVm(), new EndpointRests(""),
+					new PoolSpeeds(peers.speeds())))
 			.toList();
 		this.engines.divide(this.loads);
 	}
--- a/core/src/test/java/org/acaciacourse/core/balance/CandidateSamplerTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/CandidateSamplerTests.java
@@ -72,7 +72,7 @@
 
 		private static long drawn(double share, int endpoints, long salt) {
 			CandidateSampler.Draw draw = new CandidateSampler.Draw(share, endpoints, salt);
-			return IntStream.range(0, endpoints).filter((i) -> draw.isNextDrawn()).count();
+			return IntStream.range(0, endpoints).filter((i) -> draw.isNextDrawn(1)).count();
 		}
 
 		@Test
