Stated pace and starts of endpoints reach the entry VMs

The fourth figure of the load header was not read, speeds were not told to other entry VMs, and an endpoint that started again under its id kept the cache contents, load, limits and rests of the process before.

The header's fourth figure is read and goes to the speed of the endpoint. Digests carry speeds in field 14 (SpeedRecord). The list's born is read, carried in FleetRecord (field 8) and tells the run of an endpoint (EndpointRun, EndpointRuns): a later start ends what is kept of the run before, and an older list does not bring it back. Ids in digests are those of the run, so that what other VMs tell of the run before does not count for the new one. Before the list tells of it, a start is noticed by the loss of all connections and an answer that tells of fewer requests.

New log events endpoint-started and endpoint-speed, new gauges acaciacourse_pool_speed*.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -81,6 +81,8 @@
 
 	private final PrefixCacheModel prefixCache = new PrefixCacheModel();
 
+	private final RestartSign restartSign = new RestartSign();
+
 	private int inFlight;
 
 	private int briefInFlight;
@@ -122,7 +124,7 @@
 		this.rateLimits = rateLimits;
 		this.rests = rests;
 		this.room = endpoint.slots();
-		this.id = PeerLoads.idOf(endpoint.instance());
+		this.id = PeerLoads.idOf(endpoint.run().key());
 		this.speed = speeds.endpoint(this.id);
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
 	}
@@ -201,6 +203,7 @@
 	}
 
 	void recordActivity(long now) {
+		this.restartSign.dataArrived();
 		this.lastActivityAt = now;
 	}
 
@@ -224,10 +227,29 @@
 		this.inFlight = Math.max(0, this.inFlight - 1);
 	}
 
-	void report(int running, int waiting, long now) {
+	// Returns whether the report shows that the endpoint has started again.
+	boolean report(int running, int waiting, long now) {
+		boolean restart = this.restartSign.isRestart(running + waiting);
+		if (restart) {
+			startedAgain();
+		}
 		this.reportedByOthers = Math.max(0, running + waiting - this.inFlight);
 		this.reportedWaiting = waiting;
 		this.reportedAt = now;
+		return restart;
+	}
+
+	// The process of the endpoint is another one, which knows nothing of before. The
+	// requests in flight have been sent to it.
+	private void startedAgain() {
+		this.prefixCache.clear();
+		this.speed.forget();
+		this.rests.ended(this.endpoint.instance());
+		this.rateLimits.ended(this.id);
+		this.room = this.endpoint.slots();
+		this.failureRate = 0;
+		this.consecutiveLosses = 0;
+		this.pausedUntil = Long.MIN_VALUE / 2;
 	}
 
 	void succeeded() {
@@ -244,6 +266,7 @@
 
 	// No connection, or one that broke or timed out.
 	void lost(long now) {
+		this.restartSign.requestLost(this.inFlight);
 		failed(now);
 		long pause = Math.min(MAX_PAUSE_NANOS, MIN_PAUSE_NANOS << Math.min(this.consecutiveLosses, 8));
 		this.consecutiveLosses++;
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointRests.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointRests.java
@@ -15,8 +15,8 @@
  * A rest is prolonged by a fraction that differs between VMs and endpoints. Otherwise,
  * VMs that were refused at the same time would all return at the same time.
  * <p>
- * Invariant: a rest ends by time only; a shorter one that is asked for later does not end
- * it sooner.
+ * Invariant: a rest ends by time or with the run of its endpoint; a shorter one that is
+ * asked for later does not end it sooner.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
@@ -88,6 +88,14 @@
 		return (end != null) ? Duration.ofNanos(Math.max(0, end - now)) : Duration.ZERO;
 	}
 
+	/**
+	 * End the rest of an endpoint that has started again.
+	 * @param instance the endpoint
+	 */
+	public void ended(String instance) {
+		this.ends.remove(instance);
+	}
+
 	/**
 	 * Remove the rests that have ended.
 	 * @param now the time
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -89,9 +89,10 @@
 	 * @param running the number of running requests
 	 * @param waiting the number of waiting requests
 	 * @param now the time
+	 * @return whether the report shows that the endpoint has started again
 	 */
-	public void report(int running, int waiting, long now) {
-		this.load.report(running, waiting, now);
+	public boolean report(int running, int waiting, long now) {
+		return this.load.report(running, waiting, now);
 	}
 
 	/**
@@ -101,10 +102,12 @@
 	 * @param pace how long work takes there now, in percent of the usual time, if the
 	 * endpoint states it
 	 * @param now the time
+	 * @return whether the report shows that the endpoint has started again
 	 */
-	public void report(int running, int waiting, OptionalInt pace, long now) {
-		report(running, waiting, now);
+	public boolean report(int running, int waiting, OptionalInt pace, long now) {
+		boolean restart = report(running, waiting, now);
 		pace.ifPresent((percent) -> this.load.speed().paceStated(percent, now));
+		return restart;
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -151,7 +151,7 @@
 		this.loads.keySet().retainAll(next.keySet());
 		next.forEach((instance, endpoint) -> {
 			EndpointLoad load = this.loads.get(instance);
-			if (load != null) {
+			if (load != null && load.endpoint().run().equals(endpoint.run())) {
 				load.update(endpoint);
 			}
 			else {
--- a/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
@@ -92,6 +92,14 @@
 		this.limits.forEach((endpoint, limit) -> limit.share = share(endpoint, limit.perSecond));
 	}
 
+	/**
+	 * End the limit of an endpoint that has started again.
+	 * @param endpoint the id of the endpoint
+	 */
+	public void ended(int endpoint) {
+		this.limits.remove(endpoint);
+	}
+
 	/**
 	 * Record what an endpoint stated in a response, or that it stated nothing.
 	 * @param endpoint the id of the endpoint
--- a/core/src/main/java/org/acaciacourse/core/route/LeavingEndpoints.java
+++ b/core/src/main/java/org/acaciacourse/core/route/LeavingEndpoints.java
@@ -36,6 +36,15 @@
 		return this.stated.add(instance);
 	}
 
+	/**
+	 * Forget what an endpoint stated, as it has started again.
+	 * @param instance the endpoint
+	 */
+	public void ended(String instance) {
+		this.stated.remove(instance);
+		this.absentSince.remove(instance);
+	}
+
 	/**
 	 * Mark the endpoints that are leaving in a list.
 	 * @param listed the list
--- a/core/src/main/java/org/acaciacourse/core/speed/PoolSpeeds.java
+++ b/core/src/main/java/org/acaciacourse/core/speed/PoolSpeeds.java
@@ -5,7 +5,6 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.function.Predicate;
 
 /**
@@ -173,21 +172,23 @@
 	}
 
 	/**
-	 * Return the lowest of the speeds, for the log and the metrics.
-	 * @return the speed relative to the median, empty while speeds are not in use
+	 * Return the range of the speeds, for the metrics.
+	 * @return the range at the last update
 	 */
-	public OptionalDouble lowest() {
-		return (this.inUse) ? this.endpoints.values().stream().mapToDouble(EndpointSpeed::learned).min()
-				: OptionalDouble.empty();
+	public Range range() {
+		double lowest = this.endpoints.values().stream().mapToDouble(EndpointSpeed::learned).min().orElse(1);
+		double highest = this.endpoints.values().stream().mapToDouble(EndpointSpeed::learned).max().orElse(1);
+		return new Range(this.inUse, lowest, highest);
 	}
 
 	/**
-	 * Return the highest of the speeds, for the log and the metrics.
-	 * @return the speed relative to the median, empty while speeds are not in use
+	 * The range of the speeds of a pool, relative to its median.
+	 *
+	 * @param inUse whether speeds are in use in the pool
+	 * @param lowest the lowest speed, 1 while speeds are not in use
+	 * @param highest the highest speed, 1 while speeds are not in use
 	 */
-	public OptionalDouble highest() {
-		return (this.inUse) ? this.endpoints.values().stream().mapToDouble(EndpointSpeed::learned).max()
-				: OptionalDouble.empty();
+	public record Range(boolean inUse, double lowest, double highest) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/FleetCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/FleetCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -30,6 +31,7 @@
 		FleetRecord struct = new FleetRecord(endpoint.instance(), endpoint.pool(), endpoint.address(),
 				endpoint.dataCentre(), endpoint.slots(), endpoint.leaving());
 		endpoint.version().ifPresent(struct::setVersion);
+		endpoint.born().ifPresent(struct::setBorn);
 		return struct;
 	}
 
@@ -42,7 +44,8 @@
 		return records.stream()
 			.map((struct) -> new FleetEndpoint(struct.getInstance(), struct.getPool(), struct.getAddress(),
 					struct.getDataCentre(), struct.getSlots(), struct.isLeaving(),
-					Optional.ofNullable(struct.getVersion())))
+					Optional.ofNullable(struct.getVersion()),
+					(struct.isSetBorn()) ? OptionalLong.of(struct.getBorn()) : OptionalLong.empty()))
 			.toList();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -12,12 +12,14 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.speed.SpeedStatement;
 import org.acaciacourse.core.stream.OriginMessage;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
+import org.acaciacourse.protocol.generated.SpeedRecord;
 
 /**
  * Converts load digests to and from the content of datagrams.
@@ -58,6 +60,12 @@
 		if (!digest.limits().isEmpty()) {
 			record.setLimits(digest.limits().stream().map(LoadDigestCodec::limitRecord).toList());
 		}
+		if (!digest.speeds().isEmpty()) {
+			record.setSpeeds(digest.speeds()
+				.stream()
+				.map((speed) -> new SpeedRecord(speed.endpoint(), speed.thousandths(), speed.weight()))
+				.toList());
+		}
 		return ThriftBytes.encode(record);
 	}
 
@@ -82,7 +90,16 @@
 				(record.isSetParts()) ? record.getParts() : 1, (record.isSetVms()) ? record.getVms() : 1, loads, uses,
 				(record.isSetHeard()) ? record.getHeard() : Map.of(),
 				(record.isSetFacts()) ? record.getFacts().stream().map(LoadDigestCodec::fact).toList() : List.of(),
-				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of());
+				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of(),
+				(record.isSetSpeeds()) ? speeds(record.getSpeeds()) : List.of());
+	}
+
+	// A statement that is out of range must not make the loads unreadable.
+	private static List<SpeedStatement> speeds(List<SpeedRecord> records) {
+		return records.stream()
+			.filter((record) -> SpeedStatement.isValid(record.getSpeed(), record.getWeight()))
+			.map((record) -> new SpeedStatement(record.getInstance(), record.getSpeed(), record.getWeight()))
+			.toList();
 	}
 
 	private static RateLimitRecord limitRecord(RateLimits.Statement limit) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -227,15 +227,13 @@
 		recordActivity();
 		confirmArrival();
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
-		metadata.load().ifPresent((load) -> this.placed.report(load.running(), load.waiting(), this.lastActivityAt));
-		metadata.refusalLimit().ifPresent((limit) -> this.placed.reportRefusalLimit(limit, this.lastActivityAt));
-		this.placed.reportRateLimit(metadata.rateLimit(), this.lastActivityAt);
+		EndpointStatements.reportLoad(this.endpoint, metadata, this.placed, this.lastActivityAt);
 		metadata.idleTimeoutSeconds()
 			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
 		this.exchange.context()
 			.statements()
-			.received(new EndpointStatements.Response(this.endpoint.instance(), this.exchange.request().metadata().id(),
+			.received(new EndpointStatements.Response(this.endpoint, this.exchange.request().metadata().id(),
 					this.connection.via(), this.placed.inFlight()), status, metadata);
 		boolean notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
 		boolean ownResponse = metadata.requestId().equals(this.exchange.request().metadata().id());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/CrashGuard.java
@@ -134,7 +134,7 @@
 			.stream()
 			.map((suspect) -> FeatureFact
 				.crashed(suspect.getKey(),
-						new FeatureFact.Run(PeerLoads.idOf(endpoint.instance()), PeerLoads.idOf(endpoint.pool()),
+						new FeatureFact.Run(PeerLoads.idOf(endpoint.run().key()), PeerLoads.idOf(endpoint.pool()),
 								poolSize, suspect.getValue()))
 				.aged(ageMillis))
 			.toList();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -42,6 +43,22 @@
 		this.tunnelStopper = tunnelStopper;
 	}
 
+	/**
+	 * Take over what an endpoint stated of its load and its limits.
+	 * @param endpoint the endpoint
+	 * @param metadata the metadata of a response
+	 * @param placed the request there
+	 * @param now the time
+	 */
+	static void reportLoad(FleetEndpoint endpoint, RequestDialect.ResponseMetadata metadata, PlacedRequest placed,
+			long now) {
+		metadata.load()
+			.filter((load) -> placed.report(load.running(), load.waiting(), load.pace(), now))
+			.ifPresent((load) -> DecisionLog.write(LogEvent.ENDPOINT_STARTED, endpoint.instance(), null));
+		metadata.refusalLimit().ifPresent((limit) -> placed.reportRefusalLimit(limit, now));
+		placed.reportRateLimit(metadata.rateLimit(), now);
+	}
+
 	/**
 	 * Process the head of a response.
 	 * @param response the response
@@ -49,15 +66,25 @@
 	 * @param metadata its metadata
 	 */
 	void received(Response response, int status, RequestDialect.ResponseMetadata metadata) {
+		if (isOfEarlierRun(response.endpoint())) {
+			return;
+		}
 		boolean leaving = metadata.leaving() && status != MISDIRECTED_REQUEST;
 		Optional<Duration> rest = metadata.retryAfter().filter((time) -> status == SERVICE_UNAVAILABLE);
-		EndpointStatement statement = new EndpointStatement(response.instance(), rest, leaving);
+		EndpointStatement statement = new EndpointStatement(response.endpoint().instance(), rest, leaving);
 		if (statement.restricts()) {
 			apply(statement, Optional.of(response));
 			response.via().ifPresent((peer) -> this.connections.tell(peer, statement));
 		}
 	}
 
+	// What an endpoint stated before it started again holds no longer.
+	private boolean isOfEarlierRun(FleetEndpoint endpoint) {
+		return this.pools.endpoint(endpoint.instance())
+			.filter((listed) -> listed.run().isAfter(endpoint.run()))
+			.isPresent();
+	}
+
 	/**
 	 * Process what a peer has read in a response through this VM.
 	 * @param statement the statement
@@ -89,12 +116,12 @@
 	/**
 	 * Where a response comes from.
 	 *
-	 * @param instance the endpoint
+	 * @param endpoint the endpoint as it was listed when the request was placed
 	 * @param request the id of the request
 	 * @param via the VM that the connection is tunnelled through, if it is
 	 * @param inFlight how many requests of this VM are at the endpoint
 	 */
-	record Response(String instance, String request, Optional<String> via, int inFlight) {
+	record Response(FleetEndpoint endpoint, String request, Optional<String> via, int inFlight) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -24,12 +24,9 @@
 import org.acaciacourse.core.balance.StallDetector;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
-import org.acaciacourse.core.route.LeavingEndpoints;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTable;
 import org.acaciacourse.core.stream.PoolVersions;
-import org.acaciacourse.daemon.telemetry.DecisionLog;
-import org.acaciacourse.daemon.telemetry.LogEvent;
 
 /**
  * The state of each pool on an entry VM. The state outlives the manifest that declared
@@ -57,9 +54,7 @@
 
 	private final RateLimitLog rateLimitLog = new RateLimitLog();
 
-	private final LeavingEndpoints leaving = new LeavingEndpoints();
-
-	private Fleet listed = Fleet.NONE;
+	private final ListedEndpoints listed;
 
 	private Map<String, FleetEndpoint> endpoints = Map.of();
 
@@ -96,6 +91,7 @@
 		this.retryBudget = retryBudget;
 		this.rateLimits = rateLimits;
 		this.rests = rests;
+		this.listed = new ListedEndpoints(rests);
 		this.hasIdleConnection = hasIdleConnection;
 	}
 
@@ -134,8 +130,7 @@
 	 * @param next the fleet as it is listed
 	 */
 	void fleet(Fleet next) {
-		this.listed = next;
-		applyFleet(this.leaving.mark(next, System.nanoTime()));
+		applyFleet(this.listed.update(next, System.nanoTime()));
 	}
 
 	/**
@@ -145,11 +140,9 @@
 	 * @return whether it was not known from the endpoint itself
 	 */
 	boolean leavingStated(String instance, long now) {
-		boolean first = this.leaving.stated(instance);
-		if (first) {
-			applyFleet(this.leaving.mark(this.listed, now));
-		}
-		return first;
+		Optional<Fleet> next = this.listed.leavingStated(instance, now);
+		next.ifPresent(this::applyFleet);
+		return next.isPresent();
 	}
 
 	/**
@@ -169,7 +162,7 @@
 		next.endpoints().forEach((endpoint) -> {
 			byPool.computeIfAbsent(endpoint.pool(), (pool) -> new ArrayList<>()).add(endpoint);
 			present.put(endpoint.instance(), endpoint);
-			ids.put(PeerLoads.idOf(endpoint.instance()), endpoint.instance());
+			ids.put(PeerLoads.idOf(endpoint.run().key()), endpoint.instance());
 		});
 		this.endpoints = present;
 		this.instances = ids;
@@ -180,7 +173,7 @@
 
 	// The fleet as it is listed.
 	Fleet fleet() {
-		return this.listed;
+		return this.listed.latest();
 	}
 
 	// The software versions of the endpoints.
@@ -307,24 +300,13 @@
 
 	/** Log the pools whose division of engines has changed; called periodically. */
 	void logDivisions() {
-		this.states.forEach((pool, state) -> state.balancer().division().ifPresent((next) -> {
-			if (next.engines() != state.loggedEngines && this.declaredPool(pool).map(Pool::isEngine).orElse(false)) {
-				state.loggedEngines = next.engines();
-				DecisionLog.write(LogEvent.DIVISION, pool, next.engines(), next.running(), next.waitingWork());
-			}
-		}));
+		this.declaredPools.stream().filter(Pool::isEngine).forEach((pool) -> state(pool.name()).log.updateDivision());
 	}
 
-	/** Log the pools whose limit on refusals has changed; called periodically. */
-	void logRefusalLimits() {
+	/** Log the pools whose use has changed otherwise; called periodically. */
+	void logPools() {
 		long now = System.nanoTime();
-		this.states.forEach((pool, state) -> {
-			OptionalInt next = state.balancer().refusalLimit(now);
-			if (!next.equals(state.loggedRefusalLimit)) {
-				state.loggedRefusalLimit = next;
-				DecisionLog.write(LogEvent.REFUSAL_LIMIT, pool, next.orElse(0));
-			}
-		});
+		this.states.values().forEach((state) -> state.log.update(now));
 	}
 
 	/** Log the limits on requests that have changed; called periodically. */
@@ -351,7 +333,7 @@
 			allowance.sharers(this.sharers);
 			PoolBalancer balancer = new PoolBalancer(this.peers, this.rateLimits, this.rests, this.hasIdleConnection);
 			balancer.policy(this.policy);
-			return new State(balancer, allowance, new PoolQueue(this.loop));
+			return new State(name, balancer, allowance, new PoolQueue(this.loop));
 		});
 	}
 
@@ -365,7 +347,7 @@
 		this.states.forEach((name, state) -> gauges.put(name,
 				new RouteGauges.Pool(state.queue().size(),
 						state.balancer().localLoads().stream().mapToInt(PeerLoads.Load::inFlight).sum(),
-						state.allowance().left(now))));
+						state.allowance().left(now), state.balancer().speeds().range())));
 		return gauges;
 	}
 
@@ -416,11 +398,10 @@
 
 		private Duration shortestTarget = Duration.ZERO;
 
-		private int loggedEngines;
-
-		private OptionalInt loggedRefusalLimit = OptionalInt.empty();
+		private final PoolLog log;
 
-		private State(PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
+		private State(String pool, PoolBalancer balancer, RetryAllowance allowance, PoolQueue queue) {
+			this.log = new PoolLog(pool, balancer);
 			this.balancer = balancer;
 			this.allowance = allowance;
 			this.queue = queue;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestDialect.java
@@ -111,8 +111,10 @@
 	 * @param running the number of requests that run
 	 * @param waiting the number of requests that wait
 	 * @param slots how many requests can run at once
+	 * @param pace how long work takes on the endpoint's machine now, in percent of the
+	 * usual time, if it is stated
 	 */
-	record ReportedLoad(int running, int waiting, int slots) {
+	record ReportedLoad(int running, int waiting, int slots, OptionalInt pace) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -257,7 +257,7 @@
 		this.handler.logRefusalSummaries();
 		this.pools.refreshSharers();
 		this.pools.logDivisions();
-		this.pools.logRefusalLimits();
+		this.pools.logPools();
 		this.pools.logRateLimits();
 		this.pools.rests().sweep(System.nanoTime());
 		this.crashes.sweep();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -8,6 +8,7 @@
 import org.acaciacourse.core.balance.OptionalMechanism;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
+import org.acaciacourse.core.speed.PoolSpeeds;
 import org.acaciacourse.daemon.telemetry.Gauges;
 
 /**
@@ -38,6 +39,12 @@
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
 		perPool(registry, "acaciacourse_pool_retries_left", "Retries that the budget permits now", Pool::retriesLeft);
+		perPool(registry, "acaciacourse_pool_speeds_in_use",
+				"Whether the choice of an endpoint takes account of speeds", (pool) -> (pool.speeds().inUse()) ? 1 : 0);
+		perPool(registry, "acaciacourse_pool_speed_lowest", "Lowest speed of an endpoint relative to the median",
+				(pool) -> pool.speeds().lowest());
+		perPool(registry, "acaciacourse_pool_speed_highest", "Highest speed of an endpoint relative to the median",
+				(pool) -> pool.speeds().highest());
 	}
 
 	private void gauge(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Snapshot> value) {
@@ -109,8 +116,9 @@
 	 * @param waiting requests that wait for an endpoint
 	 * @param inFlight requests at its endpoints
 	 * @param retriesLeft retries that the budget permits
+	 * @param speeds the lowest and the highest speed of its endpoints
 	 */
-	record Pool(int waiting, int inFlight, double retriesLeft) {
+	record Pool(int waiting, int inFlight, double retriesLeft, PoolSpeeds.Range speeds) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -161,6 +161,19 @@
 	 */
 	ENDPOINT_LEAVING("endpoint-leaving", "endpoint", "pool", "request", "via", "in_flight"),
 
+	/**
+	 * An endpoint has started again under the id that it had, at a time in Unix
+	 * milliseconds: all that was kept of its earlier run ends. Without the time, it was
+	 * noticed by an answer after the loss of all connections, before the list told of it.
+	 */
+	ENDPOINT_STARTED("endpoint-started", "endpoint", "born"),
+
+	/**
+	 * The choice of an endpoint in a pool takes account of how fast each one works, or no
+	 * longer does, and whether endpoints state how long work takes on their machines.
+	 */
+	ENDPOINT_SPEED("endpoint-speed", "pool", "in_use", "pace_stated"),
+
 	/** No control VM reports the fleet any longer. */
 	CONTROL_LOST("control-lost", "silent_ms"),
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -12,10 +12,12 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.speed.SpeedStatement;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
+import org.acaciacourse.protocol.generated.SpeedRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +37,8 @@
 	@Test
 	void digestSurvivesARoundTrip() {
 		LoadDigest view = new LoadDigest(LoadDigest.Kind.VIEW, 1L << 50, 1, 3, 95, LOADS,
-				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS);
+				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS,
+				List.of(new SpeedStatement(-7, 458, 1_000), new SpeedStatement(8, 5_000, 1)));
 		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get().get()).isEqualTo(view);
 	}
 
@@ -47,6 +50,20 @@
 				new LoadDigest(LoadDigest.Kind.SUMMARY, 3, 0, 1, 1, LOADS, List.of(), Map.of(), List.of(), List.of()));
 	}
 
+	/*
+	 * A VM of another release may bound speeds differently. The loads of its digest count
+	 * nevertheless.
+	 */
+	@Test
+	void speedsOutOfRangeAreIgnored() {
+		LoadDigestRecord record = new LoadDigestRecord(3, List.of(new EndpointLoadRecord(-7, 2, 17_000, 1)))
+			.setSpeeds(List.of(new SpeedRecord(1, 0, 5), new SpeedRecord(2, -1, 5), new SpeedRecord(3, 5_001, 5),
+					new SpeedRecord(4, 1_000, 0), new SpeedRecord(5, 1_000, 1_001), new SpeedRecord(6, 1_000, 7)));
+		LoadDigest digest = LoadDigestCodec.decode(ThriftBytes.encode(record)).get().get();
+		assertThat(digest.loads()).isEqualTo(LOADS);
+		assertThat(digest.speeds()).containsExactly(new SpeedStatement(6, 1_000, 7));
+	}
+
 	@Nested
 	class Malformed {
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -17,6 +17,7 @@
 import org.acaciacourse.core.route.PoolShare;
 import org.acaciacourse.core.route.RequestKind;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.core.speed.PoolSpeeds;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -55,7 +56,7 @@
 	void snapshotIsExposedAsGauges() throws IOException {
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(3, 5, 7, 9, 8, 12, 1.5, 6,
-					Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
+					Map.of("engines", new RouteGauges.Pool(2, 4, 6.5, new PoolSpeeds.Range(true, 0.45, 1.1))),
 					new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
 		String page = page();
 		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
@@ -65,6 +66,9 @@
 		assertThat(page).contains("acaciacourse_tunnels_open 8.0");
 		assertThat(page).contains("acaciacourse_pool_waiting_requests{pool=\"engines\"} 2.0");
 		assertThat(page).contains("acaciacourse_pool_retries_left{pool=\"engines\"} 6.5");
+		assertThat(page).contains("acaciacourse_pool_speeds_in_use{pool=\"engines\"} 1.0");
+		assertThat(page).contains("acaciacourse_pool_speed_lowest{pool=\"engines\"} 0.45");
+		assertThat(page).contains("acaciacourse_pool_speed_highest{pool=\"engines\"} 1.1");
 	}
 
 	@Test
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -384,6 +384,17 @@
   10: optional list<RateLimitRecord> limits,
   /* What entries tell and ask each other of streams; such a datagram tells no load. */
   11: optional StreamOriginsRecord origins,
+  /* The speeds of endpoints of which something new was observed. */
+  14: optional list<SpeedRecord> speeds,
+}
+
+struct SpeedRecord {
+  /* A hash of the endpoint's instance. */
+  1: i32 instance,
+  /* Relative to the median of its pool, in thousandths. */
+  2: i32 speed,
+  /* The number of observations in the last 20 seconds. */
+  3: i32 weight,
 }
 
 struct StreamOriginsRecord {
@@ -469,6 +480,8 @@
   6: bool leaving,
   /* Of its software; missing if the platform states none. */
   7: optional string version,
+  /* When it started, in Unix milliseconds; missing if the platform does not state it. */
+  8: optional i64 born,
 }
 
 /* The fleet as a control VM knows it; records only if the revision is another than asked with. */
