--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -111,6 +111,8 @@
 
 	private double room;
 
+	private boolean ended;
+
 	/** Requests of this VM, each of which counts less as time passes. */
 	private double recentRequests;
 
@@ -239,6 +241,14 @@
 		return restart;
 	}
 
+	// The list tells of a later run, which has a load of its own. What responses of this
+	// one still state does not count.
+	void runEnded() {
+		this.ended = true;
+		this.rateLimits.ended(this.id);
+		this.refusalLimit.ended(this.id);
+	}
+
 	// The process of the endpoint is another one, which knows nothing of before. The
 	// requests in flight have been sent to it.
 	private void startedAgain() {
@@ -246,6 +256,7 @@
 		this.speed.forget();
 		this.rests.ended(this.endpoint.instance());
 		this.rateLimits.ended(this.id);
+		this.refusalLimit.ended(this.id);
 		this.room = this.endpoint.slots();
 		this.failureRate = 0;
 		this.consecutiveLosses = 0;
@@ -264,9 +275,13 @@
 		this.failureAt = now;
 	}
 
+	// The endpoint closed the connection of a request that has ended by that.
+	void connectionReset() {
+		this.restartSign.connectionReset(this.inFlight);
+	}
+
 	// No connection, or one that broke or timed out.
 	void lost(long now) {
-		this.restartSign.requestLost(this.inFlight);
 		failed(now);
 		long pause = Math.min(MAX_PAUSE_NANOS, MIN_PAUSE_NANOS << Math.min(this.consecutiveLosses, 8));
 		this.consecutiveLosses++;
@@ -280,7 +295,9 @@
 	}
 
 	void refusalLimitStated(int refusalsPerSecond, long now) {
-		this.refusalLimit.stated(refusalsPerSecond, now);
+		if (!this.ended) {
+			this.refusalLimit.stated(this.id, refusalsPerSecond, now);
+		}
 	}
 
 	void rateLimitStated(OptionalDouble perSecond, long now) {
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -35,6 +35,8 @@
 
 	private boolean streaming;
 
+	private boolean connectionReset;
+
 	private boolean ended;
 
 	PlacedRequest(EndpointLoad load, PrefillRate prefillRate, Placement request, QueuePosition queuePosition,
@@ -168,6 +170,11 @@
 		return this.streaming;
 	}
 
+	/** Record that the endpoint closed the connection, by which the request ends. */
+	public void connectionReset() {
+		this.connectionReset = true;
+	}
+
 	/**
 	 * Record the end of the request, with a response or without one.
 	 * @param outcome what the end shows of the endpoint
@@ -190,6 +197,9 @@
 		}
 		this.load.end();
 		outcome.apply(this.load, now);
+		if (this.connectionReset && outcome == Outcome.LOST) {
+			this.load.connectionReset();
+		}
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -155,6 +155,7 @@
 				load.update(endpoint);
 			}
 			else {
+				Optional.ofNullable(load).ifPresent(EndpointLoad::runEnded);
 				this.loads.put(instance, newLoad(endpoint));
 			}
 		});
--- a/core/src/main/java/org/acaciacourse/core/balance/RefusalLimit.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RefusalLimit.java
@@ -33,20 +33,35 @@
 
 	private long statedAt = NEVER;
 
+	/** The id of the endpoint that stated it last. */
+	private int statedBy;
+
 	RefusalLimit(PeerLoads peers) {
 		this.peers = peers;
 	}
 
 	/**
 	 * Record that an endpoint stated the limit.
+	 * @param endpoint the id of the endpoint
 	 * @param refusalsPerSecond the refusals within a second that an endpoint endures
 	 * @param now the time
 	 */
-	void stated(int refusalsPerSecond, long now) {
+	void stated(int endpoint, int refusalsPerSecond, long now) {
+		this.statedBy = endpoint;
 		this.perSecond = Math.max(1, refusalsPerSecond);
 		this.statedAt = now;
 	}
 
+	/**
+	 * End the limit if an endpoint that has started again stated it last.
+	 * @param endpoint the id of the endpoint
+	 */
+	void ended(int endpoint) {
+		if (this.statedBy == endpoint) {
+			this.statedAt = NEVER;
+		}
+	}
+
 	/**
 	 * Return whether there is a limit now.
 	 * @param now the time
--- a/core/src/main/java/org/acaciacourse/core/balance/RestartSign.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RestartSign.java
@@ -1,9 +1,10 @@
 package org.acaciacourse.core.balance;
 
 /**
- * Tells that an endpoint has started again before the list does: all connections to it
- * were lost with their requests, and the next answer tells of fewer requests than were
- * there. An endpoint that was only cut off would still run them.
+ * Tells that an endpoint has started again before the list does: it closed all
+ * connections with a request, and the next answer tells of fewer requests than these
+ * were. Failures to connect and silent connections don't count: an endpoint that is cut
+ * off runs on.
  * <p>
  * Not thread safe: belongs to one {@link EndpointLoad}.
  */
@@ -14,10 +15,10 @@
 	private boolean allLost;
 
 	/**
-	 * Record that a request lost its connection.
+	 * Record that the endpoint closed the connection of a request.
 	 * @param left how many requests of this VM are still there
 	 */
-	void requestLost(int left) {
+	void connectionReset(int left) {
 		this.lost++;
 		this.allLost = left == 0;
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -422,6 +422,7 @@
 			end(AttemptEnd.BROKEN, lossOutcome());
 			return;
 		}
+		this.placed.connectionReset();
 		finish(lossOutcome());
 		logEnd(AttemptEnd.BROKEN);
 		this.exchange.connectionLost(this, this.endpoint, lostRequest(System.nanoTime()));
