Idle connections to an earlier run of an endpoint are closed

After a later start was listed, an idle connection to the process before could still be taken for the next request. Such connections are dropped when one is acquired.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -24,8 +24,9 @@
 
 /**
  * The connections to the endpoints, kept by instance: an address may be reassigned to
- * another instance, and a connection to the previous instance must not serve it.
- * Invariant: an idle connection is in exactly one list and serves no request.
+ * another instance, and a connection to the previous instance must not serve it. Nor does
+ * a connection to an earlier run of the endpoint. Invariant: an idle connection is in
+ * exactly one list and serves no request.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
@@ -140,7 +141,8 @@
 		long now = System.nanoTime();
 		long maxIdleNanos = idleLimit(endpoint.pool()).limit(now);
 		connections.removeIf((connection) -> {
-			boolean drop = !isWorthKeeping(connection, now) || connection.idleNanos(now) >= maxIdleNanos;
+			boolean drop = !isWorthKeeping(connection, now) || connection.idleNanos(now) >= maxIdleNanos
+					|| endpoint.run().isAfter(connection.endpoint().run());
 			if (drop) {
 				connection.abandon();
 			}
