--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -5,6 +5,8 @@
 
 import net.openhft.hashing.LongHashFunction;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.speed.EndpointSpeed;
+import org.acaciacourse.core.speed.PoolSpeeds;
 
 /**
  * The load and health of one endpoint as seen by an entry VM: its own requests there, and
@@ -73,10 +75,14 @@
 
 	private final long hash;
 
+	private final EndpointSpeed speed;
+
 	private FleetEndpoint endpoint;
 
 	private final PrefixCacheModel prefixCache = new PrefixCacheModel();
 
+	private final RestartSign restartSign = new RestartSign();
+
 	private int inFlight;
 
 	private int briefInFlight;
@@ -105,20 +111,23 @@
 
 	private double room;
 
+	private boolean ended;
+
 	/** Requests of this VM, each of which counts less as time passes. */
 	private double recentRequests;
 
 	private long recentAt;
 
 	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits,
-			EndpointRests rests) {
+			EndpointRests rests, PoolSpeeds speeds) {
 		this.endpoint = endpoint;
 		this.peers = peers;
 		this.refusalLimit = refusalLimit;
 		this.rateLimits = rateLimits;
 		this.rests = rests;
 		this.room = endpoint.slots();
-		this.id = PeerLoads.idOf(endpoint.instance());
+		this.id = PeerLoads.idOf(endpoint.run().key());
+		this.speed = speeds.endpoint(this.id);
 		this.hash = HASH.hashBytes(endpoint.instance().getBytes(StandardCharsets.UTF_8));
 	}
 
@@ -130,6 +139,10 @@
 		return this.prefixCache;
 	}
 
+	EndpointSpeed speed() {
+		return this.speed;
+	}
+
 	int id() {
 		return this.id;
 	}
@@ -192,6 +205,7 @@
 	}
 
 	void recordActivity(long now) {
+		this.restartSign.dataArrived();
 		this.lastActivityAt = now;
 	}
 
@@ -215,10 +229,38 @@
 		this.inFlight = Math.max(0, this.inFlight - 1);
 	}
 
-	void report(int running, int waiting, long now) {
+	// Returns whether the report shows that the endpoint has started again.
+	boolean report(int running, int waiting, long now) {
+		boolean restart = this.restartSign.isRestart(running + waiting);
+		if (restart) {
+			startedAgain();
+		}
 		this.reportedByOthers = Math.max(0, running + waiting - this.inFlight);
 		this.reportedWaiting = waiting;
 		this.reportedAt = now;
+		return restart;
+	}
+
+	// The list tells of a later run, which has a load of its own. What responses of this
+	// one still state does not count.
+	void runEnded() {
+		this.ended = true;
+		this.rateLimits.ended(this.id);
+		this.refusalLimit.ended(this.id);
+	}
+
+	// The process of the endpoint is another one, which knows nothing of before. The
+	// requests in flight have been sent to it.
+	private void startedAgain() {
+		this.prefixCache.clear();
+		this.speed.forget();
+		this.rests.ended(this.endpoint.instance());
+		this.rateLimits.ended(this.id);
+		this.refusalLimit.ended(this.id);
+		this.room = this.endpoint.slots();
+		this.failureRate = 0;
+		this.consecutiveLosses = 0;
+		this.pausedUntil = Long.MIN_VALUE / 2;
 	}
 
 	void succeeded() {
@@ -233,6 +275,11 @@
 		this.failureAt = now;
 	}
 
+	// The endpoint closed the connection of a request that has ended by that.
+	void connectionReset() {
+		this.restartSign.connectionReset(this.inFlight);
+	}
+
 	// No connection, or one that broke or timed out.
 	void lost(long now) {
 		failed(now);
@@ -248,7 +295,9 @@
 	}
 
 	void refusalLimitStated(int refusalsPerSecond, long now) {
-		this.refusalLimit.stated(refusalsPerSecond, now);
+		if (!this.ended) {
+			this.refusalLimit.stated(this.id, refusalsPerSecond, now);
+		}
 	}
 
 	void rateLimitStated(OptionalDouble perSecond, long now) {
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -1,6 +1,9 @@
 package org.acaciacourse.core.balance;
 
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
+
+import org.acaciacourse.core.speed.SpeedObservation;
 
 /**
  * A request at an endpoint, from its placement to its end: what it adds to the endpoint's
@@ -26,13 +29,18 @@
 
 	private final long workAhead;
 
+	private final SpeedObservation speedObservation;
+
 	private boolean prefillDone;
 
 	private boolean streaming;
 
+	private boolean connectionReset;
+
 	private boolean ended;
 
-	PlacedRequest(EndpointLoad load, PrefillRate prefillRate, Placement request, QueuePosition queuePosition) {
+	PlacedRequest(EndpointLoad load, PrefillRate prefillRate, Placement request, QueuePosition queuePosition,
+			long now) {
 		this.load = load;
 		this.prefillRate = prefillRate;
 		this.brief = request.brief();
@@ -48,6 +56,9 @@
 			load.briefBegan();
 		}
 		this.workAhead = load.waitingWork();
+		this.speedObservation = load.speed()
+			.observe(new SpeedObservation.Work(this.workAhead, queuePosition.indicatesPrefillRate(),
+					request.shape().promptTokens() == 0, load.running(now), load.endpoint().slots()), now);
 	}
 
 	/**
@@ -80,9 +91,25 @@
 	 * @param running the number of running requests
 	 * @param waiting the number of waiting requests
 	 * @param now the time
+	 * @return whether the report shows that the endpoint has started again
+	 */
+	public boolean report(int running, int waiting, long now) {
+		return this.load.report(running, waiting, now);
+	}
+
+	/**
+	 * Record a load report of the endpoint.
+	 * @param running the number of running requests
+	 * @param waiting the number of waiting requests
+	 * @param pace how long work takes there now, in percent of the usual time, if the
+	 * endpoint states it
+	 * @param now the time
+	 * @return whether the report shows that the endpoint has started again
 	 */
-	public void report(int running, int waiting, long now) {
-		this.load.report(running, waiting, now);
+	public boolean report(int running, int waiting, OptionalInt pace, long now) {
+		boolean restart = report(running, waiting, now);
+		pace.ifPresent((percent) -> this.load.speed().paceStated(percent, now));
+		return restart;
 	}
 
 	/**
@@ -104,18 +131,20 @@
 	}
 
 	/**
-	 * Record the first event of the response, which shows that the prompt is prefilled.
-	 * Later events have no effect.
+	 * Record an event of the response. The first one shows that the prompt is prefilled.
 	 * @param elapsed nanoseconds since the request was sent
 	 */
 	public void streamBegan(long elapsed) {
+		if (!this.ended) {
+			this.speedObservation.eventReceived(elapsed);
+		}
 		if (this.streaming || this.ended) {
 			return;
 		}
 		this.streaming = true;
 		this.load.streamBegan();
 		if (this.queuePosition.indicatesPrefillRate()) {
-			this.prefillRate.observe(this.workAhead, elapsed);
+			this.prefillRate.observe(this.workAhead, Math.round(elapsed * this.load.speed().learned()));
 		}
 		markPrefillDone();
 	}
@@ -141,6 +170,11 @@
 		return this.streaming;
 	}
 
+	/** Record that the endpoint closed the connection, by which the request ends. */
+	public void connectionReset() {
+		this.connectionReset = true;
+	}
+
 	/**
 	 * Record the end of the request, with a response or without one.
 	 * @param outcome what the end shows of the endpoint
@@ -158,8 +192,14 @@
 		if (this.brief) {
 			this.load.briefEnded();
 		}
+		if (outcome == Outcome.GOOD) {
+			this.speedObservation.completed(now);
+		}
 		this.load.end();
 		outcome.apply(this.load, now);
+		if (this.connectionReset && outcome == Outcome.LOST) {
+			this.load.connectionReset();
+		}
 	}
 
 	/**
