Admission of requests by what an endpoint can still serve

Requests were sent to engines whatever waited there. In a burst, many ran until the deadline of their callers had passed.

core.admission estimates the time to the first event, or to a plain answer, learns its error (bounded correction and margin, forgotten within 10 s) and books when callers of refused requests return. PoolAdmission decides for an endpoint that the balancer has chosen; nothing calls it yet. PoolBalancer.isPaceStated tells whether endpoints state their pace, and returns false until that is known.

--- a/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/BriefEngines.java
@@ -191,8 +191,8 @@
 	 * Return the division for the log.
 	 * @return the division as of the last update
 	 */
-	PoolBalancer.Division division() {
-		return new PoolBalancer.Division(this.reserved.size(), this.runningBrief, Math.round(this.smoothedWaitingWork));
+	Division division() {
+		return new Division(this.reserved.size(), this.runningBrief, Math.round(this.smoothedWaitingWork));
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -2,6 +2,8 @@
 
 import java.util.OptionalDouble;
 
+import org.acaciacourse.core.admission.SentRequest;
+
 /**
  * A request at an endpoint, from its placement to its end: what it adds to the endpoint's
  * load and what it shows of the endpoint's health. Invariant: each step counts once, so
@@ -26,6 +28,8 @@
 
 	private final long workAhead;
 
+	private SentRequest observation = SentRequest.IGNORED;
+
 	private boolean prefillDone;
 
 	private boolean streaming;
@@ -50,6 +54,24 @@
 		this.workAhead = load.waitingWork();
 	}
 
+	// Lets an estimate of the time that requests take learn from this one.
+	void observedBy(SentRequest next) {
+		this.observation = next;
+	}
+
+	EndpointLoad load() {
+		return this.load;
+	}
+
+	QueuePosition queuePosition() {
+		return this.queuePosition;
+	}
+
+	// The work on the prompt when the request was sent.
+	long work() {
+		return this.work;
+	}
+
 	/**
 	 * Return the work that waited at the endpoint when the request was sent.
 	 * @return the work in prompt tokens, including that of the request unless it is
@@ -117,6 +139,7 @@
 		if (this.queuePosition.indicatesPrefillRate()) {
 			this.prefillRate.observe(this.workAhead, elapsed);
 		}
+		this.observation.firstEvent(elapsed);
 		markPrefillDone();
 	}
 
@@ -151,6 +174,7 @@
 			return;
 		}
 		this.ended = true;
+		this.observation.ended(outcome == Outcome.GOOD, outcome == Outcome.UNKNOWN, now);
 		markPrefillDone();
 		if (this.streaming) {
 			this.load.streamEnded();
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -4,13 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.function.Predicate;
 
 import org.acaciacourse.core.route.FleetEndpoint;
@@ -29,12 +27,6 @@
  */
 public final class PoolBalancer {
 
-	/**
-	 * Bounds the uses of parts that wait to be reported: more than a VM sends between two
-	 * digests. A VM without peers reports to nobody.
-	 */
-	private static final int MAX_UNREPORTED_USES = 64;
-
 	/**
 	 * The default target gap: the longest gap between events that current routes aim for.
 	 */
@@ -75,7 +67,9 @@
 
 	private final CandidateSampler otherSampler;
 
-	private final Set<PartUse> unreportedUses = new LinkedHashSet<>();
+	private final UnreportedUses unreportedUses = new UnreportedUses();
+
+	private final PoolAdmission admission;
 
 	/**
 	 * Make a balancer.
@@ -101,6 +95,7 @@
 		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
+		this.admission = new PoolAdmission(this.loads.values(), peers, this.prefillRate, this::isUsable);
 	}
 
 	/**
@@ -183,6 +178,14 @@
 		this.connectionShare = next;
 	}
 
+	/**
+	 * Set the number of entry VMs.
+	 * @param vms the number, this VM included
+	 */
+	public void entryVms(int vms) {
+		this.admission.entryVms(vms);
+	}
+
 	/**
 	 * Choose an endpoint.
 	 * @param request the request to place
@@ -336,17 +339,13 @@
 		PlacedRequest placed = new PlacedRequest(load, this.prefillRate, request, queuePosition);
 		request.shape().sharedParts().forEach((part) -> {
 			load.prefixCache().recordUse(part);
-			queueUse(new PartUse(load.id(), part));
+			if (this.policy.isOn(RoutingMechanism.PARTS_TOLD)) {
+				this.unreportedUses.add(new PartUse(load.id(), part));
+			}
 		});
 		return placed;
 	}
 
-	private void queueUse(PartUse use) {
-		if (this.policy.isOn(RoutingMechanism.PARTS_TOLD) && this.unreportedUses.size() < MAX_UNREPORTED_USES) {
-			this.unreportedUses.add(use);
-		}
-	}
-
 	/**
 	 * Record a use of a prompt part that another entry VM reported.
 	 * @param use the use
@@ -364,9 +363,7 @@
 	 * @return the uses since the last call
 	 */
 	public List<PartUse> drainUnreportedUses() {
-		List<PartUse> uses = List.copyOf(this.unreportedUses);
-		this.unreportedUses.clear();
-		return uses;
+		return this.unreportedUses.drain();
 	}
 
 	/**
@@ -386,6 +383,25 @@
 		}).orElse(false);
 	}
 
+	/**
+	 * Return whether endpoints of the pool state how long work takes on their machines.
+	 * @param now the time
+	 * @return whether one has stated it lately
+	 */
+	public boolean isPaceStated(long now) {
+		return false;
+	}
+
+	/**
+	 * Return what decides whether requests can be served while their callers wait.
+	 * @param now the time
+	 * @return the decisions, empty where the mechanism is not in use
+	 */
+	public Optional<PoolAdmission> admission(long now) {
+		return Optional.of(this.admission)
+			.filter((one) -> this.policy.isOn(OptionalMechanism.ADMISSION, isPaceStated(now)));
+	}
+
 	/**
 	 * Return how many refusals within a second an endpoint endures, for the log.
 	 * @param now the time
@@ -409,29 +425,11 @@
 	 * @return the sum of its shares, empty if an endpoint takes as many as it can run
 	 */
 	public OptionalDouble permittedRate(long now) {
-		double sum = 0;
-		for (EndpointLoad load : this.loads.values()) {
-			OptionalDouble share = this.rateLimits.shareOf(load.id(), now);
-			if (share.isEmpty() && !load.endpoint().leaving()) {
-				return OptionalDouble.empty();
-			}
-			sum += share.orElse(0);
-		}
-		return OptionalDouble.of(sum);
+		return this.rateLimits.permittedRate(this.loads.values(), now);
 	}
 
 	private Optional<EndpointLoad> find(String instance) {
 		return Optional.ofNullable(this.loads.get(instance));
 	}
 
-	/**
-	 * The engines that are reserved for brief requests.
-	 *
-	 * @param engines the number of reserved engines
-	 * @param running the number of brief requests that run at all entry VMs
-	 * @param waitingWork the work that waits at each of the other engines
-	 */
-	public record Division(int engines, int running, long waitingWork) {
-	}
-
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
@@ -61,4 +61,13 @@
 		return (long) (work / this.tokensPerMilli * 1e6);
 	}
 
+	/**
+	 * Return the rate while it is not certain that what was learned still holds.
+	 * @param learnedWeight how much it counts against the default, 0 to 1
+	 * @return prompt tokens per millisecond
+	 */
+	double tokensPerMilli(double learnedWeight) {
+		return DEFAULT_TOKENS_PER_MILLI + learnedWeight * (this.tokensPerMilli - DEFAULT_TOKENS_PER_MILLI);
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RateLimits.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.core.balance;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -185,6 +186,24 @@
 		}
 	}
 
+	/**
+	 * Return the sum of the shares of this VM at the endpoints of a pool.
+	 * @param loads the endpoints
+	 * @param now the time
+	 * @return requests per second, empty if an endpoint takes as many as it can run
+	 */
+	OptionalDouble permittedRate(Collection<EndpointLoad> loads, long now) {
+		double sum = 0;
+		for (EndpointLoad load : loads) {
+			OptionalDouble share = shareOf(load.id(), now);
+			if (share.isEmpty() && !load.endpoint().leaving()) {
+				return OptionalDouble.empty();
+			}
+			sum += share.orElse(0);
+		}
+		return OptionalDouble.of(sum);
+	}
+
 	/**
 	 * Return how many requests per second this VM may send to an endpoint.
 	 * @param endpoint the id of the endpoint
