Admission in the routed path

Nothing asked PoolAdmission. RequestAdmission now asks it once the balancer has chosen an endpoint, for requests that no endpoint can have run, and lets it learn from what is sent. A refusal has code 202, is not run, and tells the caller when the work in front of it has drained; the same delay is a lower bound where no endpoint takes a request. Visible as acaciacourse_pool_admissions_total and the log event admission. Contents under suspicion of crashing endpoints stay at the endpoint chosen for them. Where the mechanism is off, nothing changes.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -138,7 +138,7 @@
 
 	private void logLate(RequestProgress progress) {
 		long now = System.nanoTime();
-		OptionalLong suppressed = this.context.lateLogLimiter().tryAcquire(now);
+		OptionalLong suppressed = this.context.logLimits().late().tryAcquire(now);
 		if (suppressed.isPresent()) {
 			Route route = this.request.route();
 			DecisionLog.write(LogEvent.REQUEST_LATE, this.request.metadata().id(), route.name(), this.request.pool(),
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -335,6 +335,7 @@
 	private void applySharers() {
 		this.states.values().forEach((state) -> state.allowance().sharers(this.sharers));
 		int entries = Math.max(1, this.sharerCount.highest());
+		this.states.values().forEach((state) -> state.balancer().entryVms(entries));
 		this.declaredPools.forEach((pool) -> state(pool.name()).balancer()
 			.connectionShare(ConnectionShare.of(pool.maxConnections(), entries)));
 	}
@@ -386,10 +387,6 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> endpoint.pool().equals(pool)).count();
 	}
 
-	boolean isInFleet(String instance) {
-		return this.endpoints.containsKey(instance);
-	}
-
 	/**
 	 * The number of VMs among which the retry budgets are divided.
 	 *
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
@@ -29,6 +29,8 @@
 
 	private final boolean brief;
 
+	private final RequestAdmission admission;
+
 	private final PlacementWait wait = new PlacementWait();
 
 	/**
@@ -37,13 +39,16 @@
 	 * @param request the request
 	 * @param binding the version that its stream is bound to
 	 * @param startedAt when the request was read
+	 * @param deadlineAt until when its caller waits
 	 */
-	RequestPlacement(RouteContext context, RoutedRequest request, StreamBinding binding, long startedAt) {
+	RequestPlacement(RouteContext context, RoutedRequest request, StreamBinding binding, long startedAt,
+			long deadlineAt) {
 		this.request = request;
 		this.pools = context.pools();
 		this.pool = this.pools.state(request.pool());
 		this.binding = binding;
 		this.startedAt = startedAt;
+		this.admission = new RequestAdmission(context, request, startedAt, deadlineAt);
 		this.brief = this.pool.isBrief(request.route().target(),
 				this.pools.policy().value(RoutingParameter.NEARLY_SHORTEST));
 	}
@@ -72,6 +77,14 @@
 		return this.pool.balancer().choose(this.binding.untried(unrestricted(tried)), now).isPresent();
 	}
 
+	/**
+	 * Return the admission of the request.
+	 * @return decides whether it is sent
+	 */
+	RequestAdmission admission() {
+		return this.admission;
+	}
+
 	/** An endpoint was found. */
 	void found() {
 		this.wait.end();
@@ -97,8 +110,9 @@
 	 * @return the time until the queue and the endpoints permit it
 	 */
 	Duration retryDelayBehindQueue(long now) {
-		Duration behindQueue = RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
-				this.pool.balancer().permittedRate(now));
+		Duration behindQueue = this.admission.retryDelay(wanted(Set.of()), now)
+			.orElseGet(() -> RetryDelay.behindQueue(this.request.idHash(), this.pool.queue().size(),
+					this.pool.balancer().permittedRate(now)));
 		Duration afterRest = retryDelay(now);
 		return (behindQueue.compareTo(afterRest) > 0) ? behindQueue : afterRest;
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
-import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.daemon.link.UsageMeter;
 
 /**
@@ -22,11 +21,11 @@
  * @param bodies bounds the memory of buffered response bodies
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
- * @param lateLogLimiter limits the rate of log lines on late responses
+ * @param logLimits limits the rate of log lines of single requests
  * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
 		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, BodyMemory bodies,
-		RouteMetrics metrics, Set<RoutedExchange> openExchanges, LogRateLimiter lateLogLimiter,
+		RouteMetrics metrics, Set<RoutedExchange> openExchanges, RequestLogLimits logLimits,
 		Optional<UsageMeter> usage) {
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -25,7 +25,6 @@
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.balance.StallDetector;
-import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.model.Manifest;
@@ -72,7 +71,7 @@
 	private static final long ADMIN_DELAY_MILLIS = 1_000;
 
 	/** About the usual number of requests per second on an entry VM. */
-	private static final int MAX_LATE_LINES_PER_SECOND = 10;
+	private static final int MAX_REQUEST_LINES_PER_SECOND = 10;
 
 	/** Stands for this VM if it knows no others. */
 	private static final LoadPeer NO_PEER = new LoadPeer("", "");
@@ -155,7 +154,7 @@
 		this.origins = new StreamOriginService(this.loop, self.address());
 		this.handler = new RouteHandler(new RouteContext(this.loop, dialect, this.connections, this.pools,
 				this.statements, this.crashes, this.origins, BodyMemory.ofHeap(), this.metrics, this.openExchanges,
-				new LogRateLimiter(MAX_LATE_LINES_PER_SECOND, System.nanoTime()), options.usage()));
+				RequestLogLimits.of(MAX_REQUEST_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
@@ -253,7 +252,7 @@
 	}
 
 	private void sweep() {
-		this.connections.sweep(this.pools::isInFleet);
+		this.connections.sweep((instance) -> this.pools.endpoint(instance).isPresent());
 		this.handler.logRefusalSummaries();
 		this.pools.refreshSharers();
 		this.pools.logDivisions();
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.acaciacourse.core.admission.AdmissionReason;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.daemon.link.UsageMeter;
@@ -43,6 +44,12 @@
 		.labelNames("pool")
 		.register(this.registry);
 
+	private final Counter admissions = Counter.builder()
+		.name("acaciacourse_pool_admissions_total")
+		.help("Decisions on requests where admission is in use, by what decided them")
+		.labelNames("pool", "reason")
+		.register(this.registry);
+
 	private final Histogram retryTransit = Histogram.builder()
 		.name("acaciacourse_pool_retry_transit_seconds")
 		.help("Time from sending a retry to the first sign that its endpoint received it")
@@ -121,6 +128,10 @@
 		this.retries.labelValues(pool).inc();
 	}
 
+	void admissionDecided(String pool, AdmissionReason reason) {
+		this.admissions.labelValues(pool, reason.label()).inc();
+	}
+
 	void retryReceived(String pool, long nanos) {
 		this.retryTransit.labelValues(pool).observe(nanos / 1e9);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -13,9 +13,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
+import org.acaciacourse.core.admission.AdmissionDecision;
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
 import org.acaciacourse.core.balance.Outcome;
+import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.QueuePosition;
 import org.acaciacourse.core.balance.RequestRetries;
@@ -43,6 +45,8 @@
 
 	private static final String RETRY_BUDGET_EXHAUSTED = "retry budget exhausted";
 
+	private static final String TOO_LATE = "no endpoint would answer while the caller waits";
+
 	private static final String CRASHED_ENDPOINTS = "the content or a part of the prompt crashed endpoints";
 
 	private final RouteContext context;
@@ -97,13 +101,13 @@
 		this.progress = new RequestProgress(request.route());
 		this.retries = new RequestRetries(this.pool.allowance());
 		this.binding = new StreamBinding(request, this.pool.balancer(), context.pools().versions(), context.origins());
-		this.placement = new RequestPlacement(context, request, this.binding, this.startedAt);
 		this.lastEventId = request.metadata().lastEventId();
 		long millis = request.route().timeout().toMillis();
 		if (request.metadata().callerTimeoutMillis().isPresent()) {
 			millis = Math.min(millis, request.metadata().callerTimeoutMillis().getAsLong());
 		}
 		this.deadlineAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.placement = new RequestPlacement(context, request, this.binding, this.startedAt, this.deadlineAt);
 		this.telemetry = new ExchangeTelemetry(context, request, this.startedAt, this.deadlineAt);
 		this.deadlineTimer = context.loop()
 			.schedule(this::timedOut, this.deadlineAt - System.nanoTime(), TimeUnit.NANOSECONDS);
@@ -205,12 +209,25 @@
 			return failIfWaitedTooLong(wanted, now);
 		}
 		this.pool.queue().remove(this);
+		Optional<AdmissionDecision> decision = admission(choice.get(), wanted, now);
+		if (decision.filter((one) -> !one.reason().isAdmitted()).isPresent()) {
+			finish(ResultCode.TARGET_UNREACHABLE, TOO_LATE, decision.get().retryAfter());
+			return true;
+		}
 		this.placement.found();
 		this.telemetry.placed(now);
-		startAttempt(choice.get(), wanted);
+		startAttempt(decision.map(AdmissionDecision::endpoint).orElse(choice.get()), wanted);
 		return true;
 	}
 
+	// A request that may have run, or whose caller has a part of the stream, can't be
+	// refused as not run. One under suspicion must stay at the endpoint chosen for it.
+	private Optional<AdmissionDecision> admission(FleetEndpoint chosen, Placement wanted, long now) {
+		boolean judged = this.progress.runState() == RunState.NOT_RUN
+				&& !this.context.crashes().isSuspect(this::features);
+		return (judged) ? this.placement.admission().decide(chosen, wanted, now) : Optional.empty();
+	}
+
 	// Two contents under suspicion that meet the same crash again can't be told apart.
 	private Optional<FleetEndpoint> choose(Placement wanted, long now) {
 		if (!this.context.crashes().isSuspect(this::features)) {
@@ -250,8 +267,10 @@
 
 	private void startAttempt(FleetEndpoint endpoint, Placement wanted) {
 		this.queuePosition = this.placement.queuePosition(endpoint, System.nanoTime());
-		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime()));
+		PlacedRequest placed = this.pool.balancer()
+			.begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime());
+		this.placement.admission().sent(placed, System.nanoTime());
+		Attempt attempt = new Attempt(this, endpoint, placed);
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
 		this.context.connections().acquire(endpoint, (result) -> connected(attempt, endpoint, result));
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -40,6 +40,17 @@
 	TARGET_REFUSED("target-refused", "request", "waited_ms", "expected_wait_ms", "least_ms", "target_ms", "ahead",
 			"running", "healthy", "slots", "mean_ms", "untold"),
 
+	/**
+	 * A routed request that its endpoint would serve too late was refused, or sent in
+	 * spite of that: the reason, the endpoint, the estimated time to its first event or
+	 * plain answer there, the time within which it is very likely to be complete, the
+	 * time that its caller still waits, the factor for the error of the estimate, the
+	 * prompt tokens until the first event, the requests and slots at the endpoints that
+	 * it may use, and how many such lines since the previous one were not logged.
+	 */
+	ADMISSION("admission", "request", "reason", "pool", "urgency", "endpoint", "estimate_ms", "needed_ms", "left_ms",
+			"margin", "work", "running", "slots", "retry_after_ms", "untold"),
+
 	/**
 	 * Refusals with the same code beyond the rate at which they are logged individually.
 	 */
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import org.acaciacourse.core.admission.AdmissionReason;
 import org.acaciacourse.core.balance.RoutingMechanism;
 import org.acaciacourse.core.balance.RoutingPolicy;
 import org.acaciacourse.core.code.ResultCode;
@@ -51,6 +52,12 @@
 		assertThat(page()).contains("acaciacourse_pool_retries_total{pool=\"engines\"} 1.0");
 	}
 
+	@Test
+	void admissionsAreCountedByPoolAndReason() throws IOException {
+		this.metrics.admissionDecided("engines", AdmissionReason.TOO_LATE);
+		assertThat(page()).contains("acaciacourse_pool_admissions_total{pool=\"engines\",reason=\"too-late\"} 1.0");
+	}
+
 	@Test
 	void snapshotIsExposedAsGauges() throws IOException {
 		this.metrics.gauges()
