Admission: running requests of VMs that are known count as told

In the first 1.2 s, a VM that knew some of the others counted all of them as itself when it looked whether half of the slots are taken. Only those of which it has no digest count so now. An endpoint's cache is looked up once in a decision.

--- a/core/src/main/java/org/acaciacourse/core/balance/PoolAdmission.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolAdmission.java
@@ -101,8 +101,8 @@
 		boolean idle = false;
 		for (EndpointLoad load : this.loads) {
 			if (this.usability.isUsable(load, request, now)) {
-				all.consider(load);
-				if (all.workAt(load) <= preferred.ownWork) {
+				long own = all.consider(load);
+				if (own <= preferred.ownWork) {
 					equal.consider(load);
 				}
 				idle |= isIdle(load, demand, others, now);
@@ -203,7 +203,7 @@
 		double untoldWork = Math.max(0, this.service.recentRate(now) * told / endpoints - rate) * age;
 		double unknownWork = (double) this.service.waitingWork() * unknown / endpoints;
 		double overtaking = this.service.overtakingRate(now) * vms / endpoints / rate;
-		return new Others(vms, untoldWork + unknownWork, unknownWork,
+		return new Others(vms, unknown, untoldWork + unknownWork, unknownWork,
 				(double) this.service.deferredWork() * vms / endpoints, Math.min(MAX_OVERTAKING, overtaking));
 	}
 
@@ -218,13 +218,15 @@
 	 * What the other entry VMs are taken to have at each endpoint beyond what they told.
 	 *
 	 * @param vms the entry VMs with load, this one included
+	 * @param unknownVms those of them of which nothing is known
 	 * @param untoldWork work that waits
 	 * @param unknownWork that part of it from VMs of which nothing is known
 	 * @param deferredWork work of the deferred requests of all VMs
 	 * @param overtaking the part of the time that endpoints take for the requests that
 	 * overtake deferred ones
 	 */
-	private record Others(int vms, double untoldWork, double unknownWork, double deferredWork, double overtaking) {
+	private record Others(int vms, int unknownVms, double untoldWork, double unknownWork, double deferredWork,
+			double overtaking) {
 	}
 
 	/** The endpoint that serves a request first of those that were considered. */
@@ -266,10 +268,9 @@
 			this.slots = other.slots;
 		}
 
-		private void consider(EndpointLoad load) {
-			boolean unknownPeers = this.others.unknownWork() > 0;
-			int there = (unknownPeers) ? load.inFlight() * this.others.vms() : load.running(this.now);
-			this.running += there;
+		// Returns the work of the request there.
+		private long consider(EndpointLoad load) {
+			this.running += load.running(this.now) + load.inFlight() * this.others.unknownVms();
 			this.slots += load.endpoint().slots();
 			long own = workAt(load);
 			boolean late = this.demand.deferrable() && PoolAdmission.this.prefillRate
@@ -278,7 +279,7 @@
 					this.others, this.now);
 			OptionalLong time = estimate(load, this.demand, until, load.running(this.now), this.now);
 			if (time.isEmpty()) {
-				return;
+				return own;
 			}
 			long most = PoolAdmission.this.service.needed(this.demand, late, time.getAsLong(), this.now);
 			if (this.best == null || isBefore(most, load)) {
@@ -289,6 +290,7 @@
 				this.ownWork = own;
 				this.deferred = late;
 			}
+			return own;
 		}
 
 		// All entry VMs see much the same figures: equal endpoints are taken by hash.
