--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -3,6 +3,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
+import org.acaciacourse.core.admission.SentRequest;
 import org.acaciacourse.core.speed.SpeedObservation;
 
 /**
@@ -31,6 +32,8 @@
 
 	private final SpeedObservation speedObservation;
 
+	private SentRequest observation = SentRequest.IGNORED;
+
 	private boolean prefillDone;
 
 	private boolean streaming;
@@ -61,6 +64,24 @@
 					request.shape().promptTokens() == 0, load.running(now), load.endpoint().slots()), now);
 	}
 
+	// Lets an estimate of the time that requests take learn from this one.
+	void observedBy(SentRequest next) {
+		this.observation = next;
+	}
+
+	EndpointLoad load() {
+		return this.load;
+	}
+
+	QueuePosition queuePosition() {
+		return this.queuePosition;
+	}
+
+	// The work on the prompt when the request was sent.
+	long work() {
+		return this.work;
+	}
+
 	/**
 	 * Return the work that waited at the endpoint when the request was sent.
 	 * @return the work in prompt tokens, including that of the request unless it is
@@ -146,6 +167,7 @@
 		if (this.queuePosition.indicatesPrefillRate()) {
 			this.prefillRate.observe(this.workAhead, Math.round(elapsed * this.load.speed().learned()));
 		}
+		this.observation.firstEvent(elapsed);
 		markPrefillDone();
 	}
 
@@ -185,6 +207,7 @@
 			return;
 		}
 		this.ended = true;
+		this.observation.ended(outcome == Outcome.GOOD, outcome == Outcome.UNKNOWN, now);
 		markPrefillDone();
 		if (this.streaming) {
 			this.load.streamEnded();
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -72,6 +72,8 @@
 
 	private final PoolSpeeds speeds;
 
+	private final PoolAdmission admission;
+
 	/**
 	 * Make a balancer.
 	 * @param peers the load of the other entry VMs
@@ -97,6 +99,7 @@
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
 		this.speeds = new PoolSpeeds(peers.speeds());
+		this.admission = new PoolAdmission(this.loads.values(), peers, this.prefillRate, this::isUsable);
 	}
 
 	/**
@@ -183,6 +186,14 @@
 		this.connectionShare = next;
 	}
 
+	/**
+	 * Set the number of entry VMs.
+	 * @param vms the number, this VM included
+	 */
+	public void entryVms(int vms) {
+		this.admission.entryVms(vms);
+	}
+
 	/**
 	 * Choose an endpoint.
 	 * @param request the request to place
@@ -377,6 +388,16 @@
 		}).orElse(false);
 	}
 
+	/**
+	 * Return what decides whether requests can be served while their callers wait.
+	 * @param now the time
+	 * @return the decisions, empty where the mechanism is not in use
+	 */
+	public Optional<PoolAdmission> admission(long now) {
+		return Optional.of(this.admission)
+			.filter((one) -> this.policy.isOn(OptionalMechanism.ADMISSION, isPaceStated(now)));
+	}
+
 	/**
 	 * Return how many refusals within a second an endpoint endures, for the log.
 	 * @param now the time
@@ -400,15 +421,7 @@
 	 * @return the sum of its shares, empty if an endpoint takes as many as it can run
 	 */
 	public OptionalDouble permittedRate(long now) {
-		double sum = 0;
-		for (EndpointLoad load : this.loads.values()) {
-			OptionalDouble share = this.rateLimits.shareOf(load.id(), now);
-			if (share.isEmpty() && !load.endpoint().leaving()) {
-				return OptionalDouble.empty();
-			}
-			sum += share.orElse(0);
-		}
-		return OptionalDouble.of(sum);
+		return this.rateLimits.permittedRate(this.loads.values(), now);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteContext.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 
 import io.netty.channel.EventLoop;
-import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.daemon.link.UsageMeter;
 import org.acaciacourse.daemon.memory.ResponseMemory;
 
@@ -24,11 +23,11 @@
  * @param memory bounds the memory of responses that callers do not read, if it is bounded
  * @param metrics the metrics
  * @param openExchanges the requests that have not ended
- * @param lateLogLimiter limits the rate of log lines on late responses
+ * @param logLimits limits the rate of log lines of single requests
  * @param usage counts the requests that endpoints begin, if their usage is reported
  */
 record RouteContext(EventLoop loop, RequestDialect dialect, EndpointConnections connections, PoolStates pools,
 		EndpointStatements statements, CrashGuard crashes, StreamOriginService origins, BodyMemory bodies,
 		Optional<ResponseMemory> memory, RouteMetrics metrics, Set<RoutedExchange> openExchanges,
-		LogRateLimiter lateLogLimiter, Optional<UsageMeter> usage) {
+		RequestLogLimits logLimits, Optional<UsageMeter> usage) {
 }
