Endpoints by demand: needs, rates, prices and orders that follow them, in core

The number of ordered endpoints was that of the first provision with its reserve, whatever callers asked for. core.scaling now sums up the demand that entry VMs tell, learns what an endpoint serves from seconds in which hardly any caller was refused or late, and plans the orders of each data centre: the cheapest split that bears the loss of any one data centre, up at once, down by a tenth at a time after half a minute. The rule is not wired into the daemons yet; without demand, orders are those of before.

A data centre whose permanent endpoints are gone is recorded as such once orders follow the demand, so that the next holder of the duty does not take a pool that was made smaller for one that is being replaced.

--- a/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
@@ -142,7 +142,22 @@
 			return Optional.empty();
 		}
 		double price = section.decimal("reclaimable-price", 1);
-		return Optional.of(new PoolScaling(min, max, section.duration("boot", Duration.ZERO), price));
+		return Optional
+			.of(new PoolScaling(min, max, section.duration("boot", Duration.ZERO), price, parsePrices(section)));
+	}
+
+	// A price that can't be read counts as missing: it only decides which of several
+	// data centres is preferred.
+	private static Map<String, Double> parsePrices(SectionReader section) {
+		Map<String, Double> prices = new HashMap<>();
+		for (String item : section.list("data-centre-prices")) {
+			int colon = item.lastIndexOf(':');
+			String price = item.substring(colon + 1).strip();
+			if (colon > 0 && Units.isDecimal(price)) {
+				prices.put(item.substring(0, colon).strip(), Double.valueOf(price));
+			}
+		}
+		return prices;
 	}
 
 	private KeyOwner parseOwner(String name, SectionReader section) {
--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -12,7 +14,6 @@
 import org.acaciacourse.core.duty.CallBackoff;
 import org.acaciacourse.core.duty.DutyAnswer;
 import org.acaciacourse.core.route.Fleet;
-import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.PoolScaling;
 import org.acaciacourse.core.scaling.EndpointOrder.Subject;
@@ -22,7 +23,9 @@
  * and a reserve of them in each data centre, so that the others bear the loss of one. The
  * number is that of the endpoints that stood there before the first order. Permanent
  * endpoints are ordered away only once their replacements serve. When the platform takes
- * endpoints back, the order is repeated until they are to be had again.
+ * endpoints back, the order is repeated until they are to be had again. Where the demand
+ * is known, the number of reclaimable endpoints follows it once the permanent ones are
+ * ordered away ({@link CapacityTarget}).
  * <p>
  * An order without an answer may be carried out after later ones. Before anything else is
  * ordered the lease is acquired anew, so that the platform refuses it then. A refusal of
@@ -72,6 +75,8 @@
 
 	private final Map<Subject, OrderRecord> records = new HashMap<>();
 
+	private final DemandTargets targets;
+
 	private Map<String, PoolProvision> provisions = new TreeMap<>();
 
 	private long currentFencingNumber;
@@ -84,6 +89,8 @@
 
 	private boolean stateKnown;
 
+	private boolean holds;
+
 	private int unanswered;
 
 	private long fleetRevision;
@@ -104,20 +111,37 @@
 		this.reserve = reserve;
 		this.backoff = backoff;
 		this.actions = actions;
+		this.targets = new DemandTargets(reserve);
 	}
 
 	/**
-	 * Carry out the next step if one is due. Must be called regularly.
+	 * Carry out the next step if one is due, without regard to the demand.
 	 * @param fencingNumber the fencing number of the lease, if it is held now
 	 * @param fleet the endpoints, {@link Fleet#NONE} if they are not known
 	 * @param pools the pools of the configuration
 	 * @param now the monotonic time in nanoseconds
 	 */
 	public void tick(OptionalLong fencingNumber, Fleet fleet, List<Pool> pools, long now) {
+		tick(fencingNumber, fleet, pools, FleetDemand.NONE, now);
+	}
+
+	/**
+	 * Observe the demand and carry out the next step if one is due. Must be called
+	 * regularly, also while the lease is not held.
+	 * @param fencingNumber the fencing number of the lease, if it is held now
+	 * @param fleet the endpoints, {@link Fleet#NONE} if they are not known
+	 * @param pools the pools of the configuration
+	 * @param demand what the entry VMs told
+	 * @param now the monotonic time in nanoseconds
+	 */
+	public void tick(OptionalLong fencingNumber, Fleet fleet, List<Pool> pools, FleetDemand demand, long now) {
 		if (fleet.revision() != this.fleetRevision) {
 			this.fleetRevision = fleet.revision();
 			this.fleetSince = now;
 		}
+		List<Pool> ordered = pools.stream().filter(EndpointOrders::isOrdered).toList();
+		this.targets.observe(ordered, fleet, demand, this.provisions, now);
+		this.holds = fencingNumber.isPresent();
 		if (fencingNumber.isEmpty()) {
 			return;
 		}
@@ -134,7 +158,7 @@
 			this.actions.readState();
 		}
 		else if (fleet.revision() != 0) {
-			pools.stream().filter(EndpointOrders::isOrdered).anyMatch((pool) -> step(pool, fleet, now));
+			ordered.stream().anyMatch((pool) -> step(pool, fleet, now));
 		}
 	}
 
@@ -146,6 +170,7 @@
 	private void begin(long fencingNumber) {
 		if (fencingNumber != this.currentFencingNumber + 1) {
 			this.records.clear();
+			this.targets.restart();
 		}
 		this.currentFencingNumber = fencingNumber;
 		this.outstanding = false;
@@ -154,7 +179,7 @@
 	}
 
 	private boolean step(Pool pool, Fleet fleet, long now) {
-		Map<String, Integer> serving = serving(pool, fleet);
+		Map<String, Integer> serving = DemandTargets.serving(pool, fleet);
 		PoolProvision provision = this.provisions.get(pool.name());
 		if (provision == null) {
 			boolean stable = !serving.isEmpty() && now - this.fleetSince >= STABLE_NANOS;
@@ -163,20 +188,39 @@
 			}
 			return stable;
 		}
+		Map<String, Integer> planned = plan(pool, provision, serving, now);
 		return provision.counts()
 			.keySet()
 			.stream()
-			.anyMatch((dataCentre) -> step(pool, provision, dataCentre, serving.getOrDefault(dataCentre, 0), now));
+			.anyMatch((dataCentre) -> step(pool, provision, dataCentre, serving.getOrDefault(dataCentre, 0),
+					Optional.ofNullable(planned.get(dataCentre)), now));
 	}
 
-	private static Map<String, Integer> serving(Pool pool, Fleet fleet) {
-		Map<String, Integer> counts = new TreeMap<>();
-		fleet.endpoints()
-			.stream()
-			.filter((endpoint) -> endpoint.pool().equals(pool.name()) && !endpoint.leaving())
-			.map(FleetEndpoint::dataCentre)
-			.forEach((dataCentre) -> counts.merge(dataCentre, 1, Integer::sum));
-		return counts;
+	private Map<String, Integer> plan(Pool pool, PoolProvision provision, Map<String, Integer> serving, long now) {
+		Map<String, Integer> initial = new TreeMap<>();
+		Set<String> unavailable = new HashSet<>();
+		provision.counts().keySet().forEach((dataCentre) -> {
+			initial.put(dataCentre, initial(pool, provision, dataCentre, serving.getOrDefault(dataCentre, 0)));
+			OrderRecord record = this.records.get(new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE));
+			if (record != null && record.unavailable) {
+				unavailable.add(dataCentre);
+			}
+		});
+		return this.targets.plan(pool, initial, serving, unavailable, now);
+	}
+
+	// Not less than what serves: another holder may have ordered it for the demand.
+	// Before
+	// that, permanent endpoints may serve beside their replacements.
+	private int initial(Pool pool, PoolProvision provision, String dataCentre, int serving) {
+		int fixed = fixedTarget(pool, provision, dataCentre);
+		int max = pool.scaling().orElseThrow().max();
+		return (provision.isWithoutPermanent(dataCentre)) ? Math.max(fixed, Math.min(max, serving)) : fixed;
+	}
+
+	private int fixedTarget(Pool pool, PoolProvision provision, String dataCentre) {
+		int base = provision.counts().get(dataCentre);
+		return Math.min(pool.scaling().orElseThrow().max(), (int) Math.ceil(base * this.reserve));
 	}
 
 	private void record(Pool pool, PoolProvision provision) {
@@ -184,10 +228,11 @@
 		this.actions.record(pool.name(), provision);
 	}
 
-	private boolean step(Pool pool, PoolProvision provision, String dataCentre, int serving, long now) {
+	private boolean step(Pool pool, PoolProvision provision, String dataCentre, int serving, Optional<Integer> planned,
+			long now) {
 		PoolScaling scaling = pool.scaling().orElseThrow();
 		int base = provision.counts().get(dataCentre);
-		int target = Math.min(scaling.max(), (int) Math.ceil(base * this.reserve));
+		int target = fixedTarget(pool, provision, dataCentre);
 		// What there is room for beside the permanent endpoints.
 		int first = Math.min(target, scaling.max() - base);
 		if (first <= 0) {
@@ -195,8 +240,16 @@
 		}
 		Subject reclaimable = new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE);
 		Subject permanent = new Subject(pool.name(), dataCentre, EndpointKind.PERMANENT);
-		if (isOrdered(permanent, 0)) {
-			return orderIfNew(reclaimable, target, now) || orderIfLacking(reclaimable, target, serving, scaling, now);
+		boolean withoutPermanent = provision.isWithoutPermanent(dataCentre);
+		if (isOrdered(permanent, 0) && planned.isPresent() && !withoutPermanent) {
+			record(pool, provision.withoutPermanent(dataCentre));
+			return true;
+		}
+		if (isOrdered(permanent, 0) || withoutPermanent) {
+			int unplanned = (withoutPermanent)
+					? confirmed(reclaimable).orElse(initial(pool, provision, dataCentre, serving)) : target;
+			int count = planned.orElse(unplanned);
+			return orderIfNew(reclaimable, count, now) || orderIfLacking(reclaimable, count, serving, scaling, now);
 		}
 		if (provision.replaced().contains(dataCentre)) {
 			// Another holder may have ended before it ordered the permanent ones away,
@@ -215,7 +268,11 @@
 	}
 
 	private boolean isOrdered(Subject subject, int count) {
-		return this.records.containsKey(subject) && this.records.get(subject).confirmed.equals(Optional.of(count));
+		return confirmed(subject).equals(Optional.of(count));
+	}
+
+	private Optional<Integer> confirmed(Subject subject) {
+		return (this.records.containsKey(subject)) ? this.records.get(subject).confirmed : Optional.empty();
 	}
 
 	private boolean orderIfNew(Subject subject, int count, long now) {
@@ -244,6 +301,17 @@
 		return true;
 	}
 
+	/**
+	 * Return the highest number of endpoints that the demand for a pool needed within the
+	 * last half minute.
+	 * @param pool the name of the pool
+	 * @param now the monotonic time in nanoseconds
+	 * @return the number, empty if it is not known
+	 */
+	public OptionalDouble neededEndpoints(String pool, long now) {
+		return this.targets.peak(pool, now);
+	}
+
 	/**
 	 * Handle the provisions of all pools.
 	 * @param fencingNumber the fencing number of the lease when they were asked for
@@ -257,6 +325,17 @@
 		}
 	}
 
+	/**
+	 * Take over what is recorded while the lease is not held: the rates of endpoints are
+	 * learned then, too. Has no effect while it is held.
+	 * @param recorded the provisions by the names of the pools
+	 */
+	public void provisionsSeen(Map<String, PoolProvision> recorded) {
+		if (!this.holds) {
+			this.provisions = new TreeMap<>(recorded);
+		}
+	}
+
 	/**
 	 * Handle a provision that was recorded.
 	 * @param fencingNumber the fencing number of the lease when that was asked for
@@ -295,12 +374,14 @@
 	private void accepted(EndpointOrder order, OrderRecord record) {
 		record.confirmed = Optional.of(order.count());
 		record.refusals = 0;
+		record.unavailable = false;
 		this.unanswered = 0;
 		this.backoff.succeeded();
 	}
 
 	private void refused(EndpointOrder order, OrderRecord record, long now) {
 		record.refusals++;
+		record.unavailable = true;
 		record.delay(now + UNAVAILABLE_NANOS);
 		if (order.subject().kind() == EndpointKind.PERMANENT || record.refusals >= MAX_REFUSALS) {
 			record.refusals = 0;
@@ -352,6 +433,11 @@
 
 		private int refusals;
 
+		/**
+		 * Whether the platform has refused the latest order, maybe for lack of endpoints.
+		 */
+		private boolean unavailable;
+
 		private OrderRecord(long now) {
 			this.orderedAt = now;
 			this.notBefore = now;
--- a/core/src/main/java/org/acaciacourse/core/scaling/PoolProvision.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/PoolProvision.java
@@ -19,6 +19,12 @@
  */
 public record PoolProvision(SortedMap<String, Integer> counts, SortedSet<String> replaced) {
 
+	/**
+	 * Ends an entry of {@code replaced} that is no data centre, but tells of one that its
+	 * permanent endpoints are gone. Releases that do not know it ignore it.
+	 */
+	private static final String GONE_SUFFIX = " without permanent";
+
 	public PoolProvision {
 		counts = Collections.unmodifiableSortedMap(new TreeMap<>(counts));
 		replaced = Collections.unmodifiableSortedSet(new TreeSet<>(replaced));
@@ -45,4 +51,25 @@
 		return new PoolProvision(this.counts, all);
 	}
 
+	/**
+	 * Return whether all endpoints of a data centre are known to be reclaimable.
+	 * @param dataCentre the data centre
+	 * @return whether its permanent endpoints were ordered away
+	 */
+	public boolean isWithoutPermanent(String dataCentre) {
+		return this.replaced.contains(dataCentre + GONE_SUFFIX);
+	}
+
+	/**
+	 * Return the provision once the permanent endpoints of a data centre are ordered
+	 * away.
+	 * @param dataCentre the data centre
+	 * @return the provision
+	 */
+	public PoolProvision withoutPermanent(String dataCentre) {
+		SortedSet<String> all = new TreeSet<>(this.replaced);
+		all.add(dataCentre + GONE_SUFFIX);
+		return new PoolProvision(this.counts, all);
+	}
+
 }
--- a/core/src/test/java/org/acaciacourse/core/scaling/SimulatedFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/scaling/SimulatedFleet.java
@@ -53,6 +53,9 @@
 
 	private EndpointOrders orders;
 
+	/** What the entry VMs tell. */
+	FleetDemand demand = FleetDemand.NONE;
+
 	Optional<DutyAnswer> fault = Optional.empty();
 
 	boolean carriedOutLate;
@@ -68,7 +71,11 @@
 	private boolean released;
 
 	SimulatedFleet(int max, double price, Map<String, Integer> permanent) {
-		this.pool = new Pool("pool", 100, 1, Optional.of(new PoolScaling(1, max, Duration.ofNanos(BOOT), price)));
+		this(new Pool("pool", 100, 1, Optional.of(new PoolScaling(1, max, Duration.ofNanos(BOOT), price))), permanent);
+	}
+
+	SimulatedFleet(Pool pool, Map<String, Integer> permanent) {
+		this.pool = pool;
 		permanent.forEach((dataCentre, count) -> {
 			this.ordered.put(subject(dataCentre, EndpointKind.PERMANENT), count);
 			this.serving.put(subject(dataCentre, EndpointKind.PERMANENT), count);
@@ -90,6 +97,15 @@
 		return this.serving.getOrDefault(subject(dataCentre, kind), 0);
 	}
 
+	int ordered(String dataCentre) {
+		return this.ordered.getOrDefault(subject(dataCentre, EndpointKind.PERMANENT), 0)
+				+ this.ordered.getOrDefault(subject(dataCentre, EndpointKind.RECLAIMABLE), 0);
+	}
+
+	double needed() {
+		return this.orders.neededEndpoints("pool", this.now).orElse(0);
+	}
+
 	int serving(String dataCentre) {
 		return serving(dataCentre, EndpointKind.PERMANENT) + serving(dataCentre, EndpointKind.RECLAIMABLE);
 	}
@@ -119,7 +135,7 @@
 				carryOut(call.order(), call.number());
 			});
 			boot();
-			this.orders.tick(OptionalLong.of(this.number), fleet(), List.of(this.pool), this.now);
+			this.orders.tick(OptionalLong.of(this.number), fleet(), List.of(this.pool), this.demand, this.now);
 			check.accept(this);
 		}
 	}
