Demand of callers on its way from entry VMs to the orders of endpoints

Orders could not follow the demand, as no control VM knew it. Entry VMs count it in the routed path (RequestDemand) and tell it with polls (field 17 of PollRequest); control VMs pass it on with the status of the entry VMs (field 10 of EntryStatus), each second where endpoints are ordered; every control VM learns the rates of endpoints from it, and the holder of the duty plans with it. The plan is a log event (endpoints-planned) and two gauges.

--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -50,6 +50,14 @@
 		this.workAhead = load.waitingWork();
 	}
 
+	/**
+	 * Return the prefill work of the request that the endpoint's cache does not save.
+	 * @return the work in prompt tokens
+	 */
+	public long work() {
+		return this.work;
+	}
+
 	/**
 	 * Return the work that waited at the endpoint when the request was sent.
 	 * @return the work in prompt tokens, including that of the request unless it is
--- a/core/src/main/java/org/acaciacourse/core/scaling/DemandCounter.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/DemandCounter.java
@@ -98,7 +98,10 @@
 
 	private void advance(long now) {
 		long current = Math.floorDiv(now, SECOND_NANOS);
-		if (current == this.second) {
+		// Callers on several threads read the clock before they are admitted here, so
+		// that
+		// the time of one may be before that of another.
+		if (current <= this.second) {
 			return;
 		}
 		// The counts are of an earlier second than the last one if nothing happened
--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrderActions.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrderActions.java
@@ -1,9 +1,12 @@
 package org.acaciacourse.core.scaling;
 
+import java.util.Map;
+
 /**
  * The actions that an {@link EndpointOrders} requests. They are called on its thread and
- * must not call it before they return. Each one but {@link #release} is followed by the
- * call that is named, and by {@link EndpointOrders#stepFailed} if it fails.
+ * must not call it before they return. Each one but {@link #release} and {@link #planned}
+ * is followed by the call that is named, and by {@link EndpointOrders#stepFailed} if it
+ * fails.
  */
 public interface EndpointOrderActions {
 
@@ -28,6 +31,17 @@
 	 */
 	void send(EndpointOrder order, long fencingNumber);
 
+	/**
+	 * The planned orders of a pool have changed. They are sent one after the other.
+	 * @param pool the name of the pool
+	 * @param plan the number of endpoints by data centre
+	 * @param need the highest number of endpoints that the demand needed within half a
+	 * minute
+	 * @param complete whether the demand of all entry VMs is known
+	 */
+	default void planned(String pool, Map<String, Integer> plan, double need, boolean complete) {
+	}
+
 	/**
 	 * Release the lease, so that a VM asks for it anew and with a higher fencing number.
 	 * @param fencingNumber the fencing number that is not used any more
--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -77,6 +77,11 @@
 
 	private final DemandTargets targets;
 
+	/** The latest plans by the names of the pools. */
+	private final Map<String, Map<String, Integer>> plans = new HashMap<>();
+
+	private boolean demandComplete;
+
 	private Map<String, PoolProvision> provisions = new TreeMap<>();
 
 	private long currentFencingNumber;
@@ -139,6 +144,7 @@
 			this.fleetRevision = fleet.revision();
 			this.fleetSince = now;
 		}
+		this.demandComplete = demand.complete();
 		List<Pool> ordered = pools.stream().filter(EndpointOrders::isOrdered).toList();
 		this.targets.observe(ordered, fleet, demand, this.provisions, now);
 		this.holds = fencingNumber.isPresent();
@@ -206,7 +212,12 @@
 				unavailable.add(dataCentre);
 			}
 		});
-		return this.targets.plan(pool, initial, serving, unavailable, now);
+		Map<String, Integer> plan = this.targets.plan(pool, initial, serving, unavailable, now);
+		if (!plan.isEmpty() && !plan.equals(this.plans.put(pool.name(), plan))) {
+			double need = neededEndpoints(pool.name(), now).orElse(0);
+			this.actions.planned(pool.name(), plan, need, this.demandComplete);
+		}
+		return plan;
 	}
 
 	// Not less than what serves: another holder may have ordered it for the demand.
--- a/core/src/test/java/org/acaciacourse/core/scaling/DemandCounterTests.java
+++ b/core/src/test/java/org/acaciacourse/core/scaling/DemandCounterTests.java
@@ -28,6 +28,17 @@
 		assertThat(this.counter.last(7 * SECOND - 1)).isEqualTo(Map.of("llm", expected));
 	}
 
+	// Guards against counts that are lost as two threads read the clock at the turn of a
+	// second.
+	@Test
+	void timeThatIsSlightlyBehindCountsInTheCurrentSecond() {
+		this.counter.sent("llm", 3_000, 5 * SECOND);
+		assertThat(this.counter.last(6 * SECOND).get("llm").begun()).isEqualTo(1);
+		this.counter.sent("llm", 1, 6 * SECOND - 1);
+		assertThat(this.counter.last(6 * SECOND + 1).get("llm").begun()).isEqualTo(1);
+		assertThat(this.counter.last(7 * SECOND).get("llm")).isEqualTo(new PoolDemand(1, 0, 1, 0, 0, 0, 3_001));
+	}
+
 	// Guards against a demand that is told on and on after its callers are gone.
 	@Test
 	void afterASecondWithoutRequestsThereIsNoDemand() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -21,6 +21,7 @@
 import org.acaciacourse.core.consensus.MembershipManager;
 import org.acaciacourse.core.consensus.ReplicaStatus.Role;
 import org.acaciacourse.core.order.OrderTiming;
+import org.acaciacourse.daemon.duty.DutyOptions;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.InternalServer;
 import org.acaciacourse.daemon.order.OrderWriterLoop;
@@ -202,7 +203,7 @@
 		this.loop = Optional.of(next);
 		LinearizableRead read = new LinearizableRead(next, this.self, this.options.innerKey());
 		RegistryExchange exchange = new RegistryExchange(next, this.self, this.options.seeds(), this.options.innerKey(),
-				this.registry);
+				this.registry, this.options.duties().flatMap(DutyOptions::orders).isPresent());
 		PlatformList platform = new PlatformList(this.options.platformList());
 		FleetKeeper fleet = new FleetKeeper(next, this.self, this.options.innerKey(), this.options.fleet());
 		ApplyService applyService = new ApplyService(next);
@@ -225,7 +226,7 @@
 		if (this.options.orders()) {
 			startOrderLoop(next);
 		}
-		this.duties.ifPresent((started) -> started.start(fleet, this.metrics));
+		this.duties.ifPresent((started) -> started.start(fleet, this.registry, this.metrics));
 		commitSeconds.get();
 		ControlMetrics.register(this.metrics, () -> next.views().latest(), this.registry);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/Duties.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/Duties.java
@@ -73,7 +73,7 @@
 		return this.usage;
 	}
 
-	synchronized void start(FleetKeeper fleet, PrometheusRegistry registry) {
+	synchronized void start(FleetKeeper fleet, EntryRegistry entries, PrometheusRegistry registry) {
 		String holder = RunId.next(this.self.vm());
 		DutyMetrics metrics = new DutyMetrics(registry);
 		this.usage.ifPresent((store) -> {
@@ -85,7 +85,7 @@
 		if (this.options.orders().isPresent()) {
 			EndpointOrderLoop started = new EndpointOrderLoop(this.self.vm(), holder, this.options,
 					lease(EndpointOrderLoop.DUTY, holder),
-					new ProvisionService(this.loop, fleet, this.key, this.proposals), metrics);
+					new ProvisionService(this.loop, fleet, entries, this.key, this.proposals), metrics);
 			started.start();
 			this.loops.add(started);
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/EntryRegistry.java
@@ -8,6 +8,8 @@
 import java.util.TreeMap;
 
 import org.acaciacourse.core.balance.LoadPeer;
+import org.acaciacourse.core.scaling.FleetDemand;
+import org.acaciacourse.daemon.codec.DemandCodec;
 import org.acaciacourse.protocol.generated.ClassReport;
 import org.acaciacourse.protocol.generated.EntryStatus;
 import org.acaciacourse.protocol.generated.PollRequest;
@@ -27,10 +29,19 @@
 
 	static final int MAX_ENTRIES = 4096;
 
+	/**
+	 * An entry VM polls about once a second, and turns to another control VM after a
+	 * second and a half. The demand of one that was not heard of for longer may have
+	 * changed.
+	 */
+	static final long DEMAND_AGE_MILLIS = 5_000;
+
 	private final Map<String, EntryStatus> localEntries = new HashMap<>();
 
 	private final Map<String, Map<String, EntryStatus>> peerEntries = new HashMap<>();
 
+	private boolean allPeersHeard;
+
 	/**
 	 * Record a poll of an entry VM.
 	 * @param poll the poll
@@ -43,6 +54,9 @@
 		}
 		EntryStatus status = new EntryStatus(poll.getVm(), poll.getDataCentre(), poll.getNumber(), poll.getDigest(),
 				now, poll.isLeaving(), poll.getReports(), poll.getOwner(), poll.getLoadAddress());
+		EntryStatus former = this.localEntries.get(poll.getOwner());
+		// Told only where it has changed.
+		status.setDemand((!poll.isSetDemand() && former != null) ? former.getDemand() : poll.getDemand());
 		this.localEntries.put(poll.getOwner(), status);
 	}
 
@@ -92,7 +106,38 @@
 	private static EntryStatus withAge(EntryStatus entry, boolean withReports, long now) {
 		List<ClassReport> reports = (withReports) ? entry.getReports() : List.of();
 		return new EntryStatus(entry.getVm(), entry.getDataCentre(), entry.getNumber(), entry.getDigest(),
-				now - entry.getLastSeenMillis(), entry.isLeaving(), reports, entry.getOwner(), entry.getLoadAddress());
+				now - entry.getLastSeenMillis(), entry.isLeaving(), reports, entry.getOwner(), entry.getLoadAddress())
+			.setDemand(entry.getDemand());
+	}
+
+	/**
+	 * Record whether all other control VMs have told which entry VMs poll them.
+	 * @param all whether what this control VM knows is complete
+	 */
+	synchronized void peersHeard(boolean all) {
+		this.allPeersHeard = all;
+	}
+
+	/**
+	 * Add up the demand that the live entry VMs have told.
+	 * @param now the wall-clock time in milliseconds
+	 * @return the demand; incomplete if an entry VM tells none or was not heard of for
+	 * {@value #DEMAND_AGE_MILLIS} ms, or if a control VM did not tell its entry VMs
+	 */
+	synchronized FleetDemand demand(long now) {
+		FleetDemand.Sum sum = new FleetDemand.Sum();
+		liveEntries(now).forEach((entry) -> {
+			if (entry.isSetDemand()) {
+				sum.add(DemandCodec.decode(entry.getDemand()));
+			}
+			if (!entry.isSetDemand() || now - entry.getLastSeenMillis() > DEMAND_AGE_MILLIS) {
+				sum.missing();
+			}
+		});
+		if (!this.allPeersHeard) {
+			sum.missing();
+		}
+		return sum.total();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ProvisionService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ProvisionService.java
@@ -10,6 +10,7 @@
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.RouteTableParser;
+import org.acaciacourse.core.scaling.FleetDemand;
 import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.Command;
 import org.acaciacourse.core.state.CommandResult.ProvisionResult;
@@ -29,6 +30,8 @@
 
 	private final FleetKeeper fleet;
 
+	private final EntryRegistry entries;
+
 	private final SharedKey key;
 
 	private final LeaderProposals proposals;
@@ -37,9 +40,11 @@
 
 	private volatile PoolsOfTable pools = new PoolsOfTable(0, List.of());
 
-	ProvisionService(ReplicaLoop loop, FleetKeeper fleet, SharedKey key, LeaderProposals proposals) {
+	ProvisionService(ReplicaLoop loop, FleetKeeper fleet, EntryRegistry entries, SharedKey key,
+			LeaderProposals proposals) {
 		this.loop = loop;
 		this.fleet = fleet;
+		this.entries = entries;
 		this.key = key;
 		this.proposals = proposals;
 	}
@@ -49,6 +54,11 @@
 		return this.fleet.current();
 	}
 
+	@Override
+	public FleetDemand demand() {
+		return this.entries.demand(System.currentTimeMillis());
+	}
+
 	// The pools of a new table are there at one of the next calls.
 	@Override
 	public List<Pool> pools() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/RegistryExchange.java
@@ -34,6 +34,9 @@
 
 	private static final long PERIOD_MILLIS = 2000;
 
+	/** The period where endpoints are ordered by the demand that entry VMs tell. */
+	private static final long DEMAND_PERIOD_MILLIS = 1000;
+
 	/**
 	 * Kept short, since a replica outside the membership does not count towards the
 	 * quorum.
@@ -55,6 +58,8 @@
 
 	private final EntryRegistry registry;
 
+	private final long periodMillis;
+
 	private Optional<PeriodicTask> exchangeTask = Optional.empty();
 
 	private Optional<PeriodicTask> joinTask = Optional.empty();
@@ -65,17 +70,18 @@
 
 	private long leadingSince;
 
-	RegistryExchange(ReplicaLoop loop, Member self, Supplier<List<String>> seeds, SharedKey key,
-			EntryRegistry registry) {
+	RegistryExchange(ReplicaLoop loop, Member self, Supplier<List<String>> seeds, SharedKey key, EntryRegistry registry,
+			boolean followsDemand) {
 		this.loop = loop;
 		this.self = self;
 		this.seeds = seeds;
 		this.key = key;
 		this.registry = registry;
+		this.periodMillis = (followsDemand) ? DEMAND_PERIOD_MILLIS : PERIOD_MILLIS;
 	}
 
 	void start() {
-		this.exchangeTask = Optional.of(new PeriodicTask("registry-" + this.self.vm(), PERIOD_MILLIS, this::run));
+		this.exchangeTask = Optional.of(new PeriodicTask("registry-" + this.self.vm(), this.periodMillis, this::run));
 		this.joinTask = Optional.of(new PeriodicTask("join-" + this.self.vm(), JOIN_MILLIS, this::joinIfNeeded));
 	}
 
@@ -122,13 +128,17 @@
 	}
 
 	private void fetch(boolean withReports) {
+		boolean all = true;
 		for (Member member : this.loop.views().latest().membership().members()) {
 			if (!member.id().equals(this.self.id())) {
-				PeerCalls.call(member.address(), (c) -> c.control().entries(this.key.text(), withReports))
-					.ifPresent((entries) -> this.registry.updateFromPeer(member.address(), entries,
-							System.currentTimeMillis()));
+				Optional<List<EntryStatus>> told = PeerCalls.call(member.address(),
+						(c) -> c.control().entries(this.key.text(), withReports));
+				told.ifPresent((entries) -> this.registry.updateFromPeer(member.address(), entries,
+						System.currentTimeMillis()));
+				all &= told.isPresent();
 			}
 		}
+		this.registry.peersHeard(all);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyMetrics.java
@@ -1,6 +1,9 @@
 package org.acaciacourse.daemon.duty;
 
+import java.util.Map;
+
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.duty.DutyAnswer;
 import org.acaciacourse.daemon.telemetry.Gauges;
@@ -18,6 +21,10 @@
 
 	private final Counter windows;
 
+	private final Gauge neededEndpoints;
+
+	private final Gauge plannedEndpoints;
+
 	private volatile Usage usage = new Usage(0, 0, 0, 0);
 
 	/**
@@ -39,6 +46,16 @@
 			.help("Usage windows that this VM fixed, by whether all live entry VMs had told their counts")
 			.labelNames("complete")
 			.register(registry);
+		this.neededEndpoints = Gauge.builder()
+			.name("acaciacourse_needed_endpoints")
+			.help("Highest number of endpoints that the demand for a pool needed within half a minute")
+			.labelNames("pool")
+			.register(registry);
+		this.plannedEndpoints = Gauge.builder()
+			.name("acaciacourse_planned_endpoints")
+			.help("Endpoints that this VM orders by the demand, 0 if it does not order")
+			.labelNames("pool", "data_centre")
+			.register(registry);
 		Gauges.register(registry, "acaciacourse_usage_fencing_number",
 				"Fencing number with which this VM reports usage, 0 if it does not", () -> this.usage.fencingNumber());
 		Gauges.register(registry, "acaciacourse_usage_fixed_window", "Latest usage window that this VM knows as fixed",
@@ -58,6 +75,19 @@
 		}
 	}
 
+	void needed(String pool, double endpoints) {
+		this.neededEndpoints.labelValues(pool).set(endpoints);
+	}
+
+	void planned(String pool, Map<String, Integer> endpoints) {
+		endpoints.forEach((dataCentre, count) -> this.plannedEndpoints.labelValues(pool, dataCentre).set(count));
+	}
+
+	/** This VM does not order endpoints. */
+	void nothingPlanned() {
+		this.plannedEndpoints.clear();
+	}
+
 	void windowFixed(boolean complete) {
 		this.windows.labelValues(Boolean.toString(complete)).inc();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/EndpointOrderLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/EndpointOrderLoop.java
@@ -1,14 +1,19 @@
 package org.acaciacourse.daemon.duty;
 
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.duty.CallBackoff;
 import org.acaciacourse.core.duty.DutyAnswer;
+import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.scaling.EndpointOrder;
 import org.acaciacourse.core.scaling.EndpointOrder.Subject;
 import org.acaciacourse.core.scaling.EndpointOrderActions;
 import org.acaciacourse.core.scaling.EndpointOrders;
+import org.acaciacourse.core.scaling.FleetDemand;
 import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
@@ -29,6 +34,12 @@
 
 	private static final Logger logger = LogManager.getLogger(EndpointOrderLoop.class);
 
+	/** Entry VMs tell their demand once a second. */
+	private static final long DEMAND_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	/** They are recorded once in the life of a pool. */
+	private static final long PROVISIONS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(5);
+
 	private final DutyOptions.Orders options;
 
 	private final ProvisionStore store;
@@ -37,6 +48,12 @@
 
 	private final EndpointOrders orders;
 
+	private FleetDemand demand = FleetDemand.NONE;
+
+	private long demandAddedAt = System.nanoTime() - DEMAND_PERIOD_NANOS;
+
+	private long provisionsAskedAt = System.nanoTime() - PROVISIONS_PERIOD_NANOS;
+
 	/**
 	 * Create a loop.
 	 * @param vm the name of the VM
@@ -58,7 +75,28 @@
 
 	@Override
 	void tick() {
-		this.orders.tick(holder().tick(), this.store.fleet(), this.store.pools(), System.nanoTime());
+		long now = System.nanoTime();
+		OptionalLong number = holder().tick();
+		if (number.isEmpty() && now - this.provisionsAskedAt >= PROVISIONS_PERIOD_NANOS) {
+			this.provisionsAskedAt = now;
+			handle(this.store.provisions(), 0, this.orders::provisionsSeen);
+		}
+		List<Pool> pools = this.store.pools();
+		this.orders.tick(number, this.store.fleet(), pools, demand(now), now);
+		pools.forEach((pool) -> this.orders.neededEndpoints(pool.name(), now)
+			.ifPresent((need) -> this.metrics.needed(pool.name(), need)));
+		if (number.isEmpty()) {
+			this.metrics.nothingPlanned();
+		}
+	}
+
+	// Adding up the demand of all entry VMs takes longer than the rest of a tick.
+	private FleetDemand demand(long now) {
+		if (now - this.demandAddedAt >= DEMAND_PERIOD_NANOS) {
+			this.demandAddedAt = now;
+			this.demand = this.store.demand();
+		}
+		return this.demand;
 	}
 
 	@Override
@@ -103,6 +141,13 @@
 			EndpointOrderLoop.this.orders.answered(fencingNumber, order, answer, now);
 		}
 
+		@Override
+		public void planned(String pool, Map<String, Integer> plan, double need, boolean complete) {
+			DecisionLog.write(LogEvent.ENDPOINTS_PLANNED, pool, plan.toString(), Math.round(need * 10) / 10.0,
+					complete);
+			EndpointOrderLoop.this.metrics.planned(pool, plan);
+		}
+
 		@Override
 		public void release(long fencingNumber, long abstainNanos) {
 			holder().giveUp(fencingNumber, abstainNanos);
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/ProvisionStore.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/ProvisionStore.java
@@ -6,6 +6,7 @@
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.Pool;
+import org.acaciacourse.core.scaling.FleetDemand;
 import org.acaciacourse.core.scaling.PoolProvision;
 import org.acaciacourse.core.state.CommandResult.ProvisionResult;
 
@@ -22,6 +23,12 @@
 	 */
 	Fleet fleet();
 
+	/**
+	 * Return what entry VMs have told of the demand of their callers.
+	 * @return the sum over all entry VMs, {@link FleetDemand#NONE} if none tell it
+	 */
+	FleetDemand demand();
+
 	/**
 	 * Return the pools of the configuration in force.
 	 * @return the pools
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -64,6 +64,8 @@
 
 	private final Optional<UsageMeter> usage;
 
+	private final DemandTeller demand;
+
 	private final CountDownLatch closed = new CountDownLatch(1);
 
 	private final Thread thread;
@@ -83,12 +85,13 @@
 	private volatile boolean leaving;
 
 	ConfigurationPoller(LinkOptions options, String runId, ControlLink.Listener listener,
-			Supplier<List<ClassReport>> reports, Optional<UsageMeter> usage) {
+			Supplier<List<ClassReport>> reports, Optional<UsageMeter> usage, Optional<DemandSource> demand) {
 		this.options = options;
 		this.runId = runId;
 		this.listener = listener;
 		this.reports = reports;
 		this.usage = usage;
+		this.demand = new DemandTeller(demand);
 		this.seeds = options.seeds();
 		this.follower = new ConfigurationFollower(listener);
 		this.controls = options.controls();
@@ -167,11 +170,13 @@
 			boolean latestRequested = !this.latestConfirmed;
 			PollRequest request = request(latestRequested);
 			long nextPosition = this.usage.map((meter) -> meter.writeTo(request, this.usagePosition)).orElse(0L);
+			this.demand.writeTo(request);
 			PollReply reply = this.connection.get().control().poll(this.options.key().text(), request);
 			if (reply.getResult().getCode() != ResultCode.OK.number()) {
 				return false;
 			}
 			this.usagePosition = nextPosition;
+			this.demand.replied();
 			this.usage.ifPresent((meter) -> meter.replied(reply));
 			boolean current = this.follower.apply(reply);
 			updateControls(reply.getControls());
@@ -220,6 +225,7 @@
 		this.connection.ifPresent(InternalConnection::close);
 		this.connection = Optional.empty();
 		this.usagePosition = 0;
+		this.demand.disconnected();
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -31,6 +31,16 @@
 	 */
 	void start(Listener listener, Supplier<List<ClassReport>> reports);
 
+	/**
+	 * Start to follow the configuration, and tell the control VMs the demand of callers.
+	 * @param listener the listener for changes
+	 * @param reports supplies the results per policy and class for the next poll
+	 * @param demand tells the demand; a link that does not pass it on ignores it
+	 */
+	default void start(Listener listener, Supplier<List<ClassReport>> reports, DemandSource demand) {
+		start(listener, reports);
+	}
+
 	/**
 	 * Notify the control VMs that this VM is leaving.
 	 */
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -81,8 +81,19 @@
 	}
 
 	@Override
-	public synchronized void start(Listener listener, Supplier<List<ClassReport>> reports) {
-		this.poller = Optional.of(new ConfigurationPoller(this.options, this.runId, listener, reports, this.usage));
+	public void start(Listener listener, Supplier<List<ClassReport>> reports) {
+		start(listener, reports, Optional.empty());
+	}
+
+	@Override
+	public void start(Listener listener, Supplier<List<ClassReport>> reports, DemandSource demand) {
+		start(listener, reports, Optional.of(demand));
+	}
+
+	private synchronized void start(Listener listener, Supplier<List<ClassReport>> reports,
+			Optional<DemandSource> demand) {
+		this.poller = Optional
+			.of(new ConfigurationPoller(this.options, this.runId, listener, reports, this.usage, demand));
 		this.poller.get().start();
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -197,7 +197,7 @@
 
 	private void startComponents(Optional<ServerSocketChannel> opened) throws IOException {
 		// Started first, so that control responds while the other components start.
-		this.controlLink.start(new ControlListener(), List::of);
+		this.controlLink.start(new ControlListener(), List::of, this.metrics.demand()::last);
 		this.readinessServer.start();
 		this.callerServer.start(opened);
 		CompletableFuture.delayedExecutor(ADMIN_DELAY_MILLIS, TimeUnit.MILLISECONDS).execute(this::openAdmin);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -9,6 +9,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Route;
+import org.acaciacourse.core.scaling.DemandCounter;
 import org.acaciacourse.daemon.link.UsageMeter;
 import org.acaciacourse.daemon.telemetry.Gauges;
 import org.acaciacourse.daemon.telemetry.ProcessMetrics;
@@ -72,6 +73,8 @@
 	private final Histogram longestGap = secondsHistogram("longest_gap",
 			"Longest time between two events of an answer");
 
+	private final DemandCounter demand = new DemandCounter();
+
 	private final RouteGauges gauges = new RouteGauges(this.registry);
 
 	private final Map<String, CounterDataPoint> dataPoints = new ConcurrentHashMap<>();
@@ -94,6 +97,14 @@
 		return this.registry;
 	}
 
+	/**
+	 * Return what counts the demand that this VM tells control.
+	 * @return the counter
+	 */
+	DemandCounter demand() {
+		return this.demand;
+	}
+
 	RouteGauges gauges() {
 		return this.gauges;
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -63,6 +63,8 @@
 
 	private final ExchangeTelemetry telemetry;
 
+	private final RequestDemand demand;
+
 	private final long startedAt;
 
 	private final long deadlineAt;
@@ -105,6 +107,7 @@
 		}
 		this.deadlineAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(millis);
 		this.telemetry = new ExchangeTelemetry(context, request, this.startedAt, this.deadlineAt);
+		this.demand = new RequestDemand(context.metrics().demand(), request, this.startedAt);
 		this.deadlineTimer = context.loop()
 			.schedule(this::timedOut, this.deadlineAt - System.nanoTime(), TimeUnit.NANOSECONDS);
 		response.onDisconnect(this::callerGone);
@@ -250,8 +253,8 @@
 
 	private void startAttempt(FleetEndpoint endpoint, Placement wanted) {
 		this.queuePosition = this.placement.queuePosition(endpoint, System.nanoTime());
-		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime()));
+		Attempt attempt = new Attempt(this, endpoint, this.demand
+			.placed(this.pool.balancer().begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime())));
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
 		this.context.connections().acquire(endpoint, (result) -> connected(attempt, endpoint, result));
@@ -430,6 +433,7 @@
 
 	/** An endpoint has begun to run the request. */
 	void endpointBegan() {
+		this.demand.answerBegan();
 		this.context.usage().ifPresent((meter) -> this.request.customer().ifPresent(meter::began));
 	}
 
@@ -453,6 +457,7 @@
 	void eventForwarded(OptionalLong id) {
 		this.progress.responseForwarded();
 		this.telemetry.eventForwarded(System.nanoTime());
+		this.demand.eventForwarded();
 		if (id.isPresent()) {
 			this.lastEventId = id;
 		}
@@ -515,6 +520,7 @@
 			return;
 		}
 		this.telemetry.failed(code, detail, this.progress, retryAfter);
+		this.demand.failed(code);
 		if (this.response.isStarted()) {
 			// The response can't be completed, and only an aborted connection signals
 			// that.
@@ -559,6 +565,7 @@
 		this.deadlineTimer.cancel(false);
 		this.context.openExchanges().remove(this);
 		this.binding.end();
+		this.demand.ended();
 		this.pool.queue().remove(this);
 		this.retries.release();
 		this.current.ifPresent(Attempt::cancel);
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -219,6 +219,13 @@
 	 */
 	DUTY_CALL("duty-call", "duty", "subject", "number", "answer", "took_ms", "late_ms"),
 
+	/**
+	 * The number of endpoints that are to be ordered for a pool has changed with the
+	 * demand: the numbers by data centre, the highest need within half a minute, and
+	 * whether all live entry VMs have told their demand.
+	 */
+	ENDPOINTS_PLANNED("endpoints-planned", "pool", "endpoints", "need", "complete"),
+
 	/**
 	 * The usage of a window is about to be fixed: the window, the requests, the customers
 	 * that they are of, whether all live entry VMs have told their counts, and the time
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -305,6 +305,22 @@
 }
 
 /* Long poll of an entry: also its heartbeat and the confirmation of its number. */
+/* What callers of one entry asked of a pool within a second. */
+struct PoolDemandRecord {
+  1: string pool,
+  /* Of the requests sent to endpoints, those that are not cached there. */
+  2: i64 prefillTokens,
+  3: i64 outputTokens,
+  4: i64 begun,
+  /* For lack of capacity. */
+  5: i64 refused,
+  /* Answers that began after the target of their route. */
+  6: i64 late,
+  7: i64 largestWaitMillis,
+  /* By requests in flight, beside the cached ones. */
+  8: i64 heldTokens,
+}
+
 struct PollRequest {
   1: string vm,
   2: string owner,
@@ -330,6 +346,8 @@
   15: optional i64 usageCompleteUntil,
   /* The counts of usage that have changed since the previous poll over this connection. */
   16: optional list<UsageWindowRecord> usage,
+  /* What callers asked of each pool in the last second, if that has changed since the previous poll over this connection. */
+  17: optional list<PoolDemandRecord> demand,
 }
 
 struct PollReply {
@@ -523,6 +541,8 @@
   7: list<ClassReport> reports,
   8: string owner,
   9: string loadAddress,
+  /* The demand that it told last. */
+  10: optional list<PoolDemandRecord> demand,
 }
 
 struct ReadIndexReply {
