Orders below the need are raised at once, however often they changed

A demand that rose threefold within 15 s took more than two changes of an order; the third was held back while fewer endpoints were ordered than the need (195 of 198). Such an order is raised now, whatever the number of changes.

A plan is logged again once the lease is acquired.

--- a/core/src/main/java/org/acaciacourse/core/scaling/CapacityTarget.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/CapacityTarget.java
@@ -161,6 +161,7 @@
 				&& doAllServe(serving);
 		Map<String, Integer> supplied = new TreeMap<>();
 		unavailable.forEach((dataCentre) -> supplied.put(dataCentre, serving.getOrDefault(dataCentre, 0)));
+		boolean lacking = this.orders.values().stream().mapToInt(PacedOrder::count).sum() < peak(now);
 		Map<String, Integer> planned = new TreeMap<>();
 		SplitInput input = new SplitInput((int) Math.ceil(this.basis), scaling, initial.keySet(), supplied);
 		if (!input.equals(this.splitInput)) {
@@ -169,7 +170,7 @@
 		}
 		this.split.forEach((dataCentre, wanted) -> {
 			PacedOrder order = this.orders.get(dataCentre);
-			order.follow(Math.min(scaling.max(), wanted), mayLower, now);
+			order.follow(Math.min(scaling.max(), wanted), mayLower, lacking, now);
 			planned.put(dataCentre, Math.min(scaling.max(), order.count()));
 		});
 		return planned;
--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -178,6 +178,7 @@
 			this.records.clear();
 			this.targets.restart();
 		}
+		this.plans.clear();
 		this.currentFencingNumber = fencingNumber;
 		this.outstanding = false;
 		this.givenUp = false;
--- a/core/src/main/java/org/acaciacourse/core/scaling/PacedOrder.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/PacedOrder.java
@@ -9,7 +9,8 @@
  * wanted: up at once, down slowly.
  * <p>
  * Invariants: at most {@value #MAX_CHANGES} changes within {@link #WINDOW_NANOS}, of
- * which a decrease is the first; a decrease is by at most a tenth, or by one.
+ * which a decrease is the first, unless all orders together are below the need; a
+ * decrease is by at most a tenth, or by one.
  * <p>
  * Not thread safe.
  */
@@ -50,14 +51,16 @@
 	 * Follow what is wanted.
 	 * @param wanted the number of endpoints
 	 * @param mayLower whether the number may fall
+	 * @param lacking whether less is ordered than the need, so that the number may rise
+	 * however often it has changed
 	 * @param now the monotonic time in nanoseconds
 	 * @return whether the number changed
 	 */
-	boolean follow(int wanted, boolean mayLower, long now) {
+	boolean follow(int wanted, boolean mayLower, boolean lacking, long now) {
 		while (!this.changes.isEmpty() && now - this.changes.getFirst() >= WINDOW_NANOS) {
 			this.changes.removeFirst();
 		}
-		if (wanted > this.count && mayRaise(now)) {
+		if (wanted > this.count && (lacking || mayRaise(now))) {
 			change(wanted, now);
 			return true;
 		}
