--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -77,8 +77,11 @@
 		return this.queuePosition;
 	}
 
-	// The work on the prompt when the request was sent.
-	long work() {
+	/**
+	 * Return the prefill work of the request that the endpoint's cache does not save.
+	 * @return the work in prompt tokens
+	 */
+	public long work() {
 		return this.work;
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ThriftControlLink.java
@@ -47,6 +47,8 @@
 
 	private final Optional<UsageMeter> usage;
 
+	private final boolean tellsDemand;
+
 	private final String runId;
 
 	private final AtomicLong claimNumber = new AtomicLong();
@@ -73,16 +75,38 @@
 	 * @param usage counts the usage, if it is reported
 	 */
 	public ThriftControlLink(LinkOptions options, Optional<UsageMeter> usage) {
+		this(options, usage, true);
+	}
+
+	/**
+	 * Create a link of a system that may leave the demand of callers alone.
+	 * @param options the options of the link
+	 * @param usage counts the usage, if it is reported
+	 * @param tellsDemand whether control is told the demand, as it orders endpoints
+	 */
+	public ThriftControlLink(LinkOptions options, Optional<UsageMeter> usage, boolean tellsDemand) {
 		this.options = options;
 		this.usage = usage;
+		this.tellsDemand = tellsDemand;
 		this.runId = RunId.next(options.vm());
 		this.claimExecutor = new LeaderCallExecutor("control-claim", options.controls(), CLAIM_THREADS);
 		this.completionExecutor = new LeaderCallExecutor("control-complete", options.controls(), COMPLETE_THREADS);
 	}
 
 	@Override
-	public synchronized void start(Listener listener, Supplier<List<ClassReport>> reports) {
-		this.poller = Optional.of(new ConfigurationPoller(this.options, this.runId, listener, reports, this.usage));
+	public void start(Listener listener, Supplier<List<ClassReport>> reports) {
+		start(listener, reports, Optional.empty());
+	}
+
+	@Override
+	public void start(Listener listener, Supplier<List<ClassReport>> reports, DemandSource demand) {
+		start(listener, reports, Optional.of(demand).filter((source) -> this.tellsDemand));
+	}
+
+	private synchronized void start(Listener listener, Supplier<List<ClassReport>> reports,
+			Optional<DemandSource> demand) {
+		this.poller = Optional
+			.of(new ConfigurationPoller(this.options, this.runId, listener, reports, this.usage, demand));
 		this.poller.get().start();
 	}
 
