--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -258,8 +258,8 @@
 			DecisionLog.write(LogEvent.LOOP_STALLED, millis);
 			this.metrics.loopStalled(millis);
 		});
-		this.memory.ifPresent(ResponseMemory::tick);
 		if (!this.pools.isCatchingUp()) {
+			this.memory.ifPresent(ResponseMemory::tick);
 			// A check may end exchanges.
 			List.copyOf(this.openExchanges).forEach(RoutedExchange::checkLink);
 		}
