Load digests tell the recent work of customers (fields 12 and 13)

A VM knew only the requests that it served itself, so that a customer whose requests arrive at 88 VMs looked like 88 small ones.

Each VM tells its 24 largest works and the sum of the rest, relays the sums of theirs (up to 72, in parts of 24); a view contains the receiver's own report, which is taken out again. The upper 8 bits of a key are a hash of the pool: a receiver has to divide the works by pool, also those of customers it has never met.

--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerWorks;
 
 /**
  * A summary of the load at the endpoints that one entry VM sends to others. A digest that
@@ -24,10 +25,11 @@
  * senders
  * @param facts what VMs have lately seen of features of requests that may crash endpoints
  * @param limits the limits on their requests that endpoints have lately stated
+ * @param customers the recent work of customers
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
-		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
-		List<RateLimits.Statement> limits) {
+		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts, List<RateLimits.Statement> limits,
+		CustomerWorks customers) {
 
 	/** Endpoints in a part, which together with the rest fit into a packet. */
 	private static final int MAX_LOADS_PER_PART = 60;
@@ -59,6 +61,25 @@
 		limits = List.copyOf(limits);
 	}
 
+	/**
+	 * Create a digest without the work of customers.
+	 * @param kind what it covers
+	 * @param sequence its sequence number
+	 * @param part the index of this part
+	 * @param parts the number of parts
+	 * @param vms the number of VMs whose load is included
+	 * @param loads the loads
+	 * @param uses the uses
+	 * @param acknowledged the sequence numbers of the included reports
+	 * @param facts the facts
+	 * @param limits the limits
+	 */
+	public LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
+			List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
+			List<RateLimits.Statement> limits) {
+		this(kind, sequence, part, parts, vms, loads, uses, acknowledged, facts, limits, CustomerWorks.NONE);
+	}
+
 	/**
 	 * Make a digest of one part.
 	 * @param kind what it covers
@@ -74,17 +95,27 @@
 
 	LoadDigest withAcknowledged(Map<Integer, Long> reports) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses, reports,
-				this.facts, this.limits);
+				this.facts, this.limits, this.customers);
 	}
 
 	LoadDigest withFacts(List<FeatureFact> featureFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, featureFacts, this.limits);
+				this.acknowledged, featureFacts, this.limits, this.customers);
 	}
 
 	LoadDigest withLimits(List<RateLimits.Statement> statements) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, this.facts, statements);
+				this.acknowledged, this.facts, statements, this.customers);
+	}
+
+	/**
+	 * Return the same digest with the work of customers.
+	 * @param works the works
+	 * @return the digest
+	 */
+	public LoadDigest withCustomers(CustomerWorks works) {
+		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
+				this.acknowledged, this.facts, this.limits, works);
 	}
 
 	/**
@@ -95,7 +126,7 @@
 		int needed = IntStream
 			.of(chunkCount(this.loads.size(), MAX_LOADS_PER_PART), chunkCount(this.uses.size(), MAX_USES_PER_PART),
 					chunkCount(this.facts.size(), MAX_FACTS_PER_PART),
-					chunkCount(this.limits.size(), MAX_LIMITS_PER_PART))
+					chunkCount(this.limits.size(), MAX_LIMITS_PER_PART), this.customers.parts())
 			.max()
 			.getAsInt();
 		int count = Math.max(1, Math.min(MAX_PARTS, needed));
@@ -103,7 +134,8 @@
 		for (int i = 0; i < count; i++) {
 			all.add(new LoadDigest(this.kind, this.sequence, i, count, this.vms,
 					chunk(this.loads, i, MAX_LOADS_PER_PART), chunk(this.uses, i, MAX_USES_PER_PART), this.acknowledged,
-					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART)));
+					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART),
+					this.customers.part(i)));
 		}
 		return all;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadExchange.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerShares;
 
 /**
  * Decides which load digests an entry VM sends to the others. A few VMs send digests to
@@ -96,6 +97,8 @@
 
 	private List<PeerLoads.Load> lastSent = List.of();
 
+	private CustomerShares customers = new CustomerShares();
+
 	private List<RateLimits.Statement> limits = List.of();
 
 	private List<RateLimits.Statement> sentLimits = List.of();
@@ -138,6 +141,14 @@
 		this.maxDirectPeers = max;
 	}
 
+	/**
+	 * Set the work of customers, which is told and received with the loads.
+	 * @param next the work
+	 */
+	public void customers(CustomerShares next) {
+		this.customers = next;
+	}
+
 	private boolean isRelayed() {
 		return this.peers.size() > this.maxDirectPeers;
 	}
@@ -252,7 +263,8 @@
 		// A single datagram, as it goes to all peers.
 		List<PartUse> uses = this.groupUses.forNextDigest().stream().limit(LoadDigest.MAX_USES_PER_PART).toList();
 		return send(LoadDigest.of(LoadDigest.Kind.SUMMARY, this.sequence, 1, own, uses)
-			.withFacts(forNextDigest(this.groupFacts, now)), this.peers);
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withCustomers(this.customers.own(now)), this.peers);
 	}
 
 	private List<Outgoing> report(List<PeerLoads.Load> own, String relay, long now) {
@@ -261,11 +273,13 @@
 		}
 		this.sentReports.put(this.sequence, own);
 		return send(LoadDigest.of(LoadDigest.Kind.REPORT, this.sequence, 1, own, this.groupUses.forNextDigest())
-			.withFacts(forNextDigest(this.groupFacts, now)), List.of(relay));
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withCustomers(this.customers.report(this.sequence, now)), List.of(relay));
 	}
 
 	private List<Outgoing> aggregate(List<PeerLoads.Load> own, long now) {
 		this.loads.dropView();
+		this.customers.dropView();
 		LoadSums allSums = new LoadSums();
 		allSums.add(own);
 		allSums.add(this.loads.all());
@@ -283,10 +297,12 @@
 		int vms = this.groupReports.size() + 1;
 		LoadDigest summary = LoadDigest
 			.of(LoadDigest.Kind.SUMMARY, this.sequence, vms, groupSums.all(), this.groupUses.forNextDigest())
-			.withFacts(forNextDigest(this.groupFacts, now));
+			.withFacts(forNextDigest(this.groupFacts, now))
+			.withCustomers(this.customers.group(this.groupReports.keySet(), now));
 		List<Outgoing> messages = new ArrayList<>(send(summary, this.relaySelector.summaryReceivers(now)));
-		LoadDigest view = LoadDigest.of(LoadDigest.Kind.VIEW, this.sequence, this.loads.peerCount() + 1, all,
-				this.allUses.forNextDigest());
+		LoadDigest view = LoadDigest
+			.of(LoadDigest.Kind.VIEW, this.sequence, this.loads.peerCount() + 1, all, this.allUses.forNextDigest())
+			.withCustomers(this.customers.all(now));
 		messages.addAll(send(view.withAcknowledged(acknowledged).withFacts(forNextDigest(this.allFacts, now)),
 				List.copyOf(this.groupReports.keySet())));
 		return messages;
@@ -321,13 +337,19 @@
 		if (isRelayed()) {
 			this.allFacts.add(seen(digest.facts(), now));
 		}
-		return this.loads.receive(sender, digest, now);
+		return this.loads.receive(sender, digest, now) && receiveCustomers(sender, digest, now);
+	}
+
+	private boolean receiveCustomers(String sender, LoadDigest digest, long now) {
+		this.customers.receive(sender, digest.part(), digest.parts(), digest.customers(), now);
+		return true;
 	}
 
 	private boolean receiveReport(String sender, LoadDigest digest, long now) {
 		if (!this.loads.receive(sender, digest, now)) {
 			return false;
 		}
+		receiveCustomers(sender, digest, now);
 		this.groupUses.add(digest.uses());
 		this.allUses.add(digest.uses());
 		this.groupFacts.add(seen(digest.facts(), now));
@@ -343,7 +365,12 @@
 		Long acknowledged = digest.acknowledged().get(idOf(this.self.address()));
 		List<PeerLoads.Load> own = (acknowledged != null) ? this.sentReports.getOrDefault(acknowledged, List.of())
 				: List.of();
-		return this.loads.receiveView(sender, digest, own, now);
+		if (!this.loads.receiveView(sender, digest, own, now)) {
+			return false;
+		}
+		this.customers.receiveView(sender, digest.part(), digest.parts(), digest.customers(),
+				(acknowledged != null) ? acknowledged : -1, now);
+		return true;
 	}
 
 	private static int idOf(String vm) {
--- a/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
@@ -8,6 +8,11 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 
+import org.acaciacourse.core.share.CustomerKey;
+import org.acaciacourse.core.share.CustomerShares;
+import org.acaciacourse.core.share.CustomerWork;
+import org.acaciacourse.core.share.PoolLoad;
+import org.acaciacourse.core.share.PoolShares;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -160,6 +165,10 @@
 
 		private final LoadExchange exchange;
 
+		private final CustomerShares customers = new CustomerShares();
+
+		private final PoolShares shares;
+
 		private final List<PartUse> receivedUses = new ArrayList<>();
 
 		private List<PeerLoads.Load> own = List.of();
@@ -182,9 +191,25 @@
 			this.self = new LoadPeer("10.0." + index / 250 + "." + index % 250 + ":1", "dc-" + index % DATA_CENTRES);
 			this.exchange = new LoadExchange(this.self, this.loads, now, now);
 			this.exchange.maxDirectPeers(MAX_DIRECT_PEERS);
+			this.exchange.customers(this.customers);
+			this.shares = new PoolShares(this.customers, "llm", () -> new PoolLoad(0, 0, 0, 1), index, now);
 			this.nextTick = now + index % 100 * MILLI;
 		}
 
+		private void charge(String customer, long work, long now) {
+			this.shares.begin(customer, now).placedAtEngine(work, 0, work, now);
+		}
+
+		private long knownWork(String customer, long now) {
+			int key = CustomerKey.of("llm", customer);
+			return this.customers.all(now)
+				.largest()
+				.stream()
+				.filter((told) -> told.key() == key)
+				.mapToLong(CustomerWork::work)
+				.sum();
+		}
+
 		private List<PartUse> takeUses() {
 			List<PartUse> taken = this.uses;
 			this.uses = List.of();
@@ -261,6 +286,52 @@
 
 	}
 
+	/*
+	 * The work of a customer of all VMs and of one whose requests arrive at a single VM.
+	 * Guards against work that is counted twice, as in the digest of a VM and in a view
+	 * that contains it, and against work that is lost on the way.
+	 */
+	@Nested
+	class CustomersWork {
+
+		@Test
+		void isKnownToAllVms() {
+			for (int count : new int[] { 9, 95 }) {
+				Network network = new Network(count, 0, 7);
+				for (int i = 0; i < 60; i++) {
+					network.vms.forEach((vm) -> vm.charge("everywhere", 1_000, network.now));
+					network.vms.get(count - 1).charge("one VM", 50_000, network.now);
+					network.changeLoads();
+					network.run(100);
+				}
+				// The work of 100 ms over 2 s; what others told is up to 0.3 s old.
+				for (Vm vm : network.vms) {
+					assertThat((double) vm.knownWork("everywhere", network.now)).isWithin(0.2 * 19_000 * count)
+						.of(18_000 * count);
+					assertThat((double) vm.knownWork("one VM", network.now)).isWithin(0.2 * 950_000).of(900_000);
+				}
+			}
+		}
+
+		@Test
+		void expiresWithItsVm() {
+			for (int count : new int[] { 9, 95 }) {
+				Network network = new Network(count, 0, 7);
+				network.vms.get(count - 1).charge("one VM", 1_000_000, network.now);
+				network.changeLoads();
+				network.run(SETTLED_MILLIS);
+				assertThat(network.vms.get(0).knownWork("one VM", network.now)).isGreaterThan(0);
+				network.vms.get(count - 1).down = true;
+				network.updatePeers();
+				// A relay drops it after 1.2 s, and its last view takes as long to
+				// expire.
+				network.run(FAILOVER_MILLIS);
+				assertThat(network.vms.get(0).knownWork("one VM", network.now)).isEqualTo(0);
+			}
+		}
+
+	}
+
 	@Nested
 	class Cost {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -12,10 +12,14 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerWork;
+import org.acaciacourse.core.share.CustomerWorks;
 import org.acaciacourse.core.stream.OriginMessage;
+import org.acaciacourse.protocol.generated.CustomerWorkRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.OtherCustomersRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
 
@@ -58,6 +62,9 @@
 		if (!digest.limits().isEmpty()) {
 			record.setLimits(digest.limits().stream().map(LoadDigestCodec::limitRecord).toList());
 		}
+		if (!digest.customers().equals(CustomerWorks.NONE)) {
+			addCustomers(record, digest.customers());
+		}
 		return ThriftBytes.encode(record);
 	}
 
@@ -82,7 +89,24 @@
 				(record.isSetParts()) ? record.getParts() : 1, (record.isSetVms()) ? record.getVms() : 1, loads, uses,
 				(record.isSetHeard()) ? record.getHeard() : Map.of(),
 				(record.isSetFacts()) ? record.getFacts().stream().map(LoadDigestCodec::fact).toList() : List.of(),
-				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of());
+				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of(),
+				customers(record));
+	}
+
+	private static void addCustomers(LoadDigestRecord record, CustomerWorks customers) {
+		record.setCustomers(
+				customers.largest().stream().map((work) -> new CustomerWorkRecord(work.key(), work.work())).toList());
+		record.setOtherCustomers(new OtherCustomersRecord(customers.others(), customers.otherWork()));
+	}
+
+	private static CustomerWorks customers(LoadDigestRecord record) {
+		List<CustomerWork> largest = (record.isSetCustomers()) ? record.getCustomers()
+			.stream()
+			.map((work) -> new CustomerWork(work.getCustomer(), work.getWork()))
+			.toList() : List.of();
+		OtherCustomersRecord others = (record.isSetOtherCustomers()) ? record.getOtherCustomers()
+				: new OtherCustomersRecord(0, 0);
+		return new CustomerWorks(largest, others.getNumber(), others.getWork());
 	}
 
 	private static RateLimitRecord limitRecord(RateLimits.Statement limit) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/codec/LoadDigestCodecTests.java
@@ -12,9 +12,13 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerWork;
+import org.acaciacourse.core.share.CustomerWorks;
+import org.acaciacourse.protocol.generated.CustomerWorkRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.OtherCustomersRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -32,10 +36,14 @@
 			new RateLimits.Statement(-7, OptionalDouble.of(1.1), 60),
 			new RateLimits.Statement(8, OptionalDouble.empty(), 0));
 
+	private static final CustomerWorks CUSTOMERS = new CustomerWorks(
+			List.of(new CustomerWork(-9, 1L << 40), new CustomerWork(9, 1)), 70, 4_000);
+
 	@Test
 	void digestSurvivesARoundTrip() {
 		LoadDigest view = new LoadDigest(LoadDigest.Kind.VIEW, 1L << 50, 1, 3, 95, LOADS,
-				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS);
+				List.of(new PartUse(5, new PromptShape.Part(-1, 13_300))), Map.of(4, 9L, -4, 10L), FACTS, LIMITS)
+			.withCustomers(CUSTOMERS);
 		assertThat(LoadDigestCodec.decode(LoadDigestCodec.encode(view)).get().get()).isEqualTo(view);
 	}
 
@@ -73,6 +81,9 @@
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, -1))));
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(-1))));
 			assertDecodingFails(validRecord().setLimits(List.of(new RateLimitRecord(1, 0).setPerSecond(Double.NaN))));
+			assertDecodingFails(validRecord().setCustomers(List.of(new CustomerWorkRecord(1, -1))));
+			assertDecodingFails(validRecord().setOtherCustomers(new OtherCustomersRecord(-1, 0)));
+			assertDecodingFails(validRecord().setOtherCustomers(new OtherCustomersRecord(0, -1)));
 			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(3, 1))));
 			assertDecodingFails(validRecord().setFacts(List.of(new FeatureFactRecord(0, 1).setPoolSize(0))));
 			assertDecodingFails(
@@ -85,7 +96,8 @@
 		void damagedBytesNeverThrow() {
 			Random random = new Random(11);
 			byte[] bytes = LoadDigestCodec.encode(new LoadDigest(LoadDigest.Kind.VIEW, 7, 0, 1, 9, LOADS,
-					List.of(new PartUse(5, new PromptShape.Part(1, 13_300))), Map.of(4, 9L), FACTS, LIMITS));
+					List.of(new PartUse(5, new PromptShape.Part(1, 13_300))), Map.of(4, 9L), FACTS, LIMITS)
+				.withCustomers(CUSTOMERS));
 			for (int i = 0; i < 20_000; i++) {
 				byte[] damaged = Arrays.copyOf(bytes, random.nextInt(bytes.length + 1));
 				for (int j = 0; j < 3 && damaged.length > 0; j++) {
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -384,6 +384,20 @@
   10: optional list<RateLimitRecord> limits,
   /* What entries tell and ask each other of streams; such a datagram tells no load. */
   11: optional StreamOriginsRecord origins,
+  /* The recent work of customers: the largest figures, and the rest. */
+  12: optional list<CustomerWorkRecord> customers,
+  13: optional OtherCustomersRecord otherCustomers,
+}
+
+struct CustomerWorkRecord {
+  /* A hash of the pool, in the upper 8 bits, and of the customer; 0 in the lower ones: the work that the pool finished. */
+  1: i32 customer,
+  2: i64 work,
+}
+
+struct OtherCustomersRecord {
+  1: i32 number,
+  2: i64 work,
 }
 
 struct StreamOriginsRecord {
