Customers are kept to their shares of a pool that is short of capacity

With customer-shares on, requests over share get a rank behind their pair of priorities at engines, never behind a pair of lower priority, and at plain endpoints a place behind the others in the entry's queue, which they leave for a free slot. Where it is off, ranks and order are as before: the scale with more ranks is a second one.

At plain endpoints each VM takes its part of the free slots only.

PoolBalancer hands what holds for all endpoints to PoolTotals; the number of retry sharers leaves PoolStates (RetrySharing).

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -260,6 +260,10 @@
 		return !this.refusalLimit.applies(now) || running(now) + untoldRequests(now) < this.room;
 	}
 
+	boolean hasFreeSlot(long now) {
+		return running(now) < this.endpoint.slots();
+	}
+
 	// Requests that the other VMs have sent since their last digests, if they send as
 	// many as this one.
 	private double untoldRequests(long now) {
--- a/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PlacedRequest.java
@@ -22,6 +22,8 @@
 
 	private final QueuePosition queuePosition;
 
+	private final long uncachedTokens;
+
 	private final long work;
 
 	private final long workAhead;
@@ -37,7 +39,9 @@
 		this.prefillRate = prefillRate;
 		this.brief = request.brief();
 		this.queuePosition = queuePosition;
-		this.work = request.shape().work(load.prefixCache().cachedTokens(request.shape()));
+		long cached = load.prefixCache().cachedTokens(request.shape());
+		this.uncachedTokens = Math.max(0, request.shape().promptTokens() - cached);
+		this.work = request.shape().work(cached);
 		if (queuePosition.delaysOthers()) {
 			load.begin(this.work);
 		}
@@ -59,6 +63,15 @@
 		return this.workAhead;
 	}
 
+	/**
+	 * Return the tokens of the prompt that the endpoint is not known to have in its
+	 * cache.
+	 * @return the number of tokens, 0 if the size of the prompt is not known
+	 */
+	public long uncachedTokens() {
+		return this.uncachedTokens;
+	}
+
 	/**
 	 * Record that data arrived from the endpoint.
 	 * @param now the time
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,6 +13,7 @@
 import java.util.function.Predicate;
 
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.core.share.PoolLoad;
 
 /**
  * Chooses endpoints of one pool. The cost of an endpoint is the estimated wait of a
@@ -55,6 +55,8 @@
 
 	private final EndpointRests rests;
 
+	private final PoolTotals totals;
+
 	private ConnectionShare connectionShare = ConnectionShare.UNLIMITED;
 
 	private long engineCacheTokens;
@@ -98,6 +100,7 @@
 		this.rateLimits = rateLimits;
 		this.rests = rests;
 		this.connected = connected;
+		this.totals = new PoolTotals(this.loads, peers, rateLimits, rests);
 		this.refusalLimit = new RefusalLimit(peers);
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
@@ -289,12 +292,7 @@
 	 * tried or are of another version
 	 */
 	public boolean isExhausted(Placement request) {
-		List<FleetEndpoint> staying = this.loads.values()
-			.stream()
-			.map(EndpointLoad::endpoint)
-			.filter((endpoint) -> !endpoint.leaving())
-			.toList();
-		return !staying.isEmpty() && staying.stream().noneMatch(request::isServedBy);
+		return this.totals.isExhausted(request);
 	}
 
 	/**
@@ -305,20 +303,14 @@
 	 * none can serve the request
 	 */
 	public Duration restOfAll(Placement request, long now) {
-		return this.loads.values()
-			.stream()
-			.map(EndpointLoad::endpoint)
-			.filter((endpoint) -> !endpoint.leaving() && request.isServedBy(endpoint))
-			.map((endpoint) -> this.rests.remaining(endpoint.instance(), now))
-			.min(Comparator.naturalOrder())
-			.orElse(Duration.ZERO);
+		return this.totals.restOfAll(request, now);
 	}
 
 	private boolean isUsable(EndpointLoad load, Placement request, long now) {
 		boolean paused = (load.isPaused(now) || !load.hasRoom(now)) && this.policy.isOn(RoutingMechanism.PAUSES);
 		return !load.endpoint().leaving() && !load.isResting(now) && !paused
 				&& load.hasConnectionLeft(this.connectionShare) && this.rateLimits.maySend(load.id(), now)
-				&& request.isServedBy(load.endpoint());
+				&& request.isServedBy(load.endpoint()) && (!request.freeSlotOnly() || load.hasFreeSlot(now));
 	}
 
 	/**
@@ -409,15 +401,17 @@
 	 * @return the sum of its shares, empty if an endpoint takes as many as it can run
 	 */
 	public OptionalDouble permittedRate(long now) {
-		double sum = 0;
-		for (EndpointLoad load : this.loads.values()) {
-			OptionalDouble share = this.rateLimits.shareOf(load.id(), now);
-			if (share.isEmpty() && !load.endpoint().leaving()) {
-				return OptionalDouble.empty();
-			}
-			sum += share.orElse(0);
-		}
-		return OptionalDouble.of(sum);
+		return this.totals.permittedRate(now);
+	}
+
+	/**
+	 * Return the load of the pool, as far as it tells a shortage.
+	 * @param target the shortest target of the pool's routes
+	 * @param now the time
+	 * @return the load of the endpoints that get requests now
+	 */
+	public PoolLoad poolLoad(Duration target, long now) {
+		return this.totals.load((this.engineCacheTokens > 0) ? this.prefillRate.workIn(target.toNanos()) : 0, now);
 	}
 
 	private Optional<EndpointLoad> find(String instance) {
--- a/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
@@ -61,4 +61,13 @@
 		return (long) (work / this.tokensPerMilli * 1e6);
 	}
 
+	/**
+	 * Return the estimated work that an engine does in some time.
+	 * @param nanos the time
+	 * @return the work in prompt tokens
+	 */
+	double workIn(long nanos) {
+		return this.tokensPerMilli * nanos / 1e6;
+	}
+
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/QueuePosition.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/QueuePosition.java
@@ -13,7 +13,13 @@
 	BEHIND_OTHERS(true, true),
 
 	/** The request will be late in any case, and all others overtake it. */
-	DEFERRED(false, false);
+	DEFERRED(false, false),
+
+	/**
+	 * The request is over its customer's share, and the others of its priorities overtake
+	 * it.
+	 */
+	OVER_SHARE(false, false);
 
 	private final boolean delaysOthers;
 
--- a/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTable.java
@@ -33,6 +33,8 @@
 
 	private final UrgencyScale urgencyScale;
 
+	private final UrgencyScale shareScale;
+
 	RouteTable(long number, CallerLimits limits, List<Route> routes, List<Pool> pools, List<KeyOwner> owners) {
 		this.number = number;
 		this.limits = Objects.requireNonNull(limits, "limits");
@@ -44,6 +46,7 @@
 		this.hasCustomers = !owners.isEmpty();
 		owners.forEach((owner) -> owner.keys().forEach((key) -> this.owners.put(key, owner)));
 		this.urgencyScale = new UrgencyScale(routes, owners);
+		this.shareScale = new UrgencyScale(routes, owners, true);
 	}
 
 	/**
@@ -133,6 +136,18 @@
 		return this.urgencyScale.deferredRank(route, owner);
 	}
 
+	/**
+	 * Return the ranks of a request where customers have shares. They may differ from
+	 * {@link #urgency} and {@link #deferredUrgency}, as there are more of them.
+	 * @param route its route, one of this table
+	 * @param owner its customer, one of this table, if there is any
+	 * @return the ranks
+	 */
+	public RequestRanks ranksWithShares(Route route, Optional<KeyOwner> owner) {
+		return new RequestRanks(this.shareScale.rank(route, owner), this.shareScale.deferredRank(route, owner),
+				this.shareScale.overShareRank(route, owner));
+	}
+
 	/**
 	 * Return whether requests need a customer's key.
 	 * @return whether the table has any customers
--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -30,6 +30,14 @@
  * all customers of one priority, the product of all priority levels would leave no rank
  * for deferred requests.
  * <p>
+ * In a scale with ranks for customer shares, the requests of a pair that are over share
+ * have a rank behind the others of the pair and, like those, before all pairs of lower
+ * priority. Behind the last pair of a customer priority, they also come after its
+ * deferred requests: these would otherwise wait until the customers over share have no
+ * more requests. If there are not enough ranks, the least urgent pairs get them, whose
+ * requests wait for longest in a shortage; over-share requests of the others keep the
+ * rank of their pair.
+ * <p>
  * Immutable and thread safe.
  */
 final class UrgencyScale {
@@ -42,18 +50,34 @@
 	 */
 	private static final long DEFERRED = Integer.MAX_VALUE;
 
+	/** Sorts requests over share right behind the others of their pair. */
+	private static final long OVER_SHARE = 1;
+
 	private final Map<String, Integer> leastUrgentByPool = new HashMap<>();
 
 	private final List<Long> pairs;
 
 	private final boolean hasDeferredRanks;
 
+	/** The position among the pairs by pair, for requests that are over share. */
+	private final Map<Long, Long> overShare = new HashMap<>();
+
 	/**
-	 * Create the scale of a table.
+	 * Create the scale of a table without ranks for customer shares.
 	 * @param routes the routes
 	 * @param owners the customers
 	 */
 	UrgencyScale(Collection<Route> routes, Collection<KeyOwner> owners) {
+		this(routes, owners, false);
+	}
+
+	/**
+	 * Create the scale of a table.
+	 * @param routes the routes
+	 * @param owners the customers
+	 * @param withShares whether requests over share have ranks of their own
+	 */
+	UrgencyScale(Collection<Route> routes, Collection<KeyOwner> owners, boolean withShares) {
 		routes.forEach((route) -> route.shares()
 			.forEach((share) -> this.leastUrgentByPool.merge(share.pool(), route.priority(), Math::max)));
 		// Thousands of customers share a few priorities.
@@ -67,7 +91,23 @@
 			.forEach((route) -> customerPriorities(route, declaredPriorities)
 				.forEach((priority) -> withDeferred.add(pair(priority, DEFERRED))));
 		this.hasDeferredRanks = withDeferred.size() <= RANKS;
-		this.pairs = List.copyOf((this.hasDeferredRanks) ? withDeferred : regular);
+		NavigableSet<Long> ranked = (this.hasDeferredRanks) ? withDeferred : regular;
+		if (withShares) {
+			addOverShare(regular, ranked);
+		}
+		this.pairs = List.copyOf(ranked);
+	}
+
+	private void addOverShare(NavigableSet<Long> regular, NavigableSet<Long> ranked) {
+		int left = Math.max(0, RANKS - ranked.size());
+		List<Long> leastUrgentFirst = regular.descendingSet().stream().limit(left).toList();
+		leastUrgentFirst.forEach((pair) -> {
+			long deferred = pair(customerPriority(pair), DEFERRED);
+			Long next = regular.higher(pair);
+			boolean last = next == null || customerPriority(next) != customerPriority(pair);
+			this.overShare.put(pair, ((last && ranked.contains(deferred)) ? deferred : pair) + OVER_SHARE);
+		});
+		ranked.addAll(this.overShare.values());
 	}
 
 	// Only routes of the same pools count: requests of other pools wait at other
@@ -87,8 +127,25 @@
 	}
 
 	// Encodes a pair so that it sorts by the customer's priority, then by the route's.
+	// The
+	// last bit is left for requests over share.
 	private static long pair(int customerPriority, long routePriority) {
-		return ((long) customerPriority << Integer.SIZE) + routePriority;
+		return ((long) customerPriority << Integer.SIZE) + (routePriority << 1);
+	}
+
+	private static int customerPriority(long pair) {
+		return (int) (pair >> Integer.SIZE);
+	}
+
+	/**
+	 * Return the rank of a request that is over its customer's share.
+	 * @param route its route, one of the table
+	 * @param owner its customer, one of the table, if there is any
+	 * @return the rank, empty if the scale has none for its pair
+	 */
+	OptionalInt overShareRank(Route route, Optional<KeyOwner> owner) {
+		Long position = this.overShare.get(pair(priority(route, owner), route.priority()));
+		return (position != null) ? OptionalInt.of(rankOf(position)) : OptionalInt.empty();
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/share/PoolLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/share/PoolLoad.java
@@ -11,8 +11,9 @@
  * routes, in tokens; 0 if it isn't known, as for plain endpoints
  * @param running the requests there
  * @param slots the requests that they serve concurrently
+ * @param vms the number of entry VMs that send requests there
  */
-public record PoolLoad(long waitingWork, double workInTarget, int running, int slots) {
+public record PoolLoad(long waitingWork, double workInTarget, int running, int slots, int vms) {
 
 	/**
 	 * With nearly all slots taken, requests queue at some endpoints while others still
@@ -26,6 +27,12 @@
 	 */
 	private static final double HARMLESS_SHARE = 0.5;
 
+	public PoolLoad {
+		if (vms < 1) {
+			throw new IllegalArgumentException("at least this VM sends requests, got " + vms);
+		}
+	}
+
 	/**
 	 * Return the work that waits beyond what delays no request too much. Requests over
 	 * share don't count, as the others overtake them.
--- a/core/src/main/java/org/acaciacourse/core/share/PoolShares.java
+++ b/core/src/main/java/org/acaciacourse/core/share/PoolShares.java
@@ -37,6 +37,9 @@
 	/** The finished work of a new VM or fleet isn't known before. */
 	private static final long WARM_UP_NANOS = RecentWork.TIME_CONSTANT_NANOS;
 
+	/** A VM that had none to send must not send many at once. */
+	private static final double MAX_SLOTS_EARNED = 1;
+
 	/** More customers than have work in any few seconds. */
 	private static final int MAX_REMAINDERS = 4_096;
 
@@ -68,6 +71,15 @@
 
 	private long overShare;
 
+	private int freeSlots;
+
+	private int vms = 1;
+
+	/** The requests over share that may be sent to plain endpoints. */
+	private double slotsEarned;
+
+	private long earnedAt;
+
 	/**
 	 * Create the shares of a pool.
 	 * @param works the work of all customers
@@ -84,6 +96,7 @@
 		this.load = load;
 		this.random = new Random(seed);
 		this.startedAt = now;
+		this.earnedAt = now;
 		this.dividedAt = now - UPDATE_NANOS;
 		this.shortUntil = now - 1;
 	}
@@ -127,6 +140,8 @@
 		if (now - this.dividedAt >= UPDATE_NANOS) {
 			this.dividedAt = now;
 			PoolLoad current = this.load.get();
+			this.freeSlots = Math.max(0, current.slots() - current.running());
+			this.vms = current.vms();
 			if (current.isShort()) {
 				this.shortUntil = now + HOLD_NANOS;
 			}
@@ -160,6 +175,28 @@
 				byCustomer);
 	}
 
+	/**
+	 * Return whether a request over share may take a free slot of a plain endpoint. All
+	 * VMs see the same free slots, up to 0.9 s late: if each used them at once, requests
+	 * within their shares would queue behind theirs. Together they therefore use as many
+	 * in the time of a request as are free.
+	 * @param now the time
+	 * @return whether this VM's part of the free slots permits one more
+	 */
+	public boolean mayTakeFreeSlot(long now) {
+		division(now);
+		double nanosPerRequest = this.meanWork / RequestWork.WORK_PER_SLOT_NANO;
+		double earned = (now - this.earnedAt) * this.freeSlots / (nanosPerRequest * this.vms);
+		this.earnedAt = now;
+		this.slotsEarned = Math.min(MAX_SLOTS_EARNED, this.slotsEarned + earned);
+		return this.slotsEarned >= 1;
+	}
+
+	/** A request over share was sent to a free slot. */
+	public void freeSlotTaken() {
+		this.slotsEarned -= 1;
+	}
+
 	double meanWork() {
 		return this.meanWork;
 	}
--- a/core/src/main/java/org/acaciacourse/core/share/RequestWork.java
+++ b/core/src/main/java/org/acaciacourse/core/share/RequestWork.java
@@ -22,7 +22,7 @@
 	private static final long MIN_WORK = 100;
 
 	/** An engine with 24 slots prefills some 93 tokens per millisecond. */
-	private static final double WORK_PER_SLOT_MILLI = 4;
+	static final double WORK_PER_SLOT_NANO = 4.0 / TimeUnit.MILLISECONDS.toNanos(1);
 
 	private final PoolShares shares;
 
@@ -34,6 +34,8 @@
 
 	private boolean atEngine;
 
+	private boolean begun;
+
 	private double charged;
 
 	private long chargedAt;
@@ -75,6 +77,7 @@
 			this.prefill = this.charged;
 			this.finished = 0;
 			this.events = 0;
+			this.begun = false;
 			this.shares.charge(this.key, this.charged, now);
 		}
 	}
@@ -107,16 +110,21 @@
 	}
 
 	/**
-	 * An event of the response was forwarded.
+	 * The response has begun, which shows that the prompt is prefilled.
 	 * @param now the time
 	 */
-	public void eventForwarded(long now) {
-		this.events++;
-		if (this.events == 1) {
+	public void began(long now) {
+		this.begun = true;
+		if (this.atEngine) {
 			finish(this.prefill, now);
 		}
 	}
 
+	/** An event of the response was forwarded. */
+	public void eventForwarded() {
+		this.events++;
+	}
+
 	/**
 	 * The attempt ended, or its request did before it was placed.
 	 * @param run whether an endpoint has run it
@@ -130,14 +138,15 @@
 		double work = (run) ? seen(now) : 0;
 		correct(work, now);
 		if (run) {
-			finish(work, now);
+			// A prompt that nothing has followed may still wait at its engine.
+			finish((this.begun || !this.atEngine) ? work : 0, now);
 			this.shares.ended(work);
 		}
 	}
 
 	private double seen(long now) {
 		return (this.atEngine) ? this.prefill + WORK_PER_OUTPUT_TOKEN * this.events
-				: this.slotShare * WORK_PER_SLOT_MILLI * (now - this.placedAt) / TimeUnit.MILLISECONDS.toNanos(1);
+				: this.slotShare * WORK_PER_SLOT_NANO * (now - this.placedAt);
 	}
 
 	private void finish(double work, long now) {
--- a/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/LoadExchangeTests.java
@@ -192,7 +192,7 @@
 			this.exchange = new LoadExchange(this.self, this.loads, now, now);
 			this.exchange.maxDirectPeers(MAX_DIRECT_PEERS);
 			this.exchange.customers(this.customers);
-			this.shares = new PoolShares(this.customers, "llm", () -> new PoolLoad(0, 0, 0, 1), index, now);
+			this.shares = new PoolShares(this.customers, "llm", () -> new PoolLoad(0, 0, 0, 1, 1), index, now);
 			this.nextTick = now + index % 100 * MILLI;
 		}
 
--- a/core/src/test/java/org/acaciacourse/core/balance/PlacementQueueTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PlacementQueueTests.java
@@ -21,4 +21,14 @@
 		assertThat(queue.size()).isEqualTo(3);
 	}
 
+	// Guards against a burst of a customer over share ahead of the other customers.
+	@Test
+	void requestsOverShareGoBehindTheOthersOfTheirRankOnly() {
+		PlacementQueue<String> queue = new PlacementQueue<>();
+		queue.add("over", 1, true, 5);
+		queue.add("within", 1, false, 9);
+		queue.add("less urgent", 2, false, 1);
+		assertThat(queue.inOrder()).containsExactly("within", "over", "less urgent").inOrder();
+	}
+
 }
--- a/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
+++ b/core/src/test/java/org/acaciacourse/core/route/UrgencyScaleTests.java
@@ -143,6 +143,83 @@
 
 	}
 
+	@Nested
+	class OverShare {
+
+		private static List<KeyOwner> owners(int count) {
+			return IntStream.range(0, count).mapToObj((i) -> owner(OptionalInt.of(i))).toList();
+		}
+
+		@Test
+		void ranksBehindItsPairAndBeforeTheNextOne() {
+			List<Route> routes = List.of(route(0), route(1), route(2));
+			List<KeyOwner> owners = owners(1);
+			UrgencyScale scale = new UrgencyScale(routes, owners, true);
+			Optional<KeyOwner> owner = Optional.of(owners.get(0));
+			List<Integer> ranks = List.of(scale.rank(route(0), owner), scale.overShareRank(route(0), owner).getAsInt(),
+					scale.rank(route(1), owner), scale.overShareRank(route(1), owner).getAsInt(),
+					scale.rank(route(2), owner), scale.deferredRank(route(2), owner).getAsInt(),
+					scale.overShareRank(route(2), owner).getAsInt());
+			assertThat(ranks).containsExactly(0, 1, 2, 3, 4, 5, 6).inOrder();
+		}
+
+		/*
+		 * Endpoints preempt by rank. Guards against a request that is preempted while
+		 * less urgent ones run, in tables with and without enough ranks.
+		 */
+		@Test
+		void isNeverBehindALowerPair() {
+			for (int levels = 1; levels <= 7; levels++) {
+				for (int customers = 1; customers <= 5; customers++) {
+					List<Route> routes = IntStream.range(0, levels)
+						.mapToObj((i) -> route(i * 3, i % 2 == 0, (i % 3 == 0) ? "llm" : "other"))
+						.toList();
+					assertOrdered(routes, owners(customers));
+				}
+			}
+		}
+
+		private void assertOrdered(List<Route> routes, List<KeyOwner> owners) {
+			UrgencyScale scale = new UrgencyScale(routes, owners, true);
+			int highest = 0;
+			for (KeyOwner owner : owners) {
+				for (Route route : routes) {
+					int rank = scale.rank(route, Optional.of(owner));
+					assertThat(rank).isAtLeast(highest);
+					int over = scale.overShareRank(route, Optional.of(owner)).orElse(rank);
+					assertThat(over).isAtLeast(rank);
+					assertThat(over).isLessThan(UrgencyScale.RANKS);
+					highest = over;
+				}
+			}
+		}
+
+		// Six pairs and two deferred ranks leave two of the ten ranks.
+		@Test
+		void leastUrgentPairsGetTheRanksThatAreLeft() {
+			List<Route> routes = List.of(route(0), route(1), route(2));
+			List<KeyOwner> owners = owners(2);
+			UrgencyScale scale = new UrgencyScale(routes, owners, true);
+			Optional<KeyOwner> low = Optional.of(owners.get(1));
+			assertThat(scale.overShareRank(route(2), low)).isEqualTo(OptionalInt.of(9));
+			assertThat(scale.overShareRank(route(1), low).isPresent()).isTrue();
+			assertThat(scale.overShareRank(route(0), low)).isEqualTo(OptionalInt.empty());
+			assertThat(scale.overShareRank(route(2), Optional.of(owners.get(0)))).isEqualTo(OptionalInt.empty());
+			assertThat(scale.rank(route(2), low)).isLessThan(scale.deferredRank(route(2), low).getAsInt());
+		}
+
+		// Where shares are off, endpoints get the same ranks as before.
+		@Test
+		void scaleWithoutSharesHasNone() {
+			UrgencyScale scale = new UrgencyScale(List.of(route(0), route(1)), owners(1));
+			Optional<KeyOwner> owner = Optional.of(owners(1).get(0));
+			assertThat(scale.overShareRank(route(1), owner)).isEqualTo(OptionalInt.empty());
+			assertThat(scale.rank(route(1), owner)).isEqualTo(1);
+			assertThat(scale.deferredRank(route(1), owner)).isEqualTo(OptionalInt.of(2));
+		}
+
+	}
+
 	@Nested
 	class ManyLevels {
 
--- a/core/src/test/java/org/acaciacourse/core/share/RequestWorkTests.java
+++ b/core/src/test/java/org/acaciacourse/core/share/RequestWorkTests.java
@@ -19,7 +19,7 @@
 
 	private final CustomerShares works = new CustomerShares();
 
-	private final PoolShares shares = new PoolShares(this.works, POOL, () -> new PoolLoad(0, 0, 0, 1), 1, 0);
+	private final PoolShares shares = new PoolShares(this.works, POOL, () -> new PoolLoad(0, 0, 0, 1, 1), 1, 0);
 
 	private double charged(String customer, long now) {
 		return this.works.sum(now).byKey().getOrDefault(CustomerKey.of(POOL, customer), 0.0);
@@ -34,7 +34,8 @@
 		RequestWork request = this.shares.begin("a", 0);
 		request.placedAtEngine(5_000, 100, CACHE_TOKENS, 0);
 		assertThat(charged("a", 0)).isWithin(1).of(6_000);
-		IntStream.range(0, 7).forEach((i) -> request.eventForwarded(0));
+		request.began(0);
+		IntStream.range(0, 7).forEach((i) -> request.eventForwarded());
 		request.ended(true, 0);
 		assertThat(charged("a", 0)).isWithin(1).of(5_070);
 		assertThat(finished(0)).isWithin(1).of(5_070);
@@ -50,6 +51,16 @@
 		assertThat(finished(900 * MILLI)).isWithin(1).of(0);
 	}
 
+	// Guards against time-outs in a queue that look like capacity.
+	@Test
+	void promptThatNothingFollowedIsNotFinished() {
+		RequestWork request = this.shares.begin("a", 0);
+		request.placedAtEngine(5_000, 100, CACHE_TOKENS, 0);
+		request.ended(true, 0);
+		assertThat(charged("a", 0)).isWithin(1).of(5_000);
+		assertThat(finished(0)).isWithin(1).of(0);
+	}
+
 	@Test
 	void eachAttemptIsCharged() {
 		RequestWork request = this.shares.begin("a", 0);
@@ -71,7 +82,7 @@
 		assertThat(charged("a", 0)).isWithin(1).of(CACHE_TOKENS);
 		RequestWork none = this.shares.begin("b", 0);
 		none.placedAtEngine(-5, -5, CACHE_TOKENS, 0);
-		IntStream.range(0, 30).forEach((i) -> none.eventForwarded(0));
+		IntStream.range(0, 30).forEach((i) -> none.eventForwarded());
 		none.ended(true, 0);
 		assertThat(charged("b", 0)).isWithin(1).of(400);
 	}
--- a/core/src/test/java/org/acaciacourse/core/share/SharesFleet.java
+++ b/core/src/test/java/org/acaciacourse/core/share/SharesFleet.java
@@ -192,7 +192,8 @@
 			if (request.left > 0) {
 				return false;
 			}
-			IntStream.range(0, request.events).forEach((i) -> request.work.eventForwarded(now()));
+			request.work.began(now());
+			IntStream.range(0, request.events).forEach((i) -> request.work.eventForwarded());
 			request.work.ended(true, now());
 			this.served[request.customer] += (!this.counting) ? 0 : request.prompt + 10.0 * request.events;
 			return true;
@@ -226,7 +227,7 @@
 			.mapToLong((request) -> request.prompt)
 			.sum();
 		this.loads.add(new PoolLoad(work, SLOTS * SLOT_RATE * TARGET_MILLIS, this.running.size() + this.waiting.size(),
-				SLOTS));
+				SLOTS, VMS));
 		if (this.loads.size() > DELAY_MILLIS) {
 			this.loads.remove();
 		}
@@ -247,7 +248,7 @@
 
 	// The load as it was when the latest digests were told.
 	private PoolLoad knownLoad() {
-		return (this.loads.isEmpty()) ? new PoolLoad(0, 0, 0, SLOTS) : this.loads.peek();
+		return (this.loads.isEmpty()) ? new PoolLoad(0, 0, 0, SLOTS, VMS) : this.loads.peek();
 	}
 
 	private record Told(int vm, CustomerWorks works, long at) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ExchangeTelemetry.java
@@ -76,7 +76,7 @@
 
 	// The request is sent again; "left" is the rest of the retry budget after that.
 	void retried(String instance, double left) {
-		PoolStates.Sharing sharing = this.context.pools().sharing();
+		RetrySharing sharing = this.context.pools().sharing();
 		DecisionLog.write(LogEvent.RETRY, this.request.metadata().id(), this.request.pool(), instance,
 				Math.round(left * 100) / 100.0, sharing.vms(), sharing.countAge().toMillis(),
 				sharing.uptime().toMillis(), millisUntil(System.nanoTime()));
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/LoadGossip.java
@@ -87,6 +87,7 @@
 		this.address = InternalConnection.parse(self.address());
 		// After a restart, sequence numbers start above those sent before.
 		this.exchange = new LoadExchange(self, pools.peers(), System.currentTimeMillis() * 1_000, System.nanoTime());
+		this.exchange.customers(pools.shares().works());
 	}
 
 	/** Begin to send and receive digests. */
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolQueue.java
@@ -36,8 +36,8 @@
 		this.loop = loop;
 	}
 
-	void add(RoutedExchange exchange, int urgency, long dueAt) {
-		this.waiting.add(exchange, urgency, dueAt);
+	void add(RoutedExchange exchange, int urgency, boolean overShare, long dueAt) {
+		this.waiting.add(exchange, urgency, overShare, dueAt);
 		placeWaiting();
 	}
 
@@ -51,10 +51,17 @@
 
 	private void placeWaiting() {
 		int misses = 0;
+		boolean slotFree = true;
 		for (RoutedExchange exchange : this.waiting.inOrder()) {
 			if (misses >= MAX_MISSES) {
 				break;
 			}
+			// With no slot free for one request over share, there is none for the next.
+			// They must not keep less urgent requests from being placed.
+			if (exchange.share().needsFreeSlot()) {
+				slotFree = slotFree && exchange.share().mayBePlaced() && exchange.tryPlace();
+				continue;
+			}
 			misses += (exchange.tryPlace() || exchange.isBoundToVersion()) ? 0 : 1;
 		}
 		if (this.waiting.size() > 0 && !this.scheduled) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -57,6 +57,8 @@
 
 	private final RateLimitLog rateLimitLog = new RateLimitLog();
 
+	private final ShareStates shares = new ShareStates(this);
+
 	private final LeavingEndpoints leaving = new LeavingEndpoints();
 
 	private Fleet listed = Fleet.NONE;
@@ -202,6 +204,10 @@
 		return this.rests;
 	}
 
+	ShareStates shares() {
+		return this.shares;
+	}
+
 	PeerLoads peers() {
 		return this.peers;
 	}
@@ -299,14 +305,15 @@
 	 * Return the number of VMs among which the retry budgets are divided.
 	 * @return the number, the age of the count and the uptime
 	 */
-	Sharing sharing() {
+	RetrySharing sharing() {
 		long now = System.nanoTime();
-		return new Sharing(this.sharers.orElse(0), Duration.ofNanos(now - this.countedAt),
+		return new RetrySharing(this.sharers.orElse(0), Duration.ofNanos(now - this.countedAt),
 				Duration.ofNanos(now - this.startedAt));
 	}
 
-	/** Log the pools whose division of engines has changed; called periodically. */
+	/** Log the pools whose division has changed; called periodically. */
 	void logDivisions() {
+		this.shares.log();
 		this.states.forEach((pool, state) -> state.balancer().division().ifPresent((next) -> {
 			if (next.engines() != state.loggedEngines && this.declaredPool(pool).map(Pool::isEngine).orElse(false)) {
 				state.loggedEngines = next.engines();
@@ -365,7 +372,7 @@
 		this.states.forEach((name, state) -> gauges.put(name,
 				new RouteGauges.Pool(state.queue().size(),
 						state.balancer().localLoads().stream().mapToInt(PeerLoads.Load::inFlight).sum(),
-						state.allowance().left(now))));
+						state.allowance().left(now), this.shares.isShort(name, now))));
 		return gauges;
 	}
 
@@ -390,17 +397,6 @@
 		return this.endpoints.containsKey(instance);
 	}
 
-	/**
-	 * The number of VMs among which the retry budgets are divided.
-	 *
-	 * @param vms the number of VMs, 0 while it is not known
-	 * @param countAge the time since control last reported the number of entry VMs, or
-	 * since the start if it never did
-	 * @param uptime the time since this process began to account for retries
-	 */
-	record Sharing(int vms, Duration countAge, Duration uptime) {
-	}
-
 	/**
 	 * The state of a pool.
 	 */
@@ -426,6 +422,10 @@
 			this.queue = queue;
 		}
 
+		Duration shortestTarget() {
+			return this.shortestTarget;
+		}
+
 		private void setShortestTarget(Duration target) {
 			this.shortestTarget = target;
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
@@ -29,6 +29,8 @@
 
 	private final boolean brief;
 
+	private final RequestShare share;
+
 	private final PlacementWait wait = new PlacementWait();
 
 	/**
@@ -44,17 +46,24 @@
 		this.pool = this.pools.state(request.pool());
 		this.binding = binding;
 		this.startedAt = startedAt;
+		this.share = new RequestShare(context, request);
 		this.brief = this.pool.isBrief(request.route().target(),
 				this.pools.policy().value(RoutingParameter.NEARLY_SHORTEST));
 	}
 
+	// What the request takes of its customer's share of the pool.
+	RequestShare share() {
+		return this.share;
+	}
+
 	/**
 	 * Return what the request asks for now.
 	 * @param tried the instances that it was sent to
 	 * @return the request for an endpoint
 	 */
 	Placement wanted(Set<String> tried) {
-		return this.binding.restrict(unrestricted(tried));
+		Placement unrestricted = unrestricted(tried);
+		return this.binding.restrict((this.share.needsFreeSlot()) ? unrestricted.atFreeSlot() : unrestricted);
 	}
 
 	private Placement unrestricted(Set<String> tried) {
@@ -85,6 +94,10 @@
 	 * @return whether it must not wait any longer
 	 */
 	boolean isWaitTooLong(Placement wanted, long now) {
+		if (this.share.needsFreeSlot() && hasUntriedEndpoint(wanted.excluded(), now)) {
+			// It waits for others to need less, as long as its caller does.
+			return false;
+		}
 		Duration target = this.request.route().target();
 		boolean tooLong = this.wait.isTooLong(now, target, this.pools.fleet().revision() != 0);
 		return tooLong || this.wait.isTooLong(this.pool.balancer().restOfAll(wanted, now), target);
@@ -123,6 +136,9 @@
 	 * @return the position
 	 */
 	QueuePosition queuePosition(FleetEndpoint endpoint, long now) {
+		if (this.share.isOverShareAtEngine()) {
+			return QueuePosition.OVER_SHARE;
+		}
 		if (this.request.deferredUrgency().isEmpty()) {
 			return QueuePosition.OVERTAKES_OTHERS;
 		}
@@ -131,4 +147,17 @@
 		return (late) ? QueuePosition.DEFERRED : QueuePosition.BEHIND_OTHERS;
 	}
 
+	/**
+	 * Return the rank of the request at an engine.
+	 * @param position its position in the queue there
+	 * @return the rank, 0 is the highest
+	 */
+	int urgency(QueuePosition position) {
+		return switch (position) {
+			case DEFERRED -> this.request.deferredUrgency().orElseThrow();
+			case OVER_SHARE -> this.request.overShareUrgency().orElseThrow();
+			case OVERTAKES_OTHERS, BEHIND_OTHERS -> this.request.urgency();
+		};
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -38,6 +38,8 @@
 		perPool(registry, "acaciacourse_pool_waiting_requests", "Requests that wait for an endpoint", Pool::waiting);
 		perPool(registry, "acaciacourse_pool_in_flight_requests", "Requests at endpoints", Pool::inFlight);
 		perPool(registry, "acaciacourse_pool_retries_left", "Retries that the budget permits now", Pool::retriesLeft);
+		perPool(registry, "acaciacourse_pool_short", "Whether customers are kept to their shares of the pool",
+				(pool) -> (pool.shortOfCapacity()) ? 1 : 0);
 	}
 
 	private void gauge(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Snapshot> value) {
@@ -109,8 +111,9 @@
 	 * @param waiting requests that wait for an endpoint
 	 * @param inFlight requests at its endpoints
 	 * @param retriesLeft retries that the budget permits
+	 * @param shortOfCapacity whether customers are kept to their shares
 	 */
-	record Pool(int waiting, int inFlight, double retriesLeft) {
+	record Pool(int waiting, int inFlight, double retriesLeft, boolean shortOfCapacity) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -9,6 +9,7 @@
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.code.RunState;
 import org.acaciacourse.core.route.KeyOwner;
+import org.acaciacourse.core.route.RequestRanks;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.core.route.RouteTable;
 import org.acaciacourse.daemon.http.CallerRequest;
@@ -99,11 +100,8 @@
 			refuse(request, response, ResultCode.UNKNOWN_CUSTOMER, metadata);
 			return;
 		}
-		boolean ranked = this.context.pools().policy().isOn(RoutingMechanism.RANKS_OF_ROUTES);
-		RouteTable activeTable = this.table.get();
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), metadata, route.get(), owner,
-				(ranked) ? activeTable.urgency(route.get(), owner) : RouteTable.priority(route.get(), owner),
-				(ranked) ? activeTable.deferredUrgency(route.get(), owner) : OptionalInt.empty());
+				ranks(route.get(), owner));
 		if (routed.isResumption()) {
 			this.resumedStreams.bind(routed, response, arrivedAt, (bound) -> begin(bound, response, arrivedAt),
 					(code) -> refuse(request, response, code, metadata));
@@ -113,6 +111,15 @@
 		}
 	}
 
+	private RequestRanks ranks(Route route, Optional<KeyOwner> owner) {
+		RouteTable activeTable = this.table.get();
+		if (!this.context.pools().policy().isOn(RoutingMechanism.RANKS_OF_ROUTES)) {
+			return new RequestRanks(RouteTable.priority(route, owner), OptionalInt.empty());
+		}
+		return (this.context.pools().shares().isOn()) ? activeTable.ranksWithShares(route, owner)
+				: new RequestRanks(activeTable.urgency(route, owner), activeTable.deferredUrgency(route, owner));
+	}
+
 	private void begin(RoutedRequest request, CallerResponse response, long arrivedAt) {
 		new RoutedExchange(this.context, request, response, arrivedAt).start();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -43,6 +43,12 @@
 		.labelNames("pool")
 		.register(this.registry);
 
+	private final Counter overShare = Counter.builder()
+		.name("acaciacourse_pool_over_share_requests_total")
+		.help("Requests that went behind others as their customer was over its share of the pool")
+		.labelNames("pool")
+		.register(this.registry);
+
 	private final Histogram retryTransit = Histogram.builder()
 		.name("acaciacourse_pool_retry_transit_seconds")
 		.help("Time from sending a retry to the first sign that its endpoint received it")
@@ -121,6 +127,10 @@
 		this.retries.labelValues(pool).inc();
 	}
 
+	void overShare(String pool) {
+		this.overShare.labelValues(pool).inc();
+	}
+
 	void retryReceived(String pool, long nanos) {
 		this.retryTransit.labelValues(pool).observe(nanos / 1e9);
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -16,6 +16,7 @@
 import org.acaciacourse.core.attempt.AttemptEnd;
 import org.acaciacourse.core.attempt.RequestProgress;
 import org.acaciacourse.core.balance.Outcome;
+import org.acaciacourse.core.balance.PlacedRequest;
 import org.acaciacourse.core.balance.Placement;
 import org.acaciacourse.core.balance.QueuePosition;
 import org.acaciacourse.core.balance.RequestRetries;
@@ -149,12 +150,14 @@
 			fail(RETRY_BUDGET_EXHAUSTED);
 			return;
 		}
+		this.placement.share().queued();
+		boolean overShare = this.placement.share().isOverShare();
 		if (this.context.pools().policy().isOn(RoutingMechanism.ORDER_OF_THE_QUEUE)) {
 			long dueAt = this.startedAt + this.request.route().target().toNanos();
-			this.pool.queue().add(this, this.request.urgency(), dueAt);
+			this.pool.queue().add(this, this.request.urgency(), overShare, dueAt);
 		}
 		else {
-			this.pool.queue().add(this, 0, this.startedAt);
+			this.pool.queue().add(this, 0, overShare, this.startedAt);
 		}
 	}
 
@@ -248,10 +251,17 @@
 		return this.binding.isBound();
 	}
 
+	// What it takes of its customer's share.
+	RequestShare share() {
+		return this.placement.share();
+	}
+
 	private void startAttempt(FleetEndpoint endpoint, Placement wanted) {
 		this.queuePosition = this.placement.queuePosition(endpoint, System.nanoTime());
-		Attempt attempt = new Attempt(this, endpoint,
-				this.pool.balancer().begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime()));
+		PlacedRequest placed = this.pool.balancer()
+			.begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime());
+		this.placement.share().placed(endpoint, placed);
+		Attempt attempt = new Attempt(this, endpoint, placed);
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
 		this.context.connections().acquire(endpoint, (result) -> connected(attempt, endpoint, result));
@@ -316,8 +326,7 @@
 	}
 
 	private int urgency() {
-		return (this.queuePosition == QueuePosition.DEFERRED) ? this.request.deferredUrgency().orElseThrow()
-				: this.request.urgency();
+		return this.placement.urgency(this.queuePosition);
 	}
 
 	/**
@@ -344,6 +353,7 @@
 
 	private void recordEnd(AttemptEnd end) {
 		this.current = Optional.empty();
+		this.placement.share().ended(end.mayHaveRun());
 		this.progress.attemptEnded(end);
 		this.context.metrics().attemptEnded(end.name());
 	}
@@ -430,6 +440,7 @@
 
 	/** An endpoint has begun to run the request. */
 	void endpointBegan() {
+		this.placement.share().began();
 		this.context.usage().ifPresent((meter) -> this.request.customer().ifPresent(meter::began));
 	}
 
@@ -452,6 +463,7 @@
 	 */
 	void eventForwarded(OptionalLong id) {
 		this.progress.responseForwarded();
+		this.placement.share().eventForwarded();
 		this.telemetry.eventForwarded(System.nanoTime());
 		if (id.isPresent()) {
 			this.lastEventId = id;
@@ -561,6 +573,7 @@
 		this.binding.end();
 		this.pool.queue().remove(this);
 		this.retries.release();
+		this.placement.share().ended(this.current.isPresent() && this.progress.runState() != RunState.NOT_RUN);
 		this.current.ifPresent(Attempt::cancel);
 		this.current = Optional.empty();
 		return true;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -16,6 +16,7 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.route.KeyOwner;
 import org.acaciacourse.core.route.RequestKind;
+import org.acaciacourse.core.route.RequestRanks;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.core.stream.StreamKey;
 import org.acaciacourse.core.stream.StreamOrigin;
@@ -36,24 +37,25 @@
  * @param owner the customer, if there is a key
  * @param urgency the rank of the request, 0 is the highest
  * @param deferredUrgency its rank if it would be late in any case, if it can be deferred
+ * @param overShareUrgency its rank if it is over its customer's share, if there is one
  * @param idHash a hash of the request's id
  * @param origin where its stream began, if the caller takes one up
  */
 record RoutedRequest(String method, String requestTarget, HttpHeaders headers, byte[] body, boolean hasBody,
 		RequestDialect.RequestMetadata metadata, Route route, Optional<KeyOwner> owner, int urgency,
-		OptionalInt deferredUrgency, long idHash, Optional<StreamOrigin> origin) {
+		OptionalInt deferredUrgency, OptionalInt overShareUrgency, long idHash, Optional<StreamOrigin> origin) {
 
 	private static final LongHashFunction HASH = LongHashFunction.xx3();
 
 	static RoutedRequest of(CallerRequest request, RequestDialect dialect, RequestDialect.RequestMetadata metadata,
-			Route route, Optional<KeyOwner> owner, int urgency, OptionalInt deferredUrgency) {
+			Route route, Optional<KeyOwner> owner, RequestRanks ranks) {
 		HttpHeaders headers = HopByHopHeaders.endToEnd(request.headers());
 		boolean hasBody = request.headers().contains("content-length")
 				|| request.headers().contains("transfer-encoding");
 		dialect.removeReservedHeaders(headers);
 		long hash = HASH.hashBytes(metadata.id().getBytes(StandardCharsets.UTF_8));
 		return new RoutedRequest(request.method(), request.target(), headers, request.body(), hasBody, metadata, route,
-				owner, urgency, deferredUrgency, hash, Optional.empty());
+				owner, ranks.regular(), ranks.deferred(), ranks.overShare(), hash, Optional.empty());
 	}
 
 	/**
@@ -80,7 +82,8 @@
 	 */
 	RoutedRequest resumedAt(StreamOrigin where) {
 		return new RoutedRequest(this.method, this.requestTarget, this.headers, this.body, this.hasBody, this.metadata,
-				this.route, this.owner, this.urgency, this.deferredUrgency, this.idHash, Optional.of(where));
+				this.route, this.owner, this.urgency, this.deferredUrgency, this.overShareUrgency, this.idHash,
+				Optional.of(where));
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ShareStates.java
@@ -0,0 +1,84 @@
+package org.acaciacourse.daemon.route;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+import org.acaciacourse.core.balance.OptionalMechanism;
+import org.acaciacourse.core.share.CustomerShares;
+import org.acaciacourse.core.share.PoolShares;
+import org.acaciacourse.daemon.telemetry.DecisionLog;
+import org.acaciacourse.daemon.telemetry.LogEvent;
+
+/**
+ * The shares of customers in the pools of an entry VM, where the routing policy has them.
+ * <p>
+ * Not thread safe: belongs to the event loop.
+ */
+final class ShareStates {
+
+	private final PoolStates pools;
+
+	private final CustomerShares works = new CustomerShares();
+
+	private final Map<String, PoolShares> shares = new HashMap<>();
+
+	/** The pools that were short of capacity when it was last logged. */
+	private final Map<String, Boolean> loggedShort = new HashMap<>();
+
+	ShareStates(PoolStates pools) {
+		this.pools = pools;
+	}
+
+	// The work of customers in all pools, which digests tell.
+	CustomerShares works() {
+		return this.works;
+	}
+
+	boolean isOn() {
+		return this.pools.policy().isOn(OptionalMechanism.CUSTOMER_SHARES, false);
+	}
+
+	/**
+	 * Return the shares of a pool.
+	 * @param pool its name
+	 * @return the shares, if customers have any there
+	 */
+	Optional<PoolShares> of(String pool) {
+		return (isOn()) ? Optional.of(this.shares.computeIfAbsent(pool, this::create)) : Optional.empty();
+	}
+
+	private PoolShares create(String pool) {
+		PoolStates.State state = this.pools.state(pool);
+		return new PoolShares(this.works, pool,
+				() -> state.balancer().poolLoad(state.shortestTarget(), System.nanoTime()),
+				ThreadLocalRandom.current().nextLong(), System.nanoTime());
+	}
+
+	/**
+	 * Return whether a pool is short of capacity.
+	 * @param pool its name
+	 * @param now the time
+	 * @return whether customers have shares there and it is divided now
+	 */
+	boolean isShort(String pool, long now) {
+		return isOn() && this.shares.containsKey(pool) && this.shares.get(pool).division(now).isShort();
+	}
+
+	/** Log the pools in which a shortage began or ended; called periodically. */
+	void log() {
+		long now = System.nanoTime();
+		this.shares.forEach((pool, state) -> {
+			boolean isShort = isShort(pool, now);
+			if (isShort != this.loggedShort.getOrDefault(pool, false)) {
+				this.loggedShort.put(pool, isShort);
+				PoolShares.Division division = state.division(now);
+				Long level = (Double.isFinite(division.level())) ? Math.round(division.level()) : null;
+				DecisionLog.write(LogEvent.CUSTOMER_SHARES, pool, isShort, level, Math.round(division.capacity()),
+						division.works().size(), division.customersOver(), state.overShare());
+			}
+		});
+	}
+
+}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -132,6 +132,14 @@
 	 */
 	DIVISION("division", "pool", "engines", "brief_running", "waiting_work"),
 
+	/**
+	 * A shortage of a pool began or ended, in which customers are kept to their shares:
+	 * the fair share of a customer and what is divided, in tokens of recent work, how
+	 * many customers have any, how many of them are over their share, and how many
+	 * requests of this VM were over share since its start.
+	 */
+	CUSTOMER_SHARES("customer-shares", "pool", "short", "share", "capacity", "customers", "over", "requests"),
+
 	/**
 	 * The number of refusals within a second after which an endpoint of the pool fails; 0
 	 * once no endpoint states one any longer.
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -55,7 +55,7 @@
 	void snapshotIsExposedAsGauges() throws IOException {
 		this.metrics.gauges()
 			.publish(new RouteGauges.Snapshot(3, 5, 7, 9, 8, 12, 1.5, 6,
-					Map.of("engines", new RouteGauges.Pool(2, 4, 6.5)),
+					Map.of("engines", new RouteGauges.Pool(2, 4, 6.5, false)),
 					new RoutingPolicy("p", Set.of(RoutingMechanism.PAUSES), Map.of())));
 		String page = page();
 		assertThat(page).contains("acaciacourse_routed_open_requests 3.0");
