Log of customer shares tells when customers exceed them

The line was written when a shortage began, before any share was known, so that it never told the share or who exceeded it. It is written as well when the first customer exceeds its share and when the last no longer does.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ShareStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ShareStates.java
@@ -24,8 +24,8 @@
 
 	private final Map<String, PoolShares> shares = new HashMap<>();
 
-	/** The pools that were short of capacity when it was last logged. */
-	private final Map<String, Boolean> loggedShort = new HashMap<>();
+	/** What was last logged of each pool. */
+	private final Map<String, Logged> logged = new HashMap<>();
 
 	ShareStates(PoolStates pools) {
 		this.pools = pools;
@@ -66,14 +66,18 @@
 		return isOn() && this.shares.containsKey(pool) && this.shares.get(pool).division(now).isShort();
 	}
 
-	/** Log the pools in which a shortage began or ended; called periodically. */
+	/**
+	 * Log the pools in which a shortage began or ended, or the first customer exceeded
+	 * its share or the last one no longer does; called periodically.
+	 */
 	void log() {
 		long now = System.nanoTime();
 		this.shares.forEach((pool, state) -> {
 			boolean isShort = isShort(pool, now);
-			if (isShort != this.loggedShort.getOrDefault(pool, false)) {
-				this.loggedShort.put(pool, isShort);
-				PoolShares.Division division = state.division(now);
+			PoolShares.Division division = state.division(now);
+			Logged next = new Logged(isShort, isShort && division.customersOver() > 0);
+			if (!next.equals(this.logged.getOrDefault(pool, Logged.NONE))) {
+				this.logged.put(pool, next);
 				Long level = (Double.isFinite(division.level())) ? Math.round(division.level()) : null;
 				DecisionLog.write(LogEvent.CUSTOMER_SHARES, pool, isShort, level, Math.round(division.capacity()),
 						division.works().size(), division.customersOver(), state.overShare());
@@ -81,4 +85,10 @@
 		});
 	}
 
+	private record Logged(boolean isShort, boolean anyOver) {
+
+		private static final Logged NONE = new Logged(false, false);
+
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -133,10 +133,11 @@
 	DIVISION("division", "pool", "engines", "brief_running", "waiting_work"),
 
 	/**
-	 * A shortage of a pool began or ended, in which customers are kept to their shares:
-	 * the fair share of a customer and what is divided, in tokens of recent work, how
-	 * many customers have any, how many of them are over their share, and how many
-	 * requests of this VM were over share since its start.
+	 * A shortage of a pool began or ended, in which customers are kept to their shares,
+	 * or the first of them exceeded its share or the last no longer does: the fair share
+	 * of a customer and what is divided, in tokens of recent work, how many customers
+	 * have any, how many of them are over their share, and how many requests of this VM
+	 * were over share since its start.
 	 */
 	CUSTOMER_SHARES("customer-shares", "pool", "short", "share", "capacity", "customers", "over", "requests"),
 
