--- a/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/LoadDigest.java
@@ -6,6 +6,7 @@
 import java.util.stream.IntStream;
 
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerWorks;
 import org.acaciacourse.core.speed.SpeedStatement;
 import org.acaciacourse.core.speed.SpeedTable;
 
@@ -26,11 +27,12 @@
  * senders
  * @param facts what VMs have lately seen of features of requests that may crash endpoints
  * @param limits the limits on their requests that endpoints have lately stated
+ * @param customers the recent work of customers
  * @param speeds the speeds of endpoints of which VMs have observed something new
  */
 public record LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
 		List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts, List<RateLimits.Statement> limits,
-		List<SpeedStatement> speeds) {
+		CustomerWorks customers, List<SpeedStatement> speeds) {
 
 	/** Endpoints in a part, which together with the rest fit into a packet. */
 	private static final int MAX_LOADS_PER_PART = 60;
@@ -64,7 +66,7 @@
 	}
 
 	/**
-	 * Make a part of a digest that tells no speeds.
+	 * Create a digest without the work of customers and the speeds of endpoints.
 	 * @param kind what it covers
 	 * @param sequence its sequence number
 	 * @param part the index of this part
@@ -79,7 +81,7 @@
 	public LoadDigest(Kind kind, long sequence, int part, int parts, int vms, List<PeerLoads.Load> loads,
 			List<PartUse> uses, Map<Integer, Long> acknowledged, List<FeatureFact> facts,
 			List<RateLimits.Statement> limits) {
-		this(kind, sequence, part, parts, vms, loads, uses, acknowledged, facts, limits, List.of());
+		this(kind, sequence, part, parts, vms, loads, uses, acknowledged, facts, limits, CustomerWorks.NONE, List.of());
 	}
 
 	/**
@@ -97,22 +99,32 @@
 
 	LoadDigest withAcknowledged(Map<Integer, Long> reports) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses, reports,
-				this.facts, this.limits, this.speeds);
+				this.facts, this.limits, this.customers, this.speeds);
 	}
 
 	LoadDigest withFacts(List<FeatureFact> featureFacts) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, featureFacts, this.limits, this.speeds);
+				this.acknowledged, featureFacts, this.limits, this.customers, this.speeds);
 	}
 
 	LoadDigest withLimits(List<RateLimits.Statement> statements) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, this.facts, statements, this.speeds);
+				this.acknowledged, this.facts, statements, this.customers, this.speeds);
 	}
 
 	LoadDigest withSpeeds(List<SpeedStatement> statements) {
 		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
-				this.acknowledged, this.facts, this.limits, statements);
+				this.acknowledged, this.facts, this.limits, this.customers, statements);
+	}
+
+	/**
+	 * Return the same digest with the work of customers.
+	 * @param works the works
+	 * @return the digest
+	 */
+	public LoadDigest withCustomers(CustomerWorks works) {
+		return new LoadDigest(this.kind, this.sequence, this.part, this.parts, this.vms, this.loads, this.uses,
+				this.acknowledged, this.facts, this.limits, works, this.speeds);
 	}
 
 	/**
@@ -123,7 +135,7 @@
 		int needed = IntStream
 			.of(chunkCount(this.loads.size(), MAX_LOADS_PER_PART), chunkCount(this.uses.size(), MAX_USES_PER_PART),
 					chunkCount(this.facts.size(), MAX_FACTS_PER_PART),
-					chunkCount(this.limits.size(), MAX_LIMITS_PER_PART))
+					chunkCount(this.limits.size(), MAX_LIMITS_PER_PART), this.customers.parts())
 			.max()
 			.getAsInt();
 		int count = Math.max(1, Math.min(MAX_PARTS, needed));
@@ -132,7 +144,7 @@
 			all.add(new LoadDigest(this.kind, this.sequence, i, count, this.vms,
 					chunk(this.loads, i, MAX_LOADS_PER_PART), chunk(this.uses, i, MAX_USES_PER_PART), this.acknowledged,
 					chunk(this.facts, i, MAX_FACTS_PER_PART), chunk(this.limits, i, MAX_LIMITS_PER_PART),
-					chunk(this.speeds, i, SpeedTable.MAX_STATEMENTS)));
+					this.customers.part(i), chunk(this.speeds, i, SpeedTable.MAX_STATEMENTS)));
 		}
 		return all;
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PrefillRate.java
@@ -70,4 +70,13 @@
 		return DEFAULT_TOKENS_PER_MILLI + learnedWeight * (this.tokensPerMilli - DEFAULT_TOKENS_PER_MILLI);
 	}
 
+	/**
+	 * Return the estimated work that an engine does in some time.
+	 * @param nanos the time
+	 * @return the work in prompt tokens
+	 */
+	double workIn(long nanos) {
+		return this.tokensPerMilli * nanos / 1e6;
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/LoadDigestCodec.java
@@ -12,11 +12,15 @@
 import org.acaciacourse.core.balance.PromptShape;
 import org.acaciacourse.core.balance.RateLimits;
 import org.acaciacourse.core.crash.FeatureFact;
+import org.acaciacourse.core.share.CustomerWork;
+import org.acaciacourse.core.share.CustomerWorks;
 import org.acaciacourse.core.speed.SpeedStatement;
 import org.acaciacourse.core.stream.OriginMessage;
+import org.acaciacourse.protocol.generated.CustomerWorkRecord;
 import org.acaciacourse.protocol.generated.EndpointLoadRecord;
 import org.acaciacourse.protocol.generated.FeatureFactRecord;
 import org.acaciacourse.protocol.generated.LoadDigestRecord;
+import org.acaciacourse.protocol.generated.OtherCustomersRecord;
 import org.acaciacourse.protocol.generated.PartUseRecord;
 import org.acaciacourse.protocol.generated.RateLimitRecord;
 import org.acaciacourse.protocol.generated.SpeedRecord;
@@ -66,6 +70,9 @@
 				.map((speed) -> new SpeedRecord(speed.endpoint(), speed.thousandths(), speed.weight()))
 				.toList());
 		}
+		if (!digest.customers().equals(CustomerWorks.NONE)) {
+			addCustomers(record, digest.customers());
+		}
 		return ThriftBytes.encode(record);
 	}
 
@@ -91,7 +98,7 @@
 				(record.isSetHeard()) ? record.getHeard() : Map.of(),
 				(record.isSetFacts()) ? record.getFacts().stream().map(LoadDigestCodec::fact).toList() : List.of(),
 				(record.isSetLimits()) ? record.getLimits().stream().map(LoadDigestCodec::limit).toList() : List.of(),
-				(record.isSetSpeeds()) ? speeds(record.getSpeeds()) : List.of());
+				customers(record), (record.isSetSpeeds()) ? speeds(record.getSpeeds()) : List.of());
 	}
 
 	// A statement that is out of range must not make the loads unreadable.
@@ -102,6 +109,22 @@
 			.toList();
 	}
 
+	private static void addCustomers(LoadDigestRecord record, CustomerWorks customers) {
+		record.setCustomers(
+				customers.largest().stream().map((work) -> new CustomerWorkRecord(work.key(), work.work())).toList());
+		record.setOtherCustomers(new OtherCustomersRecord(customers.others(), customers.otherWork()));
+	}
+
+	private static CustomerWorks customers(LoadDigestRecord record) {
+		List<CustomerWork> largest = (record.isSetCustomers()) ? record.getCustomers()
+			.stream()
+			.map((work) -> new CustomerWork(work.getCustomer(), work.getWork()))
+			.toList() : List.of();
+		OtherCustomersRecord others = (record.isSetOtherCustomers()) ? record.getOtherCustomers()
+				: new OtherCustomersRecord(0, 0);
+		return new CustomerWorks(largest, others.getNumber(), others.getWork());
+	}
+
 	private static RateLimitRecord limitRecord(RateLimits.Statement limit) {
 		RateLimitRecord record = new RateLimitRecord().setInstance(limit.endpoint()).setAgeMillis(limit.ageMillis());
 		limit.perSecond().ifPresent(record::setPerSecond);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PoolStates.java
@@ -56,6 +56,8 @@
 
 	private final ListedEndpoints listed;
 
+	private final ShareStates shares = new ShareStates(this);
+
 	private Map<String, FleetEndpoint> endpoints = Map.of();
 
 	/** The instances by their ids in digests. */
@@ -195,6 +197,10 @@
 		return this.rests;
 	}
 
+	ShareStates shares() {
+		return this.shares;
+	}
+
 	PeerLoads peers() {
 		return this.peers;
 	}
@@ -292,14 +298,15 @@
 	 * Return the number of VMs among which the retry budgets are divided.
 	 * @return the number, the age of the count and the uptime
 	 */
-	Sharing sharing() {
+	RetrySharing sharing() {
 		long now = System.nanoTime();
-		return new Sharing(this.sharers.orElse(0), Duration.ofNanos(now - this.countedAt),
+		return new RetrySharing(this.sharers.orElse(0), Duration.ofNanos(now - this.countedAt),
 				Duration.ofNanos(now - this.startedAt));
 	}
 
-	/** Log the pools whose division of engines has changed; called periodically. */
+	/** Log the pools whose division has changed; called periodically. */
 	void logDivisions() {
+		this.shares.log();
 		this.declaredPools.stream().filter(Pool::isEngine).forEach((pool) -> state(pool.name()).log.updateDivision());
 	}
 
@@ -345,10 +352,9 @@
 	 */
 	Map<String, RouteGauges.Pool> gauges(long now) {
 		Map<String, RouteGauges.Pool> gauges = new HashMap<>();
-		this.states.forEach((name, state) -> gauges.put(name,
-				new RouteGauges.Pool(state.queue().size(),
-						state.balancer().localLoads().stream().mapToInt(PeerLoads.Load::inFlight).sum(),
-						state.allowance().left(now), state.balancer().speeds().range())));
+		this.states.forEach((name, state) -> gauges.put(name, new RouteGauges.Pool(state.queue().size(),
+				state.balancer().localLoads().stream().mapToInt(PeerLoads.Load::inFlight).sum(),
+				state.allowance().left(now), state.balancer().speeds().range(), this.shares.isShort(name, now))));
 		return gauges;
 	}
 
@@ -369,17 +375,6 @@
 		return (int) this.endpoints.values().stream().filter((endpoint) -> endpoint.pool().equals(pool)).count();
 	}
 
-	/**
-	 * The number of VMs among which the retry budgets are divided.
-	 *
-	 * @param vms the number of VMs, 0 while it is not known
-	 * @param countAge the time since control last reported the number of entry VMs, or
-	 * since the start if it never did
-	 * @param uptime the time since this process began to account for retries
-	 */
-	record Sharing(int vms, Duration countAge, Duration uptime) {
-	}
-
 	/**
 	 * The state of a pool.
 	 */
@@ -404,6 +399,10 @@
 			this.queue = queue;
 		}
 
+		Duration shortestTarget() {
+			return this.shortestTarget;
+		}
+
 		private void setShortestTarget(Duration target) {
 			this.shortestTarget = target;
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteGauges.java
@@ -45,6 +45,8 @@
 				(pool) -> pool.speeds().lowest());
 		perPool(registry, "acaciacourse_pool_speed_highest", "Highest speed of an endpoint relative to the median",
 				(pool) -> pool.speeds().highest());
+		perPool(registry, "acaciacourse_pool_short", "Whether customers are kept to their shares of the pool",
+				(pool) -> (pool.shortOfCapacity()) ? 1 : 0);
 	}
 
 	private void gauge(PrometheusRegistry registry, String name, String help, ToDoubleFunction<Snapshot> value) {
@@ -117,8 +119,9 @@
 	 * @param inFlight requests at its endpoints
 	 * @param retriesLeft retries that the budget permits
 	 * @param speeds the lowest and the highest speed of its endpoints
+	 * @param shortOfCapacity whether customers are kept to their shares
 	 */
-	record Pool(int waiting, int inFlight, double retriesLeft, PoolSpeeds.Range speeds) {
+	record Pool(int waiting, int inFlight, double retriesLeft, PoolSpeeds.Range speeds, boolean shortOfCapacity) {
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -165,12 +165,14 @@
 			fail(RETRY_BUDGET_EXHAUSTED);
 			return;
 		}
+		this.placement.share().queued();
+		boolean overShare = this.placement.share().isOverShare();
 		if (this.context.pools().policy().isOn(RoutingMechanism.ORDER_OF_THE_QUEUE)) {
 			long dueAt = this.startedAt + this.request.route().target().toNanos();
-			this.pool.queue().add(this, this.request.urgency(), dueAt);
+			this.pool.queue().add(this, this.request.urgency(), overShare, dueAt);
 		}
 		else {
-			this.pool.queue().add(this, 0, this.startedAt);
+			this.pool.queue().add(this, 0, overShare, this.startedAt);
 		}
 	}
 
@@ -277,11 +279,17 @@
 		return this.binding.isBound();
 	}
 
+	// What it takes of its customer's share.
+	RequestShare share() {
+		return this.placement.share();
+	}
+
 	private void startAttempt(FleetEndpoint endpoint, Placement wanted) {
 		this.queuePosition = this.placement.queuePosition(endpoint, System.nanoTime());
 		PlacedRequest placed = this.pool.balancer()
 			.begin(endpoint.instance(), wanted, this.queuePosition, System.nanoTime());
 		this.placement.admission().sent(placed, System.nanoTime());
+		this.placement.share().placed(endpoint, placed);
 		Attempt attempt = new Attempt(this, endpoint, this.demand.placed(placed));
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
@@ -347,8 +355,7 @@
 	}
 
 	private int urgency() {
-		return (this.queuePosition == QueuePosition.DEFERRED) ? this.request.deferredUrgency().orElseThrow()
-				: this.request.urgency();
+		return this.placement.urgency(this.queuePosition);
 	}
 
 	/**
@@ -375,6 +382,7 @@
 
 	private void recordEnd(AttemptEnd end) {
 		this.current = Optional.empty();
+		this.placement.share().ended(end.mayHaveRun());
 		this.progress.attemptEnded(end);
 		this.context.metrics().attemptEnded(end.name());
 	}
@@ -462,6 +470,7 @@
 	/** An endpoint has begun to run the request. */
 	void endpointBegan() {
 		this.demand.answerBegan();
+		this.placement.share().began();
 		this.context.usage().ifPresent((meter) -> this.request.customer().ifPresent(meter::began));
 	}
 
@@ -484,6 +493,7 @@
 	 */
 	void eventForwarded(OptionalLong id) {
 		this.progress.responseForwarded();
+		this.placement.share().eventForwarded();
 		this.telemetry.eventForwarded(System.nanoTime());
 		this.demand.eventForwarded();
 		if (id.isPresent()) {
@@ -598,6 +608,7 @@
 		this.demand.ended();
 		this.pool.queue().remove(this);
 		this.retries.release();
+		this.placement.share().ended(this.current.isPresent() && this.progress.runState() != RunState.NOT_RUN);
 		this.current.ifPresent(Attempt::cancel);
 		this.current = Optional.empty();
 		return true;
