--- a/core/src/main/java/org/acaciacourse/core/admission/Freshness.java
+++ b/core/src/main/java/org/acaciacourse/core/admission/Freshness.java
@@ -1,6 +1,6 @@
 package org.acaciacourse.core.admission;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * How much of what was learned still holds. Invariant: the weight is 1 at an observation,
@@ -12,7 +12,7 @@
 final class Freshness {
 
 	/** A burst or the loss of an endpoint lasts for seconds. */
-	static final long VALIDITY_NANOS = TimeUnit.SECONDS.toNanos(10);
+	static final long VALIDITY_NANOS = Duration.ofSeconds(10).toNanos();
 
 	private boolean observed;
 
--- a/core/src/main/java/org/acaciacourse/core/admission/RankMix.java
+++ b/core/src/main/java/org/acaciacourse/core/admission/RankMix.java
@@ -1,6 +1,6 @@
 package org.acaciacourse.core.admission;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * Which part of the waiting work is of which rank. Entry VMs tell each other how much
@@ -20,7 +20,7 @@
 	/** The position behind all ranks, of requests that are deferred. */
 	static final int DEFERRED = RANKS;
 
-	private static final double DECAY_NANOS = TimeUnit.SECONDS.toNanos(3);
+	private static final double DECAY_NANOS = Duration.ofSeconds(3).toNanos();
 
 	private final long[] waiting = new long[RANKS + 1];
 
--- a/core/src/main/java/org/acaciacourse/core/admission/ServiceEstimate.java
+++ b/core/src/main/java/org/acaciacourse/core/admission/ServiceEstimate.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Estimates when endpoints of a pool answer, from what its requests showed: how long
@@ -16,10 +15,10 @@
 	private final RankMix mix = new RankMix();
 
 	/** A VM sends a few prompts per second; over less time their number says little. */
-	private final RecentWork lately = new RecentWork(TimeUnit.SECONDS.toNanos(1));
+	private final RecentWork lately = new RecentWork(Duration.ofSeconds(1).toNanos());
 
 	/** Deferred requests wait for seconds, in which the others overtake them. */
-	private final RecentWork overtaking = new RecentWork(TimeUnit.SECONDS.toNanos(3));
+	private final RecentWork overtaking = new RecentWork(Duration.ofSeconds(3).toNanos());
 
 	private final PlainDurations plain = new PlainDurations();
 
--- a/core/src/main/java/org/acaciacourse/core/memory/UnreadResponses.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/UnreadResponses.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.core.memory;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -8,7 +9,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Decides from which endpoints is read while callers do not read their responses, and
@@ -45,7 +45,7 @@
 	 * For how long the caller of a response that is ended for lack of memory has taken
 	 * nothing. Callers that read in bursts pause for less.
 	 */
-	private static final long STALLED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+	private static final long STALLED_NANOS = Duration.ofMillis(500).toNanos();
 
 	private final MemoryBudget budget;
 
--- a/core/src/main/java/org/acaciacourse/core/share/RequestWork.java
+++ b/core/src/main/java/org/acaciacourse/core/share/RequestWork.java
@@ -1,6 +1,6 @@
 package org.acaciacourse.core.share;
 
-import java.util.concurrent.TimeUnit;
+import java.time.Duration;
 
 /**
  * The work of one request, charged to its customer. It is charged by the mean of others
@@ -22,7 +22,7 @@
 	private static final long MIN_WORK = 100;
 
 	/** An engine with 24 slots prefills some 93 tokens per millisecond. */
-	static final double WORK_PER_SLOT_NANO = 4.0 / TimeUnit.MILLISECONDS.toNanos(1);
+	static final double WORK_PER_SLOT_NANO = 4.0 / Duration.ofMillis(1).toNanos();
 
 	private final PoolShares shares;
 
