--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -28,11 +28,6 @@
  */
 public final class PoolBalancer {
 
-	/**
-	 * The default target gap: the longest gap between events that current routes aim for.
-	 */
-	private static final long DEFAULT_GAP_MILLIS = 150;
-
 	private final Map<String, EndpointLoad> loads = new HashMap<>();
 
 	/** By the ids in digests, of which one arrives for every few requests. */
@@ -54,16 +49,14 @@
 
 	private long engineCacheTokens;
 
-	private long shortestGapMillis = DEFAULT_GAP_MILLIS;
-
 	private RoutingPolicy policy = RoutingPolicy.DEFAULT;
 
 	private PlacementCost cost = new PlacementCost(this.policy);
 
-	private long harmlessWork = harmlessWork();
-
 	private final BriefEngines briefEngines = new BriefEngines();
 
+	private final MixingCost mixingCost = new MixingCost(this.briefEngines);
+
 	private final PrefillRate prefillRate = new PrefillRate();
 
 	private final CandidateSampler briefSampler;
@@ -112,15 +105,11 @@
 	public void policy(RoutingPolicy next) {
 		this.policy = next;
 		this.cost = new PlacementCost(next);
-		this.harmlessWork = harmlessWork();
+		this.mixingCost.policy(next, this.cost);
 		this.briefEngines.policy(next, this.loads.values());
 		this.speeds.switchedOn((paceStated) -> next.isOn(OptionalMechanism.ENDPOINT_SPEED, paceStated));
 	}
 
-	private long harmlessWork() {
-		return Math.round(this.shortestGapMillis * this.policy.value(RoutingParameter.HARMLESS_WORK));
-	}
-
 	/**
 	 * Return the load of this VM.
 	 * @return the load at each endpoint that has any
@@ -143,8 +132,7 @@
 	 * @param millis the gap
 	 */
 	public void shortestGap(long millis) {
-		this.shortestGapMillis = millis;
-		this.harmlessWork = harmlessWork();
+		this.mixingCost.shortestGap(millis);
 	}
 
 	/**
@@ -254,7 +242,7 @@
 	private double cost(EndpointLoad load, Placement request, long cached, HomeRole role, long now) {
 		double sum = this.cost.of(load, request, cached, role, now);
 		if (isDivisionApplied(request)) {
-			sum += mixingCost(load, request, cached);
+			sum += this.mixingCost.of(load, request, cached);
 		}
 		if (!this.connected.test(load.endpoint().instance())) {
 			sum += this.cost.connectionCost();
@@ -266,18 +254,6 @@
 		return this.briefEngines.isDivided() && request.shape().promptTokens() > 0;
 	}
 
-	// An engine prefills prompts between the tokens of all its running responses: a long
-	// prompt delays the events of each brief response beyond their target gap.
-	private double mixingCost(EndpointLoad load, Placement request, long cached) {
-		boolean forBrief = this.briefEngines.contains(load);
-		if (request.brief()) {
-			return (forBrief) ? 0 : this.cost.briefElsewhereCost();
-		}
-		long work = request.shape().work(cached);
-		double delayCost = this.cost.briefDelayCost(load.briefRunning(), work, this.harmlessWork);
-		return (forBrief) ? delayCost + this.cost.reservedEngineCost(work, this.harmlessWork) : delayCost;
-	}
-
 	private HomeEndpoints homes(Placement request, List<EndpointLoad> usable) {
 		PromptShape shape = request.shape();
 		if (shape.sharedId() == 0 || !request.affinity() || request.brief()
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -132,7 +132,7 @@
 					request.path(), this.context.pools().tableNumber(),
 					(code.isRetryable()) ? RETRY_AFTER.toMillis() : null);
 		}
-		RoutedExchange.refuse(this.context.dialect(), response,
+		RefusalWriter.write(this.context.dialect(), response,
 				Refusal.of(code, RunState.NOT_RUN, Optional.of(RETRY_AFTER)));
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -7,10 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
 import org.acaciacourse.core.admission.AdmissionDecision;
@@ -565,23 +562,10 @@
 			this.response.abort();
 			return;
 		}
-		refuse(this.context.dialect(), this.response,
+		RefusalWriter.write(this.context.dialect(), this.response,
 				Refusal.of(code, this.progress.runState(), Optional.of(retryAfter)));
 	}
 
-	/**
-	 * Refuse a request.
-	 * @param dialect writes the headers
-	 * @param response takes the refusal
-	 * @param refusal the reason
-	 */
-	static void refuse(RequestDialect dialect, CallerResponse response, Refusal refusal) {
-		HttpHeaders headers = new DefaultHttpHeaders();
-		headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-		refusal.retryAfter().ifPresent((delay) -> dialect.writeRetryAfter(delay, headers));
-		response.send(refusal.code().httpStatus(), headers, refusal.bytes());
-	}
-
 	private void callerGone() {
 		if (close()) {
 			String detail = this.unread.flatMap(WatchedResponse::endReason)
