Requests over share wait at plain endpoints until their target, not their deadline

A request over its customer's share of a pool of plain endpoints waited at the entry for a free slot as long as its caller did, and ended as timed out. A caller that is told when to retry can still be served; one that is held until its deadline can't. It waits for its target now and is then refused as not run. CustomerSharesTests (2) and EndpointRestTests (8) pass.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/PlacementWait.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/PlacementWait.java
@@ -35,10 +35,24 @@
 	 * @return whether it must not wait any longer
 	 */
 	boolean isTooLong(long now, Duration target, boolean fleetKnown) {
+		return waitedNanos(now) >= maxNanos(target, fleetKnown);
+	}
+
+	/**
+	 * Return whether a request that could not be placed has waited for a time.
+	 * @param now the time
+	 * @param limit the time that it may wait
+	 * @return whether it must not wait any longer
+	 */
+	boolean isLongerThan(long now, Duration limit) {
+		return waitedNanos(now) >= limit.toNanos();
+	}
+
+	private long waitedNanos(long now) {
 		if (this.since == 0) {
 			this.since = now;
 		}
-		return now - this.since >= maxNanos(target, fleetKnown);
+		return now - this.since;
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RequestPlacement.java
@@ -107,11 +107,12 @@
 	 * @return whether it must not wait any longer
 	 */
 	boolean isWaitTooLong(Placement wanted, long now) {
+		Duration target = this.request.route().target();
 		if (this.share.needsFreeSlot() && hasUntriedEndpoint(wanted.excluded(), now)) {
-			// It waits for others to need less, as long as its caller does.
-			return false;
+			// Others may need less until then. After that its caller is told when to
+			// retry, rather than held until its deadline.
+			return this.wait.isLongerThan(now, target);
 		}
-		Duration target = this.request.route().target();
 		boolean tooLong = this.wait.isTooLong(now, target, this.pools.fleet().revision() != 0);
 		return tooLong || this.wait.isTooLong(this.pool.balancer().restOfAll(wanted, now), target);
 	}
