Optional mechanisms are off where only the endpoints' statements called for them

Admission and the speeds of endpoints were on in pools whose endpoints state their pace. Both are switched by the policy alone now, with-stated-pace among its values; which of the two does the harm is not known.

--- a/core/src/main/java/org/acaciacourse/core/balance/OptionalMechanism.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/OptionalMechanism.java
@@ -5,28 +5,25 @@
 
 /**
  * The mechanisms of request routing that are in use only where the settings of a
- * deployment or the endpoints of a pool call for them.
+ * deployment call for them.
  * <p>
  * Immutable and thread safe.
  */
 public enum OptionalMechanism {
 
 	/** Customers have fair shares of a pool that is short of capacity. */
-	CUSTOMER_SHARES("customer-shares", false),
+	CUSTOMER_SHARES("customer-shares"),
 
 	/** Requests that can't be served before their deadline are refused at once. */
-	ADMISSION("admission", true),
+	ADMISSION("admission"),
 
 	/** The choice of an endpoint takes account of how fast each of them works. */
-	ENDPOINT_SPEED("endpoint-speed", true);
+	ENDPOINT_SPEED("endpoint-speed");
 
 	private final String label;
 
-	private final boolean usedWithStatedPace;
-
-	OptionalMechanism(String label, boolean usedWithStatedPace) {
+	OptionalMechanism(String label) {
 		this.label = label;
-		this.usedWithStatedPace = usedWithStatedPace;
 	}
 
 	/**
@@ -46,14 +43,4 @@
 		return this.label;
 	}
 
-	/**
-	 * Return whether the mechanism is used in a pool whose endpoints state how long work
-	 * takes on their machines, unless the policy switches it off: there its estimates
-	 * tell a slow moment from a slow endpoint.
-	 * @return whether such statements switch it on
-	 */
-	boolean isUsedWithStatedPace() {
-		return this.usedWithStatedPace;
-	}
-
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicy.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicy.java
@@ -18,10 +18,10 @@
  * @param name the name of the policy in logs and metrics
  * @param off the mechanisms that are switched off
  * @param values the values of parameters that are not at their defaults
- * @param optional the optional mechanisms that are switched on or off in all pools
+ * @param optional where the optional mechanisms are in use; nowhere if it is missing
  */
 public record RoutingPolicy(String name, Set<RoutingMechanism> off, Map<RoutingParameter, Double> values,
-		Map<OptionalMechanism, Boolean> optional) {
+		Map<OptionalMechanism, OptionalSwitch> optional) {
 
 	/**
 	 * All mechanisms that aren't optional are on, and all parameters have their default
@@ -37,7 +37,7 @@
 		EnumMap<RoutingParameter, Double> given = new EnumMap<>(RoutingParameter.class);
 		given.putAll(values);
 		values = Collections.unmodifiableMap(given);
-		EnumMap<OptionalMechanism, Boolean> switched = new EnumMap<>(OptionalMechanism.class);
+		EnumMap<OptionalMechanism, OptionalSwitch> switched = new EnumMap<>(OptionalMechanism.class);
 		switched.putAll(optional);
 		optional = Collections.unmodifiableMap(switched);
 		if (!withUnmetDependency(off).isEmpty()) {
@@ -88,11 +88,10 @@
 	 * Return whether an optional mechanism is in use in a pool.
 	 * @param mechanism the mechanism
 	 * @param paceStated whether endpoints of the pool state how long work takes there
-	 * @return whether it is switched on, or is used in such a pool and not switched off
+	 * @return whether it is switched on there
 	 */
 	public boolean isOn(OptionalMechanism mechanism, boolean paceStated) {
-		Boolean switched = this.optional.get(mechanism);
-		return (switched != null) ? switched : paceStated && mechanism.isUsedWithStatedPace();
+		return this.optional.getOrDefault(mechanism, OptionalSwitch.OFF).isOn(paceStated);
 	}
 
 	/**
@@ -101,8 +100,8 @@
 	 * @return the policy
 	 */
 	public RoutingPolicy withDefaultsOn(Set<OptionalMechanism> mechanisms) {
-		Map<OptionalMechanism, Boolean> all = new EnumMap<>(OptionalMechanism.class);
-		mechanisms.forEach((mechanism) -> all.put(mechanism, true));
+		Map<OptionalMechanism, OptionalSwitch> all = new EnumMap<>(OptionalMechanism.class);
+		mechanisms.forEach((mechanism) -> all.put(mechanism, OptionalSwitch.ON));
 		all.putAll(this.optional);
 		return new RoutingPolicy(this.name, this.off, this.values, all);
 	}
--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicyParser.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingPolicyParser.java
@@ -16,9 +16,9 @@
 
 /**
  * Reads a {@link RoutingPolicy} from the section {@value #SECTION} of a settings file:
- * {@code name}, mechanisms as {@code on} or {@code off}, parameters as numbers. Without
- * the section the default policy applies. A policy with any problem is rejected as a
- * whole.
+ * {@code name}, mechanisms as {@code on} or {@code off}, optional ones also as
+ * {@code with-stated-pace}, parameters as numbers. Without the section the default policy
+ * applies. A policy with any problem is rejected as a whole.
  * <p>
  * Thread safe: it has no state.
  */
@@ -54,7 +54,7 @@
 		SortedMap<String, String> keys = this.ini.sections().getOrDefault(SECTION, new TreeMap<>());
 		Set<RoutingMechanism> off = EnumSet.noneOf(RoutingMechanism.class);
 		Map<RoutingParameter, Double> values = new EnumMap<>(RoutingParameter.class);
-		Map<OptionalMechanism, Boolean> switched = new EnumMap<>(OptionalMechanism.class);
+		Map<OptionalMechanism, OptionalSwitch> switched = new EnumMap<>(OptionalMechanism.class);
 		String name = RoutingPolicy.DEFAULT.name();
 		for (Map.Entry<String, String> entry : keys.entrySet()) {
 			Optional<RoutingMechanism> mechanism = RoutingMechanism.ofLabel(entry.getKey());
@@ -66,7 +66,7 @@
 				}
 			}
 			else if (optional.isPresent()) {
-				switched.put(optional.get(), !isOff(entry));
+				optionalSwitch(entry).ifPresent((value) -> switched.put(optional.get(), value));
 			}
 			else if (parameter.isPresent()) {
 				number(entry, parameter.get()).ifPresent((value) -> values.put(parameter.get(), value));
@@ -92,6 +92,14 @@
 		return entry.getValue().equals(OFF);
 	}
 
+	private Optional<OptionalSwitch> optionalSwitch(Map.Entry<String, String> entry) {
+		Optional<OptionalSwitch> value = OptionalSwitch.ofLabel(entry.getValue());
+		if (value.isEmpty()) {
+			addProblem(entry.getKey(), "expected on, off or with-stated-pace");
+		}
+		return value;
+	}
+
 	private Optional<Double> number(Map.Entry<String, String> entry, RoutingParameter parameter) {
 		try {
 			double value = Double.parseDouble(entry.getValue());
