--- a/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
+++ b/core/src/main/java/org/acaciacourse/core/route/UrgencyScale.java
@@ -127,8 +127,7 @@
 	}
 
 	// Encodes a pair so that it sorts by the customer's priority, then by the route's.
-	// The
-	// last bit is left for requests over share.
+	// The last bit is left for requests over share.
 	private static long pair(int customerPriority, long routePriority) {
 		return ((long) customerPriority << Integer.SIZE) + (routePriority << 1);
 	}
--- a/core/src/main/java/org/acaciacourse/core/scaling/DemandCounter.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/DemandCounter.java
@@ -99,8 +99,7 @@
 	private void advance(long now) {
 		long current = Math.floorDiv(now, SECOND_NANOS);
 		// Callers on several threads read the clock before they are admitted here, so
-		// that
-		// the time of one may be before that of another.
+		// that the time of one may be before that of another.
 		if (current <= this.second) {
 			return;
 		}
--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -222,8 +222,7 @@
 	}
 
 	// Not less than what serves: another holder may have ordered it for the demand.
-	// Before
-	// that, permanent endpoints may serve beside their replacements.
+	// Before that, permanent endpoints may serve beside their replacements.
 	private int initial(Pool pool, PoolProvision provision, String dataCentre, int serving) {
 		int fixed = fixedTarget(pool, provision, dataCentre);
 		int max = pool.scaling().orElseThrow().max();
--- a/core/src/test/java/org/acaciacourse/core/scaling/DemandFollowingTests.java
+++ b/core/src/test/java/org/acaciacourse/core/scaling/DemandFollowingTests.java
@@ -122,8 +122,7 @@
 		}
 
 		// Orders are sent one after the other, a tick each: those of all data centres
-		// follow
-		// the need within half a second.
+		// follow the need within half a second.
 		private void checkBounds() {
 			this.needs.addLast(this.fleet.needed());
 			if (this.needs.size() > 5) {
@@ -300,8 +299,7 @@
 			load.run(12, (second) -> 0.5, () -> assertThat(load.serving()).isAtLeast(before));
 			load.run(200, (second) -> 0.5, load::checkBounds);
 			// A new holder takes the provision of 98 for what the present demand needs,
-			// and
-			// half of the need in each of three data centres bears the loss of one.
+			// and half of the need in each of three data centres bears the loss of one.
 			assertThat(load.ordered()).isAtMost((int) Math.ceil(98 * 1.1 * 3 / 2));
 		}
 
