A supposed start of an endpoint ends no statement of it

An endpoint that closed all connections of a VM and then told of fewer requests than these were counted as started anew before the list told so, and its rest and limits ended with that. Endpoints drop requests whose connections close, so that one that only reset its connections looks the same, and would have got requests within the rest that it asked for. Only what the VM inferred ends now, and only where endpoints state their start: elsewhere a new process has a new id.

--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -231,7 +231,7 @@
 
 	// Returns whether the report shows that the endpoint has started again.
 	boolean report(int running, int waiting, long now) {
-		boolean restart = this.restartSign.isRestart(running + waiting);
+		boolean restart = this.restartSign.isRestart(running + waiting) && this.endpoint.run().born().isPresent();
 		if (restart) {
 			startedAgain();
 		}
@@ -249,14 +249,12 @@
 		this.refusalLimit.ended(this.id);
 	}
 
-	// The process of the endpoint is another one, which knows nothing of before. The
-	// requests in flight have been sent to it.
+	// The process of the endpoint seems to be another one, which knows nothing of before.
+	// The requests in flight have been sent to it. Rests and limits are statements of the
+	// endpoint, which no guess of this VM ends.
 	private void startedAgain() {
 		this.prefixCache.clear();
 		this.speed.forget();
-		this.rests.ended(this.endpoint.instance());
-		this.rateLimits.ended(this.id);
-		this.refusalLimit.ended(this.id);
 		this.room = this.endpoint.slots();
 		this.failureRate = 0;
 		this.consecutiveLosses = 0;
