--- a/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
+++ b/core/src/main/java/org/acaciacourse/core/scaling/EndpointOrders.java
@@ -17,6 +17,7 @@
 import org.acaciacourse.core.route.Pool;
 import org.acaciacourse.core.route.PoolScaling;
 import org.acaciacourse.core.scaling.EndpointOrder.Subject;
+import org.acaciacourse.core.scaling.OrderRecords.OrderRecord;
 
 /**
  * Replaces the permanent endpoints of pools by reclaimable ones where these cost less,
@@ -49,9 +50,6 @@
 	/** The delay between two orders while no reclaimable endpoints are to be had. */
 	private static final long UNAVAILABLE_NANOS = Duration.ofSeconds(3).toNanos();
 
-	/** Beyond the time to boot: the list of endpoints lags. */
-	private static final long LIST_LAG_NANOS = Duration.ofSeconds(2).toNanos();
-
 	/** How long a call may stay without answer until another VM is to try. */
 	private static final long ABSTAIN_NANOS = Duration.ofSeconds(10).toNanos();
 
@@ -73,7 +71,7 @@
 
 	private final EndpointOrderActions actions;
 
-	private final Map<Subject, OrderRecord> records = new HashMap<>();
+	private final OrderRecords records = new OrderRecords();
 
 	private final DemandTargets targets;
 
@@ -208,8 +206,7 @@
 		Set<String> unavailable = new HashSet<>();
 		provision.counts().keySet().forEach((dataCentre) -> {
 			initial.put(dataCentre, initial(pool, provision, dataCentre, serving.getOrDefault(dataCentre, 0)));
-			OrderRecord record = this.records.get(new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE));
-			if (record != null && record.unavailable) {
+			if (this.records.isUnavailable(new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE))) {
 				unavailable.add(dataCentre);
 			}
 		});
@@ -252,60 +249,48 @@
 		Subject reclaimable = new Subject(pool.name(), dataCentre, EndpointKind.RECLAIMABLE);
 		Subject permanent = new Subject(pool.name(), dataCentre, EndpointKind.PERMANENT);
 		boolean withoutPermanent = provision.isWithoutPermanent(dataCentre);
-		if (isOrdered(permanent, 0) && planned.isPresent() && !withoutPermanent) {
+		if (this.records.isOrdered(permanent, 0) && planned.isPresent() && !withoutPermanent) {
 			record(pool, provision.withoutPermanent(dataCentre));
 			return true;
 		}
-		if (isOrdered(permanent, 0) || withoutPermanent) {
+		if (this.records.isOrdered(permanent, 0) || withoutPermanent) {
 			int unplanned = (withoutPermanent)
-					? confirmed(reclaimable).orElse(initial(pool, provision, dataCentre, serving)) : target;
+					? this.records.confirmed(reclaimable).orElse(initial(pool, provision, dataCentre, serving))
+					: target;
 			int count = planned.orElse(unplanned);
 			return orderIfNew(reclaimable, count, now) || orderIfLacking(reclaimable, count, serving, scaling, now);
 		}
 		if (provision.replaced().contains(dataCentre)) {
 			// Another holder may have ended before it ordered the permanent ones away,
 			// and the reclaimable ones may be gone since.
-			boolean booted = isOrdered(reclaimable, first) && hasBooted(reclaimable, scaling, now)
-					&& serving >= first * SERVING_PART;
+			boolean booted = this.records.isOrdered(reclaimable, first)
+					&& this.records.hasBooted(reclaimable, scaling.boot(), now) && serving >= first * SERVING_PART;
 			boolean sufficient = booted || serving >= Math.min(target, base + first) * SERVING_PART;
 			return (sufficient) ? orderIfNew(permanent, 0, now)
 					: orderIfNew(reclaimable, first, now) || orderIfLacking(reclaimable, first, serving, scaling, now);
 		}
-		if (isOrdered(reclaimable, first) && serving >= base + first * SERVING_PART) {
+		if (this.records.isOrdered(reclaimable, first) && serving >= base + first * SERVING_PART) {
 			record(pool, new PoolProvision(provision.counts(), Set.of(dataCentre)));
 			return true;
 		}
 		return orderIfNew(reclaimable, first, now) || orderIfLacking(reclaimable, first, serving - base, scaling, now);
 	}
 
-	private boolean isOrdered(Subject subject, int count) {
-		return confirmed(subject).equals(Optional.of(count));
-	}
-
-	private Optional<Integer> confirmed(Subject subject) {
-		return (this.records.containsKey(subject)) ? this.records.get(subject).confirmed : Optional.empty();
-	}
-
 	private boolean orderIfNew(Subject subject, int count, long now) {
-		OrderRecord record = this.records.computeIfAbsent(subject, (s) -> new OrderRecord(now));
-		return !record.confirmed.equals(Optional.of(count)) && order(subject, count, record, now);
+		return !this.records.isOrdered(subject, count) && order(subject, count, now);
 	}
 
 	private boolean orderIfLacking(Subject subject, int count, int serving, PoolScaling scaling, long now) {
-		boolean lacking = serving < count * LACKING_PART && hasBooted(subject, scaling, now);
-		return lacking && order(subject, count, this.records.get(subject), now);
+		boolean lacking = serving < count * LACKING_PART && this.records.hasBooted(subject, scaling.boot(), now);
+		return lacking && order(subject, count, now);
 	}
 
-	private boolean hasBooted(Subject subject, PoolScaling scaling, long now) {
-		return now - this.records.get(subject).orderedAt >= scaling.boot().toNanos() + LIST_LAG_NANOS;
-	}
-
-	private boolean order(Subject subject, int count, OrderRecord record, long now) {
-		if (now - record.notBefore < 0) {
+	private boolean order(Subject subject, int count, long now) {
+		OrderRecord record = this.records.of(subject, now);
+		if (record.isDelayed(now)) {
 			return false;
 		}
-		record.orderedAt = now;
-		record.confirmed = Optional.empty();
+		record.ordered(now);
 		this.outstanding = true;
 		this.backoff.called(now);
 		this.actions.send(new EndpointOrder(subject, count), this.currentFencingNumber);
@@ -372,7 +357,7 @@
 			return;
 		}
 		this.outstanding = false;
-		OrderRecord record = this.records.computeIfAbsent(order.subject(), (subject) -> new OrderRecord(now));
+		OrderRecord record = this.records.of(order.subject(), now);
 		switch (answer) {
 			case ACCEPTED -> accepted(order, record);
 			case FENCED -> refused(order, record, now);
@@ -383,19 +368,15 @@
 	}
 
 	private void accepted(EndpointOrder order, OrderRecord record) {
-		record.confirmed = Optional.of(order.count());
-		record.refusals = 0;
-		record.unavailable = false;
+		record.accepted(order.count());
 		this.unanswered = 0;
 		this.backoff.succeeded();
 	}
 
 	private void refused(EndpointOrder order, OrderRecord record, long now) {
-		record.refusals++;
-		record.unavailable = true;
 		record.delay(now + UNAVAILABLE_NANOS);
-		if (order.subject().kind() == EndpointKind.PERMANENT || record.refusals >= MAX_REFUSALS) {
-			record.refusals = 0;
+		if (record.refused() >= MAX_REFUSALS || order.subject().kind() == EndpointKind.PERMANENT) {
+			record.resetRefusals();
 			release(0);
 		}
 	}
@@ -433,31 +414,4 @@
 		return fencingNumber == this.currentFencingNumber;
 	}
 
-	private static final class OrderRecord {
-
-		/** The number that the platform has accepted last, empty if that is not known. */
-		private Optional<Integer> confirmed = Optional.empty();
-
-		private long orderedAt;
-
-		private long notBefore;
-
-		private int refusals;
-
-		/**
-		 * Whether the platform has refused the latest order, maybe for lack of endpoints.
-		 */
-		private boolean unavailable;
-
-		private OrderRecord(long now) {
-			this.orderedAt = now;
-			this.notBefore = now;
-		}
-
-		private void delay(long until) {
-			this.notBefore = until;
-		}
-
-	}
-
 }
