The memory budget has no use that nothing draws on

Tunnels do not draw on the budget yet; a use for them told zero bytes in the metrics whatever they held. MemoryBudgetTests asserts the same figures with the use of the same share.

--- a/core/src/main/java/org/acaciacourse/core/memory/MemoryUse.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/MemoryUse.java
@@ -13,9 +13,6 @@
 	/** Responses written to callers' connections and not yet sent. */
 	UNREAD_RESPONSES("unread-responses", 0.75),
 
-	/** Tunnels that this VM carries for others. */
-	TUNNELS("tunnels", 0.75),
-
 	/** Responses that are buffered until they are complete. */
 	BUFFERED_RESPONSES("buffered-responses", 0.9),
 
