One sum that decays; admission finds the chosen endpoint by its instance

Exponentially decaying sums stood three times, in EndpointLoad, core.share and core.admission: DecayingSum. Admission walked through all endpoints of the pool for each request to find the one that was chosen for it. 148 tests of core that use them pass.

--- a/core/src/main/java/org/acaciacourse/core/admission/RecentWork.java
+++ b/core/src/main/java/org/acaciacourse/core/admission/RecentWork.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.core.admission;
 
+import org.acaciacourse.core.measure.DecayingSum;
+
 /**
  * The rate at which this VM sends work to endpoints, averaged over a time. Requests are
  * spread over the entry VMs, so that each of the others is taken to send as much.
@@ -10,9 +12,7 @@
 
 	private final double averageNanos;
 
-	private double recentWork;
-
-	private long updatedAt;
+	private final DecayingSum work;
 
 	/**
 	 * Create an average without any work.
@@ -20,20 +20,16 @@
 	 */
 	RecentWork(double averageNanos) {
 		this.averageNanos = averageNanos;
+		this.work = new DecayingSum(averageNanos);
 	}
 
-	void begin(long work, long now) {
-		this.recentWork = recentWork(now) + work;
-		this.updatedAt = now;
-	}
-
-	private double recentWork(long now) {
-		return this.recentWork * Math.exp(-Math.max(0, now - this.updatedAt) / this.averageNanos);
+	void begin(long tokens, long now) {
+		this.work.add(tokens, now);
 	}
 
 	// Prompt tokens per nanosecond.
 	double rate(long now) {
-		return recentWork(now) / this.averageNanos;
+		return this.work.at(now) / this.averageNanos;
 	}
 
 }
--- a/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/EndpointLoad.java
@@ -4,6 +4,7 @@
 import java.util.OptionalDouble;
 
 import net.openhft.hashing.LongHashFunction;
+import org.acaciacourse.core.measure.DecayingSum;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.speed.EndpointSpeed;
 import org.acaciacourse.core.speed.PoolSpeeds;
@@ -114,9 +115,7 @@
 	private boolean ended;
 
 	/** Requests of this VM, each of which counts less as time passes. */
-	private double recentRequests;
-
-	private long recentAt;
+	private final DecayingSum recentRequests = new DecayingSum(RECENT_NANOS);
 
 	EndpointLoad(FleetEndpoint endpoint, PeerLoads peers, RefusalLimit refusalLimit, RateLimits rateLimits,
 			EndpointRests rests, PoolSpeeds speeds) {
@@ -314,21 +313,16 @@
 	// Requests that the other VMs have sent since their last digests, if they send as
 	// many as this one.
 	private double untoldRequests(long now) {
-		double perNano = recentRequests(now) / RECENT_NANOS;
+		double perNano = this.recentRequests.at(now) / RECENT_NANOS;
 		return perNano * this.peers.intervalNanos() / 2 * this.peers.peerCount();
 	}
 
-	private double recentRequests(long now) {
-		return this.recentRequests * Math.exp(-(double) (now - this.recentAt) / RECENT_NANOS);
-	}
-
 	/**
 	 * Record that a request is sent.
 	 * @param now the time
 	 */
 	void requestSent(long now) {
-		this.recentRequests = recentRequests(now) + 1;
-		this.recentAt = now;
+		this.recentRequests.add(1, now);
 		this.rateLimits.requestSent(this.id, now);
 	}
 
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolAdmission.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolAdmission.java
@@ -1,7 +1,7 @@
 package org.acaciacourse.core.balance;
 
 import java.time.Duration;
-import java.util.Collection;
+import java.util.Map;
 import java.util.OptionalLong;
 
 import org.acaciacourse.core.admission.AdmissionDecision;
@@ -37,7 +37,7 @@
 	 */
 	private static final double MAX_OVERTAKING = 0.7;
 
-	private final Collection<EndpointLoad> loads;
+	private final Map<String, EndpointLoad> loads;
 
 	private final PeerLoads peers;
 
@@ -53,7 +53,7 @@
 
 	private long firstUsedAt;
 
-	PoolAdmission(Collection<EndpointLoad> loads, PeerLoads peers, PrefillRate prefillRate, Usability usability) {
+	PoolAdmission(Map<String, EndpointLoad> loads, PeerLoads peers, PrefillRate prefillRate, Usability usability) {
 		this.loads = loads;
 		this.peers = peers;
 		this.prefillRate = prefillRate;
@@ -70,7 +70,7 @@
 
 	/**
 	 * Decide about a request that no endpoint has run.
-	 * @param chosen the endpoint that was chosen for it
+	 * @param chosen the endpoint that was chosen for it, still in the pool
 	 * @param request the request
 	 * @param demand what it asks for
 	 * @param now the time
@@ -79,11 +79,7 @@
 	public AdmissionDecision decide(FleetEndpoint chosen, Placement request, Demand demand, long now) {
 		Others others = others(now);
 		Candidate preferred = new Candidate(request, demand, others, now);
-		for (EndpointLoad load : this.loads) {
-			if (load.endpoint() == chosen) {
-				preferred.consider(load);
-			}
-		}
+		preferred.consider(this.loads.get(chosen.instance()));
 		if (!preferred.isKnown()) {
 			return AdmissionDecision.unknown(chosen);
 		}
@@ -99,7 +95,7 @@
 		Candidate equal = new Candidate(request, demand, others, now);
 		Candidate all = new Candidate(request, demand, others, now);
 		boolean idle = false;
-		for (EndpointLoad load : this.loads) {
+		for (EndpointLoad load : this.loads.values()) {
 			if (this.usability.isUsable(load, request, now)) {
 				long own = all.consider(load);
 				if (own <= preferred.ownWork) {
@@ -138,7 +134,7 @@
 	 */
 	public Duration retryDelay(Placement request, Demand demand, long now) {
 		Candidate first = new Candidate(request, demand, others(now), now);
-		for (EndpointLoad load : this.loads) {
+		for (EndpointLoad load : this.loads.values()) {
 			if (!load.endpoint().leaving() && request.isServedBy(load.endpoint())) {
 				first.consider(load);
 			}
--- a/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PoolBalancer.java
@@ -95,7 +95,7 @@
 		this.briefSampler = new CandidateSampler(peers);
 		this.otherSampler = new CandidateSampler(peers);
 		this.speeds = new PoolSpeeds(peers.speeds());
-		this.admission = new PoolAdmission(this.loads.values(), peers, this.prefillRate, this::isUsable);
+		this.admission = new PoolAdmission(this.loads, peers, this.prefillRate, this::isUsable);
 	}
 
 	/**
--- a/core/src/main/java/org/acaciacourse/core/measure/package-info.java
+++ b/core/src/main/java/org/acaciacourse/core/measure/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Statistics of results: confidence intervals of proportions, retry budgets in sliding
- * windows.
+ * Statistics: confidence intervals of proportions, retry budgets in sliding windows, sums
+ * that decay.
  */
 package org.acaciacourse.core.measure;
--- a/core/src/main/java/org/acaciacourse/core/share/RecentWork.java
+++ b/core/src/main/java/org/acaciacourse/core/share/RecentWork.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.function.ObjDoubleConsumer;
 
+import org.acaciacourse.core.measure.DecayingSum;
+
 /**
  * Sums of recent work by customer, in which work counts less as time passes. Invariant: a
  * sum is never negative.
@@ -18,7 +20,7 @@
 	/** Smaller sums are dropped: they don't change a share. */
 	private static final double MIN_WORK = 1;
 
-	private final Map<Integer, Sum> sums = new HashMap<>();
+	private final Map<Integer, DecayingSum> sums = new HashMap<>();
 
 	/**
 	 * Return how much of some work still counts.
@@ -36,9 +38,7 @@
 	 * @param now the time
 	 */
 	void add(int key, double work, long now) {
-		Sum sum = this.sums.computeIfAbsent(key, (k) -> new Sum());
-		sum.work = Math.max(0, sum.at(now) + work);
-		sum.at = now;
+		this.sums.computeIfAbsent(key, (k) -> new DecayingSum(TIME_CONSTANT_NANOS)).add(work, now);
 	}
 
 	/**
@@ -51,16 +51,4 @@
 		this.sums.forEach((key, sum) -> visitor.accept(key, sum.at(now)));
 	}
 
-	private static final class Sum {
-
-		private double work;
-
-		private long at;
-
-		private double at(long now) {
-			return this.work * remaining(now - this.at);
-		}
-
-	}
-
 }
