--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -1,6 +1,5 @@
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintWriter;
@@ -14,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -364,7 +362,7 @@
 
 		void signal(String name) throws Exception {
 			note("signal " + name + " to " + this.name);
-			new ProcessBuilder("kill", "-" + name, Long.toString(this.process.pid())).inheritIO().start().waitFor();
+			new ProcessBuilder("sh", "-c", "kill -" + name + " " + this.process.pid()).inheritIO().start().waitFor();
 		}
 
 		void kill() {
