--- a/review/standins/GrownStorm.java
+++ b/review/standins/GrownStorm.java
@@ -28,6 +28,9 @@
 
 	private static final int GROWTHS = 16;
 
+	/** Operators wait a second for an answer, longer for large bodies. */
+	private static final int TRY_MILLIS = 2_500;
+
 	/** No order is begun later than that after the start of the script. */
 	private static final long LAST_ORDER_MILLIS = 60_000;
 
@@ -184,7 +187,7 @@
 		for (int i = 0; !this.over; i++) {
 			Lab.Machine machine = this.lab.controls.get(random.nextInt(this.lab.controls.size()));
 			try {
-				if (this.lab.put(machine, json).status == 200) {
+				if (this.lab.put(machine, json, TRY_MILLIS).status == 200) {
 					break;
 				}
 			}
--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -123,9 +123,13 @@
 	}
 
 	Answer put(Machine machine, String json) throws IOException {
+		return put(machine, json, 5_000);
+	}
+
+	Answer put(Machine machine, String json, int millis) throws IOException {
 		byte[] body = json.getBytes(StandardCharsets.UTF_8);
 		return call(machine.ip, this.operatorPort, "POST /-/config/put HTTP/1.1\r\nHost: " + machine.ip
-				+ "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n", body, 5_000);
+				+ "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n", body, millis);
 	}
 
 	Answer get(Machine machine) throws IOException {
--- a/review/standins/LateRefusal.java
+++ b/review/standins/LateRefusal.java
@@ -4,14 +4,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Runners are full now and then and reject requests as they are to. With the disruption,
- * two of the three also send some of their answers, all of them rejections, a second time
+ * one of the three also sends some of its answers, all of them rejections, a second time
  * and late: where the answer to the next request on that connection is expected, under
  * the id of the request that was rejected. The next request runs. That lasts for 5 s,
- * three times, and concerns fewer than 3 in 100 of their answers.
+ * three times, and concerns at most 3 in 100 of its answers.
  */
 final class LateRefusal {
 
@@ -20,12 +21,10 @@
 	private static final int QUEUE = 2;
 
 	/** One rejection in so many comes again, as long as these are few of all answers. */
-	private static final int EXTRA_EACH = 12;
+	private static final int EXTRA_EACH = 6;
 
 	private static final double MOST_OF_ANSWERS = 0.03;
 
-	private static final int FAULTY_RUNNERS = 2;
-
 	private static final long FAULTY_NANOS = 5_000_000_000L;
 
 	private static final long PERIOD_NANOS = 7_000_000_000L;
@@ -40,10 +39,16 @@
 
 	private final Set<String> extras = ConcurrentHashMap.newKeySet();
 
+	/** Rejections of the runner that is faulty at times. */
 	private final AtomicInteger rejected = new AtomicInteger();
 
+	private final AtomicInteger allRejected = new AtomicInteger();
+
+	private final Map<String, Semaphore> slots = new ConcurrentHashMap<>();
+
 	private final AtomicInteger sent = new AtomicInteger();
 
+	/** Answers of the runner that is faulty at times. */
 	private final AtomicInteger answers = new AtomicInteger();
 
 	private final AtomicInteger again = new AtomicInteger();
@@ -130,18 +135,26 @@
 					+ request.id() + " is due: " + new String(late).replace("\r\n", " | "));
 			connection.send(late);
 		}
+		if (isFaulty(runner)) {
+			this.answers.incrementAndGet();
+		}
 		if (busy.incrementAndGet() > SLOTS + QUEUE) {
 			busy.decrementAndGet();
 			byte[] rejection = runner.answer(request, 503, "Not-Executed: 1\r\nServer-Load: 6,2,6\r\n", "{}");
-			if (this.rejected.incrementAndGet() % EXTRA_EACH == 0 && isFaulty(runner)) {
-				this.again.incrementAndGet();
-				connection.late = rejection;
+			this.allRejected.incrementAndGet();
+			if (isFaulty(runner)) {
+				this.rejected.incrementAndGet();
+				if (isRepeated()) {
+					this.again.incrementAndGet();
+					connection.late = rejection;
+				}
 			}
-			this.answers.incrementAndGet();
 			connection.send(rejection);
 			return;
 		}
+		Semaphore free = this.slots.computeIfAbsent(runner.id, (id) -> new Semaphore(SLOTS, true));
 		try {
+			free.acquire();
 			int times = this.runs.computeIfAbsent(request.id(), (id) -> new AtomicInteger()).incrementAndGet();
 			if (times > 1 || this.extras.contains(request.id())) {
 				this.lab.note(runner.id + " runs " + request.id() + ", run " + times);
@@ -149,17 +162,21 @@
 			Thread.sleep(30 + (int) (Math.random() * 30));
 		}
 		finally {
+			free.release();
 			busy.decrementAndGet();
 		}
-		this.answers.incrementAndGet();
 		connection.send(runner.answer(request, 200, "Server-Load: " + Math.min(SLOTS, busy.get()) + ",0,6\r\n",
 				"{\"done\":\"" + request.id() + "\"}"));
 	}
 
 	private boolean isFaulty(Lab.Runner runner) {
+		return this.lab.runners.indexOf(runner) == 0;
+	}
+
+	private boolean isRepeated() {
 		boolean within = this.trouble && (System.nanoTime() - this.begun) % PERIOD_NANOS < FAULTY_NANOS;
-		return within && this.lab.runners.indexOf(runner) < FAULTY_RUNNERS
-				&& this.again.get() + 1 <= MOST_OF_ANSWERS * this.answers.get() / this.lab.runners.size();
+		return within && this.rejected.get() % EXTRA_EACH == 0
+				&& this.again.get() + 1 <= MOST_OF_ANSWERS * this.answers.get();
 	}
 
 	private int judge() {
@@ -180,7 +197,7 @@
 		Map<Integer, Long> statuses = new java.util.TreeMap<>();
 		this.answered.values().forEach((status) -> statuses.merge(status, 1L, Long::sum));
 		this.lab.note("sent " + this.sent + ", answers by status " + statuses + ", run " + this.runs.size()
-				+ ", rejections of runners " + this.rejected + ", answers of runners " + this.answers + ", extra answers " + this.extras.size());
+				+ ", rejections of runners " + this.allRejected + ", answers of the faulty runner " + this.answers + ", extra answers " + this.extras.size());
 		if (statuses.getOrDefault(200, 0L) < 100 || (this.trouble && this.extras.isEmpty())) {
 			this.lab.note("too little was served, or no extra answer was sent");
 			return 2;
