A rejection counts only under the id of its own request

Cause: Attempt.headReceived compared the id of a response with that of the request, but gave up the attempt only if the response did not say "not run". So a rejection of another request, a rejection without any id and a 421 of another request were taken for the response to this one. An endpoint that repeats a rejection late, where the response to the next request on the connection is due, sends just that.

Change: - Only a response with the request's id says anything about the request: whether it ran, that it arrived, the load, the limits, the idle timeout and the rest that the endpoint asks for. That the endpoint is leaving still counts in any response, as it holds until its end. - A late response to the previous request on the same connection is identified by its id and discarded; the response to the request in flight follows it. The connection carries no further request. Any other id remains a mismatch. Not after HEAD, where a repeated head has a length and no body. - Event response-discarded.

Ruled out: the faulty response is complete and well formed, so neither framing nor the seal tells it from the right one; only the id does.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -103,6 +103,10 @@
 		return this.endpoint.instance();
 	}
 
+	private String requestId() {
+		return this.exchange.request().metadata().id();
+	}
+
 	// Whether the request was sent and its connection is open.
 	boolean isConnected() {
 		return !this.done && this.connection != null;
@@ -129,7 +133,7 @@
 		this.lastActivityAt = this.sentAt;
 		scheduleSilenceCheck(silenceTimeoutNanos());
 		this.exchange.unread().ifPresent((unread) -> unread.readsFrom(endpointConnection));
-		endpointConnection.send(httpRequest, this);
+		endpointConnection.send(httpRequest, requestId(), this);
 	}
 
 	/** Cancel the attempt and close its connection, so that the endpoint notices. */
@@ -182,7 +186,7 @@
 		long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - this.lastActivityAt);
 		PlacedRequest.Estimate estimate = this.placed.estimate(now);
 		String via = Optional.ofNullable(this.connection).flatMap(EndpointConnection::via).orElse(null);
-		DecisionLog.write(LogEvent.ATTEMPT_ENDED, this.exchange.request().metadata().id(), instance, via, end.name(),
+		DecisionLog.write(LogEvent.ATTEMPT_ENDED, requestId(), instance, via, end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
 				Long.toHexString(this.exchange.features().content()),
@@ -221,22 +225,31 @@
 	@Override
 	public void headReceived(HttpResponse head) {
 		recordActivity();
-		confirmArrival();
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
-		EndpointStatements.reportLoad(this.endpoint, metadata, this.placed, this.lastActivityAt);
-		metadata.idleTimeoutSeconds()
-			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
 		this.exchange.context()
 			.statements()
-			.received(new EndpointStatements.Response(this.endpoint, this.exchange.request().metadata().id(),
-					this.connection.via(), this.placed.inFlight()), status, metadata);
-		boolean notRun = metadata.notRun() || status == MISDIRECTED_REQUEST;
-		boolean ownResponse = metadata.requestId().equals(this.exchange.request().metadata().id());
-		if (!ownResponse && !notRun) {
+			.received(new EndpointStatements.Response(this.endpoint, requestId(), this.connection.via(),
+					this.placed.inFlight()), status, metadata);
+		if (metadata.requestId().equals(requestId())) {
+			ownHeadReceived(head, metadata);
+		}
+		else if (this.connection.tryDiscard(metadata.requestId())) {
+			DecisionLog.write(LogEvent.RESPONSE_DISCARDED, requestId(), this.endpoint.instance(), metadata.requestId(),
+					status);
+		}
+		else {
 			abandon(AttemptEnd.MISMATCH, Outcome.FAILED);
 		}
-		else if (notRun) {
+	}
+
+	private void ownHeadReceived(HttpResponse head, RequestDialect.ResponseMetadata metadata) {
+		confirmArrival();
+		EndpointStatements.reportLoad(this.endpoint, metadata, this.placed, this.lastActivityAt);
+		metadata.idleTimeoutSeconds()
+			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
+		int status = head.status().code();
+		if (metadata.notRun() || status == MISDIRECTED_REQUEST) {
 			this.partial.start(PartialResponse.Mode.NOT_RUN, head);
 			this.exchange.context()
 				.loop()
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -49,6 +50,15 @@
 
 	private Listener listener;
 
+	private String requestId = "";
+
+	private boolean headRequested;
+
+	/** The id of a late response that can be told from the one that is waited for. */
+	private Optional<String> discardableId = Optional.empty();
+
+	private boolean discarding;
+
 	private ChannelFuture requestWritten;
 
 	private boolean headReceived;
@@ -144,10 +154,16 @@
 	/**
 	 * Send a request.
 	 * @param request the request, whose ownership passes to the connection
+	 * @param id its id, which the response bears
 	 * @param responseListener receives the response
 	 */
-	void send(FullHttpRequest request, Listener responseListener) {
+	void send(FullHttpRequest request, String id, Listener responseListener) {
 		this.listener = responseListener;
+		// A repeated response to HEAD has a length and no body.
+		this.discardableId = Optional.of(this.requestId)
+			.filter((previous) -> !previous.isEmpty() && !this.headRequested);
+		this.headRequested = request.method().equals(HttpMethod.HEAD);
+		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
 		this.informationalCount = 0;
@@ -155,6 +171,23 @@
 		this.requestWritten = this.channel.writeAndFlush(request);
 	}
 
+	/**
+	 * Discard the response whose head the listener is processing if it is a late one to
+	 * the previous request. The response to the request in flight follows it, and ends
+	 * the use of the connection.
+	 * @param id the id in the head
+	 * @return whether the response is discarded; at most one for each request is
+	 */
+	boolean tryDiscard(String id) {
+		if (this.discardableId.filter(id::equals).isEmpty()) {
+			return false;
+		}
+		this.discardableId = Optional.empty();
+		this.discarding = true;
+		this.stopping = true;
+		return true;
+	}
+
 	/**
 	 * Give up the request in flight and close the connection; the listener is not called
 	 * again.
@@ -249,6 +282,10 @@
 		if (this.informational) {
 			return;
 		}
+		if (this.discarding) {
+			endDiscarded(last);
+			return;
+		}
 		ByteBuf bytes = content.content();
 		if (bytes.isReadable()) {
 			this.listener.contentReceived(bytes);
@@ -258,6 +295,16 @@
 		}
 	}
 
+	private void endDiscarded(boolean last) {
+		if (last && !this.framed) {
+			fail();
+		}
+		else if (last) {
+			this.discarding = false;
+			this.headReceived = false;
+		}
+	}
+
 	private void finish() {
 		Listener completed = this.listener;
 		this.closedByEndpoint |= !this.framed;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
@@ -60,7 +60,9 @@
 	}
 
 	/**
-	 * Process the head of a response.
+	 * Process the head of a response. One to another request may be late: what it states
+	 * for a time held earlier, while an endpoint that is leaving does not change its
+	 * mind.
 	 * @param response the response
 	 * @param status its status
 	 * @param metadata its metadata
@@ -70,7 +72,8 @@
 			return;
 		}
 		boolean leaving = metadata.leaving() && status != MISDIRECTED_REQUEST;
-		Optional<Duration> rest = metadata.retryAfter().filter((time) -> status == SERVICE_UNAVAILABLE);
+		boolean own = metadata.requestId().equals(response.request());
+		Optional<Duration> rest = metadata.retryAfter().filter((time) -> own && status == SERVICE_UNAVAILABLE);
 		EndpointStatement statement = new EndpointStatement(response.endpoint().instance(), rest, leaving);
 		if (statement.restricts()) {
 			apply(statement, Optional.of(response));
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -81,6 +81,12 @@
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
 			"waiting_work", "failure_rate", "content", "parts", "answering_ms", "version"),
 
+	/**
+	 * A late response to an earlier request on the same connection was discarded, by the
+	 * id in it; the response to the request in flight is still waited for.
+	 */
+	RESPONSE_DISCARDED("response-discarded", "request", "endpoint", "response_to", "status"),
+
 	/**
 	 * A request is retried, which is charged to the retry budget: what is left of this
 	 * VM's share, the number of VMs that share the budget, the age of that number since a
--- /dev/null
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -0,0 +1,161 @@
+package org.acaciacourse.daemon.route;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.acaciacourse.core.path.EndpointLink;
+import org.acaciacourse.core.path.LinkSign;
+import org.acaciacourse.core.path.PathLinks;
+import org.acaciacourse.core.route.FleetEndpoint;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of the connection to an endpoint; the bytes that arrive with one read are chosen
+ * by the test.
+ */
+class EndpointConnectionTests {
+
+	private static final FleetEndpoint ENDPOINT = new FleetEndpoint("i-1", "desk", "127.0.0.1:1", "dc", 8, false);
+
+	private final EndpointLink link = new PathLinks(new PathLinks.Listener() {
+
+		@Override
+		public void linkLost(String endpoint, LinkSign sign, int lost, int known) {
+		}
+
+		@Override
+		public void linkRegained(String endpoint, long lostNanos) {
+		}
+
+		@Override
+		public void pathDoubted(int lost, int known) {
+		}
+
+	}).link("i-1");
+
+	private final EndpointConnection connection = new EndpointConnection(ENDPOINT, this.link, Optional.empty(),
+			(closed) -> {
+			});
+
+	private final List<String> received = new ArrayList<>();
+
+	private EmbeddedChannel channel;
+
+	@BeforeEach
+	void connect() {
+		this.channel = new EmbeddedChannel(new HttpClientCodec(), this.connection);
+	}
+
+	@AfterEach
+	void close() {
+		this.channel.finishAndReleaseAll();
+	}
+
+	private void send(HttpMethod method, String id) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/");
+		this.connection.send(request, id, new Recorder(id));
+	}
+
+	private void arrive(String text) {
+		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+	}
+
+	private static String response(String id) {
+		return "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\n{}";
+	}
+
+	@Nested
+	class LateResponses {
+
+		@Test
+		void responseToThePreviousRequestIsDiscarded() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(response("one") + response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable", "two: discarded one", "two: head two",
+						"two: complete, closed")
+				.inOrder();
+		}
+
+		// Guards against a discarded response whose length, without a body, takes in the
+		// response that follows it.
+		@Test
+		void responseToHeadIsNotDiscarded() {
+			send(HttpMethod.HEAD, "one");
+			arrive("HTTP/1.1 200 X\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\n");
+			send(HttpMethod.POST, "two");
+			arrive("HTTP/1.1 200 X\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\n" + response("two"));
+			assertThat(EndpointConnectionTests.this.received).containsAtLeast("one: complete, reusable",
+					"two: mismatch one");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+	}
+
+	/** Records what a listener is told, and checks ids as an attempt does. */
+	private class Recorder implements EndpointConnection.Listener {
+
+		private final String request;
+
+		Recorder(String request) {
+			this.request = request;
+		}
+
+		private void record(String what) {
+			EndpointConnectionTests.this.received.add(this.request + ": " + what);
+		}
+
+		@Override
+		public void headReceived(HttpResponse head) {
+			String id = head.headers().get("Request-Id");
+			if (id.equals(this.request)) {
+				record("head " + id);
+			}
+			else if (EndpointConnectionTests.this.connection.tryDiscard(id)) {
+				record("discarded " + id);
+			}
+			else {
+				record("mismatch " + id);
+				EndpointConnectionTests.this.connection.abandon();
+			}
+		}
+
+		@Override
+		public void contentReceived(ByteBuf bytes) {
+		}
+
+		@Override
+		public void readComplete() {
+		}
+
+		@Override
+		public void responseComplete(boolean reusable) {
+			record("complete, " + ((reusable) ? "reusable" : "closed"));
+		}
+
+		@Override
+		public void connectionFailed() {
+			record("failed");
+		}
+
+	}
+
+}
