A request is not sent twice in a row over the same connection

What callers would see: a stream that goes on is refused, or takes one send more than it needs. A request that an endpoint rejected may be sent to it again if its stream is bound to a version and no other endpoint of it is left. If that goes over the same connection and the endpoint repeats the first rejection late, it bears the right id, and is taken for the answer to the second sending, which runs.

Cause: the id identifies a request, not one of its sendings.

Change: EndpointConnections.acquire passes over the connection whose latest request had the same id; the request goes over another one.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -151,6 +151,16 @@
 		return this.idleNanosBeforeRequest;
 	}
 
+	/**
+	 * Return whether a late response could be taken for that to a request: a response is
+	 * identified by the id of its request.
+	 * @param id the id of the request that is to be sent
+	 * @return whether the latest request on the connection had the same id
+	 */
+	boolean mayConfuse(String id) {
+		return this.requestId.equals(id);
+	}
+
 	/**
 	 * Send a request.
 	 * @param request the request, whose ownership passes to the connection
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -79,11 +79,12 @@
 	 * Get a connection: the most recently used idle one over a path that works, or else a
 	 * new one.
 	 * @param endpoint the endpoint
+	 * @param requestId the id of the request that the connection is for
 	 * @param onReady receives the connection, or the reason why there is none; possibly
 	 * called before this method returns
 	 */
-	void acquire(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
-		Optional<EndpointConnection> idle = takeIdle(endpoint);
+	void acquire(FleetEndpoint endpoint, String requestId, Consumer<Try<EndpointConnection>> onReady) {
+		Optional<EndpointConnection> idle = takeIdle(endpoint, requestId);
 		if (idle.isEmpty()) {
 			this.connector.connect(endpoint, onReady, (spare) -> release(endpoint, spare));
 			return;
@@ -140,7 +141,7 @@
 		this.connector.tell(peer, statement);
 	}
 
-	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint) {
+	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint, String requestId) {
 		Deque<EndpointConnection> connections = this.idleConnections.getOrDefault(endpoint.instance(),
 				new ArrayDeque<>());
 		long now = System.nanoTime();
@@ -156,7 +157,7 @@
 		Iterator<EndpointConnection> latestFirst = connections.descendingIterator();
 		while (latestFirst.hasNext()) {
 			EndpointConnection connection = latestFirst.next();
-			if (connection.link().isTrusted()) {
+			if (connection.link().isTrusted() && !connection.mayConfuse(requestId)) {
 				latestFirst.remove();
 				return Optional.of(connection);
 			}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -290,7 +290,8 @@
 		Attempt attempt = new Attempt(this, endpoint, this.demand.placed(placed));
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
-		this.context.connections().acquire(endpoint, (result) -> connected(attempt, endpoint, result));
+		this.context.connections()
+			.acquire(endpoint, this.request.metadata().id(), (result) -> connected(attempt, endpoint, result));
 	}
 
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointConnection> result) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -108,6 +108,14 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		@Test
+		void sameRequestMayNotFollow() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			assertThat(EndpointConnectionTests.this.connection.mayConfuse("one")).isTrue();
+			assertThat(EndpointConnectionTests.this.connection.mayConfuse("two")).isFalse();
+		}
+
 	}
 
 	/** Records what a listener is told, and checks ids as an attempt does. */
