A response is complete once all data that arrived with it was read

What callers would see: 502 for a request that an endpoint ran, while another connection would have served it.

Cause: EndpointConnection reported a response as complete while data behind it, from the same read, still lay in the decoder. A request that was sent at once over the connection got that data as its response. The class has always said that a connection with data that no request waits for is never used again; this was the gap in it.

Change: the completion is reported at the end of the read.

Evidence: EndpointConnectionTests$DataBehindAResponse fails with the completion reported at the last content, as before.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -26,7 +26,8 @@
  * One connection to an endpoint, which carries one request at a time. A connection is
  * never used again if data arrives on it that no request waits for, if a response on it
  * is malformed, or if a request was not written completely. Otherwise, data that a faulty
- * endpoint sends after a response would be taken for the next response.
+ * endpoint sends after a response would be taken for the next response. For the same
+ * reason a response is complete only once all data that arrived with it was read.
  * <p>
  * A response without a length ends with its connection; it is complete only if the
  * endpoint closed the connection in order, not if the connection was reset.
@@ -50,6 +51,9 @@
 
 	private Listener listener;
 
+	/** Waits for the rest of the data that arrived with its response. */
+	private Listener completed;
+
 	private String requestId = "";
 
 	private boolean headRequested;
@@ -204,6 +208,7 @@
 	 */
 	void abandon() {
 		this.listener = null;
+		this.completed = null;
 		if (this.channel != null) {
 			this.channel.close();
 		}
@@ -316,13 +321,21 @@
 	}
 
 	private void finish() {
-		Listener completed = this.listener;
 		this.closedByEndpoint |= !this.framed;
 		if (this.connectionReset) {
 			fail();
 			return;
 		}
+		this.completed = this.listener;
 		this.listener = null;
+	}
+
+	private void reportCompletion() {
+		Listener reported = this.completed;
+		if (reported == null) {
+			return;
+		}
+		this.completed = null;
 		// An endpoint may respond before it has read the whole request. The next request
 		// would then be written behind the rest of this one, which is still being sent.
 		boolean reusable = !this.closeAfterResponse && !this.stopping && this.requestWritten.isSuccess()
@@ -330,7 +343,7 @@
 		if (!reusable) {
 			this.channel.close();
 		}
-		completed.responseComplete(reusable);
+		reported.responseComplete(reusable);
 	}
 
 	private void fail() {
@@ -347,6 +360,7 @@
 		if (this.listener != null) {
 			this.listener.readComplete();
 		}
+		reportCompletion();
 	}
 
 	@Override
@@ -355,12 +369,14 @@
 		this.closedByEndpoint = true;
 		this.link.lost(LinkSign.RESET, System.nanoTime());
 		fail();
+		reportCompletion();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closedByEndpoint = true;
 		fail();
+		reportCompletion();
 		this.onClosed.accept(this);
 	}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -68,8 +68,12 @@
 	}
 
 	private void send(HttpMethod method, String id) {
+		send(method, id, new Recorder(id));
+	}
+
+	private void send(HttpMethod method, String id, EndpointConnection.Listener listener) {
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/");
-		this.connection.send(request, id, new Recorder(id));
+		this.connection.send(request, id, listener);
 	}
 
 	private void arrive(String text) {
@@ -80,6 +84,43 @@
 		return "HTTP/1.1 200 X\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\n{}";
 	}
 
+	@Nested
+	class DataBehindAResponse {
+
+		// Guards against a second response in the same read that is taken for that to a
+		// request which is sent as soon as the first one is complete.
+		@Test
+		void nextRequestIsNotSentBeforeItWasRead() {
+			send(HttpMethod.POST, "one", new Recorder("one") {
+
+				@Override
+				public void responseComplete(boolean reusable) {
+					super.responseComplete(reusable);
+					if (reusable) {
+						send(HttpMethod.POST, "two");
+					}
+				}
+
+			});
+			arrive(response("one") + response("one"));
+			assertThat(EndpointConnectionTests.this.received).containsExactly("one: head one", "one: complete, closed")
+				.inOrder();
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		@Test
+		void connectionIsReusedWithoutIt() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable", "two: head two", "two: complete, reusable")
+				.inOrder();
+		}
+
+	}
+
 	@Nested
 	class LateResponses {
 
