A stream of unknown origin lives for as long as callers wait, not two timeouts

What callers would see: a stream that is joined from two software versions. A system like this one was reported to do so.

Cause: after a loss of all entries nobody knows where a stream began, and the version is derived from a pool that has had only one for twice the timeout of the route. That is no bound on the age of a stream: the timeout bounds one request only, a caller may take its stream up several times within its own deadline, and a change of the configuration may have lowered the timeout since the stream began.

Change: stream-life of the routing policy, two minutes, as long as the origins of streams are kept.

Ruled out: the reported cause in its plain form, a version that is derived with no memory at all; the derivation has always waited for twice the timeout since the first list.

Evidence: StreamVersionTests.streamOfBeforeTheEndOfAllEntriesIsNotJoinedWithAnotherVersion fails on (200 in place of 503, after two seconds with a timeout of one second and a deadline of 15). On the sites of today the deadlines of resumable streams equal their timeouts, so that the fault can't show there without such a change.

--- a/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/RoutingParameter.java
@@ -153,7 +153,14 @@
 	 * The time without data from an engine with running requests after which it is
 	 * considered silent. Such an engine normally sends many events in this time.
 	 */
-	ENGINE_SILENCE("engine-silence", "ms", 1_500, 100, 60_000);
+	ENGINE_SILENCE("engine-silence", "ms", 1_500, 100, 60_000),
+
+	/**
+	 * The longest time from the first event of a stream until its caller gives it up:
+	 * longer than callers wait. It may be several times the timeout of the route, which
+	 * bounds one request only and may have been longer when the stream began.
+	 */
+	STREAM_LIFE("stream-life", "s", 120, 1, 3_600);
 
 	private final String label;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.acaciacourse.core.balance.RoutingParameter;
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.route.Route;
 import org.acaciacourse.core.stream.StreamKey;
@@ -25,11 +26,7 @@
  */
 final class ResumedStreams {
 
-	/**
-	 * A stream may live for as long as its route permits, and be taken up for as long
-	 * once more.
-	 */
-	private static final int STREAM_LIFE_TIMEOUTS = 2;
+	private static final int MILLIS_PER_SECOND = 1_000;
 
 	private final StreamOriginService origins;
 
@@ -96,7 +93,8 @@
 		if (pools.size() != 1) {
 			return Optional.empty();
 		}
-		Duration streamLife = route.timeout().multipliedBy(STREAM_LIFE_TIMEOUTS);
+		double seconds = this.pools.policy().value(RoutingParameter.STREAM_LIFE);
+		Duration streamLife = Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
 		return this.pools.versions()
 			.onlyVersion(pools.get(0), streamLife, System.nanoTime())
 			.map((version) -> new StreamOrigin(pools.get(0), Optional.of(version)));
