Control VMs keep the origins of streams, which outlive all entries

Cause: origins were kept by entries alone, so that all of them were lost together, while the control VMs lived on. What was left, the version of a pool that has had only one, needs a long memory of the pool, which the entries have lost as well.

Change: an entry tells an origin to two control VMs too, with the same datagrams, and asks up to four. The entries learn the addresses from the polls. Gauge acaciacourse_stream_origins_kept.

Weighed: the versions that a pool has had, kept by control: of no use while the pool has several. Origins in the replicated log: a write for each stream, for what is of no use after some seconds. A stale origin does no harm: it never changes.

--- a/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Keeps the origins of streams at several entry VMs, so that a caller can take its stream
@@ -19,18 +20,27 @@
  * messages may be lost and VMs start anew. A VM at which a stream is taken up and that
  * does not know it asks the same VMs, and a few more in case its list of VMs differs.
  * <p>
+ * Two control VMs are told and asked in the same way, so that origins outlive all entry
+ * VMs. A control VM only receives messages.
+ * <p>
  * All state is soft. An origin that nobody knows any longer is not guessed here.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class StreamOrigins {
 
-	/** How many other VMs keep an origin. */
+	/** How many other entry VMs keep an origin. */
 	private static final int HOLDERS = 4;
 
-	/** How many other VMs are asked for one. */
+	/** How many other entry VMs are asked for one. */
 	private static final int MAX_ASKED = 8;
 
+	/** How many control VMs keep an origin: one may be down. */
+	private static final int CONTROL_HOLDERS = 2;
+
+	/** How many control VMs are asked for one. */
+	private static final int MAX_CONTROLS_ASKED = 4;
+
 	/** Keeps messages within the size of a packet. */
 	private static final int MAX_STREAMS_PER_MESSAGE = 10;
 
@@ -58,6 +68,8 @@
 
 	private List<String> peers = List.of();
 
+	private List<String> controls = List.of();
+
 	/**
 	 * Create the origins.
 	 * @param self the address of this VM
@@ -67,13 +79,29 @@
 	}
 
 	/**
-	 * Set the VMs that keep origins.
+	 * Set the entry VMs that keep origins.
 	 * @param vms the addresses of the live VMs, with or without this one
 	 */
 	public void peers(List<String> vms) {
 		this.peers = vms.stream().filter((vm) -> !vm.equals(this.self)).toList();
 	}
 
+	/**
+	 * Set the control VMs that keep origins.
+	 * @param vms their addresses
+	 */
+	public void controls(List<String> vms) {
+		this.controls = List.copyOf(vms);
+	}
+
+	/**
+	 * Return how many origins this VM knows.
+	 * @return the number of streams
+	 */
+	public int size() {
+		return this.table.size();
+	}
+
 	/**
 	 * Record that this VM is about to forward the first event of a stream.
 	 * @param key the name of the stream
@@ -86,7 +114,7 @@
 		this.served.put(key, new Served(origin, now));
 		OriginMessage message = new OriginMessage(OriginMessage.Kind.TELL,
 				List.of(new OriginMessage.Stream(key, Optional.of(origin))));
-		return send(message, ranked(key, HOLDERS));
+		return send(message, holders(key));
 	}
 
 	/**
@@ -118,7 +146,7 @@
 		if (this.lookups.containsKey(key)) {
 			return List.of();
 		}
-		Lookup lookup = new Lookup(now, new LinkedHashSet<>(ranked(key, MAX_ASKED)));
+		Lookup lookup = new Lookup(now, new LinkedHashSet<>(asked(key)));
 		this.lookups.put(key, lookup);
 		endIfComplete(key, lookup);
 		return question(key, lookup);
@@ -210,7 +238,7 @@
 				return stream;
 			}
 			this.table.record(key, stream.origin(), now);
-			ranked(key, HOLDERS).forEach((holder) -> byHolder.computeIfAbsent(holder, (vm) -> new ArrayList<>())
+			holders(key).forEach((holder) -> byHolder.computeIfAbsent(holder, (vm) -> new ArrayList<>())
 				.add(new OriginMessage.Stream(key, Optional.of(stream.origin()))));
 			return new Served(stream.origin(), now);
 		});
@@ -225,15 +253,23 @@
 		return messages;
 	}
 
-	private List<String> ranked(StreamKey key, int count) {
-		return this.peers.stream()
+	private List<String> holders(StreamKey key) {
+		return Stream.concat(ranked(this.peers, key, HOLDERS), ranked(this.controls, key, CONTROL_HOLDERS)).toList();
+	}
+
+	private List<String> asked(StreamKey key) {
+		return Stream.concat(ranked(this.peers, key, MAX_ASKED), ranked(this.controls, key, MAX_CONTROLS_ASKED))
+			.toList();
+	}
+
+	private static Stream<String> ranked(List<String> vms, StreamKey key, int count) {
+		return vms.stream()
 			.collect(Collectors.toMap((vm) -> vm, key::hashWith, (first, second) -> first))
 			.entrySet()
 			.stream()
 			.sorted(Map.Entry.<String, Long>comparingByValue().thenComparing(Comparator.comparing(Map.Entry::getKey)))
 			.limit(count)
-			.map(Map.Entry::getKey)
-			.toList();
+			.map(Map.Entry::getKey);
 	}
 
 	private static List<Outgoing> send(OriginMessage message, List<String> receivers) {
--- a/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
@@ -13,8 +13,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Entry VMs that exchange the origins of streams in virtual time, over a network that
- * loses and delays datagrams.
+ * Entry VMs that exchange the origins of streams in virtual time, with control VMs that
+ * keep them, over a network that loses and delays datagrams.
  * <p>
  * Not thread safe: belongs to one test.
  */
@@ -36,6 +36,8 @@
 
 	private final List<String> addresses;
 
+	private final List<String> controls;
+
 	private final PriorityQueue<Datagram> inFlight = new PriorityQueue<>(Comparator.comparingLong(Datagram::arrivesAt));
 
 	private final Map<StreamKey, Optional<StreamOrigin>> found = new HashMap<>();
@@ -47,8 +49,14 @@
 	private int sent;
 
 	OriginNetwork(int size, double lossRate, long seed) {
+		this(size, 0, lossRate, seed);
+	}
+
+	OriginNetwork(int size, int controls, double lossRate, long seed) {
 		this.random = new Random(seed);
 		this.lossRate = lossRate;
+		this.controls = IntStream.range(0, controls).mapToObj((i) -> "10.0.1." + i + ":7340").toList();
+		this.controls.forEach((vm) -> this.running.put(vm, new StreamOrigins(vm)));
 		this.addresses = IntStream.range(0, size).mapToObj((i) -> "10.0.0." + i + ":7340").toList();
 		this.addresses.forEach(this::start);
 	}
@@ -56,13 +64,23 @@
 	/** Start a VM, which knows no streams. */
 	void start(String vm) {
 		StreamOrigins origins = new StreamOrigins(vm);
+		origins.controls(this.controls);
 		this.running.put(vm, origins);
 		tellPeers(this.addresses);
 	}
 
-	/** Have all VMs believe that these are live. */
+	/** Have all entry VMs believe that these are live. */
 	void tellPeers(List<String> vms) {
-		this.running.values().forEach((origins) -> origins.peers(vms));
+		this.running.forEach((vm, origins) -> {
+			if (!this.controls.contains(vm)) {
+				origins.peers(vms);
+			}
+		});
+	}
+
+	/** End a control VM, which the entry VMs go on to ask. */
+	void endControl(int index) {
+		end(this.controls.get(index));
 	}
 
 	/** End a VM; the others still believe that it is live. */
--- a/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
@@ -40,6 +40,58 @@
 		}
 	}
 
+	@Nested
+	class LossOfAllEntries {
+
+		private static void endAll(OriginNetwork network) {
+			network.addresses().forEach(network::end);
+			network.addresses().forEach(network::start);
+		}
+
+		// Guards against origins that are lost with all entry VMs while control lives on.
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 6, 95 })
+		void originIsFoundAtControl(int size) {
+			OriginNetwork network = new OriginNetwork(size, 3, 0, size);
+			begin(network);
+			network.run(3 * OriginNetwork.MILLI);
+			endAll(network);
+			network.endControl(0);
+			for (int i = 0; i < STREAMS; i++) {
+				String vm = network.addresses().get((i + 1) % size);
+				assertWithMessage("stream %s", i).that(network.find(vm, key(i))).isEqualTo(Optional.of(originOf(i)));
+			}
+		}
+
+		// Guards against an origin that is lost with the datagrams that told it to
+		// control, and against a question that is lost.
+		@Test
+		void originIsFoundThoughDatagramsAreLost() {
+			OriginNetwork network = new OriginNetwork(6, 5, 0.1, 1);
+			begin(network);
+			network.run(3 * SECOND);
+			endAll(network);
+			for (int i = 0; i < STREAMS; i++) {
+				String vm = network.addresses().get(i % 6);
+				assertWithMessage("stream %s", i).that(network.find(vm, key(i))).isEqualTo(Optional.of(originOf(i)));
+			}
+		}
+
+		// Guards against an origin that is guessed when control has lost it as well.
+		@Test
+		void originIsUnknownOnceControlHasEndedToo() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			begin(network);
+			network.run(3 * OriginNetwork.MILLI);
+			endAll(network);
+			for (int i = 0; i < 3; i++) {
+				network.endControl(i);
+			}
+			assertThat(network.find(network.addresses().get(0), key(1))).isEqualTo(Optional.empty());
+		}
+
+	}
+
 	@Nested
 	class TakenUpElsewhere {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -28,6 +28,7 @@
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
 import org.acaciacourse.daemon.telemetry.AdminServer;
+import org.acaciacourse.daemon.telemetry.Gauges;
 import org.acaciacourse.protocol.generated.PeerDescription;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -130,6 +131,9 @@
 		server.start();
 		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
 				this.options.address());
+		if (this.options.fleet().isPresent()) {
+			startOrigins();
+		}
 		if (this.store.recovered().isFresh()) {
 			this.controlHandler.bootstrapPending();
 			this.bootstrapTask = Optional.of(new PeriodicTask("founding", RETRY_MILLIS, this::tryBootstrap));
@@ -144,6 +148,20 @@
 			.push(new AdminServer(InternalConnection.parse(this.options.admin()), this.metrics, this::isReady));
 	}
 
+	// Without it, only streams that are taken up after a loss of all entry VMs suffer.
+	private void startOrigins() {
+		try {
+			StreamOriginServer origins = new StreamOriginServer(this.options.address());
+			this.resources.push(origins);
+			origins.start();
+			Gauges.register(this.metrics, "acaciacourse_stream_origins_kept",
+					"Streams whose origin this control VM knows", origins::size);
+		}
+		catch (IOException ex) {
+			LOGGER.warn("cannot receive the origins of streams at {}: {}", this.options.address(), ex.getMessage());
+		}
+	}
+
 	private synchronized void tryBootstrap() {
 		if (this.loop.isPresent() || this.stopping) {
 			return;
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -57,6 +57,8 @@
 
 	private long peersRevision;
 
+	private List<String> controls = List.of();
+
 	private long crashRevision;
 
 	private int entryCount;
@@ -98,6 +100,7 @@
 		applyNotices(reply.getNotices());
 		applyFleet(reply);
 		applyPeers(reply);
+		applyControls(reply);
 		applyEntryCount(reply.getEntryCount());
 		return this.number >= reply.getNumber();
 	}
@@ -120,6 +123,14 @@
 		});
 	}
 
+	private void applyControls(PollReply reply) {
+		List<String> reported = Optional.ofNullable(reply.getControls()).orElse(List.of());
+		if (!reported.isEmpty() && !reported.equals(this.controls)) {
+			this.controls = List.copyOf(reported);
+			this.listener.controlsReceived(this.controls);
+		}
+	}
+
 	private void applyDocument(PollReply reply) {
 		Optional<ManifestDocument> next = documentOf(reply);
 		if (next.isEmpty()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -121,6 +121,13 @@
 		default void peersReceived(List<LoadPeer> peers) {
 		}
 
+		/**
+		 * The control VMs were reported, for the first time or because they have changed.
+		 * @param addresses the addresses of their internal servers
+		 */
+		default void controlsReceived(List<String> addresses) {
+		}
+
 		/**
 		 * The configuration is confirmed to be the latest committed one; the VM may
 		 * become ready.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -422,6 +422,11 @@
 			});
 		}
 
+		@Override
+		public void controlsReceived(List<String> addresses) {
+			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.origins.controls(addresses));
+		}
+
 		@Override
 		public void upToDate() {
 			RouteDaemon.this.loop.execute(() -> RouteDaemon.this.upToDate = true);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
@@ -55,13 +55,21 @@
 	}
 
 	/**
-	 * Set the VMs that keep origins.
+	 * Set the entry VMs that keep origins.
 	 * @param vms the addresses of the live VMs
 	 */
 	void peers(List<String> vms) {
 		this.origins.peers(vms);
 	}
 
+	/**
+	 * Set the control VMs that keep origins.
+	 * @param vms their addresses
+	 */
+	void controls(List<String> vms) {
+		this.origins.controls(vms);
+	}
+
 	/**
 	 * Record that the first event of a stream is forwarded.
 	 * @param key the name of the stream
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -131,6 +131,25 @@
 	}
 
 	/** Records the calls to a listener. */
+	@Nested
+	class Controls {
+
+		// Guards against control VMs that were replaced and that are told no origins of
+		// streams any more.
+		@Test
+		void areToldWheneverTheyHaveChanged() {
+			ConfigurationFollower follower = ConfigurationFollowerTests.this.follower;
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
+			follower.apply(fullReply(1));
+			follower.apply(fullReply(1).setControls(List.of("b:1", "c:1")));
+			assertThat(ConfigurationFollowerTests.this.events)
+				.containsExactly(1L, List.of("a:1", "b:1"), List.of("b:1", "c:1"))
+				.inOrder();
+		}
+
+	}
+
 	private final class RecordingListener implements ControlLink.Listener {
 
 		@Override
@@ -142,6 +161,11 @@
 		public void upToDate() {
 		}
 
+		@Override
+		public void controlsReceived(List<String> addresses) {
+			ConfigurationFollowerTests.this.events.add(addresses);
+		}
+
 		@Override
 		public void endpointStatusChanged(String endpoint, EndpointStatus status) {
 		}
