A resumed stream without any event and without an end is broken off, not complete

What callers would see: a stream that ends as complete before its last event (ORDER). The endpoint at which it is resumed stops right behind the head of a response that has neither a length nor chunks, and closes.

Cause: a stream that ends with its connection counted as complete if it was resumed, as its rest may have no event. An endpoint that stops before its first event looks the same.

Change: such an answer is broken off and resumed again, where it may be. A caller that has in fact all events, and whose endpoint neither frames the empty rest nor ends the stream, is not told that its stream is complete.

Found while the report of responses that are cut in their head was looked into; the head itself was whole here.

Evidence: UnframedStreamTests$BrokenOff.resumedStreamWithoutAnyEventIsNotWhole fails on (the answer is whole, without its rest).

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/AnswerProgress.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/AnswerProgress.java
@@ -38,11 +38,6 @@
 		return this.beganAt != 0;
 	}
 
-	// Whether a stream that has ended without any event may be complete.
-	boolean mayBeEmpty() {
-		return hasBegun() || this.resumed;
-	}
-
 	/**
 	 * Return how long the answer has been in progress.
 	 * @param now the time
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -381,10 +381,10 @@
 	}
 
 	// A stream that ends with its connection looks the same whether it is complete or its
-	// endpoint has stopped. The rest of a resumed one may have no event.
+	// endpoint has stopped. Without any event nothing speaks for the former, also where a
+	// stream is resumed.
 	private boolean isStreamBrokenOff() {
-		return this.partial.parser.isWithinEvent()
-				|| (!this.answer.mayBeEmpty() && this.connection.isClosedByEndpoint());
+		return this.partial.parser.isWithinEvent() || (!this.answer.hasBegun() && this.connection.isClosedByEndpoint());
 	}
 
 	private void endBuffered() {
