A rejection without an id counts on a connection that is new

What callers would see since: 502 in place of another try, for a request that went to an address which another endpoint has now, if that answers 421 without an id.

It can only be late on a connection that has carried another request.

Change: on a connection without an earlier request it counts, on any other one it is a mismatch.

Evidence: RequestLifeTests and LateResponseTests pass; the latter's cases on a used connection fail without the check.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -227,11 +227,12 @@
 		recordActivity();
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		int status = head.status().code();
+		boolean own = isOwn(metadata, status);
 		this.exchange.context()
 			.statements()
-			.received(new EndpointStatements.Response(this.endpoint, requestId(), this.connection.via(),
+			.received(new EndpointStatements.Response(this.endpoint, requestId(), own, this.connection.via(),
 					this.placed.inFlight()), status, metadata);
-		if (metadata.requestId().equals(requestId())) {
+		if (own) {
 			ownHeadReceived(head, metadata);
 		}
 		else if (this.connection.tryDiscard(metadata.requestId())) {
@@ -243,13 +244,25 @@
 		}
 	}
 
+	// A rejection may have no id. On a connection that has carried another request, it
+	// may
+	// be a late one to that.
+	private boolean isOwn(RequestDialect.ResponseMetadata metadata, int status) {
+		boolean first = metadata.requestId().isEmpty() && !this.connection.isReused();
+		return metadata.requestId().equals(requestId()) || (first && isRejection(metadata, status));
+	}
+
+	private static boolean isRejection(RequestDialect.ResponseMetadata metadata, int status) {
+		return metadata.notRun() || status == MISDIRECTED_REQUEST;
+	}
+
 	private void ownHeadReceived(HttpResponse head, RequestDialect.ResponseMetadata metadata) {
 		confirmArrival();
 		EndpointStatements.reportLoad(this.endpoint, metadata, this.placed, this.lastActivityAt);
 		metadata.idleTimeoutSeconds()
 			.ifPresent((seconds) -> this.exchange.context().connections().setIdleTimeout(this.endpoint, seconds));
 		int status = head.status().code();
-		if (metadata.notRun() || status == MISDIRECTED_REQUEST) {
+		if (isRejection(metadata, status)) {
 			this.partial.start(PartialResponse.Mode.NOT_RUN, head);
 			this.exchange.context()
 				.loop()
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -56,6 +56,8 @@
 
 	private String requestId = "";
 
+	private boolean reused;
+
 	private boolean headRequested;
 
 	/** The id of a late response that can be told from the one that is waited for. */
@@ -155,6 +157,11 @@
 		return this.idleNanosBeforeRequest;
 	}
 
+	// Returns whether the connection has carried a request before the latest one.
+	boolean isReused() {
+		return this.reused;
+	}
+
 	/**
 	 * Return whether a late response could be taken for that to a request: a response is
 	 * identified by the id of its request.
@@ -173,9 +180,9 @@
 	 */
 	void send(FullHttpRequest request, String id, Listener responseListener) {
 		this.listener = responseListener;
+		this.reused = !this.requestId.isEmpty();
 		// A repeated response to HEAD has a length and no body.
-		this.discardableId = Optional.of(this.requestId)
-			.filter((previous) -> !previous.isEmpty() && !this.headRequested);
+		this.discardableId = Optional.of(this.requestId).filter((previous) -> this.reused && !this.headRequested);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointStatements.java
@@ -72,8 +72,8 @@
 			return;
 		}
 		boolean leaving = metadata.leaving() && status != MISDIRECTED_REQUEST;
-		boolean own = metadata.requestId().equals(response.request());
-		Optional<Duration> rest = metadata.retryAfter().filter((time) -> own && status == SERVICE_UNAVAILABLE);
+		Optional<Duration> rest = metadata.retryAfter()
+			.filter((time) -> response.own() && status == SERVICE_UNAVAILABLE);
 		EndpointStatement statement = new EndpointStatement(response.endpoint().instance(), rest, leaving);
 		if (statement.restricts()) {
 			apply(statement, Optional.of(response));
@@ -120,11 +120,12 @@
 	 * Where a response comes from.
 	 *
 	 * @param endpoint the endpoint as it was listed when the request was placed
-	 * @param request the id of the request
+	 * @param request the id of the request that waited for it
+	 * @param own whether it is the response to that request
 	 * @param via the VM that the connection is tunnelled through, if it is
 	 * @param inFlight how many requests of this VM are at the endpoint
 	 */
-	record Response(FleetEndpoint endpoint, String request, Optional<String> via, int inFlight) {
+	record Response(FleetEndpoint endpoint, String request, boolean own, Optional<String> via, int inFlight) {
 	}
 
 }
