An entry knows whom to ask for origins before it serves what it held

What callers would see: a stream that is taken up at an entry which has just started is refused (212), though a control VM knows its origin.

Cause: requests that arrive before there is a configuration are held, and released by the poll reply that brings it; the control VMs and the peers in the same reply were applied after that.

Change: they are applied first. The server of origins on a control VM logs datagrams that it can't read, once a second at most, and stops with an error line if its socket fails.

--- a/daemon/src/main/java/org/acaciacourse/daemon/control/StreamOriginServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/StreamOriginServer.java
@@ -5,7 +5,9 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
+import java.util.List;
 
+import org.acaciacourse.core.code.LogRateLimiter;
 import org.acaciacourse.core.stream.OriginMessage;
 import org.acaciacourse.core.stream.StreamOrigins;
 import org.acaciacourse.daemon.codec.LoadDigestCodec;
@@ -28,6 +30,10 @@
 	/** More than any message about origins has. */
 	private static final int MAX_DATAGRAM_BYTES = 4_096;
 
+	private static final int MAX_DROP_LINES_PER_SECOND = 1;
+
+	private final LogRateLimiter dropLogLimiter = new LogRateLimiter(MAX_DROP_LINES_PER_SECOND, System.nanoTime());
+
 	private final DatagramSocket socket;
 
 	private final StreamOrigins origins;
@@ -58,31 +64,45 @@
 
 	private void run() {
 		DatagramPacket packet = new DatagramPacket(new byte[MAX_DATAGRAM_BYTES], MAX_DATAGRAM_BYTES);
-		while (!this.socket.isClosed()) {
-			try {
+		try {
+			while (!this.socket.isClosed()) {
 				packet.setLength(MAX_DATAGRAM_BYTES);
 				this.socket.receive(packet);
-				receive((InetSocketAddress) packet.getSocketAddress(),
-						Arrays.copyOf(packet.getData(), packet.getLength()));
+				InetSocketAddress sender = (InetSocketAddress) packet.getSocketAddress();
+				LoadDigestCodec.decode(Arrays.copyOf(packet.getData(), packet.getLength()))
+					.andThen((content) -> content.peekLeft((message) -> receive(sender, message)))
+					.onFailure((ex) -> logDropped(sender, ex));
 			}
-			catch (IOException ex) {
-				// A VM that is gone refuses the answer that was sent to it.
-				LOGGER.debug("datagram about origins of streams failed", ex);
+		}
+		catch (IOException ex) {
+			if (!this.socket.isClosed()) {
+				LOGGER.error("origins of streams can no longer be received", ex);
 			}
 		}
 	}
 
-	private void receive(InetSocketAddress sender, byte[] datagram) throws IOException {
-		OriginMessage message = LoadDigestCodec.decode(datagram)
-			.toJavaOptional()
-			.flatMap((content) -> content.swap().toJavaOptional())
-			.orElseThrow(() -> new IOException("no message about origins of streams from " + sender));
-		for (StreamOrigins.Outgoing answer : this.origins.receive(InternalConnection.format(sender), message,
-				System.nanoTime())) {
-			byte[] bytes = OriginMessageCodec.encode(answer.message());
-			this.socket.send(new DatagramPacket(bytes, bytes.length, sender));
-		}
+	private void receive(InetSocketAddress sender, OriginMessage message) {
+		List<StreamOrigins.Outgoing> answers = this.origins.receive(InternalConnection.format(sender), message,
+				System.nanoTime());
 		this.size = this.origins.size();
+		answers.forEach((answer) -> send(sender, OriginMessageCodec.encode(answer.message())));
+	}
+
+	private void send(InetSocketAddress receiver, byte[] datagram) {
+		try {
+			this.socket.send(new DatagramPacket(datagram, datagram.length, receiver));
+		}
+		catch (IOException ex) {
+			// The entry VM asks again or asks others.
+			LOGGER.debug("cannot send origins of streams to {}: {}", receiver, ex.getMessage());
+		}
+	}
+
+	private void logDropped(InetSocketAddress sender, Throwable cause) {
+		this.dropLogLimiter.tryAcquire(System.nanoTime())
+			.ifPresent((suppressed) -> LOGGER.warn(
+					"ignored invalid message about origins of streams from {} ({} earlier ones not logged): {}", sender,
+					suppressed, String.valueOf(cause)));
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -93,14 +93,15 @@
 	 * @return whether the configuration in force is at least as new as the reply
 	 */
 	boolean apply(PollReply reply) {
+		// Requests that were held until there is a configuration may ask these VMs.
+		applyPeers(reply);
+		applyControls(reply);
 		if (reply.getNumber() > this.number) {
 			applyDocument(reply);
 		}
 		applyCrashes(reply);
 		applyNotices(reply.getNotices());
 		applyFleet(reply);
-		applyPeers(reply);
-		applyControls(reply);
 		applyEntryCount(reply.getEntryCount());
 		return this.number >= reply.getNumber();
 	}
