A connection that the same request must not follow on is closed

What endpoints would see: a new connection for each request of a caller that names all of its requests alike, and all former ones kept until they have been idle for some seconds.

Change: it is closed, which also ends a late response on it. Found by reading the change again. The question that the connection is asked has a name that tells what it is about.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -244,9 +244,8 @@
 		}
 	}
 
-	// A rejection may have no id. On a connection that has carried another request, it
-	// may
-	// be a late one to that.
+	// A rejection may have no id. It is not late on a connection without an earlier
+	// request.
 	private boolean isOwn(RequestDialect.ResponseMetadata metadata, int status) {
 		boolean first = metadata.requestId().isEmpty() && !this.connection.isReused();
 		return metadata.requestId().equals(requestId()) || (first && isRejection(metadata, status));
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -163,12 +163,13 @@
 	}
 
 	/**
-	 * Return whether a late response could be taken for that to a request: a response is
-	 * identified by the id of its request.
+	 * Return whether the latest request on the connection had an id. If another one with
+	 * the same id followed, a late response to the first could not be told from that to
+	 * the second.
 	 * @param id the id of the request that is to be sent
-	 * @return whether the latest request on the connection had the same id
+	 * @return whether the request must not be sent over this connection
 	 */
-	boolean mayConfuse(String id) {
+	boolean isLatestRequest(String id) {
 		return this.requestId.equals(id);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -157,7 +157,11 @@
 		Iterator<EndpointConnection> latestFirst = connections.descendingIterator();
 		while (latestFirst.hasNext()) {
 			EndpointConnection connection = latestFirst.next();
-			if (connection.link().isTrusted() && !connection.mayConfuse(requestId)) {
+			if (connection.isLatestRequest(requestId)) {
+				latestFirst.remove();
+				connection.abandon();
+			}
+			else if (connection.link().isTrusted()) {
 				latestFirst.remove();
 				return Optional.of(connection);
 			}
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -153,8 +153,8 @@
 		void sameRequestMayNotFollow() {
 			send(HttpMethod.POST, "one");
 			arrive(response("one"));
-			assertThat(EndpointConnectionTests.this.connection.mayConfuse("one")).isTrue();
-			assertThat(EndpointConnectionTests.this.connection.mayConfuse("two")).isFalse();
+			assertThat(EndpointConnectionTests.this.connection.isLatestRequest("one")).isTrue();
+			assertThat(EndpointConnectionTests.this.connection.isLatestRequest("two")).isFalse();
 		}
 
 	}
