A start syncs the records that it has read before they count

Cause: a process that is killed between the write and the sync of a record leaves it in the file and not on the disk. The next start counted it as durable, and synced only the new segment, whose header refers to it.

Change: the newest segment that holds a record is synced before its records count. The folder was synced before that already, with the names of renamed files.

--- a/daemon/src/main/java/org/acaciacourse/daemon/store/Disk.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/store/Disk.java
@@ -36,6 +36,13 @@
 	 */
 	AppendFile append(String name) throws IOException;
 
+	/**
+	 * Sync a file, whoever has written it.
+	 * @param name the name of the file
+	 * @throws IOException if the sync failed
+	 */
+	void sync(String name) throws IOException;
+
 	/**
 	 * Truncate a file and sync it.
 	 * @param name the name of the file
--- a/daemon/src/main/java/org/acaciacourse/daemon/store/FolderDisk.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/store/FolderDisk.java
@@ -85,6 +85,13 @@
 		return new ChannelFile(channel);
 	}
 
+	@Override
+	public void sync(String name) throws IOException {
+		try (FileChannel channel = FileChannel.open(this.folder.resolve(name), StandardOpenOption.WRITE)) {
+			channel.force(true);
+		}
+	}
+
 	@Override
 	public void truncate(String name, long size) throws IOException {
 		try (FileChannel channel = FileChannel.open(this.folder.resolve(name), StandardOpenOption.WRITE)) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/store/ReplicaStore.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/store/ReplicaStore.java
@@ -30,9 +30,11 @@
  * write-ahead log with one record per sync (redo records as in Mohan et al., ARIES, 1992)
  * and of snapshots that are written to a temporary file, synced and renamed.
  * <p>
- * Invariants: data for which {@link #sync} has returned survives a crash at any point; a
- * segment is deleted, oldest first, only after a durable snapshot covers all its entries;
- * the first disk failure is final, and every later call fails with the same code.
+ * Invariants: data for which {@link #sync} has returned, and all that was recovered,
+ * survives a crash at any point; only the newest segment may hold records that were not
+ * synced, if the process was killed; a segment is deleted, oldest first, only after a
+ * durable snapshot covers all its entries; the first disk failure is final, and every
+ * later call fails with the same code.
  * <p>
  * Not thread safe: used by the replica's thread only.
  */
@@ -116,8 +118,14 @@
 		Optional<Snapshot> snapshot = readSnapshot(names);
 		LogReplay replay = new LogReplay(this.identity.value());
 		List<String> segments = names.stream().filter((name) -> name.startsWith(SEGMENT_PREFIX)).sorted().toList();
+		Optional<String> newest = Optional.empty();
 		for (int i = 0; i < segments.size(); i++) {
-			replaySegment(segments.get(i), i == segments.size() - 1, replay);
+			if (replaySegment(segments.get(i), i == segments.size() - 1, replay)) {
+				newest = Optional.of(segments.get(i));
+			}
+		}
+		if (newest.isPresent()) {
+			this.disk.sync(newest.get());
 		}
 		this.recovered = replay.finish(snapshot);
 		this.hardState = this.recovered.hardState();
@@ -134,7 +142,8 @@
 		startSegment();
 	}
 
-	private void replaySegment(String name, boolean newest, LogReplay replay) throws IOException {
+	// Returns whether the segment holds any record.
+	private boolean replaySegment(String name, boolean newest, LogReplay replay) throws IOException {
 		Scan scan = RecordFormat.scan(this.disk.read(name));
 		if (scan.validRecordFollows() || (scan.hasInvalidRecord() && !newest)) {
 			throw new StoreException(ResultCode.LOG_DAMAGED, name + ": invalid record at offset " + scan.validEnd(),
@@ -148,6 +157,7 @@
 			this.disk.delete(name);
 			this.disk.syncFolder();
 		}
+		return !scan.records().isEmpty();
 	}
 
 	private ReplicaId readIdentity() throws IOException {
--- a/daemon/src/test/java/org/acaciacourse/daemon/store/MemoryDisk.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/store/MemoryDisk.java
@@ -109,6 +109,14 @@
 		};
 	}
 
+	@Override
+	public void sync(String name) throws IOException {
+		countOperation();
+		this.syncs++;
+		Content content = this.files.get(name);
+		content.durable = content.bytes.toByteArray();
+	}
+
 	@Override
 	public void truncate(String name, long size) throws IOException {
 		countOperation();
--- a/daemon/src/test/java/org/acaciacourse/daemon/store/ReplicaStoreTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/store/ReplicaStoreTests.java
@@ -209,6 +209,63 @@
 
 	}
 
+	@Nested
+	class Kills {
+
+		private static final int NEVER = Integer.MAX_VALUE / 2;
+
+		// Writes a record that the process does not live to sync.
+		private static void killBeforeSync(MemoryDisk disk, ReplicaStore store, long index) {
+			store.put(List.of(entry(index, 1)));
+			disk.failAfter(1);
+			assertThat(failure(store::sync)).hasValue(ResultCode.DISK_FAILED);
+			disk.failAfter(NEVER);
+		}
+
+		// Guards against a record that counts after a kill and that a later loss of power
+		// takes, as it was written and never synced.
+		@Test
+		void recordThatWasRecoveredSurvivesALossOfPower() {
+			MemoryDisk disk = new MemoryDisk();
+			ReplicaStore store = disk.openStore();
+			append(store, 1, 3, 1);
+			killBeforeSync(disk, store, 4);
+			assertThat(indexes(disk.openStore())).containsExactly(1L, 2L, 3L, 4L).inOrder();
+			assertThat(indexes(disk.crash().openStore())).containsExactly(1L, 2L, 3L, 4L).inOrder();
+		}
+
+		// Guards against the same where kills follow each other, the last one before the
+		// new segment has a record.
+		@Test
+		void recordsSurviveKillsInSeriesAndALossOfPower() {
+			MemoryDisk disk = new MemoryDisk();
+			append(disk.openStore(), 1, 3, 1);
+			for (long index = 4; index <= 6; index++) {
+				killBeforeSync(disk, disk.openStore(), index);
+			}
+			for (int operations = 0; operations < 6; operations++) {
+				disk.failAfter(operations);
+				failure(disk::openStore);
+				disk.failAfter(NEVER);
+			}
+			assertThat(indexes(disk.openStore())).hasSize(6);
+			assertThat(indexes(disk.crash().openStore())).containsExactly(1L, 2L, 3L, 4L, 5L, 6L).inOrder();
+		}
+
+		// Guards against a vote that is forgotten after it was cast.
+		@Test
+		void hardStateThatWasRecoveredSurvivesALossOfPower() {
+			MemoryDisk disk = new MemoryDisk();
+			ReplicaStore store = disk.openStore();
+			append(store, 1, 3, 1);
+			store.put(new HardState(9, Optional.of(store.identity())));
+			killBeforeSync(disk, store, 4);
+			assertThat(disk.openStore().recovered().hardState().term()).isEqualTo(9);
+			assertThat(disk.crash().openStore().recovered().hardState().term()).isEqualTo(9);
+		}
+
+	}
+
 	@Nested
 	class Damage {
 
