A version that the list corrects soon after the first event is retracted

What callers would see: a stream that is joined from two versions (ORDER). An endpoint is started again under its id with other software while an entry is down or does not notice; the list states its former version for a while longer, and a stream that begins there is bound to that. When it breaks off later, it goes on at the former version.

Cause: the version of a stream was taken from the list at its first event, and a list that lags was believed for good.

Weighed: to doubt all versions for the first seconds of an entry, which would refuse streams that break off then for whatever cause; the start of an endpoint (born), which neither its answers nor the list state.

--- a/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
@@ -117,6 +117,25 @@
 		return send(message, holders(key));
 	}
 
+	/**
+	 * Record that the version that this VM has told for a stream may be wrong.
+	 * @param key the name of the stream
+	 * @param now the time
+	 * @return the messages to send
+	 */
+	public List<Outgoing> retract(StreamKey key, long now) {
+		Optional<StreamOrigin> told = this.table.find(key, now);
+		if (told.isEmpty()) {
+			return List.of();
+		}
+		StreamOrigin unknown = new StreamOrigin(told.get().pool(), Optional.empty());
+		this.table.record(key, unknown, now);
+		this.served.computeIfPresent(key, (name, stream) -> new Served(unknown, now));
+		OriginMessage message = new OriginMessage(OriginMessage.Kind.TELL,
+				List.of(new OriginMessage.Stream(key, Optional.of(unknown))));
+		return send(message, holders(key));
+	}
+
 	/**
 	 * Record that this VM no longer serves a stream.
 	 * @param key the name of the stream
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -380,6 +380,7 @@
 		this.loop.execute(() -> {
 			if (fleet.revision() != this.pools.fleet().revision()) {
 				this.pools.fleet(fleet);
+				this.origins.listChanged(this.pools::endpoint);
 				FleetLog.write(fleet, source);
 			}
 			this.pools.versions().confirmed(fleet, System.nanoTime());
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/StreamBinding.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/StreamBinding.java
@@ -16,7 +16,8 @@
  * if the caller takes it up, else from the first event that is forwarded. Before that any
  * endpoint can serve the request.
  * <p>
- * Invariant: once there is an origin, it remains the same.
+ * Invariant: once there is an origin, it remains the same, but for a version that turns
+ * out not to be known.
  * <p>
  * Not thread safe: belongs to the event loop of its request.
  */
@@ -50,7 +51,12 @@
 		this.origin = request.origin();
 	}
 
+	/**
+	 * Return where the stream began.
+	 * @return the origin, empty before the first event
+	 */
 	Optional<StreamOrigin> origin() {
+		this.told.flatMap(this.origins::known).ifPresent((latest) -> this.origin = Optional.of(latest));
 		return this.origin;
 	}
 
@@ -67,7 +73,7 @@
 	 * @return whether it is bound to a version that is not known
 	 */
 	boolean isVersionUnknown() {
-		return isBound() && this.origin.get().version().isEmpty();
+		return isBound() && origin().get().version().isEmpty();
 	}
 
 	/**
@@ -85,7 +91,7 @@
 		if (this.request.route().resumable()) {
 			StreamKey key = this.request.streamKey(this.request.metadata().id());
 			this.told = Optional.of(key);
-			this.origins.began(key, began);
+			this.origins.began(key, began, endpoint.instance());
 		}
 	}
 
@@ -101,7 +107,7 @@
 	 * @return the same without the endpoints that can't go on with the stream
 	 */
 	Placement untried(Placement placement) {
-		Optional<String> version = this.origin.flatMap(StreamOrigin::version);
+		Optional<String> version = origin().flatMap(StreamOrigin::version);
 		if (version.isEmpty()) {
 			return placement;
 		}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
@@ -7,12 +7,17 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.netty.channel.EventLoop;
+import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.stream.OriginMessage;
 import org.acaciacourse.core.stream.StreamKey;
 import org.acaciacourse.core.stream.StreamOrigin;
 import org.acaciacourse.core.stream.StreamOrigins;
+import org.acaciacourse.core.stream.UnconfirmedOrigins;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Runs the {@link StreamOrigins} of an entry VM: its timers, its messages and the
@@ -23,12 +28,16 @@
  */
 final class StreamOriginService {
 
+	private static final Logger logger = LogManager.getLogger(StreamOriginService.class);
+
 	private static final long LOOKUP_TICK_MILLIS = 25;
 
 	private final EventLoop loop;
 
 	private final StreamOrigins origins;
 
+	private final UnconfirmedOrigins unconfirmed = new UnconfirmedOrigins();
+
 	private final Map<StreamKey, List<Consumer<Optional<StreamOrigin>>>> waiting = new HashMap<>();
 
 	private Consumer<StreamOrigins.Outgoing> sender = (message) -> {
@@ -74,9 +83,25 @@
 	 * Record that the first event of a stream is forwarded.
 	 * @param key the name of the stream
 	 * @param origin where it began
+	 * @param instance the endpoint that wrote the event
 	 */
-	void began(StreamKey key, StreamOrigin origin) {
-		send(this.origins.began(key, origin, System.nanoTime()));
+	void began(StreamKey key, StreamOrigin origin, String instance) {
+		long now = System.nanoTime();
+		this.unconfirmed.add(key, origin, instance, now);
+		send(this.origins.began(key, origin, now));
+	}
+
+	/**
+	 * Retract the versions of streams that began a short while ago at endpoints which are
+	 * listed with other versions now.
+	 * @param listed returns an endpoint as it is listed
+	 */
+	void listChanged(Function<String, Optional<FleetEndpoint>> listed) {
+		long now = System.nanoTime();
+		this.unconfirmed.removeContradicted(listed, now).forEach((key) -> {
+			logger.warn("version of stream {} is not known: the list of endpoints has changed", key.request());
+			send(this.origins.retract(key, now));
+		});
 	}
 
 	/**
