--- a/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointCallTests.java
@@ -147,27 +147,6 @@
 
 	}
 
-	/** Ignores all events. */
-	private static final class NoOpListener implements EndpointCall.Listener {
-
-		@Override
-		public void readingPaused() {
-		}
-
-		@Override
-		public void headReceived(EndpointCall from, EndpointCall.Head head) {
-		}
-
-		@Override
-		public void chunksAvailable(EndpointCall from) {
-		}
-
-		@Override
-		public void callEnded(EndpointCall from, boolean whole) {
-		}
-
-	}
-
 	/** A part of a response body. */
 	private static final class Part extends HttpResponseBodyPart {
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointClientTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/endpoint/EndpointClientTests.java
@@ -73,19 +73,7 @@
 	/** Send a request as the path of the callers does, and wait for its end. */
 	private boolean callEndsComplete() throws Exception {
 		CompletableFuture<Boolean> ended = new CompletableFuture<>();
-		EndpointCall call = new EndpointCall(Runnable::run, new EndpointCall.Listener() {
-
-			@Override
-			public void readingPaused() {
-			}
-
-			@Override
-			public void headReceived(EndpointCall from, EndpointCall.Head head) {
-			}
-
-			@Override
-			public void chunksAvailable(EndpointCall from) {
-			}
+		EndpointCall call = new EndpointCall(Runnable::run, new NoOpListener() {
 
 			@Override
 			public void callEnded(EndpointCall from, boolean complete) {
