--- a/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
@@ -112,9 +112,13 @@
 	public List<Outgoing> began(StreamKey key, StreamOrigin origin, long now) {
 		this.table.record(key, origin, now);
 		this.served.put(key, new Served(origin, now));
-		OriginMessage message = new OriginMessage(OriginMessage.Kind.TELL,
-				List.of(new OriginMessage.Stream(key, Optional.of(origin))));
-		return send(message, holders(key));
+		return tell(key, origin);
+	}
+
+	private List<Outgoing> tell(StreamKey key, StreamOrigin origin) {
+		return send(
+				new OriginMessage(OriginMessage.Kind.TELL, List.of(new OriginMessage.Stream(key, Optional.of(origin)))),
+				holders(key));
 	}
 
 	/**
@@ -131,9 +135,7 @@
 		StreamOrigin unknown = new StreamOrigin(told.get().pool(), Optional.empty());
 		this.table.record(key, unknown, now);
 		this.served.computeIfPresent(key, (name, stream) -> new Served(unknown, now));
-		OriginMessage message = new OriginMessage(OriginMessage.Kind.TELL,
-				List.of(new OriginMessage.Stream(key, Optional.of(unknown))));
-		return send(message, holders(key));
+		return tell(key, unknown);
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
@@ -109,6 +109,16 @@
 		this.lostUntil = this.now + nanos;
 	}
 
+	/** Start a control VM again, which then knows no streams. */
+	void restartControl(int index) {
+		this.running.put(this.controls.get(index), new StreamOrigins(this.controls.get(index)));
+	}
+
+	/** A VM finds that the version of a stream that it has told is not known. */
+	void retract(String vm, StreamKey key) {
+		send(vm, this.running.get(vm).retract(key, this.now));
+	}
+
 	/** A VM begins to serve a stream. */
 	void begin(String vm, StreamKey key, StreamOrigin origin) {
 		send(vm, this.running.get(vm).began(key, origin, this.now));
--- a/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
@@ -77,6 +77,38 @@
 			}
 		}
 
+		// Guards against control VMs that are started again and forget the streams that
+		// are served.
+		@Test
+		void originIsToldAgainToControlVmsThatStartedAnew() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			begin(network);
+			network.run(20 * OriginNetwork.MILLI);
+			for (int i = 0; i < 3; i++) {
+				network.restartControl(i);
+			}
+			network.run(2 * SECOND);
+			endAll(network);
+			for (int i = 0; i < STREAMS; i++) {
+				assertWithMessage("stream %s", i).that(network.find(network.addresses().get(0), key(i)))
+					.isEqualTo(Optional.of(originOf(i)));
+			}
+		}
+
+		// Guards against a control VM that goes on to tell a version that was retracted.
+		@Test
+		void versionThatWasRetractedIsNotKnownToControlEither() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			String server = network.addresses().get(0);
+			network.begin(server, key(1), V1);
+			network.run(20 * OriginNetwork.MILLI);
+			network.retract(server, key(1));
+			network.run(2 * SECOND);
+			endAll(network);
+			assertThat(network.find(network.addresses().get(1), key(1)).map(StreamOrigin::version))
+				.isEqualTo(Optional.of(Optional.empty()));
+		}
+
 		// Guards against an origin that is guessed when control has lost it as well.
 		@Test
 		void originIsUnknownOnceControlHasEndedToo() {
