attempt-ended tells whose response ended an attempt, and what its connection had carried

The record of the incident cannot tell a rejection of another request from an endpoint that runs what it has refused, nor from a request that was sent twice over one connection: attempt-ended had neither the id nor the status of the response, nor whether the connection was new. It has status, response_to and carried now, and acaciacourse_unmatched_responses_total counts responses under another id. No decision changes.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/Attempt.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.route;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -89,6 +90,11 @@
 
 	private AnswerProgress answer = new AnswerProgress(false);
 
+	private OptionalInt status = OptionalInt.empty();
+
+	/** The id in the latest response, if it is not that of the request. */
+	private Optional<String> otherResponseId = Optional.empty();
+
 	private boolean done;
 
 	private boolean arrived;
@@ -185,13 +191,15 @@
 		String instance = this.endpoint.instance();
 		long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - this.lastActivityAt);
 		PlacedRequest.Estimate estimate = this.placed.estimate(now);
-		String via = Optional.ofNullable(this.connection).flatMap(EndpointConnection::via).orElse(null);
-		DecisionLog.write(LogEvent.ATTEMPT_ENDED, requestId(), instance, via, end.name(),
+		Optional<EndpointConnection> used = Optional.ofNullable(this.connection);
+		DecisionLog.write(LogEvent.ATTEMPT_ENDED, requestId(), instance,
+				used.flatMap(EndpointConnection::via).orElse(null), end.name(),
 				TimeUnit.NANOSECONDS.toMillis(now - this.startedAt), (this.sentAt != 0) ? silentMillis : null,
 				estimate.running(), estimate.waitingWork(), Math.round(estimate.failureRate() * 100) / 100.0,
 				Long.toHexString(this.exchange.features().content()),
 				this.exchange.features().parts().stream().map(Long::toHexString).toList(), answeringMillis(now),
-				this.endpoint.version().orElse(null));
+				this.endpoint.version().orElse(null), (this.status.isPresent()) ? this.status.getAsInt() : null,
+				this.otherResponseId.orElse(null), used.map(EndpointConnection::earlierRequests).orElse(null));
 	}
 
 	private Long answeringMillis(long now) {
@@ -228,6 +236,8 @@
 		RequestDialect.ResponseMetadata metadata = this.exchange.context().dialect().readResponse(head.headers());
 		int status = head.status().code();
 		boolean own = isOwn(metadata, status);
+		this.status = OptionalInt.of(status);
+		this.otherResponseId = Optional.of(metadata.requestId()).filter((id) -> !own);
 		this.exchange.context()
 			.statements()
 			.received(new EndpointStatements.Response(this.endpoint, requestId(), own, this.connection.via(),
@@ -236,10 +246,12 @@
 			ownHeadReceived(head, metadata);
 		}
 		else if (this.connection.tryDiscard(metadata.requestId())) {
+			this.exchange.context().metrics().unmatchedResponse(true);
 			DecisionLog.write(LogEvent.RESPONSE_DISCARDED, requestId(), this.endpoint.instance(), metadata.requestId(),
 					status);
 		}
 		else {
+			this.exchange.context().metrics().unmatchedResponse(false);
 			abandon(AttemptEnd.MISMATCH, Outcome.FAILED);
 		}
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -56,7 +56,7 @@
 
 	private String requestId = "";
 
-	private boolean reused;
+	private int sentRequests;
 
 	private boolean headRequested;
 
@@ -157,9 +157,14 @@
 		return this.idleNanosBeforeRequest;
 	}
 
+	// Returns how many requests the connection has carried before the latest one.
+	int earlierRequests() {
+		return Math.max(0, this.sentRequests - 1);
+	}
+
 	// Returns whether the connection has carried a request before the latest one.
 	boolean isReused() {
-		return this.reused;
+		return earlierRequests() > 0;
 	}
 
 	/**
@@ -181,9 +186,9 @@
 	 */
 	void send(FullHttpRequest request, String id, Listener responseListener) {
 		this.listener = responseListener;
-		this.reused = !this.requestId.isEmpty();
+		this.sentRequests++;
 		// A repeated response to HEAD has a length and no body.
-		this.discardableId = Optional.of(this.requestId).filter((previous) -> this.reused && !this.headRequested);
+		this.discardableId = Optional.of(this.requestId).filter((previous) -> isReused() && !this.headRequested);
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteMetrics.java
@@ -57,6 +57,12 @@
 		.labelNames("pool")
 		.register(this.registry);
 
+	private final Counter unmatchedResponses = Counter.builder()
+		.name("acaciacourse_unmatched_responses_total")
+		.help("Responses that bear another id than the request that waited on their connection")
+		.labelNames("action")
+		.register(this.registry);
+
 	private final Histogram retryTransit = Histogram.builder()
 		.name("acaciacourse_pool_retry_transit_seconds")
 		.help("Time from sending a retry to the first sign that its endpoint received it")
@@ -141,6 +147,15 @@
 		this.dataPoints.computeIfAbsent(end, this.attempts::labelValues).inc();
 	}
 
+	/**
+	 * A response came that bears another id than the request that waited for it.
+	 * @param discarded whether the response to the request is still waited for; otherwise
+	 * the connection was closed
+	 */
+	void unmatchedResponse(boolean discarded) {
+		this.unmatchedResponses.labelValues((discarded) ? "discarded" : "connection-closed").inc();
+	}
+
 	void retried(String pool) {
 		this.retries.labelValues(pool).inc();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -77,9 +77,14 @@
 	 */
 	REFUSALS_MERGED("refusals-merged", "code", "count", "requests"),
 
-	/** An attempt ended without a complete response. */
+	/**
+	 * An attempt ended without a complete response: among others the latest status that
+	 * was received, the id in that response if it is not that of the request, and how
+	 * many requests its connection had carried before.
+	 */
 	ATTEMPT_ENDED("attempt-ended", "request", "endpoint", "via", "end", "age_ms", "silent_ms", "running",
-			"waiting_work", "failure_rate", "content", "parts", "answering_ms", "version"),
+			"waiting_work", "failure_rate", "content", "parts", "answering_ms", "version", "status", "response_to",
+			"carried"),
 
 	/**
 	 * A late response to an earlier request on the same connection was discarded, by the
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/RouteMetricsTests.java
@@ -47,6 +47,14 @@
 		assertThat(page()).contains("code=\"" + ResultCode.NOT_READY.number() + "\",kind=\"none\"");
 	}
 
+	@Test
+	void unmatchedResponsesAreCountedByWhatWasDone() throws IOException {
+		this.metrics.unmatchedResponse(true);
+		this.metrics.unmatchedResponse(false);
+		assertThat(page()).contains("acaciacourse_unmatched_responses_total{action=\"connection-closed\"} 1.0");
+		assertThat(page()).contains("acaciacourse_unmatched_responses_total{action=\"discarded\"} 1.0");
+	}
+
 	@Test
 	void retriesAreCountedByPool() throws IOException {
 		this.metrics.retried("engines");
