A request is never sent twice over one connection

What callers would see: a stream that is bound to a software version, and whose only endpoint has no room for it, is refused as not run (REFUSED) or sent a third time (TWICE) though it runs.

Cause: the id names a request, not one of its sendings. A connection was passed over only if the request was the latest one on it; once another request had been served over it, the request could be sent over it again, and a repeated rejection of its first sending bore its id. Class: what a response says is acted on before it is certain which request it answers.

Now each exchange remembers the connections that it was sent over, at most as many as it was sent. The check by id remains for callers that give several requests one id.

Evidence: LateResponseTests$Resent.requestIsNotSentAgainOverAConnectionThatCarriedOthersSince fails on the code before: of 12 sendings after rejections five went over a connection that had carried the request ([4 x 2, 2 x 2, 5 x 2, 6 x 2, 7 x 2]). Ruled out: other requests than bound streams, as endpoints that were tried are excluded. LateResponseTests, EndpointConnectionTests, RequestLifeTests and StreamVersionTests pass.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnections.java
@@ -79,12 +79,14 @@
 	 * Get a connection: the most recently used idle one over a path that works, or else a
 	 * new one.
 	 * @param endpoint the endpoint
-	 * @param requestId the id of the request that the connection is for
+	 * @param hasCarried returns whether a connection has carried the request already, or
+	 * one with the same id: a late response to that could not be told from the next one
 	 * @param onReady receives the connection, or the reason why there is none; possibly
 	 * called before this method returns
 	 */
-	void acquire(FleetEndpoint endpoint, String requestId, Consumer<Try<EndpointConnection>> onReady) {
-		Optional<EndpointConnection> idle = takeIdle(endpoint, requestId);
+	void acquire(FleetEndpoint endpoint, Predicate<EndpointConnection> hasCarried,
+			Consumer<Try<EndpointConnection>> onReady) {
+		Optional<EndpointConnection> idle = takeIdle(endpoint, hasCarried);
 		if (idle.isEmpty()) {
 			this.connector.connect(endpoint, onReady, (spare) -> release(endpoint, spare));
 			return;
@@ -141,7 +143,7 @@
 		this.connector.tell(peer, statement);
 	}
 
-	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint, String requestId) {
+	private Optional<EndpointConnection> takeIdle(FleetEndpoint endpoint, Predicate<EndpointConnection> hasCarried) {
 		Deque<EndpointConnection> connections = this.idleConnections.getOrDefault(endpoint.instance(),
 				new ArrayDeque<>());
 		long now = System.nanoTime();
@@ -157,7 +159,7 @@
 		Iterator<EndpointConnection> latestFirst = connections.descendingIterator();
 		while (latestFirst.hasNext()) {
 			EndpointConnection connection = latestFirst.next();
-			if (connection.isLatestRequest(requestId)) {
+			if (hasCarried.test(connection)) {
 				latestFirst.remove();
 				connection.abandon();
 			}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -75,6 +75,8 @@
 
 	private final ScheduledFuture<?> deadlineTimer;
 
+	private final Set<EndpointConnection> usedConnections = new HashSet<>();
+
 	private Optional<Attempt> current = Optional.empty();
 
 	private Optional<BufferedResponse> failureResponse = Optional.empty();
@@ -291,7 +293,13 @@
 		this.current = Optional.of(attempt);
 		this.progress.attemptStarted(endpoint.instance());
 		this.context.connections()
-			.acquire(endpoint, this.request.metadata().id(), (result) -> connected(attempt, endpoint, result));
+			.acquire(endpoint, this::hasCarried, (result) -> connected(attempt, endpoint, result));
+	}
+
+	// Another request with the same id is one of a caller that does not tell its requests
+	// apart.
+	private boolean hasCarried(EndpointConnection connection) {
+		return this.usedConnections.contains(connection) || connection.isLatestRequest(this.request.metadata().id());
 	}
 
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointConnection> result) {
@@ -333,6 +341,7 @@
 		if (this.lastEventId.isPresent()) {
 			this.telemetry.resumed(endpoint, this.binding.origin(), this.lastEventId.getAsLong());
 		}
+		this.usedConnections.add(connection);
 		attempt.send(connection, httpRequest(endpoint, remainingMillis));
 	}
 
