Nothing is discarded in place of a response to HEAD

What callers would see: a HEAD request whose connection brings a late response to the request before it ends with 502, or waits until its deadline.

Cause: HttpClientCodec pairs each response with the oldest request method that is open. A late response took the place of HEAD: it was read without its body, which was then read as the next status line, and the response to HEAD, paired with no method, was read as one with a body. The check looked only at the method of the previous request. Now a response under another id is a mismatch at once where HEAD waits for one.

Evidence: EndpointConnectionTests, nothingIsDiscardedInPlaceOfAResponseToHead, printed before "two: discarded one, two: failed" in place of "two: mismatch one". Tests of a late response that announces the end of its connection, of informational responses around it and of an unknown id passed before as well.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -187,9 +187,12 @@
 	void send(FullHttpRequest request, String id, Listener responseListener) {
 		this.listener = responseListener;
 		this.sentRequests++;
-		// A repeated response to HEAD has a length and no body.
-		this.discardableId = Optional.of(this.requestId).filter((previous) -> isReused() && !this.headRequested);
-		this.headRequested = request.method().equals(HttpMethod.HEAD);
+		// A repeated response to HEAD has a length and no body. In place of a response
+		// to HEAD, any response is read as one without a body.
+		boolean head = request.method().equals(HttpMethod.HEAD);
+		this.discardableId = Optional.of(this.requestId)
+			.filter((previous) -> isReused() && !this.headRequested && !head);
+		this.headRequested = head;
 		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -149,6 +149,56 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		@Test
+		void responseUnderAnUnknownIdIsNotDiscarded() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(response("other") + response("two"));
+			assertThat(EndpointConnectionTests.this.received).contains("two: mismatch other");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		// Guards against a late response that is read as one to HEAD, without its body,
+		// and a response to HEAD whose body is waited for after it.
+		@Test
+		void nothingIsDiscardedInPlaceOfAResponseToHead() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.HEAD, "two");
+			arrive(response("one") + "HTTP/1.1 200 X\r\nRequest-Id: two\r\nContent-Length: 2\r\n\r\n");
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable", "two: mismatch one")
+				.inOrder();
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		// Guards against a request that is given up as a late response announces the end
+		// of the connection.
+		@Test
+		void responseThatAnnouncesTheEndIsDiscarded() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(response("one").replace("Content-Length", "Connection: close\r\nContent-Length") + response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsAtLeast("two: discarded one", "two: head two", "two: complete, closed")
+				.inOrder();
+		}
+
+		@Test
+		void informationalResponsesChangeNothing() {
+			String informational = "HTTP/1.1 103 X\r\nRequest-Id: one\r\n\r\n";
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(informational + response("one") + informational + response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable", "two: discarded one", "two: head two",
+						"two: complete, closed")
+				.inOrder();
+		}
+
 		@Test
 		void sameRequestMayNotFollow() {
 			send(HttpMethod.POST, "one");
