Late responses to any of the latest requests on a connection are discarded

What callers saw: a request that must not be repeated ended with 502 though its own answer followed.

Cause: the connection knew the id of the previous request only, and discarded one response for each request. A late response to an older request, or a second late one, ended the attempt with MISMATCH.

An id that it does not know is a mismatch at once, as before, and so is a late response to a request with HEAD. The connection still carries no further request after a discarded response.

Before, responsesToEarlierRequestsAreDiscarded printed "but was: [four: mismatch two]" and numberOfDiscardedResponsesIsBounded "expected: 8, but was: 1". LateResponseTests passes with its earlier checks unchanged.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -39,6 +39,9 @@
 	/** More than servers send before one response; bounds those without end. */
 	private static final int MAX_INFORMATIONAL = 8;
 
+	/** More late responses than are under way at once; bounds those without end. */
+	private static final int MAX_DISCARDED = 8;
+
 	private final FleetEndpoint endpoint;
 
 	private final EndpointLink link;
@@ -56,12 +59,12 @@
 
 	private String requestId = "";
 
-	private int sentRequests;
+	private final CarriedRequests carried = new CarriedRequests();
 
 	private boolean headRequested;
 
-	/** The id of a late response that can be told from the one that is waited for. */
-	private Optional<String> discardableId = Optional.empty();
+	/** The late responses since the request was sent. */
+	private int discardedCount;
 
 	private boolean discarding;
 
@@ -159,7 +162,7 @@
 
 	// Returns how many requests the connection has carried before the latest one.
 	int earlierRequests() {
-		return Math.max(0, this.sentRequests - 1);
+		return Math.max(0, this.carried.count() - 1);
 	}
 
 	// Returns whether the connection has carried a request before the latest one.
@@ -186,13 +189,9 @@
 	 */
 	void send(FullHttpRequest request, String id, Listener responseListener) {
 		this.listener = responseListener;
-		this.sentRequests++;
-		// A repeated response to HEAD has a length and no body. In place of a response
-		// to HEAD, any response is read as one without a body.
-		boolean head = request.method().equals(HttpMethod.HEAD);
-		this.discardableId = Optional.of(this.requestId)
-			.filter((previous) -> isReused() && !this.headRequested && !head);
-		this.headRequested = head;
+		this.carried.add(id, request.method());
+		this.headRequested = request.method().equals(HttpMethod.HEAD);
+		this.discardedCount = 0;
 		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
@@ -203,16 +202,17 @@
 
 	/**
 	 * Discard the response whose head the listener is processing if it is a late one to
-	 * the previous request. The response to the request in flight follows it, and ends
-	 * the use of the connection.
-	 * @param id the id in the head
-	 * @return whether the response is discarded; at most one for each request is
+	 * an earlier request. The response to the request in flight follows it, and ends the
+	 * use of the connection.
+	 * @param id the id in the head, which is not that of the request in flight
+	 * @return whether the response is discarded; a limited number for each request is
 	 */
 	boolean tryDiscard(String id) {
-		if (this.discardableId.filter(id::equals).isEmpty()) {
+		// In place of a response to HEAD, any response is read as one without a body.
+		if (this.headRequested || this.discardedCount == MAX_DISCARDED || !this.carried.isReadable(id)) {
 			return false;
 		}
-		this.discardableId = Optional.empty();
+		this.discardedCount++;
 		this.discarding = true;
 		this.stopping = true;
 		return true;
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -149,6 +149,41 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		// Guards against a request that is given up though its own response follows late
+		// ones.
+		@Test
+		void responsesToEarlierRequestsAreDiscarded() {
+			for (String id : List.of("one", "two", "three")) {
+				send(HttpMethod.POST, id);
+				arrive(response(id));
+			}
+			send(HttpMethod.POST, "four");
+			arrive(response("two") + response("three") + response("two") + response("one") + response("four"));
+			List<String> atFour = EndpointConnectionTests.this.received.stream()
+				.filter((line) -> line.startsWith("four"))
+				.toList();
+			assertThat(atFour)
+				.containsExactly("four: discarded two", "four: discarded three", "four: discarded two",
+						"four: discarded one", "four: head four", "four: complete, closed")
+				.inOrder();
+		}
+
+		// Guards against late responses without end in whose place nothing else can come.
+		@Test
+		void numberOfDiscardedResponsesIsBounded() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			int enough = 100;
+			arrive(response("one").repeat(enough));
+			long discarded = EndpointConnectionTests.this.received.stream()
+				.filter("two: discarded one"::equals)
+				.count();
+			assertThat(discarded).isEqualTo(8);
+			assertThat(EndpointConnectionTests.this.received).contains("two: mismatch one");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
 		@Test
 		void responseUnderAnUnknownIdIsNotDiscarded() {
 			send(HttpMethod.POST, "one");
@@ -159,6 +194,20 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		// Guards against a discarded response whose length, without a body, takes in the
+		// response that follows it, also where others were sent since.
+		@Test
+		void responseToAnEarlierHeadIsNotDiscarded() {
+			send(HttpMethod.HEAD, "one");
+			arrive("HTTP/1.1 200 X\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\n");
+			send(HttpMethod.POST, "two");
+			arrive(response("two"));
+			send(HttpMethod.POST, "three");
+			arrive("HTTP/1.1 200 X\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\n" + response("three"));
+			assertThat(EndpointConnectionTests.this.received).contains("three: mismatch one");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
 		// Guards against a late response that is read as one to HEAD, without its body,
 		// and a response to HEAD whose body is waited for after it.
 		@Test
