No request follows one with the same id over its connection

What callers would see: of a caller that gives several requests one id, one is answered with the late answer to an earlier one, or is refused as not run though it runs (MIXED, REFUSED).

Cause: the check before a request is sent compared its id with the latest request on the connection only. X of one exchange, Y, X of another exchange went over one connection, where a copy of the first answer bears the id of the third request. Class: what a response says is acted on before it is certain which request it answers. Now it is compared with all requests that the connection remembers. An exchange still remembers each connection that it was sent over, whatever that has carried since.

Ruled out: the second sending to an endpoint that started again under its id, as connections to its earlier run are closed; other paths to the endpoint, as each has connections of its own; new connections, which have carried nothing.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -57,8 +57,6 @@
 	/** Waits for the rest of the data that arrived with its response. */
 	private Listener completed;
 
-	private String requestId = "";
-
 	private final CarriedRequests carried = new CarriedRequests();
 
 	private boolean headRequested;
@@ -171,14 +169,14 @@
 	}
 
 	/**
-	 * Return whether the latest request on the connection had an id. If another one with
-	 * the same id followed, a late response to the first could not be told from that to
-	 * the second.
+	 * Return whether one of the latest requests on the connection had an id. If another
+	 * one with the same id followed, a late response to the first could not be told from
+	 * that to the second.
 	 * @param id the id of the request that is to be sent
 	 * @return whether the request must not be sent over this connection
 	 */
-	boolean isLatestRequest(String id) {
-		return this.requestId.equals(id);
+	boolean hasCarried(String id) {
+		return this.carried.contains(id);
 	}
 
 	/**
@@ -192,7 +190,6 @@
 		this.carried.add(id, request.method());
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.discardedCount = 0;
-		this.requestId = id;
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
 		this.informationalCount = 0;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -299,7 +299,7 @@
 	// Another request with the same id is one of a caller that does not tell its requests
 	// apart.
 	private boolean hasCarried(EndpointConnection connection) {
-		return this.usedConnections.contains(connection) || connection.isLatestRequest(this.request.metadata().id());
+		return this.usedConnections.contains(connection) || connection.hasCarried(this.request.metadata().id());
 	}
 
 	private void connected(Attempt attempt, FleetEndpoint endpoint, Try<EndpointConnection> result) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -252,8 +252,12 @@
 		void sameRequestMayNotFollow() {
 			send(HttpMethod.POST, "one");
 			arrive(response("one"));
-			assertThat(EndpointConnectionTests.this.connection.isLatestRequest("one")).isTrue();
-			assertThat(EndpointConnectionTests.this.connection.isLatestRequest("two")).isFalse();
+			assertThat(EndpointConnectionTests.this.connection.hasCarried("one")).isTrue();
+			assertThat(EndpointConnectionTests.this.connection.hasCarried("two")).isFalse();
+			send(HttpMethod.POST, "two");
+			arrive(response("two"));
+			assertThat(EndpointConnectionTests.this.connection.hasCarried("one")).isTrue();
+			assertThat(EndpointConnectionTests.this.connection.hasCarried("two")).isTrue();
 		}
 
 	}
