The beginning of a second response ends an idle connection

What callers would see: REFUSED, TWICE or MIXED, where a second response comes in two pieces, the first one with the response before it or while the connection is idle, and the second one late or never.

Cause: the decoder keeps a head without its end, and hands nothing over. The connection looked idle and got the next request, whose response was read behind the part: "HTTP/1.1 421 " and a response "HTTP/1.1 200 OK" are read as one head with the status 421 and the id of the request that runs. Now the connection asks its decoder whether it keeps a part of a response, before it is handed on and after each read while it is idle, and is closed then. HttpClientCodec does not tell; EndpointResponseDecoder, a HttpResponseDecoder, does. Responses are no longer paired with methods in a queue: each one is read as that to the request in flight.

Evidence: EndpointConnectionTests, nextRequestIsNotSentBehindAPartOfAHead and partOfAHeadEndsAnIdleConnection, with five parts each. A response that arrives byte by byte leaves its connection usable, before and after.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -27,7 +27,8 @@
  * never used again if data arrives on it that no request waits for, if a response on it
  * is malformed, or if a request was not written completely. Otherwise, data that a faulty
  * endpoint sends after a response would be taken for the next response. For the same
- * reason a response is complete only once all data that arrived with it was read.
+ * reason a response is complete only once all data that arrived with it was read, and the
+ * beginning of a further head counts as data like any other.
  * <p>
  * A response without a length ends with its connection; it is complete only if the
  * endpoint closed the connection in order, not if the connection was reset.
@@ -52,6 +53,8 @@
 
 	private Channel channel;
 
+	private EndpointResponseDecoder decoder;
+
 	private Listener listener;
 
 	/** Waits for the rest of the data that arrived with its response. */
@@ -111,6 +114,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
 		this.channel = ctx.channel();
+		this.decoder = ctx.pipeline().get(EndpointResponseDecoder.class);
 	}
 
 	FleetEndpoint endpoint() {
@@ -190,6 +194,7 @@
 		this.carried.add(id, request.method());
 		this.headRequested = request.method().equals(HttpMethod.HEAD);
 		this.discardedCount = 0;
+		this.decoder.requestSent(this.headRequested);
 		this.idleNanosBeforeRequest = System.nanoTime() - this.idleSince;
 		this.headReceived = false;
 		this.informationalCount = 0;
@@ -352,7 +357,7 @@
 		// An endpoint may respond before it has read the whole request. The next request
 		// would then be written behind the rest of this one, which is still being sent.
 		boolean reusable = !this.closeAfterResponse && !this.stopping && this.requestWritten.isSuccess()
-				&& this.channel.isActive();
+				&& this.channel.isActive() && !this.decoder.isWithinResponse();
 		if (!reusable) {
 			this.channel.close();
 		}
@@ -374,6 +379,10 @@
 			this.listener.readComplete();
 		}
 		reportCompletion();
+		if (this.listener == null && this.decoder.isWithinResponse()) {
+			// The beginning of a response that no request waits for.
+			this.channel.close();
+		}
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -17,7 +17,7 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
 import org.acaciacourse.core.memory.UnreadResponses;
@@ -148,8 +148,11 @@
 		});
 	}
 
-	private static void addHttp(Channel channel, EndpointConnection connection) {
-		channel.pipeline().addLast(new HttpClientCodec(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+	// Adds the handlers of a connection.
+	static void addHttp(Channel channel, EndpointConnection connection) {
+		channel.pipeline().addLast(new HttpRequestEncoder());
+		channel.pipeline()
+			.addLast(new EndpointResponseDecoder(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
 		channel.pipeline().addLast(connection);
 	}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -10,7 +10,6 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -22,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -59,7 +60,8 @@
 
 	@BeforeEach
 	void connect() {
-		this.channel = new EmbeddedChannel(new HttpClientCodec(), this.connection);
+		this.channel = new EmbeddedChannel();
+		EndpointConnector.addHttp(this.channel, this.connection);
 	}
 
 	@AfterEach
@@ -108,6 +110,46 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		// Guards against the beginning of a second response that is kept, and read as the
+		// beginning of the response to the next request.
+		@ParameterizedTest
+		@ValueSource(strings = { "H", "HTTP/1.1 421 ", "HTTP/1.1 421 X\r\n", "HTTP/1.1 421 X\r\nNot-Executed: f",
+				"HTTP/1.1 421 X\r\nNot-Executed: full\r\n" })
+		void nextRequestIsNotSentBehindAPartOfAHead(String part) {
+			send(HttpMethod.POST, "one");
+			arrive(response("one") + part);
+			assertThat(EndpointConnectionTests.this.received).containsExactly("one: head one", "one: complete, closed")
+				.inOrder();
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		// Guards against the same where the beginning comes by itself.
+		@ParameterizedTest
+		@ValueSource(strings = { "H", "HTTP/1.1 421 ", "HTTP/1.1 421 X\r\n", "HTTP/1.1 421 X\r\nNot-Executed: f",
+				"HTTP/1.1 421 X\r\nNot-Executed: full\r\n" })
+		void partOfAHeadEndsAnIdleConnection(String part) {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			arrive(part);
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable")
+				.inOrder();
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		@Test
+		void responseMayArriveInParts() {
+			send(HttpMethod.POST, "one");
+			for (char c : response("one").toCharArray()) {
+				arrive(Character.toString(c));
+			}
+			send(HttpMethod.POST, "two");
+			arrive(response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsExactly("one: head one", "one: complete, reusable", "two: head two", "two: complete, reusable")
+				.inOrder();
+		}
+
 		@Test
 		void connectionIsReusedWithoutIt() {
 			send(HttpMethod.POST, "one");
