Configurations under way are bounded by their size

Cause: the operator's interface let 12 configurations of any size be translated at once and held 64 more with their bodies; the leader read the arguments of each forwarded call on a thread of its own. One configuration of 1.5 MB took some 30 MB as bytes, JSON tree, sections and Thrift, in a heap of 96 MB. The history of changes in the replicated state kept up to 20,000 sections that shared nothing with the document: with a few changes of all routes it alone filled the heap.

Now: - SizeGate admits work by the bytes of its input, in order; larger work is admitted alone. The operator's interface passes it before it translates and until the order is committed or was forwarded, the inner server before it reads the arguments of a large call of the control service. - What is received, waits or is worked on draws on a budget of a sixth of the heap. An order that has no room, or no turn within 4 s, gets 503 with Retry-After. The body of an operator that has left is dropped. A body over a 24th of the heap (4 MB) gets 413; the bound was 32 MB, which no heap held. - The document is read and written one element after the other, in place of a tree of all of them; reads at the same time share one copy. - Equal texts of a document are kept once, and the history shares its sections with the document. It holds 5,000 sections at most. - An order that is overtaken on the VM that got it is acknowledged there after it was checked, without a call to the leader. The leader has 1 ms more for each section. A VM that leads hands the document on without encoding it again.

Ruled out: a larger heap, as memory at its peak is priced, and a bound on the number of orders alone, as their size varies by a factor of a thousand.

Evidence: SmallHeapControlTests failed before, on the orders of operators and on forwarded ones: "Terminating due to java.lang.OutOfMemoryError: Java heap space", isAlive() expected to be true. Not reached: four orders of 14,500 routes (3.7 MB) that all change still ran out of memory.

--- a/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
+++ b/core/src/main/java/org/acaciacourse/core/manifest/ManifestDocument.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,9 @@
 
 	private static final LongHashFunction XXH3 = LongHashFunction.xx3();
 
+	/** Longer texts, in characters, are hardly ever equal. */
+	private static final int MAX_SHARED_LENGTH = 64;
+
 	private static final ManifestDocument EMPTY = new ManifestDocument(Map.of());
 
 	private final SortedMap<String, Section> sections;
@@ -53,7 +57,8 @@
 
 	private static TreeMap<String, Section> copy(Map<String, ? extends Map<String, String>> sections) {
 		TreeMap<String, Section> copy = new TreeMap<>();
-		sections.forEach((name, keys) -> copy.put(name, new Section(name, keys)));
+		Map<String, String> texts = new HashMap<>();
+		sections.forEach((name, keys) -> copy.put(name, new Section(name, keys, texts)));
 		return copy;
 	}
 
@@ -160,7 +165,8 @@
 	public ManifestDocument with(ManifestDelta delta) {
 		TreeMap<String, Section> next = new TreeMap<>(this.sections);
 		delta.removed().forEach(next::remove);
-		delta.changed().forEach((name, keys) -> next.put(name, new Section(name, keys)));
+		Map<String, String> texts = new HashMap<>();
+		delta.changed().forEach((name, keys) -> next.put(name, new Section(name, keys, texts)));
 		return new ManifestDocument(next);
 	}
 
@@ -201,8 +207,10 @@
 
 		private final Lazy<byte[]> digest;
 
-		private Section(String name, Map<String, String> keys) {
-			this.keys = Collections.unmodifiableSortedMap(new TreeMap<>(keys));
+		private Section(String name, Map<String, String> keys, Map<String, String> texts) {
+			TreeMap<String, String> copy = new TreeMap<>();
+			keys.forEach((key, value) -> copy.put(shared(key, texts), shared(value, texts)));
+			this.keys = Collections.unmodifiableSortedMap(copy);
 			this.digest = Lazy.of(() -> digest(name, this.keys));
 		}
 
@@ -216,6 +224,14 @@
 			return sha.digest();
 		}
 
+		private static String shared(String text, Map<String, String> texts) {
+			if (text.length() > MAX_SHARED_LENGTH) {
+				return text;
+			}
+			String known = texts.putIfAbsent(text, text);
+			return (known != null) ? known : text;
+		}
+
 		// Each text is prefixed with its length, so that different sections never have
 		// the same byte form.
 		private static void update(MessageDigest sha, String text) {
--- a/core/src/main/java/org/acaciacourse/core/state/ManifestStore.java
+++ b/core/src/main/java/org/acaciacourse/core/state/ManifestStore.java
@@ -29,7 +29,7 @@
 	static final int MAX_CHANGES = 512;
 
 	/** Bounds the memory of the history when each change affects many sections. */
-	static final int MAX_CHANGED_SECTIONS = 20_000;
+	static final int MAX_CHANGED_SECTIONS = 5_000;
 
 	static final int MAX_AUDIT_ENTRIES = 1_000;
 
@@ -64,7 +64,7 @@
 		if (!next.digest().equals(command.digest())) {
 			return result(ResultCode.INVALID_MANIFEST);
 		}
-		appendChange(command, time);
+		appendChange(command, next, time);
 		this.active = new ActiveManifest(command.number(), command.digest(), next);
 		return result(ResultCode.OK);
 	}
@@ -98,10 +98,13 @@
 		return (found) ? Optional.of(new ManifestDelta(changed, removed)) : Optional.empty();
 	}
 
-	private void appendChange(Command.PutManifest command, long time) {
-		int sections = sectionCount(command.delta());
+	// The history shares the sections of the document, which takes no memory for them
+	// until they change again.
+	private void appendChange(Command.PutManifest command, ManifestDocument next, long time) {
+		ManifestDelta delta = this.active.document().deltaTo(next);
+		int sections = sectionCount(delta);
 		this.history.addLast(new ManifestChange(command.number(), command.digest(), this.active.number(),
-				this.active.digest(), command.delta()));
+				this.active.digest(), delta));
 		this.sectionsInHistory += sections;
 		while (this.history.size() > MAX_CHANGES || this.sectionsInHistory > MAX_CHANGED_SECTIONS) {
 			this.sectionsInHistory -= sectionCount(this.history.removeFirst().delta());
--- a/daemon/src/main/java/org/acaciacourse/daemon/codec/ManifestCodec.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/codec/ManifestCodec.java
@@ -33,7 +33,7 @@
 	 * @return the document
 	 */
 	public static ManifestDocument decode(Map<String, Map<String, String>> sections) {
-		return new ManifestDocument(sorted(sections));
+		return new ManifestDocument(sections);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ApplyService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ApplyService.java
@@ -51,7 +51,14 @@
 				: ManifestParser.manifest(document).map(Manifest::number);
 	}
 
-	private ApplyReply commit(long number, ManifestDocument document, String operator) {
+	/**
+	 * Commit a manifest.
+	 * @param number its number
+	 * @param document the manifest, which is valid
+	 * @param operator the name of the operator who submits it
+	 * @return the reply
+	 */
+	ApplyReply commit(long number, ManifestDocument document, String operator) {
 		String digest = document.digest();
 		LoopEvent.CommandFactory factory = (state, now) -> new Command.PutManifest(now, number, digest,
 				state.manifestDigest(), state.manifestDocument().deltaTo(document), operator);
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ConfigurationStore.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ConfigurationStore.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.control;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.vavr.control.Either;
@@ -20,6 +21,9 @@
  */
 public final class ConfigurationStore {
 
+	/** For how long the leader may process a section of a manifest, in milliseconds. */
+	private static final long MILLIS_PER_SECTION = 1;
+
 	private final ReplicaLoop loop;
 
 	private final Member self;
@@ -40,27 +44,40 @@
 	}
 
 	/**
-	 * Submit a manifest.
-	 * @param document the manifest
+	 * Submit a manifest. One that is overtaken on this VM is not sent to the leader.
+	 * @param number the number of the manifest
+	 * @param document the manifest, which is valid
 	 * @param operator the name of the operator who submits it
 	 * @return {@link ResultCode#OK} once it is durable on a quorum,
 	 * {@link ResultCode#MANIFEST_OUTDATED} or {@link ResultCode#MANIFEST_CONFLICT} if a
 	 * manifest with the same or a higher number is already durable, or the code of
 	 * another failure
 	 */
-	public ResultCode apply(ManifestDocument document, String operator) {
-		ApplyRequest request = new ApplyRequest(this.operatorKey.text(), operator, ManifestCodec.encode(document),
-				new TraceContext(""));
-		Optional<Member> leader = this.loop.views().latest().status().leader();
+	public ResultCode apply(long number, ManifestDocument document, String operator) {
+		ReplicaView view = this.loop.views().latest();
+		if (number < view.number()) {
+			return ResultCode.MANIFEST_OUTDATED;
+		}
+		if (number == view.number()) {
+			return (document.digest().equals(view.digest())) ? ResultCode.OK : ResultCode.MANIFEST_CONFLICT;
+		}
+		Optional<Member> leader = view.status().leader();
 		if (leader.isEmpty()) {
 			return ResultCode.NO_QUORUM;
 		}
 		Optional<ApplyReply> reply = (leader.get().id().equals(this.self.id()))
-				? Optional.of(this.applyService.apply(request))
-				: PeerCalls.call(leader.get().address(), (c) -> c.control().apply(request));
+				? Optional.of(this.applyService.commit(number, document, operator))
+				: forward(leader.get().address(), document, operator);
 		return reply.flatMap((r) -> ResultCode.ofNumber(r.getResult().getCode())).orElse(ResultCode.OUTCOME_UNKNOWN);
 	}
 
+	private Optional<ApplyReply> forward(String leader, ManifestDocument document, String operator) {
+		ApplyRequest request = new ApplyRequest(this.operatorKey.text(), operator, ManifestCodec.encode(document),
+				new TraceContext(""));
+		Duration timeout = PeerCalls.TIMEOUT.plusMillis(MILLIS_PER_SECTION * request.getSectionsSize());
+		return PeerCalls.call(leader, timeout, (c) -> c.control().apply(request));
+	}
+
 	/**
 	 * Read the current manifest (a linearizable read).
 	 * @return the manifest that was the latest at some moment during this call, empty
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlDaemon.java
@@ -24,6 +24,7 @@
 import org.acaciacourse.daemon.duty.DutyOptions;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.InternalServer;
+import org.acaciacourse.daemon.memory.SizeGate;
 import org.acaciacourse.daemon.order.OrderWriterLoop;
 import org.acaciacourse.daemon.store.ReplicaStore;
 import org.acaciacourse.daemon.store.StoreException;
@@ -126,7 +127,8 @@
 		this.resources.push(listener);
 		listener.setReuseAddress(true);
 		listener.bind(InternalConnection.parse(this.options.address()));
-		InternalServer server = new InternalServer(listener, this.replicaHandler, this.controlHandler);
+		InternalServer server = new InternalServer(listener, this.replicaHandler, this.controlHandler,
+				SizeGate.ofHeap());
 		this.resources.push(server);
 		server.start();
 		LOGGER.info("replica {} of VM {} listens at {}", this.self.id().value(), this.options.vm(),
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PeerCalls.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PeerCalls.java
@@ -18,7 +18,7 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(PeerCalls.class);
 
-	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+	static final Duration TIMEOUT = Duration.ofSeconds(2);
 
 	private PeerCalls() {
 	}
@@ -31,7 +31,19 @@
 	 * @return the response, empty if the call failed or timed out
 	 */
 	static <T> Optional<T> call(String address, Call<T> call) {
-		try (InternalConnection connection = InternalConnection.open(address, TIMEOUT)) {
+		return call(address, TIMEOUT, call);
+	}
+
+	/**
+	 * Make a call that may take longer on a new connection.
+	 * @param <T> the type of the response
+	 * @param address the address of the VM
+	 * @param timeout the timeout for the response
+	 * @param call the call
+	 * @return the response, empty if the call failed or timed out
+	 */
+	static <T> Optional<T> call(String address, Duration timeout, Call<T> call) {
+		try (InternalConnection connection = InternalConnection.open(address, timeout)) {
 			return Optional.of(call.execute(connection));
 		}
 		catch (TException | RuntimeException ex) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
@@ -1,6 +1,5 @@
 package org.acaciacourse.daemon.http;
 
-import java.util.HashMap;
 import java.util.Map;
 
 import io.netty.buffer.ByteBuf;
@@ -182,12 +181,10 @@
 	 * @param requestId the id of the request, empty to send none
 	 */
 	public void refuse(Refusal refusal, String requestId) {
-		Map<String, String> headers = new HashMap<>();
-		headers.put("content-type", "application/json");
+		Map<String, String> headers = refusal.headers();
 		if (!requestId.isEmpty()) {
 			headers.put("x-request-id", requestId);
 		}
-		refusal.retryAfterSeconds().ifPresent((seconds) -> headers.put("retry-after", seconds));
 		send(refusal.code().httpStatus(), headers, refusal.bytes());
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/Refusal.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/Refusal.java
@@ -2,6 +2,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.acaciacourse.core.code.ResultCode;
@@ -65,6 +67,16 @@
 		return json().getBytes(StandardCharsets.UTF_8);
 	}
 
+	/**
+	 * Return the headers of the refusal.
+	 * @return its content type, and when to retry if that makes sense
+	 */
+	public Map<String, String> headers() {
+		Map<String, String> headers = new HashMap<>(Map.of("content-type", "application/json"));
+		retryAfterSeconds().ifPresent((seconds) -> headers.put("retry-after", seconds));
+		return headers;
+	}
+
 	Optional<String> retryAfterSeconds() {
 		return this.retryAfter.map((time) -> Long.toString(Math.max(1, (time.toMillis() + 999) / 1000)));
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/inner/InternalServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/inner/InternalServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.acaciacourse.daemon.codec.ThriftBytes;
+import org.acaciacourse.daemon.memory.SizeGate;
 import org.acaciacourse.protocol.generated.ControlService;
 import org.acaciacourse.protocol.generated.ReplicaService;
 import org.apache.thrift.TMultiplexedProcessor;
@@ -21,8 +22,8 @@
 /**
  * The server for internal connections on a control VM, with one thread per connection and
  * at most {@value #MAX_CONNECTIONS} connections, three times what 380 polling entry VMs
- * need. An idle connection is closed after {@value #IDLE_TIMEOUT_MILLIS} ms, so that dead
- * peers do not occupy threads.
+ * need. Large calls of the control service pass a gate. An idle connection is closed
+ * after {@value #IDLE_TIMEOUT_MILLIS} ms, so that dead peers do not occupy threads.
  * <p>
  * Thread safe.
  */
@@ -45,14 +46,16 @@
 	 * @param listener the bound socket
 	 * @param replica the service for replicas
 	 * @param control the service for entry VMs and operators
+	 * @param gate admits large calls of the control service
 	 * @throws TTransportException if the socket can't be used
 	 */
-	public InternalServer(ServerSocket listener, ReplicaService.Iface replica, ControlService.Iface control)
-			throws TTransportException {
+	public InternalServer(ServerSocket listener, ReplicaService.Iface replica, ControlService.Iface control,
+			SizeGate gate) throws TTransportException {
 		this.socket = new TrackingServerSocket(listener);
 		TMultiplexedProcessor processor = new TMultiplexedProcessor();
 		processor.registerProcessor(InternalConnection.REPLICA_SERVICE, new ReplicaService.Processor<>(replica));
-		processor.registerProcessor(InternalConnection.CONTROL_SERVICE, new ControlService.Processor<>(control));
+		processor.registerProcessor(InternalConnection.CONTROL_SERVICE,
+				new SizedProcessor(new ControlService.Processor<>(control), gate));
 		String name = "inner-" + listener.getLocalPort();
 		TThreadPoolServer.Args args = new TThreadPoolServer.Args(this.socket).processor(processor)
 			.protocolFactory(ThriftBytes.protocol())
