A process ends if a thread that it needs ends by a fault

Cause: an Error was caught in the replica's thread only. It ended the thread that accepts inner connections, senders to peers, periodic tasks, the reader of endpoints, pollers and workers, or cancelled a scheduled task, and nobody was told.

Now the platform's programs and the launcher install FatalFaults: an Error that no thread catches, or any fault of an EssentialThread, is logged with code 900 or 901 (OUT_OF_MEMORY) and ends the process with exit status 70 or 3. Scheduled loops report an Error, which their executor would keep.

Not covered: an event loop of Netty that ends by an Error other than a full heap, which Netty catches and logs.

--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -180,7 +180,10 @@
 	DRAIN_LIMIT(609, 500, 70, false, "the drain limit passed and work was cut"),
 
 	/** Unexpected internal error. */
-	INTERNAL(900, 500, 70, false, "an internal fault");
+	INTERNAL(900, 500, 70, false, "an internal fault"),
+
+	/** Out of memory; the exit status is that of a virtual machine that ends itself. */
+	OUT_OF_MEMORY(901, 500, 3, false, "out of memory");
 
 	private final int number;
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/cli/Main.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/cli/Main.java
@@ -9,6 +9,8 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.acaciacourse.core.code.ResultCode;
+import org.acaciacourse.daemon.process.FatalFaults;
+import org.acaciacourse.daemon.telemetry.LogQueue;
 
 /**
  * Entry point of the launcher: dispatches to the subcommands on the class path.
@@ -27,6 +29,7 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
+		FatalFaults.install(() -> LogQueue.installed().ifPresent(LogQueue::flush));
 		System.exit(run(args).exitStatus());
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
@@ -10,6 +10,7 @@
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.codec.FleetCodec;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.protocol.generated.FleetReply;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -62,9 +63,7 @@
 
 	void start() {
 		if (this.source.isPresent()) {
-			Thread thread = new Thread(this::run, "fleet-" + this.self.vm());
-			thread.setDaemon(true);
-			thread.start();
+			new EssentialThread(this::run, "fleet-" + this.self.vm()).start();
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PeerSender.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PeerSender.java
@@ -7,6 +7,7 @@
 
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.inner.SharedKey;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.protocol.generated.ReplicaEnvelope;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -59,9 +60,7 @@
 		this.address = address;
 		this.ownAddress = ownAddress;
 		this.key = key;
-		Thread thread = new Thread(this::run, "peer-" + address);
-		thread.setDaemon(true);
-		thread.start();
+		new EssentialThread(this::run, "peer-" + address).start();
 	}
 
 	void send(ReplicaEnvelope message) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PeriodicTask.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PeriodicTask.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -25,9 +26,7 @@
 	PeriodicTask(String name, long delayMillis, Runnable task) {
 		this.delayMillis = delayMillis;
 		this.task = task;
-		Thread thread = new Thread(this::run, name);
-		thread.setDaemon(true);
-		thread.start();
+		new EssentialThread(this::run, name).start();
 	}
 
 	private void run() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ReplicaLoop.java
@@ -12,6 +12,7 @@
 import org.acaciacourse.core.consensus.ReplicaMessage;
 import org.acaciacourse.core.state.CommandResult;
 import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.daemon.store.StoreException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -58,8 +59,7 @@
 		this.driver = driver;
 		this.commitSeconds = commitSeconds;
 		this.onFault = onFault;
-		this.thread = new Thread(this::run, name);
-		this.thread.setDaemon(true);
+		this.thread = new EssentialThread(this::run, name);
 	}
 
 	void start() {
@@ -134,7 +134,7 @@
 			// Errors such as OutOfMemoryError too: if the thread ended silently, the
 			// process would look alive without taking part in the consensus.
 			LOGGER.fatal("unexpected fault; stopping the replica", ex);
-			end = ResultCode.INTERNAL;
+			end = (ex instanceof OutOfMemoryError) ? ResultCode.OUT_OF_MEMORY : ResultCode.INTERNAL;
 		}
 		this.stopping = true;
 		this.driver.failPending();
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/StreamOriginServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/StreamOriginServer.java
@@ -13,6 +13,7 @@
 import org.acaciacourse.daemon.codec.LoadDigestCodec;
 import org.acaciacourse.daemon.codec.OriginMessageCodec;
 import org.acaciacourse.daemon.inner.InternalConnection;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -52,9 +53,7 @@
 
 	/** Start to receive. */
 	public void start() {
-		Thread thread = new Thread(this::run, "stream-origins");
-		thread.setDaemon(true);
-		thread.start();
+		new EssentialThread(this::run, "stream-origins").start();
 	}
 
 	// Returns how many streams there are whose origin is known.
--- a/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/duty/DutyLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.acaciacourse.daemon.process.FatalFaults;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -58,6 +59,10 @@
 		catch (RuntimeException ex) {
 			logger.error("duty {} failed; continuing with the next tick", this.duty, ex);
 		}
+		catch (Error ex) {
+			FatalFaults.report(ex);
+			throw ex;
+		}
 	}
 
 	/** Carry out what is due. */
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.acaciacourse.core.dispatch.LoadReport;
+import org.acaciacourse.daemon.process.FatalFaults;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.asynchttpclient.Response;
@@ -66,7 +67,7 @@
 
 	/** Start polling. */
 	public void start() {
-		this.executor.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.executor.scheduleWithFixedDelay(this::tickSafely, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -88,6 +89,17 @@
 		this.startTimes.retain(bases.values());
 	}
 
+	// The executor would keep an error to itself and run no more ticks.
+	private void tickSafely() {
+		try {
+			tick();
+		}
+		catch (Error ex) {
+			FatalFaults.report(ex);
+			throw ex;
+		}
+	}
+
 	private void tick() {
 		int requests = Math.min(MAX_REQUESTS_PER_TICK, this.pollOrder.size());
 		for (int i = 0; i < requests; i++) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/entry/DispatchLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/entry/DispatchLoop.java
@@ -18,6 +18,7 @@
 import org.acaciacourse.core.dispatch.TargetEstimate;
 import org.acaciacourse.core.model.Endpoint;
 import org.acaciacourse.daemon.link.ControlLink;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
@@ -80,8 +81,7 @@
 	DispatchLoop(Function<DispatchActions, Dispatcher> factory, ControlLink link) {
 		this.dispatcher = factory.apply(this);
 		this.link = link;
-		this.thread = new Thread(this::run, "decisions");
-		this.thread.setDaemon(true);
+		this.thread = new EssentialThread(this::run, "decisions");
 	}
 
 	void start() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/inner/InternalServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/inner/InternalServer.java
@@ -10,6 +10,7 @@
 
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.memory.SizeGate;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.protocol.generated.ControlService;
 import org.acaciacourse.protocol.generated.ReplicaService;
 import org.apache.thrift.TMultiplexedProcessor;
@@ -41,6 +42,8 @@
 
 	private final Thread acceptor;
 
+	private volatile boolean closed;
+
 	/**
 	 * Create a server.
 	 * @param listener the bound socket
@@ -63,8 +66,7 @@
 			.executorService(executor(name))
 			.stopTimeoutVal(1);
 		this.server = new TThreadPoolServer(args);
-		this.acceptor = new Thread(this.server::serve, name + "-accept");
-		this.acceptor.setDaemon(true);
+		this.acceptor = new EssentialThread(this::serve, name + "-accept");
 	}
 
 	private static ThreadPoolExecutor executor(String name) {
@@ -83,8 +85,16 @@
 		this.acceptor.start();
 	}
 
+	private void serve() {
+		this.server.serve();
+		if (!this.closed) {
+			throw new IllegalStateException("connections are no longer accepted");
+		}
+	}
+
 	@Override
 	public void close() {
+		this.closed = true;
 		this.server.stop();
 		this.socket.closeAll();
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -11,6 +11,7 @@
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.daemon.inner.InternalConnection;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.protocol.generated.ClassReport;
 import org.acaciacourse.protocol.generated.PollReply;
 import org.acaciacourse.protocol.generated.PollRequest;
@@ -96,8 +97,7 @@
 		this.follower = new ConfigurationFollower(listener);
 		this.controls = options.controls();
 		this.controlIndex = Math.floorMod(options.vm().hashCode(), this.controls.size());
-		this.thread = new Thread(this::run, "control-poll-" + options.vm());
-		this.thread.setDaemon(true);
+		this.thread = new EssentialThread(this::run, "control-poll-" + options.vm());
 	}
 
 	void start() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/LeaderCallExecutor.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/LeaderCallExecutor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.stream.IntStream;
 
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -26,8 +27,7 @@
 
 	LeaderCallExecutor(String name, List<String> addresses, int threadCount) {
 		this.threads = IntStream.range(0, threadCount).mapToObj((i) -> {
-			Thread thread = new Thread(() -> run(addresses), name + "-" + i);
-			thread.setDaemon(true);
+			Thread thread = new EssentialThread(() -> run(addresses), name + "-" + i);
 			thread.start();
 			return thread;
 		}).toList();
--- a/daemon/src/main/java/org/acaciacourse/daemon/order/OrderWriterLoop.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/order/OrderWriterLoop.java
@@ -25,6 +25,7 @@
 import org.acaciacourse.core.state.CommandResult.LeaseResult;
 import org.acaciacourse.daemon.lease.LeaseCalls;
 import org.acaciacourse.daemon.lease.LeaseGate;
+import org.acaciacourse.daemon.process.FatalFaults;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -106,6 +107,10 @@
 		catch (RuntimeException ex) {
 			logger.error("order writer failed; continuing with the next tick", ex);
 		}
+		catch (Error ex) {
+			FatalFaults.report(ex);
+			throw ex;
+		}
 	}
 
 	private void tick() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
@@ -7,6 +7,7 @@
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.control.FleetSource;
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.apache.logging.log4j.LogManager;
@@ -50,9 +51,7 @@
 	}
 
 	void start() {
-		Thread thread = new Thread(this::run, "fleet-fallback");
-		thread.setDaemon(true);
-		thread.start();
+		new EssentialThread(this::run, "fleet-fallback").start();
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogQueue.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.acaciacourse.daemon.process.EssentialThread;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.message.SimpleMessage;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
@@ -50,7 +51,7 @@
 
 	private final long delayMillis;
 
-	private final Thread writer = new Thread(this::write, "log");
+	private final Thread writer = new EssentialThread(this::write, "log");
 
 	private volatile boolean outputCreated;
 
@@ -81,7 +82,6 @@
 
 	/** Start the writer thread. */
 	void start() {
-		this.writer.setDaemon(true);
 		this.writer.start();
 	}
 
