A head that is made of parts of two responses is not believed

What callers would see: REFUSED or TWICE, where an endpoint breaks off a late response and goes on with the response that is due: "HTTP/1.1 421 " and "HTTP/1.1 200 X" make one head with the status 421 and the id of the request that runs.

Cause: the decoder takes what follows "HTTP/1.1 421 " for the reason phrase, and what follows the beginning of a header for its value. Each such head has a status line within it. On a connection that has carried other requests it ends the attempt as broken, which promises nothing. On any other connection nothing can be late, as a service may state the status of another one in a header; that connection is not used again.

Ruled out: heads that were cut elsewhere. At the end of a line, or in the name of a header, the status line behind it is no valid header; in the version or the status code, it is no valid status line.

Evidence: EndpointConnectionTests, partOfALateResponseDoesNotChangeTheResponseBehindIt, which cuts two late responses after each of their bytes, printed before "after HTTP/1.1 421: expected to be empty, but was: HTTP/1.1 421 HTTP/1.1 200 X, Request-Id: two".

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -43,6 +44,9 @@
 	/** More late responses than are under way at once; bounds those without end. */
 	private static final int MAX_DISCARDED = 8;
 
+	/** The beginning of a response; within a head, it shows that this is made of two. */
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
 	private final FleetEndpoint endpoint;
 
 	private final EndpointLink link;
@@ -299,17 +303,27 @@
 		if (this.informational && ++this.informationalCount <= MAX_INFORMATIONAL) {
 			return;
 		}
-		if (this.informational || this.headReceived) {
+		boolean joined = containsStatusLine(head);
+		if (this.informational || this.headReceived || (joined && isReused())) {
 			fail();
 			return;
 		}
 		this.headReceived = true;
 		this.framed = HttpUtil.isTransferEncodingChunked(head)
 				|| head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-		this.closeAfterResponse = !this.framed || !HttpUtil.isKeepAlive(head);
+		this.closeAfterResponse = joined || !this.framed || !HttpUtil.isKeepAlive(head);
 		this.listener.headReceived(head);
 	}
 
+	// An endpoint may break off a late response and go on with the one that is due. A
+	// service that sends such headers itself gets a new connection for each request.
+	private static boolean containsStatusLine(HttpResponse head) {
+		return STATUS_LINE.matcher(head.status().reasonPhrase()).find() || head.headers()
+			.entries()
+			.stream()
+			.anyMatch((header) -> STATUS_LINE.matcher(header.getValue()).find());
+	}
+
 	private void readContent(HttpContent content) {
 		boolean last = content instanceof LastHttpContent;
 		if (this.informational) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Tests of the connection to an endpoint; the bytes that arrive with one read are chosen
@@ -50,9 +51,7 @@
 
 	}).link("i-1");
 
-	private final EndpointConnection connection = new EndpointConnection(ENDPOINT, this.link, Optional.empty(),
-			(closed) -> {
-			});
+	private EndpointConnection connection;
 
 	private final List<String> received = new ArrayList<>();
 
@@ -60,6 +59,8 @@
 
 	@BeforeEach
 	void connect() {
+		this.connection = new EndpointConnection(ENDPOINT, this.link, Optional.empty(), (closed) -> {
+		});
 		this.channel = new EmbeddedChannel();
 		EndpointConnector.addHttp(this.channel, this.connection);
 	}
@@ -290,6 +291,47 @@
 				.inOrder();
 		}
 
+		// Guards against a service that fails as it states the status of another one.
+		@Test
+		void headerWithAStatusLineIsNoFaultOnANewConnection() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one").replace("Content-Length", "Upstream: HTTP/1.1 200 OK\r\nContent-Length"));
+			assertThat(EndpointConnectionTests.this.received).containsExactly("one: head one", "one: complete, closed")
+				.inOrder();
+		}
+
+		// Guards against a part of a late response that is read together with the
+		// response
+		// that follows it, as a response to the request in flight with another status.
+		@ParameterizedTest
+		@ValueSource(strings = { "Request-Id: one\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n",
+				"Not-Executed: full\r\nContent-Length: 0\r\nRequest-Id: one\r\n\r\n" })
+		void partOfALateResponseDoesNotChangeTheResponseBehindIt(String headers) throws Exception {
+			String late = "HTTP/1.1 421 Misdirected Request\r\n" + headers;
+			for (int length = 1; length < late.length(); length++) {
+				close();
+				connect();
+				send(HttpMethod.POST, "one");
+				arrive(response("one"));
+				List<String> rejected = new ArrayList<>();
+				send(HttpMethod.POST, "two", new Recorder("two") {
+
+					@Override
+					public void headReceived(HttpResponse head) {
+						boolean own = head.headers().get("Request-Id").equals("two");
+						if (own && (head.status().code() != 200 || head.headers().contains("Not-Executed"))) {
+							rejected.add(head.toString());
+						}
+						super.headReceived(head);
+					}
+
+				});
+				arrive(late.substring(0, length));
+				arrive(response("two"));
+				assertWithMessage("after " + late.substring(0, length)).that(rejected).isEmpty();
+			}
+		}
+
 		@Test
 		void sameRequestMayNotFollow() {
 			send(HttpMethod.POST, "one");
