stream-origin tells who answered and how old the list of endpoints is

A version that was derived looked the same in the log whether all other VMs had answered "unknown" or none had, and whether the list had been read just now or seconds before. Now the event tells how many VMs were asked and answered, the age of the list and for how long it has been known.

The age is that of the read at the platform: FleetReply.ageMillis and PollReply.fleetAgeMillis, both optional, state it relative to the receipt of the question, and the VM that asked counts back from when it sent it. So no clocks are compared, and a delay makes a list look older. A VM of an older release states none, and ignores the field. No decision uses it yet.

FleetKeeperTests: the age over a leader and two followers never makes a list newer than the latest read.

--- a/core/src/main/java/org/acaciacourse/core/stream/PoolVersions.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/PoolVersions.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -46,16 +47,22 @@
 
 	private long confirmedAt;
 
+	/** When the list was read, or an earlier time. */
+	private OptionalLong readAt = OptionalLong.empty();
+
 	/**
 	 * Record that the list of endpoints was read or confirmed.
 	 * @param next the list
+	 * @param readAt when it was read at the platform, or an earlier time; empty if that
+	 * is not known
 	 * @param now the time
 	 */
-	public void confirmed(Fleet next, long now) {
+	public void confirmed(Fleet next, OptionalLong readAt, long now) {
 		if (this.fleet == Fleet.NONE || now - this.confirmedAt > MAX_CONFIRMATION_GAP_NANOS) {
 			this.knownSince = now;
 		}
 		this.confirmedAt = now;
+		this.readAt = readAt;
 		if (next.revision() == this.fleet.revision()) {
 			return;
 		}
@@ -73,6 +80,24 @@
 			.forEach((version) -> this.delistedAt.computeIfAbsent(pool, (name) -> new HashMap<>()).put(version, now)));
 	}
 
+	/**
+	 * Return how long ago the list was read at the platform.
+	 * @param now the time
+	 * @return the nanoseconds, or more; empty if that is not known
+	 */
+	public OptionalLong ageNanos(long now) {
+		return (this.readAt.isPresent()) ? OptionalLong.of(now - this.readAt.getAsLong()) : OptionalLong.empty();
+	}
+
+	/**
+	 * Return for how long the list has been known without a gap.
+	 * @param now the time
+	 * @return the nanoseconds, 0 if there is no list yet
+	 */
+	public long knownNanos(long now) {
+		return (this.fleet != Fleet.NONE) ? now - this.knownSince : 0;
+	}
+
 	/**
 	 * Record that an endpoint crashed.
 	 * @param instance the endpoint
--- a/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
@@ -212,7 +212,7 @@
 		record(stream, now);
 		lookup.unanswered.remove(sender);
 		if (stream.origin().isPresent()) {
-			end(stream.key(), this.table.find(stream.key(), now));
+			end(stream.key(), lookup, this.table.find(stream.key(), now));
 		}
 		else {
 			endIfComplete(stream.key(), lookup);
@@ -221,13 +221,13 @@
 
 	private void endIfComplete(StreamKey key, Lookup lookup) {
 		if (lookup.unanswered.isEmpty()) {
-			end(key, Optional.empty());
+			end(key, lookup, Optional.empty());
 		}
 	}
 
-	private void end(StreamKey key, Optional<StreamOrigin> origin) {
+	private void end(StreamKey key, Lookup lookup, Optional<StreamOrigin> origin) {
 		this.lookups.remove(key);
-		this.found.add(new Found(key, origin));
+		this.found.add(new Found(key, origin, lookup.asked, lookup.asked - lookup.unanswered.size()));
 	}
 
 	/**
@@ -241,7 +241,7 @@
 		List<Outgoing> messages = new ArrayList<>();
 		Map.copyOf(this.lookups).forEach((key, lookup) -> {
 			if (now - lookup.startedAt >= MAX_LOOKUP_NANOS) {
-				end(key, Optional.empty());
+				end(key, lookup, Optional.empty());
 			}
 			else if (now - lookup.askedAt >= ASK_AGAIN_NANOS) {
 				lookup.askedAt = now;
@@ -329,8 +329,10 @@
 	 *
 	 * @param key the name of the stream
 	 * @param origin where it began, if any VM that answered knows
+	 * @param asked how many VMs were asked
+	 * @param answered how many of them answered
 	 */
-	public record Found(StreamKey key, Optional<StreamOrigin> origin) {
+	public record Found(StreamKey key, Optional<StreamOrigin> origin, int asked, int answered) {
 	}
 
 	private record Served(StreamOrigin origin, long toldAt) {
@@ -341,6 +343,8 @@
 
 		private final long startedAt;
 
+		private final int asked;
+
 		private final Set<String> unanswered;
 
 		private long askedAt;
@@ -348,6 +352,7 @@
 		private Lookup(long now, Set<String> unanswered) {
 			this.startedAt = now;
 			this.askedAt = now;
+			this.asked = unanswered.size();
 			this.unanswered = unanswered;
 		}
 
--- a/core/src/test/java/org/acaciacourse/core/stream/PoolVersionsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/PoolVersionsTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.route.Fleet;
@@ -31,7 +32,7 @@
 	private void confirm(int seconds, FleetEndpoint... endpoints) {
 		for (int i = 0; i < seconds; i++) {
 			this.now += SECOND;
-			this.versions.confirmed(Fleet.of(Arrays.asList(endpoints)), this.now);
+			this.versions.confirmed(Fleet.of(Arrays.asList(endpoints)), OptionalLong.of(this.now), this.now);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/ControlHandler.java
@@ -13,6 +13,7 @@
 import org.acaciacourse.core.state.CommandResult.ProvisionResult;
 import org.acaciacourse.core.state.CommandResult.UsageResult;
 import org.acaciacourse.daemon.codec.CommandCodec;
+import org.acaciacourse.daemon.codec.FleetAge;
 import org.acaciacourse.daemon.codec.FleetCodec;
 import org.acaciacourse.daemon.codec.ProvisionCodec;
 import org.acaciacourse.daemon.codec.UsageCodec;
@@ -194,11 +195,15 @@
 	@Override
 	public FleetReply fleet(String sharedKey, long revision, long waitMillis) throws TException {
 		FleetKeeper keeper = servicesFor(sharedKey).fleet();
+		long receivedAt = System.nanoTime();
 		try {
-			Fleet known = keeper.await(revision, Math.min(waitMillis, MAX_FLEET_WAIT_MILLIS));
+			FleetReading reading = keeper.await(revision, Math.min(waitMillis, MAX_FLEET_WAIT_MILLIS));
+			Fleet known = reading.fleet();
 			ResultCode code = (known.revision() != 0) ? ResultCode.OK : ResultCode.NOT_READY;
-			return new FleetReply(Replies.result(code), known.revision(),
+			FleetReply reply = new FleetReply(Replies.result(code), known.revision(),
 					(known.revision() != revision) ? FleetCodec.encode(known) : List.of());
+			reading.readAt().ifPresent((readAt) -> reply.setAgeMillis(FleetAge.millis(readAt, receivedAt)));
+			return reply;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import org.acaciacourse.core.code.ResultCode;
 import org.acaciacourse.core.consensus.Member;
 import org.acaciacourse.core.route.Fleet;
+import org.acaciacourse.daemon.codec.FleetAge;
 import org.acaciacourse.daemon.codec.FleetCodec;
 import org.acaciacourse.daemon.inner.SharedKey;
 import org.acaciacourse.protocol.generated.FleetReply;
@@ -49,7 +51,7 @@
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
-	private Fleet fleet = Fleet.NONE;
+	private FleetReading reading = FleetReading.NONE;
 
 	private long confirmedAt = System.nanoTime() - MAX_AGE_NANOS;
 
@@ -88,6 +90,7 @@
 			return false;
 		}
 		long known = current().revision();
+		long askedAt = System.nanoTime();
 		Optional<FleetReply> reply = PeerCalls.call(leader.get().address(),
 				(c) -> c.control().fleet(this.key.text(), known, LEADER_WAIT_MILLIS));
 		if (reply.isEmpty() || reply.get().getResult().getCode() != ResultCode.OK.number()) {
@@ -95,30 +98,34 @@
 		}
 		Fleet received = (reply.get().getRevision() == known) ? current()
 				: new Fleet(reply.get().getRevision(), FleetCodec.decode(reply.get().getFleet()));
-		update(received);
+		OptionalLong readAt = (reply.get().isSetAgeMillis())
+				? OptionalLong.of(FleetAge.readAt(reply.get().getAgeMillis(), askedAt)) : OptionalLong.empty();
+		update(new FleetReading(received, readAt));
 		return true;
 	}
 
 	private void readSource() throws InterruptedException {
+		long readAt = System.nanoTime();
 		try {
-			update(this.source.get().read());
+			update(new FleetReading(this.source.get().read(), OptionalLong.of(readAt)));
 		}
 		catch (IOException ex) {
 			LOGGER.warn("cannot read the platform's list of endpoints; keeping the last fleet: {}", ex.getMessage());
 		}
 	}
 
-	private void update(Fleet next) {
+	private void update(FleetReading next) {
+		Fleet fleet = next.fleet();
 		boolean changed;
 		synchronized (this) {
-			changed = next.revision() != this.fleet.revision();
-			this.fleet = next;
+			changed = fleet.revision() != this.reading.fleet().revision();
+			this.reading = next;
 			this.confirmedAt = System.nanoTime();
 			notifyAll();
 		}
 		if (changed) {
-			LOGGER.info("fleet changed to revision {} with {} endpoints", Long.toHexString(next.revision()),
-					next.endpoints().size());
+			LOGGER.info("fleet changed to revision {} with {} endpoints", Long.toHexString(fleet.revision()),
+					fleet.endpoints().size());
 			this.loop.views().signalChange();
 		}
 	}
@@ -128,8 +135,17 @@
 	 * @return the fleet, or {@link Fleet#NONE} if its last confirmation is older than
 	 * {@link #MAX_AGE_NANOS}
 	 */
-	synchronized Fleet current() {
-		return (System.nanoTime() - this.confirmedAt < MAX_AGE_NANOS) ? this.fleet : Fleet.NONE;
+	Fleet current() {
+		return currentReading().fleet();
+	}
+
+	/**
+	 * Return the current fleet with the time at which it was read.
+	 * @return the fleet, or {@link FleetReading#NONE} if its last confirmation is older
+	 * than {@link #MAX_AGE_NANOS}
+	 */
+	synchronized FleetReading currentReading() {
+		return (System.nanoTime() - this.confirmedAt < MAX_AGE_NANOS) ? this.reading : FleetReading.NONE;
 	}
 
 	/**
@@ -139,7 +155,7 @@
 	 * @return the fleet, with the same revision if the wait timed out
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	synchronized Fleet await(long revision, long millis) throws InterruptedException {
+	synchronized FleetReading await(long revision, long millis) throws InterruptedException {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
 		while (current().revision() == revision) {
 			long remaining = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
@@ -148,7 +164,7 @@
 			}
 			wait(remaining);
 		}
-		return current();
+		return currentReading();
 	}
 
 	@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PollService.java
@@ -11,6 +11,7 @@
 import org.acaciacourse.core.manifest.ManifestDelta;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.state.ControlState;
+import org.acaciacourse.daemon.codec.FleetAge;
 import org.acaciacourse.daemon.codec.FleetCodec;
 import org.acaciacourse.daemon.codec.LoadPeersCodec;
 import org.acaciacourse.daemon.codec.ManifestCodec;
@@ -67,6 +68,7 @@
 	}
 
 	PollReply poll(PollRequest request) {
+		long receivedAt = System.nanoTime();
 		this.registry.recordPoll(request, System.currentTimeMillis());
 		this.usage.ifPresent((service) -> service.recordPoll(request));
 		try {
@@ -89,7 +91,8 @@
 		}
 		this.registry.refreshLastSeen(request.getOwner(), System.currentTimeMillis());
 		long revision = this.loop.views().revision();
-		Either<ControlException, PollReply> reply = Replies.await(this.loop.query((state) -> reply(state, request)));
+		Either<ControlException, PollReply> reply = Replies
+			.await(this.loop.query((state) -> reply(state, request, receivedAt)));
 		synchronized (this.lastRevisions) {
 			this.lastRevisions.put(request.getOwner(), revision);
 		}
@@ -107,7 +110,7 @@
 				|| views.revision() != lastRevision, wait);
 	}
 
-	private PollReply reply(ControlState state, PollRequest request) {
+	private PollReply reply(ControlState state, PollRequest request, long receivedAt) {
 		PollReply reply = emptyReply(Replies.result(ResultCode.OK)).setNumber(state.manifestNumber())
 			.setDigest(state.manifestDigest());
 		if (state.manifestNumber() > request.getNumber()) {
@@ -122,17 +125,23 @@
 			.map((crash) -> new ReportCrashCommand(crash.contentHash(), crash.crashes()))
 			.toList());
 		this.usage.ifPresent((service) -> service.writeTo(reply, state.usage().frozenThrough()));
-		Fleet known = this.fleet.current();
-		reply.setFleetRevision(known.revision());
-		if (known.revision() != 0 && known.revision() != request.getFleetRevision()) {
-			reply.setFleet(FleetCodec.encode(known));
-		}
+		writeFleet(request, receivedAt, reply);
 		reply.setControls(this.loop.views().latest().membership().members().stream().map(Member::address).toList());
 		LoadPeersCodec.write(this.registry.loadPeers(request.getOwner(), System.currentTimeMillis()), request, reply);
 		List<EndpointNotice> notices = this.platform.notices();
 		return reply.setNotices(notices).setEntryCount(this.registry.liveVmCount(System.currentTimeMillis()));
 	}
 
+	private void writeFleet(PollRequest request, long receivedAt, PollReply reply) {
+		FleetReading reading = this.fleet.currentReading();
+		Fleet known = reading.fleet();
+		reply.setFleetRevision(known.revision());
+		if (known.revision() != 0 && known.revision() != request.getFleetRevision()) {
+			reply.setFleet(FleetCodec.encode(known));
+		}
+		reading.readAt().ifPresent((readAt) -> reply.setFleetAgeMillis(FleetAge.millis(readAt, receivedAt)));
+	}
+
 	private static PollReply emptyReply(Result result) {
 		return new PollReply().setResult(result)
 			.setBaseDigest("")
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.vavr.control.Either;
@@ -14,6 +15,7 @@
 import org.acaciacourse.core.manifest.ManifestParser;
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.RouteTableParser;
+import org.acaciacourse.daemon.codec.FleetAge;
 import org.acaciacourse.daemon.codec.FleetCodec;
 import org.acaciacourse.daemon.codec.LoadPeersCodec;
 import org.acaciacourse.daemon.codec.ManifestCodec;
@@ -90,9 +92,10 @@
 	/**
 	 * Apply a poll reply.
 	 * @param reply a successful reply
+	 * @param askedAt when the poll was sent
 	 * @return whether the configuration in force is at least as new as the reply
 	 */
-	boolean apply(PollReply reply) {
+	boolean apply(PollReply reply, long askedAt) {
 		// Requests that were held until there is a configuration may ask these VMs.
 		applyPeers(reply);
 		applyControls(reply);
@@ -101,7 +104,7 @@
 		}
 		applyCrashes(reply);
 		applyNotices(reply.getNotices());
-		applyFleet(reply);
+		applyFleet(reply, askedAt);
 		applyEntryCount(reply.getEntryCount());
 		return this.number >= reply.getNumber();
 	}
@@ -162,12 +165,14 @@
 		return notification.toJavaOptional();
 	}
 
-	private void applyFleet(PollReply reply) {
+	private void applyFleet(PollReply reply, long askedAt) {
 		if (reply.isSetFleet()) {
 			this.fleet = new Fleet(reply.getFleetRevision(), FleetCodec.decode(reply.getFleet()));
 		}
 		if (reply.getFleetRevision() != 0 && reply.getFleetRevision() == this.fleet.revision()) {
-			this.listener.fleetReceived(this.fleet);
+			OptionalLong readAt = (reply.isSetFleetAgeMillis())
+					? OptionalLong.of(FleetAge.readAt(reply.getFleetAgeMillis(), askedAt)) : OptionalLong.empty();
+			this.listener.fleetReceived(this.fleet, readAt);
 		}
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ConfigurationPoller.java
@@ -171,6 +171,7 @@
 			PollRequest request = request(latestRequested);
 			long nextPosition = this.usage.map((meter) -> meter.writeTo(request, this.usagePosition)).orElse(0L);
 			this.demand.writeTo(request);
+			long askedAt = System.nanoTime();
 			PollReply reply = this.connection.get().control().poll(this.options.key().text(), request);
 			if (reply.getResult().getCode() != ResultCode.OK.number()) {
 				return false;
@@ -178,7 +179,7 @@
 			this.usagePosition = nextPosition;
 			this.demand.replied();
 			this.usage.ifPresent((meter) -> meter.replied(reply));
-			boolean current = this.follower.apply(reply);
+			boolean current = this.follower.apply(reply, askedAt);
 			updateControls(reply.getControls());
 			confirmLatest(latestRequested && current && reply.getNumber() > 0);
 			if (!this.latestConfirmed) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/link/ControlLink.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
@@ -110,8 +111,10 @@
 		 * A control VM reported the fleet. Also called if the fleet is unchanged, which
 		 * confirms it.
 		 * @param fleet the fleet
+		 * @param readAt when the platform's list was read for it, or an earlier time;
+		 * empty if that is not known
 		 */
-		default void fleetReceived(Fleet fleet) {
+		default void fleetReceived(Fleet fleet, OptionalLong readAt) {
 		}
 
 		/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.control.FleetSource;
@@ -36,7 +36,8 @@
 
 	private final FleetSource source;
 
-	private final Consumer<Fleet> onFleet;
+	/** Receives the fleet, and when its read began. */
+	private final ObjLongConsumer<Fleet> onFleet;
 
 	private final CountDownLatch closed = new CountDownLatch(1);
 
@@ -44,7 +45,7 @@
 
 	private volatile long confirmedAt = System.nanoTime();
 
-	FleetFallback(FleetSource source, Consumer<Fleet> onFleet) {
+	FleetFallback(FleetSource source, ObjLongConsumer<Fleet> onFleet) {
 		this.source = source;
 		this.onFleet = onFleet;
 	}
@@ -91,8 +92,9 @@
 	}
 
 	private void readFleet() throws InterruptedException {
+		long readAt = System.nanoTime();
 		try {
-			this.onFleet.accept(this.source.read());
+			this.onFleet.accept(this.source.read(), readAt);
 		}
 		catch (IOException ex) {
 			LOGGER.warn("no control VM reports the fleet, and the platform's endpoint list cannot be read: {}",
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -53,40 +54,49 @@
 	 */
 	void bind(RoutedRequest request, CallerResponse response, long arrivedAt, Consumer<RoutedRequest> onBound,
 			Consumer<ResultCode> onRefused) {
+		Binding binding = new Binding(request, arrivedAt, onBound, onRefused);
 		Optional<StreamKey> key = request.metadata().resumedRequest().map(request::streamKey);
 		Optional<StreamOrigin> known = key.flatMap(this.origins::known);
 		if (known.isPresent() || key.isEmpty()) {
-			end(request, arrivedAt, known, Source.KNOWN, onBound, onRefused);
+			end(binding, known, Source.KNOWN);
 			return;
 		}
-		Waiting waiting = new Waiting();
-		response.onDisconnect(() -> waiting.callerGone = true);
-		this.origins.ask(key.get(), (told) -> {
-			if (!waiting.callerGone) {
-				end(request, arrivedAt, told, Source.TOLD, onBound, onRefused);
+		response.onDisconnect(() -> binding.callerGone = true);
+		this.origins.ask(key.get(), (found) -> {
+			binding.asked = found.asked();
+			binding.answered = found.answered();
+			if (!binding.callerGone) {
+				end(binding, found.origin(), Source.TOLD);
 			}
 		});
 	}
 
-	private void end(RoutedRequest request, long arrivedAt, Optional<StreamOrigin> origin, Source source,
-			Consumer<RoutedRequest> onBound, Consumer<ResultCode> onRefused) {
-		Optional<StreamOrigin> derived = (origin.isPresent()) ? origin : onlyOrigin(request.route());
+	private void end(Binding binding, Optional<StreamOrigin> origin, Source source) {
+		Optional<StreamOrigin> derived = (origin.isPresent()) ? origin : onlyOrigin(binding.request.route());
 		Source used = (origin.isPresent()) ? source : (derived.isPresent()) ? Source.ONLY_VERSION : Source.UNKNOWN;
-		DecisionLog.write(LogEvent.STREAM_ORIGIN, request.metadata().id(),
-				request.metadata().resumedRequest().orElse(null), used.name(),
-				derived.map(StreamOrigin::pool).orElse(null), derived.flatMap(StreamOrigin::version).orElse(null),
-				TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedAt));
+		log(binding, derived, used);
 		if (derived.isEmpty()) {
-			onRefused.accept(ResultCode.STREAM_ORIGIN_UNKNOWN);
+			binding.onRefused.accept(ResultCode.STREAM_ORIGIN_UNKNOWN);
 		}
-		else if (!request.route().pools().contains(derived.get().pool())) {
-			onRefused.accept(ResultCode.STREAM_VERSION_GONE);
+		else if (!binding.request.route().pools().contains(derived.get().pool())) {
+			binding.onRefused.accept(ResultCode.STREAM_VERSION_GONE);
 		}
 		else {
-			onBound.accept(request.resumedAt(derived.get()));
+			binding.onBound.accept(binding.request.resumedAt(derived.get()));
 		}
 	}
 
+	private void log(Binding binding, Optional<StreamOrigin> origin, Source source) {
+		long now = System.nanoTime();
+		OptionalLong listAge = this.pools.versions().ageNanos(now);
+		DecisionLog.write(LogEvent.STREAM_ORIGIN, binding.request.metadata().id(),
+				binding.request.metadata().resumedRequest().orElse(null), source.name(),
+				origin.map(StreamOrigin::pool).orElse(null), origin.flatMap(StreamOrigin::version).orElse(null),
+				TimeUnit.NANOSECONDS.toMillis(now - binding.arrivedAt), binding.asked, binding.answered,
+				(listAge.isPresent()) ? TimeUnit.NANOSECONDS.toMillis(listAge.getAsLong()) : null,
+				TimeUnit.NANOSECONDS.toMillis(this.pools.versions().knownNanos(now)));
+	}
+
 	// With several pools it would remain open which one began the stream.
 	private Optional<StreamOrigin> onlyOrigin(Route route) {
 		List<String> pools = route.pools();
@@ -117,11 +127,33 @@
 
 	}
 
-	/** A request whose origin is asked for. */
-	private static final class Waiting {
+	/** A request whose origin is being found. */
+	private static final class Binding {
+
+		private final RoutedRequest request;
+
+		private final long arrivedAt;
+
+		private final Consumer<RoutedRequest> onBound;
+
+		private final Consumer<ResultCode> onRefused;
+
+		/** How many VMs were asked. */
+		private int asked;
+
+		/** How many of these answered. */
+		private int answered;
 
 		private boolean callerGone;
 
+		private Binding(RoutedRequest request, long arrivedAt, Consumer<RoutedRequest> onBound,
+				Consumer<ResultCode> onRefused) {
+			this.request = request;
+			this.arrivedAt = arrivedAt;
+			this.onBound = onBound;
+			this.onRefused = onRefused;
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -167,7 +168,8 @@
 		this.memory.ifPresent((bounded) -> this.callerServer.boundSendBuffers(ResponseMemory.SEND_BUFFER_BYTES));
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
-		this.fallback = new FleetFallback(options.fleetSource(), (fleet) -> applyFleet(fleet, "list"));
+		this.fallback = new FleetFallback(options.fleetSource(),
+				(fleet, readAt) -> applyFleet(fleet, OptionalLong.of(readAt), "list"));
 		this.gossip = options.loadPeer().map((peer) -> new LoadGossip(this.loop, this.pools, this.crashes, peer));
 		this.gossip.ifPresent((loadGossip) -> {
 			this.crashes.announcer(loadGossip::announce);
@@ -376,14 +378,14 @@
 		return this.pools.policy().isOn(RoutingMechanism.TUNNELS);
 	}
 
-	private void applyFleet(Fleet fleet, String source) {
+	private void applyFleet(Fleet fleet, OptionalLong readAt, String source) {
 		this.loop.execute(() -> {
 			if (fleet.revision() != this.pools.fleet().revision()) {
 				this.pools.fleet(fleet);
 				this.origins.listChanged(this.pools::endpoint);
 				FleetLog.write(fleet, source);
 			}
-			this.pools.versions().confirmed(fleet, System.nanoTime());
+			this.pools.versions().confirmed(fleet, readAt, System.nanoTime());
 			this.fleetKnown = true;
 		});
 	}
@@ -408,9 +410,9 @@
 		}
 
 		@Override
-		public void fleetReceived(Fleet fleet) {
+		public void fleetReceived(Fleet fleet, OptionalLong readAt) {
 			RouteDaemon.this.fallback.fleetConfirmed(fleet);
-			applyFleet(fleet, "control");
+			applyFleet(fleet, readAt, "control");
 		}
 
 		@Override
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/StreamOriginService.java
@@ -38,7 +38,7 @@
 
 	private final UnconfirmedOrigins unconfirmed = new UnconfirmedOrigins();
 
-	private final Map<StreamKey, List<Consumer<Optional<StreamOrigin>>>> waiting = new HashMap<>();
+	private final Map<StreamKey, List<Consumer<StreamOrigins.Found>>> waiting = new HashMap<>();
 
 	private Consumer<StreamOrigins.Outgoing> sender = (message) -> {
 	};
@@ -124,9 +124,9 @@
 	/**
 	 * Ask the other VMs for the origin of a stream.
 	 * @param key the name of the stream
-	 * @param onResult receives the origin, empty if it is not known to those that answer
+	 * @param onResult receives the result
 	 */
-	void ask(StreamKey key, Consumer<Optional<StreamOrigin>> onResult) {
+	void ask(StreamKey key, Consumer<StreamOrigins.Found> onResult) {
 		this.waiting.computeIfAbsent(key, (name) -> new ArrayList<>()).add(onResult);
 		send(this.origins.ask(key, System.nanoTime()));
 		callBack();
@@ -177,9 +177,9 @@
 
 	private void callBack() {
 		this.origins.drainFound().forEach((found) -> {
-			List<Consumer<Optional<StreamOrigin>>> all = this.waiting.remove(found.key());
+			List<Consumer<StreamOrigins.Found>> all = this.waiting.remove(found.key());
 			if (all != null) {
-				all.forEach((onResult) -> onResult.accept(found.origin()));
+				all.forEach((onResult) -> onResult.accept(found));
 			}
 		});
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -112,9 +112,11 @@
 	 * A caller takes a stream up: by which request it began, how its origin was found
 	 * here (known, told by another VM when asked, derived from the only version of the
 	 * pool, or not at all), the pool and the version that it is bound to, and the time
-	 * since the request was read.
+	 * since the request was read; how many VMs were asked and how many answered, how long
+	 * ago the list of endpoints was read, and for how long it has been known.
 	 */
-	STREAM_ORIGIN("stream-origin", "request", "resumes", "source", "pool", "version", "age_ms"),
+	STREAM_ORIGIN("stream-origin", "request", "resumes", "source", "pool", "version", "age_ms", "asked", "answered",
+			"list_age_ms", "list_known_ms"),
 
 	/**
 	 * The event loop did not run for a while: what it reads now may have been sent during
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/FleetKeeperTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/FleetKeeperTests.java
@@ -9,6 +9,7 @@
 
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
+import org.acaciacourse.daemon.codec.FleetAge;
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.protocol.generated.PollReply;
 import org.acaciacourse.protocol.generated.PollRequest;
@@ -33,6 +34,9 @@
 
 	private volatile boolean unreadable;
 
+	/** When the latest read of the list began. */
+	private volatile long readAt;
+
 	private ControlCluster cluster;
 
 	private static Fleet fleet(String instance) {
@@ -46,6 +50,7 @@
 		}
 		this.cluster = new ControlCluster(this.folder, VMS).fleet((i) -> () -> {
 			this.reads.get(i).incrementAndGet();
+			this.readAt = System.nanoTime();
 			if (this.unreadable) {
 				throw new IOException("the list is unavailable");
 			}
@@ -95,6 +100,24 @@
 		assertThat(this.reads.get(leader).get()).isGreaterThan(before[leader]);
 	}
 
+	// Guards against a list that looks newer to an entry VM than it is, as it took its
+	// way
+	// over a control VM that does not read it.
+	@Test
+	void everyVmStatesWhenTheListWasRead() {
+		for (int i = 0; i < VMS; i++) {
+			int vm = i;
+			long startedAt = System.nanoTime();
+			ControlCluster.await("a later read at " + i, () -> {
+				long askedAt = System.nanoTime();
+				PollReply reply = poll(vm, 0);
+				long stated = FleetAge.readAt(reply.getFleetAgeMillis(), askedAt);
+				assertThat(stated).isAtMost(this.readAt);
+				return reply.isSetFleetAgeMillis() && stated >= startedAt;
+			});
+		}
+	}
+
 	@Test
 	void knownFleetIsNotSentAgain() {
 		ControlCluster.await("the fleet", () -> poll(0, 0).isSetFleet());
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -52,8 +52,8 @@
 		void neverGoBackwards() {
 			// The entry VM polls another control VM that lags behind or was partitioned,
 			// and receives an older configuration. It keeps the newer one.
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(8))).isTrue();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(7))).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(8), 0)).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(7), 0)).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.number()).isEqualTo(8);
 			assertThat(ConfigurationFollowerTests.this.events).containsExactly(8L);
 		}
@@ -68,12 +68,12 @@
 			// The delta starts from a configuration that the entry VM does not have.
 			// Applying it would produce a mixture that no operator submitted.
 			ConfigurationFollower follower = ConfigurationFollowerTests.this.follower;
-			follower.apply(fullReply(1));
-			assertThat(follower.apply(deltaReply(2, 3))).isFalse();
+			follower.apply(fullReply(1), 0);
+			assertThat(follower.apply(deltaReply(2, 3), 0)).isFalse();
 			assertThat(follower.digest()).isEmpty();
 			assertThat(follower.number()).isEqualTo(1);
-			assertThat(follower.apply(fullReply(3))).isTrue();
-			assertThat(follower.apply(deltaReply(3, 4))).isTrue();
+			assertThat(follower.apply(fullReply(3), 0)).isTrue();
+			assertThat(follower.apply(deltaReply(3, 4), 0)).isTrue();
 			assertThat(follower.digest()).isEqualTo(document(4).digest());
 		}
 
@@ -81,7 +81,7 @@
 		void damagedDocumentIsNotUsed() {
 			PollReply damaged = fullReply(2);
 			damaged.getSnapshot().put("class added", Map.of("tier", "low"));
-			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged)).isFalse();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged, 0)).isFalse();
 			assertThat(ConfigurationFollowerTests.this.events).isEmpty();
 		}
 
@@ -91,11 +91,12 @@
 		void fullDocumentIsCheckedByChecksumIfPresent() {
 			PollReply damaged = fullReply(2).setChecksum(document(2).checksum());
 			damaged.getSnapshot().put("class added", Map.of("tier", "low"));
-			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged)).isFalse();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged, 0)).isFalse();
 			assertThat(ConfigurationFollowerTests.this.events).isEmpty();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(2).setChecksum(document(2).checksum())))
+			assertThat(
+					ConfigurationFollowerTests.this.follower.apply(fullReply(2).setChecksum(document(2).checksum()), 0))
 				.isTrue();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(deltaReply(2, 3))).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(deltaReply(2, 3), 0)).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.digest()).isEqualTo(document(3).digest());
 		}
 
@@ -107,7 +108,7 @@
 		@Test
 		void areReportedAndTheRevisionIsKept() {
 			PollReply crash = fullReply(1).setCrashes(List.of(new ReportCrashCommand(77, 2))).setCrashRevision(5);
-			ConfigurationFollowerTests.this.follower.apply(crash);
+			ConfigurationFollowerTests.this.follower.apply(crash, 0);
 			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, "77 2");
 			assertThat(ConfigurationFollowerTests.this.follower.crashRevision()).isEqualTo(5);
 		}
@@ -119,10 +120,10 @@
 
 		@Test
 		void sameCountIsConfirmedAndMissingCountIsIgnored() {
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(0));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(4));
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(0), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(4), 0);
 			assertThat(ConfigurationFollowerTests.this.events)
 				.containsExactly(1L, "3 entries", "confirmed", "4 entries")
 				.inOrder();
@@ -140,10 +141,10 @@
 		@Test
 		void areToldWheneverTheyHaveChanged() {
 			ConfigurationFollower follower = ConfigurationFollowerTests.this.follower;
-			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
-			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
-			follower.apply(fullReply(1));
-			follower.apply(fullReply(1).setControls(List.of("b:1", "c:1")));
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")), 0);
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")), 0);
+			follower.apply(fullReply(1), 0);
+			follower.apply(fullReply(1).setControls(List.of("b:1", "c:1")), 0);
 			assertThat(ConfigurationFollowerTests.this.events)
 				.containsExactly(List.of("a:1", "b:1"), 1L, List.of("b:1", "c:1"))
 				.inOrder();
--- a/protocol/src/main/thrift/acaciacourse.thrift
+++ b/protocol/src/main/thrift/acaciacourse.thrift
@@ -379,6 +379,8 @@
   18: optional i64 timeMillis,
   /* The latest window whose usage is fixed. */
   19: optional i64 usageFrozenThrough,
+  /* How long before this poll was received the read of the platform's list began that the fleet is from, negative if after; missing if that is not known. */
+  20: optional i64 fleetAgeMillis,
 }
 
 /* A datagram between entries: what the sender has under way at endpoints. */
@@ -521,6 +523,8 @@
   1: Result result,
   2: i64 revision,
   3: list<FleetRecord> fleet,
+  /* How long before this call was received the read of the platform's list began, negative if after; missing if that is not known. */
+  4: optional i64 ageMillis,
 }
 
 /* What the platform's list says of an endpoint: 0 live, 1 leaving, 2 gone. */
