A version is derived only if nothing can have been missed

Operators of a system like this one saw streams that began at endpoints of a new version go on at the former one, after they had been taken up at an entry VM that was cut off or stood still while the endpoints joined. It was so here, too, once an entry had served for stream-life (two minutes).

Cause: not having heard of a version was taken for knowing that there is none. A lookup that nobody answered, or that asked nobody, ended like one that all answered with "unknown". And a list counted as known for three seconds after it was last told, however long before it had been read.

Now (a) at least one VM must have been asked and all that were asked must have answered; (b) the list must have been read at the platform after the request arrived, for which the request waits, 1.8 s after its arrival at most; (c) a gap of over three seconds between two reads, not between two messages, starts stream-life anew. Without (b) an entry in touch derives from a list that was read before the stream began; without (a) one that is cut off derives from what it reads by itself and nobody contradicts; without (c) a version that came and went in the gap is not seen. A list that is older than the one before it, and one of a control VM that states no age, are not relied on either.

What callers do not state (which request began the stream) can't be looked up; such streams go on by (b) and (c) alone.

Ruled out: facts about crashes, which no derived version uses.

--- a/core/src/main/java/org/acaciacourse/core/stream/PoolVersions.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/PoolVersions.java
@@ -14,15 +14,19 @@
 /**
  * Which software versions the endpoints of each pool have had, as far as this VM knows:
  * if a pool has had one for longer than streams live, a stream of unknown origin began at
- * that version. Nothing is known of the time before the first list of endpoints, or while
- * the list was not confirmed.
+ * that version. What counts is when the list was read at the platform, not when it was
+ * told here: nothing is known of the time before the first read, of a gap between two
+ * reads, or of what began after the latest one.
  * <p>
  * Not thread safe: belongs to one event loop.
  */
 public final class PoolVersions {
 
-	/** The list is confirmed about once a second. */
-	private static final long MAX_CONFIRMATION_GAP_NANOS = 3_000_000_000L;
+	/**
+	 * The list is read about once a second. An endpoint that leaves or crashes remains
+	 * listed for longer than this.
+	 */
+	private static final long MAX_READ_GAP_NANOS = 3_000_000_000L;
 
 	/**
 	 * How long the listed version of an endpoint is not relied on after it crashed: it
@@ -45,8 +49,6 @@
 
 	private long knownSince;
 
-	private long confirmedAt;
-
 	/** When the list was read, or an earlier time. */
 	private OptionalLong readAt = OptionalLong.empty();
 
@@ -58,10 +60,9 @@
 	 * @param now the time
 	 */
 	public void confirmed(Fleet next, OptionalLong readAt, long now) {
-		if (this.fleet == Fleet.NONE || now - this.confirmedAt > MAX_CONFIRMATION_GAP_NANOS) {
+		if (this.fleet == Fleet.NONE || !continues(readAt)) {
 			this.knownSince = now;
 		}
-		this.confirmedAt = now;
 		this.readAt = readAt;
 		if (next.revision() == this.fleet.revision()) {
 			return;
@@ -80,6 +81,11 @@
 			.forEach((version) -> this.delistedAt.computeIfAbsent(pool, (name) -> new HashMap<>()).put(version, now)));
 	}
 
+	private boolean continues(OptionalLong nextReadAt) {
+		return this.readAt.isPresent() && nextReadAt.isPresent()
+				&& nextReadAt.getAsLong() - this.readAt.getAsLong() <= MAX_READ_GAP_NANOS;
+	}
+
 	/**
 	 * Return how long ago the list was read at the platform.
 	 * @param now the time
@@ -136,14 +142,35 @@
 	 * Return the only version that a pool has had.
 	 * @param pool the name of the pool
 	 * @param duration the time up to now
+	 * @param until the end of the time that the list must cover
+	 * @param now the time
+	 * @return the version of all endpoints that were listed within that time; empty if
+	 * there were several, or if the list is not known for all of it
+	 */
+	public Optional<String> onlyVersion(String pool, Duration duration, long until, long now) {
+		return (wasReadSince(until)) ? latestOnlyVersion(pool, duration, now) : Optional.empty();
+	}
+
+	/**
+	 * Return whether the list was read at the platform at a time or later.
+	 * @param time the time
+	 * @return whether it is certain that it was
+	 */
+	public boolean wasReadSince(long time) {
+		return this.readAt.isPresent() && this.readAt.getAsLong() - time >= 0;
+	}
+
+	/**
+	 * Return the only version that a pool had up to the latest read of the list.
+	 * @param pool the name of the pool
+	 * @param duration the time up to now
 	 * @param now the time
 	 * @return the version of all endpoints that were listed within that time; empty if
 	 * there were several, or if the list is not known for all of it
 	 */
-	public Optional<String> onlyVersion(String pool, Duration duration, long now) {
+	public Optional<String> latestOnlyVersion(String pool, Duration duration, long now) {
 		long nanos = duration.toNanos();
-		boolean known = this.fleet != Fleet.NONE && now - this.confirmedAt <= MAX_CONFIRMATION_GAP_NANOS
-				&& now - this.knownSince >= nanos;
+		boolean known = this.fleet != Fleet.NONE && now - this.knownSince >= nanos;
 		Set<Optional<String>> versions = this.listed.getOrDefault(pool, Set.of());
 		if (!known || versions.size() != 1) {
 			return Optional.empty();
--- a/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/acaciacourse/core/stream/StreamOrigins.java
@@ -333,6 +333,17 @@
 	 * @param answered how many of them answered
 	 */
 	public record Found(StreamKey key, Optional<StreamOrigin> origin, int asked, int answered) {
+
+		/**
+		 * Return whether all VMs that keep origins have answered. If none knows the
+		 * origin although one has not answered, or nobody was asked, the stream may have
+		 * begun anywhere.
+		 * @return whether there is any VM to ask and each one has answered
+		 */
+		public boolean isComplete() {
+			return this.asked > 0 && this.answered == this.asked;
+		}
+
 	}
 
 	private record Served(StreamOrigin origin, long toldAt) {
--- a/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/OriginNetwork.java
@@ -40,7 +40,10 @@
 
 	private final PriorityQueue<Datagram> inFlight = new PriorityQueue<>(Comparator.comparingLong(Datagram::arrivesAt));
 
-	private final Map<StreamKey, Optional<StreamOrigin>> found = new HashMap<>();
+	private final Map<StreamKey, StreamOrigins.Found> found = new HashMap<>();
+
+	/** Until when VMs stand still. */
+	private final Map<String, Long> frozenUntil = new HashMap<>();
 
 	private long now = TimeUnit.SECONDS.toNanos(100);
 
@@ -104,6 +107,17 @@
 		return this.now;
 	}
 
+	/**
+	 * Have a VM stand still: what it is sent meanwhile waits, and its timers go first.
+	 */
+	void freeze(String vm, long nanos) {
+		this.frozenUntil.put(vm, this.now + nanos);
+	}
+
+	private boolean isFrozen(String vm) {
+		return this.frozenUntil.getOrDefault(vm, 0L) > this.now;
+	}
+
 	/** Lose all datagrams that are sent within a time from now on. */
 	void loseAllFor(long nanos) {
 		this.lostUntil = this.now + nanos;
@@ -131,20 +145,32 @@
 
 	/** Find the origin of a stream as a VM does at which it is taken up. */
 	Optional<StreamOrigin> find(String vm, StreamKey key) {
-		StreamOrigins origins = this.running.get(vm);
-		Optional<StreamOrigin> known = origins.known(key, this.now);
-		if (known.isPresent()) {
-			return known;
-		}
-		this.found.remove(key);
-		send(vm, origins.ask(key, this.now));
-		drain(origins);
+		Optional<StreamOrigin> known = this.running.get(vm).known(key, this.now);
+		return (known.isPresent()) ? known : lookUp(vm, key).origin();
+	}
+
+	/** Have a VM ask the others for the origin of a stream. */
+	StreamOrigins.Found lookUp(String vm, StreamKey key) {
+		ask(vm, key);
 		while (!this.found.containsKey(key)) {
 			run(MILLI);
 		}
 		return this.found.get(key);
 	}
 
+	/** Have a VM begin to ask the others for the origin of a stream. */
+	void ask(String vm, StreamKey key) {
+		StreamOrigins origins = this.running.get(vm);
+		this.found.remove(key);
+		send(vm, origins.ask(key, this.now));
+		drain(origins);
+	}
+
+	/** The result of what a VM asked, once there is one. */
+	Optional<StreamOrigins.Found> result(StreamKey key) {
+		return Optional.ofNullable(this.found.get(key));
+	}
+
 	/** Let time pass. */
 	void run(long nanos) {
 		long end = this.now + nanos;
@@ -153,18 +179,28 @@
 			deliverUntil(next);
 			this.now = next;
 			if (next % TICK_NANOS == 0) {
-				Map.copyOf(this.running).forEach((vm, origins) -> {
-					send(vm, origins.tick(this.now));
-					drain(origins);
-				});
+				Map.copyOf(this.running).forEach((vm, origins) -> tick(vm, origins));
 			}
 		}
 	}
 
+	private void tick(String vm, StreamOrigins origins) {
+		if (!isFrozen(vm)) {
+			send(vm, origins.tick(this.now));
+			drain(origins);
+		}
+	}
+
 	private void deliverUntil(long time) {
 		while (!this.inFlight.isEmpty() && this.inFlight.peek().arrivesAt() <= time) {
 			Datagram datagram = this.inFlight.poll();
 			this.now = Math.max(this.now, datagram.arrivesAt());
+			if (isFrozen(datagram.receiver())) {
+				long thawedAt = this.frozenUntil.get(datagram.receiver());
+				long firstTick = (thawedAt + TICK_NANOS - 1) / TICK_NANOS * TICK_NANOS;
+				this.inFlight.add(datagram.delayedUntil(firstTick + 1));
+				continue;
+			}
 			Optional.ofNullable(this.running.get(datagram.receiver())).ifPresent((origins) -> {
 				send(datagram.receiver(), origins.receive(datagram.sender(), datagram.message(), this.now));
 				drain(origins);
@@ -173,7 +209,7 @@
 	}
 
 	private void drain(StreamOrigins origins) {
-		origins.drainFound().forEach((result) -> this.found.put(result.key(), result.origin()));
+		origins.drainFound().forEach((result) -> this.found.put(result.key(), result));
 	}
 
 	private void send(String sender, List<StreamOrigins.Outgoing> messages) {
@@ -188,6 +224,11 @@
 	}
 
 	private record Datagram(String sender, String receiver, OriginMessage message, long arrivesAt) {
+
+		private Datagram delayedUntil(long time) {
+			return new Datagram(this.sender, this.receiver, this.message, time);
+		}
+
 	}
 
 }
--- a/core/src/test/java/org/acaciacourse/core/stream/PoolVersionsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/PoolVersionsTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +38,7 @@
 	}
 
 	private Optional<String> onlyVersion() {
-		return this.versions.onlyVersion("pool", LIFE, this.now);
+		return this.versions.onlyVersion("pool", LIFE, this.now, this.now);
 	}
 
 	@Nested
@@ -50,7 +51,8 @@
 			assertThat(onlyVersion()).isEqualTo(Optional.empty());
 			confirm(1, endpoint("a", "v1"));
 			assertThat(onlyVersion()).isEqualTo(Optional.of("v1"));
-			assertThat(PoolVersionsTests.this.versions.onlyVersion("other", LIFE, PoolVersionsTests.this.now))
+			assertThat(PoolVersionsTests.this.versions.onlyVersion("other", LIFE, PoolVersionsTests.this.now,
+					PoolVersionsTests.this.now))
 				.isEqualTo(Optional.empty());
 		}
 
@@ -78,6 +80,71 @@
 			assertThat(onlyVersion()).isEqualTo(Optional.of("v1"));
 		}
 
+		// Guards against a stream of a new version that goes on at the former one at a VM
+		// which was out of step and has not seen the new endpoints.
+		@Test
+		void isNotToldFromAListThatWasReadBeforeTheStreamWasTakenUp() {
+			confirm(20, endpoint("a", "v1"));
+			long takenUpAt = PoolVersionsTests.this.now + SECOND / 2;
+			PoolVersionsTests.this.now += 2 * SECOND;
+			assertThat(onlyVersionUntil(takenUpAt)).isEqualTo(Optional.empty());
+			confirmAsReadAt(takenUpAt - 1, endpoint("a", "v1"));
+			assertThat(onlyVersionUntil(takenUpAt)).isEqualTo(Optional.empty());
+			confirmAsReadAt(takenUpAt, endpoint("a", "v1"));
+			assertThat(onlyVersionUntil(takenUpAt)).isEqualTo(Optional.of("v1"));
+		}
+
+		private Optional<String> onlyVersionUntil(long takenUpAt) {
+			return PoolVersionsTests.this.versions.onlyVersion("pool", LIFE, takenUpAt, PoolVersionsTests.this.now);
+		}
+
+		private void confirmAsReadAt(long readAt, FleetEndpoint... endpoints) {
+			PoolVersionsTests.this.versions.confirmed(Fleet.of(Arrays.asList(endpoints)), OptionalLong.of(readAt),
+					PoolVersionsTests.this.now);
+		}
+
+		// Guards against a version that came and went while control confirmed a list that
+		// it could not read again.
+		@Test
+		void isNotToldAfterAGapBetweenTwoReads() {
+			confirm(20, endpoint("a", "v1"));
+			long readAt = PoolVersionsTests.this.now;
+			for (int i = 0; i < 4; i++) {
+				PoolVersionsTests.this.now += SECOND;
+				confirmAsReadAt(readAt, endpoint("a", "v1"));
+			}
+			confirm(10, endpoint("a", "v1"));
+			assertThat(onlyVersion()).isEqualTo(Optional.empty());
+			confirm(1, endpoint("a", "v1"));
+			assertThat(onlyVersion()).isEqualTo(Optional.of("v1"));
+		}
+
+		// Guards against a list of another control VM that lags behind the one before.
+		@Test
+		void isNotToldFromAListThatIsOlderThanTheOneBefore() {
+			confirm(20, endpoint("a", "v1"));
+			long takenUpAt = PoolVersionsTests.this.now;
+			assertThat(onlyVersionUntil(takenUpAt)).isEqualTo(Optional.of("v1"));
+			confirmAsReadAt(takenUpAt - SECOND, endpoint("a", "v1"));
+			assertThat(onlyVersionUntil(takenUpAt)).isEqualTo(Optional.empty());
+		}
+
+		// Guards against a control VM of an older release, which does not state when it
+		// read the list.
+		@Test
+		void isNotToldIfItIsNotKnownWhenTheListWasRead() {
+			for (int i = 0; i < 20; i++) {
+				PoolVersionsTests.this.now += SECOND;
+				PoolVersionsTests.this.versions.confirmed(Fleet.of(List.of(endpoint("a", "v1"))), OptionalLong.empty(),
+						PoolVersionsTests.this.now);
+			}
+			assertThat(onlyVersion()).isEqualTo(Optional.empty());
+			confirm(10, endpoint("a", "v1"));
+			assertThat(onlyVersion()).isEqualTo(Optional.empty());
+			confirm(1, endpoint("a", "v1"));
+			assertThat(onlyVersion()).isEqualTo(Optional.of("v1"));
+		}
+
 		@Test
 		void isNotToldIfAnEndpointHasNone() {
 			confirm(20, endpoint("a", "v1"), endpoint("b", ""));
--- a/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/stream/StreamOriginsTests.java
@@ -281,6 +281,71 @@
 
 	}
 
+	@Nested
+	class Completeness {
+
+		private static StreamOrigins.Found lookUp(OriginNetwork network) {
+			return network.lookUp(network.addresses().get(0), key(1));
+		}
+
+		@Test
+		void lookupThatAllHaveAnsweredIsComplete() {
+			StreamOrigins.Found found = lookUp(new OriginNetwork(6, 3, 0, 1));
+			assertThat(found.origin()).isEqualTo(Optional.empty());
+			assertThat(found.isComplete()).isTrue();
+			assertThat(found.asked()).isEqualTo(8);
+			assertThat(found.answered()).isEqualTo(8);
+		}
+
+		// Guards against a VM that is cut off and takes silence for the answer that
+		// nobody knows the stream.
+		@Test
+		void lookupThatNobodyAnswersIsNotComplete() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			network.loseAllFor(SECOND);
+			StreamOrigins.Found found = lookUp(network);
+			assertThat(found.isComplete()).isFalse();
+			assertThat(found.asked()).isEqualTo(8);
+			assertThat(found.answered()).isEqualTo(0);
+		}
+
+		// Guards against a stream that is known to none but the VM that does not answer.
+		@Test
+		void lookupThatOneDoesNotAnswerIsNotComplete() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			network.end(network.addresses().get(3));
+			StreamOrigins.Found found = lookUp(network);
+			assertThat(found.isComplete()).isFalse();
+			assertThat(found.answered()).isEqualTo(7);
+		}
+
+		// Guards against a VM that knows no others and takes that for the answer that
+		// nobody knows the stream.
+		@Test
+		void lookupOfAVmThatKnowsNoOthersIsNotComplete() {
+			StreamOrigins.Found found = lookUp(new OriginNetwork(1, 0, 1));
+			assertThat(found.isComplete()).isFalse();
+			assertThat(found.asked()).isEqualTo(0);
+		}
+
+		// Guards against a VM that stands still while it asks: its timer ends the lookup
+		// before the answers that have arrived are read.
+		@Test
+		void lookupThatEndsRightAfterAStandstillIsNotComplete() {
+			OriginNetwork network = new OriginNetwork(6, 3, 0, 1);
+			String vm = network.addresses().get(0);
+			network.begin(network.addresses().get(1), key(1), V2);
+			network.end(network.addresses().get(1));
+			network.ask(vm, key(1));
+			network.freeze(vm, 2 * SECOND);
+			network.run(2 * SECOND);
+			StreamOrigins.Found found = network.result(key(1)).orElseThrow();
+			assertThat(found.origin()).isEqualTo(Optional.empty());
+			assertThat(found.isComplete()).isFalse();
+		}
+
+	}
+
 	@Nested
 	class Bounds {
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -344,10 +344,10 @@
 	}
 
 	private boolean isIdle() {
-		boolean none = Boolean.TRUE
-			.equals(this.loop.submit(() -> this.openExchanges.isEmpty() && !this.origins.isAsking())
-				.awaitUninterruptibly()
-				.getNow());
+		boolean none = Boolean.TRUE.equals(this.loop
+			.submit(() -> this.openExchanges.isEmpty() && !this.origins.isAsking() && !this.handler.isWaitingForList())
+			.awaitUninterruptibly()
+			.getNow());
 		return none && this.callerServer.isFlushed() && openTunnels() == 0;
 	}
 
@@ -386,6 +386,7 @@
 				FleetLog.write(fleet, source);
 			}
 			this.pools.versions().confirmed(fleet, readAt, System.nanoTime());
+			this.handler.listConfirmed();
 			this.fleetKnown = true;
 		});
 	}
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -54,7 +54,7 @@
 	RouteHandler(RouteContext context) {
 		this.context = context;
 		this.heldRequests = new HeldRequests(context.loop());
-		this.resumedStreams = new ResumedStreams(context.origins(), context.pools());
+		this.resumedStreams = new ResumedStreams(context.loop(), context.origins(), context.pools());
 	}
 
 	/**
@@ -69,6 +69,18 @@
 		}
 	}
 
+	/**
+	 * Take up the streams that waited for the list of endpoints.
+	 */
+	void listConfirmed() {
+		this.resumedStreams.listConfirmed();
+	}
+
+	// Whether any request waits for the list of endpoints.
+	boolean isWaitingForList() {
+		return this.resumedStreams.isWaiting();
+	}
+
 	@Override
 	public void handle(CallerRequest request, CallerResponse response) {
 		handle(request, response, System.nanoTime());
--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.manifest.ManifestDocument;
 import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.codec.ManifestCodec;
 import org.acaciacourse.daemon.control.ControlCluster;
 import org.acaciacourse.protocol.generated.PollReply;
@@ -131,6 +133,31 @@
 
 	}
 
+	@Nested
+	class FleetOfAReply {
+
+		private static final long ASKED_AT = 1_000_000_000;
+
+		private PollReply fleetReply() {
+			return fullReply(1).setFleet(List.of()).setFleetRevision(7);
+		}
+
+		// Guards against a list that looks newer than it is.
+		@Test
+		void wasReadBeforeThePollWasSentByItsAge() {
+			ConfigurationFollowerTests.this.follower.apply(fleetReply().setFleetAgeMillis(300), ASKED_AT);
+			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, OptionalLong.of(700_000_000));
+		}
+
+		// Guards against a control VM of an older release whose list is taken for new.
+		@Test
+		void wasReadAtAnUnknownTimeIfNoAgeIsStated() {
+			ConfigurationFollowerTests.this.follower.apply(fleetReply(), ASKED_AT);
+			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, OptionalLong.empty());
+		}
+
+	}
+
 	/** Records the calls to a listener. */
 	@Nested
 	class Controls {
@@ -159,6 +186,11 @@
 			ConfigurationFollowerTests.this.events.add(manifest.number());
 		}
 
+		@Override
+		public void fleetReceived(Fleet fleet, OptionalLong readAt) {
+			ConfigurationFollowerTests.this.events.add(readAt);
+		}
+
 		@Override
 		public void upToDate() {
 		}
