--- a/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/link/ConfigurationFollowerTests.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.acaciacourse.core.dispatch.EndpointStatus;
 import org.acaciacourse.core.manifest.ManifestDocument;
 import org.acaciacourse.core.model.Manifest;
+import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.daemon.codec.ManifestCodec;
 import org.acaciacourse.daemon.control.ControlCluster;
 import org.acaciacourse.protocol.generated.PollReply;
@@ -52,8 +54,8 @@
 		void neverGoBackwards() {
 			// The entry VM polls another control VM that lags behind or was partitioned,
 			// and receives an older configuration. It keeps the newer one.
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(8))).isTrue();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(7))).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(8), 0)).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(7), 0)).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.number()).isEqualTo(8);
 			assertThat(ConfigurationFollowerTests.this.events).containsExactly(8L);
 		}
@@ -68,12 +70,12 @@
 			// The delta starts from a configuration that the entry VM does not have.
 			// Applying it would produce a mixture that no operator submitted.
 			ConfigurationFollower follower = ConfigurationFollowerTests.this.follower;
-			follower.apply(fullReply(1));
-			assertThat(follower.apply(deltaReply(2, 3))).isFalse();
+			follower.apply(fullReply(1), 0);
+			assertThat(follower.apply(deltaReply(2, 3), 0)).isFalse();
 			assertThat(follower.digest()).isEmpty();
 			assertThat(follower.number()).isEqualTo(1);
-			assertThat(follower.apply(fullReply(3))).isTrue();
-			assertThat(follower.apply(deltaReply(3, 4))).isTrue();
+			assertThat(follower.apply(fullReply(3), 0)).isTrue();
+			assertThat(follower.apply(deltaReply(3, 4), 0)).isTrue();
 			assertThat(follower.digest()).isEqualTo(document(4).digest());
 		}
 
@@ -81,7 +83,7 @@
 		void damagedDocumentIsNotUsed() {
 			PollReply damaged = fullReply(2);
 			damaged.getSnapshot().put("class added", Map.of("tier", "low"));
-			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged)).isFalse();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged, 0)).isFalse();
 			assertThat(ConfigurationFollowerTests.this.events).isEmpty();
 		}
 
@@ -91,11 +93,12 @@
 		void fullDocumentIsCheckedByChecksumIfPresent() {
 			PollReply damaged = fullReply(2).setChecksum(document(2).checksum());
 			damaged.getSnapshot().put("class added", Map.of("tier", "low"));
-			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged)).isFalse();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(damaged, 0)).isFalse();
 			assertThat(ConfigurationFollowerTests.this.events).isEmpty();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(fullReply(2).setChecksum(document(2).checksum())))
+			assertThat(
+					ConfigurationFollowerTests.this.follower.apply(fullReply(2).setChecksum(document(2).checksum()), 0))
 				.isTrue();
-			assertThat(ConfigurationFollowerTests.this.follower.apply(deltaReply(2, 3))).isTrue();
+			assertThat(ConfigurationFollowerTests.this.follower.apply(deltaReply(2, 3), 0)).isTrue();
 			assertThat(ConfigurationFollowerTests.this.follower.digest()).isEqualTo(document(3).digest());
 		}
 
@@ -107,7 +110,7 @@
 		@Test
 		void areReportedAndTheRevisionIsKept() {
 			PollReply crash = fullReply(1).setCrashes(List.of(new ReportCrashCommand(77, 2))).setCrashRevision(5);
-			ConfigurationFollowerTests.this.follower.apply(crash);
+			ConfigurationFollowerTests.this.follower.apply(crash, 0);
 			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, "77 2");
 			assertThat(ConfigurationFollowerTests.this.follower.crashRevision()).isEqualTo(5);
 		}
@@ -119,10 +122,10 @@
 
 		@Test
 		void sameCountIsConfirmedAndMissingCountIsIgnored() {
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(0));
-			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(4));
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(3), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(0), 0);
+			ConfigurationFollowerTests.this.follower.apply(fullReply(1).setEntryCount(4), 0);
 			assertThat(ConfigurationFollowerTests.this.events)
 				.containsExactly(1L, "3 entries", "confirmed", "4 entries")
 				.inOrder();
@@ -130,6 +133,31 @@
 
 	}
 
+	@Nested
+	class FleetOfAReply {
+
+		private static final long ASKED_AT = 1_000_000_000;
+
+		private PollReply fleetReply() {
+			return fullReply(1).setFleet(List.of()).setFleetRevision(7);
+		}
+
+		// Guards against a list that looks newer than it is.
+		@Test
+		void wasReadBeforeThePollWasSentByItsAge() {
+			ConfigurationFollowerTests.this.follower.apply(fleetReply().setFleetAgeMillis(300), ASKED_AT);
+			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, OptionalLong.of(700_000_000));
+		}
+
+		// Guards against a control VM of an older release whose list is taken for new.
+		@Test
+		void wasReadAtAnUnknownTimeIfNoAgeIsStated() {
+			ConfigurationFollowerTests.this.follower.apply(fleetReply(), ASKED_AT);
+			assertThat(ConfigurationFollowerTests.this.events).containsExactly(1L, OptionalLong.empty());
+		}
+
+	}
+
 	/** Records the calls to a listener. */
 	@Nested
 	class Controls {
@@ -140,10 +168,10 @@
 		@Test
 		void areToldWheneverTheyHaveChanged() {
 			ConfigurationFollower follower = ConfigurationFollowerTests.this.follower;
-			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
-			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")));
-			follower.apply(fullReply(1));
-			follower.apply(fullReply(1).setControls(List.of("b:1", "c:1")));
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")), 0);
+			follower.apply(fullReply(1).setControls(List.of("a:1", "b:1")), 0);
+			follower.apply(fullReply(1), 0);
+			follower.apply(fullReply(1).setControls(List.of("b:1", "c:1")), 0);
 			assertThat(ConfigurationFollowerTests.this.events)
 				.containsExactly(List.of("a:1", "b:1"), 1L, List.of("b:1", "c:1"))
 				.inOrder();
@@ -158,6 +186,11 @@
 			ConfigurationFollowerTests.this.events.add(manifest.number());
 		}
 
+		@Override
+		public void fleetReceived(Fleet fleet, OptionalLong readAt) {
+			ConfigurationFollowerTests.this.events.add(readAt);
+		}
+
 		@Override
 		public void upToDate() {
 		}
