A late response is no report of an engine's load

Polls of engines share their pooled connections with requests of callers, and nothing compared whose response came: a late response (to an earlier poll or a caller's completion) was read as the load. A completion or a response of the cache has no counts, so that a busy engine would seem idle, at sequence 0 (by reading); an older report counted as the latest. If only the rest of the late response came with the next poll, no further report was read from that engine at all, as each later poll on the connection was out of step.

Each exchange has an id of its own, which head, rejection and events have to bear, and another one closes the connection.

Fix: polls bear an id too. Over a pooled connection only a response with that id counts, any other fails the poll and closes the connection. An engine that does not repeat ids is polled over new connections. Cost: one new connection at the first poll and after each failed one; for engines that do not repeat ids, one for each poll, at most 60 a second for each entry VM as before.

--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
@@ -15,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.asynchttpclient.AsyncCompletionHandlerBase;
+import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.BoundRequestBuilder;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
@@ -36,6 +38,9 @@
  */
 public final class EndpointClient implements AutoCloseable {
 
+	/** The header with the id of a request, which its response repeats. */
+	static final String REQUEST_ID = "x-request-id";
+
 	private static final Logger logger = LogManager.getLogger(EndpointClient.class);
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -138,16 +143,23 @@
 	 * @return the response; fails if none is received within 2 s
 	 */
 	public CompletionStage<Response> request(String method, String url) {
-		return sendShortRequest(this.unpooledClient, method, url);
+		return sendShortRequest(() -> this.unpooledClient.prepare(method, url), new AsyncCompletionHandlerBase());
 	}
 
 	/**
-	 * Send a short GET request over a pooled connection.
+	 * Send a short GET request with an id.
 	 * @param url the complete URL
+	 * @param id the id, which no other request has
+	 * @param newConnection whether to open a new connection for it. Over a pooled
+	 * connection, only a response with the id counts: the library takes a late response
+	 * to an earlier request for the response to this one.
 	 * @return the response; fails if none is received within 2 s
 	 */
-	public CompletionStage<Response> requestPooled(String url) {
-		return sendShortRequest(this.pooledClient, "GET", url);
+	public CompletionStage<Response> request(String url, String id, boolean newConnection) {
+		AsyncHttpClient client = (newConnection) ? this.unpooledClient : this.pooledClient;
+		AsyncHandler<Response> handler = (newConnection) ? new AsyncCompletionHandlerBase()
+				: new IdentifiedResponseHandler(id);
+		return sendShortRequest(() -> client.prepareGet(url).setHeader(REQUEST_ID, id), handler);
 	}
 
 	/**
@@ -178,9 +190,10 @@
 			.toCompletableFuture();
 	}
 
-	private static CompletionStage<Response> sendShortRequest(AsyncHttpClient client, String method, String url) {
+	private static CompletionStage<Response> sendShortRequest(Supplier<BoundRequestBuilder> request,
+			AsyncHandler<Response> handler) {
 		try {
-			return client.prepare(method, url).setRequestTimeout(SHORT_REQUEST_TIMEOUT).execute().toCompletableFuture();
+			return request.get().setRequestTimeout(SHORT_REQUEST_TIMEOUT).execute(handler).toCompletableFuture();
 		}
 		catch (RuntimeException ex) {
 			return CompletableFuture.failedFuture(ex);
--- a/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/endpoint/EndpointPoller.java
@@ -58,6 +58,8 @@
 
 	private int next;
 
+	private long pollCount;
+
 	public EndpointPoller(EndpointClient client, EngineStartTimes startTimes, Listener listener) {
 		this.client = client;
 		this.startTimes = startTimes;
@@ -105,8 +107,10 @@
 		target.lastRequestNanos = now;
 		boolean cacheEvents = ++target.requestCount % CACHE_EVENTS_EVERY == 0;
 		String path = (cacheEvents) ? "/cache/events?since=" + target.nextCacheEvent : "/load";
-		this.client.requestPooled(target.base + path).whenCompleteAsync((response, failure) -> {
+		String id = "poll-" + ++this.pollCount;
+		this.client.request(target.base + path, id, !target.repeatsIds).whenCompleteAsync((response, failure) -> {
 			target.inFlight = false;
+			target.repeatsIds = failure == null && id.equals(response.getHeader(EndpointClient.REQUEST_ID));
 			if (failure == null && response.getStatusCode() == 200) {
 				readResponse(target, cacheEvents, response);
 			}
@@ -161,6 +165,9 @@
 
 		private long nextCacheEvent;
 
+		/** Without ids, a late response on a kept connection can't be told. */
+		private boolean repeatsIds;
+
 		private Target(String name, String base) {
 			this.name = name;
 			this.base = base;
