The list of endpoints' states is read over new connections

PlatformList kept its connection between reads with the JDK's client, which pairs a response with the next request on the connection. A late response to the read before was taken for the list as it is now: an endpoint that is gone or leaving counts as in the state before for another second, and the read after it may fail.

PlatformListTests failed before in 2 of 4 cases: the change was seen one read late (BEFORE_THE_NEXT), and skipped (IN_TWO_PIECES: "Invalid status line"). It passed with data behind a response and on an idle connection: the JDK's client does not use such a connection again.

Fix: the client for endpoints and the platform, which opens a new connection for each call. Cost: one connection to the platform a second for each control VM that has such a list.

--- a/daemon/src/main/java/org/acaciacourse/daemon/control/PlatformList.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/PlatformList.java
@@ -1,25 +1,24 @@
 package org.acaciacourse.daemon.control;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Try;
 import org.acaciacourse.core.dispatch.EndpointStatus;
+import org.acaciacourse.daemon.endpoint.EndpointClient;
 import org.acaciacourse.protocol.generated.EndpointNotice;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.asynchttpclient.Response;
 
 /**
  * Reads the platform's list of VMs and endpoints every second. Only explicit states
@@ -34,8 +33,6 @@
 
 	private static final Logger LOGGER = LogManager.getLogger(PlatformList.class);
 
-	private static final Duration TIMEOUT = Duration.ofSeconds(2);
-
 	private static final int MAX_NOTICES = 50_000;
 
 	private static final int MAX_BYTES = 16 << 20;
@@ -46,7 +43,7 @@
 
 	private volatile List<EndpointNotice> notices = List.of();
 
-	private Optional<HttpClient> client = Optional.empty();
+	private Optional<EndpointClient> client = Optional.empty();
 
 	private Optional<PeriodicTask> refreshTask = Optional.empty();
 
@@ -79,14 +76,24 @@
 		if (!location.startsWith("http://") && !location.startsWith("https://")) {
 			return Files.readString(Path.of(location));
 		}
-		HttpClient http = this.client.orElseGet(() -> HttpClient.newBuilder().connectTimeout(TIMEOUT).build());
-		this.client = Optional.of(http);
-		HttpRequest request = HttpRequest.newBuilder(URI.create(location)).timeout(TIMEOUT).build();
-		HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
-		if (response.statusCode() != 200) {
-			throw new IOException("platform's list: unexpected HTTP status " + response.statusCode());
+		try {
+			// Responses bear no id, so a late one could not be told on a kept connection.
+			Response response = client().request("GET", location).toCompletableFuture().get();
+			if (response.getStatusCode() != 200) {
+				throw new IOException("platform's list: unexpected HTTP status " + response.getStatusCode());
+			}
+			return response.getResponseBody(StandardCharsets.UTF_8);
+		}
+		catch (ExecutionException ex) {
+			throw new IOException("platform's list: no response", ex);
+		}
+	}
+
+	private synchronized EndpointClient client() {
+		if (this.client.isEmpty()) {
+			this.client = Optional.of(new EndpointClient(1));
 		}
-		return response.body();
+		return this.client.get();
 	}
 
 	/**
@@ -132,8 +139,9 @@
 	}
 
 	@Override
-	public void close() {
+	public synchronized void close() {
 		this.refreshTask.ifPresent(PeriodicTask::close);
+		this.client.ifPresent(EndpointClient::close);
 	}
 
 }
