A late response is discarded only if it has an end

What callers would see: a request waits until its deadline or the end of its connection, and may be sent again only then, as a late response without a length takes in all that follows. And a request ends with 502 as the late response is a 204, whose end is certain though it has no length.

Cause: whether a response ends by itself was taken from its headers alone, and looked at when it had ended. Now it is looked at when its head is read, and 204 and 304 count as ending by themselves. So they also leave their connection usable as answers.

Evidence: EndpointConnectionTests. Before, responseThatEndsWithItsConnectionIsNotDiscarded printed "but was: [one: head one, one: complete, reusable, two: discarded one]" without any end, and responseThatHasNoBodyIsDiscarded "two: discarded one, two: failed". UnframedStreamTests and CutResponseTests pass.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -208,14 +209,15 @@
 
 	/**
 	 * Discard the response whose head the listener is processing if it is a late one to
-	 * an earlier request. The response to the request in flight follows it, and ends the
-	 * use of the connection.
+	 * an earlier request and has an end. The response to the request in flight follows
+	 * it, and ends the use of the connection.
 	 * @param id the id in the head, which is not that of the request in flight
 	 * @return whether the response is discarded; a limited number for each request is
 	 */
 	boolean tryDiscard(String id) {
 		// In place of a response to HEAD, any response is read as one without a body.
-		if (this.headRequested || this.discardedCount == MAX_DISCARDED || !this.carried.isReadable(id)) {
+		boolean another = !this.headRequested && this.framed && this.discardedCount < MAX_DISCARDED;
+		if (!another || !this.carried.isReadable(id)) {
 			return false;
 		}
 		this.discardedCount++;
@@ -310,11 +312,16 @@
 		}
 		this.headReceived = true;
 		this.framed = HttpUtil.isTransferEncodingChunked(head)
-				|| head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+				|| head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || hasNoBody(head.status());
 		this.closeAfterResponse = joined || !this.framed || !HttpUtil.isKeepAlive(head);
 		this.listener.headReceived(head);
 	}
 
+	// With or without a length.
+	private static boolean hasNoBody(HttpResponseStatus status) {
+		return status.equals(HttpResponseStatus.NO_CONTENT) || status.equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	// An endpoint may break off a late response and go on with the one that is due. A
 	// service that sends such headers itself gets a new connection for each request.
 	private static boolean containsStatusLine(HttpResponse head) {
@@ -330,7 +337,8 @@
 			return;
 		}
 		if (this.discarding) {
-			endDiscarded(last);
+			this.discarding = !last;
+			this.headReceived = !last;
 			return;
 		}
 		ByteBuf bytes = content.content();
@@ -342,16 +350,6 @@
 		}
 	}
 
-	private void endDiscarded(boolean last) {
-		if (last && !this.framed) {
-			fail();
-		}
-		else if (last) {
-			this.discarding = false;
-			this.headReceived = false;
-		}
-	}
-
 	private void finish() {
 		this.closedByEndpoint |= !this.framed;
 		if (this.connectionReset) {
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -265,6 +265,32 @@
 			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
 		}
 
+		// Guards against a response that is waited for behind one that takes in all that
+		// follows.
+		@Test
+		void responseThatEndsWithItsConnectionIsNotDiscarded() {
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive("HTTP/1.1 200 X\r\nRequest-Id: one\r\n\r\n{}" + response("two"));
+			assertThat(EndpointConnectionTests.this.received).contains("two: mismatch one");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
+		// Guards against a request that is given up as a late response has no body, and
+		// so no length.
+		@Test
+		void responseThatHasNoBodyIsDiscarded() {
+			String empty = "HTTP/1.1 204 X\r\nRequest-Id: one\r\n\r\n";
+			send(HttpMethod.POST, "one");
+			arrive(response("one"));
+			send(HttpMethod.POST, "two");
+			arrive(empty + response("two"));
+			assertThat(EndpointConnectionTests.this.received)
+				.containsAtLeast("two: discarded one", "two: head two", "two: complete, closed")
+				.inOrder();
+		}
+
 		// Guards against a request that is given up as a late response announces the end
 		// of the connection.
 		@Test
