A switch to another protocol ends the connection

What callers would see: a request waits until its deadline, as its endpoint answers 101 with a protocol that nobody asked for.

Cause: the decoder hands over what follows as bytes, no longer as responses, and the connection passed over anything but responses.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -280,6 +280,10 @@
 			if (message instanceof HttpObject part) {
 				read(part);
 			}
+			else {
+				// The endpoint has switched to another protocol, which nobody asked for.
+				fail();
+			}
 		}
 		finally {
 			ReferenceCountUtil.release(message);
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/EndpointConnectionTests.java
@@ -358,6 +358,16 @@
 			}
 		}
 
+		// Guards against a connection that carries other data than responses from then
+		// on, and on which a response is waited for.
+		@Test
+		void switchToAnotherProtocolEndsTheConnection() {
+			send(HttpMethod.POST, "one");
+			arrive("HTTP/1.1 101 X\r\nUpgrade: other\r\nConnection: upgrade\r\n\r\n" + response("one"));
+			assertThat(EndpointConnectionTests.this.received).containsExactly("one: failed");
+			assertThat(EndpointConnectionTests.this.channel.isActive()).isFalse();
+		}
+
 		@Test
 		void sameRequestMayNotFollow() {
 			send(HttpMethod.POST, "one");
