--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -1,5 +1,6 @@
 package org.acaciacourse.daemon.route;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
@@ -45,8 +46,8 @@
 	/** More late responses than are under way at once; bounds those without end. */
 	private static final int MAX_DISCARDED = 8;
 
-	/** The beginning of a response; within a head, it shows that this is made of two. */
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+	/** Precedes a status line, and is hardly ever in a header. */
+	private static final String VERSION = "HTTP/1.";
 
 	private final FleetEndpoint endpoint;
 
@@ -329,10 +330,19 @@
 	// An endpoint may break off a late response and go on with the one that is due. A
 	// service that sends such headers itself gets a new connection for each request.
 	private static boolean containsStatusLine(HttpResponse head) {
-		return STATUS_LINE.matcher(head.status().reasonPhrase()).find() || head.headers()
-			.entries()
-			.stream()
-			.anyMatch((header) -> STATUS_LINE.matcher(header.getValue()).find());
+		if (containsStatusLine(head.status().reasonPhrase())) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : head.headers()) {
+			if (containsStatusLine(header.getValue())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private static boolean containsStatusLine(String text) {
+		return text.contains(VERSION) && StatusLine.PATTERN.matcher(text).find();
 	}
 
 	private void readContent(HttpContent content) {
@@ -418,6 +428,15 @@
 		this.onClosed.accept(this);
 	}
 
+	/**
+	 * Keeps regular expressions out of the start of a process.
+	 */
+	private static final class StatusLine {
+
+		private static final Pattern PATTERN = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
+	}
+
 	/**
 	 * Receives the response to one request: a head, parts of the body, and then exactly
 	 * one of completion and failure.
