A list of endpoints that causes a fault is logged and read again

FleetKeeper caught IOException only. Any other exception ended its thread, so that the control VM knew no endpoints after 2.5 s; with the handler of fatal faults it would end the process, and one control VM after the other as each of them becomes the leader and reads the same list. Found in a review of the handler.

--- a/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/control/FleetKeeper.java
@@ -108,8 +108,8 @@
 		try {
 			update(new FleetReading(this.source.get().read(), OptionalLong.of(readAt)));
 		}
-		catch (IOException ex) {
-			LOGGER.warn("cannot read the platform's list of endpoints; keeping the last fleet: {}", ex.getMessage());
+		catch (IOException | RuntimeException ex) {
+			LOGGER.warn("cannot read the platform's list of endpoints; keeping the last fleet: {}", ex.toString());
 		}
 	}
 
--- a/daemon/src/test/java/org/acaciacourse/daemon/control/FleetKeeperTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/control/FleetKeeperTests.java
@@ -34,6 +34,8 @@
 
 	private volatile boolean unreadable;
 
+	private volatile boolean faulty;
+
 	/** When the latest read of the list began. */
 	private volatile long readAt;
 
@@ -54,6 +56,9 @@
 			if (this.unreadable) {
 				throw new IOException("the list is unavailable");
 			}
+			if (this.faulty) {
+				throw new IllegalStateException("the list is not as expected");
+			}
 			return this.listedFleet;
 		}).startAll();
 	}
@@ -75,6 +80,20 @@
 		}
 	}
 
+	// Guards against a list that ends the thread which reads it, and with it the control
+	// VM.
+	@Test
+	void listIsReadAgainAfterAFault() {
+		ControlCluster.await("a fleet", () -> poll(0, 0).getFleetRevision() == this.listedFleet.revision());
+		this.faulty = true;
+		int before = this.reads.stream().mapToInt(AtomicInteger::get).sum();
+		ControlCluster.await("reads with a fault",
+				() -> this.reads.stream().mapToInt(AtomicInteger::get).sum() > before + 1);
+		this.listedFleet = fleet("i-2");
+		this.faulty = false;
+		ControlCluster.await("the next fleet", () -> poll(0, 0).getFleetRevision() == this.listedFleet.revision());
+	}
+
 	// Calls for the list are limited for all VMs together and priced, so only the leader
 	// reads it. An entry VM must get the same fleet from every control VM that it polls.
 	@Test
@@ -101,8 +120,7 @@
 	}
 
 	// Guards against a list that looks newer to an entry VM than it is, as it took its
-	// way
-	// over a control VM that does not read it.
+	// way over a control VM that does not read it.
 	@Test
 	void everyVmStatesWhenTheListWasRead() {
 		for (int i = 0; i < VMS; i++) {
