The wait for a list of endpoints ends while the caller waits

A stream that is taken up waited up to 1.8 s for a list that was read after it had come, whatever the deadline of its caller, which then got no answer in time (found in a review). It waits for half of its time at most now, so that it is refused as not run, or served, before that is over. The time that a request has is computed in one place.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/ResumedStreams.java
@@ -44,6 +44,12 @@
 	 */
 	private static final long MAX_LIST_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
+	/**
+	 * A request waits for at most its timeout divided by this, so that it is served
+	 * after.
+	 */
+	private static final int TIMEOUT_DIVISOR = 2;
+
 	private final EventLoop loop;
 
 	private final StreamOriginService origins;
@@ -115,7 +121,7 @@
 			.isPresent();
 		if (mayWait) {
 			this.waiting.add(binding);
-			this.loop.schedule(() -> stopWaiting(binding), MAX_LIST_WAIT_NANOS - (now - binding.arrivedAt),
+			this.loop.schedule(() -> stopWaiting(binding), binding.maxWaitNanos() - (now - binding.arrivedAt),
 					TimeUnit.NANOSECONDS);
 		}
 		else {
@@ -240,6 +246,11 @@
 			this.onRefused = onRefused;
 		}
 
+		private long maxWaitNanos() {
+			long half = TimeUnit.MILLISECONDS.toNanos(this.request.timeoutMillis() / TIMEOUT_DIVISOR);
+			return Math.min(MAX_LIST_WAIT_NANOS, half);
+		}
+
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedExchange.java
@@ -107,11 +107,7 @@
 		this.binding = new StreamBinding(request, this.pool.balancer(), context.pools().versions(), context.origins());
 		this.unread = context.memory().map((memory) -> memory.watch(response, request.metadata().id()));
 		this.lastEventId = request.metadata().lastEventId();
-		long millis = request.route().timeout().toMillis();
-		if (request.metadata().callerTimeoutMillis().isPresent()) {
-			millis = Math.min(millis, request.metadata().callerTimeoutMillis().getAsLong());
-		}
-		this.deadlineAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(millis);
+		this.deadlineAt = this.startedAt + TimeUnit.MILLISECONDS.toNanos(request.timeoutMillis());
 		this.placement = new RequestPlacement(context, request, this.binding, this.startedAt, this.deadlineAt);
 		this.telemetry = new ExchangeTelemetry(context, request, this.startedAt, this.deadlineAt);
 		this.demand = new RequestDemand(context.metrics().demand(), request, this.startedAt);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RoutedRequest.java
@@ -66,6 +66,15 @@
 		return this.origin.map(StreamOrigin::pool).orElseGet(() -> this.route.pool(this.idHash));
 	}
 
+	/**
+	 * Return how long the request may take.
+	 * @return the time that the route permits and its caller waits, in milliseconds
+	 */
+	long timeoutMillis() {
+		long millis = this.route.timeout().toMillis();
+		return Math.min(millis, this.metadata.callerTimeoutMillis().orElse(millis));
+	}
+
 	/**
 	 * Return whether the caller takes up a stream of which it has a part.
 	 * @return whether only endpoints that can go on with the stream may get the request
