An entry reads the list of endpoints again after a fault

FleetFallback caught IOException only, as FleetKeeper had. Any other exception ended its thread; with the handler of fatal faults it would end the entry VM, and so all entry VMs that read the same list while control is away. FleetFallbackTests.listIsReadAgainAfterAFault failed before (no list within 20 s) and passes. Found while the change was read again.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/FleetFallback.java
@@ -95,9 +95,9 @@
 		try {
 			this.onFleet.accept(this.source.read(), readAt);
 		}
-		catch (IOException ex) {
+		catch (IOException | RuntimeException ex) {
 			LOGGER.warn("no control VM reports the fleet, and the platform's endpoint list cannot be read: {}",
-					ex.getMessage());
+					ex.toString());
 		}
 	}
 
