Heads of requests draw on the memory budget

What callers saw: some hundred callers that sent heads of legal size made of very many short lines ended every entry with an OutOfMemoryError; all requests under way were lost.

Cause: the budget counted bodies alone. The decoder makes an entry and two strings of each header line as it arrives, some fifty bytes of heap for a byte sent, and nobody counted them: heads and trailers that never end, heads that wait for their body, requests decoded while a response is pending, and the copies for endpoints. Reads of up to 64 KB were merged with what the decoder still held, which exhausted the direct memory.

Change: a head is kept as bytes until it is complete, charged by its buffer; before it becomes objects it is charged what they cost, by lines, list items and text. If there is no room, the largest incomplete request is refused first; a head must leave room for smaller ones. Trailers are discarded. Nothing is decoded while a response is pending. A refused request is discarded as bytes. Every server has a budget, and a quarter of it is for requests alone. Folded lines are joined in place: the decoder copied the value for each fold.

Ruled out: a limit on the number of lines (legal requests would meet it), and a limit for each connection (their number is the product).

--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -80,7 +80,7 @@
 	/** No endpoint of the version that began a stream can go on with it. */
 	STREAM_VERSION_GONE(213, 503, 75, true, "no endpoint of the version that began the stream can go on with it"),
 
-	/** The VM has no memory for the body; it was not read. */
+	/** The VM has no memory for the request; it was not received completely. */
 	NO_MEMORY(214, 503, 75, true, "the VM has no memory for the request at present"),
 
 	/** The endpoint responded with an error. */
--- a/core/src/main/java/org/acaciacourse/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/MemoryBudget.java
@@ -1,12 +1,16 @@
 package org.acaciacourse.core.memory;
 
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
 /**
- * The memory that an entry VM may spend on what it holds for callers and endpoints.
+ * The memory that a VM may spend on what it holds for callers and endpoints.
  * <p>
  * Invariant: the bytes of no use are negative. The limit itself is kept by those who draw
  * on the budget.
  * <p>
- * Not thread safe: belongs to the event loop.
+ * Thread safe. Between a look at the room and the change that follows another thread may
+ * take it, so that several threads can exceed the limit by what each takes at once.
  */
 public final class MemoryBudget {
 
@@ -24,9 +28,9 @@
 
 	private final long limit;
 
-	private final long[] used = new long[MemoryUse.values().length];
+	private final AtomicLongArray used = new AtomicLongArray(MemoryUse.values().length);
 
-	private long total;
+	private final AtomicLong total = new AtomicLong();
 
 	/**
 	 * Create a budget of which nothing is used.
@@ -48,8 +52,17 @@
 	 */
 	public static long limit(double megabytes, long heap, long direct) {
 		long ofVm = (long) (megabytes * MEGABYTE / VM_DIVISOR);
-		long ofProcess = heap / PROCESS_DIVISOR + direct / PROCESS_DIVISOR;
-		return Math.max(1, Math.min(ofVm, ofProcess));
+		return Math.min(Math.max(1, ofVm), limitOfProcess(heap, direct));
+	}
+
+	/**
+	 * Return the bytes of the budget of a process on a VM whose memory is not known.
+	 * @param heap the most that the heap of the process may take, in bytes
+	 * @param direct the most that its direct memory may take, in bytes
+	 * @return the bytes, at least one
+	 */
+	public static long limitOfProcess(long heap, long direct) {
+		return Math.max(1, heap / PROCESS_DIVISOR + direct / PROCESS_DIVISOR);
 	}
 
 	/**
@@ -58,11 +71,12 @@
 	 * @param bytes the difference
 	 */
 	public void change(MemoryUse use, long bytes) {
-		if (this.used[use.ordinal()] + bytes < 0) {
-			throw new IllegalStateException(use + " releases " + -bytes + " of " + this.used[use.ordinal()] + " bytes");
+		long next = this.used.addAndGet(use.ordinal(), bytes);
+		if (next < 0) {
+			this.used.addAndGet(use.ordinal(), -bytes);
+			throw new IllegalStateException(use + " releases " + -bytes + " of " + (next - bytes) + " bytes");
 		}
-		this.used[use.ordinal()] += bytes;
-		this.total += bytes;
+		this.total.addAndGet(bytes);
 	}
 
 	/**
@@ -71,7 +85,9 @@
 	 * @return the bytes, negative if its share is exceeded
 	 */
 	public long room(MemoryUse use) {
-		return use.bound(this.limit) - this.total;
+		long shared = use.bound(this.limit) - this.total.get();
+		long own = use.reserve(this.limit) - used(use);
+		return (use.reserve(this.limit) > 0) ? Math.max(shared, own) : shared;
 	}
 
 	/**
@@ -80,7 +96,7 @@
 	 * @return the bytes
 	 */
 	public long used(MemoryUse use) {
-		return this.used[use.ordinal()];
+		return this.used.get(use.ordinal());
 	}
 
 	/**
@@ -88,7 +104,7 @@
 	 * @return the bytes
 	 */
 	public long used() {
-		return this.total;
+		return this.total.get();
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/acaciacourse/core/memory/IncomingRequestsTests.java
@@ -0,0 +1,116 @@
+package org.acaciacourse.core.memory;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.acaciacourse.core.memory.IncomingRequests.Decision;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class IncomingRequestsTests {
+
+	private static final long LIMIT = 1_000;
+
+	private final MemoryBudget budget = new MemoryBudget(LIMIT);
+
+	private final IncomingRequests<IncomingRequest> requests = new IncomingRequests<>(this.budget);
+
+	private IncomingRequest buffered(long bytes) {
+		IncomingRequest request = new IncomingRequest();
+		assertThat(this.requests.buffer(request, bytes).isGranted()).isTrue();
+		return request;
+	}
+
+	private IncomingRequest complete(long bytes) {
+		IncomingRequest request = new IncomingRequest();
+		assertThat(this.requests.takeBody(request, bytes).isGranted()).isTrue();
+		this.requests.completed(request);
+		return request;
+	}
+
+	@Nested
+	class Crowds {
+
+		// Guards against callers that begin large requests, never end them, and keep
+		// callers with small ones out.
+		@Test
+		void smallRequestTakesTheRoomOfTheLargestIncompleteOne() {
+			buffered(300);
+			IncomingRequest largest = buffered(400);
+			buffered(300);
+			Decision<IncomingRequest> small = IncomingRequestsTests.this.requests.takeBody(new IncomingRequest(), 50);
+			assertThat(small).isEqualTo(new Decision<>(true, List.of(largest)));
+			assertThat(largest.held()).isEqualTo(0);
+			assertThat(IncomingRequestsTests.this.budget.used()).isEqualTo(650);
+		}
+
+		// Guards against a caller that pushes smaller requests out with a larger one.
+		@Test
+		void largestOneIsRefusedItself() {
+			List<IncomingRequest> others = new ArrayList<>();
+			for (int i = 0; i < 5; i++) {
+				others.add(buffered(200));
+			}
+			Decision<IncomingRequest> large = IncomingRequestsTests.this.requests.takeBody(others.get(0), 100);
+			assertThat(large).isEqualTo(new Decision<>(false, List.of()));
+			assertThat(others.stream().mapToLong(IncomingRequest::held).sum()).isEqualTo(LIMIT);
+		}
+
+		// Guards against large complete heads that wait for endpoints and leave no room
+		// for small ones.
+		@Test
+		void largeHeadsLeaveRoomForSmallOnes() {
+			int granted = 0;
+			for (int i = 0; i < 100; i++) {
+				IncomingRequest large = new IncomingRequest();
+				granted += (IncomingRequestsTests.this.requests.takeHead(large, 50).isGranted()) ? 1 : 0;
+				IncomingRequestsTests.this.requests.completed(large);
+			}
+			assertThat(granted).isEqualTo(17);
+			assertThat(IncomingRequestsTests.this.requests.takeHead(new IncomingRequest(), 5).isGranted()).isTrue();
+		}
+
+	}
+
+	@Nested
+	class Lives {
+
+		// Guards against a request that is refused although an endpoint may run it.
+		@Test
+		void completeRequestIsNeverRefused() {
+			complete(900);
+			Decision<IncomingRequest> other = IncomingRequestsTests.this.requests.takeBody(new IncomingRequest(), 200);
+			assertThat(other).isEqualTo(new Decision<>(false, List.of()));
+		}
+
+		// Guards against memory that is lost with each request.
+		@Test
+		void releasedRequestsGiveAllBack() {
+			IncomingRequest request = buffered(100);
+			IncomingRequestsTests.this.requests.takeHead(request, 200);
+			IncomingRequestsTests.this.requests.buffer(request, 0);
+			IncomingRequestsTests.this.requests.takeBody(request, 300);
+			IncomingRequestsTests.this.requests.completed(request);
+			IncomingRequestsTests.this.requests.bufferPipelined(request, 50);
+			assertThat(IncomingRequestsTests.this.budget.used(MemoryUse.REQUESTS)).isEqualTo(550);
+			IncomingRequestsTests.this.requests.release(request);
+			IncomingRequestsTests.this.requests.release(request);
+			assertThat(IncomingRequestsTests.this.budget.used()).isEqualTo(0);
+		}
+
+		// Guards against callers that announce bodies, do not send them, and keep others
+		// out.
+		@Test
+		void announcedBodyTakesNothing() {
+			assertThat(IncomingRequestsTests.this.requests.announceBody(new IncomingRequest(), LIMIT).isGranted())
+				.isTrue();
+			assertThat(IncomingRequestsTests.this.requests.announceBody(new IncomingRequest(), LIMIT + 1).isGranted())
+				.isFalse();
+			assertThat(IncomingRequestsTests.this.budget.used()).isEqualTo(0);
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/acaciacourse/core/memory/MemoryBudgetTests.java
+++ b/core/src/test/java/org/acaciacourse/core/memory/MemoryBudgetTests.java
@@ -18,18 +18,28 @@
 		this.budget.change(MemoryUse.UNREAD_RESPONSES, 750);
 		assertThat(this.budget.room(MemoryUse.UNREAD_RESPONSES)).isEqualTo(0);
 		assertThat(this.budget.room(MemoryUse.BUFFERED_RESPONSES)).isEqualTo(150);
-		assertThat(this.budget.room(MemoryUse.REQUEST_BODIES)).isEqualTo(250);
+		assertThat(this.budget.room(MemoryUse.REQUESTS)).isEqualTo(250);
+	}
+
+	// Guards against requests that are refused as responses exceed their share for a
+	// moment.
+	@Test
+	void requestsHaveAPartToThemselves() {
+		this.budget.change(MemoryUse.UNREAD_RESPONSES, 1_100);
+		this.budget.change(MemoryUse.REQUESTS, 100);
+		assertThat(this.budget.room(MemoryUse.REQUESTS)).isEqualTo(150);
+		assertThat(this.budget.room(MemoryUse.BUFFERED_RESPONSES)).isEqualTo(-300);
 	}
 
 	// Guards against one use that does not see what the others take.
 	@Test
 	void allUsesShareOneBudget() {
-		this.budget.change(MemoryUse.REQUEST_BODIES, 400);
+		this.budget.change(MemoryUse.REQUESTS, 400);
 		this.budget.change(MemoryUse.UNREAD_RESPONSES, 500);
 		assertThat(this.budget.room(MemoryUse.UNREAD_RESPONSES)).isEqualTo(-150);
 		this.budget.change(MemoryUse.UNREAD_RESPONSES, -500);
 		assertThat(this.budget.room(MemoryUse.UNREAD_RESPONSES)).isEqualTo(350);
-		assertThat(this.budget.used(MemoryUse.REQUEST_BODIES)).isEqualTo(400);
+		assertThat(this.budget.used(MemoryUse.REQUESTS)).isEqualTo(400);
 		assertThat(this.budget.used()).isEqualTo(400);
 	}
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -1,20 +1,22 @@
 package org.acaciacourse.daemon.http;
 
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
 import io.netty.handler.ssl.ApplicationProtocolNames;
 import io.netty.handler.ssl.ApplicationProtocolNegotiationHandler;
+import org.acaciacourse.core.memory.MemoryBudget;
 
 /**
  * Configures the channel pipeline of a caller's connection: HTTP/1.1, HTTP/2 with prior
@@ -38,10 +40,13 @@
 
 	private final Optional<ReloadableTlsContext> tls;
 
-	private final Optional<BodyBudget> budget;
+	private final MemoryBudget budget;
+
+	/** By event loop; an event loop serves each of its connections to the end. */
+	private final Map<EventLoop, RequestMemory> memories = new ConcurrentHashMap<>();
 
 	ConnectionInitializer(Supplier<HttpLimits> limits, RequestHandler handler, ConnectionLimiter limiter,
-			Optional<ReloadableTlsContext> tls, Optional<BodyBudget> budget) {
+			Optional<ReloadableTlsContext> tls, MemoryBudget budget) {
 		this.limits = limits;
 		this.handler = handler;
 		this.limiter = limiter;
@@ -63,11 +68,16 @@
 		}
 	}
 
+	private RequestMemory memory(Channel channel) {
+		return this.memories.computeIfAbsent(channel.eventLoop(), (loop) -> new RequestMemory(this.budget));
+	}
+
 	private void configureHttp1(ChannelPipeline pipeline) {
 		HttpLimits currentLimits = this.limits.get();
-		pipeline.addLast(new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(HttpLimits.MAX_LINE)
-			.setMaxHeaderSize(currentLimits.maxHeader())));
-		pipeline.addLast(READER, new RequestReader(currentLimits, this.handler, this.budget, false));
+		RequestReader reader = new RequestReader(currentLimits, this.handler, memory(pipeline.channel()), false);
+		pipeline.addLast(new BoundedRequestDecoder(currentLimits, reader));
+		pipeline.addLast(new CallerResponseEncoder(reader::isHeadRequested));
+		pipeline.addLast(READER, reader);
 	}
 
 	private void configureHttp2(ChannelPipeline pipeline) {
@@ -82,8 +92,8 @@
 			protected void initChannel(Channel stream) {
 				stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true));
 				stream.pipeline()
-					.addLast(new RequestReader(currentLimits, ConnectionInitializer.this.handler,
-							ConnectionInitializer.this.budget, true));
+					.addLast(
+							new RequestReader(currentLimits, ConnectionInitializer.this.handler, memory(stream), true));
 			}
 
 		}));
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.acaciacourse.core.memory.MemoryBudget;
 import org.acaciacourse.core.settings.SettingKey;
 import org.acaciacourse.core.settings.Settings;
 
@@ -53,7 +54,7 @@
 
 	private OptionalInt sendBuffer = OptionalInt.empty();
 
-	private Optional<BodyBudget> budget = Optional.empty();
+	private MemoryBudget budget = RequestMemory.ofProcess();
 
 	private Channel listener;
 
@@ -122,11 +123,12 @@
 	}
 
 	/**
-	 * Bound the memory of request bodies; called before the start.
-	 * @param bodies the budget that they draw on, on the event loops of the connections
+	 * Set the budget that the requests draw on; called before the start. Without it, they
+	 * have a part of the memory of the process to themselves.
+	 * @param shared the budget
 	 */
-	public void boundBodies(BodyBudget bodies) {
-		this.budget = Optional.of(bodies);
+	public void boundRequests(MemoryBudget shared) {
+		this.budget = shared;
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -1,18 +1,18 @@
 package org.acaciacourse.daemon.http;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,38 +21,46 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2Error;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.acaciacourse.core.code.ResultCode;
 
 /**
  * Reads the requests of an HTTP/1.1 connection, or the single request of an HTTP/2
- * stream. Requests of a connection are processed sequentially. The first pipelined data
- * that arrives while a response is pending is queued and pauses reading from the socket,
- * so that a caller can't exhaust the memory with requests that await a response.
+ * stream. Requests of a connection are processed sequentially: while a response is
+ * pending, what follows is neither read nor decoded.
+ * <p>
+ * Invariant: what is held of a request, from the first byte of its head until its
+ * response was written, is within the memory budget of the process.
  * <p>
  * Not thread safe: belongs to the event loop of its connection.
  */
-final class RequestReader extends ChannelInboundHandlerAdapter {
+final class RequestReader extends ChannelInboundHandlerAdapter implements BoundedRequestDecoder.Receiver {
 
 	private static final long LINGER_MILLIS = 1000;
 
+	/** What a stream with its pipeline takes, whatever is sent over it. */
+	private static final int STREAM_BYTES = 8 * 1024;
+
 	private final HttpLimits limits;
 
 	private final RequestHandler handler;
 
 	private final boolean http2Stream;
 
-	private final Optional<BodyBudget> budget;
+	private final RequestMemory memory;
 
-	private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+	private final HeldRequest held = new HeldRequest(() -> refuse(ResultCode.NO_MEMORY));
+
+	private ChannelHandlerContext context;
 
 	private HttpRequest head;
 
 	private ByteBuf body;
 
-	/** What the budget has given for the body of the request. */
-	private long taken;
+	private boolean headRequested;
 
 	private CallerResponse response;
 
@@ -60,45 +68,60 @@
 
 	private boolean discarding;
 
-	RequestReader(HttpLimits limits, RequestHandler handler, Optional<BodyBudget> budget, boolean http2Stream) {
+	RequestReader(HttpLimits limits, RequestHandler handler, RequestMemory memory, boolean http2Stream) {
 		this.limits = limits;
 		this.handler = handler;
-		this.budget = budget;
+		this.memory = memory;
 		this.http2Stream = http2Stream;
 	}
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext ctx) {
-		long millis = this.limits.readTimeout().toMillis();
-		this.timeout = ctx.executor()
-			.schedule(() -> refuse(ctx, ResultCode.REQUEST_TOO_SLOW), millis, TimeUnit.MILLISECONDS);
+		this.context = ctx;
+		restartTimeout(this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
-		if (!(message instanceof HttpObject part) || this.discarding) {
+		if (message instanceof HttpObject part && isReady()) {
+			read(part);
+		}
+		else {
 			ReferenceCountUtil.release(message);
 		}
-		else if (this.response != null) {
-			this.pipelined.add(part);
-			ctx.channel().config().setAutoRead(false);
+	}
+
+	@Override
+	public boolean isReady() {
+		return !this.discarding && this.response == null;
+	}
+
+	@Override
+	public boolean takeHead(long cost) {
+		return this.memory.takeHead(this.held, cost);
+	}
+
+	@Override
+	public void buffered(long bytes, boolean pipelined) {
+		if (pipelined || this.response != null) {
+			this.memory.bufferPipelined(this.held, bytes);
 		}
-		else {
-			read(ctx, part);
+		else if (!this.discarding && !this.memory.buffer(this.held, bytes)) {
+			refuse(ResultCode.NO_MEMORY);
 		}
 	}
 
-	private void read(ChannelHandlerContext ctx, HttpObject part) {
+	private void read(HttpObject part) {
 		try {
 			if (part.decoderResult().isFailure()) {
-				refuse(ctx, codeOf(part.decoderResult().cause()));
+				refuse(codeOf(part.decoderResult().cause()));
 				return;
 			}
 			if (part instanceof HttpRequest request) {
-				begin(ctx, request);
+				begin(request);
 			}
 			if (part instanceof HttpContent content && this.head != null) {
-				append(ctx, content);
+				append(content);
 			}
 		}
 		finally {
@@ -111,81 +134,60 @@
 		return (tooLong) ? ResultCode.HEADERS_TOO_LARGE : ResultCode.MALFORMED_REQUEST;
 	}
 
-	private void begin(ChannelHandlerContext ctx, HttpRequest request) {
-		restartTimeout(ctx, this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
-		if (request.headers().size() > HttpLimits.MAX_HEADERS) {
-			refuse(ctx, ResultCode.HEADERS_TOO_LARGE);
-		}
-		else if (HttpUtil.getContentLength(request, 0L) > this.limits.maxBody()) {
-			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
+	private void begin(HttpRequest request) {
+		restartTimeout(this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
+		Optional<ResultCode> refusal = refusal(request);
+		if (refusal.isPresent()) {
+			refuse(refusal.get());
+			return;
 		}
-		else if (!hasRoom(HttpUtil.getContentLength(request, 0L))) {
-			refuse(ctx, ResultCode.NO_MEMORY);
+		this.head = request;
+		this.headRequested = HttpMethod.HEAD.equals(request.method());
+		// A slice of what was read would keep a buffer that may be much larger.
+		this.body = this.context.alloc().heapBuffer();
+		if (HttpUtil.is100ContinueExpected(request)) {
+			this.context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
-		else {
-			this.head = request;
-			this.body = newBody(ctx);
-			if (HttpUtil.is100ContinueExpected(request)) {
-				ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-			}
-		}
-	}
-
-	// Parts of a body keep the buffers that they were read into, which may be much
-	// larger.
-	// Under a budget they are copied.
-	private ByteBuf newBody(ChannelHandlerContext ctx) {
-		return (this.budget.isPresent()) ? ctx.alloc().heapBuffer() : ctx.alloc().compositeBuffer(1024);
 	}
 
-	private boolean hasRoom(long bytes) {
-		return bytes <= 0 || this.budget.isEmpty() || this.budget.get().hasRoom(bytes);
-	}
-
-	private boolean take(long bytes) {
-		if (this.budget.isEmpty() || bytes <= 0) {
-			return true;
+	private Optional<ResultCode> refusal(HttpRequest request) {
+		long announced = HttpUtil.getContentLength(request, 0L);
+		if (request.headers().size() > HttpLimits.MAX_HEADERS) {
+			return Optional.of(ResultCode.HEADERS_TOO_LARGE);
 		}
-		boolean room = this.budget.get().take(bytes);
-		this.taken += (room) ? bytes : 0;
-		return room;
-	}
-
-	private void giveBack() {
-		if (this.taken > 0) {
-			this.budget.get().release(this.taken);
-			this.taken = 0;
+		if (announced > this.limits.maxBody()) {
+			return Optional.of(ResultCode.REQUEST_TOO_LARGE);
 		}
+		boolean hasRoom = !this.http2Stream || takeHead(STREAM_BYTES + HeadCost.of(request.headers()));
+		return (hasRoom && this.memory.hasRoomForBody(this.held, announced)) ? Optional.empty()
+				: Optional.of(ResultCode.NO_MEMORY);
 	}
 
-	private void append(ChannelHandlerContext ctx, HttpContent content) {
-		long size = (long) this.body.readableBytes() + content.content().readableBytes();
-		if (size > this.limits.maxBody()) {
-			refuse(ctx, ResultCode.REQUEST_TOO_LARGE);
+	private void append(HttpContent content) {
+		int bytes = content.content().readableBytes();
+		if ((long) this.body.readableBytes() + bytes > this.limits.maxBody()) {
+			refuse(ResultCode.REQUEST_TOO_LARGE);
 			return;
 		}
-		if (!take(size - this.taken)) {
-			refuse(ctx, ResultCode.NO_MEMORY);
+		if (bytes > 0 && !this.memory.takeBody(this.held, bytes)) {
+			refuse(ResultCode.NO_MEMORY);
 			return;
 		}
-		if (this.body instanceof CompositeByteBuf parts) {
-			parts.addComponent(true, content.content().retain());
-		}
-		else {
-			this.body.writeBytes(content.content());
-		}
+		this.body.writeBytes(content.content());
 		if (content instanceof LastHttpContent) {
-			complete(ctx);
+			complete();
 		}
 	}
 
-	private void complete(ChannelHandlerContext ctx) {
+	private void complete() {
 		stopTimeout();
+		this.memory.completed(this.held);
 		HttpRequest request = this.head;
-		byte[] bytes = bytes(this.body);
+		byte[] bytes = ByteBufUtil.getBytes(this.body);
 		clear();
-		this.response = new CallerResponse(ctx.channel(), request.protocolVersion(), HttpUtil.isKeepAlive(request),
-				() -> responseWritten(ctx, HttpUtil.isKeepAlive(request)));
+		boolean keepAlive = HttpUtil.isKeepAlive(request);
+		this.response = new CallerResponse(channel(), request.protocolVersion(), keepAlive,
+				() -> responseWritten(keepAlive));
 		String uri = request.uri();
 		int queryMark = uri.indexOf('?');
 		String path = (queryMark < 0) ? uri : uri.substring(0, queryMark);
@@ -194,67 +196,79 @@
 				this.response);
 	}
 
-	private static byte[] bytes(ByteBuf body) {
-		return ByteBufUtil.getBytes(body);
-	}
-
-	private void responseWritten(ChannelHandlerContext ctx, boolean keepAlive) {
+	private void responseWritten(boolean keepAlive) {
 		this.response = null;
-		giveBack();
-		boolean closeRequested = !this.http2Stream && !keepAlive;
+		this.memory.release(this.held);
+		if (!channel().isActive()) {
+			return;
+		}
 		if (this.discarding) {
-			closeAfterLinger(ctx);
+			closeAfterLinger();
 		}
-		else if (this.http2Stream || !ctx.channel().isActive()) {
+		else if (this.http2Stream) {
 			return;
 		}
-		else if (closeRequested || ConnectionLimiter.isClosing(ctx.channel())) {
-			ctx.close();
+		else if (!keepAlive || ConnectionLimiter.isClosing(channel())) {
+			this.context.close();
 		}
 		else {
-			restartTimeout(ctx, this.limits.idleTimeout().toMillis(), ResultCode.OK);
-			readPipelined(ctx);
+			restartTimeout(this.limits.idleTimeout().toMillis(), ResultCode.OK);
+			resumeReading();
 		}
 	}
 
-	private void readPipelined(ChannelHandlerContext ctx) {
-		while (this.response == null && !this.pipelined.isEmpty()) {
-			read(ctx, this.pipelined.remove());
-		}
-		if (this.pipelined.isEmpty()) {
-			ctx.channel().config().setAutoRead(true);
-		}
+	private void resumeReading() {
+		ChannelHandlerContext ctx = channel().pipeline().context(BoundedRequestDecoder.class);
+		((BoundedRequestDecoder) ctx.handler()).resume(ctx);
 	}
 
 	// ResultCode.OK stands for the idle timeout: the connection is closed without a
 	// response.
-	private void refuse(ChannelHandlerContext ctx, ResultCode code) {
-		if (this.discarding || this.response != null) {
+	@Override
+	public void refuse(ResultCode code) {
+		if (!isReady()) {
 			return;
 		}
 		this.discarding = true;
 		stopTimeout();
-		HttpVersion version = HttpVersion.HTTP_1_1;
 		clear();
-		giveBack();
+		stopDecoding();
 		if (code == ResultCode.OK) {
-			ctx.close();
+			this.context.close();
 			return;
 		}
 		this.handler.refused(code);
-		this.response = new CallerResponse(ctx.channel(), version, this.http2Stream,
-				() -> responseWritten(ctx, this.http2Stream));
+		if (this.http2Stream && code == ResultCode.NO_MEMORY) {
+			// Says that the request was not processed (RFC 9113, section 8.7). A response
+			// would take memory until the caller reads it.
+			this.context.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.REFUSED_STREAM));
+			this.context.close();
+			return;
+		}
+		this.response = new CallerResponse(channel(), HttpVersion.HTTP_1_1, this.http2Stream,
+				() -> responseWritten(this.http2Stream));
 		this.response.refuse(Refusal.notRun(code), "");
 	}
 
+	// What still arrives is discarded as bytes: a refused request may have no end.
+	private void stopDecoding() {
+		ChannelPipeline pipeline = channel().pipeline();
+		if (pipeline.get(BoundedRequestDecoder.class) != null) {
+			pipeline.remove(BoundedRequestDecoder.class);
+		}
+		if (!this.http2Stream) {
+			this.memory.release(this.held);
+		}
+	}
+
 	// Keeps reading and discarding the rest of a refused request for LINGER_MILLIS:
 	// closing a socket with unread bytes resets the connection, and the caller would
 	// never receive the refusal.
-	private void closeAfterLinger(ChannelHandlerContext ctx) {
-		if (ctx.channel() instanceof SocketChannel socket) {
+	private void closeAfterLinger() {
+		if (channel() instanceof SocketChannel socket) {
 			socket.shutdownOutput();
 		}
-		ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		this.context.executor().schedule(() -> this.context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	@Override
@@ -268,9 +282,8 @@
 	public void channelInactive(ChannelHandlerContext ctx) {
 		stopTimeout();
 		clear();
-		giveBack();
-		this.pipelined.forEach(ReferenceCountUtil::release);
-		this.pipelined.clear();
+		this.memory.release(this.held);
+		this.discarding = true;
 		if (this.response != null) {
 			this.response.channelClosed();
 		}
@@ -290,9 +303,21 @@
 		return this.response != null || this.head != null;
 	}
 
-	private void restartTimeout(ChannelHandlerContext ctx, long millis, ResultCode code) {
+	/**
+	 * Return whether the request that is responded to asks for a head alone.
+	 * @return whether its method is HEAD
+	 */
+	boolean isHeadRequested() {
+		return this.headRequested;
+	}
+
+	private Channel channel() {
+		return this.context.channel();
+	}
+
+	private void restartTimeout(long millis, ResultCode code) {
 		stopTimeout();
-		this.timeout = ctx.executor().schedule(() -> refuse(ctx, code), millis, TimeUnit.MILLISECONDS);
+		this.timeout = this.context.executor().schedule(() -> refuse(code), millis, TimeUnit.MILLISECONDS);
 	}
 
 	private void stopTimeout() {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -43,7 +43,6 @@
 import org.acaciacourse.daemon.inner.InternalConnection;
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.memory.MemoryMetrics;
-import org.acaciacourse.daemon.memory.RequestMemory;
 import org.acaciacourse.daemon.memory.ResponseMemory;
 import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
@@ -164,7 +163,7 @@
 						this.origins, BodyMemory.ofHeap(budget), this.memory, this.metrics, this.openExchanges,
 						RequestLogLimits.of(MAX_REQUEST_LINES_PER_SECOND, System.nanoTime()), options.usage()));
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
-		budget.map(RequestMemory::new).ifPresent(this.callerServer::boundBodies);
+		budget.ifPresent(this.callerServer::boundRequests);
 		this.memory.ifPresent((bounded) -> this.callerServer.boundSendBuffers(ResponseMemory.SEND_BUFFER_BYTES));
 		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
 				new ReadinessHandler());
--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/LogEvent.java
@@ -47,11 +47,11 @@
 	RESPONSE_UNREAD("response-unread", "request", "why", "unread", "idle_ms", "used", "limit", "untold"),
 
 	/**
-	 * A request was refused with its body unread, as the memory budget has no room for
-	 * it: the bytes asked for, those of request bodies and all that are used, the budget,
-	 * and how many such lines were not logged.
+	 * The memory budget has no room for a request: the bytes asked for, how many larger
+	 * requests were refused to make room, the bytes of all requests and of all uses, the
+	 * budget, and how many such lines were not logged.
 	 */
-	BODY_REFUSED("body-refused", "bytes", "bodies", "used", "limit", "untold"),
+	REQUEST_WITHOUT_MEMORY("request-without-memory", "bytes", "refused", "requests", "used", "limit", "untold"),
 
 	/**
 	 * A request was refused because its target cannot be met: the values that the
--- a/daemon/src/test/java/org/acaciacourse/daemon/route/BodyMemoryTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/route/BodyMemoryTests.java
@@ -83,7 +83,7 @@
 			this.shared.add(body("large"), 2 * MANY);
 			this.shared.add(body("other"), MANY);
 			assertThat(BodyMemoryTests.this.discarded).isEmpty();
-			this.budget.change(MemoryUse.REQUEST_BODIES, 5 * MANY);
+			this.budget.change(MemoryUse.REQUESTS, 5 * MANY);
 			this.shared.add(body("next"), MANY / 2);
 			assertThat(BodyMemoryTests.this.discarded).containsExactly("large", "other").inOrder();
 			assertThat(this.budget.used(MemoryUse.BUFFERED_RESPONSES)).isEqualTo(3 * MANY / 2);
