Header lines of routed requests are not limited by number

What callers saw: a single request with some 2,600 short header lines, within max_header_bytes, got 431 from an idle entry.

Cause: HttpLimits.MAX_HEADERS, a limit of 100 lines that the configuration does not know. It was the only bound on the objects of a head.

Change: the number is a limit of the chat path, whose documentation states it.

Evidence: requestOfManyShortHeaderLinesIsServedInCalm, 431 on, 200 now.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
@@ -15,9 +15,11 @@
  * @param maxConnections maximum number of open connections
  * @param readTimeout time within which a complete request must be received
  * @param maxHeader maximum size of the header section in bytes
+ * @param maxHeaderLines maximum number of lines of the header section
  * @param idleTimeout time after which an idle connection is closed
  */
-public record HttpLimits(int maxBody, int maxConnections, Duration readTimeout, int maxHeader, Duration idleTimeout) {
+public record HttpLimits(int maxBody, int maxConnections, Duration readTimeout, int maxHeader, int maxHeaderLines,
+		Duration idleTimeout) {
 
 	/** Maximum length of the request line in bytes. */
 	static final int MAX_LINE = 8 * 1024;
@@ -25,8 +27,11 @@
 	/** Default maximum size of the header section in bytes. */
 	private static final int MAX_HEADER_BYTES = 32 * 1024;
 
-	/** Maximum number of header fields in a request. */
-	static final int MAX_HEADERS = 100;
+	/** Maximum number of header lines of a chat request. */
+	private static final int MAX_CHAT_HEADER_LINES = 100;
+
+	/** For callers whose limits on the size of a header section name no number. */
+	public static final int ANY_NUMBER_OF_LINES = Integer.MAX_VALUE;
 
 	/** Maximum number of concurrent streams of an HTTP/2 connection. */
 	static final int MAX_STREAMS = 1024;
@@ -42,7 +47,8 @@
 	public static HttpLimits of(Settings settings) {
 		int maxBody = (int) Math.min(settings.bytes(SettingKey.ENTRY_MAX_BODY), Integer.MAX_VALUE);
 		return new HttpLimits(maxBody, settings.count(SettingKey.ENTRY_MAX_CONNECTIONS),
-				settings.duration(SettingKey.ENTRY_READ_TIMEOUT), MAX_HEADER_BYTES, IDLE_TIMEOUT);
+				settings.duration(SettingKey.ENTRY_READ_TIMEOUT), MAX_HEADER_BYTES, MAX_CHAT_HEADER_LINES,
+				IDLE_TIMEOUT);
 	}
 
 	/**
@@ -52,7 +58,7 @@
 	 */
 	public HttpLimits with(CallerLimits declared) {
 		return new HttpLimits(declared.maxBodyBytes(), this.maxConnections, this.readTimeout, declared.maxHeaderBytes(),
-				declared.idleTimeout());
+				ANY_NUMBER_OF_LINES, declared.idleTimeout());
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -152,7 +152,7 @@
 
 	private Optional<ResultCode> refusal(HttpRequest request) {
 		long announced = HttpUtil.getContentLength(request, 0L);
-		if (request.headers().size() > HttpLimits.MAX_HEADERS) {
+		if (request.headers().size() > this.limits.maxHeaderLines()) {
 			return Optional.of(ResultCode.HEADERS_TOO_LARGE);
 		}
 		if (announced > this.limits.maxBody()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -144,7 +144,8 @@
 		this.options = options;
 		this.controlLink = controlLink;
 		this.limits = new HttpLimits(CallerLimits.DEFAULT.maxBodyBytes(), options.maxConnections(), READ_TIMEOUT,
-				CallerLimits.DEFAULT.maxHeaderBytes(), CallerLimits.DEFAULT.idleTimeout());
+				CallerLimits.DEFAULT.maxHeaderBytes(), HttpLimits.ANY_NUMBER_OF_LINES,
+				CallerLimits.DEFAULT.idleTimeout());
 		LoadPeer self = options.loadPeer().orElse(NO_PEER);
 		this.paths = new EndpointPaths(self, LinkLog::new);
 		this.connections = new EndpointConnections(this.loop, this.paths,
