A turn of the event loop reads little of each caller's connection

What callers saw: while a crowd sent chunked bodies of single bytes, ordinary requests waited for many seconds, also after the crowd had left.

Cause: up to sixteen reads of 64 KB were taken from each connection in a turn of the only event loop, about a megabyte; six bytes become an object, so that one turn over 150 such connections takes many seconds. Receive buffers of megabytes held more of the same after the crowd had left.

Change: one read of at most 8 KB of each connection in a turn, and a receive buffer of 64 KB.

Ruled out: a limit on the number of chunks, as legal bodies would meet it.

Evidence: NettyHttpServerTests.Turns: four callers with bodies of 20,000 single bytes and one with an ordinary request at the same time.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
@@ -38,6 +39,19 @@
 	/** Accept backlog: holds the connections that arrive within a second at peak load. */
 	private static final int BACKLOG = 1024;
 
+	/**
+	 * The most that is read from a connection in a turn of the event loop. It bounds the
+	 * work of a turn, as a caller can make many objects of a few bytes each.
+	 */
+	private static final int MAX_READ_BYTES = 8 * 1024;
+
+	private static final int FIRST_READ_BYTES = 2 * 1024;
+
+	private static final int MIN_READ_BYTES = 64;
+
+	/** What the system may hold of a caller's input while the connection is not read. */
+	private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
 	private final InetSocketAddress address;
 
 	private final Optional<Settings> tlsSettings;
@@ -93,6 +107,7 @@
 	public static ServerSocketChannel open(InetSocketAddress address) throws IOException {
 		ServerSocketChannel socket = ServerSocketChannel.open();
 		socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+		socket.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
 		socket.bind(address, BACKLOG);
 		return socket;
 	}
@@ -160,8 +175,12 @@
 			.channelFactory(() -> socket.map(NioServerSocketChannel::new).orElseGet(NioServerSocketChannel::new))
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+						.maxMessagesPerRead(1))
 			.childHandler(new ConnectionInitializer(this.limits, this.handler, this.limiter, tls, this.budget));
 		this.sendBuffer.ifPresent((bytes) -> bootstrap.childOption(ChannelOption.SO_SNDBUF, bytes));
 		ChannelFuture bound = (socket.isPresent()) ? bootstrap.register() : bootstrap.bind(this.address);
--- a/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.http;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -8,13 +9,21 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Try;
 import org.acaciacourse.core.code.ResultCode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -50,11 +59,109 @@
 		}
 	}
 
+	/** Callers of one event loop, of which one sends as much as it can. */
+	@Nested
+	class Turns {
+
+		private static final int FLOODS = 4;
+
+		private static final int BODY_BYTES = 20_000;
+
+		private static final HttpLimits LARGE = new HttpLimits(BODY_BYTES, 10, Duration.ofSeconds(20), 1_000,
+				HttpLimits.ANY_NUMBER_OF_LINES, Duration.ofSeconds(20));
+
+		private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+		private final OkHandler handler = new OkHandler();
+
+		private final NettyHttpServer server = new NettyHttpServer(
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), () -> LARGE, this.loops, this.handler);
+
+		@AfterEach
+		void stop() {
+			this.server.close();
+			this.loops.shutdownGracefully();
+		}
+
+		// The requests that the server handled before that of another caller which
+		// arrived last.
+		private List<String> handledBefore(String flood, String other) throws Exception {
+			this.server.start();
+			CountDownLatch sent = new CountDownLatch(1);
+			List<Socket> floods = new ArrayList<>();
+			try (Socket last = connect()) {
+				ask(last, "/first");
+				for (int i = 0; i < FLOODS; i++) {
+					floods.add(connect());
+					ask(floods.get(i), "/first");
+				}
+				this.loops.execute(() -> Try.run(sent::await));
+				for (Socket socket : floods) {
+					Thread writer = new Thread(() -> Try.run(() -> socket.getOutputStream().write(bytes(flood))));
+					writer.setDaemon(true);
+					writer.start();
+					writer.join(TimeUnit.SECONDS.toMillis(1));
+				}
+				last.getOutputStream().write(bytes("GET " + other + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+				sent.countDown();
+				assertThat(readStatus(last)).contains("200");
+			}
+			finally {
+				for (Socket socket : floods) {
+					socket.close();
+				}
+			}
+			return this.handler.targets.subList(1 + FLOODS, this.handler.targets.indexOf(other));
+		}
+
+		private Socket connect() throws IOException {
+			return new Socket(InetAddress.getLoopbackAddress(), this.server.port());
+		}
+
+		private static void ask(Socket socket, String target) throws IOException {
+			socket.getOutputStream().write(bytes("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+			assertThat(readStatus(socket)).contains("200");
+		}
+
+		private static String readStatus(Socket socket) throws IOException {
+			StringBuilder text = new StringBuilder();
+			while (!text.toString().endsWith("\r\n\r\n")) {
+				text.append((char) socket.getInputStream().read());
+			}
+			return text.toString();
+		}
+
+		private static byte[] bytes(String text) {
+			return text.getBytes(StandardCharsets.US_ASCII);
+		}
+
+		// Guards against a caller that sends many requests at once and keeps the event
+		// loop from the others until all of them are handled.
+		@Test
+		void requestIsHandledAmongThoseOfAnotherCaller() throws Exception {
+			assertThat(handledBefore("GET /flood HTTP/1.1\r\nHost: h\r\n\r\n".repeat(3_000), "/other").size())
+				.isAtMost(10 * FLOODS);
+		}
+
+		// Guards against a caller whose body of many small chunks is read to its end
+		// before others are.
+		@Test
+		void requestIsHandledWithinTheChunksOfAnotherCaller() throws Exception {
+			String flood = "POST /flood HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+					+ "1\r\nx\r\n".repeat(BODY_BYTES) + "0\r\n\r\n";
+			assertThat(handledBefore(flood, "/other")).isEmpty();
+		}
+
+	}
+
 	/** Responds to every request with status 200. */
 	private static final class OkHandler implements RequestHandler {
 
+		private final List<String> targets = new CopyOnWriteArrayList<>();
+
 		@Override
 		public void handle(CallerRequest request, CallerResponse response) {
+			this.targets.add(request.target());
 			response.send(200, Map.of(), new byte[0]);
 		}
 
