The header timeout of the configuration is applied

What callers saw: nothing; a head that stood still was kept for 20 s in place of the 3 s that the configuration states, and one that came a byte at a time until it exceeded its size.

Cause: header_timeout_ms was parsed into CallerLimits.headerTimeout, which nothing read. A connection had one limit for a whole request.

Change: the limit begins with the first byte of a head and ends with its last one. The body keeps the read timeout. The chat path, whose settings have one limit, is as before.

With the read timeout in its place the head that stands still is refused after the body that does, and the one that is sent slowly gets 431 in place of 408.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
@@ -16,10 +16,12 @@
  * @param readTimeout time within which a complete request must be received
  * @param maxHeader maximum size of the header section in bytes
  * @param maxHeaderLines maximum number of lines of the header section
+ * @param headerTimeout time within which a header section must be received, from its
+ * first byte on
  * @param idleTimeout time after which an idle connection is closed
  */
 public record HttpLimits(int maxBody, int maxConnections, Duration readTimeout, int maxHeader, int maxHeaderLines,
-		Duration idleTimeout) {
+		Duration headerTimeout, Duration idleTimeout) {
 
 	/** Maximum length of the request line in bytes. */
 	static final int MAX_LINE = 8 * 1024;
@@ -46,9 +48,9 @@
 	 */
 	public static HttpLimits of(Settings settings) {
 		int maxBody = (int) Math.min(settings.bytes(SettingKey.ENTRY_MAX_BODY), Integer.MAX_VALUE);
-		return new HttpLimits(maxBody, settings.count(SettingKey.ENTRY_MAX_CONNECTIONS),
-				settings.duration(SettingKey.ENTRY_READ_TIMEOUT), MAX_HEADER_BYTES, MAX_CHAT_HEADER_LINES,
-				IDLE_TIMEOUT);
+		Duration readTimeout = settings.duration(SettingKey.ENTRY_READ_TIMEOUT);
+		return new HttpLimits(maxBody, settings.count(SettingKey.ENTRY_MAX_CONNECTIONS), readTimeout, MAX_HEADER_BYTES,
+				MAX_CHAT_HEADER_LINES, readTimeout, IDLE_TIMEOUT);
 	}
 
 	/**
@@ -58,7 +60,7 @@
 	 */
 	public HttpLimits with(CallerLimits declared) {
 		return new HttpLimits(declared.maxBodyBytes(), this.maxConnections, this.readTimeout, declared.maxHeaderBytes(),
-				ANY_NUMBER_OF_LINES, declared.idleTimeout());
+				ANY_NUMBER_OF_LINES, declared.headerTimeout(), declared.idleTimeout());
 	}
 
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -66,6 +66,8 @@
 
 	private ScheduledFuture<?> timeout;
 
+	private boolean headBegun;
+
 	private boolean discarding;
 
 	RequestReader(HttpLimits limits, RequestHandler handler, RequestMemory memory, boolean http2Stream) {
@@ -105,8 +107,16 @@
 	public void buffered(long bytes, boolean pipelined) {
 		if (pipelined || this.response != null) {
 			this.memory.bufferPipelined(this.held, bytes);
+			return;
+		}
+		if (this.discarding) {
+			return;
+		}
+		if (bytes > 0 && this.head == null && !this.headBegun) {
+			this.headBegun = true;
+			restartTimeout(this.limits.headerTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
 		}
-		else if (!this.discarding && !this.memory.buffer(this.held, bytes)) {
+		if (!this.memory.buffer(this.held, bytes)) {
 			refuse(ResultCode.NO_MEMORY);
 		}
 	}
@@ -135,6 +145,7 @@
 	}
 
 	private void begin(HttpRequest request) {
+		this.headBegun = false;
 		restartTimeout(this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
 		Optional<ResultCode> refusal = refusal(request);
 		if (refusal.isPresent()) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -145,7 +145,7 @@
 		this.controlLink = controlLink;
 		this.limits = new HttpLimits(CallerLimits.DEFAULT.maxBodyBytes(), options.maxConnections(), READ_TIMEOUT,
 				CallerLimits.DEFAULT.maxHeaderBytes(), HttpLimits.ANY_NUMBER_OF_LINES,
-				CallerLimits.DEFAULT.idleTimeout());
+				CallerLimits.DEFAULT.headerTimeout(), CallerLimits.DEFAULT.idleTimeout());
 		LoadPeer self = options.loadPeer().orElse(NO_PEER);
 		this.paths = new EndpointPaths(self, LinkLog::new);
 		this.connections = new EndpointConnections(this.loop, this.paths,
--- a/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
@@ -31,7 +31,7 @@
 class NettyHttpServerTests {
 
 	private static final HttpLimits LIMITS = new HttpLimits(1_000, 10, Duration.ofSeconds(20), 1_000,
-			HttpLimits.ANY_NUMBER_OF_LINES, Duration.ofSeconds(20));
+			HttpLimits.ANY_NUMBER_OF_LINES, Duration.ofSeconds(20), Duration.ofSeconds(20));
 
 	// A caller that connects while the process is still starting, for example after a
 	// power failure, must not be refused: its request waits in the backlog of the
@@ -68,7 +68,7 @@
 		private static final int BODY_BYTES = 20_000;
 
 		private static final HttpLimits LARGE = new HttpLimits(BODY_BYTES, 10, Duration.ofSeconds(20), 1_000,
-				HttpLimits.ANY_NUMBER_OF_LINES, Duration.ofSeconds(20));
+				HttpLimits.ANY_NUMBER_OF_LINES, Duration.ofSeconds(20), Duration.ofSeconds(20));
 
 		private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
