Callers who hold connections leave descriptors and a place for others

What callers saw: with as many idle connections as an entry accepts, each new caller got 503 until some were closed.

At the limit, the connection that has waited longest for a complete request is closed, or one that has been idle for a second after a response. A connection with a request under way is never closed for another; if all are, the new one is refused as before.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -81,6 +81,7 @@
 	}
 
 	private void configureHttp2(ChannelPipeline pipeline) {
+		ConnectionUse.of(pipeline.channel()).busy();
 		HttpLimits currentLimits = this.limits.get();
 		Http2Settings settings = Http2Settings.defaultSettings()
 			.maxConcurrentStreams(HttpLimits.MAX_STREAMS)
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionLimiter.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionLimiter.java
@@ -1,5 +1,7 @@
 package org.acaciacourse.daemon.http;
 
+import java.util.Comparator;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -14,8 +16,10 @@
 import org.acaciacourse.core.code.ResultCode;
 
 /**
- * Limits the number of open connections: a connection over the limit gets a 503 response
- * and is closed. The accepted ones are kept in a set for the shutdown.
+ * Limits the number of open connections. A connection over the limit takes the place of
+ * the one that has waited longest for a complete request, so that callers who only hold
+ * connections do not keep others out; if there is none, it gets a 503 response and is
+ * closed. The accepted ones are kept in a set for the shutdown.
  * <p>
  * Thread safe.
  */
@@ -58,10 +62,11 @@
 
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
-		if (this.count.incrementAndGet() > this.maxConnections) {
+		if (this.count.incrementAndGet() > this.maxConnections && !closeLongestIdle()) {
 			refuse(ctx);
 			return;
 		}
+		ConnectionUse.of(ctx.channel());
 		this.channels.add(ctx.channel());
 		ctx.fireChannelActive();
 	}
@@ -73,6 +78,20 @@
 		ctx.fireChannelInactive();
 	}
 
+	private boolean closeLongestIdle() {
+		long now = System.nanoTime();
+		Optional<Channel> longest = this.channels.stream()
+			.filter((channel) -> ConnectionUse.of(channel).mayBeClosed(now))
+			.min(Comparator.comparing((Channel channel) -> ConnectionUse.of(channel).isUnread())
+				.thenComparing((channel) -> -ConnectionUse.of(channel).idleNanos(now)));
+		longest.ifPresent((channel) -> {
+			// Not chosen again while it is being closed on its event loop.
+			this.channels.remove(channel);
+			channel.close();
+		});
+		return longest.isPresent();
+	}
+
 	private void refuse(ChannelHandlerContext ctx) {
 		this.handler.refused(ResultCode.TOO_MANY_CONNECTIONS);
 		String body = Refusal.notRun(ResultCode.TOO_MANY_CONNECTIONS).json();
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -193,11 +193,12 @@
 	private void complete() {
 		stopTimeout();
 		this.memory.completed(this.held);
+		ConnectionUse.of(channel()).busy();
 		HttpRequest request = this.head;
 		byte[] bytes = ByteBufUtil.getBytes(this.body);
 		clear();
 		boolean keepAlive = HttpUtil.isKeepAlive(request);
-		this.response = new CallerResponse(channel(), request.protocolVersion(), keepAlive,
+		this.response = new CallerResponse(channel(), request.protocolVersion(), keepAlive, this.limits.idleTimeout(),
 				() -> responseWritten(keepAlive));
 		String uri = request.uri();
 		int queryMark = uri.indexOf('?');
@@ -223,6 +224,7 @@
 			this.context.close();
 		}
 		else {
+			ConnectionUse.of(channel()).idle();
 			restartTimeout(this.limits.idleTimeout().toMillis(), ResultCode.OK);
 			resumeReading();
 		}
@@ -241,6 +243,7 @@
 			return;
 		}
 		this.discarding = true;
+		ConnectionUse.of(channel()).refused();
 		stopTimeout();
 		clear();
 		stopDecoding();
@@ -256,7 +259,7 @@
 			this.context.close();
 			return;
 		}
-		this.response = new CallerResponse(channel(), HttpVersion.HTTP_1_1, this.http2Stream,
+		this.response = new CallerResponse(channel(), HttpVersion.HTTP_1_1, this.http2Stream, this.limits.idleTimeout(),
 				() -> responseWritten(this.http2Stream));
 		this.response.refuse(Refusal.notRun(code), "");
 	}
