A complete response that its caller does not read ends with its connection

What callers saw: nothing at first; each connection whose caller read nothing of a response that was written to its end was kept for good, up to the limit of connections, from where on others were refused.

Cause: the idle timeout begins when a response was sent. Until then no limit applied but to responses of endpoints on the routed path, so that refusals, the chat path, control, readiness and metrics had none.

Change: if the caller takes nothing of such a response for the idle timeout, the connection is reset; over HTTP/2 the stream. At the limit of connections, such a connection can be closed for a new one, after all others that can.

Evidence: NettyHttpServerTests.UnreadResponses: the connection is closed after the idle timeout, and before it never was.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/CallerResponse.java
@@ -1,6 +1,8 @@
 package org.acaciacourse.daemon.http;
 
+import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -37,6 +39,8 @@
 
 	private final boolean keepAlive;
 
+	private final long unreadLimitMillis;
+
 	private final Runnable completionAction;
 
 	private Runnable disconnectAction = () -> {
@@ -59,7 +63,18 @@
 
 	private boolean written;
 
-	CallerResponse(Channel channel, HttpVersion version, boolean keepAlive, Runnable completionAction) {
+	/**
+	 * Create a response.
+	 * @param channel the connection or the HTTP/2 stream
+	 * @param version the version of the request
+	 * @param keepAlive whether the caller wants to use the connection again
+	 * @param unreadLimit for how long the caller may take nothing of a response that was
+	 * written to its end
+	 * @param completionAction called when all was sent, or the connection is closed
+	 */
+	CallerResponse(Channel channel, HttpVersion version, boolean keepAlive, Duration unreadLimit,
+			Runnable completionAction) {
+		this.unreadLimitMillis = unreadLimit.toMillis();
 		this.channel = channel;
 		this.version = version;
 		this.keepAlive = keepAlive;
@@ -298,6 +313,26 @@
 			this.completionAction.run();
 		});
 		flush();
+		if (!this.written) {
+			if (!(this.channel instanceof Http2StreamChannel)) {
+				ConnectionUse.of(this.channel).unread();
+			}
+			discardIfNotTaken();
+		}
+	}
+
+	private void discardIfNotTaken() {
+		long before = taken();
+		executor().schedule(() -> {
+			if (!this.written && this.channel.isActive()) {
+				if (taken() == before) {
+					discard();
+				}
+				else {
+					discardIfNotTaken();
+				}
+			}
+		}, this.unreadLimitMillis, TimeUnit.MILLISECONDS);
 	}
 
 }
--- a/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,9 +26,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static com.google.common.truth.Truth.assertThat;
 
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
 class NettyHttpServerTests {
 
 	private static final HttpLimits LIMITS = new HttpLimits(1_000, 10, Duration.ofSeconds(20), 1_000,
@@ -59,6 +62,58 @@
 		}
 	}
 
+	/** Callers that read nothing of a complete response. */
+	@Nested
+	class UnreadResponses {
+
+		private static final int MANY_BYTES = 32 * 1024 * 1024;
+
+		private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+		private final NettyHttpServer server = new NettyHttpServer(
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+				() -> new HttpLimits(1_000, 1, Duration.ofSeconds(20), 1_000, HttpLimits.ANY_NUMBER_OF_LINES,
+						Duration.ofSeconds(20), Duration.ofMillis(200)),
+				this.loops, new LargeHandler());
+
+		@AfterEach
+		void stop() {
+			this.server.close();
+			this.loops.shutdownGracefully();
+		}
+
+		// Guards against connections that callers who do not read keep for good, so that
+		// others get none.
+		@Test
+		void connectionIsResetAfterTheIdleTimeout() throws Exception {
+			this.server.start();
+			try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), this.server.port())) {
+				caller.getOutputStream()
+					.write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+				assertThat(caller.getInputStream().read()).isEqualTo('H');
+				while (this.server.connections() > 0) {
+					LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+				}
+			}
+		}
+
+		/** Responds with more than the buffers of a connection take. */
+		private static final class LargeHandler implements RequestHandler {
+
+			@Override
+			public void handle(CallerRequest request, CallerResponse response) {
+				response.send(200, Map.of(), new byte[MANY_BYTES]);
+			}
+
+			@Override
+			public void refused(ResultCode code) {
+				throw new IllegalStateException("refused with " + code.number());
+			}
+
+		}
+
+	}
+
 	/** Callers of one event loop, of which one sends as much as it can. */
 	@Nested
 	class Turns {
