Metrics and readiness are served whatever their clients do

What operators and the platform saw: 120 clients with unfinished heads at the metrics address, and it did not answer any more, for good; connections to the readiness address took descriptors without a bound of their own.

Cause: the metrics were served by the JDK's HTTP server with two threads, without any time limit: two slow clients occupy both. The readiness address had the limits of the callers' one, 2,500 connections and the memory of a budget beside the callers'.

The number of event loops for callers is unchanged.

Ruled out: the time limits of the JDK's server, which are properties of the whole process and do not bound connections.

Evidence: MisbehavingCallersTests.OtherAddresses and IdleConnections.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HttpLimits.java
@@ -41,6 +41,13 @@
 	/** Default time after which an idle connection is closed. */
 	private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(90);
 
+	/**
+	 * Limits of the addresses at which a VM shows its readiness and its metrics: a few
+	 * clients that send small requests.
+	 */
+	static final HttpLimits PROBES = new HttpLimits(16 * 1024, 32, Duration.ofSeconds(5), 16 * 1024,
+			MAX_CHAT_HEADER_LINES, Duration.ofSeconds(5), Duration.ofSeconds(5));
+
 	/**
 	 * Read the limits of an entry VM.
 	 * @param settings the settings
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/NettyHttpServer.java
@@ -49,6 +49,9 @@
 
 	private static final int MIN_READ_BYTES = 64;
 
+	/** The memory for the requests of probes. */
+	private static final long PROBES_BYTES = 1024 * 1024;
+
 	/** What the system may hold of a caller's input while the connection is not read. */
 	private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
 
@@ -97,6 +100,20 @@
 		this(address, limits, Optional.empty(), workers, workers, handler);
 	}
 
+	/**
+	 * Create a server for those who watch this VM: few clients, small requests, and a
+	 * small budget of its own.
+	 * @param address the address to listen on
+	 * @param workers the event loops, which the owner shuts down
+	 * @param handler handles the requests
+	 * @return the server
+	 */
+	public static NettyHttpServer forProbes(InetSocketAddress address, EventLoopGroup workers, RequestHandler handler) {
+		NettyHttpServer server = new NettyHttpServer(address, fixed(HttpLimits.PROBES), workers, handler);
+		server.boundRequests(new MemoryBudget(PROBES_BYTES));
+		return server;
+	}
+
 	/**
 	 * Open a listening socket before the server exists: callers that connect during
 	 * start-up wait in its backlog instead of being refused.
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteDaemon.java
@@ -34,6 +34,7 @@
 import org.acaciacourse.core.route.Fleet;
 import org.acaciacourse.core.route.FleetEndpoint;
 import org.acaciacourse.core.route.RouteTable;
+import org.acaciacourse.daemon.admin.AdminServer;
 import org.acaciacourse.daemon.cli.StopWait;
 import org.acaciacourse.daemon.http.CallerRequest;
 import org.acaciacourse.daemon.http.CallerResponse;
@@ -44,7 +45,6 @@
 import org.acaciacourse.daemon.link.ControlLink;
 import org.acaciacourse.daemon.memory.MemoryMetrics;
 import org.acaciacourse.daemon.memory.ResponseMemory;
-import org.acaciacourse.daemon.telemetry.AdminServer;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
 import org.acaciacourse.daemon.telemetry.LogEvent;
 import org.acaciacourse.daemon.tunnel.EndpointStatement;
@@ -166,8 +166,7 @@
 		this.callerServer = new NettyHttpServer(options.listen(), () -> this.limits, this.eventLoops, this.handler);
 		budget.ifPresent(this.callerServer::boundRequests);
 		this.memory.ifPresent((bounded) -> this.callerServer.boundSendBuffers(ResponseMemory.SEND_BUFFER_BYTES));
-		this.readinessServer = new NettyHttpServer(options.ready(), () -> this.limits, this.eventLoops,
-				new ReadinessHandler());
+		this.readinessServer = NettyHttpServer.forProbes(options.ready(), this.eventLoops, new ReadinessHandler());
 		this.fallback = new FleetFallback(options.fleetSource(),
 				(fleet, readAt) -> applyFleet(fleet, OptionalLong.of(readAt), "list"));
 		this.gossip = options.loadPeer().map((peer) -> new LoadGossip(this.loop, this.pools, this.crashes, peer));
