The model of an engine's cache keeps a bounded number of prompt parts

What callers saw: nothing yet. A caller that names parts of a prompt without tokens, some seven thousand in a head of legal size, each time others, made an entry keep all of them for each endpoint, for good, and its peers those that it told them of.

Cause: parts were evicted by the sum of their tokens, to which a part without tokens adds nothing.

Change: at most 1,024 parts of an engine are kept.

Ruled out: to leave out parts without tokens, as a prompt would seem uncached from there on.

Evidence: PrefixCacheModelTests.partsWithoutTokensAreEvicted; without the bound 2,000 tokens are found behind a part that should have been evicted.

--- a/core/src/main/java/org/acaciacourse/core/balance/PrefixCacheModel.java
+++ b/core/src/main/java/org/acaciacourse/core/balance/PrefixCacheModel.java
@@ -10,7 +10,8 @@
  * do. Without the uses at the other entry VMs, a part that one of them had prefilled
  * elsewhere would be prefilled a third and a fourth time.
  * <p>
- * Invariant: the parts together never exceed the capacity, unless there is only one.
+ * Invariant: the parts together never exceed the capacity, unless there is only one, and
+ * there are at most {@link #MAX_PARTS}.
  * <p>
  * Not thread safe: belongs to one {@link EndpointLoad}.
  */
@@ -25,6 +26,12 @@
 	/** Current engines hold at least this many tokens. Used until the capacity is set. */
 	private static final long DEFAULT_ENGINE_TOKENS = 400_000;
 
+	/**
+	 * More parts than an engine holds. The tokens alone do not bound the memory, as a
+	 * caller can name any number of parts without tokens.
+	 */
+	static final int MAX_PARTS = 1_024;
+
 	private final Map<Long, Long> tokensByPart = new LinkedHashMap<>(16, 0.75f, true);
 
 	private long capacity = (long) (DEFAULT_ENGINE_TOKENS * SHARED_PREFIX_FRACTION);
@@ -55,7 +62,7 @@
 
 	private void evict() {
 		Iterator<Long> eldest = this.tokensByPart.values().iterator();
-		while (this.tokens > this.capacity && this.tokensByPart.size() > 1) {
+		while (this.tokensByPart.size() > MAX_PARTS || this.tokens > this.capacity && this.tokensByPart.size() > 1) {
 			this.tokens -= eldest.next();
 			eldest.remove();
 		}
--- a/core/src/test/java/org/acaciacourse/core/balance/PrefixCacheModelTests.java
+++ b/core/src/test/java/org/acaciacourse/core/balance/PrefixCacheModelTests.java
@@ -47,6 +47,20 @@
 		assertThat(this.cache.cachedTokens(prompt(CASE, OWN))).isEqualTo(0);
 	}
 
+	// Guards against callers who name many parts without tokens, which would be kept for
+	// good.
+	@Test
+	void partsWithoutTokensAreEvicted() {
+		PromptShape.Part first = new PromptShape.Part(100, 0);
+		this.cache.recordUse(first);
+		for (int i = 1; i < PrefixCacheModel.MAX_PARTS; i++) {
+			this.cache.recordUse(new PromptShape.Part(100 + i, 0));
+		}
+		this.cache.recordUse(TEMPLATE);
+		assertThat(this.cache.cachedTokens(prompt(first, TEMPLATE, OWN))).isEqualTo(0);
+		assertThat(this.cache.cachedTokens(prompt(TEMPLATE, OWN))).isEqualTo(2_000);
+	}
+
 	@Test
 	void partLargerThanTheCacheIsKeptAlone() {
 		this.cache.engineCacheTokens(4_000);
