Lines of the decision log bound what callers choose

What operators saw: nothing yet. Ids, paths and lists of prompt parts went into log lines whole, up to 16 KB a text and thousands of parts of a request; the queue holds 1,024 lines and was thought to take a quarter of a megabyte. With an output that stands still, callers could make it some hundred megabytes.

Cause: texts were cut when a line was written, not when it was queued, and lists were not cut.

Change: a text of the decision log has at most 512 characters, and a list 100 items, before the line is queued.

--- a/daemon/src/main/java/org/acaciacourse/daemon/telemetry/DecisionLog.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/telemetry/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.telemetry;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.apache.logging.log4j.LogManager;
@@ -18,6 +19,15 @@
 
 	private static final Logger logger = LogManager.getLogger(DecisionLog.class);
 
+	/**
+	 * Longer than ids are. Callers choose ids and paths; the queue of the log would keep
+	 * megabytes of long ones.
+	 */
+	static final int MAX_TEXT_CHARS = 512;
+
+	/** More than the parts of usual prompts, and the requests that a crash ends. */
+	static final int MAX_ITEMS = 100;
+
 	private DecisionLog() {
 	}
 
@@ -31,6 +41,10 @@
 		if (!logger.isInfoEnabled()) {
 			return;
 		}
+		logger.info(new ObjectMessage(line(event, values)));
+	}
+
+	static Map<String, Object> line(LogEvent event, Object... values) {
 		if (values.length != event.fields().size()) {
 			throw new IllegalArgumentException(event + " has " + event.fields().size() + " fields");
 		}
@@ -38,10 +52,20 @@
 		line.put("event", event.label());
 		for (int i = 0; i < values.length; i++) {
 			if (values[i] != null) {
-				line.put(event.fields().get(i), values[i]);
+				line.put(event.fields().get(i), bounded(values[i]));
 			}
 		}
-		logger.info(new ObjectMessage(line));
+		return line;
+	}
+
+	private static Object bounded(Object value) {
+		if (value instanceof CharSequence text && text.length() > MAX_TEXT_CHARS) {
+			return text.subSequence(0, MAX_TEXT_CHARS) + "…";
+		}
+		if (value instanceof List<?> items) {
+			return items.stream().limit(MAX_ITEMS).map(DecisionLog::bounded).toList();
+		}
+		return value;
 	}
 
 }
