A connection to the tunnel server holds little until it has shown the key

The frame that opens a tunnel could have a megabyte, which was collected before the key was checked. It may have 8 KB now. Only other VMs reach that address; no fault was seen. TunnelTests and TunnelledStatementTests pass.

--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelFrame.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelFrame.java
@@ -39,7 +39,11 @@
 	private static final TunnelFrame[] ALL = values();
 
 	static LengthFieldBasedFrameDecoder decoder() {
-		return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+		return decoder(MAX_FRAME_BYTES);
+	}
+
+	static LengthFieldBasedFrameDecoder decoder(int maxBytes) {
+		return new LengthFieldBasedFrameDecoder(maxBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
@@ -35,6 +35,9 @@
 	/** A client asks for its endpoint as soon as it is connected. */
 	private static final long OPEN_TIMEOUT_MILLIS = 2_000;
 
+	/** More than the key, an instance and a statement take. */
+	private static final int MAX_OPEN_BYTES = 8 * 1024;
+
 	private static final String DECODER = "decoder";
 
 	private final TunnelServer server;
@@ -53,7 +56,7 @@
 	}
 
 	void start() {
-		this.client.pipeline().addLast(DECODER, TunnelFrame.decoder());
+		this.client.pipeline().addLast(DECODER, TunnelFrame.decoder(MAX_OPEN_BYTES));
 		this.client.pipeline().addLast(this);
 		this.server.loop().schedule(this::closeUnlessOpened, OPEN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
 	}
