A single large head needs room for itself alone

The reserve is for others; without any, none is kept.

Evidence: IncomingRequestsTests.singleLargeHeadIsReceived, refused before.

--- a/core/src/main/java/org/acaciacourse/core/memory/IncomingRequests.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/IncomingRequests.java
@@ -41,13 +41,15 @@
 	}
 
 	/**
-	 * Take memory for the objects of a complete head.
+	 * Take memory for the objects of a complete head. A single request needs no more than
+	 * it costs.
 	 * @param request the request
 	 * @param cost the bytes that they take
 	 * @return the decision
 	 */
 	public Decision<R> takeHead(R request, long cost) {
-		return take(request, cost, HEAD_RESERVE_FACTOR * cost);
+		boolean alone = this.budget.used(MemoryUse.REQUESTS) == request.held();
+		return take(request, cost, (alone) ? cost : HEAD_RESERVE_FACTOR * cost);
 	}
 
 	/**
--- a/core/src/test/java/org/acaciacourse/core/memory/IncomingRequestsTests.java
+++ b/core/src/test/java/org/acaciacourse/core/memory/IncomingRequestsTests.java
@@ -77,6 +77,13 @@
 	@Nested
 	class Lives {
 
+		// Guards against a single request that is refused although there is room for it.
+		@Test
+		void singleLargeHeadIsReceived() {
+			IncomingRequest single = buffered(400);
+			assertThat(IncomingRequestsTests.this.requests.takeHead(single, 600).isGranted()).isTrue();
+		}
+
 		// Guards against a request that is refused although an endpoint may run it.
 		@Test
 		void completeRequestIsNeverRefused() {
