--- a/core/src/main/java/org/acaciacourse/core/memory/MemoryBudget.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/MemoryBudget.java
@@ -1,8 +1,5 @@
 package org.acaciacourse.core.memory;
 
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicLongArray;
-
 /**
  * The memory that a VM may spend on what it holds for callers and endpoints.
  * <p>
@@ -28,9 +25,9 @@
 
 	private final long limit;
 
-	private final AtomicLongArray used = new AtomicLongArray(MemoryUse.values().length);
+	private final long[] used = new long[MemoryUse.values().length];
 
-	private final AtomicLong total = new AtomicLong();
+	private long total;
 
 	/**
 	 * Create a budget of which nothing is used.
@@ -70,13 +67,12 @@
 	 * @param use the use
 	 * @param bytes the difference
 	 */
-	public void change(MemoryUse use, long bytes) {
-		long next = this.used.addAndGet(use.ordinal(), bytes);
-		if (next < 0) {
-			this.used.addAndGet(use.ordinal(), -bytes);
-			throw new IllegalStateException(use + " releases " + -bytes + " of " + (next - bytes) + " bytes");
+	public synchronized void change(MemoryUse use, long bytes) {
+		if (this.used[use.ordinal()] + bytes < 0) {
+			throw new IllegalStateException(use + " releases " + -bytes + " of " + this.used[use.ordinal()] + " bytes");
 		}
-		this.total.addAndGet(bytes);
+		this.used[use.ordinal()] += bytes;
+		this.total += bytes;
 	}
 
 	/**
@@ -84,8 +80,8 @@
 	 * @param use the use
 	 * @return the bytes, negative if its share is exceeded
 	 */
-	public long room(MemoryUse use) {
-		long shared = use.bound(this.limit) - this.total.get();
+	public synchronized long room(MemoryUse use) {
+		long shared = use.bound(this.limit) - this.total;
 		long own = use.reserve(this.limit) - used(use);
 		return (use.reserve(this.limit) > 0) ? Math.max(shared, own) : shared;
 	}
@@ -95,16 +91,16 @@
 	 * @param use the use
 	 * @return the bytes
 	 */
-	public long used(MemoryUse use) {
-		return this.used.get(use.ordinal());
+	public synchronized long used(MemoryUse use) {
+		return this.used[use.ordinal()];
 	}
 
 	/**
 	 * Return the bytes that all uses take.
 	 * @return the bytes
 	 */
-	public long used() {
-		return this.total.get();
+	public synchronized long used() {
+		return this.total;
 	}
 
 	/**
