An HTTP/2 connection without streams is closed after the idle timeout

What callers saw: nothing; the documented idle timeout did not hold for HTTP/2, where a connection was kept as long as its caller answered pings, so that callers could hold all of an entry's connections for good.

Cause: the timeout belongs to the reader of HTTP/1.1 requests.

Change: a connection that has had no stream for the idle timeout is closed, at twice that at the latest.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionInitializer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http2.Http2FrameCodec;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
@@ -86,7 +87,8 @@
 		Http2Settings settings = Http2Settings.defaultSettings()
 			.maxConcurrentStreams(HttpLimits.MAX_STREAMS)
 			.maxHeaderListSize(currentLimits.maxHeader());
-		pipeline.addLast(HTTP2, Http2FrameCodecBuilder.forServer().initialSettings(settings).build());
+		Http2FrameCodec codec = Http2FrameCodecBuilder.forServer().initialSettings(settings).build();
+		pipeline.addLast(HTTP2, codec);
 		pipeline.addLast(new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
 
 			@Override
@@ -98,7 +100,7 @@
 			}
 
 		}));
-		pipeline.addLast(new Http2Keepalive());
+		pipeline.addLast(new Http2Keepalive(codec.connection(), currentLimits.idleTimeout()));
 	}
 
 	/** Configures the pipeline for the protocol that ALPN negotiated. */
--- a/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
+++ b/daemon/src/test/java/org/acaciacourse/daemon/http/NettyHttpServerTests.java
@@ -18,9 +18,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.vavr.control.Try;
 import org.acaciacourse.core.code.ResultCode;
 import org.junit.jupiter.api.AfterEach;
@@ -114,6 +118,40 @@
 
 	}
 
+	/** Connections of HTTP/2. */
+	@Nested
+	class Http2 {
+
+		private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+		private final NettyHttpServer server = new NettyHttpServer(
+				new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+				() -> new HttpLimits(1_000, 1, Duration.ofSeconds(20), 1_000, HttpLimits.ANY_NUMBER_OF_LINES,
+						Duration.ofSeconds(20), Duration.ofMillis(200)),
+				this.loops, new OkHandler());
+
+		@AfterEach
+		void stop() {
+			this.server.close();
+			this.loops.shutdownGracefully();
+		}
+
+		// Guards against connections without streams that are kept for good.
+		@Test
+		void connectionWithoutStreamsIsClosedAfterTheIdleTimeout() throws Exception {
+			this.server.start();
+			// The client answers pings.
+			Channel caller = new Bootstrap().group(this.loops)
+				.channel(NioSocketChannel.class)
+				.handler(Http2FrameCodecBuilder.forClient().build())
+				.connect(InetAddress.getLoopbackAddress(), this.server.port())
+				.sync()
+				.channel();
+			caller.closeFuture().sync();
+		}
+
+	}
+
 	/** Callers of one event loop, of which one sends as much as it can. */
 	@Nested
 	class Turns {
