A blank line after a body begins no head

A caller that sent a blank line after a body and used its connection again more than the header timeout later got 408: the line was kept as an incomplete head since the header timeout is applied. Such bytes are skipped as they arrive.

Evidence: CallerTimeoutTests.blankLineAfterABodyIsNoHead, 408 before.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/BoundedRequestDecoder.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/BoundedRequestDecoder.java
@@ -107,7 +107,12 @@
 
 	private void decodeHead(ChannelHandlerContext ctx, ByteBuf input, List<Object> out) throws Exception {
 		if (!this.scanner.scan(input)) {
-			if (input.readableBytes() > this.maxHeadBytes) {
+			if (!this.scanner.hasBegun()) {
+				// Blank lines after a body are no head that would have to be completed.
+				input.skipBytes(input.readableBytes());
+				this.scanner.reset();
+			}
+			else if (input.readableBytes() > this.maxHeadBytes) {
 				this.receiver.refuse(ResultCode.HEADERS_TOO_LARGE);
 			}
 			return;
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/HeadScanner.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/HeadScanner.java
@@ -86,6 +86,14 @@
 		return letter >= 0 && letter <= ' ' || letter == 0x7F;
 	}
 
+	/**
+	 * Return whether a byte of the request line has arrived.
+	 * @return whether anything but control characters and spaces was seen
+	 */
+	boolean hasBegun() {
+		return this.begun;
+	}
+
 	/**
 	 * Return what the objects of the head will cost.
 	 * @return the bytes
