Complete requests leave room for smaller ones, bodies as well as heads

Heads had to fit four times into what was left, and incomplete requests were refused only if larger than that, so that many incomplete requests of a few kilobytes kept smaller ones out. Complete bodies that wait for a slow endpoint could take the budget to its last byte.

Change: an incomplete request is refused for any that will hold less. At its end a request is received only if another one like it would still fit, with what is incomplete counted as room; a single one need not leave anything.

--- a/core/src/main/java/org/acaciacourse/core/memory/IncomingRequests.java
+++ b/core/src/main/java/org/acaciacourse/core/memory/IncomingRequests.java
@@ -9,12 +9,13 @@
 
 /**
  * Decides which requests of callers are received while the memory budget is short. A
- * request that needs memory takes it from incomplete requests that hold more than it: the
- * largest is refused first, so that callers who send small requests are served however
- * many others begin large ones. A complete request is never refused here.
+ * request that finds no room takes it from incomplete requests that hold more than it
+ * will; the largest is refused first. A request is received completely only if another
+ * one like it would still fit: many large ones leave room for small ones. From then on it
+ * is not refused here.
  * <p>
- * Invariants: what requests hold is within the budget, but for the input that was read
- * while their responses are pending; a head leaves the budget room for smaller ones.
+ * Invariant: what requests hold is within the budget, but for the input that was read
+ * while their responses are pending.
  * <p>
  * Not thread safe: belongs to one event loop. The budget may be shared with others.
  *
@@ -22,12 +23,6 @@
  */
 public final class IncomingRequests<R extends IncomingRequest> {
 
-	/**
-	 * How often a head must fit into what is left. Large heads are refused while there is
-	 * still room for many small ones.
-	 */
-	private static final int HEAD_RESERVE_FACTOR = 4;
-
 	private final MemoryBudget budget;
 
 	private final Set<R> incomplete = new HashSet<>();
@@ -41,25 +36,19 @@
 	}
 
 	/**
-	 * Take memory for the objects of a complete head. A single request needs no more than
-	 * it costs.
-	 * @param request the request
-	 * @param cost the bytes that they take
-	 * @return the decision
-	 */
-	public Decision<R> takeHead(R request, long cost) {
-		boolean alone = this.budget.used(MemoryUse.REQUESTS) == request.held();
-		return take(request, cost, (alone) ? cost : HEAD_RESERVE_FACTOR * cost);
-	}
-
-	/**
-	 * Take memory for what was received of a body.
+	 * Take memory for a part of a request: the objects of its head, or what was received
+	 * of its body.
 	 * @param request the request
 	 * @param bytes the bytes
 	 * @return the decision
 	 */
-	public Decision<R> takeBody(R request, long bytes) {
-		return take(request, bytes, bytes);
+	public Decision<R> take(R request, long bytes) {
+		Decision<R> decision = makeRoom(request, bytes);
+		if (decision.isGranted()) {
+			this.budget.change(MemoryUse.REQUESTS, bytes);
+			request.take(bytes);
+		}
+		return decision;
 	}
 
 	/**
@@ -70,7 +59,7 @@
 	 * @return the decision
 	 */
 	public Decision<R> announceBody(R request, long bytes) {
-		return take(request, 0, bytes);
+		return (leavesRoom(request, bytes)) ? makeRoom(request, bytes) : new Decision<>(false, List.of());
 	}
 
 	/**
@@ -81,11 +70,7 @@
 	 */
 	public Decision<R> buffer(R request, long bytes) {
 		long more = bytes - request.buffered();
-		if (more <= 0) {
-			change(request, more);
-			return Decision.granted(List.of());
-		}
-		Decision<R> decision = makeRoom(request, more);
+		Decision<R> decision = (more > 0) ? makeRoom(request, more) : Decision.granted(List.of());
 		if (decision.isGranted()) {
 			change(request, more);
 		}
@@ -107,22 +92,12 @@
 		request.buffered(request.buffered() + bytes);
 	}
 
-	private Decision<R> take(R request, long bytes, long needed) {
-		Decision<R> decision = makeRoom(request, needed);
-		if (decision.isGranted()) {
-			this.budget.change(MemoryUse.REQUESTS, bytes);
-			request.take(bytes);
-			this.incomplete.add(request);
-		}
-		return decision;
-	}
-
-	private Decision<R> makeRoom(R request, long needed) {
+	private Decision<R> makeRoom(R request, long bytes) {
 		this.incomplete.add(request);
 		List<R> refused = new ArrayList<>();
-		while (needed > this.budget.room(MemoryUse.REQUESTS)) {
+		while (bytes > this.budget.room(MemoryUse.REQUESTS)) {
 			Optional<R> largest = this.incomplete.stream().max(Comparator.comparingLong(IncomingRequest::held));
-			if (largest.isEmpty() || largest.get().held() <= request.held() + needed) {
+			if (largest.isEmpty() || largest.get().held() <= request.held() + bytes) {
 				return new Decision<>(false, List.copyOf(refused));
 			}
 			release(largest.get());
@@ -134,9 +109,22 @@
 	/**
 	 * Record that a request was received completely.
 	 * @param request the request
+	 * @return false if it must be refused, as it would leave too little for others
 	 */
-	public void completed(R request) {
+	public boolean complete(R request) {
 		this.incomplete.remove(request);
+		return leavesRoom(request, 0);
+	}
+
+	// Incomplete requests count as room, as they are refused in favour of smaller ones.
+	private boolean leavesRoom(R request, long bytes) {
+		long evictable = this.incomplete.stream()
+			.filter((other) -> other != request)
+			.mapToLong(IncomingRequest::held)
+			.sum();
+		boolean alone = this.budget.used(MemoryUse.REQUESTS) - evictable == request.held();
+		long left = this.budget.room(MemoryUse.REQUESTS) + evictable - bytes;
+		return alone || left >= request.held() + bytes;
 	}
 
 	/**
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestMemory.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestMemory.java
@@ -39,23 +39,14 @@
 	}
 
 	/**
-	 * Take memory for the objects of a complete head.
-	 * @param request the request
-	 * @param cost what they take, see {@link HeadCost}
-	 * @return whether there is room; if not, nothing is taken
-	 */
-	boolean takeHead(HeldRequest request, long cost) {
-		return apply(this.requests.takeHead(request, cost), cost);
-	}
-
-	/**
-	 * Take memory for what was received of a body.
+	 * Take memory for a part of a request: the objects of its head, for which see
+	 * {@link HeadCost}, or what was received of its body.
 	 * @param request the request
 	 * @param bytes the bytes
 	 * @return whether there is room; if not, nothing is taken
 	 */
-	boolean takeBody(HeldRequest request, long bytes) {
-		return apply(this.requests.takeBody(request, bytes), bytes);
+	boolean take(HeldRequest request, long bytes) {
+		return apply(this.requests.take(request, bytes), bytes);
 	}
 
 	/**
@@ -87,8 +78,17 @@
 		this.requests.bufferPipelined(request, bytes);
 	}
 
-	void completed(HeldRequest request) {
-		this.requests.completed(request);
+	/**
+	 * Record that a request was received completely.
+	 * @param request the request
+	 * @return whether it leaves room for others; if not, it must be refused
+	 */
+	boolean complete(HeldRequest request) {
+		boolean leavesRoom = this.requests.complete(request);
+		if (!leavesRoom) {
+			log(request.held(), 0);
+		}
+		return leavesRoom;
 	}
 
 	void release(HeldRequest request) {
@@ -97,13 +97,16 @@
 
 	private boolean apply(IncomingRequests.Decision<HeldRequest> decision, long bytes) {
 		if (!decision.isGranted() || !decision.refused().isEmpty()) {
-			this.lines.tryAcquire(System.nanoTime())
-				.ifPresent(
-						(untold) -> DecisionLog.write(LogEvent.REQUEST_WITHOUT_MEMORY, bytes, decision.refused().size(),
-								this.budget.used(MemoryUse.REQUESTS), this.budget.used(), this.budget.limit(), untold));
+			log(bytes, decision.refused().size());
 		}
 		decision.refused().forEach(HeldRequest::refuse);
 		return decision.isGranted();
 	}
 
+	private void log(long bytes, int refused) {
+		this.lines.tryAcquire(System.nanoTime())
+			.ifPresent((untold) -> DecisionLog.write(LogEvent.REQUEST_WITHOUT_MEMORY, bytes, refused,
+					this.budget.used(MemoryUse.REQUESTS), this.budget.used(), this.budget.limit(), untold));
+	}
+
 }
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -100,7 +100,7 @@
 
 	@Override
 	public boolean takeHead(long cost) {
-		return this.memory.takeHead(this.held, cost);
+		return this.memory.take(this.held, cost);
 	}
 
 	@Override
@@ -180,7 +180,7 @@
 			refuse(ResultCode.REQUEST_TOO_LARGE);
 			return;
 		}
-		if (bytes > 0 && !this.memory.takeBody(this.held, bytes)) {
+		if (bytes > 0 && !this.memory.take(this.held, bytes)) {
 			refuse(ResultCode.NO_MEMORY);
 			return;
 		}
@@ -191,8 +191,11 @@
 	}
 
 	private void complete() {
+		if (!this.memory.complete(this.held)) {
+			refuse(ResultCode.NO_MEMORY);
+			return;
+		}
 		stopTimeout();
-		this.memory.completed(this.held);
 		ConnectionUse.of(channel()).busy();
 		HttpRequest request = this.head;
 		byte[] bytes = ByteBufUtil.getBytes(this.body);
