An HTTP/2 connection is not closed right after its last stream

The look at an idle connection took a stream that had been there at the look before, and ended since, for none: the connection could be closed right after a response. Found by reading; NettyHttpServerTests.Http2 passes as before.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/Http2Keepalive.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/Http2Keepalive.java
@@ -34,6 +34,10 @@
 
 	private boolean awaitingAck;
 
+	/** Whether there were streams when it was looked at last. */
+	private boolean hadStreams;
+
+	/** The latest stream when it was looked at last. */
 	private int lastStream;
 
 	/**
@@ -66,9 +70,11 @@
 
 	private void closeIfIdle(ChannelHandlerContext ctx) {
 		int latest = this.connection.remote().lastStreamCreated();
-		if (this.connection.numActiveStreams() == 0 && latest == this.lastStream) {
+		boolean hasStreams = this.connection.numActiveStreams() > 0;
+		if (!hasStreams && !this.hadStreams && latest == this.lastStream) {
 			ctx.close();
 		}
+		this.hadStreams = hasStreams;
 		this.lastStream = latest;
 	}
 
