--- a/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/RequestReader.java
@@ -66,6 +66,8 @@
 
 	private ScheduledFuture<?> timeout;
 
+	private boolean headBegun;
+
 	private boolean discarding;
 
 	RequestReader(HttpLimits limits, RequestHandler handler, RequestMemory memory, boolean http2Stream) {
@@ -98,15 +100,23 @@
 
 	@Override
 	public boolean takeHead(long cost) {
-		return this.memory.takeHead(this.held, cost);
+		return this.memory.take(this.held, cost);
 	}
 
 	@Override
 	public void buffered(long bytes, boolean pipelined) {
 		if (pipelined || this.response != null) {
 			this.memory.bufferPipelined(this.held, bytes);
+			return;
+		}
+		if (this.discarding) {
+			return;
 		}
-		else if (!this.discarding && !this.memory.buffer(this.held, bytes)) {
+		if (bytes > 0 && this.head == null && !this.headBegun) {
+			this.headBegun = true;
+			restartTimeout(this.limits.headerTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
+		}
+		if (!this.memory.buffer(this.held, bytes)) {
 			refuse(ResultCode.NO_MEMORY);
 		}
 	}
@@ -135,6 +145,7 @@
 	}
 
 	private void begin(HttpRequest request) {
+		this.headBegun = false;
 		restartTimeout(this.limits.readTimeout().toMillis(), ResultCode.REQUEST_TOO_SLOW);
 		Optional<ResultCode> refusal = refusal(request);
 		if (refusal.isPresent()) {
@@ -169,7 +180,7 @@
 			refuse(ResultCode.REQUEST_TOO_LARGE);
 			return;
 		}
-		if (bytes > 0 && !this.memory.takeBody(this.held, bytes)) {
+		if (bytes > 0 && !this.memory.take(this.held, bytes)) {
 			refuse(ResultCode.NO_MEMORY);
 			return;
 		}
@@ -180,13 +191,17 @@
 	}
 
 	private void complete() {
+		if (!this.memory.complete(this.held)) {
+			refuse(ResultCode.NO_MEMORY);
+			return;
+		}
 		stopTimeout();
-		this.memory.completed(this.held);
+		ConnectionUse.of(channel()).busy();
 		HttpRequest request = this.head;
 		byte[] bytes = ByteBufUtil.getBytes(this.body);
 		clear();
 		boolean keepAlive = HttpUtil.isKeepAlive(request);
-		this.response = new CallerResponse(channel(), request.protocolVersion(), keepAlive,
+		this.response = new CallerResponse(channel(), request.protocolVersion(), keepAlive, this.limits.idleTimeout(),
 				() -> responseWritten(keepAlive));
 		String uri = request.uri();
 		int queryMark = uri.indexOf('?');
@@ -212,6 +227,7 @@
 			this.context.close();
 		}
 		else {
+			ConnectionUse.of(channel()).idle();
 			restartTimeout(this.limits.idleTimeout().toMillis(), ResultCode.OK);
 			resumeReading();
 		}
@@ -230,6 +246,7 @@
 			return;
 		}
 		this.discarding = true;
+		ConnectionUse.of(channel()).refused();
 		stopTimeout();
 		clear();
 		stopDecoding();
@@ -245,7 +262,7 @@
 			this.context.close();
 			return;
 		}
-		this.response = new CallerResponse(channel(), HttpVersion.HTTP_1_1, this.http2Stream,
+		this.response = new CallerResponse(channel(), HttpVersion.HTTP_1_1, this.http2Stream, this.limits.idleTimeout(),
 				() -> responseWritten(this.http2Stream));
 		this.response.refuse(Refusal.notRun(code), "");
 	}
