Postponed requests of a connection wait for the next turn

What callers saw: while 120 clients sent requests without reading the responses, an ordinary request to the readiness address was answered after more than 30 s.

Cause: of several requests that arrive at once one is begun in a turn, and the next one was handed over as a task. Such tasks add one another, and the event loop runs tasks for up to a second before it reads and accepts connections.

Change: the next one is due in the next turn, after connections were read.

Ruled out: the limit of connections alone (with a client of its own beside the crowd 383 of 383 requests were answered at once when it got a place), and the crowd's own threads.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/BoundedRequestDecoder.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/BoundedRequestDecoder.java
@@ -1,6 +1,7 @@
 package org.acaciacourse.daemon.http;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -68,7 +69,8 @@
 		ctx.channel().config().setAutoRead(!waits);
 		this.receiver.buffered((rest.isReadable()) ? rest.capacity() : 0, waits);
 		if (waits && this.receiver.isReady()) {
-			ctx.executor().execute(() -> resume(ctx));
+			// A task that adds another one would run on before connections are read.
+			ctx.executor().schedule(() -> resume(ctx), 0, TimeUnit.NANOSECONDS);
 		}
 	}
 
