At the limit of connections, places change hands

Callers who use all connections without a pause kept each newcomer out. If none can be closed for a new one, an open one is closed after its next response, and one whose complete response is not read can be closed after 0.1 s in place of a second. The crowd of the tests forgets its closed sockets and ends at once.

--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionLimiter.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionLimiter.java
@@ -19,7 +19,8 @@
  * Limits the number of open connections. A connection over the limit takes the place of
  * the one that has waited longest for a complete request, so that callers who only hold
  * connections do not keep others out; if there is none, it gets a 503 response and is
- * closed. The accepted ones are kept in a set for the shutdown.
+ * closed, and an open one is closed after its next response. The accepted ones are kept
+ * in a set for the shutdown.
  * <p>
  * Thread safe.
  */
@@ -63,6 +64,7 @@
 	@Override
 	public void channelActive(ChannelHandlerContext ctx) {
 		if (this.count.incrementAndGet() > this.maxConnections && !closeLongestIdle()) {
+			closeOneAfterItsResponse();
 			refuse(ctx);
 			return;
 		}
@@ -92,6 +94,15 @@
 		return longest.isPresent();
 	}
 
+	// Callers who use all connections without a pause give them up in turn.
+	private void closeOneAfterItsResponse() {
+		long now = System.nanoTime();
+		this.channels.stream()
+			.filter((channel) -> !isClosing(channel) && channel.pipeline().get(ConnectionInitializer.HTTP2) == null)
+			.max(Comparator.comparingLong((channel) -> ConnectionUse.of(channel).idleNanos(now)))
+			.ifPresent(ConnectionLimiter::markClosing);
+	}
+
 	private void refuse(ChannelHandlerContext ctx) {
 		this.handler.refused(ResultCode.TOO_MANY_CONNECTIONS);
 		String body = Refusal.notRun(ResultCode.TOO_MANY_CONNECTIONS).json();
--- a/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionUse.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/http/ConnectionUse.java
@@ -16,6 +16,9 @@
 	/** A caller that has just got a response may be about to send its next request. */
 	private static final long REUSE_NANOS = 1_000_000_000L;
 
+	/** A caller that reads its response takes a part of it within a round trip. */
+	private static final long UNREAD_NANOS = 100_000_000L;
+
 	private volatile State state = State.NEW;
 
 	private volatile long since = System.nanoTime();
@@ -58,8 +61,12 @@
 	}
 
 	boolean mayBeClosed(long now) {
-		State current = this.state;
-		return current == State.NEW || current != State.BUSY && now - this.since >= REUSE_NANOS;
+		return switch (this.state) {
+			case NEW -> true;
+			case BUSY -> false;
+			case IDLE -> now - this.since >= REUSE_NANOS;
+			case UNREAD -> now - this.since >= UNREAD_NANOS;
+		};
 	}
 
 	/**
--- a/testkit/src/main/java/org/acaciacourse/testkit/CallerCrowd.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/CallerCrowd.java
@@ -68,11 +68,11 @@
 
 	private void call(InetSocketAddress server) {
 		for (boolean first = true; !this.closed; first = false) {
-			try (Socket socket = new Socket()) {
-				this.sockets.add(socket);
+			Socket socket = new Socket();
+			this.sockets.add(socket);
+			try (socket) {
 				socket.connect(server, CONNECT_MILLIS);
 				send(socket, first);
-				this.sockets.remove(socket);
 			}
 			catch (IOException ex) {
 				// Refused or disconnected: the caller comes again.
@@ -80,6 +80,7 @@
 					this.firstRound.countDown();
 				}
 			}
+			this.sockets.remove(socket);
 			LockSupport.parkNanos(RECONNECT_NANOS);
 		}
 	}
@@ -109,13 +110,11 @@
 	@Override
 	public void close() throws Exception {
 		this.closed = true;
-		for (Thread thread : this.threads) {
-			while (thread.isAlive()) {
-				for (Socket socket : this.sockets) {
-					socket.close();
-				}
-				thread.join(TimeUnit.SECONDS.toMillis(1));
+		while (this.threads.stream().anyMatch(Thread::isAlive)) {
+			for (Socket socket : this.sockets) {
+				socket.close();
 			}
+			LockSupport.parkNanos(RECONNECT_NANOS);
 		}
 	}
 
