--- a/testkit/src/main/java/org/acaciacourse/testkit/FreePorts.java
+++ b/testkit/src/main/java/org/acaciacourse/testkit/FreePorts.java
@@ -1,7 +1,6 @@
 package org.acaciacourse.testkit;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -29,7 +28,8 @@
 	public static int next() {
 		for (int i = 0; i < COUNT; i++) {
 			int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
-			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+			// Free at all addresses, as processes of a test may have several.
+			try (ServerSocket socket = new ServerSocket(port, 1)) {
 				return socket.getLocalPort();
 			}
 			catch (IOException ex) {
