--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -Xlint:all,-serial -d target/review-2 review/standins-2/*.java
+javac -encoding UTF-8 -d target/review-2 review/standins-2/*.java
--- a/review/standins-2/ChangedPaths.java
+++ b/review/standins-2/ChangedPaths.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,7 @@
 /**
  * A client writes letters outside of ASCII into path and query as they are, in UTF-8. The runner must get both unchanged.
  */
-final class ChangedPaths {
+final class ChangedPaths implements Case {
 
 	private static final int REQUESTS = 20;
 
@@ -33,25 +32,17 @@
 	}
 
 	public static void main(String[] args) throws Exception {
-		try (Record record = new Record(Path.of(args[0]))) {
-			int result;
-			ChangedPaths run = new ChangedPaths(record);
-			try {
-				result = run.play(!"0".equals(System.getenv("TROUBLE")));
-			}
-			catch (Site.CannotRun ex) {
-				record.line("cannot run: " + ex.getMessage());
-				result = 2;
-			}
-			finally {
-				run.site.close();
-				run.platform.close();
-			}
-			System.exit(result);
-		}
+		Case.run(args[0], ChangedPaths::new);
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+		this.platform.close();
 	}
 
-	private int play(boolean trouble) throws Exception {
+	@Override
+	public boolean isBroken(boolean trouble) throws Exception {
 		List<String> entries = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
 			Runner runner = new Runner(this.record, "i-7f3a9" + Integer.toHexString(0x100 + i), "casedesk",
@@ -88,7 +79,7 @@
 		if (!trouble && served < REQUESTS / 2) {
 			throw new Site.CannotRun("under half of the requests were served");
 		}
-		return (changed > 0) ? 1 : 0;
+		return changed > 0;
 	}
 
 	private int ask(Site.Machine front, String id, String line) throws IOException {
--- a/review/standins-2/EndlessEvents.java
+++ b/review/standins-2/EndlessEvents.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -20,12 +19,12 @@
  * The model runners are in trouble: they begin an event that has no end. The requests to the other service, whose runners are
  * sound, come over connections that their clients keep.
  */
-final class EndlessEvents {
+final class EndlessEvents implements Case {
 
 	/** The part of the model runners' answers that has no end. */
 	private static final double SHARE = Double.parseDouble(System.getProperty("share", "1"));
 
-	private static final int TROUBLE_SECONDS = Integer.getInteger("seconds", 60);
+	private static final int TROUBLE_SECONDS = Integer.getInteger("seconds", 85);
 
 	/** A tenth of the eleven machines in use, and two at least. */
 	private static final int MACHINES = 2;
@@ -65,25 +64,17 @@
 	}
 
 	public static void main(String[] args) throws Exception {
-		try (Record record = new Record(Path.of(args[0]))) {
-			int result;
-			EndlessEvents run = new EndlessEvents(record);
-			try {
-				result = run.play(!"0".equals(System.getenv("TROUBLE")));
-			}
-			catch (Site.CannotRun ex) {
-				record.line("cannot run: " + ex.getMessage());
-				result = 2;
-			}
-			finally {
-				run.site.close();
-				run.platform.close();
-			}
-			System.exit(result);
-		}
+		Case.run(args[0], EndlessEvents::new);
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+		this.platform.close();
 	}
 
-	private int play(boolean trouble) throws Exception {
+	@Override
+	public boolean isBroken(boolean trouble) throws Exception {
 		List<String> entries = new ArrayList<>();
 		for (int i = 0; i < 16; i++) {
 			boolean model = i < 13;
@@ -140,7 +131,7 @@
 		if (!trouble && this.answered.get() < 50) {
 			throw new Site.CannotRun("the kept connections were not served");
 		}
-		return (thrice(ends) >= MACHINES) ? 1 : 0;
+		return thrice(ends) >= MACHINES;
 	}
 
 	// How many machines have had three ends or more.
--- a/review/standins-2/MixedVersions.java
+++ b/review/standins-2/MixedVersions.java
@@ -1,5 +1,4 @@
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -14,7 +13,7 @@
  * Runners crash one after the other, and each is back under its id with another version of its software. A stream must go on
  * only at the version that began it.
  */
-final class MixedVersions {
+final class MixedVersions implements Case {
 
 	private static final int MODEL_RUNNERS = 13;
 
@@ -60,25 +59,17 @@
 	}
 
 	public static void main(String[] args) throws Exception {
-		try (Record record = new Record(Path.of(args[0]))) {
-			int result;
-			MixedVersions run = new MixedVersions(record);
-			try {
-				result = run.play(!"0".equals(System.getenv("TROUBLE")));
-			}
-			catch (Site.CannotRun ex) {
-				record.line("cannot run: " + ex.getMessage());
-				result = 2;
-			}
-			finally {
-				run.site.close();
-				run.platform.close();
-			}
-			System.exit(result);
-		}
+		Case.run(args[0], MixedVersions::new);
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+		this.platform.close();
 	}
 
-	private int play(boolean trouble) throws Exception {
+	@Override
+	public boolean isBroken(boolean trouble) throws Exception {
 		for (int i = 0; i < MODEL_RUNNERS + 3; i++) {
 			boolean model = i < MODEL_RUNNERS;
 			Runner runner = new Runner(this.record, "i-7f3a9" + Integer.toHexString(0x100 + i),
@@ -112,7 +103,7 @@
 		if (this.complete.get() < this.streams.get() / 2) {
 			throw new Site.CannotRun("under half of the streams were served");
 		}
-		return (this.mixed.get() > 2) ? 1 : 0;
+		return this.mixed.get() > 2;
 	}
 
 	// What crashes is back under its id, with the next version.
--- a/review/standins-2/TenantNames.java
+++ b/review/standins-2/TenantNames.java
@@ -4,7 +4,6 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,7 @@
  * A change of the configuration adds two tenants. Their runners must be able to tell them apart by the name in
  * {@code Tenant}.
  */
-final class TenantNames {
+final class TenantNames implements Case {
 
 	private static final int REQUESTS = 20;
 
@@ -35,25 +34,17 @@
 	}
 
 	public static void main(String[] args) throws Exception {
-		try (Record record = new Record(Path.of(args[0]))) {
-			int result;
-			TenantNames run = new TenantNames(record);
-			try {
-				result = run.play(!"0".equals(System.getenv("TROUBLE")));
-			}
-			catch (Site.CannotRun ex) {
-				record.line("cannot run: " + ex.getMessage());
-				result = 2;
-			}
-			finally {
-				run.site.close();
-				run.platform.close();
-			}
-			System.exit(result);
-		}
+		Case.run(args[0], TenantNames::new);
+	}
+
+	@Override
+	public void close() {
+		this.site.close();
+		this.platform.close();
 	}
 
-	private int play(boolean trouble) throws Exception {
+	@Override
+	public boolean isBroken(boolean trouble) throws Exception {
 		List<String> entries = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
 			Runner runner = new Runner(this.record, "i-7f3a9" + Integer.toHexString(0x100 + i), "casedesk",
@@ -103,7 +94,7 @@
 		if (served < REQUESTS / 2) {
 			throw new Site.CannotRun("under half of the requests were served");
 		}
-		return (wrong > 0) ? 1 : 0;
+		return wrong > 0;
 	}
 
 	private int ask(Site.Machine front, String id, String key) throws IOException {
