--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/acaciacourse.jar ] && [ -f target/review-2/EndlessEvents.class ] || { echo "not built" >&2; exit 2; }
-timeout -k 2 117 java -Xmx512m -cp target/review-2 EndlessEvents review/9/record.txt
+[ -f target/acaciacourse.jar ] && [ -f target/review-2/TenantNames.class ] || { echo "not built" >&2; exit 2; }
+timeout -k 2 117 java -Xmx512m -cp target/review-2 TenantNames review/9/record.txt
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of cases 6 to 10 start. Needs the JDK that the project is built with.
+# Builds the stand-ins that the scripts of cases 6 to 9 start. Needs the JDK that the project is built with.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standins-2/Client.java
+++ b/review/standins-2/Client.java
@@ -20,18 +20,33 @@
 		return String.format("%016x", NUMBER.incrementAndGet() * 0x9e3779b97f4a7c15L);
 	}
 
+	/**
+	 * Return after which gap a client abandons a stream, also before its first event: two seconds, four times the objective or
+	 * eight times the longest pause, whichever is longest.
+	 * @param route the route
+	 * @return milliseconds, from the sheet
+	 */
+	static int gapMillis(String route) {
+		return switch (route) {
+			case "digest" -> 8_000;
+			case "synth" -> 3_200;
+			default -> 2_000;
+		};
+	}
+
 	/**
 	 * Ask for a stream.
+	 * @param gapMillis after how long without a byte the client leaves
 	 * @param more further header lines, each with its end
 	 * @return what came
 	 */
 	static Stream stream(InetSocketAddress front, String host, String path, String id, String key, int deadlineMillis,
-			String tokens, String prefix, String more) {
+			int gapMillis, String tokens, String prefix, String more) {
 		Stream stream = new Stream(id);
 		try (Socket socket = new Socket()) {
 			socket.connect(front, 1_000);
 			socket.setTcpNoDelay(true);
-			socket.setSoTimeout(deadlineMillis);
+			socket.setSoTimeout(Math.min(deadlineMillis, gapMillis));
 			String body = "x".repeat(1_000);
 			Http.write(socket.getOutputStream(),
 					"POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: " + id + "\r\nModel: m\r\n"
--- a/review/standins-2/CutAnswers.java
+++ b/review/standins-2/CutAnswers.java
@@ -19,6 +19,9 @@
  */
 final class CutAnswers implements Case {
 
+	/** One of them is a share of 0.25. */
+	private static final int RUNNERS = 4;
+
 	private static final int CRASHES = 8;
 
 	/** How long a runner that crashed is away. */
@@ -69,8 +72,8 @@
 	@Override
 	public boolean isBroken(boolean trouble) throws Exception {
 		List<Early> runners = new ArrayList<>();
-		for (int i = 0; i < 3; i++) {
-			Early runner = new Early("i-7f3a9" + Integer.toHexString(0x100 + i), Site.ZONES.get(i),
+		for (int i = 0; i < RUNNERS; i++) {
+			Early runner = new Early("i-7f3a9" + Integer.toHexString(0x100 + i), Site.ZONES.get(i % 3),
 					this.site.net + (100 + i));
 			runner.start();
 			runners.add(runner);
--- a/review/standins-2/MixedVersions.java
+++ b/review/standins-2/MixedVersions.java
@@ -24,7 +24,7 @@
 	private static final long DOWN_MILLIS = 2_000;
 
 	/** How long they are back before the next ones crash. */
-	private static final long NEXT_MILLIS = Long.getLong("next", 400);
+	private static final long NEXT_MILLIS = 400;
 
 	private final Record record;
 
@@ -146,6 +146,21 @@
 		});
 	}
 
+	// Waits as the answer says, for no longer than a limit.
+	private static int rest(String retryAfter, int mostMillis) {
+		if (retryAfter.isEmpty()) {
+			return 0;
+		}
+		int millis = (int) Math.min(mostMillis, Double.parseDouble(retryAfter) * 1_000);
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return millis;
+	}
+
 	private void one(String route, InetSocketAddress front, InetSocketAddress other, String tokens, int thing) {
 		boolean resumable = route.equals("synth");
 		int deadline = (resumable) ? 6_000 : 12_000;
@@ -153,18 +168,21 @@
 		String shared = Integer.toHexString(0x5c1e0000 + route.hashCode() % 997 * 1_000 + thing) + ":"
 				+ Integer.parseInt(tokens.split(",")[0]) * 2 / 3;
 		String prefix = shared + "," + id.substring(8) + ":" + Integer.parseInt(tokens.split(",")[0]) / 3;
-		Client.Stream first = Client.stream(front, Config.HOST, "/" + route + "/2f", id, Config.KEY, deadline, tokens,
-				prefix, "");
+		long begun = System.nanoTime();
+		Client.Stream first = Client.stream(front, Config.HOST, "/" + route + "/2f", id, Config.KEY, deadline,
+				Client.gapMillis(route), tokens, prefix, "");
 		if (!resumable) {
 			return;
 		}
 		List<String> events = new ArrayList<>(first.events);
 		Client.Stream last = first;
-		if (!first.complete && first.status != 400) {
+		int left = deadline - (int) ((System.nanoTime() - begun) / 1_000_000);
+		if (!first.complete && first.status / 100 != 4 && left > 100) {
+			left -= rest(first.retryAfter, left / 3);
 			String more = (first.events.isEmpty()) ? ""
 					: "Last-Event-Id: " + first.lastEventId() + "\r\nResumes: " + id + "\r\n";
-			last = Client.stream(other, Config.HOST, "/" + route + "/2f", Client.id(), Config.KEY, deadline, tokens,
-					prefix, more);
+			last = Client.stream(other, Config.HOST, "/" + route + "/2f", Client.id(), Config.KEY, left,
+					Client.gapMillis(route), tokens, prefix, more);
 			events.addAll(last.events);
 		}
 		Set<String> versions = new TreeSet<>();
