--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,6 +3,8 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -f target/acaciacourse.jar ] && [ -f target/review-2/TenantNames.class ] || { echo "not built" >&2; exit 2; }
 timeout -k 2 117 java -Xmx512m -cp target/review-2 TenantNames review/9/record.txt
-status=$?
-[ "$status" -le 1 ] || exit 2
-exit "$status"
+case $? in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -1,6 +1,6 @@
 import java.nio.file.Path;
 
-/** A case: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+/** A case. */
 interface Case extends AutoCloseable {
 
 	/**
@@ -13,14 +13,17 @@
 	@Override
 	void close();
 
-	/** Run a case, write its record and end the process. */
+	/**
+	 * Run a case, write its record and end the process: with 10 if the rule was broken, 0 if it held, 2 if the case could not
+	 * run. A virtual machine that fails ends with 1 by itself, which must not look like a broken rule.
+	 */
 	static void run(String file, Start start) throws Exception {
 		int result = 2;
 		try (Record record = new Record(Path.of(file))) {
 			try (Case played = start.start(record)) {
-				result = (played.isBroken(!"0".equals(System.getenv("TROUBLE")))) ? 1 : 0;
+				result = (played.isBroken(!"0".equals(System.getenv("TROUBLE")))) ? 10 : 0;
 			}
-			catch (Exception ex) {
+			catch (Throwable ex) {
 				record.line("cannot run: " + ex);
 				result = 2;
 			}
--- a/review/standins-2/CutAnswers.java
+++ b/review/standins-2/CutAnswers.java
@@ -22,6 +22,8 @@
 	/** One of them is a share of 0.25. */
 	private static final int RUNNERS = 4;
 
+	private static final int SLOTS = 6;
+
 	private static final int CRASHES = 8;
 
 	/** How long a runner that crashed is away. */
@@ -78,7 +80,7 @@
 			runner.start();
 			runners.add(runner);
 		}
-		this.platform.show(runners.stream().map(Early::entry).toList());
+		show(runners);
 		this.site.start();
 		this.site.put(Config.json(7), 20_000);
 		this.site.awaitReady(20_000);
@@ -104,6 +106,7 @@
 			Thread.sleep(DOWN_MILLIS);
 			if (trouble) {
 				runner.start();
+				show(runners);
 				this.record.line("runner " + runner.id + " is back");
 			}
 			Thread.sleep(1_000);
@@ -118,6 +121,10 @@
 		return this.cut.get() > 0;
 	}
 
+	private void show(List<Early> runners) {
+		this.platform.show(runners.stream().map(Early::entry).toList());
+	}
+
 	private void judge(Answer answer) {
 		boolean success = answer.status == 200 && answer.complete;
 		this.asked.incrementAndGet();
@@ -147,7 +154,9 @@
 			if (head != null) {
 				answer.status = head.status();
 				answer.seal = head.header("response-seal");
-				answer.bytes = Http.body(in, head).length;
+				// Without a length or chunks the body ends with the connection; a reset throws.
+				answer.bytes = (head.header("content-length").isEmpty() && head.header("transfer-encoding").isEmpty())
+						? in.readAllBytes().length : Http.body(in, head).length;
 				answer.complete = true;
 			}
 		}
@@ -197,6 +206,8 @@
 
 		private final AtomicInteger answering = new AtomicInteger();
 
+		private volatile long born;
+
 		private volatile ServerSocket server;
 
 		private Early(String id, String zone, String ip) {
@@ -207,7 +218,8 @@
 
 		private String entry() {
 			return "{\"service\":\"casedesk\",\"address\":\"" + this.ip + ":" + port() + "\",\"zone\":\"" + this.zone
-					+ "\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"id\":\"" + this.id
+					+ "\",\"version\":\"v1\",\"slots\":" + SLOTS
+					+ ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":" + this.born + ",\"id\":\"" + this.id
 					+ "\"}";
 		}
 
@@ -222,6 +234,7 @@
 			next.setReceiveBufferSize(65_536);
 			next.bind(new InetSocketAddress(this.ip, port()), 256);
 			this.server = next;
+			this.born = System.currentTimeMillis();
 			Runner.daemon(() -> {
 				while (true) {
 					Socket socket = next.accept();
@@ -256,8 +269,17 @@
 				if (head == null) {
 					return;
 				}
-				if (!head.header("expect-instance").equals(this.id)) {
-					Http.write(out, "HTTP/1.1 421 X\r\nInstance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n");
+				if (head.line().contains(" /health ")) {
+					Http.write(out, head(head, 200) + "Instance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n");
+					return;
+				}
+				String expected = head.header("expect-instance");
+				if (!expected.isEmpty() && !expected.equals(this.id)) {
+					Http.write(out, head(head, 421) + "Instance-Id: " + this.id + "\r\nContent-Length: 0\r\n\r\n");
+					return;
+				}
+				if (this.answering.get() >= SLOTS) {
+					Http.write(out, head(head, 503) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 					return;
 				}
 				answer(head, in, out);
@@ -267,13 +289,18 @@
 			}
 		}
 
+		private String head(Http.Head request, int status) {
+			return "HTTP/1.1 " + status + " X\r\nRequest-Id: " + request.header("request-id") + "\r\nServer-Load: "
+					+ this.answering.get() + ",0," + SLOTS + "\r\nConnection: close\r\n";
+		}
+
 		private void answer(Http.Head head, InputStream in, OutputStream out) throws Exception {
 			String request = head.header("request-id");
 			int length = Integer.parseInt(head.headers().getOrDefault("content-length", "0"));
 			this.answering.incrementAndGet();
 			try {
 				int early = in.readNBytes(Math.min(length, 4_096)).length;
-				Http.write(out, "HTTP/1.1 200 OK\r\nRequest-Id: " + request + "\r\nResponse-Seal: seal\r\n\r\n");
+				Http.write(out, head(head, 200) + "Response-Seal: seal\r\n\r\n");
 				for (int part = 1; part <= PARTS; part++) {
 					Http.write(out, "y".repeat(PART_BYTES));
 					CutAnswers.this.sent.put(request, part * PART_BYTES);
--- a/review/standins-2/JoinedTexts.java
+++ b/review/standins-2/JoinedTexts.java
@@ -1,7 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -55,10 +54,9 @@
 					this.site.listPort + 1, 6, "v1") {
 
 				@Override
-				void answer(Http.Head request, OutputStream out, String run) throws IOException, InterruptedException {
+				void begins(Http.Head request) {
 					JoinedTexts.this.services.put(request.header("request-id"), this.service);
 					JoinedTexts.this.received.put(request.header("request-id"), request.header("tenant"));
-					super.answer(request, out, run);
 				}
 
 			};
--- a/review/standins-2/MixedVersions.java
+++ b/review/standins-2/MixedVersions.java
@@ -26,6 +26,9 @@
 	/** How long they are back before the next ones crash. */
 	private static final long NEXT_MILLIS = 400;
 
+	/** After these statuses no client tries again. */
+	private static final Set<Integer> FINAL = Set.of(400, 401, 404, 413, 431);
+
 	private final Record record;
 
 	private final Site site;
@@ -177,7 +180,7 @@
 		List<String> events = new ArrayList<>(first.events);
 		Client.Stream last = first;
 		int left = deadline - (int) ((System.nanoTime() - begun) / 1_000_000);
-		if (!first.complete && first.status / 100 != 4 && left > 100) {
+		if (!first.complete && !FINAL.contains(first.status) && left > 100) {
 			left -= rest(first.retryAfter, left / 3);
 			String more = (first.events.isEmpty()) ? ""
 					: "Last-Event-Id: " + first.lastEventId() + "\r\nResumes: " + id + "\r\n";
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -128,7 +128,8 @@
 
 	String head(Http.Head request, int status, String more) {
 		return "HTTP/1.1 " + status + " X\r\nRequest-Id: " + request.header("request-id") + "\r\nServer-Load: "
-				+ this.running.get() + ",0," + this.slots + "\r\nKeep-Alive: timeout=20\r\n" + more;
+				+ this.running.get() + ",0," + this.slots + "\r\nKeep-Alive: timeout=20\r\n"
+				+ ((request.header("token-count").isEmpty()) ? "" : "Weight-Versions: 1\r\n") + more;
 	}
 
 	void answer(Http.Head request, OutputStream out, String run) throws IOException, InterruptedException {
@@ -146,6 +147,7 @@
 			return;
 		}
 		this.running.incrementAndGet();
+		begins(request);
 		try {
 			if (request.header("token-count").isEmpty()) {
 				Thread.sleep(this.workMillis);
@@ -162,6 +164,10 @@
 		}
 	}
 
+	/** Called when a request is not rejected and begins to run. */
+	void begins(Http.Head request) {
+	}
+
 	void stream(Http.Head request, OutputStream out, String run) throws IOException, InterruptedException {
 		String[] tokens = request.header("token-count").split(",");
 		int events = Math.max(1, Integer.parseInt(tokens[1].strip()) / EVENT_TOKENS);
--- a/review/standins-2/TenantNames.java
+++ b/review/standins-2/TenantNames.java
@@ -1,7 +1,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -51,9 +50,8 @@
 					Site.ZONES.get(i), this.site.net + (100 + i), this.site.listPort + 1, 6, "v1") {
 
 				@Override
-				void answer(Http.Head request, OutputStream out, String run) throws IOException, InterruptedException {
+				void begins(Http.Head request) {
 					TenantNames.this.received.put(request.header("request-id"), request.header("tenant"));
-					super.answer(request, out, run);
 				}
 
 			};
