A response without a length is complete only if the end of its input was received

What callers saw: 200 with the endpoint's seal and a part of its body as the whole one, if the endpoint responded without a length before it had read a long request and its connection was reset while the request was still being written.

Cause: such a response counted as complete unless reading had failed before the connection became inactive. The event loop writes first; the write fails with the reset and closes the connection, so that the read which would have failed never takes place (after the failed write it would have got an end: the system reports an error once). The server of a tunnel told ends from resets in the same way.

Ruled out: a response that was whole when the reset came; reading on after a failed write, for the reason above.

Change: connections to endpoints use half closure, so that the end of the input is an event. Only a response without a length that ends with this event is complete; a tunnel passes the event on by its END frame.

Evidence: ResetDuringUploadTests, 11 cases: 4 fail on (without a length: plain and stream, direct and through a tunnel), none with the change.

--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -33,8 +34,9 @@
  * reason a response is complete only once all data that arrived with it was read, and the
  * beginning of a further head counts as data like any other.
  * <p>
- * A response without a length ends with its connection; it is complete only if the
- * endpoint closed the connection in order, not if the connection was reset.
+ * A response without a length ends with its connection; it is complete only if the end of
+ * the input was received. A connection that is reset ends without it, also where a failed
+ * write of the request is noticed before the reset is read.
  * <p>
  * Not thread safe: belongs to the event loop of the connection.
  */
@@ -366,7 +368,7 @@
 
 	private void finish() {
 		this.closedByEndpoint |= !this.framed;
-		if (this.connectionReset) {
+		if (this.connectionReset || (!this.framed && !this.decoder.isInputEnded())) {
 			fail();
 			return;
 		}
@@ -411,6 +413,13 @@
 		}
 	}
 
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			ctx.close();
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		this.connectionReset = true;
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -111,8 +111,7 @@
 		this.readsBounded = true;
 	}
 
-	private Bootstrap bootstrap(int timeoutMillis) {
-		Bootstrap bootstrap = TcpSockets.bootstrap(this.loop, timeoutMillis);
+	private Bootstrap withBoundedReads(Bootstrap bootstrap) {
 		return (this.readsBounded) ? bootstrap.option(ChannelOption.RECVBUF_ALLOCATOR, BOUNDED_READS) : bootstrap;
 	}
 
@@ -135,7 +134,8 @@
 	void connectDirectly(FleetEndpoint endpoint, Consumer<Try<EndpointConnection>> onReady) {
 		EndpointLink link = this.paths.direct().link(endpoint.instance());
 		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.empty(), this.onClosed);
-		bootstrap(CONNECT_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+		Bootstrap bootstrap = TcpSockets.endpointBootstrap(this.loop, CONNECT_TIMEOUT_MILLIS);
+		withBoundedReads(bootstrap).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
@@ -171,7 +171,8 @@
 		EndpointConnection connection = new EndpointConnection(endpoint, link, Optional.of(peer), this.onClosed);
 		TunnelOpening opening = new TunnelOpening(peer, link, connection, onReady);
 		opening.timeout = this.loop.schedule(opening::timedOut, TUNNEL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-		bootstrap(TUNNEL_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
+		Bootstrap bootstrap = TcpSockets.bootstrap(this.loop, TUNNEL_TIMEOUT_MILLIS);
+		withBoundedReads(bootstrap).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointResponseDecoder.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointResponseDecoder.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,6 +22,8 @@
 
 	private boolean withinResponse;
 
+	private boolean inputEnded;
+
 	/**
 	 * Create a decoder.
 	 * @param maxInitialLineBytes the longest status line or chunk extension
@@ -47,6 +50,21 @@
 		return this.withinResponse || actualReadableBytes() > 0;
 	}
 
+	/**
+	 * Return whether the endpoint has closed the connection in order. The end of a
+	 * response without a length is decoded at any end of the connection.
+	 * @return whether the end of the input was received
+	 */
+	boolean isInputEnded() {
+		return this.inputEnded;
+	}
+
+	@Override
+	public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+		this.inputEnded |= event instanceof ChannelInputShutdownEvent;
+		super.userEventTriggered(ctx, event);
+	}
+
 	@Override
 	protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
 		int decoded = out.size();
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TcpSockets.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TcpSockets.java
@@ -57,6 +57,19 @@
 		return bootstrap;
 	}
 
+	/**
+	 * Prepare a connection to an endpoint. Its input ends with an event of its own if the
+	 * endpoint closed the connection in order; a connection that just becomes inactive
+	 * was reset, or closed by this process, for example after a failed write.
+	 * @param loop its event loop
+	 * @param connectTimeoutMillis how long it may take to be established, in milliseconds
+	 * @return a bootstrap without a handler, whose handlers have to close the connection
+	 * at the end of its input
+	 */
+	public static Bootstrap endpointBootstrap(EventLoop loop, int connectTimeoutMillis) {
+		return bootstrap(loop, connectTimeoutMillis).option(ChannelOption.ALLOW_HALF_CLOSURE, true);
+	}
+
 	/**
 	 * Return whether a connection was refused, as no process listens. A timeout may also
 	 * be due to a lost packet. Netty's exception for timeouts extends ConnectException.
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelClientHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelClientHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import org.acaciacourse.daemon.codec.ThriftBytes;
 import org.acaciacourse.daemon.inner.SharedKey;
@@ -15,8 +16,8 @@
 
 /**
  * The client's end of a tunnel. Handlers behind it see the connection as if it led to the
- * endpoint: they read the endpoint's bytes, a close if the endpoint closed, and a failure
- * if the endpoint or the server was lost.
+ * endpoint: they read the endpoint's bytes, the end of the input if the endpoint closed
+ * in order, and a failure if the endpoint or the server was lost.
  * <p>
  * Not thread safe: belongs to the event loop of its connection.
  */
@@ -88,6 +89,7 @@
 			case OPENED -> resultReceived(frame);
 			case END -> {
 				this.ended = true;
+				ctx.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
 				ctx.close();
 			}
 			case STOPPING -> this.onStopping.run();
--- a/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/tunnel/TunnelSession.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.control.Try;
 import org.acaciacourse.core.path.EndpointLink;
@@ -128,7 +129,7 @@
 	}
 
 	private void connect(FleetEndpoint target, EndpointLink link) {
-		TcpSockets.bootstrap(this.server.loop(), CONNECT_TIMEOUT_MILLIS)
+		TcpSockets.endpointBootstrap(this.server.loop(), CONNECT_TIMEOUT_MILLIS)
 			.handler(new EndpointSide(link))
 			.connect(InternalConnection.parse(target.address()))
 			.addListener((ChannelFutureListener) (future) -> {
@@ -209,13 +210,18 @@
 		ctx.close();
 	}
 
-	/** The connection to the endpoint. */
+	/**
+	 * The connection to the endpoint. Without the end of its input it was reset, which a
+	 * failed write may hide.
+	 */
 	private final class EndpointSide extends ChannelInboundHandlerAdapter {
 
 		private final EndpointLink link;
 
 		private boolean failed;
 
+		private boolean inputEnded;
+
 		private EndpointSide(EndpointLink link) {
 			this.link = link;
 		}
@@ -239,6 +245,14 @@
 			TunnelSession.this.client.config().setAutoRead(ctx.channel().isWritable());
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+			if (event instanceof ChannelInputShutdownEvent) {
+				this.inputEnded = true;
+				ctx.close();
+			}
+		}
+
 		@Override
 		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 			this.failed = true;
@@ -248,11 +262,11 @@
 
 		@Override
 		public void channelInactive(ChannelHandlerContext ctx) {
-			if (this.failed) {
-				TunnelSession.this.client.close();
+			if (this.inputEnded && !this.failed) {
+				TunnelSession.this.client.writeAndFlush(TunnelFrame.END.of()).addListener(ChannelFutureListener.CLOSE);
 			}
 			else {
-				TunnelSession.this.client.writeAndFlush(TunnelFrame.END.of()).addListener(ChannelFutureListener.CLOSE);
+				TunnelSession.this.client.close();
 			}
 		}
 
