Names and keys of a configuration are values of their own, not joined and split

What callers saw: a route to a service casedesk:2 led to casedesk. A key with a comma got 401, and each part of it was a key of the customer.

Cause: the translation of a configuration joined lists and pairs by commas and colons, and the parser of routing manifests split the text again.

Change: each name and key is the whole value of a numbered key of its section. Lists that people write, and documents of an earlier release, are read as before. The same cause in the prices of data centres, in names of customers that stand twice, in keys of two customers of one name, and in host and prefix compared as one text is mended as well.

--- a/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
+++ b/core/src/main/java/org/acaciacourse/core/route/RouteTableParser.java
@@ -12,6 +12,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
+import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
 import org.acaciacourse.core.ini.CommaList;
@@ -27,6 +28,10 @@
  * ignored: the pipeline that writes the manifest stores in it what it needs to restore
  * its own format.
  * <p>
+ * Names and keys may be any text. In a list within one value, which people write, they
+ * end at a comma, and in a pair at the last colon; a pipeline writes each one as the
+ * whole value of a numbered key (see {@link #itemKey}). Numbered keys go before the list.
+ * <p>
  * Elements of unchanged sections are reused from the previous table, so that a small
  * change to a large manifest stays cheap.
  * <p>
@@ -50,12 +55,42 @@
 	/** The key that is ignored. */
 	public static final String ANNOTATION_KEY = "annotation";
 
+	/** The numbered keys with the pools of a route. */
+	public static final String POOL_ITEM = "pool";
+
+	/** The numbered keys with the weights of the pools; 1 where there is none. */
+	public static final String WEIGHT_ITEM = "weight";
+
+	/** The numbered keys with the keys of a customer. */
+	public static final String KEY_ITEM = "key";
+
+	/** The numbered keys with the data centres that have a price. */
+	public static final String DATA_CENTRE_ITEM = "data-centre";
+
+	/** The numbered keys with the prices of the data centres. */
+	public static final String PRICE_ITEM = "price";
+
+	/** The name of a customer where it is not that of its section. */
+	public static final String CUSTOMER_NAME_KEY = "name";
+
+	private static final String USUAL_VALUE = "1";
+
 	private ManifestDocument previousDocument = ManifestDocument.empty();
 
 	private Map<String, Object> previousElements = Map.of();
 
 	private List<Problem> problems = new ArrayList<>();
 
+	/**
+	 * Return the key of an item of a list whose items may be any text.
+	 * @param item what the items are
+	 * @param number the number of the item, from 1 without gaps
+	 * @return the key
+	 */
+	public static String itemKey(String item, int number) {
+		return item + ' ' + number;
+	}
+
 	/**
 	 * Return whether a document is a routing manifest.
 	 * @param document the document
@@ -150,11 +185,9 @@
 	// data centres is preferred.
 	private static Map<String, Double> parsePrices(SectionReader section) {
 		Map<String, Double> prices = new HashMap<>();
-		for (String item : section.list("data-centre-prices")) {
-			int colon = item.lastIndexOf(':');
-			String price = item.substring(colon + 1).strip();
-			if (colon > 0 && Units.isDecimal(price)) {
-				prices.put(item.substring(0, colon).strip(), Double.valueOf(price));
+		for (Pair pair : section.pairs(DATA_CENTRE_ITEM, PRICE_ITEM, "data-centre-prices")) {
+			if (!pair.name.isEmpty() && Units.isDecimal(pair.value)) {
+				prices.put(pair.name, Double.valueOf(pair.value));
 			}
 		}
 		return prices;
@@ -164,7 +197,8 @@
 		Optional<String> priority = section.text("priority");
 		OptionalInt routingPriority = (priority.isPresent())
 				? OptionalInt.of((int) section.number("priority", 0, 1_000, 0)) : OptionalInt.empty();
-		return new KeyOwner(name, section.list("keys"), routingPriority);
+		return new KeyOwner(section.keys.getOrDefault(CUSTOMER_NAME_KEY, name), section.list(KEY_ITEM, "keys"),
+				routingPriority);
 	}
 
 	private Route parseRoute(String name, SectionReader section) {
@@ -195,11 +229,9 @@
 
 	private static List<PoolShare> parseShares(SectionReader section) {
 		List<PoolShare> shares = new ArrayList<>();
-		for (String share : section.list("pools")) {
-			int colon = share.lastIndexOf(':');
+		for (Pair pair : section.pairs(POOL_ITEM, WEIGHT_ITEM, "pools")) {
 			try {
-				shares.add((colon < 0) ? new PoolShare(share, 1)
-						: new PoolShare(share.substring(0, colon), Long.parseLong(share.substring(colon + 1))));
+				shares.add(new PoolShare(pair.name, Long.parseLong(pair.value)));
 			}
 			catch (IllegalArgumentException ex) {
 				section.addProblem("pools", "expected POOL:WEIGHT, ...");
@@ -218,9 +250,9 @@
 	}
 
 	private void checkUniqueHostAndPrefix(List<Route> routes) {
-		Map<String, String> names = new HashMap<>();
+		Map<HostAndPrefix, String> names = new HashMap<>();
 		for (Route route : routes) {
-			String other = names.putIfAbsent(route.host() + ' ' + route.pathPrefix(), route.name());
+			String other = names.putIfAbsent(new HostAndPrefix(route.host(), route.pathPrefix()), route.name());
 			if (other != null) {
 				addProblem(ROUTE_PREFIX + route.name(), "path-prefix", "same host and path prefix as route " + other);
 			}
@@ -240,12 +272,14 @@
 	}
 
 	private void checkUniqueKeys(List<KeyOwner> owners) {
-		Map<String, String> customers = new HashMap<>();
+		Map<String, KeyOwner> holders = new HashMap<>();
 		for (KeyOwner owner : owners) {
 			for (String key : owner.keys()) {
-				String other = customers.putIfAbsent(key, owner.customer());
-				if (other != null && !other.equals(owner.customer())) {
-					addProblem(CUSTOMER_PREFIX + owner.customer(), "keys", "a key also belongs to customer " + other);
+				KeyOwner other = holders.putIfAbsent(key, owner);
+				// Two customers may have the same name.
+				if (other != null && other != owner) {
+					addProblem(CUSTOMER_PREFIX + owner.customer(), "keys",
+							"a key also belongs to customer " + other.customer());
 				}
 			}
 		}
@@ -281,8 +315,28 @@
 			return Optional.ofNullable(this.keys.get(key)).filter((value) -> !value.isEmpty());
 		}
 
-		private List<String> list(String key) {
-			return text(key).map(CommaList::split).orElse(List.of());
+		private List<String> list(String item, String listKey) {
+			List<String> items = items(item);
+			return (items.isEmpty()) ? text(listKey).map(CommaList::split).orElse(List.of()) : items;
+		}
+
+		private List<String> items(String item) {
+			List<String> items = new ArrayList<>();
+			for (String next = this.keys.get(itemKey(item, 1)); next != null; next = this.keys
+				.get(itemKey(item, items.size() + 1))) {
+				items.add(next);
+			}
+			return items;
+		}
+
+		private List<Pair> pairs(String nameItem, String valueItem, String listKey) {
+			List<String> names = items(nameItem);
+			if (names.isEmpty()) {
+				return text(listKey).map(CommaList::split).orElse(List.of()).stream().map(Pair::parse).toList();
+			}
+			return IntStream.range(0, names.size())
+				.mapToObj((i) -> new Pair(names.get(i), this.keys.getOrDefault(itemKey(valueItem, i + 1), USUAL_VALUE)))
+				.toList();
 		}
 
 		private boolean flag(String key) {
@@ -331,4 +385,29 @@
 
 	}
 
+	/**
+	 * A name with a number, which is not parsed yet.
+	 *
+	 * @param name the name
+	 * @param value the number, {@code 1} where there is none
+	 */
+	private record Pair(String name, String value) {
+
+		private static Pair parse(String text) {
+			int colon = text.lastIndexOf(':');
+			return (colon < 0) ? new Pair(text, USUAL_VALUE)
+					: new Pair(text.substring(0, colon).strip(), text.substring(colon + 1).strip());
+		}
+
+	}
+
+	/**
+	 * What identifies a route.
+	 *
+	 * @param host the host
+	 * @param pathPrefix the prefix of its paths
+	 */
+	private record HostAndPrefix(String host, String pathPrefix) {
+	}
+
 }
