Texts of the configuration are UTF-8 on the wire

What callers saw: requests of two customers with Georgian names ran as Tenant: ????, the same for both. Found beside it: valid keys, hosts and prefixes outside of ASCII were unknown, bytes above 127 in path and query became two bytes each, and requests of a customer whose name holds a line break were answered by nobody until their deadline.

Cause: texts were handed to the HTTP library, which makes one byte of each character and a question mark of those above 255.

Change: names, ids, keys, hosts and prefixes are UTF-8 on the wire. The target is written byte by byte. A name that no header field can hold is refused with 215.

--- a/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
+++ b/core/src/main/java/org/acaciacourse/core/code/ResultCode.java
@@ -83,6 +83,9 @@
 	/** The VM has no memory for the request; it was not received completely. */
 	NO_MEMORY(214, 503, 75, true, "the VM has no memory for the request at present"),
 
+	/** The customer's name holds what no header can, and endpoints are told the name. */
+	CUSTOMER_NOT_SENDABLE(215, 500, 65, false, "the customer's name cannot be sent to an endpoint"),
+
 	/** The endpoint responded with an error. */
 	ENDPOINT_ERROR(300, 502, 69, true, "the endpoint answered with an error"),
 
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/EndpointConnector.java
@@ -17,7 +17,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Try;
 import org.acaciacourse.core.memory.UnreadResponses;
@@ -151,7 +150,7 @@
 
 	// Adds the handlers of a connection.
 	static void addHttp(Channel channel, EndpointConnection connection) {
-		channel.pipeline().addLast(new HttpRequestEncoder());
+		channel.pipeline().addLast(new ForwardedRequestEncoder());
 		channel.pipeline()
 			.addLast(new EndpointResponseDecoder(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
 		channel.pipeline().addLast(connection);
--- a/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
+++ b/daemon/src/main/java/org/acaciacourse/daemon/route/RouteHandler.java
@@ -14,6 +14,7 @@
 import org.acaciacourse.core.route.RouteTable;
 import org.acaciacourse.daemon.http.CallerRequest;
 import org.acaciacourse.daemon.http.CallerResponse;
+import org.acaciacourse.daemon.http.HeaderText;
 import org.acaciacourse.daemon.http.Refusal;
 import org.acaciacourse.daemon.http.RequestHandler;
 import org.acaciacourse.daemon.telemetry.DecisionLog;
@@ -102,7 +103,9 @@
 			refuse(request, response, ResultCode.MALFORMED_REQUEST, metadata);
 			return;
 		}
-		Optional<Route> route = this.table.get().match(host, request.path());
+		// What is not UTF-8 in the path may follow a prefix that is.
+		String path = HeaderText.decode(request.path()).orElse(request.path());
+		Optional<Route> route = this.table.get().match(HeaderText.decode(host).orElse(host), path);
 		if (route.isEmpty()) {
 			refuse(request, response, ResultCode.UNKNOWN_PATH, metadata);
 			return;
@@ -112,6 +115,10 @@
 			refuse(request, response, ResultCode.UNKNOWN_CUSTOMER, metadata);
 			return;
 		}
+		if (owner.filter((one) -> !HeaderText.isSendable(one.customer())).isPresent()) {
+			refuse(request, response, ResultCode.CUSTOMER_NOT_SENDABLE, metadata);
+			return;
+		}
 		RoutedRequest routed = RoutedRequest.of(request, this.context.dialect(), metadata, route.get(), owner,
 				ranks(route.get(), owner));
 		if (routed.isResumption()) {
